Lay the base: result codes, events, settings, loop, frames, sessions

Cause: nothing can be measured until one call and one configuration go the whole way, and the parts can only be built side by side on shared headers.

Before: nothing.

Conclusion: the aggregates can be built on these headers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,147 @@
+# carawaybend.  "make demo" and "make check" do everything on a fresh machine.
+
+PREFIX ?= /usr/local
+DESTDIR ?=
+BUILD ?= build
+SAN ?=
+
+PACKAGES = gcc g++ make pkg-config libck-dev libprotobuf-c-dev \
+	libtomlplusplus-dev libmicrohttpd-dev libcurl4-openssl-dev \
+	libglib2.0-dev libgtest-dev librapidcheck-dev libxxhash-dev \
+	libsodium-dev
+LINT_PACKAGES = clang-format clang-tidy cppcheck git
+
+VERSION := 0.1.0
+
+AGGREGATES = base wire config replica endpoint distrib call report
+PROGRAMS := $(patsubst prog/%.c,%,$(wildcard prog/caraway*.c))
+TOOLS := $(patsubst bench/%_main.c,%,$(wildcard bench/*_main.c))
+
+PKGS = glib-2.0 libmicrohttpd libcurl libxxhash libsodium
+PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
+PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lprotobuf-c -lck -lpthread
+
+HARDEN = -fstack-protector-strong -fPIE -fcf-protection
+ifeq ($(SAN),)
+HARDEN += -D_FORTIFY_SOURCE=2
+else
+SAN_FLAGS = -fsanitize=$(SAN) -fno-omit-frame-pointer
+endif
+WARN = -Wall -Wextra -Werror
+CPPFLAGS = -I. -D_GNU_SOURCE -DCARAWAY_VERSION='"$(VERSION)"' $(PKG_CFLAGS)
+CFLAGS = -std=gnu11 -O2 -g $(WARN) $(HARDEN) $(SAN_FLAGS)
+CXXFLAGS = -std=c++17 -O1 -g $(WARN) $(HARDEN) $(SAN_FLAGS)
+LDFLAGS = -pie -Wl,-z,relro,-z,now $(SAN_FLAGS)
+
+LIB_SRC := $(foreach d,$(AGGREGATES),$(wildcard $(d)/*.c) $(wildcard $(d)/*.cc))
+LIB_OBJ := $(patsubst %,$(BUILD)/%.o,$(LIB_SRC))
+PROG_COMMON := $(patsubst %,$(BUILD)/%.o,$(filter-out prog/caraway%,$(wildcard prog/*.c)))
+BENCH_COMMON := $(patsubst %,$(BUILD)/%.o,$(filter-out %_main.c,$(wildcard bench/*.c)))
+TEST_SRC := $(wildcard test/*.cc)
+TEST_OBJ := $(patsubst %,$(BUILD)/%.o,$(TEST_SRC))
+C_FILES := $(shell git ls-files -co --exclude-standard '*.c' '*.h' '*.cc' 2>/dev/null | grep -v 'pb-c')
+
+BINARIES := $(PROGRAMS:%=$(BUILD)/%) $(TOOLS:%=$(BUILD)/%)
+
+.PHONY: all demo check tests run-tests bench bench-converge bench-calls \
+	bench-scale install clean deps lint-deps format lint tidy proto
+
+all: $(BINARIES)
+
+# Package installation is skipped when the build already has all it needs.
+deps:
+	@command -v pkg-config >/dev/null && pkg-config --exists $(PKGS) && \
+	 test -e /usr/include/rapidcheck.h -a -e /usr/include/gtest/gtest.h \
+	      -a -e /usr/include/toml++/toml.h -a -e /usr/include/ck_pr.h \
+	      -a -e /usr/include/protobuf-c/protobuf-c.h || \
+	 { apt-get update -q && DEBIAN_FRONTEND=noninteractive \
+	   apt-get install -y -q $(PACKAGES); }
+
+lint-deps:
+	@command -v clang-format >/dev/null && command -v clang-tidy >/dev/null \
+	 && command -v cppcheck >/dev/null || \
+	 { apt-get update -q && DEBIAN_FRONTEND=noninteractive \
+	   apt-get install -y -q $(LINT_PACKAGES); }
+
+demo: deps
+	@$(MAKE) --no-print-directory -s -j$$(nproc) all
+	@bench/demo.sh $(BUILD)
+
+check: deps
+	@$(MAKE) --no-print-directory -s -j$$(nproc) all tests
+	@test/run.sh $(BUILD)
+
+tests: $(BUILD)/test/all
+
+bench: bench-converge bench-calls bench-scale
+
+bench-converge bench-calls bench-scale: deps
+	@$(MAKE) --no-print-directory -s -j$$(nproc) all
+	@bench/$@.sh $(BUILD)
+
+$(BUILD)/libcaraway.a: $(LIB_OBJ)
+	@rm -f $@
+	$(AR) rcs $@ $^
+
+$(PROGRAMS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/prog/%.c.o $(PROG_COMMON) $(BUILD)/libcaraway.a
+	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(TOOLS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%_main.c.o $(BENCH_COMMON) $(BUILD)/libcaraway.a
+	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/test/all: $(TEST_OBJ) $(BUILD)/libcaraway.a
+	$(CXX) $(LDFLAGS) -o $@ $(TEST_OBJ) $(BUILD)/libcaraway.a -lrapidcheck -lgtest -lgtest_main $(PKG_LIBS)
+
+$(BUILD)/%.c.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c -o $@ $<
+
+$(BUILD)/%.cc.o: %.cc
+	@mkdir -p $(@D)
+	$(CXX) $(CPPFLAGS) $(CXXFLAGS) -MMD -MP -c -o $@ $<
+
+# Generated code is committed; this target is for changes to the .proto files.
+proto:
+	cd wire && for f in *.proto; do protoc-c --c_out=. $$f || exit 1; done
+
+format: lint-deps
+	clang-format -i $(C_FILES)
+
+# One stamp a file, so that a second run checks only what changed.
+$(BUILD)/%.tidy: %.c .clang-tidy
+	@mkdir -p $(@D)
+	@clang-tidy --quiet $< -- $(CPPFLAGS) -std=gnu11 2>$@.log \
+		|| { cat $@.log; exit 1; }
+	@touch $@
+
+tidy: $(patsubst %.c,$(BUILD)/%.tidy,$(filter %.c,$(C_FILES)))
+
+lint: deps lint-deps
+	@clang-format --dry-run --Werror $(C_FILES)
+	@$(MAKE) --no-print-directory -s -j$$(nproc) tidy
+	@cppcheck --quiet --error-exitcode=1 --std=c11 -j $$(nproc) \
+	 --cppcheck-build-dir=$$(mkdir -p $(BUILD)/cppcheck && echo $(BUILD)/cppcheck) \
+	 --enable=warning,performance,portability --inline-suppr \
+	 --suppress=missingIncludeSystem --suppress=unknownMacro -I. \
+	 $(filter %.c,$(C_FILES))
+
+install: all
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/share/man/man1 \
+		$(DESTDIR)$(PREFIX)/share/man/man5 \
+		$(DESTDIR)$(PREFIX)/share/man/man8 \
+		$(DESTDIR)$(PREFIX)/share/bash-completion/completions
+	install -m 755 $(PROGRAMS:%=$(BUILD)/%) $(DESTDIR)$(PREFIX)/bin
+	for n in 1 5 8; do \
+		for m in prog/*.$$n; do \
+			[ ! -e $$m ] || install -m 644 $$m \
+				$(DESTDIR)$(PREFIX)/share/man/man$$n; \
+		done; \
+	done
+	[ ! -e prog/carawayctl.bash ] || install -m 644 prog/carawayctl.bash \
+		$(DESTDIR)$(PREFIX)/share/bash-completion/completions/carawayctl
+
+clean:
+	rm -rf build
+
+-include $(LIB_OBJ:.o=.d) $(TEST_OBJ:.o=.d)
+-include $(wildcard $(BUILD)/prog/*.d) $(wildcard $(BUILD)/bench/*.d)
--- /dev/null
+++ b/base/ba_clock.h
@@ -0,0 +1,32 @@
+/*
+ * Time.  Decisions take the time as an argument and store deadlines; only
+ * programs read a clock.
+ */
+#ifndef BA_CLOCK_H
+#define BA_CLOCK_H
+
+#include <stdint.h>
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/** typedef ba_time - a point in time or a span, in microseconds */
+typedef int64_t ba_time;
+
+#define BA_MS ((ba_time)1000)
+#define BA_SECOND ((ba_time)1000000)
+#define BA_MINUTE (60 * BA_SECOND)
+#define BA_HOUR (60 * BA_MINUTE)
+#define BA_NEVER INT64_MAX
+
+/** ba_clock_now() - monotonic time of this process, for deadlines */
+ba_time ba_clock_now(void);
+
+/** ba_clock_wall() - time since 1970 in UTC, for people and for reports */
+ba_time ba_clock_wall(void);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/base/ba_event.c
@@ -0,0 +1,274 @@
+#define G_LOG_DOMAIN "carawaybend"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <pthread.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "base/ba_atomic.h"
+#include "base/ba_buf.h"
+#include "base/ba_clock.h"
+#include "base/ba_event.h"
+#include "base/ba_result.h"
+
+enum {
+	QUEUE_LIMIT_BYTES = 4 * 1024 * 1024,
+	DETAIL_BYTES = 1024,
+	LINE_BYTES = 1400,
+	STAMP_BYTES = 40,
+};
+
+static const GLogLevelFlags glib_levels[] = {
+	[BA_DEBUG] = G_LOG_LEVEL_DEBUG,	   [BA_INFO] = G_LOG_LEVEL_INFO,
+	[BA_NOTICE] = G_LOG_LEVEL_MESSAGE, [BA_WARNING] = G_LOG_LEVEL_WARNING,
+	[BA_ERROR] = G_LOG_LEVEL_CRITICAL,
+};
+
+/* Lock order: lock stands below every lock of the aggregates. */
+static struct {
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	pthread_t thread;
+	struct ba_buf queue;
+	uint64_t dropped;
+	char *program;
+	char *path;
+	int fd;
+	int least;
+	bool running;
+	bool stopping;
+	bool reopen;
+} lg = {
+	.lock = PTHREAD_MUTEX_INITIALIZER,
+	.wake = PTHREAD_COND_INITIALIZER,
+	.fd = STDERR_FILENO,
+	.least = BA_NOTICE,
+};
+
+static GLogWriterOutput write_fields(GLogLevelFlags level,
+				     const GLogField *fields, gsize n_fields,
+				     gpointer data);
+static const char *field_value(const GLogField *fields, gsize n,
+			       const char *key);
+static void format_stamp(char *out, size_t size);
+static void enqueue(const char *line, size_t len);
+static void *write_lines(void *arg);
+static void write_all(int fd, const uint8_t *data, size_t len);
+static int open_file(const char *path);
+static void handle_reopen(void);
+static void report_dropped(uint64_t dropped);
+
+bool ba_event_enabled(enum ba_event_id id)
+{
+	const struct ba_event_info *info = ba_event_info(id);
+
+	return info && (int)info->severity >= ba_load_int(&lg.least);
+}
+
+void ba_event(enum ba_event_id id, const char *fmt, ...)
+{
+	const struct ba_event_info *info = ba_event_info(id);
+	char detail[DETAIL_BYTES];
+	char number[16];
+	va_list ap;
+	GLogField fields[4];
+
+	if (!ba_event_enabled(id))
+		return;
+	va_start(ap, fmt);
+	vsnprintf(detail, sizeof(detail), fmt, ap);
+	va_end(ap);
+	snprintf(number, sizeof(number), "%d", (int)id);
+	fields[0] = (GLogField){"CARAWAY_EVENT", number, -1};
+	fields[1] = (GLogField){"CARAWAY_NAME", info->name, -1};
+	fields[2] = (GLogField){"MESSAGE", detail, -1};
+	fields[3] = (GLogField){"GLIB_DOMAIN", G_LOG_DOMAIN, -1};
+	g_log_structured_array(glib_levels[info->severity], fields, 4);
+}
+
+int ba_event_open(const char *program, const char *path, enum ba_severity least)
+{
+	int fd = path ? open_file(path) : STDERR_FILENO;
+
+	if (fd < 0)
+		return BA_FILE_UNREADABLE;
+	pthread_mutex_lock(&lg.lock);
+	lg.program = g_strdup(program);
+	lg.path = g_strdup(path);
+	lg.fd = fd;
+	ba_store_int(&lg.least, (int)least);
+	lg.stopping = false;
+	lg.running = true;
+	pthread_mutex_unlock(&lg.lock);
+	g_log_set_writer_func(write_fields, NULL, NULL);
+	pthread_create(&lg.thread, NULL, write_lines, NULL);
+	return BA_OK;
+}
+
+void ba_event_reopen(void)
+{
+	pthread_mutex_lock(&lg.lock);
+	lg.reopen = true;
+	pthread_cond_signal(&lg.wake);
+	pthread_mutex_unlock(&lg.lock);
+}
+
+void ba_event_close(void)
+{
+	pthread_mutex_lock(&lg.lock);
+	if (!lg.running) {
+		pthread_mutex_unlock(&lg.lock);
+		return;
+	}
+	lg.stopping = true;
+	lg.running = false;
+	pthread_cond_signal(&lg.wake);
+	pthread_mutex_unlock(&lg.lock);
+	pthread_join(lg.thread, NULL);
+	if (lg.path)
+		close(lg.fd);
+	lg.fd = STDERR_FILENO;
+	g_clear_pointer(&lg.program, g_free);
+	g_clear_pointer(&lg.path, g_free);
+}
+
+/* GLib's own messages and ours take the same way into the file. */
+static GLogWriterOutput write_fields(GLogLevelFlags level,
+				     const GLogField *fields, gsize n_fields,
+				     gpointer data)
+{
+	const char *number = field_value(fields, n_fields, "CARAWAY_EVENT");
+	const char *name = field_value(fields, n_fields, "CARAWAY_NAME");
+	const char *text = field_value(fields, n_fields, "MESSAGE");
+	char stamp[STAMP_BYTES];
+	char line[LINE_BYTES];
+	int len;
+
+	(void)data;
+	format_stamp(stamp, sizeof(stamp));
+	len = snprintf(line, sizeof(line), "%s %s %s %s %s\n", stamp,
+		       lg.program ? lg.program : "-", number ? number : "0",
+		       name ? name
+		       : g_log_writer_default_would_drop(level, "")
+			       ? "glib-debug"
+			       : "glib",
+		       text ? text : "");
+	if (len < 0)
+		return G_LOG_WRITER_UNHANDLED;
+	if ((size_t)len >= sizeof(line)) {
+		len = sizeof(line) - 1;
+		line[len - 1] = '\n';
+	}
+	enqueue(line, (size_t)len);
+	return G_LOG_WRITER_HANDLED;
+}
+
+static const char *field_value(const GLogField *fields, gsize n,
+			       const char *key)
+{
+	for (gsize i = 0; i < n; i++)
+		if (!strcmp(fields[i].key, key))
+			return fields[i].value;
+	return NULL;
+}
+
+static void format_stamp(char *out, size_t size)
+{
+	ba_time now = ba_clock_wall();
+	time_t seconds = (time_t)(now / BA_SECOND);
+	struct tm tm;
+	size_t len;
+
+	gmtime_r(&seconds, &tm);
+	len = strftime(out, size, "%Y-%m-%dT%H:%M:%S", &tm);
+	snprintf(out + len, size - len, ".%06dZ", (int)(now % BA_SECOND));
+}
+
+static void enqueue(const char *line, size_t len)
+{
+	pthread_mutex_lock(&lg.lock);
+	if (!lg.running) {
+		write_all(lg.fd, (const uint8_t *)line, len);
+	} else if (lg.queue.len + len > QUEUE_LIMIT_BYTES) {
+		lg.dropped++;
+	} else {
+		if (!lg.queue.len)
+			pthread_cond_signal(&lg.wake);
+		ba_buf_add(&lg.queue, line, len);
+	}
+	pthread_mutex_unlock(&lg.lock);
+}
+
+static void *write_lines(void *arg)
+{
+	struct ba_buf out = {0};
+	uint64_t dropped;
+
+	(void)arg;
+	pthread_mutex_lock(&lg.lock);
+	while (!lg.stopping || lg.queue.len) {
+		struct ba_buf swap = lg.queue;
+
+		if (lg.reopen)
+			handle_reopen();
+		if (!lg.queue.len) {
+			pthread_cond_wait(&lg.wake, &lg.lock);
+			continue;
+		}
+		lg.queue = out;
+		out = swap;
+		dropped = lg.dropped;
+		lg.dropped = 0;
+		pthread_mutex_unlock(&lg.lock);
+		write_all(lg.fd, out.data, out.len);
+		out.len = 0;
+		if (dropped)
+			report_dropped(dropped);
+		pthread_mutex_lock(&lg.lock);
+	}
+	ba_buf_free(&lg.queue);
+	pthread_mutex_unlock(&lg.lock);
+	ba_buf_free(&out);
+	return NULL;
+}
+
+static void report_dropped(uint64_t dropped)
+{
+	ba_event(BA_EV_LOG_DROPPED, "lines=%llu", (unsigned long long)dropped);
+}
+
+static void handle_reopen(void)
+{
+	int fd = lg.path ? open_file(lg.path) : -1;
+
+	lg.reopen = false;
+	if (fd < 0)
+		return;
+	close(lg.fd);
+	lg.fd = fd;
+}
+
+static void write_all(int fd, const uint8_t *data, size_t len)
+{
+	while (len) {
+		ssize_t n = write(fd, data, len);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			return;
+		data += n;
+		len -= (size_t)n;
+	}
+}
+
+static int open_file(const char *path)
+{
+	return open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+}
--- /dev/null
+++ b/base/ba_event_table.c
@@ -0,0 +1,131 @@
+#include <stddef.h>
+
+#include "base/ba_event.h"
+
+static const struct ba_event_info events[] = {
+	[BA_EV_STARTED] = {"started", BA_NOTICE, "The program has started."},
+	[BA_EV_STOPPING] = {"stopping", BA_NOTICE,
+			    "A graceful stop has begun."},
+	[BA_EV_STOPPED] = {"stopped", BA_NOTICE, "The program ends."},
+	[BA_EV_SETTINGS_REFUSED] =
+		{"settings-refused", BA_ERROR,
+		 "The settings are wrong; nothing was started."},
+	[BA_EV_LISTENING] = {"listening", BA_INFO,
+			     "The program listens on an address."},
+	[BA_EV_LISTEN_FAILED] = {"listen-failed", BA_ERROR,
+				 "An address cannot be listened on."},
+	[BA_EV_LOG_DROPPED] =
+		{"log-dropped", BA_WARNING,
+		 "Log lines were dropped because the log could not keep up."},
+	[BA_EV_LOG_REOPENED] = {"log-reopened", BA_INFO,
+				"The log file was opened again."},
+	[WI_EV_SESSION_OPEN] = {"session-open", BA_INFO,
+				"A session with a peer is open."},
+	[WI_EV_SESSION_CLOSED] = {"session-closed", BA_INFO,
+				  "A session with a peer has ended."},
+	[WI_EV_SESSION_REFUSED] = {"session-refused", BA_WARNING,
+				   "A peer was refused."},
+	[WI_EV_PEER_SILENT] =
+		{"peer-silent", BA_WARNING,
+		 "A peer was silent past its deadline and the session was closed."},
+	[CF_EV_APPLIED] =
+		{"config-applied", BA_NOTICE,
+		 "A configuration version is in force on this instance."},
+	[CF_EV_REFUSED] = {"config-refused", BA_ERROR,
+			   "A configuration version was refused as a whole."},
+	[RP_EV_ELECTED] = {"elected", BA_NOTICE,
+			   "This replica leads a new term."},
+	[RP_EV_DEPOSED] = {"deposed", BA_NOTICE,
+			   "This replica no longer leads."},
+	[RP_EV_ACCEPTED] = {"accepted", BA_NOTICE,
+			    "A submission was accepted."},
+	[RP_EV_SUBMISSION_REFUSED] = {"submission-refused", BA_NOTICE,
+				      "A submission was refused."},
+	[RP_EV_RECOVERED] = {"recovered", BA_NOTICE,
+			     "The log was read back from the data folder."},
+	[RP_EV_LOG_CUT] =
+		{"log-cut", BA_WARNING,
+		 "A torn last record that was never acknowledged was cut."},
+	[RP_EV_LOG_DAMAGED] =
+		{"log-damaged", BA_ERROR,
+		 "The log is damaged where records may have been acknowledged."},
+	[RP_EV_DISK_FULL] = {"disk-full", BA_ERROR,
+			     "The data folder is full; nothing is accepted."},
+	[RP_EV_CAUGHT_UP] = {"caught-up", BA_NOTICE,
+			     "A replica has caught up and votes."},
+	[RP_EV_MEMBERS] = {"members", BA_NOTICE,
+			   "The membership of the replica group has changed."},
+	[RP_EV_QUORUM_LOST] =
+		{"quorum-lost", BA_WARNING,
+		 "The leader has lost its quorum and accepts nothing."},
+	[DS_EV_PUBLISHED] = {"published", BA_NOTICE,
+			     "A configuration version is sent out."},
+	[DS_EV_UPSTREAM] = {"upstream", BA_NOTICE, "An upstream was chosen."},
+	[DS_EV_UPSTREAM_LOST] =
+		{"upstream-lost", BA_WARNING,
+		 "The upstream was lost; the version held stays in force."},
+	[DS_EV_IN_FORCE] = {"in-force", BA_NOTICE,
+			    "A configuration version is in force everywhere."},
+	[DS_EV_SESSION_DEFERRED] = {"session-deferred", BA_INFO,
+				    "A session was asked to come back later."},
+	[DS_EV_CATCH_UP] =
+		{"catch-up", BA_INFO,
+		 "A peer that was behind is brought to the current version."},
+	[DS_EV_FLOOR] = {"floor", BA_INFO,
+			 "The lowest version that may be served was learnt."},
+	[DS_EV_OLDER_REFUSED] =
+		{"older-refused", BA_WARNING,
+		 "A version older than the one held was refused."},
+	[EP_EV_JOINED] = {"endpoint-joined", BA_INFO,
+			  "An endpoint has announced itself."},
+	[EP_EV_LEFT] = {"endpoint-left", BA_INFO, "An endpoint has left."},
+	[EP_EV_DRAINING] = {"endpoint-draining", BA_INFO,
+			    "An endpoint drains and gets no new work."},
+	[EP_EV_EXPIRED] = {"endpoint-expired", BA_WARNING,
+			   "The lease of an endpoint has expired."},
+	[EP_EV_EXPIRY_HELD] =
+		{"expiry-held", BA_WARNING,
+		 "Most leases expired at once; the endpoints are kept because this observer may be cut off."},
+	[CL_EV_ROUTED] = {"routed", BA_DEBUG,
+			  "A call was routed to an endpoint."},
+	[CL_EV_NOT_RUN] =
+		{"not-run", BA_INFO,
+		 "A call was refused before any backend server could see it."},
+	[CL_EV_RETRIED] = {"retried", BA_INFO,
+			   "A call is tried on another endpoint."},
+	[CL_EV_SHED] = {"shed", BA_INFO, "A call was shed by the policy."},
+	[CL_EV_EJECTED] = {"ejected", BA_WARNING,
+			   "An endpoint was taken out of routing."},
+	[CL_EV_RESTORED] = {"restored", BA_NOTICE,
+			    "An ejected endpoint takes work again."},
+	[CL_EV_KEY_REFUSED] =
+		{"key-refused", BA_NOTICE,
+		 "A call was refused because of its idempotency key."},
+	[CL_EV_ANSWERED] = {"answered", BA_DEBUG, "A call was answered."},
+	[CL_EV_MAY_HAVE_RUN] =
+		{"may-have-run", BA_WARNING,
+		 "A call ended without an answer and may have run."},
+	[CL_EV_LIMIT] =
+		{"limit", BA_INFO,
+		 "The concurrency limit of a backend server was changed."},
+	[RT_EV_DAY_CLOSED] = {"day-closed", BA_NOTICE,
+			      "The figures of a day are complete."},
+	[RT_EV_FIGURES] = {"figures", BA_DEBUG, "Figures were taken in."},
+};
+
+static const int n_events = sizeof(events) / sizeof(events[0]);
+
+const struct ba_event_info *ba_event_info(int id)
+{
+	if (id < 0 || id >= n_events || !events[id].name)
+		return NULL;
+	return &events[id];
+}
+
+int ba_event_next(int id)
+{
+	for (id++; id < n_events; id++)
+		if (events[id].name)
+			return id;
+	return -1;
+}
--- /dev/null
+++ b/base/ba_list.h
@@ -0,0 +1,70 @@
+/*
+ * Intrusive doubly linked lists: the link is a member of the element, and
+ * the head is a link of its own.
+ */
+#ifndef BA_LIST_H
+#define BA_LIST_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+/** struct ba_list - a head, or the link inside an element */
+struct ba_list {
+	struct ba_list *prev;
+	struct ba_list *next;
+};
+
+/** ba_entry() - the element of type @type whose link @member is at @ptr */
+#define ba_entry(ptr, type, member) \
+	((type *)((char *)(ptr)-offsetof(type, member)))
+
+/** ba_list_each() - walk a list; the element may not be removed */
+#define ba_list_each(pos, head) \
+	for ((pos) = (head)->next; (pos) != (head); (pos) = (pos)->next)
+
+/** ba_list_each_safe() - walk a list; the element may be removed */
+#define ba_list_each_safe(pos, tmp, head)                                \
+	for ((pos) = (head)->next, (tmp) = (pos)->next; (pos) != (head); \
+	     (pos) = (tmp), (tmp) = (pos)->next)
+
+static inline void ba_list_init(struct ba_list *head)
+{
+	head->prev = head;
+	head->next = head;
+}
+
+static inline bool ba_list_empty(const struct ba_list *head)
+{
+	return head->next == head;
+}
+
+static inline void ba_list_insert_before(struct ba_list *pos,
+					 struct ba_list *link)
+{
+	link->prev = pos->prev;
+	link->next = pos;
+	pos->prev->next = link;
+	pos->prev = link;
+}
+
+/** ba_list_append() - add @link at the end of @head */
+static inline void ba_list_append(struct ba_list *head, struct ba_list *link)
+{
+	ba_list_insert_before(head, link);
+}
+
+/** ba_list_prepend() - add @link at the front of @head */
+static inline void ba_list_prepend(struct ba_list *head, struct ba_list *link)
+{
+	ba_list_insert_before(head->next, link);
+}
+
+/** ba_list_remove() - take @link out; it may be removed again */
+static inline void ba_list_remove(struct ba_list *link)
+{
+	link->prev->next = link->next;
+	link->next->prev = link->prev;
+	ba_list_init(link);
+}
+
+#endif
--- /dev/null
+++ b/base/ba_unit.h
@@ -0,0 +1,51 @@
+/*
+ * Values with units and addresses, as users write them.
+ */
+#ifndef BA_UNIT_H
+#define BA_UNIT_H
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/ba_clock.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define BA_ADDRESS_BYTES 64
+
+/** struct ba_address - an IP address and port */
+struct ba_address {
+	struct sockaddr_storage sockaddr;
+	socklen_t len;
+	char text[BA_ADDRESS_BYTES];
+};
+
+/**
+ * ba_parse_duration() - read "250ms", "6s", "10us", "5min" or "2h"
+ *
+ * Return: %BA_OK or %BA_UNIT_WRONG.
+ */
+int ba_parse_duration(const char *s, ba_time *out);
+
+/**
+ * ba_parse_bytes() - read "512B", "6KB", "128MB" or "2GB" (powers of 1000)
+ *
+ * Return: %BA_OK or %BA_UNIT_WRONG.
+ */
+int ba_parse_bytes(const char *s, int64_t *out);
+
+/**
+ * ba_parse_address() - read "192.0.2.1:7000" or "[2001:db8::1]:7000"
+ *
+ * Return: %BA_OK or %BA_ADDRESS_WRONG; names are not resolved.
+ */
+int ba_parse_address(const char *s, struct ba_address *out);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/distrib/ds_feed.h
@@ -0,0 +1,57 @@
+/*
+ * The publishing side of distribution, in a source and in a relay: which
+ * subscriber is sent which version, and what all of them acknowledged.
+ *
+ * Rules:
+ * - A subscriber at a version whose delta is kept gets the delta, any other
+ *   the snapshot, one at the current version a resume of a few bytes.
+ * - A version is never published below an earlier one.
+ * - Each subscriber has at most one update in flight.
+ */
+#ifndef DS_FEED_H
+#define DS_FEED_H
+
+#include "config/cf.h"
+#include "wire/wi_session.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+struct ds_feed;
+
+/**
+ * struct ds_feed_owner - told about acknowledgements; embed it first
+ * @on_ack: the summary of all subscribers has changed: @lowest is the
+ *	lowest version in force among @daemons daemons
+ */
+struct ds_feed_owner {
+	void (*on_ack)(struct ds_feed_owner *o, uint64_t lowest,
+		       uint32_t daemons);
+};
+
+/** ds_feed_new() - a feed on @loop; @owner may be NULL */
+struct ds_feed *ds_feed_new(struct ba_loop *loop, struct ds_feed_owner *owner);
+
+/** ds_feed_publish() - send @s to every subscriber; takes a reference */
+void ds_feed_publish(struct ds_feed *f, struct cf_snapshot *s);
+
+/**
+ * ds_feed_frame() - give the feed a frame of a subscriber's session
+ *
+ * Return: %BA_OK, %WI_FRAME_UNKNOWN when the frame is not the feed's, or
+ * the code to close the session with.
+ */
+int ds_feed_frame(struct ds_feed *f, struct wi_session *s,
+		  const struct wi_frame *frame);
+
+/** ds_feed_drop() - the session has ended */
+void ds_feed_drop(struct ds_feed *f, struct wi_session *s);
+
+/** ds_feed_free() - free the feed; sessions are not closed */
+void ds_feed_free(struct ds_feed *f);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/prog/pr.h
@@ -0,0 +1,69 @@
+/*
+ * What all programs share: command line, common settings, log and identity.
+ */
+#ifndef PR_H
+#define PR_H
+
+#include "base/ba_loop.h"
+#include "base/ba_settings.h"
+#include "base/ba_unit.h"
+#include "wire/wi_session.h"
+
+/**
+ * struct pr_common - settings that every daemon program has; embed it first
+ * @metrics: where counters are served over HTTP; empty when not wanted
+ */
+struct pr_common {
+	char *mesh_name;
+	char *mesh_key_file;
+	char *instance_name;
+	char *data_centre;
+	char *region;
+	char *log_file;
+	char *log_level;
+	struct ba_address metrics;
+};
+
+/* The rows of the common settings, for a table of struct ba_key. */
+#define PR_KEY(t, n, k, req, m, f)                                   \
+	{                                                            \
+		t, n, k, req, offsetof(struct pr_common, m), f, 0, 0 \
+	}
+#define PR_COMMON_KEYS                                                        \
+	PR_KEY("mesh", "name", BA_KIND_STRING, true, mesh_name, NULL),        \
+		PR_KEY("mesh", "key_file", BA_KIND_STRING, true,              \
+		       mesh_key_file, NULL),                                  \
+		PR_KEY("instance", "name", BA_KIND_STRING, true,              \
+		       instance_name, NULL),                                  \
+		PR_KEY("instance", "data_centre", BA_KIND_STRING, true,       \
+		       data_centre, NULL),                                    \
+		PR_KEY("instance", "region", BA_KIND_STRING, true, region,    \
+		       NULL),                                                 \
+		PR_KEY("log", "file", BA_KIND_STRING, false, log_file, NULL), \
+		PR_KEY("log", "level", BA_KIND_STRING, false, log_level,      \
+		       "info"),                                               \
+		PR_KEY("metrics", "address", BA_KIND_ADDRESS, false, metrics, \
+		       NULL)
+
+/**
+ * pr_start() - read the command line and the settings, then open the log
+ * @role: role in the mesh
+ * @keys: the table of settings, %PR_COMMON_KEYS among them
+ * @settings: the settings struct, with struct pr_common first, zeroed
+ * @id: filled in; its strings are owned by @settings
+ *
+ * Prints help, version, problems or the result of --check by itself.
+ *
+ * Return: -1 to go on, or the exit status to end with.
+ */
+int pr_start(int argc, char **argv, enum wi_role role,
+	     const struct ba_key *keys, struct pr_common *settings,
+	     struct wi_identity *id);
+
+/** pr_listen_failed() - log that @address cannot be listened on; the exit status */
+int pr_listen_failed(const struct ba_address *address);
+
+/** pr_end() - close the log and free the settings */
+void pr_end(const struct ba_key *keys, struct pr_common *settings);
+
+#endif
--- /dev/null
+++ b/test/base_test.cc
@@ -0,0 +1,231 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+#include "base/ba_buf.h"
+#include "base/ba_digest.h"
+#include "base/ba_list.h"
+#include "base/ba_loop.h"
+#include "base/ba_pool.h"
+#include "base/ba_rand.h"
+#include "base/ba_result.h"
+#include "base/ba_settings.h"
+#include "base/ba_unit.h"
+
+namespace
+{
+
+TEST(BaUnit, Durations)
+{
+	static const struct {
+		const char *text;
+		int code;
+		ba_time value;
+	} cases[] = {
+		{"250ms", BA_OK, 250 * BA_MS},
+		{"6s", BA_OK, 6 * BA_SECOND},
+		{"10us", BA_OK, 10},
+		{"5 min", BA_OK, 5 * BA_MINUTE},
+		{"2h", BA_OK, 2 * BA_HOUR},
+		{"6", BA_UNIT_WRONG, 0},
+		{"-6s", BA_UNIT_WRONG, 0},
+		{"6 days", BA_UNIT_WRONG, 0},
+		{"", BA_UNIT_WRONG, 0},
+		{"9223372036854775807h", BA_UNIT_WRONG, 0},
+	};
+
+	for (const auto &c : cases) {
+		ba_time got = 0;
+
+		EXPECT_EQ(ba_parse_duration(c.text, &got), c.code) << c.text;
+		EXPECT_EQ(got, c.value) << c.text;
+	}
+}
+
+TEST(BaUnit, Addresses)
+{
+	static const struct {
+		const char *text;
+		int code;
+	} cases[] = {
+		{"127.0.0.1:80", BA_OK},
+		{"[::1]:80", BA_OK},
+		{"127.0.0.1", BA_ADDRESS_WRONG},
+		{"localhost:80", BA_ADDRESS_WRONG},
+		{"127.0.0.1:0", BA_ADDRESS_WRONG},
+		{"127.0.0.1:65536", BA_ADDRESS_WRONG},
+		{":80", BA_ADDRESS_WRONG},
+		{"", BA_ADDRESS_WRONG},
+	};
+
+	for (const auto &c : cases) {
+		struct ba_address a;
+
+		EXPECT_EQ(ba_parse_address(c.text, &a), c.code) << c.text;
+	}
+}
+
+struct settings {
+	char *name;
+	int64_t slots;
+	ba_time wait;
+	struct ba_addresses relays;
+};
+
+const struct ba_key keys[] = {
+	{"mesh", "name", BA_KIND_STRING, true, offsetof(settings, name),
+	 nullptr, 0, 0},
+	{"call", "slots", BA_KIND_INTEGER, false, offsetof(settings, slots),
+	 "12", 1, 100},
+	{"call", "wait", BA_KIND_DURATION, false, offsetof(settings, wait),
+	 "1s", 0, 0},
+	{"relays", "addresses", BA_KIND_ADDRESSES, false,
+	 offsetof(settings, relays), nullptr, 0, 0},
+	{nullptr, nullptr, BA_KIND_STRING, false, 0, nullptr, 0, 0},
+};
+
+std::string write_file(const std::string &text)
+{
+	std::string path = testing::TempDir() + "base_test.toml";
+
+	std::ofstream(path) << text;
+	return path;
+}
+
+TEST(BaSettings, Tables)
+{
+	static const struct {
+		const char *text;
+		int code;
+		int line;
+		const char *key;
+	} cases[] = {
+		{"[mesh]\nname = \"a\"\n", BA_OK, 0, ""},
+		{"[mesh]\n", BA_KEY_MISSING, 1, "mesh.name"},
+		{"", BA_KEY_MISSING, 0, "mesh.name"},
+		{"[mesh]\nname = 3\n", BA_TYPE_WRONG, 2, "mesh.name"},
+		{"[mesh]\nname = \"a\"\nnmae = 1\n", BA_KEY_UNKNOWN, 3,
+		 "mesh.nmae"},
+		{"[mesh]\nname = \"a\"\n[cal]\n", BA_KEY_UNKNOWN, 3, "cal"},
+		{"[mesh]\nname = \"a\"\n[call]\nslots = 101\n", BA_RANGE_WRONG,
+		 4, "call.slots"},
+		{"[mesh]\nname = \"a\"\n[call]\nwait = \"6\"\n", BA_UNIT_WRONG,
+		 4, "call.wait"},
+		{"[mesh]\nname = \"a\"\n[relays]\naddresses = [\"x\"]\n",
+		 BA_ADDRESS_WRONG, 4, "relays.addresses"},
+		{"[mesh\n", BA_SYNTAX, 1, ""},
+	};
+
+	for (const auto &c : cases) {
+		struct settings out = {};
+		struct ba_problems problems = {};
+		int code = ba_settings_read(write_file(c.text).c_str(), keys,
+					    &out, &problems);
+
+		EXPECT_EQ(code, c.code) << c.text;
+		if (c.code == BA_OK) {
+			EXPECT_STREQ(out.name, "a");
+			EXPECT_EQ(out.slots, 12);
+			EXPECT_EQ(out.wait, BA_SECOND);
+		} else if (problems.n) {
+			EXPECT_EQ(problems.list[0].line, c.line) << c.text;
+			EXPECT_STREQ(problems.list[0].key, c.key) << c.text;
+		}
+		ba_problems_free(&problems);
+		ba_settings_free(keys, &out);
+	}
+}
+
+RC_GTEST_PROP(BaBuf, KeepsWhatWasAdded, (const std::string &a))
+{
+	struct ba_buf b = {};
+
+	ba_buf_add(&b, a.data(), a.size());
+	ba_buf_addf(&b, "%d", 42);
+	ba_buf_consume(&b, a.size());
+	RC_ASSERT(std::string(ba_buf_text(&b)) == "42");
+	ba_buf_free(&b);
+}
+
+struct ticker {
+	struct ba_timer timer;
+	struct ba_loop *loop;
+	std::vector<int> *order;
+	int id;
+};
+
+void on_tick(struct ba_timer *t, ba_time)
+{
+	auto *k = (struct ticker *)t;
+
+	k->order->push_back(k->id);
+	if (k->order->size() == 3)
+		ba_loop_stop(k->loop);
+}
+
+TEST(BaLoop, TimersFireInOrderOfDeadline)
+{
+	struct ba_loop *loop = ba_loop_new();
+	std::vector<int> order;
+	struct ticker ticks[4] = {};
+	ba_time now = ba_clock_now();
+
+	for (int i = 0; i < 4; i++) {
+		ticks[i] = {{on_tick, 0, 0}, loop, &order, i};
+		ba_loop_arm(loop, &ticks[i].timer, now - i);
+	}
+	ba_loop_disarm(loop, &ticks[1].timer);
+	ba_loop_run(loop);
+	EXPECT_EQ(order, (std::vector<int>{3, 2, 0}));
+	ba_loop_free(loop);
+}
+
+struct counting_job {
+	struct ba_job job;
+	struct ba_loop *loop;
+	int *count;
+};
+
+void count_up(void *arg)
+{
+	++*(int *)arg;
+}
+
+void run_job(struct ba_job *job)
+{
+	auto *j = (struct counting_job *)job;
+
+	ba_loop_post(j->loop, count_up, j->count);
+}
+
+TEST(SharedBaPool, JobsRunOnceAndPostToTheLoop)
+{
+	struct ba_loop *loop = ba_loop_new();
+	struct ba_pool *pool = ba_pool_new(4, 100);
+	struct counting_job jobs[100];
+	int count = 0;
+
+	for (auto &j : jobs) {
+		j = {{{nullptr, nullptr}, run_job}, loop, &count};
+		EXPECT_EQ(ba_pool_submit(pool, &j.job), BA_OK);
+	}
+	ba_pool_free(pool);
+	ba_loop_free(loop);
+	EXPECT_EQ(count, 100);
+}
+
+TEST(BaDigest, KeyAndContentMatter)
+{
+	uint8_t key[BA_KEY_BYTES] = {1};
+	struct ba_digest plain = ba_digest("a", 1);
+	struct ba_digest keyed = ba_digest_keyed(key, "a", 1);
+	struct ba_digest again = ba_digest("a", 1);
+
+	EXPECT_TRUE(ba_digest_equal(&plain, &again));
+	EXPECT_FALSE(ba_digest_equal(&plain, &keyed));
+}
+
+} // namespace
--- /dev/null
+++ b/wire/wi_type.h
@@ -0,0 +1,48 @@
+/*
+ * Frame types, roles and limits shared by all sessions.
+ */
+#ifndef WI_TYPE_H
+#define WI_TYPE_H
+
+enum {
+	WI_PROTOCOL = 1,
+	WI_NONCE_BYTES = 32,
+	WI_FRAME_LIMIT_BYTES = 16 * 1024 * 1024,
+	WI_OPENING_LIMIT_BYTES = 4096,
+};
+
+enum wi_role {
+	WI_DAEMON = 1,
+	WI_RELAY = 2,
+	WI_SOURCE = 3,
+	WI_OPERATOR = 4,
+};
+
+/** enum wi_type - type of a frame; the comment names its message */
+enum wi_type {
+	WI_HELLO = 1,	/* WiHello */
+	WI_PROOF = 2,	/* WiProof */
+	WI_REFUSAL = 3, /* WiRefusal */
+	WI_PING = 4,	/* empty */
+	WI_PONG = 5,	/* empty */
+
+	CT_SUBMIT = 20,	 /* CtSubmit */
+	CT_OUTCOME = 21, /* CtOutcome */
+	CT_QUERY = 22,	 /* CtQuery */
+	CT_ANSWER = 23,	 /* CtAnswer */
+
+	RP_MESSAGE = 40, /* RpMessage */
+
+	DS_SUBSCRIBE = 60, /* DsSubscribe */
+	DS_UPDATE = 61,	   /* DsUpdate */
+	DS_ACK = 62,	   /* DsAck */
+
+	EP_ANNOUNCE = 80, /* EpAnnounce */
+	EP_UPDATE = 81,	  /* EpUpdate */
+
+	RT_FIGURES = 100, /* RtFigures */
+	RT_BATCH = 101,	  /* RtBatch */
+	RT_ACK = 102,	  /* RtAck */
+};
+
+#endif
