Test sessions against strangers, frozen peers and garbage

Cause: sessions were shown to open and to refuse, but not to close when the other end does not keep to the protocol or falls silent.

Change: tables of cases for foreign bytes, oversized, truncated and garbage frames, each followed by a good session on the same listener; a peer that accepts and never answers; a peer that freezes once the session is open.

Conclusion: a bad frame costs its own session only, and both ends find a silent peer by themselves.

--- a/test/wire_test.cc
+++ b/test/wire_test.cc
@@ -3,6 +3,7 @@
 
 #include <cstring>
 #include <string>
+#include <thread>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -167,4 +168,156 @@
 	}
 }
 
+/* A plain socket in place of a peer that does not keep to the protocol. */
+int raw_connect(const struct ba_address *at)
+{
+	int fd = socket(at->sockaddr.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	EXPECT_EQ(connect(fd, (const struct sockaddr *)&at->sockaddr, at->len),
+		  0);
+	return fd;
+}
+
+TEST(WiSession, BytesOfAStrangerCloseOnlyThatSession)
+{
+	static const struct {
+		const char *name;
+		std::string bytes;
+		int code;
+	} cases[] = {
+		{"http", "GET / HTTP/1.1\r\n\r\n", WI_FRAME_TOO_LARGE},
+		{"too large", std::string("\x7f\xff\xff\xff\0\1", 6),
+		 WI_FRAME_TOO_LARGE},
+		{"not a message", std::string("\0\0\0\2\0\1\xff\xff", 8),
+		 WI_FRAME_GARBAGE},
+		{"proof before hello", std::string("\0\0\0\0\0\2", 6),
+		 WI_FRAME_GARBAGE},
+		{"unknown type", std::string("\0\0\0\0\3\1", 6),
+		 WI_FRAME_GARBAGE},
+		{"truncated", std::string("\0\0\0\7\0\1\1", 7), WI_PEER_SILENT},
+	};
+	struct wi_limits limits = wi_limits_default;
+	int port = 42141;
+
+	limits.opening = 50 * BA_MS;
+	for (const auto &c : cases) {
+		struct ba_loop *loop = ba_loop_new();
+		struct end server = {
+			{on_opened, on_frame, on_closed}, loop, 0, 0, 0, false};
+		struct end client = server;
+		struct taker t = {{accept_end}, &server};
+		struct wi_identity id = identity("m", WI_SOURCE, "", 1);
+		struct wi_listener *l = nullptr;
+		struct ba_address at;
+
+		ASSERT_EQ(
+			ba_parse_address(test_address(1, port++).c_str(), &at),
+			BA_OK);
+		ASSERT_EQ(wi_listen(loop, &at, &id, &limits, &t.acceptor, &l),
+			  BA_OK);
+		int fd = raw_connect(&at);
+
+		ASSERT_EQ(send(fd, c.bytes.data(), c.bytes.size(), 0),
+			  (ssize_t)c.bytes.size());
+		ba_loop_run(loop);
+		EXPECT_EQ(server.code, c.code) << c.name;
+		EXPECT_EQ(server.opened, 0) << c.name;
+		close(fd);
+
+		client.stop_on_open = true;
+		wi_dial(loop, &at, &id, &limits, &client.handler);
+		ba_loop_run(loop);
+		EXPECT_EQ(server.frames, 1) << c.name;
+		wi_listener_close(l);
+		ba_loop_free(loop);
+	}
+}
+
+/*
+ * The peer's process is there, its sockets stay open, and nothing comes any
+ * more: TCP alone would never notice.
+ */
+TEST(WiSession, SilentPeerIsDeadPastItsDeadline)
+{
+	struct ba_loop *loop = ba_loop_new();
+	struct end client = {
+		{on_opened, on_frame, on_closed}, loop, 0, 0, 0, false};
+	struct wi_identity id = identity("m", WI_DAEMON, "", 1);
+	struct wi_limits limits = wi_limits_default;
+	struct ba_address at;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	limits.opening = 50 * BA_MS;
+	ASSERT_EQ(ba_parse_address(test_address(1, 42161).c_str(), &at), BA_OK);
+	ASSERT_EQ(bind(fd, (const struct sockaddr *)&at.sockaddr, at.len), 0);
+	ASSERT_EQ(listen(fd, 1), 0);
+	wi_dial(loop, &at, &id, &limits, &client.handler);
+	ba_loop_run(loop);
+	EXPECT_EQ(client.code, WI_PEER_SILENT);
+	close(fd);
+	ba_loop_free(loop);
+}
+
+void stop_when_opened(struct wi_handler *h, struct wi_session *)
+{
+	auto *e = (struct end *)h;
+
+	e->opened++;
+	ba_loop_stop(e->loop);
+}
+
+/* The dialling process freezes once the session is open. */
+TEST(SharedWiSession, FrozenPeerIsDeadPastItsDeadline)
+{
+	struct ba_loop *loop = ba_loop_new();
+	struct ba_loop *frozen = ba_loop_new();
+	struct end server = {
+		{nullptr, on_frame, on_closed}, loop, 0, 0, 0, false};
+	struct end client = {{stop_when_opened, on_frame, on_closed},
+			     frozen,
+			     0,
+			     0,
+			     0,
+			     false};
+	struct taker t = {{accept_end}, &server};
+	struct wi_identity id = identity("m", WI_SOURCE, "", 1);
+	struct wi_limits limits = wi_limits_default;
+	struct wi_listener *l = nullptr;
+	struct ba_address at;
+
+	limits.heartbeat = 20 * BA_MS;
+	limits.silence = 100 * BA_MS;
+	ASSERT_EQ(ba_parse_address(test_address(1, 42163).c_str(), &at), BA_OK);
+	ASSERT_EQ(wi_listen(loop, &at, &id, &limits, &t.acceptor, &l), BA_OK);
+	std::thread dialler([&] {
+		wi_dial(frozen, &at, &id, &limits, &client.handler);
+		ba_loop_run(frozen);
+	});
+	ba_loop_run(loop);
+	dialler.join();
+	EXPECT_EQ(client.opened, 1);
+	EXPECT_EQ(server.code, WI_PEER_SILENT);
+	wi_listener_close(l);
+	client.handler.frame = on_frame;
+	ba_loop_run(frozen);
+	EXPECT_NE(client.code, BA_OK);
+	ba_loop_free(loop);
+	ba_loop_free(frozen);
+}
+
+TEST(WiSession, NobodyThere)
+{
+	struct ba_loop *loop = ba_loop_new();
+	struct end client = {
+		{on_opened, on_frame, on_closed}, loop, 0, 0, 0, false};
+	struct wi_identity id = identity("m", WI_DAEMON, "", 1);
+	struct ba_address at;
+
+	ASSERT_EQ(ba_parse_address(test_address(1, 42162).c_str(), &at), BA_OK);
+	wi_dial(loop, &at, &id, &wi_limits_default, &client.handler);
+	ba_loop_run(loop);
+	EXPECT_EQ(client.code, WI_CONNECT_FAILED);
+	ba_loop_free(loop);
+}
+
 } // namespace
