--- a/base/ba_event.c
+++ b/base/ba_event.c
@@ -21,7 +21,9 @@
 	QUEUE_LIMIT_BYTES = 4 * 1024 * 1024,
 	DETAIL_BYTES = 1024,
 	LINE_BYTES = 1400,
+	CALENDAR_BYTES = 24,
 	STAMP_BYTES = 40,
+	GATHER_NS = 5000000,
 };
 
 static const GLogLevelFlags glib_levels[] = {
@@ -51,14 +53,18 @@
 	.least = BA_NOTICE,
 };
 
+static pthread_once_t writer_once = PTHREAD_ONCE_INIT;
+
 static GLogWriterOutput write_fields(GLogLevelFlags level,
 				     const GLogField *fields, gsize n_fields,
 				     gpointer data);
 static const char *field_value(const GLogField *fields, gsize n,
 			       const char *key);
+static void set_writer(void);
 static void format_stamp(char *out, size_t size);
 static void enqueue(const char *line, size_t len);
 static void *write_lines(void *arg);
+static uint64_t take_queue(struct ba_buf *out);
 static void write_all(int fd, const uint8_t *data, size_t len);
 static int open_file(const char *path);
 static void handle_reopen(void);
@@ -106,7 +112,7 @@
 	lg.stopping = false;
 	lg.running = true;
 	pthread_mutex_unlock(&lg.lock);
-	g_log_set_writer_func(write_fields, NULL, NULL);
+	pthread_once(&writer_once, set_writer);
 	pthread_create(&lg.thread, NULL, write_lines, NULL);
 	return BA_OK;
 }
@@ -138,6 +144,12 @@
 	g_clear_pointer(&lg.path, g_free);
 }
 
+/* GLib takes a writer once in the life of a process. */
+static void set_writer(void)
+{
+	g_log_set_writer_func(write_fields, NULL, NULL);
+}
+
 /* GLib's own messages and ours take the same way into the file. */
 static GLogWriterOutput write_fields(GLogLevelFlags level,
 				     const GLogField *fields, gsize n_fields,
@@ -178,16 +190,22 @@
 	return NULL;
 }
 
+/* The calendar changes once a second; each thread keeps its last one. */
 static void format_stamp(char *out, size_t size)
 {
+	static _Thread_local char calendar[CALENDAR_BYTES];
+	static _Thread_local time_t formatted = -1;
 	ba_time now = ba_clock_wall();
 	time_t seconds = (time_t)(now / BA_SECOND);
 	struct tm tm;
-	size_t len;
 
-	gmtime_r(&seconds, &tm);
-	len = strftime(out, size, "%Y-%m-%dT%H:%M:%S", &tm);
-	snprintf(out + len, size - len, ".%06dZ", (int)(now % BA_SECOND));
+	if (seconds != formatted) {
+		gmtime_r(&seconds, &tm);
+		strftime(calendar, sizeof(calendar), "%Y-%m-%dT%H:%M:%S", &tm);
+		formatted = seconds;
+	}
+	snprintf(out, size, "%s.%06uZ", calendar,
+		 (unsigned int)(now % BA_SECOND) % 1000000U);
 }
 
 static void enqueue(const char *line, size_t len)
@@ -205,26 +223,31 @@
 	pthread_mutex_unlock(&lg.lock);
 }
 
+/*
+ * A line wakes this thread only when the queue was empty; the short pause
+ * then gathers more lines, so that a busy thread pays for no wake-up.
+ */
 static void *write_lines(void *arg)
 {
+	static const struct timespec gather = {0, GATHER_NS};
 	struct ba_buf out = {0};
 	uint64_t dropped;
 
 	(void)arg;
 	pthread_mutex_lock(&lg.lock);
 	while (!lg.stopping || lg.queue.len) {
-		struct ba_buf swap = lg.queue;
-
 		if (lg.reopen)
 			handle_reopen();
 		if (!lg.queue.len) {
 			pthread_cond_wait(&lg.wake, &lg.lock);
 			continue;
 		}
-		lg.queue = out;
-		out = swap;
-		dropped = lg.dropped;
-		lg.dropped = 0;
+		if (!lg.stopping) {
+			pthread_mutex_unlock(&lg.lock);
+			nanosleep(&gather, NULL);
+			pthread_mutex_lock(&lg.lock);
+		}
+		dropped = take_queue(&out);
 		pthread_mutex_unlock(&lg.lock);
 		write_all(lg.fd, out.data, out.len);
 		out.len = 0;
@@ -238,6 +261,18 @@
 	return NULL;
 }
 
+/* Swap the queue for the empty buffer @out; the lock is held. */
+static uint64_t take_queue(struct ba_buf *out)
+{
+	struct ba_buf full = lg.queue;
+	uint64_t dropped = lg.dropped;
+
+	lg.queue = *out;
+	lg.dropped = 0;
+	*out = full;
+	return dropped;
+}
+
 static void report_dropped(uint64_t dropped)
 {
 	ba_event(BA_EV_LOG_DROPPED, "lines=%llu", (unsigned long long)dropped);
