report: count, merge histograms, expose and pack figures

Cause: no process could count anything yet, and the daily report needs figures that survive a lost acknowledgement.

Change: counters by atomic adds with labelled parts, log-linear histograms whose merge is exact, the text exposition, a builder that sends the same RtFigures until they are acknowledged, and an audit of each version put in force.

Conclusion: the other programs can count from now on.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PACKAGES = gcc g++ make pkg-config libck-dev libprotobuf-c-dev \
 	libtomlplusplus-dev libmicrohttpd-dev libcurl4-openssl-dev \
 	libglib2.0-dev libgtest-dev librapidcheck-dev libxxhash-dev \
-	libsodium-dev
+	libsodium-dev libjansson-dev tzdata
 LINT_PACKAGES = clang-format clang-tidy cppcheck git
 
 VERSION := 0.1.0
@@ -17,7 +17,7 @@
 PROGRAMS := $(patsubst prog/%.c,%,$(wildcard prog/caraway*.c))
 TOOLS := $(patsubst bench/%_main.c,%,$(wildcard bench/*_main.c))
 
-PKGS = glib-2.0 libmicrohttpd libcurl libxxhash libsodium
+PKGS = glib-2.0 libmicrohttpd libcurl libxxhash libsodium jansson
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
 PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lprotobuf-c -lck -lpthread
 
--- a/report/rt.h
+++ b/report/rt.h
@@ -10,6 +10,8 @@
 #ifndef RT_H
 #define RT_H
 
+#include <stdbool.h>
+#include <stddef.h>
 #include <stdint.h>
 
 #include "base/ba_buf.h"
@@ -19,7 +21,11 @@
 extern "C" {
 #endif
 
-/** enum rt_counter - numbered counters; names in the table of rt.c */
+/**
+ * enum rt_counter - numbered counters; names in the table of rt.c
+ *
+ * The numbers stand in logs of sources: append, never reorder.
+ */
 enum rt_counter {
 	RT_CALLS,
 	RT_ANSWERED,
@@ -43,19 +49,53 @@
 	RT_LEASES_EXPIRED,
 	RT_DRAINS,
 	RT_PARTITIONS,
+	RT_VERSIONS_AUDITED,
+	RT_ROUTES_CHECKED,
+	RT_OLDER_APPLIED,
+	RT_PARTIAL_APPLIED,
+	RT_ANSWERS_CHECKED,
+	RT_ANSWERS_WRONG,
+	RT_NOT_RUN_CHECKED,
+	RT_FALSE_NOT_RUN,
+	RT_KEYED_CALLS,
+	RT_KEYED_CHECKED,
+	RT_DOUBLE_RUNS,
+	RT_DRAINS_CHECKED,
+	RT_STOPS_BEGUN,
+	RT_STOPS_ENDED,
+	RT_PARTITIONS_HEALED,
+	RT_SESSIONS_REOPENED,
 	RT_COUNTERS,
 };
 
 /** rt_count() - add @n to a counter of this process; from any thread */
 void rt_count(enum rt_counter id, uint64_t n);
 
+/**
+ * rt_count_label() - add @n to a counter and to its part named @label, such
+ * as "andina>caribe" for bytes over a link; from any thread
+ *
+ * At most %RT_LABELS parts are kept; further ones go to the part "other".
+ */
+void rt_count_label(enum rt_counter id, const char *label, uint64_t n);
+
+/**
+ * rt_label_at() - walk the labelled parts, in no particular order
+ * @i: from 0 on
+ * @label: the name of the part, valid while the process runs
+ *
+ * Return: whether there is a part number @i.
+ */
+bool rt_label_at(size_t i, enum rt_counter *id, const char **label,
+		 uint64_t *value);
+
 /** rt_counter_value() - the value of a counter of this process */
 uint64_t rt_counter_value(enum rt_counter id);
 
 /** rt_counter_name() - name in the text exposition format */
 const char *rt_counter_name(enum rt_counter id);
 
-enum { RT_HIST_BUCKETS = 512 };
+enum { RT_HIST_BUCKETS = 512, RT_LABELS = 64, RT_LABEL_BYTES = 128 };
 
 /**
  * struct rt_hist - a log-linear histogram of microseconds, 16 buckets for
@@ -65,13 +105,22 @@
 	uint64_t count[RT_HIST_BUCKETS];
 };
 
+/** rt_hist_bucket() - the bucket that @us falls into */
+unsigned int rt_hist_bucket(ba_time us);
+
+/** rt_hist_upper() - the greatest value of a bucket, in microseconds */
+ba_time rt_hist_upper(unsigned int bucket);
+
+/** rt_hist_total() - how many values were counted */
+uint64_t rt_hist_total(const struct rt_hist *h);
+
 /** rt_hist_add() - count one value; from any thread */
 void rt_hist_add(struct rt_hist *h, ba_time us);
 
 /** rt_hist_merge() - add the counts of @from */
 void rt_hist_merge(struct rt_hist *h, const struct rt_hist *from);
 
-/** rt_hist_quantile() - upper end of the bucket that holds quantile @q */
+/** rt_hist_quantile() - upper end of the bucket of quantile @q; 0 if empty */
 ba_time rt_hist_quantile(const struct rt_hist *h, double q);
 
 /** rt_expose() - append all counters in the text exposition format */
--- a/wire/rt.pb-c.c
+++ b/wire/rt.pb-c.c
@@ -470,7 +470,7 @@
   (ProtobufCMessageInit) rt_counter__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rt_figures__field_descriptors[7] =
+static const ProtobufCFieldDescriptor rt_figures__field_descriptors[9] =
 {
   {
     "instance",
@@ -556,12 +556,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "role",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RtFigures, role),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "final",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RtFigures, final),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rt_figures__field_indices_by_name[] = {
   6,   /* field[6] = counters */
+  8,   /* field[8] = final */
   3,   /* field[3] = from_wall_ms */
   1,   /* field[1] = incarnation */
   0,   /* field[0] = instance */
+  7,   /* field[7] = role */
   2,   /* field[2] = sequence */
   5,   /* field[5] = services */
   4,   /* field[4] = to_wall_ms */
@@ -569,7 +595,7 @@
 static const ProtobufCIntRange rt_figures__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor rt_figures__descriptor =
 {
@@ -579,7 +605,7 @@
   "RtFigures",
   "",
   sizeof(RtFigures),
-  7,
+  9,
   rt_figures__field_descriptors,
   rt_figures__field_indices_by_name,
   1,  rt_figures__number_ranges,
--- a/wire/rt.pb-c.h
+++ b/wire/rt.pb-c.h
@@ -33,6 +33,9 @@
   ProtobufCMessage base;
   char *service;
   uint64_t answered;
+  /*
+   * shed ones included
+   */
   uint64_t not_run;
   uint64_t may_have_run;
   uint64_t shed;
@@ -80,10 +83,18 @@
   RtServiceFigures **services;
   size_t n_counters;
   RtCounter **counters;
+  /*
+   * "daemon", "relay" or "source"
+   */
+  char *role;
+  /*
+   * the process ends after these
+   */
+  protobuf_c_boolean final;
 };
 #define RT_FIGURES__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rt_figures__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  RtBatch
