--- a/prog/pr.c
+++ b/prog/pr.c
@@ -1,7 +1,9 @@
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include <glib.h>
+#include <sodium.h>
 
 #include "base/ba_event.h"
 #include "base/ba_result.h"
@@ -25,6 +27,7 @@
 static void check_key(const struct pr_common *s, struct wi_identity *id,
 		      struct ba_problems *p);
 static int find_level(const char *name);
+static void raise_descriptor_limit(void);
 static int open_log(const char *program, const struct pr_common *s);
 
 int pr_start(int argc, char **argv, enum wi_role role,
@@ -49,6 +52,9 @@
 	g_free(c.file);
 	if (ret >= 0)
 		return ret;
+	if (sodium_init() < 0)
+		return ba_result_info(BA_INTERNAL)->exit_code;
+	raise_descriptor_limit();
 	id->mesh = settings->mesh_name;
 	id->instance = settings->instance_name;
 	id->role = role;
@@ -154,6 +160,17 @@
 	return -1;
 }
 
+/* A relay holds a session for each daemon of its data centre. */
+static void raise_descriptor_limit(void)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit))
+		return;
+	limit.rlim_cur = limit.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 static int open_log(const char *program, const struct pr_common *s)
 {
 	char *name = g_strdup_printf("%s/%s", program, s->instance_name);
--- a/wire/wi_session.c
+++ b/wire/wi_session.c
@@ -16,7 +16,6 @@
 enum {
 	READ_BYTES = 65536,
 	BACKLOG = 1024,
-	PROOF_LIMIT_BYTES = 8192,
 };
 
 enum wi_state {
@@ -478,16 +477,15 @@
 	const struct ba_buf *second =
 		s->dialled ? &s->peer_hello : &s->own_hello;
 	const uint8_t *key = s->id->role == WI_OPERATOR ? s->id->key : s->key;
-	uint8_t text[PROOF_LIMIT_BYTES];
-	size_t len = 0;
-
-	memcpy(text, of_dialler ? "dial" : "take", 4);
-	len += 4;
-	memcpy(text + len, first->data, first->len);
-	len += first->len;
-	memcpy(text + len, second->data, MIN(second->len, sizeof(text) - len));
-	len += MIN(second->len, sizeof(text) - len);
-	return ba_digest_keyed(key, text, len);
+	struct ba_buf text = {0};
+	struct ba_digest mac;
+
+	ba_buf_add(&text, of_dialler ? "dial" : "take", 4);
+	ba_buf_add(&text, first->data, first->len);
+	ba_buf_add(&text, second->data, second->len);
+	mac = ba_digest_keyed(key, text.data, text.len);
+	ba_buf_free(&text);
+	return mac;
 }
 
 static int take_proof(struct wi_session *s, const struct wi_frame *f)
