config: parse, check, encode and delta of configuration and policy

RpSubmission gains the delta and the refusal, so that replicas never parse a file when they apply an entry.

Every single bit of a delta flipped in turn is either refused or yields the target's digest.

--- /dev/null
+++ b/config/cf_delta.c
@@ -0,0 +1,302 @@
+#include <string.h>
+
+#include "base/ba_result.h"
+#include "config/cf_internal.h"
+
+/* A CfDelta under construction; messages stand in arrays of this struct. */
+struct delta {
+	CfDelta m;
+	CfPolicy policy;
+	CfService *services;
+	CfRoute *routes;
+	CfPolicyRow *rows;
+};
+
+static void compare_services(struct delta *d, const struct cf_snapshot *from,
+			     const struct cf_snapshot *to);
+static void compare_routes(struct delta *d, const struct cf_snapshot *from,
+			   const struct cf_snapshot *to);
+static void compare_policy(struct delta *d, const struct cf_snapshot *from,
+			   const struct cf_snapshot *to);
+static void compare_rows(struct delta *d, const struct cf_snapshot *from,
+			 const struct cf_snapshot *to);
+static bool same(const ProtobufCMessage *a, const ProtobufCMessage *b);
+static void delta_init(struct delta *d, const struct cf_snapshot *from,
+		       const struct cf_snapshot *to);
+static void delta_free(struct delta *d);
+static int apply(const struct cf_snapshot *from, const CfDelta *m,
+		 struct cf_snapshot **out);
+static GHashTable *touched(char *const *drops, size_t n_drops);
+static void keep_services(struct cf_draft *d, const struct cf_snapshot *from,
+			  const CfDelta *m);
+static void keep_routes(struct cf_draft *d, const struct cf_snapshot *from,
+			const CfDelta *m);
+static void keep_rows(struct cf_draft *d, const struct cf_snapshot *from,
+		      const CfDelta *m);
+
+void cf_delta_encode(const struct cf_snapshot *from,
+		     const struct cf_snapshot *to, struct ba_buf *out)
+{
+	struct delta d;
+	size_t len;
+
+	delta_init(&d, from, to);
+	compare_services(&d, from, to);
+	compare_routes(&d, from, to);
+	compare_policy(&d, from, to);
+	compare_rows(&d, from, to);
+	len = cf_delta__get_packed_size(&d.m);
+	ba_buf_reserve(out, len);
+	cf_delta__pack(&d.m, out->data + out->len);
+	out->len += len;
+	delta_free(&d);
+}
+
+int cf_delta_apply(const struct cf_snapshot *from, const void *data, size_t len,
+		   struct cf_snapshot **out)
+{
+	CfDelta *m = cf_delta__unpack(NULL, len, data);
+	int ret;
+
+	if (!m)
+		return CF_ENCODING_WRONG;
+	if (m->from_version != from->version)
+		ret = CF_DELTA_BASE_WRONG;
+	else if (m->to_version <= m->from_version)
+		ret = CF_VERSION_OLDER;
+	else if (m->to_digest.len != BA_DIGEST_BYTES)
+		ret = CF_ENCODING_WRONG;
+	else
+		ret = apply(from, m, out);
+	cf_delta__free_unpacked(m, NULL);
+	return ret;
+}
+
+static void compare_services(struct delta *d, const struct cf_snapshot *from,
+			     const struct cf_snapshot *to)
+{
+	size_t i = 0;
+	size_t j = 0;
+
+	while (i < from->n_services || j < to->n_services) {
+		const struct cf_service *a = &from->services[i];
+		const struct cf_service *b = &to->services[j];
+		CfService *put = &d->services[d->m.n_put_services];
+		CfService old;
+		int order = i == from->n_services ? 1
+			    : j == to->n_services ? -1
+						  : strcmp(a->name, b->name);
+
+		if (order < 0) {
+			d->m.drop_services[d->m.n_drop_services++] =
+				(char *)a->name;
+			i++;
+			continue;
+		}
+		cf_to_service(put, b);
+		if (!order)
+			cf_to_service(&old, a);
+		if (order || !same(&old.base, &put->base))
+			d->m.put_services[d->m.n_put_services++] = put;
+		i += !order;
+		j++;
+	}
+}
+
+static void compare_routes(struct delta *d, const struct cf_snapshot *from,
+			   const struct cf_snapshot *to)
+{
+	size_t i = 0;
+	size_t j = 0;
+
+	while (i < from->n_routes || j < to->n_routes) {
+		const struct cf_route *a = &from->routes[i];
+		const struct cf_route *b = &to->routes[j];
+		CfRoute *put = &d->routes[d->m.n_put_routes];
+		CfRoute old;
+		int order = i == from->n_routes ? 1
+			    : j == to->n_routes ? -1
+						: strcmp(a->name, b->name);
+
+		if (order < 0) {
+			d->m.drop_routes[d->m.n_drop_routes++] =
+				(char *)a->name;
+			i++;
+			continue;
+		}
+		cf_to_route(put, to, b);
+		if (!order)
+			cf_to_route(&old, from, a);
+		if (order || !same(&old.base, &put->base))
+			d->m.put_routes[d->m.n_put_routes++] = put;
+		i += !order;
+		j++;
+	}
+}
+
+static void compare_policy(struct delta *d, const struct cf_snapshot *from,
+			   const struct cf_snapshot *to)
+{
+	CfPolicy old;
+
+	cf_to_policy(&old, &from->policy);
+	cf_to_policy(&d->policy, &to->policy);
+	if (!same(&old.base, &d->policy.base))
+		d->m.policy = &d->policy;
+}
+
+static void compare_rows(struct delta *d, const struct cf_snapshot *from,
+			 const struct cf_snapshot *to)
+{
+	for (size_t j = 0; j < to->n_services; j++) {
+		CfPolicyRow *put = &d->rows[d->m.n_put_rows];
+		int i = cf_service_find(from, to->services[j].name);
+		CfPolicyRow old;
+
+		cf_to_row(put, to, &to->policy.rows[j]);
+		if (i != CF_NO_SERVICE) {
+			cf_to_row(&old, from, &from->policy.rows[i]);
+			if (same(&old.base, &put->base))
+				continue;
+		}
+		d->m.put_rows[d->m.n_put_rows++] = put;
+	}
+}
+
+/* Messages of a few fields: their encodings are compared on the stack. */
+static bool same(const ProtobufCMessage *a, const ProtobufCMessage *b)
+{
+	uint8_t x[1024];
+	uint8_t y[1024];
+	size_t len = protobuf_c_message_get_packed_size(a);
+
+	if (len != protobuf_c_message_get_packed_size(b) || len > sizeof(x))
+		return false;
+	protobuf_c_message_pack(a, x);
+	protobuf_c_message_pack(b, y);
+	return !memcmp(x, y, len);
+}
+
+static void delta_init(struct delta *d, const struct cf_snapshot *from,
+		       const struct cf_snapshot *to)
+{
+	cf_delta__init(&d->m);
+	d->m.from_version = from->version;
+	d->m.to_version = to->version;
+	d->m.to_digest.data = (uint8_t *)to->digest.bytes;
+	d->m.to_digest.len = sizeof(to->digest.bytes);
+	d->services = g_new(CfService, to->n_services + 1);
+	d->routes = g_new(CfRoute, to->n_routes + 1);
+	d->rows = g_new(CfPolicyRow, to->n_services + 1);
+	d->m.put_services = g_new(CfService *, to->n_services + 1);
+	d->m.put_routes = g_new(CfRoute *, to->n_routes + 1);
+	d->m.put_rows = g_new(CfPolicyRow *, to->n_services + 1);
+	d->m.drop_services = g_new(char *, from->n_services + 1);
+	d->m.drop_routes = g_new(char *, from->n_routes + 1);
+}
+
+static void delta_free(struct delta *d)
+{
+	g_free(d->services);
+	g_free(d->routes);
+	g_free(d->rows);
+	g_free(d->m.put_services);
+	g_free(d->m.put_routes);
+	g_free(d->m.put_rows);
+	g_free(d->m.drop_services);
+	g_free(d->m.drop_routes);
+}
+
+static int apply(const struct cf_snapshot *from, const CfDelta *m,
+		 struct cf_snapshot **out)
+{
+	struct ba_problems problems = {0};
+	struct cf_snapshot *s;
+	struct cf_draft d;
+	int ret = BA_OK;
+
+	cf_draft_init(&d, m->to_version);
+	keep_services(&d, from, m);
+	keep_routes(&d, from, m);
+	if (m->policy)
+		cf_from_policy(&d, m->policy);
+	else
+		cf_draft_policy(&d, &from->policy);
+	keep_rows(&d, from, m);
+	s = cf_draft_finish(&d, &problems);
+	if (!s) {
+		ret = problems.list[0].code;
+	} else if (memcmp(s->digest.bytes, m->to_digest.data,
+			  BA_DIGEST_BYTES) != 0) {
+		ret = CF_DIGEST_WRONG;
+		cf_snapshot_unref(s);
+	} else {
+		*out = s;
+	}
+	ba_problems_free(&problems);
+	cf_draft_free(&d);
+	return ret;
+}
+
+/* The names that are not kept: those dropped; put ones are added later. */
+static GHashTable *touched(char *const *drops, size_t n_drops)
+{
+	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
+
+	for (size_t i = 0; i < n_drops; i++)
+		g_hash_table_add(names, drops[i]);
+	return names;
+}
+
+static void keep_services(struct cf_draft *d, const struct cf_snapshot *from,
+			  const CfDelta *m)
+{
+	GHashTable *names = touched(m->drop_services, m->n_drop_services);
+
+	for (size_t i = 0; i < m->n_put_services; i++) {
+		g_hash_table_add(names, m->put_services[i]->name);
+		cf_from_service(d, m->put_services[i]);
+	}
+	for (size_t i = 0; i < from->n_services; i++)
+		if (!g_hash_table_contains(names, from->services[i].name))
+			cf_draft_service(d, &from->services[i], 0);
+	g_hash_table_destroy(names);
+}
+
+static void keep_routes(struct cf_draft *d, const struct cf_snapshot *from,
+			const CfDelta *m)
+{
+	GHashTable *names = touched(m->drop_routes, m->n_drop_routes);
+
+	for (size_t i = 0; i < m->n_put_routes; i++) {
+		g_hash_table_add(names, m->put_routes[i]->name);
+		cf_from_route(d, m->put_routes[i]);
+	}
+	for (size_t i = 0; i < from->n_routes; i++) {
+		const struct cf_route *r = &from->routes[i];
+
+		if (!g_hash_table_contains(names, r->name))
+			cf_draft_route(d, r, from->services[r->service].name,
+				       0);
+	}
+	g_hash_table_destroy(names);
+}
+
+/* A row goes with its service, so dropped services drop their rows. */
+static void keep_rows(struct cf_draft *d, const struct cf_snapshot *from,
+		      const CfDelta *m)
+{
+	GHashTable *names = touched(m->drop_services, m->n_drop_services);
+
+	for (size_t i = 0; i < m->n_put_rows; i++) {
+		g_hash_table_add(names, m->put_rows[i]->service);
+		cf_from_row(d, m->put_rows[i]);
+	}
+	for (size_t i = 0; i < from->n_services; i++) {
+		const char *name = from->services[i].name;
+
+		if (!g_hash_table_contains(names, name))
+			cf_draft_row(d, &from->policy.rows[i], name, 0);
+	}
+	g_hash_table_destroy(names);
+}
--- /dev/null
+++ b/config/cf_draft.c
@@ -0,0 +1,222 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "config/cf_internal.h"
+
+static const char *keep(struct cf_draft *d, const char *text);
+static void sort(struct cf_draft *d);
+static gint by_service_name(gconstpointer a, gconstpointer b);
+static gint by_route_name(gconstpointer a, gconstpointer b);
+static gint by_row_service(gconstpointer a, gconstpointer b);
+static int by_path(const void *a, const void *b);
+static void add_default_rows(struct cf_draft *d);
+static struct cf_snapshot *make(struct cf_draft *d);
+static void index_paths(struct cf_whole *w);
+
+void cf_draft_init(struct cf_draft *d, uint64_t version)
+{
+	const struct cf_policy policy = {
+		.time_zone = "UTC",
+		.convergence_weight = CF_DEFAULT_POLICY_WEIGHT,
+		.bytes_weight = CF_DEFAULT_POLICY_WEIGHT,
+		.convergence_limit = CF_DEFAULT_CONVERGENCE,
+	};
+
+	d->version = version;
+	d->strings = g_string_chunk_new(4096);
+	d->services = g_array_new(FALSE, TRUE, sizeof(struct cf_draft_service));
+	d->routes = g_array_new(FALSE, TRUE, sizeof(struct cf_draft_route));
+	d->rows = g_array_new(FALSE, TRUE, sizeof(struct cf_draft_row));
+	cf_draft_policy(d, &policy);
+}
+
+void cf_draft_free(struct cf_draft *d)
+{
+	g_clear_pointer(&d->strings, g_string_chunk_free);
+	g_array_free(d->services, TRUE);
+	g_array_free(d->routes, TRUE);
+	g_array_free(d->rows, TRUE);
+}
+
+void cf_draft_service(struct cf_draft *d, const struct cf_service *s, int line)
+{
+	struct cf_draft_service one = {*s, line};
+
+	one.value.name = keep(d, s->name);
+	g_array_append_val(d->services, one);
+}
+
+void cf_draft_route(struct cf_draft *d, const struct cf_route *r,
+		    const char *service, int line)
+{
+	struct cf_draft_route one = {*r, keep(d, service), line};
+
+	one.value.name = keep(d, r->name);
+	one.value.path = keep(d, r->path);
+	one.value.method = keep(d, r->method);
+	g_array_append_val(d->routes, one);
+}
+
+void cf_draft_row(struct cf_draft *d, const struct cf_row *r,
+		  const char *service, int line)
+{
+	struct cf_draft_row one = {*r, keep(d, service), line};
+
+	g_array_append_val(d->rows, one);
+}
+
+void cf_draft_policy(struct cf_draft *d, const struct cf_policy *p)
+{
+	d->policy = *p;
+	d->policy.time_zone = keep(d, p->time_zone);
+	d->policy.rows = NULL;
+}
+
+struct cf_snapshot *cf_draft_finish(struct cf_draft *d,
+				    struct ba_problems *problems)
+{
+	size_t before = problems->n;
+
+	sort(d);
+	cf_check(d, problems);
+	if (problems->n > before)
+		return NULL;
+	add_default_rows(d);
+	return make(d);
+}
+
+int cf_draft_service_find(const struct cf_draft *d, const char *name)
+{
+	guint low = 0;
+	guint high = d->services->len;
+
+	while (low < high) {
+		guint mid = (low + high) / 2;
+		const struct cf_draft_service *s = &g_array_index(
+			d->services, struct cf_draft_service, mid);
+		int order = strcmp(s->value.name, name);
+
+		if (!order)
+			return (int)mid;
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return CF_NO_SERVICE;
+}
+
+static const char *keep(struct cf_draft *d, const char *text)
+{
+	return g_string_chunk_insert_const(d->strings, text ? text : "");
+}
+
+static void sort(struct cf_draft *d)
+{
+	g_array_sort(d->services, by_service_name);
+	g_array_sort(d->routes, by_route_name);
+	g_array_sort(d->rows, by_row_service);
+}
+
+static gint by_service_name(gconstpointer a, gconstpointer b)
+{
+	const struct cf_draft_service *x = a;
+	const struct cf_draft_service *y = b;
+
+	return strcmp(x->value.name, y->value.name);
+}
+
+static gint by_route_name(gconstpointer a, gconstpointer b)
+{
+	const struct cf_draft_route *x = a;
+	const struct cf_draft_route *y = b;
+
+	return strcmp(x->value.name, y->value.name);
+}
+
+static gint by_row_service(gconstpointer a, gconstpointer b)
+{
+	const struct cf_draft_row *x = a;
+	const struct cf_draft_row *y = b;
+
+	return strcmp(x->service, y->service);
+}
+
+static int by_path(const void *a, const void *b)
+{
+	const struct cf_route *const *x = a;
+	const struct cf_route *const *y = b;
+
+	return cf_route_compare(*x, *y);
+}
+
+/* Both lists are sorted and every row has its service: one merge. */
+static void add_default_rows(struct cf_draft *d)
+{
+	guint n_given = d->rows->len;
+	guint row = 0;
+
+	for (guint i = 0; i < d->services->len; i++) {
+		const struct cf_service *s =
+			&g_array_index(d->services, struct cf_draft_service, i)
+				 .value;
+		struct cf_row fallback = {
+			.weight = CF_DEFAULT_ROW_WEIGHT,
+			.convergence_limit = d->policy.convergence_limit,
+			.deadline = s->timeout,
+		};
+
+		if (row < n_given &&
+		    !strcmp(g_array_index(d->rows, struct cf_draft_row, row)
+				    .service,
+			    s->name))
+			row++;
+		else
+			cf_draft_row(d, &fallback, s->name, 0);
+	}
+	g_array_sort(d->rows, by_row_service);
+}
+
+static struct cf_snapshot *make(struct cf_draft *d)
+{
+	struct cf_whole *w = g_new0(struct cf_whole, 1);
+	struct cf_snapshot *s = &w->s;
+
+	w->refs = 1;
+	w->strings = g_steal_pointer(&d->strings);
+	s->version = d->version;
+	s->policy = d->policy;
+	s->n_services = d->services->len;
+	s->n_routes = d->routes->len;
+	s->services = g_new0(struct cf_service, s->n_services + 1);
+	s->routes = g_new0(struct cf_route, s->n_routes + 1);
+	s->policy.rows = g_new0(struct cf_row, s->n_services + 1);
+	for (guint i = 0; i < d->services->len; i++) {
+		s->services[i] =
+			g_array_index(d->services, struct cf_draft_service, i)
+				.value;
+		s->policy.rows[i] =
+			g_array_index(d->rows, struct cf_draft_row, i).value;
+		s->policy.rows[i].service = (int)i;
+	}
+	for (guint i = 0; i < d->routes->len; i++) {
+		const struct cf_draft_route *r =
+			&g_array_index(d->routes, struct cf_draft_route, i);
+
+		s->routes[i] = r->value;
+		s->routes[i].service = cf_service_find(s, r->service);
+	}
+	index_paths(w);
+	s->digest = cf_snapshot_digest(s);
+	return s;
+}
+
+static void index_paths(struct cf_whole *w)
+{
+	size_t n = w->s.n_routes;
+
+	w->by_path = g_new0(const struct cf_route *, n + 1);
+	for (size_t i = 0; i < n; i++)
+		w->by_path[i] = &w->s.routes[i];
+	qsort((void *)w->by_path, n, sizeof(*w->by_path), by_path);
+}
--- /dev/null
+++ b/config/cf_snapshot.c
@@ -0,0 +1,135 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/ba_atomic.h"
+#include "config/cf_internal.h"
+
+static struct cf_whole *whole(const struct cf_snapshot *s);
+static const struct cf_route *find_exact(const struct cf_whole *w,
+					 const char *path, size_t len,
+					 const char *method);
+static int compare_prefix(const char *route, const char *path, size_t len);
+
+struct cf_snapshot *cf_snapshot_empty(void)
+{
+	struct ba_problems none = {0};
+	struct cf_draft d;
+	struct cf_snapshot *s;
+
+	cf_draft_init(&d, 0);
+	s = cf_draft_finish(&d, &none);
+	cf_draft_free(&d);
+	return s;
+}
+
+struct cf_snapshot *cf_snapshot_ref(struct cf_snapshot *s)
+{
+	ba_add_64(&whole(s)->refs, 1);
+	return s;
+}
+
+void cf_snapshot_unref(struct cf_snapshot *s)
+{
+	struct cf_whole *w;
+
+	if (!s)
+		return;
+	w = whole(s);
+	if (ba_add_64(&w->refs, (uint64_t)-1) != 1)
+		return;
+	g_free(s->services);
+	g_free(s->routes);
+	g_free(s->policy.rows);
+	g_free((void *)w->by_path);
+	g_string_chunk_free(w->strings);
+	g_free(w);
+}
+
+int cf_service_find(const struct cf_snapshot *s, const char *name)
+{
+	size_t low = 0;
+	size_t high = s->n_services;
+
+	while (low < high) {
+		size_t mid = (low + high) / 2;
+		int order = strcmp(s->services[mid].name, name);
+
+		if (!order)
+			return (int)mid;
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return CF_NO_SERVICE;
+}
+
+/* Tries the whole path, then each shorter prefix at a '/', then "/". */
+const struct cf_route *cf_route_find(const struct cf_snapshot *s,
+				     const char *method, const char *path)
+{
+	const struct cf_whole *w = whole(s);
+	size_t len = strlen(path);
+
+	if (path[0] != '/')
+		return NULL;
+	while (len) {
+		const struct cf_route *r = find_exact(w, path, len, method);
+
+		if (!r)
+			r = find_exact(w, path, len, "");
+		if (r || len == 1)
+			return r;
+		while (len > 1 && path[len - 1] != '/')
+			len--;
+		if (len > 1)
+			len--;
+	}
+	return NULL;
+}
+
+int cf_route_compare(const struct cf_route *a, const struct cf_route *b)
+{
+	int order = strcmp(a->path, b->path);
+
+	return order ? order : strcmp(a->method, b->method);
+}
+
+static struct cf_whole *whole(const struct cf_snapshot *s)
+{
+	return (struct cf_whole *)s;
+}
+
+static const struct cf_route *find_exact(const struct cf_whole *w,
+					 const char *path, size_t len,
+					 const char *method)
+{
+	size_t low = 0;
+	size_t high = w->s.n_routes;
+
+	while (low < high) {
+		size_t mid = (low + high) / 2;
+		const struct cf_route *r = w->by_path[mid];
+		int order = compare_prefix(r->path, path, len);
+
+		if (!order)
+			order = strcmp(r->method, method);
+		if (!order)
+			return r;
+		if (order < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	return NULL;
+}
+
+/* Compares a whole route path with the first @len bytes of @path. */
+static int compare_prefix(const char *route, const char *path, size_t len)
+{
+	int order = strncmp(route, path, len);
+
+	if (order)
+		return order;
+	return route[len] ? 1 : 0;
+}
--- a/wire/cf.pb-c.c
+++ b/wire/cf.pb-c.c
@@ -701,7 +701,7 @@
   (ProtobufCMessageInit) cf_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_delta__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cf_delta__field_descriptors[9] =
 {
   {
     "from_version",
@@ -799,6 +799,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "put_rows",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CfDelta, n_put_rows),
+    offsetof(CfDelta, put_rows),
+    &cf_policy_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cf_delta__field_indices_by_name[] = {
   6,   /* field[6] = drop_routes */
@@ -806,6 +818,7 @@
   0,   /* field[0] = from_version */
   7,   /* field[7] = policy */
   5,   /* field[5] = put_routes */
+  8,   /* field[8] = put_rows */
   3,   /* field[3] = put_services */
   2,   /* field[2] = to_digest */
   1,   /* field[1] = to_version */
@@ -813,7 +826,7 @@
 static const ProtobufCIntRange cf_delta__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cf_delta__descriptor =
 {
@@ -823,7 +836,7 @@
   "CfDelta",
   "",
   sizeof(CfDelta),
-  8,
+  9,
   cf_delta__field_descriptors,
   cf_delta__field_indices_by_name,
   1,  cf_delta__number_ranges,
--- a/wire/cf.pb-c.h
+++ b/wire/cf.pb-c.h
@@ -147,13 +147,15 @@
   size_t n_drop_routes;
   char **drop_routes;
   /*
-   * present when it changed
+   * without rows, when it changed
    */
   CfPolicy *policy;
+  size_t n_put_rows;
+  CfPolicyRow **put_rows;
 };
 #define CF_DELTA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_delta__descriptor) \
-    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL }
+    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL }
 
 
 /* CfService methods */
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -649,7 +649,7 @@
   (ProtobufCMessageInit) rp_members__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_submission__field_descriptors[2] =
+static const ProtobufCFieldDescriptor rp_submission__field_descriptors[5] =
 {
   {
     "submit",
@@ -675,15 +675,54 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "delta",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpSubmission, delta),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpSubmission, code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "problems",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpSubmission, n_problems),
+    offsetof(RpSubmission, problems),
+    &ct_problem__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_submission__field_indices_by_name[] = {
+  3,   /* field[3] = code */
+  2,   /* field[2] = delta */
+  4,   /* field[4] = problems */
   0,   /* field[0] = submit */
   1,   /* field[1] = wall_us */
 };
 static const ProtobufCIntRange rp_submission__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rp_submission__descriptor =
 {
@@ -693,7 +732,7 @@
   "RpSubmission",
   "",
   sizeof(RpSubmission),
-  2,
+  5,
   rp_submission__field_descriptors,
   rp_submission__field_indices_by_name,
   1,  rp_submission__number_ranges,
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -96,15 +96,28 @@
 struct  RpSubmission
 {
   ProtobufCMessage base;
+  /*
+   * without the text
+   */
   CtSubmit *submit;
   /*
    * when the leader took it in
    */
   uint64_t wall_us;
+  /*
+   * CfDelta from the base version, or
+   */
+  ProtobufCBinaryData delta;
+  /*
+   * why the leader's validation refused it
+   */
+  uint32_t code;
+  size_t n_problems;
+  CtProblem **problems;
 };
 #define RP_SUBMISSION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_submission__descriptor) \
-    , NULL, 0 }
+    , NULL, 0, {0,NULL}, 0, 0,NULL }
 
 
 struct  RpVoteRequest
