Add stand-ins: backend server, caller and link between regions

Cause: nothing could drive or check the whole path. The stand-ins speak HTTP and TCP only, so they know nothing of the project's own sessions.

Change: backend (slots, connection limit, cold start, load report that lags or lies, probe, shedding, cancellation, deadline, drain, counts by key), caller (open-loop arrivals, keys, resend after a lost answer, answers checked to be whole and their own, comparison with the counts) and link (delay, rate, byte counts, cut, silence on open connections).

--- /dev/null
+++ b/bench/bn.h
@@ -0,0 +1,66 @@
+/*
+ * What the stand-ins share: the form of an answer that proves itself whole
+ * and its own, HTTP on the event loop, and the options of the programs.
+ *
+ * Rules:
+ * - The stand-ins speak published protocols only; they know nothing of the
+ *   sessions between the system's processes.
+ * - An answer names the request it belongs to and ends with a checksum; a
+ *   download is a function of its path and offset.
+ */
+#ifndef BN_H
+#define BN_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "base/ba_buf.h"
+#include "base/ba_clock.h"
+#include "base/ba_unit.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* Headers that the daemons read and write. */
+#define BN_RESULT_HEADER "X-Caraway-Result"
+#define BN_TIME_LEFT_HEADER "X-Caraway-Time-Left"
+#define BN_LOAD_HEADER "X-Caraway-Load"
+#define BN_KEY_HEADER "Idempotency-Key"
+
+/** bn_answer_write() - append the answer to request @id, @pad bytes longer */
+void bn_answer_write(struct ba_buf *out, const char *service, const char *id,
+		     size_t pad);
+
+/** bn_answer_check() - whether @data is the whole answer to request @id */
+bool bn_answer_check(const void *data, size_t len, const char *id);
+
+/** bn_download_fill() - the bytes of @path from @offset on */
+void bn_download_fill(const char *path, uint64_t offset, uint8_t *out,
+		      size_t len);
+
+enum { BN_ETAG_BYTES = 40 };
+
+/** bn_download_etag() - the validator of @path, the same on every server */
+void bn_download_etag(const char *path, uint64_t size, char out[BN_ETAG_BYTES]);
+
+/** bn_download_check() - whether @data is all of @path under @etag */
+bool bn_download_check(const char *path, const char *etag, const void *data,
+		       size_t len);
+
+/** bn_option_duration() - read the option @name, or end the program */
+ba_time bn_option_duration(const char *name, const char *text);
+
+/** bn_option_address() - read the option @name, or end the program */
+struct ba_address bn_option_address(const char *name, const char *text);
+
+/** bn_options() - parse the command line, or end the program */
+void bn_options(int *argc, char ***argv, const GOptionEntry *entries);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/bench/link_main.c
@@ -0,0 +1,537 @@
+/*
+ * A stand-in for the link between regions: a TCP relay with one-way delay, a
+ * rate shared by all connections of a direction, byte counts, cuts, and
+ * silence on open connections while new ones work.  A small text command
+ * port controls it; "link --command" is its client.
+ */
+#include <errno.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/ba_list.h"
+#include "base/ba_loop.h"
+#include "base/ba_result.h"
+#include "bench/bn.h"
+
+enum {
+	WAYS = 32,
+	MAPS = 512,
+	READ_BYTES = 16 * 1024,
+	QUEUE_BYTES = 256 * 1024,
+	BACKLOG = 128,
+	LINE_BYTES = 256,
+	BITS_PER_BYTE = 8,
+	BACK = 1, /* index of the direction towards the side that dialled */
+};
+
+/* One direction between two regions. */
+struct way {
+	char name[64];
+	uint64_t bytes;
+	ba_time next_free;
+	bool cut;
+};
+
+struct chunk {
+	struct ba_list link;
+	ba_time due;
+	size_t len; /* 0 is the end of the stream */
+	size_t done;
+	uint8_t data[];
+};
+
+struct map;
+
+/* What flows from side @from of a connection to the other one. */
+struct flow {
+	struct connection *connection;
+	struct way *way;
+	struct ba_watch watch; /* of the side it reads from */
+	struct ba_timer timer;
+	struct ba_list chunks;
+	size_t queued;
+	bool silent;
+	bool read_end;
+	bool sent_end;
+};
+
+struct connection {
+	struct ba_list link;
+	struct map *map;
+	struct flow flow[2];
+};
+
+struct map {
+	struct ba_watch watch;
+	struct ba_address target;
+	struct way *way[2];
+};
+
+struct command {
+	struct ba_watch watch;
+	char line[LINE_BYTES];
+	size_t n;
+};
+
+static struct {
+	struct ba_loop *loop;
+	struct way ways[WAYS];
+	size_t n_ways;
+	struct map maps[MAPS];
+	size_t n_maps;
+	struct ba_list connections;
+	struct ba_watch control;
+	ba_time delay;
+	double mbit_per_s;
+} link_state;
+
+static int send_command(const struct ba_address *control, const char *command);
+static void add_map(const char *text);
+static struct way *find_way(const char *from, const char *to);
+static int listen_at(const struct ba_address *at);
+static void on_accept(struct ba_watch *w, unsigned int bits);
+static void dial_target(struct connection *c);
+static void on_ready(struct ba_watch *w, unsigned int bits);
+static void read_side(struct flow *f);
+static bool is_full(const struct flow *f);
+static void queue_chunk(struct flow *f, const void *data, size_t len);
+static void on_due(struct ba_timer *t, ba_time now);
+static void deliver(struct flow *f);
+static bool write_chunk(struct flow *f, struct chunk *k, int fd);
+static struct flow *other(struct flow *f);
+static void watch_side(struct flow *f);
+static void close_connection(struct connection *c);
+static void on_control(struct ba_watch *w, unsigned int bits);
+static void on_command(struct ba_watch *w, unsigned int bits);
+static void run_command(const char *line, struct ba_buf *out);
+static void heal(void);
+static void silence(const char *way);
+static void write_counts(struct ba_buf *out);
+static void on_signal(int signo, void *arg);
+
+int main(int argc, char **argv)
+{
+	char **maps = NULL;
+	char *control = NULL;
+	char *delay = NULL;
+	char *command = NULL;
+	const GOptionEntry entries[] = {
+		{"map", 0, 0, G_OPTION_ARG_STRING_ARRAY, &maps,
+		 "Relay connections of region FROM into region TO",
+		 "FROM,TO,LISTEN,TARGET"},
+		{"control", 0, 0, G_OPTION_ARG_STRING, &control,
+		 "Where commands are read", "IP:PORT"},
+		{"delay", 0, 0, G_OPTION_ARG_STRING, &delay, "One-way delay",
+		 "TIME"},
+		{"rate", 0, 0, G_OPTION_ARG_DOUBLE, &link_state.mbit_per_s,
+		 "Rate of each direction, 0 for no limit", "MBIT/S"},
+		{"command", 0, 0, G_OPTION_ARG_STRING, &command,
+		 "Send a command to a running link: count, cut [WAY], heal, silence [WAY], delay TIME or rate MBIT/S",
+		 "COMMAND"},
+		G_OPTION_ENTRY_NULL,
+	};
+	struct ba_address at;
+
+	bn_options(&argc, &argv, entries);
+	at = bn_option_address("control", control);
+	if (command)
+		return send_command(&at, command);
+	link_state.loop = ba_loop_new();
+	link_state.delay = bn_option_duration("delay", delay);
+	ba_list_init(&link_state.connections);
+	ba_loop_signals(link_state.loop, on_signal, NULL);
+	for (char **m = maps; m && *m; m++)
+		add_map(*m);
+	link_state.control.fd = listen_at(&at);
+	link_state.control.ready = on_control;
+	ba_loop_watch(link_state.loop, &link_state.control, BA_READABLE);
+	ba_loop_run(link_state.loop);
+	return 0;
+}
+
+static int send_command(const struct ba_address *control, const char *command)
+{
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	char buf[4096];
+	ssize_t n;
+
+	if (connect(fd, (const struct sockaddr *)&control->sockaddr,
+		    control->len)) {
+		perror(control->text);
+		return 1;
+	}
+	dprintf(fd, "%s\n", command);
+	shutdown(fd, SHUT_WR);
+	while ((n = read(fd, buf, sizeof(buf))) > 0)
+		fwrite(buf, 1, (size_t)n, stdout);
+	close(fd);
+	return 0;
+}
+
+static void add_map(const char *text)
+{
+	char **part = g_strsplit(text, ",", 4);
+	struct map *m = &link_state.maps[link_state.n_maps];
+	struct ba_address at;
+
+	if (g_strv_length(part) != 4 || link_state.n_maps == MAPS) {
+		fprintf(stderr, "--map=%s: not FROM,TO,LISTEN,TARGET\n", text);
+		exit(ba_result_info(BA_USAGE)->exit_code);
+	}
+	link_state.n_maps++;
+	at = bn_option_address("map", part[2]);
+	m->target = bn_option_address("map", part[3]);
+	m->way[0] = find_way(part[0], part[1]);
+	m->way[BACK] = find_way(part[1], part[0]);
+	m->watch.fd = listen_at(&at);
+	m->watch.ready = on_accept;
+	ba_loop_watch(link_state.loop, &m->watch, BA_READABLE);
+	g_strfreev(part);
+}
+
+static struct way *find_way(const char *from, const char *to)
+{
+	struct way *w = link_state.ways;
+	char name[sizeof(w->name)];
+
+	snprintf(name, sizeof(name), "%s>%s", from, to);
+	for (size_t i = 0; i < link_state.n_ways; i++)
+		if (!strcmp(w[i].name, name))
+			return &w[i];
+	if (link_state.n_ways == WAYS) {
+		fprintf(stderr, "more than %d directions\n", WAYS);
+		exit(ba_result_info(BA_USAGE)->exit_code);
+	}
+	w = &link_state.ways[link_state.n_ways++];
+	memcpy(w->name, name, sizeof(name));
+	return w;
+}
+
+static int listen_at(const struct ba_address *at)
+{
+	int fd = socket(at->sockaddr.ss_family,
+			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int one = 1;
+
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (const struct sockaddr *)&at->sockaddr, at->len) ||
+	    listen(fd, BACKLOG)) {
+		perror(at->text);
+		exit(ba_result_info(BA_PORT_IN_USE)->exit_code);
+	}
+	return fd;
+}
+
+static void on_accept(struct ba_watch *w, unsigned int bits)
+{
+	struct map *m = ba_entry(w, struct map, watch);
+	int fd = accept4(w->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+	struct connection *c;
+
+	(void)bits;
+	if (fd < 0)
+		return;
+	c = g_new0(struct connection, 1);
+	c->map = m;
+	for (int i = 0; i < 2; i++) {
+		struct flow *f = &c->flow[i];
+
+		f->connection = c;
+		f->way = m->way[i];
+		f->watch.ready = on_ready;
+		f->watch.fd = -1;
+		f->timer.fire = on_due;
+		ba_list_init(&f->chunks);
+	}
+	c->flow[0].watch.fd = fd;
+	ba_list_append(&link_state.connections, &c->link);
+	watch_side(&c->flow[0]);
+	if (!m->way[0]->cut && !m->way[BACK]->cut)
+		dial_target(c);
+}
+
+static void dial_target(struct connection *c)
+{
+	const struct ba_address *to = &c->map->target;
+	struct ba_watch *w = &c->flow[BACK].watch;
+
+	w->fd = socket(to->sockaddr.ss_family,
+		       SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (connect(w->fd, (const struct sockaddr *)&to->sockaddr, to->len) &&
+	    errno != EINPROGRESS) {
+		close_connection(c);
+		return;
+	}
+	watch_side(&c->flow[BACK]);
+}
+
+static void on_ready(struct ba_watch *w, unsigned int bits)
+{
+	struct flow *f = ba_entry(w, struct flow, watch);
+
+	if (bits & BA_HANGUP) {
+		close_connection(f->connection);
+		return;
+	}
+	if (bits & BA_READABLE)
+		read_side(f);
+	else if (bits & BA_WRITABLE)
+		deliver(other(f));
+}
+
+static void read_side(struct flow *f)
+{
+	uint8_t buf[READ_BYTES];
+	ssize_t n = read(f->watch.fd, buf, sizeof(buf));
+
+	if (n < 0 && (errno == EAGAIN || errno == EINTR))
+		return;
+	if (n < 0) {
+		close_connection(f->connection);
+		return;
+	}
+	if (!f->silent)
+		queue_chunk(f, buf, (size_t)n);
+	f->read_end = n == 0;
+	watch_side(f);
+}
+
+static bool is_full(const struct flow *f)
+{
+	return f->queued >= QUEUE_BYTES;
+}
+
+/* The rate is kept by the time at which the direction is free again. */
+static void queue_chunk(struct flow *f, const void *data, size_t len)
+{
+	struct chunk *k = g_malloc(sizeof(*k) + len);
+	struct way *w = f->way;
+	ba_time now = ba_loop_now(link_state.loop);
+
+	if (w->next_free < now)
+		w->next_free = now;
+	if (link_state.mbit_per_s > 0)
+		w->next_free += (ba_time)((double)(len * BITS_PER_BYTE) /
+					  link_state.mbit_per_s);
+	k->due = w->next_free + link_state.delay;
+	k->len = len;
+	k->done = 0;
+	memcpy(k->data, data, len);
+	w->bytes += len;
+	f->queued += len;
+	ba_list_append(&f->chunks, &k->link);
+	if (!f->timer.slot)
+		ba_loop_arm(link_state.loop, &f->timer, k->due);
+}
+
+static void on_due(struct ba_timer *t, ba_time now)
+{
+	(void)now;
+	deliver(ba_entry(t, struct flow, timer));
+}
+
+static void deliver(struct flow *f)
+{
+	struct flow *to = other(f);
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	ba_list_each_safe(pos, tmp, &f->chunks)
+	{
+		struct chunk *k = ba_entry(pos, struct chunk, link);
+
+		if (f->way->cut || f->silent || to->watch.fd < 0)
+			break;
+		if (k->due > ba_clock_now()) {
+			ba_loop_arm(link_state.loop, &f->timer, k->due);
+			break;
+		}
+		if (!write_chunk(f, k, to->watch.fd))
+			break;
+		f->queued -= k->len;
+		ba_list_remove(pos);
+		g_free(k);
+	}
+	if (f->sent_end && to->sent_end) {
+		close_connection(f->connection);
+		return;
+	}
+	watch_side(to);
+	watch_side(f);
+}
+
+/* Whether the chunk has gone out whole. */
+static bool write_chunk(struct flow *f, struct chunk *k, int fd)
+{
+	ssize_t n;
+
+	if (!k->len) {
+		shutdown(fd, SHUT_WR);
+		f->sent_end = true;
+		return true;
+	}
+	n = send(fd, k->data + k->done, k->len - k->done, MSG_NOSIGNAL);
+	if (n > 0)
+		k->done += (size_t)n;
+	return k->done == k->len;
+}
+
+static struct flow *other(struct flow *f)
+{
+	struct connection *c = f->connection;
+
+	return f == &c->flow[0] ? &c->flow[BACK] : &c->flow[0];
+}
+
+/* Read while the queue has room; write when a chunk is due already. */
+static void watch_side(struct flow *f)
+{
+	struct flow *from = other(f);
+	unsigned int bits = 0;
+
+	if (f->watch.fd < 0)
+		return;
+	if (!f->read_end && !is_full(f))
+		bits |= BA_READABLE;
+	if (!ba_list_empty(&from->chunks) && !from->way->cut && !from->silent &&
+	    !from->timer.slot)
+		bits |= BA_WRITABLE;
+	ba_loop_watch(link_state.loop, &f->watch, bits);
+}
+
+static void close_connection(struct connection *c)
+{
+	for (int i = 0; i < 2; i++) {
+		struct flow *f = &c->flow[i];
+		struct ba_list *pos;
+		struct ba_list *tmp;
+
+		ba_loop_disarm(link_state.loop, &f->timer);
+		if (f->watch.fd >= 0) {
+			ba_loop_unwatch(link_state.loop, &f->watch);
+			close(f->watch.fd);
+		}
+		ba_list_each_safe(pos, tmp, &f->chunks)
+			g_free(ba_entry(pos, struct chunk, link));
+	}
+	ba_list_remove(&c->link);
+	g_free(c);
+}
+
+static void on_control(struct ba_watch *w, unsigned int bits)
+{
+	int fd = accept4(w->fd, NULL, NULL, SOCK_CLOEXEC);
+	struct command *c;
+
+	(void)bits;
+	if (fd < 0)
+		return;
+	c = g_new0(struct command, 1);
+	c->watch.fd = fd;
+	c->watch.ready = on_command;
+	ba_loop_watch(link_state.loop, &c->watch, BA_READABLE);
+}
+
+static void on_command(struct ba_watch *w, unsigned int bits)
+{
+	struct command *c = ba_entry(w, struct command, watch);
+	ssize_t n = read(w->fd, c->line + c->n, LINE_BYTES - 1 - c->n);
+	struct ba_buf out = {0};
+
+	(void)bits;
+	if (n > 0) {
+		c->n += (size_t)n;
+		if (!strchr(c->line, '\n') && c->n < LINE_BYTES - 1)
+			return;
+		run_command(g_strchomp(c->line), &out);
+		if (write(w->fd, out.data, out.len) < 0)
+			perror("control");
+	}
+	ba_buf_free(&out);
+	ba_loop_unwatch(link_state.loop, w);
+	close(w->fd);
+	g_free(c);
+}
+
+static void run_command(const char *line, struct ba_buf *out)
+{
+	char **word = g_strsplit(line, " ", 2);
+	const char *name = word[0] ? word[0] : "";
+	const char *arg = name[0] && word[1] ? word[1] : NULL;
+	ba_time delay = 0;
+	bool done = true;
+
+	if (!strcmp(name, "cut")) {
+		for (size_t i = 0; i < link_state.n_ways; i++)
+			if (!arg || !strcmp(arg, link_state.ways[i].name))
+				link_state.ways[i].cut = true;
+	} else if (!strcmp(name, "heal")) {
+		heal();
+	} else if (!strcmp(name, "silence")) {
+		silence(arg);
+	} else if (!strcmp(name, "delay") && arg &&
+		   !ba_parse_duration(arg, &delay)) {
+		link_state.delay = delay;
+	} else if (!strcmp(name, "rate") && arg) {
+		link_state.mbit_per_s = g_ascii_strtod(arg, NULL);
+	} else if (!strcmp(name, "count")) {
+		write_counts(out);
+	} else {
+		ba_buf_addf(out, "unknown command: %s\n", line);
+		done = false;
+	}
+	if (done && !out->len)
+		ba_buf_addf(out, "ok\n");
+	g_strfreev(word);
+}
+
+static void heal(void)
+{
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	for (size_t i = 0; i < link_state.n_ways; i++)
+		link_state.ways[i].cut = false;
+	ba_list_each_safe(pos, tmp, &link_state.connections)
+	{
+		struct connection *c = ba_entry(pos, struct connection, link);
+
+		for (int i = 0; i < 2; i++)
+			ba_loop_arm(link_state.loop, &c->flow[i].timer,
+				    ba_clock_now());
+		if (c->flow[BACK].watch.fd < 0)
+			dial_target(c);
+	}
+}
+
+static void silence(const char *way)
+{
+	struct ba_list *pos;
+
+	ba_list_each(pos, &link_state.connections)
+	{
+		struct connection *c = ba_entry(pos, struct connection, link);
+
+		for (int i = 0; i < 2; i++)
+			if (!way || !strcmp(way, c->flow[i].way->name))
+				c->flow[i].silent = true;
+	}
+}
+
+static void write_counts(struct ba_buf *out)
+{
+	for (size_t i = 0; i < link_state.n_ways; i++)
+		ba_buf_addf(out, "%s %" PRIu64 "\n", link_state.ways[i].name,
+			    link_state.ways[i].bytes);
+}
+
+static void on_signal(int signo, void *arg)
+{
+	(void)signo;
+	(void)arg;
+	ba_loop_stop(link_state.loop);
+}
