carawayctl: check, diff, submit, policy, history, status, explain

Cause: operators had no way in.

Not run: any command against a real source, as there is none yet.

Conclusion: a source can be tried by hand as soon as it answers.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,8 @@
 
 LIB_SRC := $(foreach d,$(AGGREGATES),$(wildcard $(d)/*.c) $(wildcard $(d)/*.cc))
 LIB_OBJ := $(patsubst %,$(BUILD)/%.o,$(LIB_SRC))
-PROG_COMMON := $(patsubst %,$(BUILD)/%.o,$(filter-out prog/caraway%,$(wildcard prog/*.c)))
+PROG_COMMON := $(patsubst %,$(BUILD)/%.o,$(filter-out prog/caraway% prog/ct_%,$(wildcard prog/*.c)))
+CTL_OBJ := $(patsubst %,$(BUILD)/%.o,$(wildcard prog/ct_*.c))
 BENCH_COMMON := $(patsubst %,$(BUILD)/%.o,$(filter-out %_main.c,$(wildcard bench/*.c)))
 TEST_SRC := $(wildcard test/*.cc)
 TEST_OBJ := $(patsubst %,$(BUILD)/%.o,$(TEST_SRC))
@@ -83,8 +84,10 @@
 	@rm -f $@
 	$(AR) rcs $@ $^
 
+$(BUILD)/carawayctl: $(CTL_OBJ)
+
 $(PROGRAMS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/prog/%.c.o $(PROG_COMMON) $(BUILD)/libcaraway.a
-	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+	$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(PKG_LIBS)
 
 $(TOOLS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%_main.c.o $(BENCH_COMMON) $(BUILD)/libcaraway.a
 	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
--- /dev/null
+++ b/prog/ct_explain.c
@@ -0,0 +1,193 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/ba_event.h"
+#include "base/ba_result.h"
+#include "prog/ct.h"
+
+enum {
+	FIRST_CODE = 100,
+	LAST_CODE = 799,
+	FIRST_EVENT = 1001,
+	LINES_LIMIT = 10000,
+	LINE_BYTES = 4096,
+};
+
+static int explain_event(struct ct *ct, int id);
+static int explain_code(struct ct *ct, int code);
+static int explain_story(struct ct *ct, const char *what);
+static int explain_version(struct ct *ct, long version);
+static int read_log(const char *file, const char *what, GPtrArray *lines);
+static bool has_field(const char *line, const char *what);
+static int by_time(const void *a, const void *b);
+static int find_by_name(const char *name);
+
+int ct_explain(struct ct *ct)
+{
+	const char *what = ct->args[0];
+	char *end;
+	long n = strtol(what, &end, 10);
+
+	if (strchr(what, '='))
+		return explain_story(ct, what);
+	if (*end)
+		n = find_by_name(what);
+	if (!*end && ct->logs)
+		return explain_version(ct, n);
+	if (n >= FIRST_EVENT && ba_event_info((int)n))
+		return explain_event(ct, (int)n);
+	if (n >= FIRST_CODE && n <= LAST_CODE &&
+	    (ba_result_info((int)n) != ba_result_info(BA_INTERNAL) ||
+	     n == BA_INTERNAL))
+		return explain_code(ct, (int)n);
+	if (n > 0 && ct->settings.mesh_name)
+		return explain_version(ct, n);
+	fprintf(stderr,
+		"%s: neither an event, a result code nor a field; write 5004, "
+		"base-stale, 12 (a version, with --settings) or call=ID with "
+		"--log FILE\n",
+		what);
+	return BA_USAGE;
+}
+
+static int explain_event(struct ct *ct, int id)
+{
+	static const char *const severities[] = {"debug", "info", "notice",
+						 "warning", "error"};
+	const struct ba_event_info *info = ba_event_info(id);
+
+	if (ct->json)
+		ct_json_print(json_pack("{si ss ss ss}", "event", id, "name",
+					info->name, "severity",
+					severities[info->severity], "text",
+					info->text));
+	else
+		printf("event %d %s (%s)\n%s\nIn the log: grep ' %d %s '\n", id,
+		       info->name, severities[info->severity], info->text, id,
+		       info->name);
+	return BA_OK;
+}
+
+static int explain_code(struct ct *ct, int code)
+{
+	const struct ba_result_info *info = ba_result_info(code);
+
+	if (ct->json)
+		ct_json_print(json_pack("{si ss ss ss si si}", "code", code,
+					"name", info->name, "text", info->text,
+					"next_step", info->next_step,
+					"http_status", info->http_status,
+					"exit_code", info->exit_code));
+	else
+		printf("result %d %s\n%s\n%s\nexit status %d%s\n", code,
+		       info->name, info->text, info->next_step, info->exit_code,
+		       info->http_status ? "; callers get it over HTTP" : "");
+	return BA_OK;
+}
+
+/* The lines of all given logs that carry the field, in order of time. */
+static int explain_story(struct ct *ct, const char *what)
+{
+	GPtrArray *lines = g_ptr_array_new_with_free_func(g_free);
+	json_t *list = json_array();
+	int code = ct->logs ? BA_OK : BA_USAGE;
+
+	if (code)
+		fprintf(stderr, "%s: name the logs to read with --log FILE\n",
+			what);
+	for (char **log = ct->logs; !code && log && *log; log++) {
+		code = read_log(*log, what, lines);
+		if (code)
+			ct_fail(ct, code, *log);
+	}
+	g_ptr_array_sort(lines, by_time);
+	for (guint i = 0; !code && i < lines->len; i++) {
+		const char *line = g_ptr_array_index(lines, i);
+
+		if (ct->json)
+			json_array_append_new(list, json_string(line));
+		else
+			puts(line);
+	}
+	if (!code && ct->json)
+		ct_json_print(json_pack("{sO}", "lines", list));
+	else if (!code && !lines->len)
+		printf("no line has %s\n", what);
+	json_decref(list);
+	g_ptr_array_free(lines, TRUE);
+	return code;
+}
+
+/* What the sources know of a version, then what the logs say of it. */
+static int explain_version(struct ct *ct, long version)
+{
+	json_t *history = NULL;
+	json_t *v;
+	size_t i;
+	char *field = g_strdup_printf("version=%ld", version);
+	int code = BA_OK;
+
+	if (ct->settings.mesh_name)
+		code = ct_query_json(ct, "history", "1000", &history);
+	if (code) {
+		g_free(field);
+		return ct_fail(ct, code, "carawayctl explain");
+	}
+	json_array_foreach(
+		json_object_get(history, "versions"), i,
+		v) if (json_integer_value(json_object_get(v, "version")) ==
+		       version) ct_json_print(json_incref(v));
+	json_decref(history);
+	if (ct->logs)
+		code = explain_story(ct, field);
+	g_free(field);
+	return code;
+}
+
+static int read_log(const char *file, const char *what, GPtrArray *lines)
+{
+	FILE *f = fopen(file, "r");
+	char line[LINE_BYTES];
+
+	if (!f)
+		return BA_FILE_UNREADABLE;
+	while (lines->len < LINES_LIMIT && fgets(line, sizeof(line), f)) {
+		line[strcspn(line, "\n")] = '\0';
+		if (has_field(line, what))
+			g_ptr_array_add(lines, g_strdup(line));
+	}
+	fclose(f);
+	return BA_OK;
+}
+
+/* "version=1" is not in "version=12" and not in "from_version=1". */
+static bool has_field(const char *line, const char *what)
+{
+	size_t len = strlen(what);
+
+	for (const char *p = strstr(line, what); p; p = strstr(p + 1, what))
+		if ((p == line || p[-1] == ' ') &&
+		    (p[len] == '\0' || p[len] == ' '))
+			return true;
+	return false;
+}
+
+/* Lines begin with their time, which sorts as text. */
+static int by_time(const void *a, const void *b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+static int find_by_name(const char *name)
+{
+	for (int id = ba_event_next(-1); id >= 0; id = ba_event_next(id))
+		if (!strcmp(ba_event_info(id)->name, name))
+			return id;
+	for (int c = ba_result_next(-1); c >= 0; c = ba_result_next(c))
+		if (!strcmp(ba_result_info(c)->name, name))
+			return c;
+	return -1;
+}
--- a/wire/ct.pb-c.c
+++ b/wire/ct.pb-c.c
@@ -553,7 +553,7 @@
   (ProtobufCMessageInit) ct_query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ct_answer__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ct_answer__field_descriptors[4] =
 {
   {
     "code",
@@ -591,16 +591,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "snapshot",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(CtAnswer, snapshot),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ct_answer__field_indices_by_name[] = {
   0,   /* field[0] = code */
   2,   /* field[2] = json */
   1,   /* field[1] = leader */
+  3,   /* field[3] = snapshot */
 };
 static const ProtobufCIntRange ct_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ct_answer__descriptor =
 {
@@ -610,7 +623,7 @@
   "CtAnswer",
   "",
   sizeof(CtAnswer),
-  3,
+  4,
   ct_answer__field_descriptors,
   ct_answer__field_indices_by_name,
   1,  ct_answer__number_ranges,
--- a/wire/ct.pb-c.h
+++ b/wire/ct.pb-c.h
@@ -90,11 +90,14 @@
     , 0, 0, 0, (char *)protobuf_c_empty_string, 0,NULL }
 
 
+/*
+ * The answers' JSON is described in docs/design/60-operator-queries.md.
+ */
 struct  CtQuery
 {
   ProtobufCMessage base;
   /*
-   * "status", "history", "current", "report", ...
+   * "status", "history", "current" or "report"
    */
   char *command;
   size_t n_arguments;
@@ -111,10 +114,14 @@
   uint32_t code;
   char *leader;
   ProtobufCBinaryData json;
+  /*
+   * of "current": an encoded CfSnapshot
+   */
+  ProtobufCBinaryData snapshot;
 };
 #define CT_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ct_answer__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, {0,NULL} }
+    , 0, (char *)protobuf_c_empty_string, {0,NULL}, {0,NULL} }
 
 
 /* CtSubmit methods */
