--- /dev/null
+++ b/bench/mesh.sh
@@ -0,0 +1,182 @@
+# A deployment of examples/ on this machine, each instance on an address of
+# its own, with stand-ins for its backend servers and the link between the
+# regions.  Sourced, in sh, after test/process.sh; needs $build, $work and
+# $top, the folder of the checkout.
+#
+# mesh_net: first two octets of all addresses.
+
+mesh_net=${MESH_NET:-127.50}
+mesh=$work/mesh
+
+# mesh_prepare NAME: settings of examples/NAME for this run: the same but for
+# the addresses, with new keys
+mesh_prepare() {
+	local operator
+	mesh_name=$1
+	rm -rf "$mesh"
+	mkdir -p "$mesh"
+	cp -R "$top/examples/$mesh_name/." "$mesh"
+	find "$mesh" -name '*.toml' -exec \
+		sed -i "s/\"127\\.50\\./\"$mesh_net./" {} +
+	operator=$(setting "$mesh/carawayctl.toml" operator name)
+	"$top/examples/make-keys.sh" "$mesh" "$operator"
+	control=$mesh_net.9.9:9009
+}
+
+# setting FILE TABLE KEY: a string or number of a settings file
+setting() {
+	awk -v table="[$2]" -v key="$3" '
+		/^\[/ { here = $0 == table }
+		here && $1 == key { gsub(/"/, "", $3); print $3; exit }' "$1"
+}
+
+# names KIND: instances with settings in the folder KIND
+names() {
+	local file
+	for file in "$mesh/$1"/*.toml
+	do
+		basename "$file" .toml
+	done
+}
+
+# names_in REGION KIND
+names_in() {
+	local name
+	for name in $(names "$2")
+	do
+		test "$(setting "$mesh/$2/$name.toml" instance region)" = "$1" &&
+			echo "$name"
+	done
+}
+
+regions() {
+	local name
+	for name in $(names relays)
+	do
+		setting "$mesh/relays/$name.toml" instance region
+	done | uniq | sort -u
+}
+
+# link_maps: a --map for each external address, from the other region
+link_maps() {
+	local file here pair table keys to at from
+	for file in "$mesh"/sources/*.toml "$mesh"/relays/*.toml \
+		"$mesh"/daemons/*.toml
+	do
+		here=$(setting "$file" instance region)
+		for pair in source.address.external_address \
+			relay.address.external_address \
+			daemon.peer_address.external_peer_address
+		do
+			table=${pair%%.*}
+			keys=${pair#*.}
+			to=$(setting "$file" "$table" "${keys%.*}")
+			at=$(setting "$file" "$table" "${keys#*.}")
+			test -n "$at" || continue
+			for from in $(regions)
+			do
+				test "$from" = "$here" ||
+					echo "--map $from,$here,$at,$to"
+			done
+		done
+	done
+}
+
+# start_link DELAY MBIT-PER-S
+start_link() {
+	start link "$build/link" --control "$control" --delay "$1" \
+		--rate "$2" $(link_maps)
+	wait_port "$control"
+}
+
+# link_command WORDS
+link_command() {
+	"$build/link" --control "$control" --command "$1"
+}
+
+start_source() {
+	start_in "$mesh" "$1" "$build/caraway-source" \
+		--settings "sources/$1.toml"
+}
+
+start_relay() {
+	start_in "$mesh" "$1" "$build/caraway-relay" \
+		--settings "relays/$1.toml"
+}
+
+start_daemon() {
+	start_in "$mesh" "$1" "$build/carawayd" --settings "daemons/$1.toml"
+}
+
+# start_backend DAEMON OPTIONS...: the backend server beside a daemon
+start_backend() {
+	local name=$1 file=$mesh/daemons/$1.toml
+	shift
+	start "backend-$name" "$build/backend" \
+		--address "$(setting "$file" backend address)" \
+		--service "$(setting "$file" backend service)" \
+		--slots "$(setting "$file" backend slots)" \
+		--connections "$(setting "$file" backend connections)" "$@"
+}
+
+# caller_address DAEMON, backend_address DAEMON
+caller_address() {
+	setting "$mesh/daemons/$1.toml" daemon caller_address
+}
+
+backend_address() {
+	setting "$mesh/daemons/$1.toml" backend address
+}
+
+# ctl ARGUMENTS: the operators' command
+ctl() {
+	(cd "$mesh" && "$build/carawayctl" --settings carawayctl.toml "$@")
+}
+
+# leader: name of the source that leads
+leader() {
+	ctl --json status 2>/dev/null |
+		sed -n 's/.*"leader": *"\([^"]*\)".*/\1/p'
+}
+
+# version_of OUTPUT-FILE: the version that a submission was accepted as
+version_of() {
+	sed -n 's/.*"version": *\([0-9]*\).*/\1/p' "$1" | head -n 1
+}
+
+# submitted FILE NAME OPTIONS...: whether carawayctl NAME FILE is accepted
+submitted() {
+	local file=$1 kind=$2
+	shift 2
+	ctl --json "$@" "$kind" "$file" >"$work/submit.json" \
+		2>"$work/submit.err"
+}
+
+# in_force VERSION NAME...: whether daemons have put a version in force
+in_force() {
+	local wanted=$1 name
+	shift
+	for name
+	do
+		test "$(held_version "$name")" -ge "$wanted" || return 1
+	done
+}
+
+# held_version DAEMON: the version it last put in force
+held_version() {
+	sed -n 's/.* 3001 config-applied .*version=\([0-9]*\).*/\1/p' \
+		"$mesh/log/$1.log" 2>/dev/null | tail -n 1 | grep . || echo 0
+}
+
+# serves DAEMON PATH: whether a call that enters there is answered
+serves() {
+	test "$(curl -s -o /dev/null -m 2 -w '%{http_code}' \
+		"http://$(caller_address "$1")$2?id=probe")" = 200
+}
+
+# backwards DAEMON: versions put in force below an earlier one
+backwards() {
+	sed -n 's/.* 3001 config-applied .*version=\([0-9]*\).*/\1/p' \
+		"$mesh/log/$1.log" | awk '$1 < last { n++ }
+		{ last = $1 } END { print n + 0 }'
+}
