--- /dev/null
+++ b/distrib/ds_agent.c
@@ -0,0 +1,437 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/ba_event.h"
+#include "base/ba_list.h"
+#include "base/ba_result.h"
+#include "distrib/ds_agent.h"
+#include "distrib/ds_intake.h"
+#include "distrib/ds_link.h"
+#include "distrib/ds_sibling.h"
+#include "distrib/ds_store.h"
+#include "endpoint/ep_table.h"
+#include "endpoint/ep_wire.h"
+#include "wire/ds.pb-c.h"
+#include "wire/rt.pb-c.h"
+
+#define VIEW_DELAY (20 * BA_MS)
+#define FIGURES_PERIOD (5 * BA_SECOND)
+#define SIBLING_PERIOD (3 * BA_SECOND)
+#define ABSENT_LEASE BA_MINUTE
+
+enum { VIEW_SUBSET = 64 };
+
+struct ds_agent {
+	struct ds_link_owner link_owner;
+	struct ds_sibling_owner sibling_owner;
+	struct ds_link *link;
+	struct ds_sibling *sibling;
+	struct ba_loop *loop;
+	struct ds_agent_owner *owner;
+	const struct wi_identity *identity;
+	char *data_folder;
+	struct ba_timer view_timer;
+	struct ba_timer figures_timer;
+	struct ba_timer expiry_timer;
+	struct ba_timer sibling_timer;
+	struct ds_intake intake;
+	struct ep_record record;
+	ba_time lease;
+	struct ep_table *table;
+	struct ep_view *view;
+	struct ba_rand rand;
+};
+
+static void on_opened(struct ds_link_owner *o, struct wi_session *s);
+static int on_frame(struct ds_link_owner *o, struct wi_session *s,
+		    const struct wi_frame *f);
+static void on_lost(struct ds_link_owner *o, int code);
+static int on_sibling_frame(struct ds_sibling_owner *o, struct wi_session *s,
+			    const struct wi_frame *f);
+static void on_view_timer(struct ba_timer *t, ba_time now);
+static void on_figures_timer(struct ba_timer *t, ba_time now);
+static void on_expiry_timer(struct ba_timer *t, ba_time now);
+static void on_sibling_timer(struct ba_timer *t, ba_time now);
+static void start_from_store(struct ds_agent *a);
+static int take_update(struct ds_agent *a, struct wi_session *s,
+		       const struct wi_frame *f);
+static void put_in_force(struct ds_agent *a, struct cf_snapshot *next);
+static void acknowledge(struct ds_agent *a, struct wi_session *s,
+			const struct ds_taken *taken);
+static int take_records(struct ds_agent *a, const struct wi_frame *f);
+static void take_record(struct ds_agent *a, const EpRecord *m, ba_time now);
+static int take_figures_ack(struct ds_agent *a, const struct wi_frame *f);
+static void announce(struct ds_agent *a, struct wi_session *s);
+static void announce_again(struct ds_agent *a);
+static void send_digest(struct ds_agent *a, struct wi_session *s);
+static void add_digest(const struct ep_centre_digest *d, void *arg);
+static void arm_periods(struct ds_agent *a);
+
+struct ds_agent *ds_agent_new(struct ba_loop *loop,
+			      const struct ds_agent_options *options,
+			      struct ds_agent_owner *owner)
+{
+	struct ds_agent *a = g_new0(struct ds_agent, 1);
+	struct ds_link_options link = {
+		.identity = options->identity,
+		.addresses = options->relays->list,
+		.n_addresses = options->relays->n,
+		.seed = options->seed,
+	};
+
+	a->link_owner.opened = on_opened;
+	a->link_owner.frame = on_frame;
+	a->link_owner.lost = on_lost;
+	a->sibling_owner.frame = on_sibling_frame;
+	a->view_timer.fire = on_view_timer;
+	a->figures_timer.fire = on_figures_timer;
+	a->expiry_timer.fire = on_expiry_timer;
+	a->sibling_timer.fire = on_sibling_timer;
+	a->loop = loop;
+	a->owner = owner;
+	a->identity = options->identity;
+	a->data_folder = g_strdup(options->data_folder);
+	a->lease = options->lease;
+	a->rand.state = options->seed;
+	ep_record_copy(&a->record, options->record);
+	a->table = ep_table_new(EP_TABLE_LIMIT);
+	a->sibling =
+		ds_sibling_new(loop, options->identity,
+			       options->control_address, &a->sibling_owner);
+	if (!a->sibling) {
+		ds_agent_free(a);
+		return NULL;
+	}
+	start_from_store(a);
+	a->link = ds_link_new(loop, &link, &a->link_owner);
+	arm_periods(a);
+	return a;
+}
+
+void ds_agent_drain(struct ds_agent *a)
+{
+	a->record.draining = true;
+	announce_again(a);
+}
+
+void ds_agent_leave(struct ds_agent *a)
+{
+	a->record.left = true;
+	announce_again(a);
+}
+
+uint64_t ds_agent_version(const struct ds_agent *a)
+{
+	return a->intake.follower.held;
+}
+
+bool ds_agent_connected(const struct ds_agent *a)
+{
+	return ds_link_session(a->link);
+}
+
+void ds_agent_free(struct ds_agent *a)
+{
+	if (!a)
+		return;
+	ba_loop_disarm(a->loop, &a->view_timer);
+	ba_loop_disarm(a->loop, &a->figures_timer);
+	ba_loop_disarm(a->loop, &a->expiry_timer);
+	ba_loop_disarm(a->loop, &a->sibling_timer);
+	ds_link_free(a->link);
+	ds_sibling_free(a->sibling);
+	ds_intake_free(&a->intake);
+	ep_view_unref(a->view);
+	ep_table_free(a->table);
+	ep_record_clear(&a->record);
+	g_free(a->data_folder);
+	g_free(a);
+}
+
+/*
+ * The subscription goes first: a relay that defers this daemon does so
+ * before the rest costs it anything.
+ */
+static void on_opened(struct ds_link_owner *o, struct wi_session *s)
+{
+	struct ds_agent *a = ba_entry(o, struct ds_agent, link_owner);
+
+	ds_intake_subscribe(&a->intake, s, false);
+	announce(a, s);
+	send_digest(a, s);
+}
+
+static int on_frame(struct ds_link_owner *o, struct wi_session *s,
+		    const struct wi_frame *f)
+{
+	struct ds_agent *a = ba_entry(o, struct ds_agent, link_owner);
+
+	if (f->type == DS_UPDATE)
+		return take_update(a, s, f);
+	if (f->type == EP_UPDATE)
+		return take_records(a, f);
+	if (f->type == RT_ACK)
+		return take_figures_ack(a, f);
+	return WI_FRAME_UNKNOWN;
+}
+
+static void on_lost(struct ds_link_owner *o, int code)
+{
+	(void)o;
+	(void)code;
+}
+
+static int on_sibling_frame(struct ds_sibling_owner *o, struct wi_session *s,
+			    const struct wi_frame *f)
+{
+	struct ds_agent *a = ba_entry(o, struct ds_agent, sibling_owner);
+
+	if (!f) {
+		ds_intake_subscribe(&a->intake, s, false);
+		return BA_OK;
+	}
+	return take_update(a, s, f);
+}
+
+static void on_view_timer(struct ba_timer *t, ba_time now)
+{
+	struct ds_agent *a = ba_entry(t, struct ds_agent, view_timer);
+	struct ep_view_options options = {
+		.instance = a->identity->instance,
+		.data_centre = a->identity->data_centre,
+		.region = a->identity->region,
+		.subset = VIEW_SUBSET,
+	};
+	struct ep_view *next = ep_table_view(a->table, a->view, &options);
+
+	(void)now;
+	ep_view_unref(a->view);
+	a->view = next;
+	a->owner->on_view(a->owner, ep_view_ref(next));
+}
+
+static void on_figures_timer(struct ba_timer *t, ba_time now)
+{
+	struct ds_agent *a = ba_entry(t, struct ds_agent, figures_timer);
+	struct wi_session *s = ds_link_session(a->link);
+	struct ba_buf out = {0};
+
+	ba_loop_arm(a->loop, t, now + FIGURES_PERIOD);
+	if (!s || !a->owner->figures)
+		return;
+	a->owner->figures(a->owner, &out);
+	if (out.len)
+		wi_send_raw(s, RT_FIGURES, out.data, out.len);
+	ba_buf_free(&out);
+}
+
+static void on_expiry_timer(struct ba_timer *t, ba_time now)
+{
+	struct ds_agent *a = ba_entry(t, struct ds_agent, expiry_timer);
+	struct ep_expiry x = ep_table_expire(a->table, now);
+
+	ba_loop_arm(a->loop, t, now + BA_SECOND);
+	if (x.expired)
+		ba_loop_arm(a->loop, &a->view_timer, now);
+}
+
+/* Without a relay, a sibling that still hears one may have news. */
+static void on_sibling_timer(struct ba_timer *t, ba_time now)
+{
+	struct ds_agent *a = ba_entry(t, struct ds_agent, sibling_timer);
+
+	ba_loop_arm(a->loop, t,
+		    now + SIBLING_PERIOD +
+			    (ba_time)ba_rand_below(&a->rand, SIBLING_PERIOD));
+	if (ds_link_session(a->link) || !a->intake.follower.floor_known)
+		return;
+	ds_sibling_ask(a->sibling, a->table, &a->rand);
+}
+
+static void start_from_store(struct ds_agent *a)
+{
+	struct cf_snapshot *s =
+		a->data_folder ? ds_store_read(a->data_folder) : NULL;
+
+	if (!s)
+		return;
+	ba_event(DS_EV_FLOOR, "version=%llu from=data_folder",
+		 (unsigned long long)s->version);
+	ds_intake_hold(&a->intake, s);
+	ds_sibling_publish(a->sibling, s);
+	a->owner->on_snapshot(a->owner, s);
+}
+
+static int take_update(struct ds_agent *a, struct wi_session *s,
+		       const struct wi_frame *f)
+{
+	bool knew_floor = a->intake.follower.floor_known;
+	struct cf_snapshot *next;
+	struct ds_taken taken;
+	int ret = ds_intake_update(&a->intake, f, &taken, &next);
+
+	if (ret)
+		return ret;
+	if (!knew_floor && a->intake.follower.floor_known)
+		ba_event(DS_EV_FLOOR, "version=%llu from=%s",
+			 (unsigned long long)a->intake.follower.floor,
+			 wi_session_peer(s)->instance);
+	if (next)
+		put_in_force(a, next);
+	if (taken.verdict == DS_REFUSE_OLDER)
+		ba_event(DS_EV_OLDER_REFUSED, "held=%llu offered=%llu peer=%s",
+			 (unsigned long long)a->intake.follower.floor,
+			 (unsigned long long)taken.current,
+			 wi_session_peer(s)->instance);
+	if (taken.verdict == DS_ASK_AGAIN)
+		ds_intake_subscribe(&a->intake, s, true);
+	else if (taken.verdict == DS_APPLY || taken.verdict == DS_IN_STEP)
+		acknowledge(a, s, &taken);
+	if (taken.verdict == DS_BEHIND || taken.verdict == DS_REFUSE_OLDER ||
+	    taken.source_age > 0)
+		ds_link_stale(a->link);
+	return BA_OK;
+}
+
+/* A disk that fails costs the floor after a restart, not this version. */
+static void put_in_force(struct ds_agent *a, struct cf_snapshot *next)
+{
+	int ret = BA_OK;
+
+	if (a->data_folder)
+		ret = ds_store_write(a->data_folder, next);
+	if (ret)
+		ba_event(CF_EV_REFUSED, "version=%llu kept=no code=%d",
+			 (unsigned long long)next->version, ret);
+	ds_intake_hold(&a->intake, next);
+	ds_sibling_publish(a->sibling, next);
+	a->owner->on_snapshot(a->owner, next);
+}
+
+static void acknowledge(struct ds_agent *a, struct wi_session *s,
+			const struct ds_taken *taken)
+{
+	DsAck m = DS_ACK__INIT;
+
+	m.version = a->intake.follower.held;
+	m.daemons = 1;
+	m.refused_code = (uint32_t)taken->code;
+	wi_send(s, DS_ACK, &m.base);
+}
+
+static int take_records(struct ds_agent *a, const struct wi_frame *f)
+{
+	EpUpdate *m = (EpUpdate *)wi_frame_unpack(f, &ep_update__descriptor);
+	ba_time now = ba_loop_now(a->loop);
+
+	if (!m)
+		return WI_FRAME_GARBAGE;
+	if (m->full)
+		ep_table_begin_full(a->table);
+	for (size_t i = 0; i < m->n_records; i++)
+		take_record(a, m->records[i], now);
+	if (m->full)
+		ep_table_end_full(a->table, m->data_centre, m->buckets,
+				  m->n_buckets, now + ABSENT_LEASE);
+	ep_update__free_unpacked(m, NULL);
+	if (!a->view_timer.slot)
+		ba_loop_arm(a->loop, &a->view_timer,
+			    a->view ? now + VIEW_DELAY : now);
+	return BA_OK;
+}
+
+/*
+ * Somebody who lost sight of this endpoint may have declared it gone; only
+ * its own daemon knows better, and says so with a newer sequence.
+ */
+static void take_record(struct ds_agent *a, const EpRecord *m, ba_time now)
+{
+	struct ep_record r;
+
+	ep_record_from_message(m, &r);
+	if (ep_record_check(&r))
+		return;
+	ep_table_put(a->table, &r, EP_HELD_BY_PEER, BA_NEVER, now);
+	if (!r.left || a->record.left ||
+	    strcmp(r.instance, a->record.instance) != 0 ||
+	    r.incarnation != a->record.incarnation ||
+	    r.sequence < a->record.sequence)
+		return;
+	a->record.sequence = r.sequence;
+	announce_again(a);
+}
+
+static int take_figures_ack(struct ds_agent *a, const struct wi_frame *f)
+{
+	RtAck *m = (RtAck *)wi_frame_unpack(f, &rt_ack__descriptor);
+
+	if (!m)
+		return WI_FRAME_GARBAGE;
+	if (a->owner->figures_taken)
+		a->owner->figures_taken(a->owner, m->incarnation, m->sequence);
+	rt_ack__free_unpacked(m, NULL);
+	return BA_OK;
+}
+
+static void announce(struct ds_agent *a, struct wi_session *s)
+{
+	EpAnnounce m = EP_ANNOUNCE__INIT;
+	EpRecord r;
+
+	a->record.sequence++;
+	ep_record_to_message(&a->record, &r);
+	m.record = &r;
+	m.lease_ms = (uint32_t)(a->lease / BA_MS);
+	wi_send(s, EP_ANNOUNCE, &m.base);
+}
+
+static void announce_again(struct ds_agent *a)
+{
+	struct wi_session *s = ds_link_session(a->link);
+
+	if (s)
+		announce(a, s);
+}
+
+/** struct digest_list - an EpDigest that is being filled */
+struct digest_list {
+	GPtrArray *centres;
+};
+
+static void send_digest(struct ds_agent *a, struct wi_session *s)
+{
+	struct digest_list list = {g_ptr_array_new_with_free_func(g_free)};
+	EpDigest m = EP_DIGEST__INIT;
+
+	ep_table_digests(a->table, add_digest, &list);
+	m.centres = (EpCentreDigest **)list.centres->pdata;
+	m.n_centres = list.centres->len;
+	wi_send(s, EP_DIGEST, &m.base);
+	g_ptr_array_free(list.centres, TRUE);
+}
+
+static void add_digest(const struct ep_centre_digest *d, void *arg)
+{
+	struct digest_list *list = arg;
+	size_t bytes = sizeof(EpCentreDigest) + sizeof(d->buckets);
+	EpCentreDigest *c = g_malloc0(bytes);
+
+	ep_centre_digest__init(c);
+	c->data_centre = (char *)d->data_centre;
+	c->root = d->root;
+	c->n_buckets = EP_BUCKETS;
+	c->buckets = (uint64_t *)(c + 1);
+	memcpy(c->buckets, d->buckets, sizeof(d->buckets));
+	g_ptr_array_add(list->centres, c);
+}
+
+static void arm_periods(struct ds_agent *a)
+{
+	ba_time now = ba_loop_now(a->loop);
+
+	ba_loop_arm(a->loop, &a->figures_timer,
+		    now + (ba_time)ba_rand_below(&a->rand, FIGURES_PERIOD));
+	ba_loop_arm(a->loop, &a->expiry_timer, now + BA_SECOND);
+	ba_loop_arm(a->loop, &a->sibling_timer, now + SIBLING_PERIOD);
+}
--- a/distrib/ds_agent.h
+++ b/distrib/ds_agent.h
@@ -46,6 +46,7 @@
  * @lease: how long the announcement lives without renewal
  * @data_folder: keeps the highest version held, or NULL
  * @seed: of the generator for back-off
+ * @control_address: where siblings of the data centre catch up, or NULL
  */
 struct ds_agent_options {
 	const struct wi_identity *identity;
@@ -54,9 +55,15 @@
 	ba_time lease;
 	const char *data_folder;
 	uint64_t seed;
+	const struct ba_address *control_address;
 };
 
-/** ds_agent_new() - start an agent on @loop; it runs on that thread */
+/**
+ * ds_agent_new() - start an agent on @loop; it runs on that thread
+ *
+ * A version kept in the data folder is given to @owner before the return.
+ * Return: the agent, or NULL when @control_address is in use.
+ */
 struct ds_agent *ds_agent_new(struct ba_loop *loop,
 			      const struct ds_agent_options *options,
 			      struct ds_agent_owner *owner);
--- /dev/null
+++ b/distrib/ds_dialer.h
@@ -0,0 +1,80 @@
+/*
+ * The decision where and when to connect: to one of several addresses, with
+ * jittered, capped back-off.  Pure; ds_link carries it out.
+ */
+#ifndef DS_DIALER_H
+#define DS_DIALER_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "base/ba_clock.h"
+#include "base/ba_rand.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+#define DS_BACK_OFF_FIRST (100 * BA_MS)
+#define DS_BACK_OFF_LIMIT BA_SECOND
+#define DS_NEXT_ADDRESS_SPREAD (50 * BA_MS)
+#define DS_RETURN_AFTER (30 * BA_SECOND)
+#define DS_LEAVE_AFTER (15 * BA_SECOND)
+#define DS_LEAVE_LIMIT (2 * BA_MINUTE)
+
+/**
+ * struct ds_dialer - state of one dialer
+ * @n: number of addresses
+ * @current: address dialled now or next
+ * @tried: addresses tried since one was open
+ * @prefer_first: after a loss begin with the first again, and go back to it
+ * @open: whether a session is open
+ * @leaving: the peer is left because its data are stale
+ * @dial_deadline: when to dial @current, %BA_NEVER while dialling or open
+ * @return_deadline: when to go back to the first address
+ * @leave_deadline: a stale peer is not left before then
+ * @leave_after: time until a stale peer may be left again
+ */
+struct ds_dialer {
+	size_t n;
+	size_t current;
+	unsigned int tried;
+	bool prefer_first;
+	bool open;
+	bool leaving;
+	ba_time dial_deadline;
+	ba_time return_deadline;
+	ba_time leave_deadline;
+	ba_time leave_after;
+	struct ba_rand rand;
+};
+
+/** ds_dialer_init() - dial the first address at @now */
+void ds_dialer_init(struct ds_dialer *d, size_t n, bool prefer_first,
+		    uint64_t seed, ba_time now);
+
+/** ds_dialer_dialled() - @current is being dialled */
+void ds_dialer_dialled(struct ds_dialer *d);
+
+/** ds_dialer_opened() - the session is open */
+void ds_dialer_opened(struct ds_dialer *d, ba_time now);
+
+/**
+ * ds_dialer_closed() - the session has ended, or could not be opened
+ * @retry_after: what the peer asked for, or 0
+ */
+void ds_dialer_closed(struct ds_dialer *d, ba_time retry_after, ba_time now);
+
+/** ds_dialer_leaves() - whether to leave a peer whose data are stale */
+bool ds_dialer_leaves(struct ds_dialer *d, ba_time now);
+
+/** ds_dialer_returns() - whether to go back to the first address now */
+bool ds_dialer_returns(struct ds_dialer *d, ba_time now);
+
+/** ds_dialer_deadline() - when to look again */
+ba_time ds_dialer_deadline(const struct ds_dialer *d);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/distrib/ds_feed.h
+++ b/distrib/ds_feed.h
@@ -12,6 +12,7 @@
 #define DS_FEED_H
 
 #include "config/cf.h"
+#include "distrib/ds_tally.h"
 #include "wire/wi_session.h"
 
 #ifdef __cplusplus
@@ -48,6 +49,43 @@
 /** ds_feed_drop() - the session has ended */
 void ds_feed_drop(struct ds_feed *f, struct wi_session *s);
 
+/**
+ * ds_feed_set_region() - subscribers of other regions are paced by the
+ * policy; without a region none is
+ */
+void ds_feed_set_region(struct ds_feed *f, const char *region);
+
+/** ds_feed_set_admission() - spread out storms of subscribers; for relays */
+void ds_feed_set_admission(struct ds_feed *f, uint64_t seed);
+
+/**
+ * ds_feed_set_stale() - the source has not been heard since @since, or is
+ * heard now when it is %BA_NEVER; subscribers are told
+ */
+void ds_feed_set_stale(struct ds_feed *f, ba_time since);
+
+/**
+ * ds_feed_set_floor() - versions up to @floor have been held by daemons, and
+ * with @known none above it
+ *
+ * A feed starts with the floor unknown; a source that hears a quorum, and a
+ * daemon, know it.
+ */
+void ds_feed_set_floor(struct ds_feed *f, uint64_t floor, bool known);
+
+/** ds_feed_floor() - highest version known to be held; @known may be NULL */
+uint64_t ds_feed_floor(const struct ds_feed *f, bool *known);
+
+/** ds_feed_counts() - the summary as a list; the number of counts */
+size_t ds_feed_counts(const struct ds_feed *f,
+		      struct ds_count out[DS_COUNTS_LIMIT]);
+
+/** ds_feed_version() - newest version published, 0 for none */
+uint64_t ds_feed_version(const struct ds_feed *f);
+
+/** ds_limits - limits of sessions that carry distribution */
+extern const struct wi_limits ds_limits;
+
 /** ds_feed_free() - free the feed; sessions are not closed */
 void ds_feed_free(struct ds_feed *f);
 
--- /dev/null
+++ b/distrib/ds_intake.c
@@ -0,0 +1,100 @@
+#include <string.h>
+
+#include "base/ba_result.h"
+#include "distrib/ds_intake.h"
+#include "wire/ds.pb-c.h"
+
+static void read_offer(const DsUpdate *m, struct ds_offer *o);
+static int apply(const struct ds_intake *in, const DsUpdate *m,
+		 const struct ds_offer *o, struct cf_snapshot **next);
+
+int ds_intake_update(struct ds_intake *in, const struct wi_frame *f,
+		     struct ds_taken *taken, struct cf_snapshot **next)
+{
+	DsUpdate *m = (DsUpdate *)wi_frame_unpack(f, &ds_update__descriptor);
+	struct ds_offer o;
+
+	if (!m)
+		return WI_FRAME_GARBAGE;
+	memset(taken, 0, sizeof(*taken));
+	*next = NULL;
+	read_offer(m, &o);
+	taken->current = o.current;
+	taken->floor = o.floor;
+	taken->floor_known = o.floor_known;
+	taken->source_age = (ba_time)m->source_age_ms * BA_MS;
+	taken->verdict = ds_follower_take(&in->follower, &o);
+	if (taken->verdict == DS_APPLY)
+		taken->code = apply(in, m, &o, next);
+	if (taken->code)
+		taken->verdict = DS_ASK_AGAIN;
+	ds_update__free_unpacked(m, NULL);
+	return BA_OK;
+}
+
+void ds_intake_hold(struct ds_intake *in, struct cf_snapshot *s)
+{
+	cf_snapshot_unref(in->current);
+	in->current = cf_snapshot_ref(s);
+	ds_follower_applied(&in->follower, s->version, &s->digest);
+}
+
+void ds_intake_subscribe(const struct ds_intake *in, struct wi_session *s,
+			 bool whole)
+{
+	DsSubscribe m = DS_SUBSCRIBE__INIT;
+	struct ba_digest digest = in->follower.digest;
+
+	m.held_version = in->follower.held;
+	m.floor = in->follower.floor;
+	if (m.held_version && !whole) {
+		m.held_digest.data = digest.bytes;
+		m.held_digest.len = sizeof(digest.bytes);
+	}
+	wi_send(s, DS_SUBSCRIBE, &m.base);
+}
+
+void ds_intake_free(struct ds_intake *in)
+{
+	cf_snapshot_unref(in->current);
+	in->current = NULL;
+}
+
+static void read_offer(const DsUpdate *m, struct ds_offer *o)
+{
+	memset(o, 0, sizeof(*o));
+	o->current = m->current_version;
+	o->floor = m->floor;
+	o->floor_known = m->floor_known;
+	if (m->digest.len == BA_DIGEST_BYTES)
+		memcpy(o->digest.bytes, m->digest.data, BA_DIGEST_BYTES);
+	if (m->snapshot.len)
+		o->payload = DS_CARRIES_SNAPSHOT;
+	else if (m->delta.len)
+		o->payload = DS_CARRIES_DELTA;
+}
+
+/* The result has to be the version and the content that were announced. */
+static int apply(const struct ds_intake *in, const DsUpdate *m,
+		 const struct ds_offer *o, struct cf_snapshot **next)
+{
+	struct cf_snapshot *s = NULL;
+	int ret;
+
+	if (o->payload == DS_CARRIES_SNAPSHOT)
+		ret = cf_snapshot_decode(m->snapshot.data, m->snapshot.len, &s);
+	else if (in->current)
+		ret = cf_delta_apply(in->current, m->delta.data, m->delta.len,
+				     &s);
+	else
+		ret = CF_DELTA_BASE_WRONG;
+	if (ret)
+		return ret;
+	if (s->version != o->current ||
+	    !ba_digest_equal(&s->digest, &o->digest)) {
+		cf_snapshot_unref(s);
+		return CF_DIGEST_WRONG;
+	}
+	*next = s;
+	return BA_OK;
+}
--- /dev/null
+++ b/distrib/ds_link.c
@@ -0,0 +1,137 @@
+#include <glib.h>
+
+#include "base/ba_event.h"
+#include "base/ba_list.h"
+#include "base/ba_result.h"
+#include "distrib/ds_feed.h"
+#include "distrib/ds_link.h"
+
+struct ds_link {
+	struct wi_handler handler;
+	struct ba_timer timer;
+	struct ba_loop *loop;
+	struct ds_link_owner *owner;
+	const struct wi_identity *identity;
+	struct ba_address *addresses;
+	struct ds_dialer dialer;
+	struct wi_session *session;
+	bool open;
+};
+
+static void on_opened(struct wi_handler *h, struct wi_session *s);
+static int on_frame(struct wi_handler *h, struct wi_session *s,
+		    const struct wi_frame *f);
+static void on_closed(struct wi_handler *h, struct wi_session *s, int code,
+		      ba_time retry_after);
+static void on_timer(struct ba_timer *t, ba_time now);
+static void arm(struct ds_link *l);
+
+struct ds_link *ds_link_new(struct ba_loop *loop,
+			    const struct ds_link_options *options,
+			    struct ds_link_owner *owner)
+{
+	struct ds_link *l = g_new0(struct ds_link, 1);
+
+	l->handler.opened = on_opened;
+	l->handler.frame = on_frame;
+	l->handler.closed = on_closed;
+	l->timer.fire = on_timer;
+	l->loop = loop;
+	l->owner = owner;
+	l->identity = options->identity;
+	l->addresses =
+		g_memdup2(options->addresses,
+			  options->n_addresses * sizeof(struct ba_address));
+	ds_dialer_init(&l->dialer, options->n_addresses, options->prefer_first,
+		       options->seed, ba_loop_now(loop));
+	arm(l);
+	return l;
+}
+
+struct wi_session *ds_link_session(const struct ds_link *l)
+{
+	return l->open ? l->session : NULL;
+}
+
+void ds_link_stale(struct ds_link *l)
+{
+	if (l->open && ds_dialer_leaves(&l->dialer, ba_loop_now(l->loop)))
+		wi_close(l->session, DS_NO_UPSTREAM);
+}
+
+void ds_link_free(struct ds_link *l)
+{
+	if (!l)
+		return;
+	ba_loop_disarm(l->loop, &l->timer);
+	if (l->session)
+		wi_detach(l->session);
+	g_free(l->addresses);
+	g_free(l);
+}
+
+static void on_opened(struct wi_handler *h, struct wi_session *s)
+{
+	struct ds_link *l = (struct ds_link *)h;
+
+	l->open = true;
+	ds_dialer_opened(&l->dialer, ba_loop_now(l->loop));
+	ba_event(DS_EV_UPSTREAM, "peer=%s address=%s",
+		 wi_session_peer(s)->instance,
+		 l->addresses[l->dialer.current].text);
+	arm(l);
+	l->owner->opened(l->owner, s);
+}
+
+static int on_frame(struct wi_handler *h, struct wi_session *s,
+		    const struct wi_frame *f)
+{
+	struct ds_link *l = (struct ds_link *)h;
+
+	return l->owner->frame(l->owner, s, f);
+}
+
+static void on_closed(struct wi_handler *h, struct wi_session *s, int code,
+		      ba_time retry_after)
+{
+	struct ds_link *l = (struct ds_link *)h;
+	bool was_open = l->open;
+
+	(void)s;
+	l->session = NULL;
+	l->open = false;
+	ds_dialer_closed(&l->dialer, retry_after, ba_loop_now(l->loop));
+	arm(l);
+	if (!was_open)
+		return;
+	ba_event(DS_EV_UPSTREAM_LOST, "code=%d reason=%s", code,
+		 ba_result_info(code)->name);
+	l->owner->lost(l->owner, code);
+}
+
+static void on_timer(struct ba_timer *t, ba_time now)
+{
+	struct ds_link *l = ba_entry(t, struct ds_link, timer);
+
+	if (l->open) {
+		if (ds_dialer_returns(&l->dialer, now))
+			wi_close(l->session, WI_PEER_CLOSED);
+		arm(l);
+		return;
+	}
+	if (l->session)
+		return;
+	ds_dialer_dialled(&l->dialer);
+	l->session = wi_dial(l->loop, &l->addresses[l->dialer.current],
+			     l->identity, &ds_limits, &l->handler);
+}
+
+static void arm(struct ds_link *l)
+{
+	ba_time deadline = ds_dialer_deadline(&l->dialer);
+
+	if (deadline == BA_NEVER)
+		ba_loop_disarm(l->loop, &l->timer);
+	else
+		ba_loop_arm(l->loop, &l->timer, deadline);
+}
--- /dev/null
+++ b/distrib/ds_publisher.c
@@ -0,0 +1,406 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/ba_list.h"
+#include "distrib/ds_publisher.h"
+
+/** struct kept - a version that deltas can be made from */
+struct kept {
+	uint64_t version;
+	struct ba_digest digest;
+};
+
+/**
+ * struct subscriber - what is known of one
+ * @held: version it last acknowledged or subscribed with
+ * @in_flight: version sent and not yet acknowledged, 0 for none
+ * @pace_deadline: nothing more before then, when it is across a paid link
+ */
+struct subscriber {
+	struct ba_list link;
+	uint64_t id;
+	uint64_t held;
+	struct ba_digest digest;
+	uint64_t floor;
+	uint64_t in_flight;
+	bool remote;
+	bool is_relay;
+	ba_time pace_deadline;
+	struct ds_count counts[DS_COUNTS_LIMIT];
+	size_t n_counts;
+};
+
+struct ds_publisher {
+	GHashTable *by_id;
+	struct ba_list subscribers;
+	struct kept history[DS_HISTORY];
+	size_t n_history;
+	uint64_t version;
+	struct ba_digest digest;
+	uint64_t floor;
+	bool floor_known;
+	ba_time window;
+	ba_time deadline;
+	struct ds_tally tally;
+	struct ds_count summary[DS_COUNTS_LIMIT];
+	size_t n_summary;
+};
+
+typedef void (*step)(struct ds_publisher *p, const struct ds_event *e,
+		     ba_time now, struct ds_actions *out);
+
+static void on_subscribed(struct ds_publisher *p, const struct ds_event *e,
+			  ba_time now, struct ds_actions *out);
+static void on_acked(struct ds_publisher *p, const struct ds_event *e,
+		     ba_time now, struct ds_actions *out);
+static void on_dropped(struct ds_publisher *p, const struct ds_event *e,
+		       ba_time now, struct ds_actions *out);
+static void on_published(struct ds_publisher *p, const struct ds_event *e,
+			 ba_time now, struct ds_actions *out);
+static void on_floor_told(struct ds_publisher *p, const struct ds_event *e,
+			  ba_time now, struct ds_actions *out);
+static void on_age_told(struct ds_publisher *p, const struct ds_event *e,
+			ba_time now, struct ds_actions *out);
+static void on_tick(struct ds_publisher *p, const struct ds_event *e,
+		    ba_time now, struct ds_actions *out);
+static void send_all(struct ds_publisher *p, ba_time now,
+		     struct ds_actions *out);
+static void send_one(struct ds_publisher *p, struct subscriber *s, ba_time now,
+		     struct ds_actions *out);
+static bool may_be_sent(const struct ds_publisher *p,
+			const struct subscriber *s);
+static void greet(struct ds_publisher *p, struct subscriber *s, ba_time now,
+		  struct ds_actions *out);
+static void keep(struct ds_publisher *p, uint64_t version,
+		 const struct ba_digest *digest);
+static const struct kept *find_kept(const struct ds_publisher *p,
+				    uint64_t version);
+static void raise_floor(struct ds_publisher *p, uint64_t floor);
+static void add_action(struct ds_actions *out, enum ds_action_kind kind,
+		       enum ds_reason reason, uint64_t subscriber,
+		       uint64_t from);
+static void summarize(struct ds_publisher *p, struct ds_actions *out);
+static void set_counts(struct ds_publisher *p, struct subscriber *s,
+		       const struct ds_event *e);
+
+static const step steps[] = {
+	[DS_SUBSCRIBED] = on_subscribed,
+	[DS_ACKED] = on_acked,
+	[DS_DROPPED] = on_dropped,
+	[DS_PUBLISHED] = on_published,
+	[DS_FLOOR_TOLD] = on_floor_told,
+	[DS_AGE_TOLD] = on_age_told,
+	[DS_TICK] = on_tick,
+};
+
+struct ds_publisher *ds_publisher_new(void)
+{
+	struct ds_publisher *p = g_new0(struct ds_publisher, 1);
+
+	p->by_id = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					 g_free);
+	ba_list_init(&p->subscribers);
+	p->deadline = BA_NEVER;
+	return p;
+}
+
+void ds_publisher_free(struct ds_publisher *p)
+{
+	if (!p)
+		return;
+	g_hash_table_destroy(p->by_id);
+	ds_tally_free(&p->tally);
+	g_free(p);
+}
+
+void ds_publisher_step(struct ds_publisher *p, const struct ds_event *e,
+		       ba_time now, struct ds_actions *out)
+{
+	steps[e->kind](p, e, now, out);
+}
+
+ba_time ds_publisher_deadline(const struct ds_publisher *p)
+{
+	return p->deadline;
+}
+
+uint64_t ds_publisher_version(const struct ds_publisher *p)
+{
+	return p->version;
+}
+
+uint64_t ds_publisher_floor(const struct ds_publisher *p, bool *known)
+{
+	if (known)
+		*known = p->floor_known;
+	return p->floor;
+}
+
+bool ds_publisher_keeps(const struct ds_publisher *p, uint64_t version)
+{
+	return version == p->version || find_kept(p, version);
+}
+
+size_t ds_publisher_counts(const struct ds_publisher *p,
+			   struct ds_count out[DS_COUNTS_LIMIT])
+{
+	return ds_tally_summary(&p->tally, out);
+}
+
+void ds_actions_free(struct ds_actions *a)
+{
+	g_free(a->list);
+	memset(a, 0, sizeof(*a));
+}
+
+static void on_subscribed(struct ds_publisher *p, const struct ds_event *e,
+			  ba_time now, struct ds_actions *out)
+{
+	struct subscriber *s = g_hash_table_lookup(p->by_id, &e->subscriber);
+
+	if (!s && g_hash_table_size(p->by_id) >= DS_SUBSCRIBERS_LIMIT) {
+		add_action(out, DS_REFUSE, DS_BECAUSE_FULL, e->subscriber, 0);
+		return;
+	}
+	if (!s) {
+		s = g_new0(struct subscriber, 1);
+		s->id = e->subscriber;
+		g_hash_table_insert(p->by_id, &s->id, s);
+		ba_list_append(&p->subscribers, &s->link);
+	}
+	s->held = e->version;
+	s->digest = e->digest;
+	s->floor = MAX(e->floor, e->version);
+	s->remote = e->remote;
+	s->is_relay = e->is_relay;
+	s->in_flight = 0;
+	set_counts(p, s, e);
+	raise_floor(p, s->floor);
+	greet(p, s, now, out);
+	summarize(p, out);
+}
+
+/*
+ * The first answer is always sent, so that the subscriber learns the floor
+ * and the age of the data even when there is nothing to apply.
+ */
+static void greet(struct ds_publisher *p, struct subscriber *s, ba_time now,
+		  struct ds_actions *out)
+{
+	enum ds_reason reason = DS_BECAUSE_IN_STEP;
+	bool same = s->held == p->version &&
+		    ba_digest_equal(&s->digest, &p->digest);
+
+	if (!same && may_be_sent(p, s)) {
+		send_one(p, s, now, out);
+		return;
+	}
+	if (s->floor > p->version)
+		reason = DS_BECAUSE_BEHIND_PEER;
+	else if (!same)
+		reason = DS_BECAUSE_FLOOR_UNKNOWN;
+	add_action(out, DS_SEND_RESUME, reason, s->id, 0);
+}
+
+static void on_acked(struct ds_publisher *p, const struct ds_event *e,
+		     ba_time now, struct ds_actions *out)
+{
+	struct subscriber *s = g_hash_table_lookup(p->by_id, &e->subscriber);
+	const struct kept *k;
+
+	if (!s)
+		return;
+	set_counts(p, s, e);
+	if (s->n_counts)
+		raise_floor(p, s->counts[s->n_counts - 1].version);
+	raise_floor(p, e->version);
+	if (e->version > s->held) {
+		s->held = e->version;
+		s->floor = MAX(s->floor, e->version);
+		k = find_kept(p, e->version);
+		if (e->version == p->version)
+			s->digest = p->digest;
+		else if (k)
+			s->digest = k->digest;
+	}
+	if (s->in_flight && s->held >= s->in_flight)
+		s->in_flight = 0;
+	if (s->held < p->version)
+		send_one(p, s, now, out);
+	summarize(p, out);
+}
+
+static void on_dropped(struct ds_publisher *p, const struct ds_event *e,
+		       ba_time now, struct ds_actions *out)
+{
+	struct subscriber *s = g_hash_table_lookup(p->by_id, &e->subscriber);
+
+	(void)now;
+	if (!s)
+		return;
+	set_counts(p, s, e);
+	ba_list_remove(&s->link);
+	g_hash_table_remove(p->by_id, &e->subscriber);
+	summarize(p, out);
+}
+
+static void on_published(struct ds_publisher *p, const struct ds_event *e,
+			 ba_time now, struct ds_actions *out)
+{
+	if (e->version <= p->version)
+		return;
+	if (p->version)
+		keep(p, p->version, &p->digest);
+	p->version = e->version;
+	p->digest = e->digest;
+	p->window = e->window;
+	raise_floor(p, e->version);
+	send_all(p, now, out);
+}
+
+static void on_floor_told(struct ds_publisher *p, const struct ds_event *e,
+			  ba_time now, struct ds_actions *out)
+{
+	bool was_known = p->floor_known;
+
+	raise_floor(p, e->floor);
+	p->floor_known = e->floor_known;
+	if (p->floor_known && !was_known)
+		send_all(p, now, out);
+}
+
+static void on_age_told(struct ds_publisher *p, const struct ds_event *e,
+			ba_time now, struct ds_actions *out)
+{
+	const struct ba_list *pos;
+
+	(void)e;
+	(void)now;
+	ba_list_each(pos, &p->subscribers)
+		add_action(out, DS_SEND_RESUME, DS_BECAUSE_AGE,
+			   ba_entry(pos, struct subscriber, link)->id, 0);
+}
+
+static void on_tick(struct ds_publisher *p, const struct ds_event *e,
+		    ba_time now, struct ds_actions *out)
+{
+	(void)e;
+	p->deadline = BA_NEVER;
+	send_all(p, now, out);
+}
+
+static void send_all(struct ds_publisher *p, ba_time now,
+		     struct ds_actions *out)
+{
+	const struct ba_list *pos;
+
+	ba_list_each(pos, &p->subscribers)
+		send_one(p, ba_entry(pos, struct subscriber, link), now, out);
+}
+
+static void send_one(struct ds_publisher *p, struct subscriber *s, ba_time now,
+		     struct ds_actions *out)
+{
+	const struct kept *k = find_kept(p, s->held);
+
+	if (s->in_flight || !may_be_sent(p, s))
+		return;
+	if (s->held == p->version && ba_digest_equal(&s->digest, &p->digest))
+		return;
+	if (s->remote && now < s->pace_deadline) {
+		p->deadline = MIN(p->deadline, s->pace_deadline);
+		return;
+	}
+	s->pace_deadline = now + p->window;
+	s->in_flight = p->version;
+	if (k && ba_digest_equal(&k->digest, &s->digest))
+		add_action(out, DS_SEND_DELTA, DS_BECAUSE_NEWER, s->id,
+			   s->held);
+	else
+		add_action(out, DS_SEND_SNAPSHOT,
+			   k ? DS_BECAUSE_DIGEST_DIFFERS : DS_BECAUSE_NOT_KEPT,
+			   s->id, 0);
+}
+
+static bool may_be_sent(const struct ds_publisher *p,
+			const struct subscriber *s)
+{
+	if (!p->version || s->floor > p->version)
+		return false;
+	if (s->floor || s->is_relay)
+		return true;
+	return p->floor_known && p->floor <= p->version;
+}
+
+static void keep(struct ds_publisher *p, uint64_t version,
+		 const struct ba_digest *digest)
+{
+	if (p->n_history == DS_HISTORY) {
+		memmove(p->history, p->history + 1,
+			(DS_HISTORY - 1) * sizeof(p->history[0]));
+		p->n_history--;
+	}
+	p->history[p->n_history].version = version;
+	p->history[p->n_history].digest = *digest;
+	p->n_history++;
+}
+
+static const struct kept *find_kept(const struct ds_publisher *p,
+				    uint64_t version)
+{
+	for (size_t i = p->n_history; i > 0; i--)
+		if (p->history[i - 1].version == version)
+			return &p->history[i - 1];
+	return NULL;
+}
+
+static void raise_floor(struct ds_publisher *p, uint64_t floor)
+{
+	p->floor = MAX(p->floor, floor);
+}
+
+static void add_action(struct ds_actions *out, enum ds_action_kind kind,
+		       enum ds_reason reason, uint64_t subscriber,
+		       uint64_t from)
+{
+	struct ds_action a = {kind, reason, subscriber, from};
+
+	if (out->n == out->alloc) {
+		out->alloc = out->alloc ? out->alloc * 2 : 16;
+		out->list = g_renew(struct ds_action, out->list, out->alloc);
+	}
+	out->list[out->n++] = a;
+}
+
+static void summarize(struct ds_publisher *p, struct ds_actions *out)
+{
+	struct ds_count now[DS_COUNTS_LIMIT] = {{0}};
+	size_t n = ds_publisher_counts(p, now);
+
+	size_t same = 0;
+
+	while (same < n && same < p->n_summary &&
+	       now[same].version == p->summary[same].version &&
+	       now[same].daemons == p->summary[same].daemons)
+		same++;
+	if (same == n && n == p->n_summary)
+		return;
+	memcpy(p->summary, now, sizeof(now));
+	p->n_summary = n;
+	add_action(out, DS_SUMMARY, DS_BECAUSE_ACKED, 0, 0);
+}
+
+static void set_counts(struct ds_publisher *p, struct subscriber *s,
+		       const struct ds_event *e)
+{
+	for (size_t i = 0; i < s->n_counts; i++)
+		ds_tally_take(&p->tally, s->counts[i].version,
+			      s->counts[i].daemons);
+	s->n_counts = e->n_counts;
+	for (size_t i = 0; i < s->n_counts; i++) {
+		s->counts[i] = e->counts[i];
+		ds_tally_add(&p->tally, s->counts[i].version,
+			     s->counts[i].daemons);
+	}
+}
--- /dev/null
+++ b/endpoint/ep_record.c
@@ -0,0 +1,89 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/ba_result.h"
+#include "endpoint/ep_table.h"
+#include "endpoint/ep_wire.h"
+
+static bool is_name(const char *s, bool required);
+
+void ep_record_copy(struct ep_record *to, const struct ep_record *from)
+{
+	*to = *from;
+	to->instance = g_strdup(from->instance);
+	to->service = g_strdup(from->service);
+	to->data_centre = g_strdup(from->data_centre);
+	to->region = g_strdup(from->region);
+	to->address = g_strdup(from->address);
+	to->external_address = g_strdup(from->external_address);
+	to->control_address = g_strdup(from->control_address);
+}
+
+void ep_record_clear(struct ep_record *r)
+{
+	g_free(r->instance);
+	g_free(r->service);
+	g_free(r->data_centre);
+	g_free(r->region);
+	g_free(r->address);
+	g_free(r->external_address);
+	g_free(r->control_address);
+	memset(r, 0, sizeof(*r));
+}
+
+int ep_record_check(const struct ep_record *r)
+{
+	if (!is_name(r->instance, true) || !is_name(r->data_centre, true) ||
+	    !is_name(r->region, true) || !is_name(r->service, !r->left) ||
+	    !is_name(r->address, !r->left) ||
+	    !is_name(r->external_address, false) ||
+	    !is_name(r->control_address, false))
+		return WI_FRAME_GARBAGE;
+	return BA_OK;
+}
+
+void ep_record_to_message(const struct ep_record *r, EpRecord *m)
+{
+	ep_record__init(m);
+	m->instance = r->instance;
+	m->service = r->service;
+	m->data_centre = r->data_centre;
+	m->region = r->region;
+	m->address = r->address;
+	if (r->external_address)
+		m->external_address = r->external_address;
+	if (r->control_address)
+		m->control_address = r->control_address;
+	m->incarnation = r->incarnation;
+	m->sequence = r->sequence;
+	m->draining = r->draining;
+	m->left = r->left;
+	m->slots = r->slots;
+	m->connections = r->connections;
+}
+
+void ep_record_from_message(const EpRecord *m, struct ep_record *r)
+{
+	memset(r, 0, sizeof(*r));
+	r->instance = m->instance;
+	r->service = m->service;
+	r->data_centre = m->data_centre;
+	r->region = m->region;
+	r->address = m->address;
+	r->external_address = m->external_address;
+	r->control_address = m->control_address;
+	r->incarnation = m->incarnation;
+	r->sequence = m->sequence;
+	r->draining = m->draining;
+	r->left = m->left;
+	r->slots = m->slots;
+	r->connections = m->connections;
+}
+
+static bool is_name(const char *s, bool required)
+{
+	size_t len = s ? strlen(s) : 0;
+
+	return len <= EP_NAME_LIMIT_BYTES && (len || !required);
+}
--- /dev/null
+++ b/endpoint/ep_table.c
@@ -0,0 +1,477 @@
+#include <string.h>
+
+#include "base/ba_digest.h"
+#include "endpoint/ep_internal.h"
+
+static void entry_free(void *data);
+static void centre_free(void *data);
+static void service_free(void *data);
+static enum ep_outcome put_new(struct ep_table *t, const struct ep_record *r,
+			       uint64_t holder, ba_time lease_deadline,
+			       ba_time now);
+static enum ep_outcome put_equal(struct ep_table *t, struct ep_entry *e,
+				 const struct ep_record *r, uint64_t holder,
+				 ba_time now);
+static enum ep_outcome put_newer(struct ep_table *t, struct ep_entry *e,
+				 const struct ep_record *r, uint64_t holder,
+				 ba_time lease_deadline, ba_time now);
+static int compare(const struct ep_record *a, const struct ep_record *b);
+static void link_entry(struct ep_table *t, struct ep_entry *e,
+		       ba_time lease_deadline, ba_time now);
+static void unlink_entry(struct ep_table *t, struct ep_entry *e);
+static void wait_for_expiry(struct ep_table *t, struct ep_entry *e,
+			    ba_time lease_deadline);
+static void end_wait(struct ep_entry *e);
+static void touch(struct ep_table *t, struct ep_entry *e);
+static void toggle_digest(struct ep_entry *e);
+static void bury(struct ep_table *t, struct ep_entry *e, ba_time now);
+static bool is_held_back(struct ep_centre *c, ba_time now);
+static bool too_many_waiting(const struct ep_centre *c);
+static struct ep_centre *centre_of(struct ep_table *t, const char *name);
+static struct ep_service *service_of(struct ep_table *t, const char *name);
+
+struct ep_table *ep_table_new(size_t limit)
+{
+	struct ep_table *t = g_new0(struct ep_table, 1);
+
+	t->limit = limit;
+	t->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   entry_free);
+	t->centres = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   centre_free);
+	t->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    service_free);
+	ba_list_init(&t->by_change);
+	ba_list_init(&t->waiting);
+	ba_list_init(&t->tombstones);
+	return t;
+}
+
+void ep_table_free(struct ep_table *t)
+{
+	if (!t)
+		return;
+	g_hash_table_destroy(t->entries);
+	g_hash_table_destroy(t->services);
+	g_hash_table_destroy(t->centres);
+	g_free(t);
+}
+
+enum ep_outcome ep_table_put(struct ep_table *t, const struct ep_record *r,
+			     uint64_t holder, ba_time lease_deadline,
+			     ba_time now)
+{
+	struct ep_entry *e = g_hash_table_lookup(t->entries, r->instance);
+	int order;
+
+	if (!e)
+		return put_new(t, r, holder, lease_deadline, now);
+	e->full = t->full;
+	order = compare(r, &e->record);
+	if (order < 0)
+		return EP_OLDER;
+	if (!order)
+		return put_equal(t, e, r, holder, now);
+	return put_newer(t, e, r, holder, lease_deadline, now);
+}
+
+void ep_table_release(struct ep_table *t, const char *instance,
+		      ba_time lease_deadline)
+{
+	struct ep_entry *e = g_hash_table_lookup(t->entries, instance);
+
+	if (e && !e->record.left && e->holder == EP_HELD_HERE)
+		wait_for_expiry(t, e, lease_deadline);
+}
+
+void ep_table_release_holder(struct ep_table *t, uint64_t holder,
+			     ba_time lease_deadline)
+{
+	struct ba_list *pos;
+
+	ba_list_each(pos, &t->by_change)
+	{
+		struct ep_entry *e = ba_entry(pos, struct ep_entry, by_change);
+
+		if (!e->record.left && e->holder == holder)
+			wait_for_expiry(t, e, lease_deadline);
+	}
+}
+
+void ep_table_begin_full(struct ep_table *t)
+{
+	t->full++;
+}
+
+void ep_table_end_full(struct ep_table *t, const char *data_centre,
+		       const uint32_t *buckets, size_t n_buckets,
+		       ba_time lease_deadline)
+{
+	struct ep_centre *c = g_hash_table_lookup(t->centres, data_centre);
+	uint64_t named = 0;
+	struct ba_list *pos;
+
+	if (!c)
+		return;
+	for (size_t i = 0; i < n_buckets; i++)
+		named |= 1ULL << (buckets[i] % EP_BUCKETS);
+	ba_list_each(pos, &c->entries)
+	{
+		struct ep_entry *e = ba_entry(pos, struct ep_entry, by_centre);
+
+		if (!e->record.left && e->holder != EP_HELD_HERE &&
+		    e->full != t->full && (named >> e->bucket & 1))
+			wait_for_expiry(t, e, lease_deadline);
+	}
+}
+
+/*
+ * Whether a data centre is held back is settled before anything expires, as
+ * each expiry would shrink the share that waits.
+ */
+struct ep_expiry ep_table_expire(struct ep_table *t, ba_time now)
+{
+	struct ep_expiry x = {0};
+	struct ba_list *pos;
+	struct ba_list *tmp;
+	GHashTableIter iter;
+	void *c;
+
+	g_hash_table_iter_init(&iter, t->centres);
+	while (g_hash_table_iter_next(&iter, NULL, &c))
+		is_held_back(c, now);
+	ba_list_each_safe(pos, tmp, &t->waiting)
+	{
+		struct ep_entry *e = ba_entry(pos, struct ep_entry, by_state);
+
+		if (e->record.lease_deadline > now)
+			continue;
+		if (e->centre->hold_deadline != BA_NEVER &&
+		    now < e->centre->hold_deadline) {
+			x.held_back++;
+			continue;
+		}
+		bury(t, e, now);
+		x.expired++;
+	}
+	ba_list_each_safe(pos, tmp, &t->tombstones)
+	{
+		struct ep_entry *e = ba_entry(pos, struct ep_entry, by_state);
+
+		if (e->record.lease_deadline > now)
+			break;
+		unlink_entry(t, e);
+		g_hash_table_remove(t->entries, e->record.instance);
+	}
+	return x;
+}
+
+ba_time ep_table_deadline(const struct ep_table *t)
+{
+	ba_time deadline = BA_NEVER;
+	struct ba_list *pos;
+
+	ba_list_each(pos, &t->waiting)
+	{
+		struct ep_entry *e = ba_entry(pos, struct ep_entry, by_state);
+
+		deadline = MIN(deadline, e->record.lease_deadline);
+	}
+	if (!ba_list_empty(&t->tombstones)) {
+		struct ep_entry *e =
+			ba_entry(t->tombstones.next, struct ep_entry, by_state);
+
+		deadline = MIN(deadline, e->record.lease_deadline);
+	}
+	return deadline;
+}
+
+const struct ep_record *ep_table_get(const struct ep_table *t,
+				     const char *instance)
+{
+	struct ep_entry *e = g_hash_table_lookup(t->entries, instance);
+
+	return e ? &e->record : NULL;
+}
+
+bool ep_table_is_held_here(const struct ep_table *t, const char *instance)
+{
+	struct ep_entry *e = g_hash_table_lookup(t->entries, instance);
+
+	return e && !e->record.left && e->holder == EP_HELD_HERE;
+}
+
+size_t ep_table_live(const struct ep_table *t)
+{
+	return t->n_live;
+}
+
+uint64_t ep_table_generation(const struct ep_table *t)
+{
+	return t->generation;
+}
+
+void ep_table_since(const struct ep_table *t, uint64_t generation,
+		    ep_visit visit, void *arg)
+{
+	const struct ba_list *pos = t->by_change.prev;
+
+	while (pos != &t->by_change &&
+	       ba_entry(pos, struct ep_entry, by_change)->generation >
+		       generation)
+		pos = pos->prev;
+	for (pos = pos->next; pos != &t->by_change; pos = pos->next)
+		visit(&ba_entry(pos, struct ep_entry, by_change)->record, arg);
+}
+
+void ep_table_held_here(const struct ep_table *t, ep_visit visit, void *arg)
+{
+	const struct ba_list *pos;
+
+	ba_list_each(pos, &t->by_change)
+	{
+		struct ep_entry *e = ba_entry(pos, struct ep_entry, by_change);
+
+		if (!e->record.left && e->holder == EP_HELD_HERE)
+			visit(&e->record, arg);
+	}
+}
+
+static void entry_free(void *data)
+{
+	struct ep_entry *e = data;
+
+	ep_record_clear(&e->record);
+	g_free(e);
+}
+
+static void centre_free(void *data)
+{
+	struct ep_centre *c = data;
+
+	g_free(c->name);
+	g_free(c);
+}
+
+static void service_free(void *data)
+{
+	struct ep_service *s = data;
+
+	g_free(s->name);
+	g_free(s);
+}
+
+static enum ep_outcome put_new(struct ep_table *t, const struct ep_record *r,
+			       uint64_t holder, ba_time lease_deadline,
+			       ba_time now)
+{
+	struct ep_entry *e;
+
+	if (g_hash_table_size(t->entries) >= t->limit)
+		return EP_NO_ROOM;
+	e = g_new0(struct ep_entry, 1);
+	ep_record_copy(&e->record, r);
+	e->holder = holder;
+	e->full = t->full;
+	ba_list_init(&e->by_centre);
+	ba_list_init(&e->by_change);
+	ba_list_init(&e->by_service);
+	ba_list_init(&e->by_state);
+	g_hash_table_insert(t->entries, e->record.instance, e);
+	link_entry(t, e, lease_deadline, now);
+	return r->left ? EP_UNCHANGED : EP_JOINED;
+}
+
+/*
+ * Only an observer that lost sight of the record marks it as left without a
+ * newer sequence.  While its session is open here that is wrong, and its
+ * writer refutes it with the next sequence.
+ */
+static enum ep_outcome put_equal(struct ep_table *t, struct ep_entry *e,
+				 const struct ep_record *r, uint64_t holder,
+				 ba_time now)
+{
+	if (e->record.left)
+		return r->left ? EP_UNCHANGED : EP_REFUTED;
+	if (r->left) {
+		if (e->holder == EP_HELD_HERE)
+			return EP_REFUTED;
+		bury(t, e, now);
+		return EP_GONE;
+	}
+	if (holder == EP_HELD_HERE || (holder && e->holder != EP_HELD_HERE)) {
+		end_wait(e);
+		e->holder = holder;
+	}
+	return EP_UNCHANGED;
+}
+
+static enum ep_outcome put_newer(struct ep_table *t, struct ep_entry *e,
+				 const struct ep_record *r, uint64_t holder,
+				 ba_time lease_deadline, ba_time now)
+{
+	bool was_left = e->record.left;
+	bool was_draining = e->record.draining;
+	struct ep_record copy;
+
+	unlink_entry(t, e);
+	ep_record_copy(&copy, r);
+	g_hash_table_steal(t->entries, e->record.instance);
+	ep_record_clear(&e->record);
+	e->record = copy;
+	e->holder = holder;
+	g_hash_table_insert(t->entries, e->record.instance, e);
+	link_entry(t, e, lease_deadline, now);
+	if (r->left)
+		return was_left ? EP_UNCHANGED : EP_GONE;
+	if (was_left)
+		return EP_JOINED;
+	if (r->draining && !was_draining)
+		return EP_DRAINS;
+	return EP_CHANGED;
+}
+
+static int compare(const struct ep_record *a, const struct ep_record *b)
+{
+	if (a->incarnation != b->incarnation)
+		return a->incarnation < b->incarnation ? -1 : 1;
+	if (a->sequence != b->sequence)
+		return a->sequence < b->sequence ? -1 : 1;
+	return 0;
+}
+
+static void link_entry(struct ep_table *t, struct ep_entry *e,
+		       ba_time lease_deadline, ba_time now)
+{
+	struct ep_record *r = &e->record;
+
+	e->centre = centre_of(t, r->data_centre);
+	e->service = service_of(t, r->service);
+	e->bucket =
+		(unsigned int)(ba_hash(r->instance, strlen(r->instance), 0) %
+			       EP_BUCKETS);
+	ba_list_append(&e->service->entries, &e->by_service);
+	ba_list_append(&e->centre->entries, &e->by_centre);
+	touch(t, e);
+	if (r->left) {
+		r->lease_deadline = now + EP_TOMBSTONE_TIME;
+		ba_list_append(&t->tombstones, &e->by_state);
+		return;
+	}
+	r->lease_deadline = BA_NEVER;
+	e->centre->n_live++;
+	e->service->n_live++;
+	t->n_live++;
+	toggle_digest(e);
+	if (e->holder == EP_HELD_BY_NONE)
+		wait_for_expiry(t, e, lease_deadline);
+}
+
+/* The opposite of link_entry(); the service notices the change. */
+static void unlink_entry(struct ep_table *t, struct ep_entry *e)
+{
+	if (!e->record.left) {
+		end_wait(e);
+		toggle_digest(e);
+		e->centre->n_live--;
+		e->service->n_live--;
+		t->n_live--;
+		e->service->generation = ++t->generation;
+	}
+	ba_list_remove(&e->by_state);
+	ba_list_remove(&e->by_change);
+	ba_list_remove(&e->by_service);
+	ba_list_remove(&e->by_centre);
+}
+
+static void wait_for_expiry(struct ep_table *t, struct ep_entry *e,
+			    ba_time lease_deadline)
+{
+	if (!ba_list_empty(&e->by_state))
+		return;
+	e->holder = EP_HELD_BY_NONE;
+	e->record.lease_deadline = lease_deadline;
+	e->centre->n_waiting++;
+	ba_list_append(&t->waiting, &e->by_state);
+}
+
+static void end_wait(struct ep_entry *e)
+{
+	if (ba_list_empty(&e->by_state))
+		return;
+	e->centre->n_waiting--;
+	e->record.lease_deadline = BA_NEVER;
+	ba_list_remove(&e->by_state);
+}
+
+static void touch(struct ep_table *t, struct ep_entry *e)
+{
+	e->generation = ++t->generation;
+	e->service->generation = t->generation;
+	ba_list_remove(&e->by_change);
+	ba_list_append(&t->by_change, &e->by_change);
+}
+
+static void toggle_digest(struct ep_entry *e)
+{
+	const struct ep_record *r = &e->record;
+	uint64_t key[2] = {r->incarnation, r->sequence};
+
+	e->centre->buckets[e->bucket] ^= ba_hash(
+		key, sizeof(key), ba_hash(r->instance, strlen(r->instance), 0));
+}
+
+static void bury(struct ep_table *t, struct ep_entry *e, ba_time now)
+{
+	unlink_entry(t, e);
+	e->record.left = true;
+	e->holder = EP_HELD_BY_NONE;
+	link_entry(t, e, 0, now);
+}
+
+/*
+ * The hold begins when more than half is waiting and ends when most are held
+ * again, or at its limit; then the rest expires.
+ */
+static bool is_held_back(struct ep_centre *c, ba_time now)
+{
+	if (!too_many_waiting(c)) {
+		c->hold_deadline = BA_NEVER;
+		return false;
+	}
+	if (c->hold_deadline == BA_NEVER)
+		c->hold_deadline = now + EP_HOLD_LIMIT;
+	return now < c->hold_deadline;
+}
+
+static bool too_many_waiting(const struct ep_centre *c)
+{
+	return c->n_waiting >= EP_GUARD_LEAST && c->n_waiting * 2 > c->n_live;
+}
+
+static struct ep_centre *centre_of(struct ep_table *t, const char *name)
+{
+	struct ep_centre *c = g_hash_table_lookup(t->centres, name);
+
+	if (c)
+		return c;
+	c = g_new0(struct ep_centre, 1);
+	c->name = g_strdup(name);
+	c->hold_deadline = BA_NEVER;
+	ba_list_init(&c->entries);
+	g_hash_table_insert(t->centres, c->name, c);
+	return c;
+}
+
+static struct ep_service *service_of(struct ep_table *t, const char *name)
+{
+	struct ep_service *s = g_hash_table_lookup(t->services, name);
+
+	if (s)
+		return s;
+	s = g_new0(struct ep_service, 1);
+	s->name = g_strdup(name);
+	ba_list_init(&s->entries);
+	g_hash_table_insert(t->services, s->name, s);
+	return s;
+}
--- a/wire/ep.pb-c.c
+++ b/wire/ep.pb-c.c
@@ -142,6 +142,96 @@
   assert(message->base.descriptor == &ep_update__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ep_centre_digest__init
+                     (EpCentreDigest         *message)
+{
+  static const EpCentreDigest init_value = EP_CENTRE_DIGEST__INIT;
+  *message = init_value;
+}
+size_t ep_centre_digest__get_packed_size
+                     (const EpCentreDigest *message)
+{
+  assert(message->base.descriptor == &ep_centre_digest__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ep_centre_digest__pack
+                     (const EpCentreDigest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ep_centre_digest__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ep_centre_digest__pack_to_buffer
+                     (const EpCentreDigest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ep_centre_digest__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+EpCentreDigest *
+       ep_centre_digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (EpCentreDigest *)
+     protobuf_c_message_unpack (&ep_centre_digest__descriptor,
+                                allocator, len, data);
+}
+void   ep_centre_digest__free_unpacked
+                     (EpCentreDigest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ep_centre_digest__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ep_digest__init
+                     (EpDigest         *message)
+{
+  static const EpDigest init_value = EP_DIGEST__INIT;
+  *message = init_value;
+}
+size_t ep_digest__get_packed_size
+                     (const EpDigest *message)
+{
+  assert(message->base.descriptor == &ep_digest__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ep_digest__pack
+                     (const EpDigest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ep_digest__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ep_digest__pack_to_buffer
+                     (const EpDigest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ep_digest__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+EpDigest *
+       ep_digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (EpDigest *)
+     protobuf_c_message_unpack (&ep_digest__descriptor,
+                                allocator, len, data);
+}
+void   ep_digest__free_unpacked
+                     (EpDigest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ep_digest__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor ep_record__field_descriptors[13] =
 {
   {
@@ -387,7 +477,7 @@
   (ProtobufCMessageInit) ep_announce__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ep_update__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ep_update__field_descriptors[5] =
 {
   {
     "full",
@@ -425,16 +515,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "held",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(EpUpdate, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "buckets",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(EpUpdate, n_buckets),
+    offsetof(EpUpdate, buckets),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ep_update__field_indices_by_name[] = {
+  4,   /* field[4] = buckets */
   1,   /* field[1] = data_centre */
   0,   /* field[0] = full */
+  3,   /* field[3] = held */
   2,   /* field[2] = records */
 };
 static const ProtobufCIntRange ep_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ep_update__descriptor =
 {
@@ -444,10 +560,112 @@
   "EpUpdate",
   "",
   sizeof(EpUpdate),
-  3,
+  5,
   ep_update__field_descriptors,
   ep_update__field_indices_by_name,
   1,  ep_update__number_ranges,
   (ProtobufCMessageInit) ep_update__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ep_centre_digest__field_descriptors[3] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(EpCentreDigest, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "root",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(EpCentreDigest, root),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "buckets",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(EpCentreDigest, n_buckets),
+    offsetof(EpCentreDigest, buckets),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ep_centre_digest__field_indices_by_name[] = {
+  2,   /* field[2] = buckets */
+  0,   /* field[0] = data_centre */
+  1,   /* field[1] = root */
+};
+static const ProtobufCIntRange ep_centre_digest__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ep_centre_digest__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "EpCentreDigest",
+  "EpCentreDigest",
+  "EpCentreDigest",
+  "",
+  sizeof(EpCentreDigest),
+  3,
+  ep_centre_digest__field_descriptors,
+  ep_centre_digest__field_indices_by_name,
+  1,  ep_centre_digest__number_ranges,
+  (ProtobufCMessageInit) ep_centre_digest__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ep_digest__field_descriptors[1] =
+{
+  {
+    "centres",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(EpDigest, n_centres),
+    offsetof(EpDigest, centres),
+    &ep_centre_digest__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ep_digest__field_indices_by_name[] = {
+  0,   /* field[0] = centres */
+};
+static const ProtobufCIntRange ep_digest__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ep_digest__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "EpDigest",
+  "EpDigest",
+  "EpDigest",
+  "",
+  sizeof(EpDigest),
+  1,
+  ep_digest__field_descriptors,
+  ep_digest__field_indices_by_name,
+  1,  ep_digest__number_ranges,
+  (ProtobufCMessageInit) ep_digest__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/wire/ep.pb-c.h
+++ b/wire/ep.pb-c.h
@@ -18,6 +18,8 @@
 typedef struct EpRecord EpRecord;
 typedef struct EpAnnounce EpAnnounce;
 typedef struct EpUpdate EpUpdate;
+typedef struct EpCentreDigest EpCentreDigest;
+typedef struct EpDigest EpDigest;
 
 
 /* --- enums --- */
@@ -74,16 +76,58 @@
 {
   ProtobufCMessage base;
   /*
-   * the set replaces all of data_centre
+   * all that the sender has in the buckets
    */
   protobuf_c_boolean full;
+  /*
+   * of the buckets
+   */
   char *data_centre;
   size_t n_records;
   EpRecord **records;
+  /*
+   * announced over sessions of the sender
+   */
+  protobuf_c_boolean held;
+  size_t n_buckets;
+  uint32_t *buckets;
 };
 #define EP_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ep_update__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0,NULL }
+    , 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL }
+
+
+struct  EpCentreDigest
+{
+  ProtobufCMessage base;
+  char *data_centre;
+  /*
+   * of all live records
+   */
+  uint64_t root;
+  /*
+   * absent when only the root is told
+   */
+  size_t n_buckets;
+  uint64_t *buckets;
+};
+#define EP_CENTRE_DIGEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ep_centre_digest__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0,NULL }
+
+
+/*
+ * What the sender holds; the receiver answers with what differs.
+ */
+struct  EpDigest
+{
+  ProtobufCMessage base;
+  size_t n_centres;
+  EpCentreDigest **centres;
+};
+#define EP_DIGEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ep_digest__descriptor) \
+    , 0,NULL }
 
 
 /* EpRecord methods */
@@ -143,6 +187,44 @@
 void   ep_update__free_unpacked
                      (EpUpdate *message,
                       ProtobufCAllocator *allocator);
+/* EpCentreDigest methods */
+void   ep_centre_digest__init
+                     (EpCentreDigest         *message);
+size_t ep_centre_digest__get_packed_size
+                     (const EpCentreDigest   *message);
+size_t ep_centre_digest__pack
+                     (const EpCentreDigest   *message,
+                      uint8_t             *out);
+size_t ep_centre_digest__pack_to_buffer
+                     (const EpCentreDigest   *message,
+                      ProtobufCBuffer     *buffer);
+EpCentreDigest *
+       ep_centre_digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ep_centre_digest__free_unpacked
+                     (EpCentreDigest *message,
+                      ProtobufCAllocator *allocator);
+/* EpDigest methods */
+void   ep_digest__init
+                     (EpDigest         *message);
+size_t ep_digest__get_packed_size
+                     (const EpDigest   *message);
+size_t ep_digest__pack
+                     (const EpDigest   *message,
+                      uint8_t             *out);
+size_t ep_digest__pack_to_buffer
+                     (const EpDigest   *message,
+                      ProtobufCBuffer     *buffer);
+EpDigest *
+       ep_digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ep_digest__free_unpacked
+                     (EpDigest *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*EpRecord_Closure)
@@ -154,6 +236,12 @@
 typedef void (*EpUpdate_Closure)
                  (const EpUpdate *message,
                   void *closure_data);
+typedef void (*EpCentreDigest_Closure)
+                 (const EpCentreDigest *message,
+                  void *closure_data);
+typedef void (*EpDigest_Closure)
+                 (const EpDigest *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -163,6 +251,8 @@
 extern const ProtobufCMessageDescriptor ep_record__descriptor;
 extern const ProtobufCMessageDescriptor ep_announce__descriptor;
 extern const ProtobufCMessageDescriptor ep_update__descriptor;
+extern const ProtobufCMessageDescriptor ep_centre_digest__descriptor;
+extern const ProtobufCMessageDescriptor ep_digest__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/wire/wi_session.c
+++ b/wire/wi_session.c
@@ -195,6 +195,12 @@
 	ba_loop_arm(s->loop, &s->closer, 0);
 }
 
+void wi_detach(struct wi_session *s)
+{
+	s->handler = NULL;
+	wi_close(s, WI_PEER_CLOSED);
+}
+
 void wi_refuse(struct wi_session *s, int code, ba_time retry_after)
 {
 	WiRefusal refusal = WI_REFUSAL__INIT;
--- a/wire/wi_session.h
+++ b/wire/wi_session.h
@@ -140,6 +140,9 @@
 /** wi_close() - end the session; @closed is called from the loop */
 void wi_close(struct wi_session *s, int code);
 
+/** wi_detach() - end the session; its handler is not called any more */
+void wi_detach(struct wi_session *s);
+
 /** wi_refuse() - tell the peer why, then end the session */
 void wi_refuse(struct wi_session *s, int code, ba_time retry_after);
 
