relay: carry configuration and endpoint records to the daemons

Cause: daemons had no relay to connect to.

A relay knows the highest version any daemon may hold (ds_floor) and gives a daemon without a disk nothing below it. Tests and tools link the programs' modules, so that relays run in one process with the test.

Measured: two tests over loopback, a source, two relays and three daemons; with one relay stopped the next version reaches all three, no endpoint expires and no daemon sees a version twice or out of order.

--- a/Makefile
+++ b/Makefile
@@ -89,11 +89,11 @@
 $(PROGRAMS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/prog/%.c.o $(PROG_COMMON) $(BUILD)/libcaraway.a
 	$(CXX) $(LDFLAGS) -o $@ $(filter %.o,$^) $(filter %.a,$^) $(PKG_LIBS)
 
-$(TOOLS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%_main.c.o $(BENCH_COMMON) $(BUILD)/libcaraway.a
+$(TOOLS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%_main.c.o $(BENCH_COMMON) $(PROG_COMMON) $(BUILD)/libcaraway.a
 	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
-$(BUILD)/test/all: $(TEST_OBJ) $(BUILD)/libcaraway.a
-	$(CXX) $(LDFLAGS) -o $@ $(TEST_OBJ) $(BUILD)/libcaraway.a -lrapidcheck -lgtest -lgtest_main $(PKG_LIBS)
+$(BUILD)/test/all: $(TEST_OBJ) $(PROG_COMMON) $(BUILD)/libcaraway.a
+	$(CXX) $(LDFLAGS) -o $@ $(TEST_OBJ) $(PROG_COMMON) $(BUILD)/libcaraway.a -lrapidcheck -lgtest -lgtest_main $(PKG_LIBS)
 
 $(BUILD)/%.c.o: %.c
 	@mkdir -p $(@D)
--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -288,9 +288,11 @@
 		ds_intake_subscribe(&a->intake, s, true);
 	else if (taken.verdict == DS_APPLY || taken.verdict == DS_IN_STEP)
 		acknowledge(a, s, &taken);
-	if (taken.verdict == DS_BEHIND || taken.verdict == DS_REFUSE_OLDER ||
-	    taken.source_age > 0)
-		ds_link_stale(a->link);
+	if (s == ds_link_session(a->link))
+		ds_link_stale(a->link,
+			      taken.verdict == DS_BEHIND ||
+				      taken.verdict == DS_REFUSE_OLDER ||
+				      taken.source_age > 0);
 	return BA_OK;
 }
 
--- a/distrib/ds_dialer.c
+++ b/distrib/ds_dialer.c
@@ -25,7 +25,10 @@
 void ds_dialer_opened(struct ds_dialer *d, ba_time now)
 {
 	d->open = true;
+	d->stale = false;
 	d->tried = 0;
+	if (d->leave_deadline < now + DS_LEAVE_FIRST)
+		d->leave_deadline = now + DS_LEAVE_FIRST;
 	if (d->prefer_first && d->current)
 		d->return_deadline =
 			now + DS_RETURN_AFTER + below(d, DS_RETURN_AFTER / 2);
@@ -58,9 +61,14 @@
 		d->dial_deadline = now + back_off(d);
 }
 
+void ds_dialer_stale(struct ds_dialer *d, bool stale)
+{
+	d->stale = stale;
+}
+
 bool ds_dialer_leaves(struct ds_dialer *d, ba_time now)
 {
-	if (!d->open || d->n < 2 || now < d->leave_deadline)
+	if (!d->open || !d->stale || d->n < 2 || now < d->leave_deadline)
 		return false;
 	d->leaving = true;
 	d->leave_deadline = now + d->leave_after + below(d, d->leave_after);
@@ -80,8 +88,13 @@
 
 ba_time ds_dialer_deadline(const struct ds_dialer *d)
 {
-	return d->dial_deadline < d->return_deadline ? d->dial_deadline
-						     : d->return_deadline;
+	ba_time deadline = d->dial_deadline;
+
+	if (d->return_deadline < deadline)
+		deadline = d->return_deadline;
+	if (d->open && d->stale && d->n > 1 && d->leave_deadline < deadline)
+		deadline = d->leave_deadline;
+	return deadline;
 }
 
 static ba_time back_off(struct ds_dialer *d)
--- a/distrib/ds_dialer.h
+++ b/distrib/ds_dialer.h
@@ -19,6 +19,7 @@
 #define DS_BACK_OFF_LIMIT BA_SECOND
 #define DS_NEXT_ADDRESS_SPREAD (50 * BA_MS)
 #define DS_RETURN_AFTER (30 * BA_SECOND)
+#define DS_LEAVE_FIRST (3 * BA_SECOND)
 #define DS_LEAVE_AFTER (15 * BA_SECOND)
 #define DS_LEAVE_LIMIT (2 * BA_MINUTE)
 
@@ -29,6 +30,7 @@
  * @tried: addresses tried since one was open
  * @prefer_first: after a loss begin with the first again, and go back to it
  * @open: whether a session is open
+ * @stale: whether the peer's data are stale
  * @leaving: the peer is left because its data are stale
  * @dial_deadline: when to dial @current, %BA_NEVER while dialling or open
  * @return_deadline: when to go back to the first address
@@ -41,6 +43,7 @@
 	unsigned int tried;
 	bool prefer_first;
 	bool open;
+	bool stale;
 	bool leaving;
 	ba_time dial_deadline;
 	ba_time return_deadline;
@@ -65,6 +68,9 @@
  */
 void ds_dialer_closed(struct ds_dialer *d, ba_time retry_after, ba_time now);
 
+/** ds_dialer_stale() - whether the peer's data are stale */
+void ds_dialer_stale(struct ds_dialer *d, bool stale);
+
 /** ds_dialer_leaves() - whether to leave a peer whose data are stale */
 bool ds_dialer_leaves(struct ds_dialer *d, ba_time now);
 
--- a/distrib/ds_link.c
+++ b/distrib/ds_link.c
@@ -53,10 +53,10 @@
 	return l->open ? l->session : NULL;
 }
 
-void ds_link_stale(struct ds_link *l)
+void ds_link_stale(struct ds_link *l, bool stale)
 {
-	if (l->open && ds_dialer_leaves(&l->dialer, ba_loop_now(l->loop)))
-		wi_close(l->session, DS_NO_UPSTREAM);
+	ds_dialer_stale(&l->dialer, stale);
+	arm(l);
 }
 
 void ds_link_free(struct ds_link *l)
@@ -114,7 +114,9 @@
 	struct ds_link *l = ba_entry(t, struct ds_link, timer);
 
 	if (l->open) {
-		if (ds_dialer_returns(&l->dialer, now))
+		if (ds_dialer_leaves(&l->dialer, now))
+			wi_close(l->session, DS_NO_UPSTREAM);
+		else if (ds_dialer_returns(&l->dialer, now))
 			wi_close(l->session, WI_PEER_CLOSED);
 		arm(l);
 		return;
--- a/distrib/ds_link.h
+++ b/distrib/ds_link.h
@@ -47,8 +47,8 @@
 /** ds_link_session() - the open session, or NULL */
 struct wi_session *ds_link_session(const struct ds_link *l);
 
-/** ds_link_stale() - the peer's data are stale; another may be chosen */
-void ds_link_stale(struct ds_link *l);
+/** ds_link_stale() - if the peer's data are stale, another may be chosen */
+void ds_link_stale(struct ds_link *l, bool stale);
 
 /** ds_link_free() - end the session and free the link; NULL is allowed */
 void ds_link_free(struct ds_link *l);
--- /dev/null
+++ b/prog/re_upstream.c
@@ -0,0 +1,212 @@
+#include <string.h>
+
+#include "base/ba_digest.h"
+#include "base/ba_event.h"
+#include "base/ba_result.h"
+#include "prog/re.h"
+#include "wire/ds.pb-c.h"
+
+static void on_opened(struct ds_link_owner *o, struct wi_session *s);
+static int on_frame(struct ds_link_owner *o, struct wi_session *s,
+		    const struct wi_frame *f);
+static void on_lost(struct ds_link_owner *o, int code);
+static int take_update(struct re_relay *r, struct wi_session *s,
+		       const struct wi_frame *f);
+static void take_age(struct re_relay *r, const struct ds_taken *taken);
+static void on_ack_timer(struct ba_timer *t, ba_time now);
+static void send_ack(struct re_relay *r, struct wi_session *s);
+static size_t order_upstreams(const struct re_relay *r, struct ba_address *out);
+
+void re_upstream_start(struct re_relay *r)
+{
+	const struct re_settings *st = r->settings;
+	struct ba_address *list = g_new0(struct ba_address,
+					 st->sources.n + st->upstream_relays.n);
+	struct ds_link_options options = {
+		.identity = r->identity,
+		.addresses = list,
+		.prefer_first = true,
+		.seed = r->identity->incarnation,
+	};
+
+	options.n_addresses = order_upstreams(r, list);
+	r->upstream_owner.opened = on_opened;
+	r->upstream_owner.frame = on_frame;
+	r->upstream_owner.lost = on_lost;
+	r->ack_timer.fire = on_ack_timer;
+	r->stale_since = ba_loop_now(r->loop);
+	r->intake.follower.floor_known = true;
+	ds_feed_set_stale(r->feed, r->stale_since);
+	r->upstream = ds_link_new(r->loop, &options, &r->upstream_owner);
+	g_free(list);
+}
+
+void re_upstream_check(struct re_relay *r, ba_time now)
+{
+	uint64_t floor = ds_feed_floor(r->feed, NULL);
+	bool known;
+
+	ds_floor_told(&r->floor, floor, false);
+	known = ds_floor_known(&r->floor, now);
+	floor = r->floor.floor;
+	if (floor > r->intake.follower.floor)
+		r->intake.follower.floor = floor;
+	if (floor == r->told_floor && known == r->told_known)
+		return;
+	r->told_floor = floor;
+	r->told_known = known;
+	ds_feed_set_floor(r->feed, floor, known);
+	re_peer_send_floor(r);
+}
+
+void re_upstream_ack(struct re_relay *r)
+{
+	if (!r->ack_timer.slot)
+		ba_loop_arm(r->loop, &r->ack_timer,
+			    ba_loop_now(r->loop) + RE_BATCH_DELAY);
+}
+
+static void on_opened(struct ds_link_owner *o, struct wi_session *s)
+{
+	struct re_relay *r = ba_entry(o, struct re_relay, upstream_owner);
+
+	ds_intake_subscribe(&r->intake, s, false);
+	re_upstream_ack(r);
+}
+
+static int on_frame(struct ds_link_owner *o, struct wi_session *s,
+		    const struct wi_frame *f)
+{
+	struct re_relay *r = ba_entry(o, struct re_relay, upstream_owner);
+
+	if (f->type == DS_UPDATE)
+		return take_update(r, s, f);
+	if (f->type == RT_ACK)
+		return re_figures_ack(r, f);
+	return WI_FRAME_UNKNOWN;
+}
+
+static void on_lost(struct ds_link_owner *o, int code)
+{
+	struct re_relay *r = ba_entry(o, struct re_relay, upstream_owner);
+	ba_time now = ba_loop_now(r->loop);
+
+	(void)code;
+	if (r->stale_since == BA_NEVER)
+		r->stale_since = now;
+	ds_feed_set_stale(r->feed, r->stale_since);
+	ds_floor_source(&r->floor, false, now);
+	re_upstream_check(r, now);
+}
+
+static int take_update(struct re_relay *r, struct wi_session *s,
+		       const struct wi_frame *f)
+{
+	struct cf_snapshot *next;
+	struct ds_taken taken;
+	int ret = ds_intake_update(&r->intake, f, &taken, &next);
+
+	if (ret)
+		return ret;
+	if (next) {
+		ds_intake_hold(&r->intake, next);
+		ds_feed_publish(r->feed, next);
+		cf_snapshot_unref(next);
+		send_ack(r, s);
+	}
+	take_age(r, &taken);
+	if (taken.verdict == DS_ASK_AGAIN)
+		ds_intake_subscribe(&r->intake, s, true);
+	if (taken.verdict == DS_IN_STEP)
+		re_upstream_ack(r);
+	ds_link_stale(r->upstream, r->stale_since != BA_NEVER);
+	return BA_OK;
+}
+
+/*
+ * The source counts as heard when the upstream hears it and offers nothing
+ * below what daemons are known to hold.
+ */
+static void take_age(struct re_relay *r, const struct ds_taken *taken)
+{
+	ba_time now = ba_loop_now(r->loop);
+	bool fresh = !taken->source_age && taken->verdict != DS_BEHIND &&
+		     taken->verdict != DS_REFUSE_OLDER;
+
+	if (fresh)
+		r->stale_since = BA_NEVER;
+	else if (taken->source_age)
+		r->stale_since = now - taken->source_age;
+	else if (r->stale_since == BA_NEVER)
+		r->stale_since = now;
+	ds_floor_told(&r->floor, taken->floor, taken->floor_known);
+	ds_floor_source(&r->floor, fresh && taken->floor_known, now);
+	ds_feed_set_stale(r->feed, r->stale_since);
+	re_upstream_check(r, now);
+}
+
+static void on_ack_timer(struct ba_timer *t, ba_time now)
+{
+	struct re_relay *r = ba_entry(t, struct re_relay, ack_timer);
+	struct wi_session *s = ds_link_session(r->upstream);
+
+	(void)now;
+	if (s)
+		send_ack(r, s);
+}
+
+static void send_ack(struct re_relay *r, struct wi_session *s)
+{
+	struct ds_count counts[DS_COUNTS_LIMIT];
+	DsVersionCount list[DS_COUNTS_LIMIT];
+	DsVersionCount *pointers[DS_COUNTS_LIMIT];
+	DsAck m = DS_ACK__INIT;
+
+	m.version = r->intake.follower.held;
+	m.n_counts = ds_feed_counts(r->feed, counts);
+	m.counts = pointers;
+	for (size_t i = 0; i < m.n_counts; i++) {
+		ds_version_count__init(&list[i]);
+		list[i].version = counts[i].version;
+		list[i].daemons = counts[i].daemons;
+		pointers[i] = &list[i];
+		m.daemons += counts[i].daemons;
+	}
+	wi_send(s, DS_ACK, &m.base);
+}
+
+/*
+ * One relay of a region pulls from the source, the others from it: relays
+ * are ranked by address, and each one pulls from those before it, first to
+ * last, then from the sources.  So the first that lives crosses the paid
+ * link, and no circle can arise.  Sources are tried from a place that
+ * differs between relays.
+ */
+static size_t order_upstreams(const struct re_relay *r, struct ba_address *out)
+{
+	const struct re_settings *st = r->settings;
+	const char *own = st->external_address.len ? st->external_address.text
+						   : st->address.text;
+	size_t first = 0;
+	size_t n = 0;
+
+	for (size_t i = 0; i < st->upstream_relays.n; i++) {
+		const struct ba_address *a = &st->upstream_relays.list[i];
+		size_t at = n;
+
+		if (strcmp(a->text, own) >= 0 ||
+		    !strcmp(a->text, st->address.text))
+			continue;
+		for (; at && strcmp(out[at - 1].text, a->text) > 0; at--)
+			out[at] = out[at - 1];
+		out[at] = *a;
+		n++;
+	}
+	if (st->sources.n)
+		first = ba_hash(r->identity->instance,
+				strlen(r->identity->instance), 0) %
+			st->sources.n;
+	for (size_t i = 0; i < st->sources.n; i++)
+		out[n++] = st->sources.list[(first + i) % st->sources.n];
+	return n;
+}
--- /dev/null
+++ b/test/relay_test.cc
@@ -0,0 +1,350 @@
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/ba_result.h"
+#include "distrib/ds_agent.h"
+#include "distrib/ds_feed.h"
+#include "test/net.h"
+
+extern "C" {
+#include "prog/re.h"
+}
+
+namespace
+{
+
+struct wi_identity identity(const char *instance, enum wi_role role,
+			    const char *data_centre, const char *region)
+{
+	struct wi_identity id = {};
+
+	id.mesh = "m";
+	id.instance = instance;
+	id.role = role;
+	id.data_centre = data_centre;
+	id.region = region;
+	id.incarnation = (uint64_t)ba_clock_wall();
+	id.key_id = "";
+	return id;
+}
+
+struct ba_address address(int host, int port)
+{
+	struct ba_address a = {};
+
+	EXPECT_EQ(ba_parse_address(test_address(host, port).c_str(), &a),
+		  BA_OK);
+	return a;
+}
+
+struct cf_snapshot *snapshot(uint64_t version)
+{
+	std::string text = "[[services]]\nname = \"orders\"\n"
+			   "max_in_flight = " +
+			   std::to_string(version + 1) +
+			   "\ntimeout = \"2s\"\n[[routes]]\nname = \"r\"\n"
+			   "path = \"/orders\"\nservice = \"orders\"\n"
+			   "idempotent = false\n";
+	struct cf_snapshot *empty = cf_snapshot_empty();
+	struct ba_problems problems = {};
+	struct cf_snapshot *s = nullptr;
+
+	EXPECT_EQ(cf_parse_configuration(text.data(), text.size(), empty,
+					 version, &s, &problems),
+		  BA_OK);
+	ba_problems_free(&problems);
+	cf_snapshot_unref(empty);
+	return s;
+}
+
+/* A source: a feed behind a listener. */
+struct source {
+	struct wi_acceptor acceptor;
+	struct wi_handler handler;
+	struct ds_feed_owner owner;
+	struct ba_loop *loop;
+	struct wi_identity id;
+	struct wi_listener *listener;
+	struct ds_feed *feed;
+	uint64_t lowest;
+	uint32_t daemons;
+};
+
+struct wi_handler *source_accept(struct wi_acceptor *a, struct wi_session *)
+{
+	return &((struct source *)a)->handler;
+}
+
+struct source *of_handler(struct wi_handler *h)
+{
+	return ba_entry(h, struct source, handler);
+}
+
+int source_frame(struct wi_handler *h, struct wi_session *s,
+		 const struct wi_frame *f)
+{
+	if (f->type == RT_BATCH)
+		return BA_OK;
+	return ds_feed_frame(of_handler(h)->feed, s, f);
+}
+
+void source_closed(struct wi_handler *h, struct wi_session *s, int, ba_time)
+{
+	if (of_handler(h)->feed)
+		ds_feed_drop(of_handler(h)->feed, s);
+}
+
+void source_ack(struct ds_feed_owner *o, uint64_t lowest, uint32_t daemons)
+{
+	struct source *s = ba_entry(o, struct source, owner);
+
+	s->lowest = lowest;
+	s->daemons = daemons;
+}
+
+void source_start(struct source *s, struct ba_loop *loop, int host, int port)
+{
+	struct ba_address at = address(host, port);
+
+	*s = {};
+	s->acceptor.accept = source_accept;
+	s->handler.frame = source_frame;
+	s->handler.closed = source_closed;
+	s->owner.on_ack = source_ack;
+	s->loop = loop;
+	s->id = identity("s1", WI_SOURCE, "d1", "r1");
+	s->feed = ds_feed_new(loop, &s->owner);
+	ds_feed_set_floor(s->feed, 0, true);
+	ASSERT_EQ(wi_listen(loop, &at, &s->id, &ds_limits, &s->acceptor,
+			    &s->listener),
+		  BA_OK);
+}
+
+struct daemon {
+	struct ds_agent_owner owner;
+	std::string name;
+	struct wi_identity id;
+	struct ba_addresses relays;
+	struct ds_agent *agent;
+	std::vector<uint64_t> versions;
+	size_t endpoints;
+	size_t draining;
+};
+
+void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s)
+{
+	((struct daemon *)o)->versions.push_back(s->version);
+	cf_snapshot_unref(s);
+}
+
+void on_view(struct ds_agent_owner *o, struct ep_view *v)
+{
+	auto *d = (struct daemon *)o;
+	const struct ep_service_view *sv = ep_view_find(v, "orders");
+
+	d->endpoints = sv ? sv->n_records : 0;
+	d->draining = 0;
+	for (size_t i = 0; sv && i < sv->n_records; i++)
+		d->draining += sv->records[i].draining;
+	ep_view_unref(v);
+}
+
+void daemon_start(struct daemon *d, struct ba_loop *loop, const char *name,
+		  const char *data_centre, struct ba_address *relays, size_t n)
+{
+	struct ep_record r = {};
+	struct ds_agent_options options = {};
+
+	d->owner.on_snapshot = on_snapshot;
+	d->owner.on_view = on_view;
+	d->name = name;
+	d->id = identity(d->name.c_str(), WI_DAEMON, data_centre, "r1");
+	d->relays = {relays, n};
+	r.instance = (char *)d->name.c_str();
+	r.service = (char *)"orders";
+	r.data_centre = (char *)data_centre;
+	r.region = (char *)"r1";
+	r.address = (char *)"127.0.0.1:1";
+	r.incarnation = d->id.incarnation;
+	options.identity = &d->id;
+	options.relays = &d->relays;
+	options.record = &r;
+	options.lease = 5 * BA_SECOND;
+	options.seed = 1;
+	d->agent = ds_agent_new(loop, &options, &d->owner);
+}
+
+struct relay {
+	struct re_relay r;
+	struct re_settings settings;
+	struct wi_identity id;
+};
+
+void relay_start(struct relay *r, struct ba_loop *loop, const char *name,
+		 const char *data_centre, struct ba_address at,
+		 struct ba_addresses sources, struct ba_addresses peers)
+{
+	*r = {};
+	r->settings.address = at;
+	r->settings.sources = sources;
+	r->settings.peers = peers;
+	r->id = identity(name, WI_RELAY, data_centre, "r1");
+	r->r.loop = loop;
+	r->r.settings = &r->settings;
+	r->r.identity = &r->id;
+	ASSERT_EQ(re_relay_start(&r->r), BA_OK);
+}
+
+/* Runs the loop until @done says so, for ten seconds at most. */
+struct waiter {
+	struct ba_timer timer;
+	struct ba_loop *loop;
+	bool (*done)(void *arg);
+	void *arg;
+	ba_time deadline;
+	bool met;
+};
+
+void on_wait(struct ba_timer *t, ba_time now)
+{
+	auto *w = (struct waiter *)t;
+
+	w->met = w->done(w->arg);
+	if (w->met || now >= w->deadline)
+		ba_loop_stop(w->loop);
+	else
+		ba_loop_arm(w->loop, t, now + 2 * BA_MS);
+}
+
+template <typename F> bool wait_until(struct ba_loop *loop, F done)
+{
+	struct waiter w = {};
+
+	w.timer.fire = on_wait;
+	w.loop = loop;
+	w.done = [](void *arg) { return (*(F *)arg)(); };
+	w.arg = &done;
+	w.deadline = ba_clock_now() + 10 * BA_SECOND;
+	ba_loop_arm(loop, &w.timer, 0);
+	ba_loop_run(loop);
+	return w.met;
+}
+
+struct world {
+	struct ba_loop *loop = ba_loop_new();
+	struct source src;
+	struct ba_address source_at;
+	struct ba_address at[2];
+	struct relay relays[2];
+	std::vector<std::unique_ptr<struct daemon>> daemons;
+
+	explicit world(int port)
+	{
+		source_at = address(11, port);
+		at[0] = address(12, port);
+		at[1] = address(13, port);
+		source_start(&src, loop, 11, port);
+		start(0);
+		start(1);
+	}
+
+	void start(int i)
+	{
+		relay_start(&relays[i], loop, i ? "y2" : "y1", "d1", at[i],
+			    {&source_at, 1}, {at, 2});
+	}
+
+	void add(const char *name, bool second)
+	{
+		daemons.push_back(std::make_unique<struct daemon>());
+		daemon_start(daemons.back().get(), loop, name, "d1",
+			     second ? at + 1 : at, second ? 1 : 2);
+	}
+
+	void publish(uint64_t version)
+	{
+		struct cf_snapshot *s = snapshot(version);
+
+		ds_feed_publish(src.feed, s);
+		cf_snapshot_unref(s);
+	}
+
+	bool all_at(uint64_t version)
+	{
+		for (auto &d : daemons)
+			if (ds_agent_version(d->agent) != version)
+				return false;
+		return src.lowest == version && src.daemons == daemons.size();
+	}
+
+	bool all_see(size_t endpoints)
+	{
+		for (auto &d : daemons)
+			if (d->endpoints != endpoints)
+				return false;
+		return true;
+	}
+
+	~world()
+	{
+		for (auto &d : daemons)
+			ds_agent_free(d->agent);
+		for (auto &r : relays)
+			if (r.r.loop)
+				re_relay_stop(&r.r);
+		struct ds_feed *feed = src.feed;
+
+		src.feed = nullptr;
+		wi_listener_close(src.listener);
+		ba_time end = ba_clock_now() + 50 * BA_MS;
+
+		wait_until(loop, [&] { return ba_clock_now() > end; });
+		ds_feed_free(feed);
+		ba_loop_free(loop);
+	}
+};
+
+TEST(DsRelay, ChangesAndEndpointsReachEveryDaemon)
+{
+	struct world w(43101);
+
+	w.publish(5);
+	w.add("a1", false);
+	w.add("a2", false);
+	w.add("a3", true);
+	EXPECT_TRUE(wait_until(w.loop,
+			       [&] { return w.all_at(5) && w.all_see(3); }));
+	w.publish(6);
+	w.publish(9);
+	EXPECT_TRUE(wait_until(w.loop, [&] { return w.all_at(9); }));
+	ds_agent_drain(w.daemons[2]->agent);
+	EXPECT_TRUE(wait_until(w.loop,
+			       [&] { return w.daemons[0]->draining == 1; }));
+	ds_agent_leave(w.daemons[2]->agent);
+	EXPECT_TRUE(wait_until(w.loop,
+			       [&] { return w.daemons[0]->endpoints == 2; }));
+}
+
+TEST(DsRelay, LossOfARelayCostsNeitherVersionsNorEndpoints)
+{
+	struct world w(43102);
+
+	w.publish(5);
+	w.add("a1", false);
+	w.add("a2", false);
+	w.add("a3", true);
+	ASSERT_TRUE(wait_until(w.loop,
+			       [&] { return w.all_at(5) && w.all_see(3); }));
+	re_relay_stop(&w.relays[0].r);
+	w.relays[0].r.loop = nullptr;
+	w.publish(6);
+	EXPECT_TRUE(wait_until(w.loop, [&] { return w.all_at(6); }));
+	EXPECT_TRUE(w.all_see(3));
+	for (auto &d : w.daemons)
+		EXPECT_EQ(d->versions, (std::vector<uint64_t>{5, 6}));
+}
+
+} // namespace
