caller: write keys that name their home and time of issue

Cause: a daemon refuses a key that does not say when it was issued, as it could not tell whether it has forgotten it; the caller stand-in sent names.

--- a/bench/caller_main.c
+++ b/bench/caller_main.c
@@ -28,6 +28,7 @@
 	URL_BYTES = 512,
 	PATH_BYTES = 256,
 	ID_BYTES = 64,
+	KEY_BYTES = 120,
 	NS_PER_US = 1000,
 	HTTP_OK_FIRST = 200,
 	HTTP_OK_LAST = 299,
@@ -59,6 +60,8 @@
 	int weights;
 	char **daemons;
 	unsigned int n_daemons;
+	char **homes;
+	unsigned int n_homes;
 	char **backends;
 	char *name;
 	double rate;
@@ -86,6 +89,7 @@
 	ba_time arrival;
 	ba_time deadline;
 	char id[ID_BYTES];
+	char key[KEY_BYTES];
 	char url[URL_BYTES];
 	char path[PATH_BYTES];
 	char body[PATH_BYTES];
@@ -96,6 +100,7 @@
 static void arm_arrival(struct caller *c);
 static void on_arrival(struct ba_watch *w, unsigned int bits);
 static void begin_call(struct caller *c);
+static void write_key(struct call *k);
 static const struct kind *draw_kind(struct caller *c);
 static void send_call(struct call *k);
 static void on_answer(struct bn_request *r);
@@ -156,6 +161,8 @@
 	const GOptionEntry entries[] = {
 		{"daemon", 0, 0, G_OPTION_ARG_STRING_ARRAY, &c->daemons,
 		 "Where calls enter; may be repeated", "IP:PORT"},
+		{"home", 0, 0, G_OPTION_ARG_STRING_ARRAY, &c->homes,
+		 "Data centre that keys name; one for each --daemon", "NAME"},
 		{"backend", 0, 0, G_OPTION_ARG_STRING_ARRAY, &c->backends,
 		 "Backend server to compare with; may be repeated", "IP:PORT"},
 		{"call", 0, 0, G_OPTION_ARG_STRING_ARRAY, &kinds,
@@ -185,6 +192,7 @@
 	c->rand.state = (uint64_t)seed;
 	c->show_progress = progress;
 	c->n_daemons = c->daemons ? g_strv_length(c->daemons) : 0;
+	c->n_homes = c->homes ? g_strv_length(c->homes) : 0;
 	if (!c->name)
 		c->name = g_strdup_printf("c%" PRId64, ba_clock_wall());
 	for (char **k = kinds; k && *k; k++)
@@ -277,12 +285,26 @@
 	k->request.url = k->url;
 	k->request.method = k->kind->method;
 	if (k->keyed) {
-		k->request.key = k->id;
+		write_key(k);
+		k->request.key = k->key;
 		k->request.body = k->body;
 	}
 	send_call(k);
 }
 
+/* HOME.ISSUED.RANDOM for a daemon; a backend server alone takes any key. */
+static void write_key(struct call *k)
+{
+	const struct caller *c = k->caller;
+
+	if (c->n_homes)
+		snprintf(k->key, sizeof(k->key), "%s.%" PRId64 ".%s",
+			 c->homes[k->daemon % c->n_homes],
+			 ba_clock_wall() / BA_MS, k->id);
+	else
+		snprintf(k->key, sizeof(k->key), "%s", k->id);
+}
+
 static const struct kind *draw_kind(struct caller *c)
 {
 	int n = (int)ba_rand_below(&c->rand, (uint64_t)c->weights);
@@ -309,7 +331,7 @@
 	struct call *k = ba_entry(r, struct call, request);
 	enum bn_outcome o = judge(k);
 
-	bn_tally_note(k->caller->tally, k->id, k->keyed, o);
+	bn_tally_note(k->caller->tally, k->keyed ? k->key : k->id, k->keyed, o);
 	if (!wants_resend(k, o)) {
 		end_call(k, o);
 		return;
--- a/bench/demo.sh
+++ b/bench/demo.sh
@@ -140,6 +140,7 @@
 	for name in $(names_in "$1" daemons)
 	do
 		echo "--daemon $(caller_address "$name")"
+		echo "--home $(data_centre "$name")"
 	done
 }
 
@@ -208,7 +209,7 @@
 	note "graceful stop of daemon $name"
 	start caller-drain "$build/caller" --name drain --rate 50 --count 60 \
 		--deadline 3s --daemon "$(caller_address "$name")" \
-		$(calls_of "$mesh_name")
+		--home "$(data_centre "$name")" $(calls_of "$mesh_name")
 	sleep 0.5
 	stop "$name"
 	drain_status=$?
--- a/bench/mesh.sh
+++ b/bench/mesh.sh
@@ -119,11 +119,15 @@
 		--connections "$(setting "$file" backend connections)" "$@"
 }
 
-# caller_address DAEMON, backend_address DAEMON
+# caller_address DAEMON, data_centre DAEMON, backend_address DAEMON
 caller_address() {
 	setting "$mesh/daemons/$1.toml" daemon caller_address
 }
 
+data_centre() {
+	setting "$mesh/daemons/$1.toml" instance data_centre
+}
+
 backend_address() {
 	setting "$mesh/daemons/$1.toml" backend address
 }
