report: pages for people, in text and as one HTML file

Cause: carawayctl report printed JSON, and the owner reads a page.

Change: rt_page_text and rt_page_html from the report's JSON: the verdict and how many promises held, each promise with what was checked, where it broke and its events, then changes, traffic, calls, faults and what was out of sight. Charts are inline SVG; there are no scripts and nothing is fetched.

Conclusion: the page stands; it waits for real figures.

--- a/prog/ct_check.c
+++ b/prog/ct_check.c
@@ -168,15 +168,16 @@
 	const char *name;
 	json_t *value;
 
-	json_object_foreach(from, name, value) if (!json_object_get(to, name))
-		json_array_append_new(changes,
-				      change(section, name, value, NULL));
-	json_object_foreach(
-		to, name,
-		value) if (!json_equal(json_object_get(from, name), value))
-		json_array_append_new(
-			changes, change(section, name,
-					json_object_get(from, name), value));
+	json_object_foreach (from, name, value)
+		if (!json_object_get(to, name))
+			json_array_append_new(
+				changes, change(section, name, value, NULL));
+	json_object_foreach (to, name, value)
+		if (!json_equal(json_object_get(from, name), value))
+			json_array_append_new(
+				changes,
+				change(section, name,
+				       json_object_get(from, name), value));
 }
 
 static json_t *change(const char *section, const char *name, json_t *from,
@@ -196,8 +197,7 @@
 	size_t i;
 	json_t *c;
 
-	json_array_foreach(changes, i, c)
-	{
+	json_array_foreach (changes, i, c) {
 		json_t *from = json_object_get(c, "from");
 		json_t *to = json_object_get(c, "to");
 
@@ -216,8 +216,7 @@
 	const char *key;
 	json_t *value;
 
-	json_object_foreach(to ? to : from, key, value)
-	{
+	json_object_foreach (to ? to : from, key, value) {
 		json_t *old = json_object_get(from, key);
 		char *was = value_text(old);
 		char *is = value_text(value);
--- a/prog/ct_client.c
+++ b/prog/ct_client.c
@@ -105,6 +105,11 @@
 
 	if (code)
 		return code;
+	if (answer->code) {
+		code = (int)answer->code;
+		ct_answer__free_unpacked(answer, NULL);
+		return code;
+	}
 	*out = json_loadb((const char *)answer->json.data, answer->json.len, 0,
 			  NULL);
 	ct_answer__free_unpacked(answer, NULL);
@@ -118,8 +123,10 @@
 
 	if (code)
 		return code;
-	code = cf_snapshot_decode(answer->snapshot.data, answer->snapshot.len,
-				  out);
+	code = (int)answer->code;
+	if (!code)
+		code = cf_snapshot_decode(answer->snapshot.data,
+					  answer->snapshot.len, out);
 	ct_answer__free_unpacked(answer, NULL);
 	return code;
 }
--- a/prog/ct_explain.c
+++ b/prog/ct_explain.c
@@ -136,10 +136,10 @@
 		g_free(field);
 		return ct_fail(ct, code, "carawayctl explain");
 	}
-	json_array_foreach(
-		json_object_get(history, "versions"), i,
-		v) if (json_integer_value(json_object_get(v, "version")) ==
-		       version) ct_json_print(json_incref(v));
+	json_array_foreach (json_object_get(history, "versions"), i, v)
+		if (json_integer_value(json_object_get(v, "version")) ==
+		    version)
+			ct_json_print(json_incref(v));
 	json_decref(history);
 	if (ct->logs)
 		code = explain_story(ct, field);
--- a/prog/ct_show.c
+++ b/prog/ct_show.c
@@ -34,7 +34,7 @@
 	printf("%8s  %-23s  %-23s %8s  %-13s  %-12s %s\n", "version",
 	       "accepted (UTC)", "in force everywhere", "after ms", "kind",
 	       "operator", "file");
-	json_array_foreach(json_object_get(history, "versions"), i, v)
+	json_array_foreach (json_object_get(history, "versions"), i, v)
 		print_version(v);
 	json_decref(history);
 	return BA_OK;
@@ -108,8 +108,7 @@
 	size_t i;
 	json_t *r;
 
-	json_array_foreach(list, i, r)
-	{
+	json_array_foreach (list, i, r) {
 		json_int_t match = integer(r, "match");
 
 		printf("replica    %-10s %-22s %s", string(r, "name"),
@@ -132,8 +131,7 @@
 	size_t i;
 	json_t *r;
 
-	json_array_foreach(list, i, r)
-	{
+	json_array_foreach (list, i, r) {
 		json_int_t held = integer(r, "version");
 
 		printf("relay      %-10s %s/%s, %lld daemons, version %lld",
@@ -170,6 +168,6 @@
 	if (!json_array_size(behind))
 		return;
 	printf("; behind:");
-	json_array_foreach(behind, i, name)
+	json_array_foreach (behind, i, name)
 		printf(" %s", json_string_value(name));
 }
--- /dev/null
+++ b/report/rt_chart.c
@@ -0,0 +1,179 @@
+/* Inline SVG charts; all text in them is made here and needs no escaping. */
+#include <math.h>
+
+#include "report/rt_page_internal.h"
+
+enum {
+	WIDTH = 640,
+	HEIGHT = 180,
+	LEFT = 60,
+	RIGHT = 10,
+	TOP = 12,
+	BOTTOM = 24,
+	HOURS_LIMIT = 26,
+	HOUR_MS = 3600000,
+};
+
+/* Convergence is drawn on a logarithmic scale between these. */
+#define LEAST_MS 1
+#define MOST_MS 100000
+
+static void begin(struct ba_buf *out, const char *title);
+static void end(struct ba_buf *out);
+static void add_text(struct ba_buf *out, double x, double y, const char *anchor,
+		     const char *text);
+static void add_line(struct ba_buf *out, const char *class, double y);
+static void add_hours_axis(const struct rt_page *p, struct ba_buf *out);
+static double x_of(const struct rt_page *p, json_int_t ms);
+static double y_of_ms(double ms);
+static void add_version(const struct rt_page *p, json_t *v, struct ba_buf *out);
+static json_int_t greatest(json_t *hours, const char *key);
+
+void rt_chart_convergence(const struct rt_page *p, struct ba_buf *out)
+{
+	json_t *versions = rt_get(p->root, "versions");
+	json_int_t limit = rt_int(versions, "limit_ms");
+	json_t *v;
+	size_t i;
+
+	begin(out, "Time from acceptance to being in force everywhere, for "
+		   "each version, against its limit");
+	for (json_int_t ms = LEAST_MS; ms <= MOST_MS; ms *= 10) {
+		char text[RT_TEXT_BYTES];
+
+		add_line(out, "grid", y_of_ms((double)ms));
+		add_text(out, LEFT - 6, y_of_ms((double)ms) + 4, "end",
+			 rt_span(ms * 1000, text));
+	}
+	if (limit) {
+		add_line(out, "limit", y_of_ms((double)limit));
+		add_text(out, WIDTH - RIGHT, y_of_ms((double)limit) - 4, "end",
+			 "limit");
+	}
+	json_array_foreach (rt_get(versions, "list"), i, v)
+		add_version(p, v, out);
+	add_hours_axis(p, out);
+	end(out);
+}
+
+void rt_chart_hours(const struct rt_page *p, const char *key, bool bytes,
+		    struct ba_buf *out)
+{
+	json_t *hours = rt_get(p->root, "hours");
+	json_int_t most = greatest(hours, key);
+	double bar = (WIDTH - LEFT - RIGHT) / 24.0 - 3;
+	char text[RT_TEXT_BYTES];
+	json_t *h;
+	size_t i;
+
+	begin(out, bytes ? "Bytes in each hour" : "Calls in each hour");
+	if (bytes)
+		rt_bytes(most, text);
+	else
+		g_snprintf(text, sizeof(text), "%lld", (long long)most);
+	add_line(out, "grid", TOP);
+	add_text(out, LEFT - 6, TOP + 4, "end", text);
+	add_text(out, LEFT - 6, HEIGHT - BOTTOM + 4, "end", "0");
+	json_array_foreach (hours, i, h) {
+		json_int_t from = rt_int(h, "from_ms");
+		double share = (double)rt_int(h, key) / (double)MAX(most, 1);
+		double height = share * (HEIGHT - TOP - BOTTOM);
+
+		if (i == HOURS_LIMIT)
+			break;
+		ba_buf_addf(out,
+			    "<rect class=\"bar\" x=\"%.1f\" y=\"%.1f\" "
+			    "width=\"%.1f\" height=\"%.1f\"/>",
+			    x_of(p, from), HEIGHT - BOTTOM - height, bar,
+			    height);
+	}
+	add_hours_axis(p, out);
+	end(out);
+}
+
+static void begin(struct ba_buf *out, const char *title)
+{
+	ba_buf_addf(out,
+		    "<svg viewBox=\"0 0 %d %d\" role=\"img\" "
+		    "aria-label=\"%s\">",
+		    WIDTH, HEIGHT, title);
+}
+
+static void end(struct ba_buf *out)
+{
+	ba_buf_addf(out, "</svg>\n");
+}
+
+static void add_text(struct ba_buf *out, double x, double y, const char *anchor,
+		     const char *text)
+{
+	ba_buf_addf(out,
+		    "<text x=\"%.1f\" y=\"%.1f\" text-anchor=\"%s\">%s</text>",
+		    x, y, anchor, text);
+}
+
+static void add_line(struct ba_buf *out, const char *class, double y)
+{
+	ba_buf_addf(out,
+		    "<line class=\"%s\" x1=\"%d\" x2=\"%d\" y1=\"%.1f\" "
+		    "y2=\"%.1f\"/>",
+		    class, LEFT, WIDTH - RIGHT, y, y);
+}
+
+static void add_hours_axis(const struct rt_page *p, struct ba_buf *out)
+{
+	json_int_t from = rt_int(p->root, "from_ms");
+
+	add_line(out, "axis", HEIGHT - BOTTOM);
+	for (int hour = 0; hour <= 24; hour += 4) {
+		char text[RT_TEXT_BYTES];
+		json_int_t ms = from + (json_int_t)hour * HOUR_MS;
+
+		g_snprintf(text, sizeof(text), "%d:00", hour);
+		add_text(out, x_of(p, ms), HEIGHT - 6,
+			 hour == 24 ? "end" : "middle", text);
+	}
+}
+
+static double x_of(const struct rt_page *p, json_int_t ms)
+{
+	double from = (double)rt_int(p->root, "from_ms");
+	double to = (double)rt_int(p->root, "to_ms");
+	double share = to > from ? ((double)ms - from) / (to - from) : 0;
+
+	return LEFT + CLAMP(share, 0, 1) * (WIDTH - LEFT - RIGHT);
+}
+
+static double y_of_ms(double ms)
+{
+	double share = log10(CLAMP(ms, LEAST_MS, MOST_MS) / LEAST_MS) /
+		       log10((double)MOST_MS / LEAST_MS);
+
+	return HEIGHT - BOTTOM - share * (HEIGHT - TOP - BOTTOM);
+}
+
+/* A version that is not in force yet stands where its time has got to. */
+static void add_version(const struct rt_page *p, json_t *v, struct ba_buf *out)
+{
+	json_int_t accepted = rt_int(v, "accepted_ms");
+	json_t *after = rt_get(v, "after_ms");
+	double ms = after ? json_real_value(after)
+			  : (double)(rt_int(p->root, "as_of_ms") - accepted);
+	const char *state = rt_str(v, "state");
+
+	ba_buf_addf(out,
+		    "<circle class=\"%s\" cx=\"%.1f\" cy=\"%.1f\" r=\"3\"/>",
+		    *state == 'l' ? "late" : "point", x_of(p, accepted),
+		    y_of_ms(ms));
+}
+
+static json_int_t greatest(json_t *hours, const char *key)
+{
+	json_int_t most = 0;
+	json_t *h;
+	size_t i;
+
+	json_array_foreach (hours, i, h)
+		most = MAX(most, rt_int(h, key));
+	return most;
+}
--- a/report/rt_day_json.c
+++ b/report/rt_day_json.c
@@ -101,8 +101,7 @@
 	size_t i;
 	json_t *p;
 
-	json_array_foreach(promises, i, p)
-	{
+	json_array_foreach (promises, i, p) {
 		const char *state =
 			json_string_value(json_object_get(p, "state"));
 
--- a/report/rt_internal.h
+++ b/report/rt_internal.h
@@ -132,6 +132,9 @@
 	size_t pending;
 };
 
+/** rt_version_is_late() - whether it is of the day and over its limit */
+bool rt_version_is_late(const struct rt_view *v, const RtVersion *version);
+
 /** rt_convergence() - count the versions of a day */
 struct rt_convergence rt_convergence(const struct rt_view *v);
 
--- a/report/rt_measure.c
+++ b/report/rt_measure.c
@@ -33,6 +33,12 @@
 	return c;
 }
 
+bool rt_version_is_late(const struct rt_view *v, const RtVersion *version)
+{
+	return is_of_day(v, version) &&
+	       !strcmp(version_state(v, version), "late");
+}
+
 /* The latest versions are listed; the quantiles are of all. */
 json_t *rt_versions_json(const struct rt_view *v)
 {
--- /dev/null
+++ b/report/rt_page.h
@@ -0,0 +1,38 @@
+/*
+ * The report as a page for people, from the JSON of rt_days_json().
+ *
+ * Rules: the pages say nothing that the JSON does not; what is missing there
+ * is shown as not known.
+ */
+#ifndef RT_PAGE_H
+#define RT_PAGE_H
+
+#include <stddef.h>
+
+#include "base/ba_buf.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/**
+ * rt_page_text() - append the report as text for a terminal
+ * @mesh: name of the deployment
+ *
+ * Return: %BA_OK or %WI_FRAME_GARBAGE.
+ */
+int rt_page_text(const char *mesh, const char *json, size_t len,
+		 struct ba_buf *out);
+
+/**
+ * rt_page_html() - append the report as one HTML file without scripts
+ *
+ * Return: %BA_OK or %WI_FRAME_GARBAGE.
+ */
+int rt_page_html(const char *mesh, const char *json, size_t len,
+		 struct ba_buf *out);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/report/rt_verdict.c
+++ b/report/rt_verdict.c
@@ -9,7 +9,7 @@
 #include "base/ba_event.h"
 #include "report/rt_internal.h"
 
-enum { EVENTS_OF_PROMISE = 3, PLACES_LIMIT = 20 };
+enum { EVENTS_OF_PROMISE = 3, PLACES_LIMIT = 20, LATE_NAMED = 5 };
 
 enum state { HELD, BROKEN, NOT_KNOWN };
 
@@ -92,6 +92,8 @@
 static struct verdict judge(const struct rt_view *v, const struct promise *p);
 static struct verdict judge_in_force(const struct rt_view *v);
 static bool judge_unseen(const struct rt_view *v, struct verdict *out);
+static char *times_text(const char *what, uint64_t n);
+static char *late_text(const struct rt_view *v, uint64_t older);
 static json_t *promise_json(const struct rt_view *v, const struct promise *p);
 static json_t *in_force_json(const struct rt_view *v);
 static json_t *verdict_json(const char *text, struct verdict *out);
@@ -164,8 +166,7 @@
 
 	if (breaches) {
 		out.state = BROKEN;
-		out.reason = g_strdup_printf("%llu times",
-					     (unsigned long long)breaches);
+		out.reason = times_text("it was broken", breaches);
 	} else if (judge_unseen(v, &out)) {
 		return out;
 	} else if (checked < occasions) {
@@ -190,9 +191,7 @@
 
 	if (c.late || older) {
 		out.state = BROKEN;
-		out.reason =
-			g_strdup_printf("%zu over their limit, %llu reverted",
-					c.late, (unsigned long long)older);
+		out.reason = late_text(v, older);
 	} else if (judge_unseen(v, &out)) {
 		return out;
 	} else if (c.pending) {
@@ -208,12 +207,48 @@
 	return out;
 }
 
+static char *times_text(const char *what, uint64_t n)
+{
+	if (n == 1)
+		return g_strdup_printf("%s once", what);
+	return g_strdup_printf("%s %llu times", what, (unsigned long long)n);
+}
+
+static char *late_text(const struct rt_view *v, uint64_t older)
+{
+	const RtDays *s = v->days->state;
+	GString *text = g_string_new(NULL);
+	size_t n = 0;
+
+	for (size_t i = 0; i < s->n_versions; i++) {
+		if (!rt_version_is_late(v, s->versions[i]))
+			continue;
+		if (++n <= LATE_NAMED)
+			g_string_append_printf(
+				text, "%s%llu", n == 1 ? "version " : ", ",
+				(unsigned long long)s->versions[i]->version);
+	}
+	if (n > LATE_NAMED)
+		g_string_append_printf(text, " and %zu more", n - LATE_NAMED);
+	if (n)
+		g_string_append(text, " took longer than allowed");
+	if (older) {
+		char *times =
+			times_text("an older version was put in force", older);
+
+		g_string_append_printf(text, "%s%s", n ? "; " : "", times);
+		g_free(times);
+	}
+	return g_string_free(text, FALSE);
+}
+
 /* Whether a daemon was out of sight, so that no promise is known to hold. */
 static bool judge_unseen(const struct rt_view *v, struct verdict *out)
 {
 	size_t seen = rt_instances_seen(v->days, "daemon", v->from_ms, v->to_ms,
 					NULL);
 	uint64_t since = UINT64_MAX;
+	const char *last = "";
 	size_t n = 0;
 
 	for (guint i = 0; i < v->gaps->len; i++) {
@@ -222,7 +257,8 @@
 		if (*g->role && strcmp(g->role, "daemon"))
 			continue;
 		since = MIN(since, g->from_wall_ms);
-		n++;
+		n += strcmp(last, g->instance) != 0;
+		last = g->instance;
 	}
 	if (!seen)
 		out->reason = g_strdup("no daemon sent figures");
@@ -234,8 +270,9 @@
 		out->reason = g_strdup("more instances than can be kept");
 	else if (n || v->day->gaps_left_out)
 		out->reason = g_strdup_printf(
-			"held where seen; daemons out of sight %zu times",
-			n + (size_t)v->day->gaps_left_out);
+			"held where it was seen; %s out of sight for a time",
+			n == 1 && !v->day->gaps_left_out ? "one daemon was"
+							 : "daemons were");
 	if (!out->reason)
 		return false;
 	out->state = NOT_KNOWN;
