Keep signals away from the log thread

Cause: a source ended by SIGTERM exited with status 143, without its graceful stop: the log thread is started before the loop asks for signals and took them with their default action.

Change: the log thread is started with every signal blocked.

Shown by: caraway-source exits with 0 on SIGTERM in test/cases of the sources (before: 143).

--- a/base/ba_event.c
+++ b/base/ba_event.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -61,6 +62,7 @@
 static const char *field_value(const GLogField *fields, gsize n,
 			       const char *key);
 static void set_writer(void);
+static void start_thread(void);
 static void format_stamp(char *out, size_t size);
 static void enqueue(const char *line, size_t len);
 static void *write_lines(void *arg);
@@ -113,7 +115,7 @@
 	lg.running = true;
 	pthread_mutex_unlock(&lg.lock);
 	pthread_once(&writer_once, set_writer);
-	pthread_create(&lg.thread, NULL, write_lines, NULL);
+	start_thread();
 	return BA_OK;
 }
 
@@ -144,6 +146,18 @@
 	g_clear_pointer(&lg.path, g_free);
 }
 
+/* Signals go to the thread that asks for them, never to this one. */
+static void start_thread(void)
+{
+	sigset_t all;
+	sigset_t before;
+
+	sigfillset(&all);
+	pthread_sigmask(SIG_SETMASK, &all, &before);
+	pthread_create(&lg.thread, NULL, write_lines, NULL);
+	pthread_sigmask(SIG_SETMASK, &before, NULL);
+}
+
 /* GLib takes a writer once in the life of a process. */
 static void set_writer(void)
 {
