--- /dev/null
+++ b/replica/rp_core.c
@@ -0,0 +1,445 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/ba_result.h"
+#include "replica/rp_internal.h"
+#include "wire/rp.pb-c.h"
+
+static void on_tick(struct rp_core *c, const struct rp_event *e, ba_time now,
+		    struct rp_actions *out);
+static void on_message(struct rp_core *c, const struct rp_event *e, ba_time now,
+		       struct rp_actions *out);
+static void on_propose(struct rp_core *c, const struct rp_event *e, ba_time now,
+		       struct rp_actions *out);
+static void on_stored(struct rp_core *c, const struct rp_event *e, ba_time now,
+		      struct rp_actions *out);
+static void on_store_failed(struct rp_core *c, const struct rp_event *e,
+			    ba_time now, struct rp_actions *out);
+static void on_installed(struct rp_core *c, const struct rp_event *e,
+			 ba_time now, struct rp_actions *out);
+static void on_snapshot(struct rp_core *c, const struct rp_event *e,
+			ba_time now, struct rp_actions *out);
+static int find_name(const struct rp_core *c, const char *name);
+
+const struct rp_times rp_times_default = {
+	.heartbeat = 150 * BA_MS,
+	.election_least = 900 * BA_MS,
+	.election_most = 1500 * BA_MS,
+	.lease = 700 * BA_MS,
+	.probe = 200 * BA_MS,
+	.resend = 400 * BA_MS,
+};
+
+static void (*const event_handlers[])(struct rp_core *c,
+				      const struct rp_event *e, ba_time now,
+				      struct rp_actions *out) = {
+	[RP_ON_TICK] = on_tick,
+	[RP_ON_MESSAGE] = on_message,
+	[RP_ON_PROPOSE] = on_propose,
+	[RP_ON_STORED] = on_stored,
+	[RP_ON_STORE_FAILED] = on_store_failed,
+	[RP_ON_INSTALLED] = on_installed,
+	[RP_ON_SNAPSHOT] = on_snapshot,
+};
+
+static void (*const message_handlers[])(struct rp_core *c, int from,
+					const struct rp_message *m, ba_time now,
+					struct rp_actions *out) = {
+	[RP_VOTE_REQUEST] = rp_on_vote_request,
+	[RP_VOTE_REPLY] = rp_on_vote_reply,
+	[RP_APPEND] = rp_on_append,
+	[RP_APPEND_REPLY] = rp_on_append_reply,
+	[RP_INSTALL] = rp_on_install,
+	[RP_INSTALL_REPLY] = rp_on_install_reply,
+	[RP_PROBE] = rp_on_probe,
+};
+
+struct rp_core *rp_core_new(const struct rp_core_options *o,
+			    struct rp_recovered *r,
+			    const struct rp_members *members, ba_time now)
+{
+	struct rp_core *c = g_new0(struct rp_core, 1);
+	uint64_t last_term = 0;
+
+	c->o = *o;
+	c->self = o->self;
+	c->n_peers = (int)MIN(o->n_names, RP_MEMBERS_LIMIT);
+	for (int i = 0; i < c->n_peers; i++) {
+		c->names[i] = g_strdup(o->names[i]);
+		c->addresses[i] = g_strdup(o->addresses[i]);
+	}
+	c->rand.state = o->seed;
+	c->log = r->log;
+	memset(&r->log, 0, sizeof(r->log));
+	g_strlcpy(c->disk_id, r->disk_id, sizeof(c->disk_id));
+	c->damaged = r->damaged;
+	c->leader = RP_NOBODY;
+	c->vote = find_name(c, r->vote);
+	rp_log_term(&c->log, rp_log_last(&c->log), &last_term);
+	c->term = r->term;
+	if (last_term > c->term) {
+		c->term = last_term;
+		c->vote = RP_NOBODY;
+	}
+	c->commit = c->log.snapshot_index;
+	c->stored = rp_log_last(&c->log);
+	c->snapshot_members = *members;
+	rp_members_refresh(c);
+	c->role = rp_log_last(&c->log) ? RP_FOLLOWER : RP_UNFORMED;
+	c->heard_leader = now;
+	c->election_deadline = rp_later(c, now);
+	if (rp_members_quorum(&c->members) == 1 && rp_counts(c, c->self))
+		c->election_deadline = now;
+	c->probe_deadline = now;
+	return c;
+}
+
+void rp_core_free(struct rp_core *c)
+{
+	if (!c)
+		return;
+	for (int i = 0; i < c->n_peers; i++) {
+		g_free(c->names[i]);
+		g_free(c->addresses[i]);
+	}
+	rp_log_free(&c->log);
+	ba_buf_free(&c->install);
+	g_free(c);
+}
+
+int rp_core_step(struct rp_core *c, const struct rp_event *e, ba_time now,
+		 struct rp_actions *out)
+{
+	if (e->type == RP_ON_PROPOSE) {
+		int code = rp_core_accepting(c, now);
+
+		if (code)
+			return code;
+	}
+	if (c->unsaved) {
+		c->unsaved = false;
+		rp_save_vote(c, out);
+	}
+	event_handlers[e->type](c, e, now, out);
+	return BA_OK;
+}
+
+int rp_core_accepting(const struct rp_core *c, ba_time now)
+{
+	if (c->role != RP_LEADER)
+		return c->leader == RP_NOBODY ? RP_NO_QUORUM : RP_NOT_LEADER;
+	if (now >= c->lease_until || c->commit < c->term_start)
+		return RP_NO_QUORUM;
+	return BA_OK;
+}
+
+ba_time rp_core_deadline(const struct rp_core *c)
+{
+	if (c->role == RP_LEADER)
+		return c->heartbeat_deadline;
+	if (c->role == RP_UNFORMED)
+		return c->probe_deadline;
+	return c->election_deadline;
+}
+
+enum rp_role rp_core_role(const struct rp_core *c)
+{
+	return c->role;
+}
+
+uint64_t rp_core_term(const struct rp_core *c)
+{
+	return c->term;
+}
+
+int rp_core_leader(const struct rp_core *c)
+{
+	return c->leader;
+}
+
+uint64_t rp_core_commit(const struct rp_core *c)
+{
+	return c->commit;
+}
+
+const struct rp_log *rp_core_log(const struct rp_core *c)
+{
+	return &c->log;
+}
+
+const struct rp_members *rp_core_members(const struct rp_core *c)
+{
+	return &c->members;
+}
+
+bool rp_core_votes(const struct rp_core *c)
+{
+	return rp_counts((struct rp_core *)c, c->self);
+}
+
+ba_time rp_core_informed(const struct rp_core *c, ba_time now)
+{
+	if (c->role == RP_LEADER && c->commit >= c->term_start)
+		return MIN(now, c->lease_until);
+	return c->informed;
+}
+
+bool rp_core_alone(const struct rp_core *c)
+{
+	if (!c->damaged || c->role != RP_UNFORMED)
+		return false;
+	for (int i = 0; i < c->n_peers; i++)
+		if (i != c->self && !c->peers[i].unformed_at)
+			return false;
+	return true;
+}
+
+const struct ba_buf *rp_core_install_data(const struct rp_core *c)
+{
+	return &c->install;
+}
+
+struct rp_peer_state rp_core_peer(const struct rp_core *c, int i)
+{
+	const struct rp_peer *p = &c->peers[i];
+	const struct rp_member *m = rp_member((struct rp_core *)c, i);
+	bool other_disk = m && p->disk_id[0] && strcmp(m->disk_id, p->disk_id);
+	struct rp_peer_state s = {
+		.name = c->names[i],
+		.address = c->addresses[i],
+		.member = m != NULL,
+		.voting = m && m->voting && !other_disk,
+		.match = i == c->self ? c->stored : p->match,
+		.heard = p->heard,
+		.lowest = p->lowest,
+		.daemons = p->daemons,
+	};
+
+	return s;
+}
+
+void rp_core_summary(struct rp_core *c, uint64_t lowest, uint32_t daemons)
+{
+	c->peers[c->self].lowest = lowest;
+	c->peers[c->self].daemons = daemons;
+}
+
+void rp_actions_free(struct rp_actions *a)
+{
+	g_free(a->list);
+	memset(a, 0, sizeof(*a));
+}
+
+struct rp_action *rp_act(struct rp_actions *out, enum rp_action_type type)
+{
+	struct rp_action *a;
+
+	if (out->n == out->alloc) {
+		out->alloc = out->alloc ? 2 * out->alloc : 16;
+		out->list = g_renew(struct rp_action, out->list, out->alloc);
+	}
+	a = &out->list[out->n++];
+	memset(a, 0, sizeof(*a));
+	a->type = type;
+	return a;
+}
+
+struct rp_message *rp_send(struct rp_core *c, struct rp_actions *out, int to,
+			   enum rp_message_type type)
+{
+	struct rp_action *a = rp_act(out, RP_DO_SEND);
+
+	a->to = to;
+	a->message.type = type;
+	a->message.term = c->term;
+	memcpy(a->message.disk_id, c->disk_id, sizeof(c->disk_id));
+	return &a->message;
+}
+
+void rp_save_vote(struct rp_core *c, struct rp_actions *out)
+{
+	struct rp_action *a = rp_act(out, RP_DO_SAVE_VOTE);
+
+	a->term = c->term;
+	a->to = c->vote;
+}
+
+void rp_become_follower(struct rp_core *c, uint64_t term, int leader,
+			int reason, ba_time now, struct rp_actions *out)
+{
+	bool changed = c->role != RP_FOLLOWER || c->leader != leader;
+
+	if (term > c->term) {
+		c->term = term;
+		c->vote = RP_NOBODY;
+		rp_save_vote(c, out);
+	}
+	if (c->role != RP_FOLLOWER)
+		c->election_deadline = rp_later(c, now);
+	c->role = RP_FOLLOWER;
+	c->leader = leader;
+	if (changed) {
+		struct rp_action *a = rp_act(out, RP_DO_ROLE);
+
+		a->role = RP_FOLLOWER;
+		a->to = leader;
+		a->term = c->term;
+		a->reason = reason;
+	}
+}
+
+void rp_append(struct rp_core *c, int kind, const void *body, size_t len,
+	       struct rp_actions *out)
+{
+	uint64_t index = rp_log_last(&c->log) + 1;
+	struct rp_action *a = rp_act(out, RP_DO_APPEND);
+
+	rp_log_append(&c->log, rp_entry_new(index, c->term, kind, body, len));
+	a->index = index;
+	a->last = index;
+	if (kind == RP_ENTRY_KIND__RP_ENTRY_MEMBERS)
+		rp_members_refresh(c);
+}
+
+/* Members hold from the moment they stand in the log, as in Raft. */
+void rp_members_refresh(struct rp_core *c)
+{
+	for (size_t i = c->log.n; i > 0; i--) {
+		const struct rp_entry *e = c->log.entries[i - 1];
+
+		if (e->kind != RP_ENTRY_KIND__RP_ENTRY_MEMBERS)
+			continue;
+		if (!rp_members_decode(&c->members, e->body, e->len))
+			continue;
+		c->members_index = e->index;
+		return;
+	}
+	c->members = c->snapshot_members;
+	c->members_index = c->log.snapshot_index;
+}
+
+struct rp_member *rp_member(struct rp_core *c, int i)
+{
+	return rp_members_find(&c->members, c->names[i]);
+}
+
+bool rp_counts(struct rp_core *c, int i)
+{
+	const struct rp_member *m = rp_member(c, i);
+	const char *disk_id = i == c->self ? c->disk_id : c->peers[i].disk_id;
+
+	return m && m->voting && !strcmp(m->disk_id, disk_id);
+}
+
+void rp_commit_to(struct rp_core *c, uint64_t index, struct rp_actions *out)
+{
+	if (index <= c->commit)
+		return;
+	c->commit = index;
+	rp_act(out, RP_DO_COMMIT)->index = index;
+}
+
+ba_time rp_later(struct rp_core *c, ba_time now)
+{
+	const struct rp_times *t = &c->o.times;
+
+	return now + t->election_least +
+	       (ba_time)ba_rand_below(&c->rand, (uint64_t)(t->election_most -
+							   t->election_least));
+}
+
+bool rp_is_up_to_date(const struct rp_core *c, uint64_t index, uint64_t term)
+{
+	uint64_t last = rp_log_last(&c->log);
+	uint64_t last_term = 0;
+
+	rp_log_term(&c->log, last, &last_term);
+	return term > last_term || (term == last_term && index >= last);
+}
+
+static void on_tick(struct rp_core *c, const struct rp_event *e, ba_time now,
+		    struct rp_actions *out)
+{
+	(void)e;
+	if (c->role == RP_LEADER)
+		rp_lead_tick(c, now, out);
+	else if (c->role == RP_UNFORMED)
+		rp_form_tick(c, now, out);
+	else
+		rp_elect_tick(c, now, out);
+}
+
+static void on_message(struct rp_core *c, const struct rp_event *e, ba_time now,
+		       struct rp_actions *out)
+{
+	if (e->from < 0 || e->from >= c->n_peers || e->from == c->self)
+		return;
+	c->peers[e->from].heard = now;
+	message_handlers[e->message->type](c, e->from, e->message, now, out);
+}
+
+static void on_propose(struct rp_core *c, const struct rp_event *e, ba_time now,
+		       struct rp_actions *out)
+{
+	rp_append(c, e->kind, e->body, e->len, out);
+	rp_replicate_all(c, now, out);
+}
+
+static void on_stored(struct rp_core *c, const struct rp_event *e, ba_time now,
+		      struct rp_actions *out)
+{
+	c->stored = MIN(e->index, rp_log_last(&c->log));
+	if (c->role == RP_LEADER)
+		rp_lead_stored(c, now, out);
+}
+
+/*
+ * What was not stored is forgotten.  A leader of one goes on refusing until
+ * there is room; in a group another replica may have room.
+ */
+static void on_store_failed(struct rp_core *c, const struct rp_event *e,
+			    ba_time now, struct rp_actions *out)
+{
+	bool goes_on = c->role == RP_LEADER && e->index &&
+		       c->commit >= c->term_start &&
+		       rp_members_quorum(&c->members) == 1;
+
+	c->store_deadline = now + c->o.times.election_most;
+	c->unsaved = true;
+	ba_buf_free(&c->install);
+	rp_log_truncate(&c->log, c->stored + 1);
+	rp_members_refresh(c);
+	if (!rp_log_last(&c->log)) {
+		c->role = RP_UNFORMED;
+		c->leader = RP_NOBODY;
+		c->probe_deadline = c->store_deadline;
+	} else if (!goes_on) {
+		rp_become_follower(c, c->term, RP_NOBODY, e->code, now, out);
+	}
+}
+
+static void on_installed(struct rp_core *c, const struct rp_event *e,
+			 ba_time now, struct rp_actions *out)
+{
+	(void)now;
+	rp_on_installed(c, e, out);
+}
+
+static void on_snapshot(struct rp_core *c, const struct rp_event *e,
+			ba_time now, struct rp_actions *out)
+{
+	(void)now;
+	(void)out;
+	c->snapshot_members = *e->members;
+	rp_log_compact(&c->log, e->index, e->keep);
+	rp_members_refresh(c);
+}
+
+static int find_name(const struct rp_core *c, const char *name)
+{
+	for (int i = 0; i < c->n_peers; i++)
+		if (!strcmp(c->names[i], name))
+			return i;
+	return RP_NOBODY;
+}
--- /dev/null
+++ b/replica/rp_elect.c
@@ -0,0 +1,214 @@
+#include <string.h>
+
+#include "base/ba_result.h"
+#include "replica/rp_internal.h"
+#include "wire/rp.pb-c.h"
+
+static void ask_for_votes(struct rp_core *c, bool pre, struct rp_actions *out);
+static void count_votes(struct rp_core *c, ba_time now, struct rp_actions *out);
+static void become_candidate(struct rp_core *c, ba_time now,
+			     struct rp_actions *out);
+static bool has_leader(const struct rp_core *c, ba_time now);
+static bool may_vote_for(const struct rp_core *c, int from,
+			 const struct rp_message *m);
+static bool all_unformed(const struct rp_core *c, ba_time now);
+static void form(struct rp_core *c, ba_time now, struct rp_actions *out);
+
+/* A pre-vote asks first, so that a replica that was cut off disturbs nobody. */
+void rp_elect_tick(struct rp_core *c, ba_time now, struct rp_actions *out)
+{
+	if (now < c->election_deadline)
+		return;
+	c->election_deadline = rp_later(c, now);
+	c->leader = RP_NOBODY;
+	if (!rp_counts(c, c->self) || now < c->store_deadline)
+		return;
+	c->role = RP_PRE_CANDIDATE;
+	ask_for_votes(c, true, out);
+	count_votes(c, now, out);
+}
+
+void rp_on_vote_request(struct rp_core *c, int from, const struct rp_message *m,
+			ba_time now, struct rp_actions *out)
+{
+	bool grant = !has_leader(c, now) && may_vote_for(c, from, m);
+	struct rp_message *reply;
+
+	if (grant && !m->pre) {
+		if (m->term > c->term) {
+			if (c->role == RP_UNFORMED)
+				c->term = m->term;
+			else
+				rp_become_follower(c, m->term, RP_NOBODY,
+						   RP_TERM_OLD, now, out);
+		}
+		c->vote = from;
+		c->election_deadline = rp_later(c, now);
+		rp_save_vote(c, out);
+	}
+	reply = rp_send(c, out, from, RP_VOTE_REPLY);
+	reply->pre = m->pre;
+	reply->granted = grant;
+	if (grant)
+		reply->term = m->term;
+}
+
+void rp_on_vote_reply(struct rp_core *c, int from, const struct rp_message *m,
+		      ba_time now, struct rp_actions *out)
+{
+	enum rp_role wanted = m->pre ? RP_PRE_CANDIDATE : RP_CANDIDATE;
+	uint64_t term = m->pre ? c->term + 1 : c->term;
+
+	if (!m->granted && m->term > c->term && c->role != RP_UNFORMED) {
+		rp_become_follower(c, m->term, RP_NOBODY, RP_TERM_OLD, now,
+				   out);
+		return;
+	}
+	if (!m->granted || c->role != wanted || m->term != term)
+		return;
+	memcpy(c->peers[from].disk_id, m->disk_id, sizeof(m->disk_id));
+	c->peers[from].granted = true;
+	count_votes(c, now, out);
+}
+
+/* Asks whether there is a group, and forms one only when there is none. */
+void rp_form_tick(struct rp_core *c, ba_time now, struct rp_actions *out)
+{
+	if (now < c->probe_deadline)
+		return;
+	c->probe_deadline = now + c->o.times.probe;
+	if (!c->self && !c->damaged && all_unformed(c, now)) {
+		form(c, now, out);
+		return;
+	}
+	for (int i = 0; i < c->n_peers; i++) {
+		if (i == c->self)
+			continue;
+		rp_send(c, out, i, RP_PROBE)->damaged = c->damaged;
+	}
+}
+
+void rp_on_probe(struct rp_core *c, int from, const struct rp_message *m,
+		 ba_time now, struct rp_actions *out)
+{
+	struct rp_peer *p = &c->peers[from];
+	struct rp_message *reply;
+
+	p->unformed_at = m->formed ? 0 : now;
+	p->damaged = m->damaged;
+	if (strcmp(p->disk_id, m->disk_id)) {
+		p->match = 0;
+		p->next = rp_log_last(&c->log) + 1;
+		p->round = 0;
+	}
+	memcpy(p->disk_id, m->disk_id, sizeof(p->disk_id));
+	if (m->answer)
+		return;
+	reply = rp_send(c, out, from, RP_PROBE);
+	reply->answer = true;
+	reply->formed = c->role != RP_UNFORMED;
+	reply->damaged = c->damaged && c->role == RP_UNFORMED;
+}
+
+static void ask_for_votes(struct rp_core *c, bool pre, struct rp_actions *out)
+{
+	uint64_t last = rp_log_last(&c->log);
+	uint64_t last_term = 0;
+
+	rp_log_term(&c->log, last, &last_term);
+	for (int i = 0; i < c->n_peers; i++) {
+		const struct rp_member *member = rp_member(c, i);
+		struct rp_message *m;
+
+		c->peers[i].granted = i == c->self;
+		if (i == c->self || !member || !member->voting)
+			continue;
+		m = rp_send(c, out, i, RP_VOTE_REQUEST);
+		m->pre = pre;
+		m->term = pre ? c->term + 1 : c->term;
+		m->index = last;
+		m->log_term = last_term;
+		memcpy(m->disk_id, member->disk_id, sizeof(m->disk_id));
+	}
+}
+
+static void count_votes(struct rp_core *c, ba_time now, struct rp_actions *out)
+{
+	size_t votes = 0;
+
+	for (int i = 0; i < c->n_peers; i++)
+		votes += c->peers[i].granted && rp_counts(c, i);
+	if (votes < rp_members_quorum(&c->members))
+		return;
+	if (c->role == RP_PRE_CANDIDATE)
+		become_candidate(c, now, out);
+	else
+		rp_become_leader(c, now, out);
+}
+
+static void become_candidate(struct rp_core *c, ba_time now,
+			     struct rp_actions *out)
+{
+	c->role = RP_CANDIDATE;
+	c->term++;
+	c->vote = c->self;
+	c->election_deadline = rp_later(c, now);
+	rp_save_vote(c, out);
+	ask_for_votes(c, false, out);
+	count_votes(c, now, out);
+}
+
+/* Also true just after a start: the promise to a leader may be forgotten. */
+static bool has_leader(const struct rp_core *c, ba_time now)
+{
+	if (c->role == RP_LEADER)
+		return now < c->lease_until;
+	return now < c->heard_leader + c->o.times.election_least;
+}
+
+/* The candidate names the voter's disk: a disk that is new has no vote. */
+static bool may_vote_for(const struct rp_core *c, int from,
+			 const struct rp_message *m)
+{
+	if (m->term < c->term || strcmp(m->disk_id, c->disk_id))
+		return false;
+	if (m->pre && m->term == c->term)
+		return false;
+	if (!m->pre && m->term == c->term && c->vote != RP_NOBODY &&
+	    c->vote != from)
+		return false;
+	return rp_is_up_to_date(c, m->index, m->log_term);
+}
+
+static bool all_unformed(const struct rp_core *c, ba_time now)
+{
+	for (int i = 0; i < c->n_peers; i++) {
+		const struct rp_peer *p = &c->peers[i];
+
+		if (i == c->self)
+			continue;
+		if (!p->unformed_at || p->damaged ||
+		    now > p->unformed_at + 3 * c->o.times.probe)
+			return false;
+	}
+	return true;
+}
+
+/* The first entry names every disk; it is stored before the term is. */
+static void form(struct rp_core *c, ba_time now, struct rp_actions *out)
+{
+	struct rp_members members = {.n = 0};
+	struct ba_buf body = {0};
+
+	for (int i = 0; i < c->n_peers; i++)
+		rp_members_add(&members, c->names[i], c->addresses[i],
+			       i == c->self ? c->disk_id : c->peers[i].disk_id,
+			       true);
+	rp_members_encode(&members, &body);
+	c->term++;
+	c->vote = c->self;
+	rp_append(c, RP_ENTRY_KIND__RP_ENTRY_MEMBERS, body.data, body.len, out);
+	rp_save_vote(c, out);
+	ba_buf_free(&body);
+	rp_become_leader(c, now, out);
+}
--- /dev/null
+++ b/replica/rp_follow.c
@@ -0,0 +1,203 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/ba_result.h"
+#include "replica/rp_internal.h"
+#include "wire/rp.pb-c.h"
+
+static bool follow(struct rp_core *c, int from, const struct rp_message *m,
+		   ba_time now, struct rp_actions *out);
+static bool is_in_order(const struct rp_message *m);
+static bool joins(const struct rp_core *c, const struct rp_message *m,
+		  uint64_t *hint);
+static void take_entries(struct rp_core *c, const struct rp_message *m,
+			 struct rp_actions *out);
+static void drop_conflict(struct rp_core *c, uint64_t index,
+			  struct rp_actions *out);
+static void answer(struct rp_core *c, int from, bool accepted, uint64_t index,
+		   uint64_t round, struct rp_actions *out);
+static void take_chunk(struct rp_core *c, int from, const struct rp_message *m,
+		       struct rp_actions *out);
+
+void rp_on_append(struct rp_core *c, int from, const struct rp_message *m,
+		  ba_time now, struct rp_actions *out)
+{
+	uint64_t hint = 0;
+	uint64_t match;
+
+	if (!is_in_order(m))
+		return;
+	if (!follow(c, from, m, now, out))
+		return;
+	if (!joins(c, m, &hint)) {
+		answer(c, from, false, hint, m->round, out);
+		return;
+	}
+	take_entries(c, m, out);
+	match = m->index + m->n_entries;
+	answer(c, from, true, match, m->round, out);
+	rp_commit_to(c, MIN(m->commit, match), out);
+	if (m->commit <= c->commit)
+		c->informed = now;
+}
+
+/* A snapshot of what the log holds already only moves the commit on. */
+void rp_on_install(struct rp_core *c, int from, const struct rp_message *m,
+		   ba_time now, struct rp_actions *out)
+{
+	uint64_t term = 0;
+
+	if (!follow(c, from, m, now, out))
+		return;
+	if (m->index <= c->commit ||
+	    (rp_log_term(&c->log, m->index, &term) && term == m->log_term)) {
+		rp_commit_to(c, m->index, out);
+		answer(c, from, true, m->index, m->round, out);
+		return;
+	}
+	take_chunk(c, from, m, out);
+}
+
+void rp_on_installed(struct rp_core *c, const struct rp_event *e,
+		     struct rp_actions *out)
+{
+	rp_log_reset(&c->log, c->install_index, c->install_term);
+	c->commit = c->install_index;
+	c->stored = c->install_index;
+	c->damaged = false;
+	c->snapshot_members = *e->members;
+	rp_members_refresh(c);
+	ba_buf_free(&c->install);
+	if (c->leader != RP_NOBODY)
+		answer(c, c->leader, true, c->commit, c->install_round, out);
+}
+
+/* Whether the sender leads a term that is not over. */
+static bool follow(struct rp_core *c, int from, const struct rp_message *m,
+		   ba_time now, struct rp_actions *out)
+{
+	if (m->term < c->term) {
+		answer(c, from, false, 0, m->round, out);
+		return false;
+	}
+	if (m->term == c->term && c->role == RP_LEADER)
+		return false;
+	rp_become_follower(c, m->term, from, RP_TERM_OLD, now, out);
+	c->heard_leader = now;
+	c->election_deadline = rp_later(c, now);
+	return true;
+}
+
+static bool is_in_order(const struct rp_message *m)
+{
+	for (size_t i = 0; i < m->n_entries; i++)
+		if (m->entries[i]->index != m->index + 1 + i)
+			return false;
+	return true;
+}
+
+/* Committed entries are the same everywhere; others are told by their term. */
+static bool joins(const struct rp_core *c, const struct rp_message *m,
+		  uint64_t *hint)
+{
+	uint64_t last = rp_log_last(&c->log);
+	uint64_t conflict;
+	uint64_t term = 0;
+
+	if (m->index <= c->commit)
+		return true;
+	if (m->index > last) {
+		*hint = last;
+		return false;
+	}
+	if (rp_log_term(&c->log, m->index, &term) && term == m->log_term)
+		return true;
+	conflict = term;
+	*hint = m->index - 1;
+	while (*hint > c->commit && rp_log_term(&c->log, *hint, &term) &&
+	       term == conflict)
+		(*hint)--;
+	return false;
+}
+
+static void take_entries(struct rp_core *c, const struct rp_message *m,
+			 struct rp_actions *out)
+{
+	uint64_t first = 0;
+	bool members = false;
+
+	for (size_t i = 0; i < m->n_entries; i++) {
+		const struct rp_entry *e = m->entries[i];
+		const struct rp_entry *own = rp_log_get(&c->log, e->index);
+
+		if (e->index <= c->commit || (own && own->term == e->term))
+			continue;
+		if (own) {
+			drop_conflict(c, e->index, out);
+			members = true;
+		}
+		if (!first)
+			first = e->index;
+		rp_log_append(&c->log, rp_entry_new(e->index, e->term, e->kind,
+						    e->body, e->len));
+		members |= e->kind == RP_ENTRY_KIND__RP_ENTRY_MEMBERS;
+	}
+	if (first) {
+		struct rp_action *a = rp_act(out, RP_DO_APPEND);
+
+		a->index = first;
+		a->last = rp_log_last(&c->log);
+		c->damaged = false;
+	}
+	if (members)
+		rp_members_refresh(c);
+}
+
+static void drop_conflict(struct rp_core *c, uint64_t index,
+			  struct rp_actions *out)
+{
+	rp_log_truncate(&c->log, index);
+	c->stored = MIN(c->stored, index - 1);
+	rp_act(out, RP_DO_TRUNCATE)->index = index;
+}
+
+static void answer(struct rp_core *c, int from, bool accepted, uint64_t index,
+		   uint64_t round, struct rp_actions *out)
+{
+	struct rp_message *reply = rp_send(c, out, from, RP_APPEND_REPLY);
+
+	reply->accepted = accepted;
+	reply->index = index;
+	reply->round = round;
+	reply->lowest = c->peers[c->self].lowest;
+	reply->daemons = c->peers[c->self].daemons;
+}
+
+static void take_chunk(struct rp_core *c, int from, const struct rp_message *m,
+		       struct rp_actions *out)
+{
+	struct rp_message *reply;
+
+	if (c->install_index != m->index || c->install_term != m->log_term) {
+		c->install.len = 0;
+		c->install_index = m->index;
+		c->install_term = m->log_term;
+	}
+	c->install_round = m->round;
+	if (m->offset == c->install.len &&
+	    c->install.len + m->chunk_len <= RP_STATE_LIMIT_BYTES) {
+		ba_buf_add(&c->install, m->chunk, m->chunk_len);
+		if (m->done) {
+			struct rp_action *a = rp_act(out, RP_DO_INSTALL);
+
+			a->index = m->index;
+			a->term = m->log_term;
+			return;
+		}
+	}
+	reply = rp_send(c, out, from, RP_INSTALL_REPLY);
+	reply->index = m->index;
+	reply->offset = c->install.len;
+	reply->round = m->round;
+}
--- /dev/null
+++ b/replica/rp_lead.c
@@ -0,0 +1,346 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/ba_result.h"
+#include "replica/rp_internal.h"
+#include "wire/rp.pb-c.h"
+
+static void begin_round(struct rp_core *c, ba_time now, struct rp_actions *out);
+static void renew_lease(struct rp_core *c);
+static void advance_commit(struct rp_core *c, ba_time now,
+			   struct rp_actions *out);
+static uint64_t agreed(struct rp_core *c, const uint64_t *values);
+static bool take_reply(struct rp_core *c, int from, const struct rp_message *m,
+		       ba_time now, struct rp_actions *out);
+static void replicate(struct rp_core *c, int to, ba_time now,
+		      struct rp_actions *out);
+static void send_append(struct rp_core *c, int to, size_t n, ba_time now,
+			struct rp_actions *out);
+static void send_chunk(struct rp_core *c, int to, ba_time now,
+		       struct rp_actions *out);
+static size_t batch(const struct rp_core *c, uint64_t next);
+static void repair_members(struct rp_core *c, ba_time now,
+			   struct rp_actions *out);
+static bool repair_member(struct rp_core *c, int i, ba_time now,
+			  struct rp_members *m);
+static bool remove_unknown(const struct rp_core *c, struct rp_members *m);
+
+/* An entry of the new term commits what earlier terms have left behind. */
+void rp_become_leader(struct rp_core *c, ba_time now, struct rp_actions *out)
+{
+	struct rp_action *a = rp_act(out, RP_DO_ROLE);
+
+	c->role = RP_LEADER;
+	c->leader = c->self;
+	a->role = RP_LEADER;
+	a->to = c->self;
+	a->term = c->term;
+	for (int i = 0; i < c->n_peers; i++) {
+		struct rp_peer *p = &c->peers[i];
+
+		p->next = rp_log_last(&c->log) + 1;
+		p->match = 0;
+		p->round = 0;
+		p->offset = 0;
+		p->wait_deadline = 0;
+		p->lowest = i == c->self ? p->lowest : 0;
+		p->daemons = i == c->self ? p->daemons : 0;
+	}
+	c->round = 0;
+	c->lease_until = now;
+	c->term_start = rp_log_last(&c->log) + 1;
+	rp_append(c, RP_ENTRY_KIND__RP_ENTRY_NOOP, NULL, 0, out);
+	begin_round(c, now, out);
+}
+
+void rp_lead_tick(struct rp_core *c, ba_time now, struct rp_actions *out)
+{
+	if (now < c->heartbeat_deadline)
+		return;
+	begin_round(c, now, out);
+	if (now >= c->lease_until + c->o.times.election_most) {
+		rp_become_follower(c, c->term, RP_NOBODY, RP_NO_QUORUM, now,
+				   out);
+		return;
+	}
+	repair_members(c, now, out);
+}
+
+void rp_lead_stored(struct rp_core *c, ba_time now, struct rp_actions *out)
+{
+	advance_commit(c, now, out);
+}
+
+void rp_on_append_reply(struct rp_core *c, int from, const struct rp_message *m,
+			ba_time now, struct rp_actions *out)
+{
+	struct rp_peer *p = &c->peers[from];
+	uint64_t next;
+
+	if (!take_reply(c, from, m, now, out))
+		return;
+	p->lowest = m->lowest;
+	p->daemons = m->daemons;
+	if (m->accepted) {
+		p->match = MAX(p->match, m->index);
+		p->next = MAX(p->next, p->match + 1);
+		p->offset = 0;
+		if (p->match >= p->wait_index)
+			p->wait_deadline = 0;
+		advance_commit(c, now, out);
+		replicate(c, from, now, out);
+		return;
+	}
+	next = MAX(p->match + 1, MIN(p->next - 1, m->index + 1));
+	if (next >= p->next)
+		return;
+	p->next = next;
+	p->wait_deadline = 0;
+	replicate(c, from, now, out);
+}
+
+void rp_on_install_reply(struct rp_core *c, int from,
+			 const struct rp_message *m, ba_time now,
+			 struct rp_actions *out)
+{
+	struct rp_peer *p = &c->peers[from];
+
+	if (!take_reply(c, from, m, now, out))
+		return;
+	p->offset = m->index == c->log.snapshot_index ? m->offset : 0;
+	p->wait_deadline = 0;
+	replicate(c, from, now, out);
+}
+
+void rp_replicate_all(struct rp_core *c, ba_time now, struct rp_actions *out)
+{
+	for (int i = 0; i < c->n_peers; i++)
+		if (i != c->self)
+			replicate(c, i, now, out);
+}
+
+static void begin_round(struct rp_core *c, ba_time now, struct rp_actions *out)
+{
+	c->round++;
+	c->round_sent[c->round % RP_ROUNDS] = now;
+	c->heartbeat_deadline = now + c->o.times.heartbeat;
+	renew_lease(c);
+	for (int i = 0; i < c->n_peers; i++) {
+		if (i == c->self)
+			continue;
+		if (now >= c->peers[i].wait_deadline)
+			replicate(c, i, now, out);
+		send_append(c, i, 0, now, out);
+	}
+}
+
+/* The lease counts from when the round began, not from its answers. */
+static void renew_lease(struct rp_core *c)
+{
+	uint64_t rounds[RP_MEMBERS_LIMIT] = {0};
+	uint64_t round;
+	ba_time until;
+
+	for (int i = 0; i < c->n_peers; i++)
+		rounds[i] = i == c->self ? c->round : c->peers[i].round;
+	round = agreed(c, rounds);
+	if (!round || c->round - round >= RP_ROUNDS)
+		return;
+	until = c->round_sent[round % RP_ROUNDS] + c->o.times.lease;
+	c->lease_until = MAX(c->lease_until, until);
+}
+
+/* Only entries of the own term are counted; they commit those before. */
+static void advance_commit(struct rp_core *c, ba_time now,
+			   struct rp_actions *out)
+{
+	uint64_t matches[RP_MEMBERS_LIMIT] = {0};
+	uint64_t term = 0;
+	uint64_t index;
+
+	for (int i = 0; i < c->n_peers; i++)
+		matches[i] = i == c->self ? c->stored : c->peers[i].match;
+	index = agreed(c, matches);
+	if (index <= c->commit || !rp_log_term(&c->log, index, &term) ||
+	    term != c->term)
+		return;
+	rp_commit_to(c, index, out);
+	for (int i = 0; i < c->n_peers; i++)
+		if (i != c->self)
+			send_append(c, i, 0, now, out);
+}
+
+/* The greatest value that a quorum has reached. */
+static uint64_t agreed(struct rp_core *c, const uint64_t *values)
+{
+	size_t quorum = rp_members_quorum(&c->members);
+	uint64_t best = 0;
+
+	for (int i = 0; i < c->n_peers; i++) {
+		size_t n = 0;
+
+		for (int j = 0; j < c->n_peers; j++)
+			n += rp_counts(c, j) && values[j] >= values[i];
+		if (n >= quorum)
+			best = MAX(best, values[i]);
+	}
+	return best;
+}
+
+/* Whether a reply is about the own leadership; what all replies tell. */
+static bool take_reply(struct rp_core *c, int from, const struct rp_message *m,
+		       ba_time now, struct rp_actions *out)
+{
+	struct rp_peer *p = &c->peers[from];
+
+	if (m->term > c->term && c->role != RP_UNFORMED) {
+		rp_become_follower(c, m->term, RP_NOBODY, RP_TERM_OLD, now,
+				   out);
+		return false;
+	}
+	if (c->role != RP_LEADER || m->term < c->term)
+		return false;
+	if (strcmp(p->disk_id, m->disk_id)) {
+		memcpy(p->disk_id, m->disk_id, sizeof(p->disk_id));
+		p->match = 0;
+		p->next = rp_log_last(&c->log) + 1;
+		p->round = 0;
+		p->offset = 0;
+	}
+	p->round = MAX(p->round, MIN(m->round, c->round));
+	renew_lease(c);
+	return true;
+}
+
+static void replicate(struct rp_core *c, int to, ba_time now,
+		      struct rp_actions *out)
+{
+	struct rp_peer *p = &c->peers[to];
+	uint64_t term;
+	size_t n;
+
+	if (now < p->wait_deadline)
+		return;
+	if (!rp_log_term(&c->log, p->next - 1, &term)) {
+		send_chunk(c, to, now, out);
+		return;
+	}
+	n = batch(c, p->next);
+	if (n)
+		send_append(c, to, n, now, out);
+}
+
+/* Without entries it is a heartbeat, which is never waited for. */
+static void send_append(struct rp_core *c, int to, size_t n, ba_time now,
+			struct rp_actions *out)
+{
+	struct rp_peer *p = &c->peers[to];
+	struct rp_message *m = rp_send(c, out, to, RP_APPEND);
+	uint64_t term = 0;
+
+	m->index = p->next - 1;
+	if (!rp_log_term(&c->log, m->index, &term))
+		m->index = 0;
+	m->log_term = term;
+	m->commit = c->commit;
+	m->round = c->round;
+	if (!n)
+		return;
+	m->n_entries = n;
+	p->wait_index = m->index + n;
+	p->wait_deadline = now + c->o.times.resend;
+}
+
+static void send_chunk(struct rp_core *c, int to, ba_time now,
+		       struct rp_actions *out)
+{
+	struct rp_peer *p = &c->peers[to];
+	struct rp_message *m = rp_send(c, out, to, RP_INSTALL);
+
+	m->index = c->log.snapshot_index;
+	m->log_term = c->log.snapshot_term;
+	m->offset = p->offset;
+	m->round = c->round;
+	p->wait_index = m->index;
+	p->wait_deadline = now + c->o.times.resend;
+}
+
+static size_t batch(const struct rp_core *c, uint64_t next)
+{
+	const struct rp_entry *e = rp_log_get(&c->log, next);
+	size_t bytes = 0;
+	size_t n = 0;
+
+	while (e && n < RP_APPEND_ENTRIES_LIMIT &&
+	       (!n || bytes + e->len <= RP_APPEND_LIMIT_BYTES)) {
+		bytes += e->len;
+		n++;
+		e = rp_log_get(&c->log, next + n);
+	}
+	return n;
+}
+
+/* One change at a time: the last one and an entry of this term committed. */
+static void repair_members(struct rp_core *c, ba_time now,
+			   struct rp_actions *out)
+{
+	struct rp_members m = c->members;
+	struct ba_buf body = {0};
+	bool changed = false;
+
+	if (c->members_index > c->commit || c->commit < c->term_start)
+		return;
+	for (int i = 0; i < c->n_peers && !changed; i++)
+		if (i != c->self)
+			changed = repair_member(c, i, now, &m);
+	if (!changed)
+		changed = remove_unknown(c, &m);
+	if (!changed)
+		return;
+	rp_members_encode(&m, &body);
+	rp_append(c, RP_ENTRY_KIND__RP_ENTRY_MEMBERS, body.data, body.len, out);
+	ba_buf_free(&body);
+	rp_replicate_all(c, now, out);
+}
+
+/* A new disk takes part without a vote, and votes once it has caught up. */
+static bool repair_member(struct rp_core *c, int i, ba_time now,
+			  struct rp_members *m)
+{
+	const struct rp_peer *p = &c->peers[i];
+	struct rp_member *one = rp_members_find(m, c->names[i]);
+
+	if (!p->disk_id[0] || now > p->heard + c->o.times.election_least)
+		return false;
+	if (!one) {
+		rp_members_add(m, c->names[i], c->addresses[i], p->disk_id,
+			       false);
+		return m->n > c->members.n;
+	}
+	if (strcmp(one->disk_id, p->disk_id)) {
+		g_strlcpy(one->disk_id, p->disk_id, sizeof(one->disk_id));
+		one->voting = false;
+		return true;
+	}
+	if (one->voting || p->match < c->commit)
+		return false;
+	one->voting = true;
+	return true;
+}
+
+/* The settings say which replicas there are; others are no longer wanted. */
+static bool remove_unknown(const struct rp_core *c, struct rp_members *m)
+{
+	for (size_t i = 0; i < m->n; i++) {
+		bool known = false;
+
+		for (int j = 0; j < c->n_peers; j++)
+			known |= !strcmp(m->list[i].name, c->names[j]);
+		if (known)
+			continue;
+		rp_members_remove(m, m->list[i].name);
+		return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/replica/rp_machine_state.c
@@ -0,0 +1,179 @@
+#include <string.h>
+
+#include "base/ba_result.h"
+#include "replica/rp_machine_internal.h"
+#include "wire/rp.pb-c.h"
+
+static void add_outcomes(const struct rp_machine *m, RpState *state);
+static void add_versions(const struct rp_machine *m, RpState *state);
+static void add_members(const struct rp_machine *m, struct ba_buf *packed,
+			RpState *state);
+static void free_parts(RpState *state);
+static int take_state(struct rp_machine *m, const RpState *state);
+static int take_outcomes(struct rp_machine *m, const RpState *state);
+static void take_version(struct rp_machine *m, const RpVersion *from);
+static void pack(const ProtobufCMessage *m, struct ba_buf *out);
+
+void rp_machine_encode(const struct rp_machine *m, struct ba_buf *out)
+{
+	RpState state = RP_STATE__INIT;
+	struct ba_buf configuration = {0};
+	struct ba_buf days = {0};
+	struct ba_buf members = {0};
+
+	cf_snapshot_encode(m->current, &configuration);
+	rt_days_encode(m->days, &days);
+	state.configuration.data = configuration.data;
+	state.configuration.len = configuration.len;
+	state.days.data = days.data;
+	state.days.len = days.len;
+	state.in_force = m->in_force;
+	add_outcomes(m, &state);
+	add_versions(m, &state);
+	add_members(m, &members, &state);
+	pack(&state.base, out);
+	free_parts(&state);
+	ba_buf_free(&configuration);
+	ba_buf_free(&days);
+	ba_buf_free(&members);
+}
+
+int rp_machine_decode(const void *data, size_t len, uint64_t index,
+		      struct rp_machine **out)
+{
+	RpState *state = rp_state__unpack(NULL, len, data);
+	struct rp_machine *m;
+	int ret;
+
+	if (!state)
+		return CF_ENCODING_WRONG;
+	m = rp_machine_new();
+	m->applied = index;
+	ret = take_state(m, state);
+	rp_state__free_unpacked(state, NULL);
+	if (ret)
+		rp_machine_free(m);
+	else
+		*out = m;
+	return ret;
+}
+
+static void add_outcomes(const struct rp_machine *m, RpState *state)
+{
+	state->outcomes = g_new0(RpOutcome *, m->order.length + 1);
+	for (GList *l = m->order.head; l; l = l->next) {
+		const struct rp_outcome *o = l->data;
+		RpOutcome *to = g_new(RpOutcome, 1);
+
+		rp_outcome__init(to);
+		to->submission_id = o->id;
+		to->outcome.data = o->packed.data;
+		to->outcome.len = o->packed.len;
+		state->outcomes[state->n_outcomes++] = to;
+	}
+}
+
+static void add_versions(const struct rp_machine *m, RpState *state)
+{
+	state->versions = g_new0(RpVersion *, m->versions.length + 1);
+	for (GList *l = m->versions.head; l; l = l->next) {
+		const struct rp_version *v = l->data;
+		RpVersion *to = g_new(RpVersion, 1);
+
+		rp_version__init(to);
+		to->version = v->version;
+		to->operator_ = v->operator_name;
+		to->submission_id = v->submission_id;
+		to->kind = (CtKind)v->kind;
+		to->file_name = v->file_name;
+		to->digest = (char *)v->digest;
+		to->accepted_us = (uint64_t)v->accepted;
+		to->in_force_us = (uint64_t)v->in_force;
+		to->daemons = v->daemons;
+		state->versions[state->n_versions++] = to;
+	}
+}
+
+static void add_members(const struct rp_machine *m, struct ba_buf *packed,
+			RpState *state)
+{
+	rp_members_encode(&m->members, packed);
+	state->members = rp_members__unpack(NULL, packed->len, packed->data);
+}
+
+static void free_parts(RpState *state)
+{
+	for (size_t i = 0; i < state->n_outcomes; i++)
+		g_free(state->outcomes[i]);
+	for (size_t i = 0; i < state->n_versions; i++)
+		g_free(state->versions[i]);
+	g_free(state->outcomes);
+	g_free(state->versions);
+	if (state->members)
+		rp_members__free_unpacked(state->members, NULL);
+}
+
+static int take_state(struct rp_machine *m, const RpState *state)
+{
+	struct cf_snapshot *s = NULL;
+	struct ba_buf members = {0};
+	int ret = cf_snapshot_decode(state->configuration.data,
+				     state->configuration.len, &s);
+
+	if (ret)
+		return ret;
+	cf_snapshot_unref(m->current);
+	m->current = s;
+	m->in_force = state->in_force;
+	for (size_t i = 0; i < state->n_versions; i++)
+		take_version(m, state->versions[i]);
+	if (state->members) {
+		pack(&state->members->base, &members);
+		if (!rp_members_decode(&m->members, members.data, members.len))
+			ret = CF_ENCODING_WRONG;
+		ba_buf_free(&members);
+	}
+	if (!ret)
+		ret = take_outcomes(m, state);
+	if (!ret)
+		ret = rt_days_decode(m->days, state->days.data,
+				     state->days.len);
+	return ret;
+}
+
+static int take_outcomes(struct rp_machine *m, const RpState *state)
+{
+	for (size_t i = 0; i < state->n_outcomes; i++) {
+		const RpOutcome *o = state->outcomes[i];
+
+		if (g_hash_table_contains(m->outcomes, o->submission_id))
+			return CF_ENCODING_WRONG;
+		rp_machine_remember(m, o->submission_id, o->outcome.data,
+				    o->outcome.len);
+	}
+	return BA_OK;
+}
+
+static void take_version(struct rp_machine *m, const RpVersion *from)
+{
+	struct rp_version *v = g_new0(struct rp_version, 1);
+
+	v->version = from->version;
+	v->operator_name = g_strdup(from->operator_);
+	v->submission_id = g_strdup(from->submission_id);
+	v->kind = (int)from->kind;
+	v->file_name = g_strdup(from->file_name);
+	g_strlcpy(v->digest, from->digest, sizeof(v->digest));
+	v->accepted = (ba_time)from->accepted_us;
+	v->in_force = (ba_time)from->in_force_us;
+	v->daemons = from->daemons;
+	rp_machine_add_version(m, v);
+}
+
+static void pack(const ProtobufCMessage *m, struct ba_buf *out)
+{
+	size_t len = protobuf_c_message_get_packed_size(m);
+
+	ba_buf_reserve(out, len);
+	out->len += protobuf_c_message_pack(m, out->data + out->len);
+}
--- /dev/null
+++ b/replica/rp_members.h
@@ -0,0 +1,61 @@
+/*
+ * The members of the replica group.
+ */
+#ifndef RP_MEMBERS_H
+#define RP_MEMBERS_H
+
+#include <stdbool.h>
+
+#include "base/ba_buf.h"
+#include "replica/rp_store.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum {
+	RP_MEMBERS_LIMIT = 9,
+	RP_ADDRESS_BYTES = 64,
+};
+
+/**
+ * struct rp_member - one member
+ * @disk_id: disk that it takes part with; another one does not count
+ * @voting: whether it counts for elections and commits
+ */
+struct rp_member {
+	char name[RP_NAME_BYTES];
+	char address[RP_ADDRESS_BYTES];
+	char disk_id[RP_DISK_ID_BYTES];
+	bool voting;
+};
+
+/** struct rp_members - all members; empty before the group is formed */
+struct rp_members {
+	struct rp_member list[RP_MEMBERS_LIMIT];
+	size_t n;
+};
+
+/** rp_members_find() - the member named @name, or NULL */
+struct rp_member *rp_members_find(struct rp_members *m, const char *name);
+
+/** rp_members_quorum() - how many voting members are a majority */
+size_t rp_members_quorum(const struct rp_members *m);
+
+/** rp_members_add() - append a member; nothing at the limit */
+void rp_members_add(struct rp_members *m, const char *name, const char *address,
+		    const char *disk_id, bool voting);
+
+/** rp_members_remove() - remove the member named @name */
+void rp_members_remove(struct rp_members *m, const char *name);
+
+/** rp_members_encode() - append a packed RpMembers */
+void rp_members_encode(const struct rp_members *m, struct ba_buf *out);
+
+/** rp_members_decode() - read a packed RpMembers; whether it is valid */
+bool rp_members_decode(struct rp_members *m, const void *data, size_t len);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/replica/rp_node.c
@@ -0,0 +1,585 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/ba_list.h"
+#include "base/ba_result.h"
+#include "replica/rp_codec.h"
+#include "replica/rp_node.h"
+#include "wire/rp.pb-c.h"
+
+enum {
+	DEFAULT_SNAPSHOT_ENTRIES = 4096,
+	KEEP_ENTRIES = 1024,
+	KEEP_LIMIT_BYTES = 8 * 1024 * 1024,
+	LOG_LIMIT_BYTES = 32 * 1024 * 1024,
+	WAITERS_LIMIT = 1024,
+	UNCOMMITTED_LIMIT = 4096,
+};
+
+#define OUTCOME_TIME (5 * BA_SECOND)
+
+/*
+ * Somebody who waits for the outcome of a submission.
+ * @index: of the entry it went into
+ */
+struct waiter {
+	struct ba_list link;
+	uint64_t token;
+	char *id;
+	uint64_t index;
+	ba_time deadline;
+};
+
+/*
+ * @state: the packed snapshot that the log begins behind
+ * @running: actions are being carried out; steps only add to them
+ */
+struct rp_node {
+	struct rp_node_options o;
+	struct rp_core *core;
+	struct rp_machine *machine;
+	struct ba_buf state;
+	struct rp_actions actions;
+	struct ba_list waiters;
+	size_t n_waiters;
+	enum rp_role role;
+	int leader;
+	uint64_t snapshot_at;
+	bool running;
+};
+
+typedef int (*carrier)(struct rp_node *n, const struct rp_action *a,
+		       ba_time now);
+
+static int do_save_vote(struct rp_node *n, const struct rp_action *a,
+			ba_time now);
+static int do_truncate(struct rp_node *n, const struct rp_action *a,
+		       ba_time now);
+static int do_append(struct rp_node *n, const struct rp_action *a, ba_time now);
+static int do_send(struct rp_node *n, const struct rp_action *a, ba_time now);
+static int do_nothing(struct rp_node *n, const struct rp_action *a,
+		      ba_time now);
+static int do_install(struct rp_node *n, const struct rp_action *a,
+		      ba_time now);
+static int do_role(struct rp_node *n, const struct rp_action *a, ba_time now);
+
+/* Committed entries are applied at the end, so that nothing can drop them. */
+static const carrier carriers[] = {
+	[RP_DO_SAVE_VOTE] = do_save_vote, [RP_DO_TRUNCATE] = do_truncate,
+	[RP_DO_APPEND] = do_append,	  [RP_DO_SEND] = do_send,
+	[RP_DO_COMMIT] = do_nothing,	  [RP_DO_INSTALL] = do_install,
+	[RP_DO_ROLE] = do_role,
+};
+
+static int start_machine(struct rp_node *n, struct rp_recovered *r);
+static int step(struct rp_node *n, const struct rp_event *e, ba_time now);
+static void carry_out(struct rp_node *n, ba_time now);
+static void apply_committed(struct rp_node *n);
+static void apply(struct rp_node *n, const struct rp_entry *e);
+static void take_snapshot(struct rp_node *n, ba_time now);
+static int check(const CtSubmit *submit);
+static void refuse(struct rp_node *n, uint64_t token, int code);
+static void tell(struct rp_node *n, uint64_t token, const CtOutcome *outcome);
+static struct waiter *find_waiter(const struct rp_node *n, const char *id);
+static void add_waiter(struct rp_node *n, uint64_t token, const char *id,
+		       uint64_t index, ba_time now);
+static void drop_waiter(struct rp_node *n, struct waiter *w);
+static void tell_waiters(struct rp_node *n, const char *id);
+static void fail_waiters(struct rp_node *n, ba_time until, uint64_t from,
+			 int code);
+static size_t entries_to_keep(const struct rp_node *n);
+
+int rp_node_new(const struct rp_node_options *o, ba_time now,
+		struct rp_recovery *found, struct rp_node **out)
+{
+	struct rp_recovered r = {.term = 0};
+	struct rp_node *n = g_new0(struct rp_node, 1);
+	int ret;
+
+	n->o = *o;
+	n->leader = RP_NOBODY;
+	if (!n->o.snapshot_entries)
+		n->o.snapshot_entries = DEFAULT_SNAPSHOT_ENTRIES;
+	ba_list_init(&n->waiters);
+	ret = o->store->ops->load(o->store, &r);
+	if (!ret && r.damaged && o->core.n_names == 1)
+		ret = RP_LOG_DAMAGED;
+	if (found) {
+		found->snapshot_index = r.log.snapshot_index;
+		found->entries = r.log.n;
+		found->cut_bytes = r.cut_bytes;
+		found->damaged = r.damaged;
+	}
+	if (!ret)
+		ret = start_machine(n, &r);
+	if (!ret)
+		n->core = rp_core_new(&n->o.core, &r,
+				      rp_machine_members(n->machine), now);
+	rp_log_free(&r.log);
+	if (ret) {
+		rp_node_free(n);
+		return ret;
+	}
+	n->role = rp_core_role(n->core);
+	n->snapshot_at = rp_core_commit(n->core) + n->o.snapshot_entries;
+	*out = n;
+	return BA_OK;
+}
+
+void rp_node_free(struct rp_node *n)
+{
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	if (!n)
+		return;
+	ba_list_each_safe(pos, tmp, &n->waiters)
+	{
+		drop_waiter(n, ba_entry(pos, struct waiter, link));
+	}
+	rp_core_free(n->core);
+	rp_machine_free(n->machine);
+	rp_actions_free(&n->actions);
+	ba_buf_free(&n->state);
+	n->o.store->ops->close(n->o.store);
+	g_free(n);
+}
+
+void rp_node_tick(struct rp_node *n, ba_time now)
+{
+	struct rp_event e = {.type = RP_ON_TICK};
+
+	step(n, &e, now);
+	fail_waiters(n, now, 0, RP_SUBMISSION_TIMEOUT);
+}
+
+ba_time rp_node_deadline(const struct rp_node *n)
+{
+	ba_time deadline = rp_core_deadline(n->core);
+
+	if (!ba_list_empty(&n->waiters)) {
+		const struct waiter *w =
+			ba_entry(n->waiters.next, struct waiter, link);
+
+		deadline = MIN(deadline, w->deadline);
+	}
+	return deadline;
+}
+
+int rp_node_receive(struct rp_node *n, int from, const void *data, size_t len,
+		    ba_time now)
+{
+	struct rp_event e = {.type = RP_ON_MESSAGE, .from = from};
+	struct rp_received r;
+	int ret = rp_message_decode(data, len, &r);
+
+	if (ret)
+		return ret;
+	e.message = &r.message;
+	step(n, &e, now);
+	rp_received_free(&r);
+	return BA_OK;
+}
+
+void rp_node_submit(struct rp_node *n, uint64_t token, const CtSubmit *submit,
+		    ba_time now, ba_time wall)
+{
+	struct rp_event e = {
+		.type = RP_ON_PROPOSE,
+		.kind = RP_ENTRY_KIND__RP_ENTRY_SUBMISSION,
+	};
+	uint64_t index = rp_log_last(rp_core_log(n->core)) + 1;
+	struct ba_buf body = {0};
+	const struct waiter *first;
+	CtOutcome *known;
+	int code = check(submit);
+
+	if (!code)
+		code = rp_core_accepting(n->core, now);
+	if (!code && (n->n_waiters >= WAITERS_LIMIT ||
+		      index > rp_core_commit(n->core) + UNCOMMITTED_LIMIT))
+		code = RP_NO_QUORUM;
+	if (code) {
+		refuse(n, token, code);
+		return;
+	}
+	known = rp_machine_outcome(n->machine, submit->submission_id);
+	if (known) {
+		tell(n, token, known);
+		ct_outcome__free_unpacked(known, NULL);
+		return;
+	}
+	first = find_waiter(n, submit->submission_id);
+	if (first) {
+		add_waiter(n, token, submit->submission_id, first->index, now);
+		return;
+	}
+	rp_machine_prepare(n->machine, submit, index, wall, &body);
+	add_waiter(n, token, submit->submission_id, index, now);
+	e.body = body.data;
+	e.len = body.len;
+	step(n, &e, now);
+	ba_buf_free(&body);
+}
+
+void rp_node_forget(struct rp_node *n, uint64_t token)
+{
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	ba_list_each_safe(pos, tmp, &n->waiters)
+	{
+		struct waiter *w = ba_entry(pos, struct waiter, link);
+
+		if (w->token == token)
+			drop_waiter(n, w);
+	}
+}
+
+int rp_node_propose(struct rp_node *n, int kind, const void *body, size_t len,
+		    ba_time now)
+{
+	struct rp_event e = {
+		.type = RP_ON_PROPOSE,
+		.kind = kind,
+		.body = body,
+		.len = len,
+	};
+
+	if (rp_log_last(rp_core_log(n->core)) >
+	    rp_core_commit(n->core) + UNCOMMITTED_LIMIT)
+		return RP_NO_QUORUM;
+	return step(n, &e, now);
+}
+
+const struct rp_core *rp_node_core(const struct rp_node *n)
+{
+	return n->core;
+}
+
+const struct rp_machine *rp_node_machine(const struct rp_node *n)
+{
+	return n->machine;
+}
+
+void rp_node_summary(struct rp_node *n, uint64_t lowest, uint32_t daemons)
+{
+	rp_core_summary(n->core, lowest, daemons);
+}
+
+static int start_machine(struct rp_node *n, struct rp_recovered *r)
+{
+	if (!r->snapshot.len) {
+		n->machine = rp_machine_new();
+		return BA_OK;
+	}
+	n->state = r->snapshot;
+	memset(&r->snapshot, 0, sizeof(r->snapshot));
+	if (rp_machine_decode(n->state.data, n->state.len,
+			      r->log.snapshot_index, &n->machine))
+		return RP_LOG_DAMAGED;
+	return BA_OK;
+}
+
+static int step(struct rp_node *n, const struct rp_event *e, ba_time now)
+{
+	int ret = rp_core_step(n->core, e, now, &n->actions);
+
+	if (!n->running) {
+		n->running = true;
+		carry_out(n, now);
+		n->running = false;
+		apply_committed(n);
+		take_snapshot(n, now);
+	}
+	return ret;
+}
+
+/* The list grows while it is worked off; a failure drops what is left. */
+static void carry_out(struct rp_node *n, ba_time now)
+{
+	for (size_t i = 0; i < n->actions.n; i++) {
+		const struct rp_action a = n->actions.list[i];
+		struct rp_event failed = {
+			.type = RP_ON_STORE_FAILED,
+			.index = a.index,
+		};
+
+		failed.code = carriers[a.type](n, &a, now);
+		if (!failed.code)
+			continue;
+		n->actions.n = i + 1;
+		rp_core_step(n->core, &failed, now, &n->actions);
+		if (a.type == RP_DO_APPEND)
+			fail_waiters(n, BA_NEVER, a.index, failed.code);
+	}
+	n->actions.n = 0;
+}
+
+static int do_save_vote(struct rp_node *n, const struct rp_action *a,
+			ba_time now)
+{
+	const char *vote = a->to == RP_NOBODY ? "" : n->o.core.names[a->to];
+
+	(void)now;
+	return n->o.store->ops->save_vote(n->o.store, a->term, vote);
+}
+
+static int do_truncate(struct rp_node *n, const struct rp_action *a,
+		       ba_time now)
+{
+	(void)now;
+	return n->o.store->ops->truncate(n->o.store, a->index);
+}
+
+static int do_append(struct rp_node *n, const struct rp_action *a, ba_time now)
+{
+	struct rp_event stored = {.type = RP_ON_STORED, .index = a->last};
+	const struct rp_store_ops *ops = n->o.store->ops;
+	int ret = BA_OK;
+
+	for (uint64_t i = a->index; i <= a->last && !ret; i++)
+		ret = ops->append(n->o.store,
+				  rp_log_get(rp_core_log(n->core), i));
+	if (!ret)
+		ret = ops->sync(n->o.store);
+	if (!ret)
+		rp_core_step(n->core, &stored, now, &n->actions);
+	return ret;
+}
+
+static int do_send(struct rp_node *n, const struct rp_action *a, ba_time now)
+{
+	struct ba_buf packed = {0};
+
+	(void)now;
+	rp_message_encode(&a->message, rp_core_log(n->core), &n->state,
+			  &packed);
+	n->o.owner->send(n->o.owner, a->to, packed.data, packed.len);
+	ba_buf_free(&packed);
+	return BA_OK;
+}
+
+static int do_nothing(struct rp_node *n, const struct rp_action *a, ba_time now)
+{
+	(void)n;
+	(void)a;
+	(void)now;
+	return BA_OK;
+}
+
+static int do_install(struct rp_node *n, const struct rp_action *a, ba_time now)
+{
+	const struct ba_buf *data = rp_core_install_data(n->core);
+	struct rp_event e = {.type = RP_ON_INSTALLED, .index = a->index};
+	struct rp_machine *m = NULL;
+	int ret = rp_machine_decode(data->data, data->len, a->index, &m);
+
+	if (!ret)
+		ret = n->o.store->ops->save_snapshot(n->o.store, a->index,
+						     a->term, data, 0, true);
+	if (ret) {
+		rp_machine_free(m);
+		return ret;
+	}
+	n->state.len = 0;
+	ba_buf_add(&n->state, data->data, data->len);
+	rp_machine_free(n->machine);
+	n->machine = m;
+	n->snapshot_at = a->index + n->o.snapshot_entries;
+	e.members = rp_machine_members(m);
+	rp_core_step(n->core, &e, now, &n->actions);
+	n->o.owner->published(n->o.owner, rp_machine_current(m));
+	return BA_OK;
+}
+
+/* Whoever waits asks the new leader, with the same submission id. */
+static int do_role(struct rp_node *n, const struct rp_action *a, ba_time now)
+{
+	(void)now;
+	if (a->role != RP_LEADER)
+		fail_waiters(n, BA_NEVER, 0, RP_SUBMISSION_TIMEOUT);
+	if (n->o.owner->role)
+		n->o.owner->role(n->o.owner, a->role, a->to, a->reason);
+	return BA_OK;
+}
+
+static void apply_committed(struct rp_node *n)
+{
+	const struct rp_log *log = rp_core_log(n->core);
+
+	while (rp_machine_applied(n->machine) < rp_core_commit(n->core))
+		apply(n, rp_log_get(log, rp_machine_applied(n->machine) + 1));
+}
+
+static void apply(struct rp_node *n, const struct rp_entry *e)
+{
+	struct rp_applied applied;
+
+	rp_machine_apply(n->machine, e, &applied);
+	if (n->o.owner->applied)
+		n->o.owner->applied(n->o.owner, e, &applied);
+	if (applied.published)
+		n->o.owner->published(n->o.owner,
+				      rp_machine_current(n->machine));
+	if (applied.submission_id)
+		tell_waiters(n, applied.submission_id);
+}
+
+/* A full disk puts it off; the log goes on as long as it can. */
+static void take_snapshot(struct rp_node *n, ba_time now)
+{
+	uint64_t index = rp_machine_applied(n->machine);
+	struct rp_event e = {
+		.type = RP_ON_SNAPSHOT,
+		.index = index,
+	};
+	struct ba_buf state = {0};
+	uint64_t term = 0;
+
+	if (index < n->snapshot_at &&
+	    (index <= rp_core_log(n->core)->snapshot_index ||
+	     rp_core_log(n->core)->bytes < LOG_LIMIT_BYTES))
+		return;
+	e.keep = entries_to_keep(n);
+	n->snapshot_at = index + n->o.snapshot_entries;
+	rp_log_term(rp_core_log(n->core), index, &term);
+	rp_machine_encode(n->machine, &state);
+	if (n->o.store->ops->save_snapshot(n->o.store, index, term, &state,
+					   index + 1 - e.keep, false)) {
+		ba_buf_free(&state);
+		return;
+	}
+	ba_buf_free(&n->state);
+	n->state = state;
+	e.members = rp_machine_members(n->machine);
+	rp_core_step(n->core, &e, now, &n->actions);
+}
+
+static int check(const CtSubmit *submit)
+{
+	size_t len = strlen(submit->submission_id);
+
+	if (!len || len > RP_SUBMISSION_ID_BYTES)
+		return BA_RANGE_WRONG;
+	return BA_OK;
+}
+
+static void refuse(struct rp_node *n, uint64_t token, int code)
+{
+	CtOutcome outcome = CT_OUTCOME__INIT;
+
+	outcome.code = (uint32_t)code;
+	tell(n, token, &outcome);
+}
+
+/* Told with what is known now: the current version and the leader. */
+static void tell(struct rp_node *n, uint64_t token, const CtOutcome *outcome)
+{
+	CtOutcome full = *outcome;
+	int leader = rp_core_leader(n->core);
+
+	full.current = rp_machine_current(n->machine)->version;
+	if (leader != RP_NOBODY)
+		full.leader = (char *)n->o.core.addresses[leader];
+	n->o.owner->outcome(n->o.owner, token, &full);
+}
+
+static struct waiter *find_waiter(const struct rp_node *n, const char *id)
+{
+	const struct ba_list *pos;
+
+	ba_list_each(pos, &n->waiters)
+	{
+		struct waiter *w = ba_entry(pos, struct waiter, link);
+
+		if (!strcmp(w->id, id))
+			return w;
+	}
+	return NULL;
+}
+
+static void add_waiter(struct rp_node *n, uint64_t token, const char *id,
+		       uint64_t index, ba_time now)
+{
+	struct waiter *w = g_new0(struct waiter, 1);
+
+	w->token = token;
+	w->id = g_strdup(id);
+	w->index = index;
+	w->deadline = now + OUTCOME_TIME;
+	ba_list_append(&n->waiters, &w->link);
+	n->n_waiters++;
+}
+
+static void drop_waiter(struct rp_node *n, struct waiter *w)
+{
+	ba_list_remove(&w->link);
+	n->n_waiters--;
+	g_free(w->id);
+	g_free(w);
+}
+
+/* Found anew each time, as the owner may submit again from its callback. */
+static void tell_waiters(struct rp_node *n, const char *id)
+{
+	CtOutcome *outcome = rp_machine_outcome(n->machine, id);
+	struct waiter *w;
+
+	while ((w = find_waiter(n, id))) {
+		uint64_t token = w->token;
+
+		drop_waiter(n, w);
+		tell(n, token, outcome);
+	}
+	ct_outcome__free_unpacked(outcome, NULL);
+}
+
+/*
+ * Waiters whose deadline is not after @until and whose entry is not before
+ * @from.
+ */
+static void fail_waiters(struct rp_node *n, ba_time until, uint64_t from,
+			 int code)
+{
+	struct ba_list failed;
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	ba_list_init(&failed);
+	ba_list_each_safe(pos, tmp, &n->waiters)
+	{
+		const struct waiter *w = ba_entry(pos, struct waiter, link);
+
+		if (w->deadline > until || w->index < from)
+			continue;
+		ba_list_remove(pos);
+		ba_list_append(&failed, pos);
+	}
+	ba_list_each_safe(pos, tmp, &failed)
+	{
+		struct waiter *w = ba_entry(pos, struct waiter, link);
+		uint64_t token = w->token;
+
+		drop_waiter(n, w);
+		refuse(n, token, code);
+	}
+}
+
+/* Followers that are behind by less need no snapshot. */
+static size_t entries_to_keep(const struct rp_node *n)
+{
+	const struct rp_log *log = rp_core_log(n->core);
+	uint64_t index = rp_machine_applied(n->machine);
+	const struct rp_entry *e = rp_log_get(log, index);
+	size_t bytes = 0;
+	size_t keep = 0;
+
+	while (e && keep < KEEP_ENTRIES && bytes + e->len < KEEP_LIMIT_BYTES) {
+		bytes += e->len;
+		keep++;
+		e = rp_log_get(log, index - keep);
+	}
+	return keep;
+}
--- /dev/null
+++ b/replica/rp_record.h
@@ -0,0 +1,63 @@
+/*
+ * How entries, the meta slots and the snapshot look on disk.
+ */
+#ifndef RP_RECORD_H
+#define RP_RECORD_H
+
+#include "replica/rp_store.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum {
+	RP_RECORD_HEADER_BYTES = 12,
+	RP_RECORD_LIMIT_BYTES = 64 * 1024 * 1024,
+	RP_META_SLOT_BYTES = 512,
+	RP_SNAPSHOT_HEADER_BYTES = 40,
+};
+
+/**
+ * struct rp_meta - content of a meta slot
+ * @sequence: the valid slot with the greater one counts
+ * @mark: last index that was synced
+ * @damaged: the folder was set aside and nothing has been caught up since
+ */
+struct rp_meta {
+	uint64_t sequence;
+	uint64_t term;
+	uint64_t mark;
+	bool damaged;
+	char vote[RP_NAME_BYTES];
+	char disk_id[RP_DISK_ID_BYTES];
+};
+
+/** rp_record_add() - append the record of an entry */
+void rp_record_add(struct ba_buf *out, const struct rp_entry *e);
+
+/**
+ * rp_record_read() - read the first record of @len bytes
+ * @size: bytes the record takes up
+ *
+ * Return: the entry, or NULL when there is no whole, valid record.
+ */
+struct rp_entry *rp_record_read(const uint8_t *data, size_t len, size_t *size);
+
+/** rp_meta_write() - fill in a slot of %RP_META_SLOT_BYTES */
+void rp_meta_write(uint8_t *slot, const struct rp_meta *m);
+
+/** rp_meta_read() - read a slot; whether it is valid */
+bool rp_meta_read(const uint8_t *slot, struct rp_meta *m);
+
+/** rp_snapshot_write() - append header and content of a snapshot file */
+void rp_snapshot_write(struct ba_buf *out, uint64_t index, uint64_t term,
+		       const struct ba_buf *state);
+
+/** rp_snapshot_read() - read a snapshot file; whether it is valid */
+bool rp_snapshot_read(const struct ba_buf *file, uint64_t *index,
+		      uint64_t *term, struct ba_buf *state);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -412,6 +412,141 @@
   assert(message->base.descriptor == &rp_install__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rp_install_reply__init
+                     (RpInstallReply         *message)
+{
+  static const RpInstallReply init_value = RP_INSTALL_REPLY__INIT;
+  *message = init_value;
+}
+size_t rp_install_reply__get_packed_size
+                     (const RpInstallReply *message)
+{
+  assert(message->base.descriptor == &rp_install_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_install_reply__pack
+                     (const RpInstallReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_install_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_install_reply__pack_to_buffer
+                     (const RpInstallReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_install_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpInstallReply *
+       rp_install_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpInstallReply *)
+     protobuf_c_message_unpack (&rp_install_reply__descriptor,
+                                allocator, len, data);
+}
+void   rp_install_reply__free_unpacked
+                     (RpInstallReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_install_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp_probe__init
+                     (RpProbe         *message)
+{
+  static const RpProbe init_value = RP_PROBE__INIT;
+  *message = init_value;
+}
+size_t rp_probe__get_packed_size
+                     (const RpProbe *message)
+{
+  assert(message->base.descriptor == &rp_probe__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_probe__pack
+                     (const RpProbe *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_probe__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_probe__pack_to_buffer
+                     (const RpProbe *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_probe__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpProbe *
+       rp_probe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpProbe *)
+     protobuf_c_message_unpack (&rp_probe__descriptor,
+                                allocator, len, data);
+}
+void   rp_probe__free_unpacked
+                     (RpProbe *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_probe__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp_forward__init
+                     (RpForward         *message)
+{
+  static const RpForward init_value = RP_FORWARD__INIT;
+  *message = init_value;
+}
+size_t rp_forward__get_packed_size
+                     (const RpForward *message)
+{
+  assert(message->base.descriptor == &rp_forward__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_forward__pack
+                     (const RpForward *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_forward__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_forward__pack_to_buffer
+                     (const RpForward *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_forward__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpForward *
+       rp_forward__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpForward *)
+     protobuf_c_message_unpack (&rp_forward__descriptor,
+                                allocator, len, data);
+}
+void   rp_forward__free_unpacked
+                     (RpForward *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_forward__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rp_message__init
                      (RpMessage         *message)
 {
@@ -457,6 +592,141 @@
   assert(message->base.descriptor == &rp_message__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rp_outcome__init
+                     (RpOutcome         *message)
+{
+  static const RpOutcome init_value = RP_OUTCOME__INIT;
+  *message = init_value;
+}
+size_t rp_outcome__get_packed_size
+                     (const RpOutcome *message)
+{
+  assert(message->base.descriptor == &rp_outcome__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_outcome__pack
+                     (const RpOutcome *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_outcome__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_outcome__pack_to_buffer
+                     (const RpOutcome *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_outcome__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpOutcome *
+       rp_outcome__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpOutcome *)
+     protobuf_c_message_unpack (&rp_outcome__descriptor,
+                                allocator, len, data);
+}
+void   rp_outcome__free_unpacked
+                     (RpOutcome *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_outcome__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp_version__init
+                     (RpVersion         *message)
+{
+  static const RpVersion init_value = RP_VERSION__INIT;
+  *message = init_value;
+}
+size_t rp_version__get_packed_size
+                     (const RpVersion *message)
+{
+  assert(message->base.descriptor == &rp_version__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_version__pack
+                     (const RpVersion *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_version__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_version__pack_to_buffer
+                     (const RpVersion *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_version__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpVersion *
+       rp_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpVersion *)
+     protobuf_c_message_unpack (&rp_version__descriptor,
+                                allocator, len, data);
+}
+void   rp_version__free_unpacked
+                     (RpVersion *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_version__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp_state__init
+                     (RpState         *message)
+{
+  static const RpState init_value = RP_STATE__INIT;
+  *message = init_value;
+}
+size_t rp_state__get_packed_size
+                     (const RpState *message)
+{
+  assert(message->base.descriptor == &rp_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_state__pack
+                     (const RpState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_state__pack_to_buffer
+                     (const RpState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpState *
+       rp_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpState *)
+     protobuf_c_message_unpack (&rp_state__descriptor,
+                                allocator, len, data);
+}
+void   rp_state__free_unpacked
+                     (RpState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor rp_entry__field_descriptors[4] =
 {
   {
@@ -739,7 +1009,7 @@
   (ProtobufCMessageInit) rp_submission__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_vote_request__field_descriptors[4] =
+static const ProtobufCFieldDescriptor rp_vote_request__field_descriptors[5] =
 {
   {
     "term",
@@ -789,17 +1059,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "voter_disk",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpVoteRequest, voter_disk),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_vote_request__field_indices_by_name[] = {
   1,   /* field[1] = last_index */
   2,   /* field[2] = last_term */
   3,   /* field[3] = pre */
   0,   /* field[0] = term */
+  4,   /* field[4] = voter_disk */
 };
 static const ProtobufCIntRange rp_vote_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor rp_vote_request__descriptor =
 {
@@ -809,14 +1092,14 @@
   "RpVoteRequest",
   "",
   sizeof(RpVoteRequest),
-  4,
+  5,
   rp_vote_request__field_descriptors,
   rp_vote_request__field_indices_by_name,
   1,  rp_vote_request__number_ranges,
   (ProtobufCMessageInit) rp_vote_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_vote_reply__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rp_vote_reply__field_descriptors[4] =
 {
   {
     "term",
@@ -854,8 +1137,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "disk_id",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpVoteReply, disk_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_vote_reply__field_indices_by_name[] = {
+  3,   /* field[3] = disk_id */
   1,   /* field[1] = granted */
   2,   /* field[2] = pre */
   0,   /* field[0] = term */
@@ -863,7 +1159,7 @@
 static const ProtobufCIntRange rp_vote_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor rp_vote_reply__descriptor =
 {
@@ -873,7 +1169,7 @@
   "RpVoteReply",
   "",
   sizeof(RpVoteReply),
-  3,
+  4,
   rp_vote_reply__field_descriptors,
   rp_vote_reply__field_indices_by_name,
   1,  rp_vote_reply__number_ranges,
@@ -983,7 +1279,7 @@
   (ProtobufCMessageInit) rp_append__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_append_reply__field_descriptors[5] =
+static const ProtobufCFieldDescriptor rp_append_reply__field_descriptors[7] =
 {
   {
     "term",
@@ -1045,10 +1341,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "lowest",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpAppendReply, lowest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "daemons",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpAppendReply, daemons),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_append_reply__field_indices_by_name[] = {
   1,   /* field[1] = accepted */
+  6,   /* field[6] = daemons */
   4,   /* field[4] = disk_id */
+  5,   /* field[5] = lowest */
   2,   /* field[2] = match_index */
   3,   /* field[3] = round */
   0,   /* field[0] = term */
@@ -1056,7 +1378,7 @@
 static const ProtobufCIntRange rp_append_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor rp_append_reply__descriptor =
 {
@@ -1066,7 +1388,7 @@
   "RpAppendReply",
   "",
   sizeof(RpAppendReply),
-  5,
+  7,
   rp_append_reply__field_descriptors,
   rp_append_reply__field_indices_by_name,
   1,  rp_append_reply__number_ranges,
@@ -1111,18 +1433,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "members",
-    4,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(RpInstall, n_members),
-    offsetof(RpInstall, members),
-    &rp_member__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "offset",
     5,
@@ -1159,19 +1469,32 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "round",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpInstall, round),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_install__field_indices_by_name[] = {
-  5,   /* field[5] = chunk */
-  6,   /* field[6] = done */
+  4,   /* field[4] = chunk */
+  5,   /* field[5] = done */
   1,   /* field[1] = last_index */
   2,   /* field[2] = last_term */
-  3,   /* field[3] = members */
-  4,   /* field[4] = offset */
+  3,   /* field[3] = offset */
+  6,   /* field[6] = round */
   0,   /* field[0] = term */
 };
-static const ProtobufCIntRange rp_install__number_ranges[1 + 1] =
+static const ProtobufCIntRange rp_install__number_ranges[2 + 1] =
 {
   { 1, 0 },
+  { 5, 3 },
   { 0, 7 }
 };
 const ProtobufCMessageDescriptor rp_install__descriptor =
@@ -1185,44 +1508,262 @@
   7,
   rp_install__field_descriptors,
   rp_install__field_indices_by_name,
-  1,  rp_install__number_ranges,
+  2,  rp_install__number_ranges,
   (ProtobufCMessageInit) rp_install__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_message__field_descriptors[5] =
+static const ProtobufCFieldDescriptor rp_install_reply__field_descriptors[5] =
 {
   {
-    "vote_request",
+    "term",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(RpMessage, body_case),
-    offsetof(RpMessage, vote_request),
-    &rp_vote_request__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpInstallReply, term),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "vote_reply",
+    "last_index",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(RpMessage, body_case),
-    offsetof(RpMessage, vote_reply),
-    &rp_vote_reply__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpInstallReply, last_index),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "append",
+    "offset",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(RpMessage, body_case),
-    offsetof(RpMessage, append),
-    &rp_append__descriptor,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpInstallReply, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "round",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpInstallReply, round),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "disk_id",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpInstallReply, disk_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_install_reply__field_indices_by_name[] = {
+  4,   /* field[4] = disk_id */
+  1,   /* field[1] = last_index */
+  2,   /* field[2] = offset */
+  3,   /* field[3] = round */
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange rp_install_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor rp_install_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpInstallReply",
+  "RpInstallReply",
+  "RpInstallReply",
+  "",
+  sizeof(RpInstallReply),
+  5,
+  rp_install_reply__field_descriptors,
+  rp_install_reply__field_indices_by_name,
+  1,  rp_install_reply__number_ranges,
+  (ProtobufCMessageInit) rp_install_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_probe__field_descriptors[4] =
+{
+  {
+    "disk_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpProbe, disk_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "formed",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpProbe, formed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpProbe, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "damaged",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpProbe, damaged),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_probe__field_indices_by_name[] = {
+  2,   /* field[2] = answer */
+  3,   /* field[3] = damaged */
+  0,   /* field[0] = disk_id */
+  1,   /* field[1] = formed */
+};
+static const ProtobufCIntRange rp_probe__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor rp_probe__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpProbe",
+  "RpProbe",
+  "RpProbe",
+  "",
+  sizeof(RpProbe),
+  4,
+  rp_probe__field_descriptors,
+  rp_probe__field_indices_by_name,
+  1,  rp_probe__number_ranges,
+  (ProtobufCMessageInit) rp_probe__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_forward__field_descriptors[2] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(RpForward, kind),
+    &rp_entry_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpForward, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_forward__field_indices_by_name[] = {
+  1,   /* field[1] = body */
+  0,   /* field[0] = kind */
+};
+static const ProtobufCIntRange rp_forward__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rp_forward__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpForward",
+  "RpForward",
+  "RpForward",
+  "",
+  sizeof(RpForward),
+  2,
+  rp_forward__field_descriptors,
+  rp_forward__field_indices_by_name,
+  1,  rp_forward__number_ranges,
+  (ProtobufCMessageInit) rp_forward__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_message__field_descriptors[7] =
+{
+  {
+    "vote_request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpMessage, body_case),
+    offsetof(RpMessage, vote_request),
+    &rp_vote_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "vote_reply",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpMessage, body_case),
+    offsetof(RpMessage, vote_reply),
+    &rp_vote_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "append",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpMessage, body_case),
+    offsetof(RpMessage, append),
+    &rp_append__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1251,18 +1792,44 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "install_reply",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpMessage, body_case),
+    offsetof(RpMessage, install_reply),
+    &rp_install_reply__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "probe",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpMessage, body_case),
+    offsetof(RpMessage, probe),
+    &rp_probe__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_message__field_indices_by_name[] = {
   2,   /* field[2] = append */
   3,   /* field[3] = append_reply */
   4,   /* field[4] = install */
+  5,   /* field[5] = install_reply */
+  6,   /* field[6] = probe */
   1,   /* field[1] = vote_reply */
   0,   /* field[0] = vote_request */
 };
 static const ProtobufCIntRange rp_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor rp_message__descriptor =
 {
@@ -1272,13 +1839,309 @@
   "RpMessage",
   "",
   sizeof(RpMessage),
-  5,
+  7,
   rp_message__field_descriptors,
   rp_message__field_indices_by_name,
   1,  rp_message__number_ranges,
   (ProtobufCMessageInit) rp_message__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rp_outcome__field_descriptors[2] =
+{
+  {
+    "submission_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpOutcome, submission_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpOutcome, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_outcome__field_indices_by_name[] = {
+  1,   /* field[1] = outcome */
+  0,   /* field[0] = submission_id */
+};
+static const ProtobufCIntRange rp_outcome__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rp_outcome__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpOutcome",
+  "RpOutcome",
+  "RpOutcome",
+  "",
+  sizeof(RpOutcome),
+  2,
+  rp_outcome__field_descriptors,
+  rp_outcome__field_indices_by_name,
+  1,  rp_outcome__number_ranges,
+  (ProtobufCMessageInit) rp_outcome__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_version__field_descriptors[9] =
+{
+  {
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpVersion, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "operator",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpVersion, operator_),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "submission_id",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpVersion, submission_id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(RpVersion, kind),
+    &ct_kind__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "file_name",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpVersion, file_name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accepted_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpVersion, accepted_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_force_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpVersion, in_force_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "daemons",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpVersion, daemons),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "digest",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpVersion, digest),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_version__field_indices_by_name[] = {
+  5,   /* field[5] = accepted_us */
+  7,   /* field[7] = daemons */
+  8,   /* field[8] = digest */
+  4,   /* field[4] = file_name */
+  6,   /* field[6] = in_force_us */
+  3,   /* field[3] = kind */
+  1,   /* field[1] = operator */
+  2,   /* field[2] = submission_id */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange rp_version__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor rp_version__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpVersion",
+  "RpVersion",
+  "RpVersion",
+  "",
+  sizeof(RpVersion),
+  9,
+  rp_version__field_descriptors,
+  rp_version__field_indices_by_name,
+  1,  rp_version__number_ranges,
+  (ProtobufCMessageInit) rp_version__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_state__field_descriptors[6] =
+{
+  {
+    "configuration",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpState, configuration),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcomes",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpState, n_outcomes),
+    offsetof(RpState, outcomes),
+    &rp_outcome__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "versions",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpState, n_versions),
+    offsetof(RpState, versions),
+    &rp_version__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "days",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(RpState, days),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(RpState, members),
+    &rp_members__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "in_force",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpState, in_force),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_state__field_indices_by_name[] = {
+  0,   /* field[0] = configuration */
+  3,   /* field[3] = days */
+  5,   /* field[5] = in_force */
+  4,   /* field[4] = members */
+  1,   /* field[1] = outcomes */
+  2,   /* field[2] = versions */
+};
+static const ProtobufCIntRange rp_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor rp_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpState",
+  "RpState",
+  "RpState",
+  "",
+  sizeof(RpState),
+  6,
+  rp_state__field_descriptors,
+  rp_state__field_indices_by_name,
+  1,  rp_state__number_ranges,
+  (ProtobufCMessageInit) rp_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCEnumValue rp_entry_kind__enum_values_by_number[5] =
 {
   { "RP_ENTRY_NOOP", "RP_ENTRY_KIND__RP_ENTRY_NOOP", 0 },
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -25,7 +25,13 @@
 typedef struct RpAppend RpAppend;
 typedef struct RpAppendReply RpAppendReply;
 typedef struct RpInstall RpInstall;
+typedef struct RpInstallReply RpInstallReply;
+typedef struct RpProbe RpProbe;
+typedef struct RpForward RpForward;
 typedef struct RpMessage RpMessage;
+typedef struct RpOutcome RpOutcome;
+typedef struct RpVersion RpVersion;
+typedef struct RpState RpState;
 
 
 /* --- enums --- */
@@ -127,10 +133,14 @@
   uint64_t last_index;
   uint64_t last_term;
   protobuf_c_boolean pre;
+  /*
+   * disk of the voter that the candidate knows
+   */
+  char *voter_disk;
 };
 #define RP_VOTE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_vote_request__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  RpVoteReply
@@ -139,10 +149,11 @@
   uint64_t term;
   protobuf_c_boolean granted;
   protobuf_c_boolean pre;
+  char *disk_id;
 };
 #define RP_VOTE_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_vote_reply__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 struct  RpAppend
@@ -172,27 +183,81 @@
   uint64_t match_index;
   uint64_t round;
   char *disk_id;
+  /*
+   * lowest version in force below this replica
+   */
+  uint64_t lowest;
+  uint32_t daemons;
 };
 #define RP_APPEND_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_append_reply__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
+/*
+ * A piece of the packed RpState.
+ */
 struct  RpInstall
 {
   ProtobufCMessage base;
   uint64_t term;
   uint64_t last_index;
   uint64_t last_term;
-  size_t n_members;
-  RpMember **members;
   uint64_t offset;
   ProtobufCBinaryData chunk;
   protobuf_c_boolean done;
+  uint64_t round;
 };
 #define RP_INSTALL__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_install__descriptor) \
-    , 0, 0, 0, 0,NULL, 0, {0,NULL}, 0 }
+    , 0, 0, 0, 0, {0,NULL}, 0, 0 }
+
+
+struct  RpInstallReply
+{
+  ProtobufCMessage base;
+  uint64_t term;
+  uint64_t last_index;
+  /*
+   * the next byte that is wanted
+   */
+  uint64_t offset;
+  uint64_t round;
+  char *disk_id;
+};
+#define RP_INSTALL_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp_install_reply__descriptor) \
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Sent by a replica without a log, to learn whether the group exists.
+ */
+struct  RpProbe
+{
+  ProtobufCMessage base;
+  char *disk_id;
+  protobuf_c_boolean formed;
+  protobuf_c_boolean answer;
+  protobuf_c_boolean damaged;
+};
+#define RP_PROBE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp_probe__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0 }
+
+
+/*
+ * An entry that a follower took in for the leader to propose.
+ */
+struct  RpForward
+{
+  ProtobufCMessage base;
+  RpEntryKind kind;
+  ProtobufCBinaryData body;
+};
+#define RP_FORWARD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp_forward__descriptor) \
+    , RP_ENTRY_KIND__RP_ENTRY_NOOP, {0,NULL} }
 
 
 typedef enum {
@@ -201,7 +266,9 @@
   RP_MESSAGE__BODY_VOTE_REPLY = 2,
   RP_MESSAGE__BODY_APPEND = 3,
   RP_MESSAGE__BODY_APPEND_REPLY = 4,
-  RP_MESSAGE__BODY_INSTALL = 5
+  RP_MESSAGE__BODY_INSTALL = 5,
+  RP_MESSAGE__BODY_INSTALL_REPLY = 6,
+  RP_MESSAGE__BODY_PROBE = 7
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RP_MESSAGE__BODY__CASE)
 } RpMessage__BodyCase;
 
@@ -215,6 +282,8 @@
     RpAppend *append;
     RpAppendReply *append_reply;
     RpInstall *install;
+    RpInstallReply *install_reply;
+    RpProbe *probe;
   };
 };
 #define RP_MESSAGE__INIT \
@@ -222,6 +291,76 @@
     , RP_MESSAGE__BODY__NOT_SET, {0} }
 
 
+struct  RpOutcome
+{
+  ProtobufCMessage base;
+  char *submission_id;
+  /*
+   * packed CtOutcome
+   */
+  ProtobufCBinaryData outcome;
+};
+#define RP_OUTCOME__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp_outcome__descriptor) \
+    , (char *)protobuf_c_empty_string, {0,NULL} }
+
+
+struct  RpVersion
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  char *operator_;
+  char *submission_id;
+  CtKind kind;
+  char *file_name;
+  /*
+   * wall time
+   */
+  uint64_t accepted_us;
+  /*
+   * 0 while it is not in force everywhere
+   */
+  uint64_t in_force_us;
+  uint32_t daemons;
+  /*
+   * its first bytes in hexadecimal
+   */
+  char *digest;
+};
+#define RP_VERSION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp_version__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, CT_KIND__CT_KIND_CONFIGURATION, (char *)protobuf_c_empty_string, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
+/*
+ * The state machine, as a snapshot of the log holds it.
+ */
+struct  RpState
+{
+  ProtobufCMessage base;
+  /*
+   * CfSnapshot
+   */
+  ProtobufCBinaryData configuration;
+  size_t n_outcomes;
+  RpOutcome **outcomes;
+  size_t n_versions;
+  RpVersion **versions;
+  /*
+   * of rt_days_encode()
+   */
+  ProtobufCBinaryData days;
+  RpMembers *members;
+  /*
+   * newest version in force everywhere
+   */
+  uint64_t in_force;
+};
+#define RP_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp_state__descriptor) \
+    , {0,NULL}, 0,NULL, 0,NULL, {0,NULL}, NULL, 0 }
+
+
 /* RpEntry methods */
 void   rp_entry__init
                      (RpEntry         *message);
@@ -393,6 +532,63 @@
 void   rp_install__free_unpacked
                      (RpInstall *message,
                       ProtobufCAllocator *allocator);
+/* RpInstallReply methods */
+void   rp_install_reply__init
+                     (RpInstallReply         *message);
+size_t rp_install_reply__get_packed_size
+                     (const RpInstallReply   *message);
+size_t rp_install_reply__pack
+                     (const RpInstallReply   *message,
+                      uint8_t             *out);
+size_t rp_install_reply__pack_to_buffer
+                     (const RpInstallReply   *message,
+                      ProtobufCBuffer     *buffer);
+RpInstallReply *
+       rp_install_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp_install_reply__free_unpacked
+                     (RpInstallReply *message,
+                      ProtobufCAllocator *allocator);
+/* RpProbe methods */
+void   rp_probe__init
+                     (RpProbe         *message);
+size_t rp_probe__get_packed_size
+                     (const RpProbe   *message);
+size_t rp_probe__pack
+                     (const RpProbe   *message,
+                      uint8_t             *out);
+size_t rp_probe__pack_to_buffer
+                     (const RpProbe   *message,
+                      ProtobufCBuffer     *buffer);
+RpProbe *
+       rp_probe__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp_probe__free_unpacked
+                     (RpProbe *message,
+                      ProtobufCAllocator *allocator);
+/* RpForward methods */
+void   rp_forward__init
+                     (RpForward         *message);
+size_t rp_forward__get_packed_size
+                     (const RpForward   *message);
+size_t rp_forward__pack
+                     (const RpForward   *message,
+                      uint8_t             *out);
+size_t rp_forward__pack_to_buffer
+                     (const RpForward   *message,
+                      ProtobufCBuffer     *buffer);
+RpForward *
+       rp_forward__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp_forward__free_unpacked
+                     (RpForward *message,
+                      ProtobufCAllocator *allocator);
 /* RpMessage methods */
 void   rp_message__init
                      (RpMessage         *message);
@@ -412,6 +608,63 @@
 void   rp_message__free_unpacked
                      (RpMessage *message,
                       ProtobufCAllocator *allocator);
+/* RpOutcome methods */
+void   rp_outcome__init
+                     (RpOutcome         *message);
+size_t rp_outcome__get_packed_size
+                     (const RpOutcome   *message);
+size_t rp_outcome__pack
+                     (const RpOutcome   *message,
+                      uint8_t             *out);
+size_t rp_outcome__pack_to_buffer
+                     (const RpOutcome   *message,
+                      ProtobufCBuffer     *buffer);
+RpOutcome *
+       rp_outcome__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp_outcome__free_unpacked
+                     (RpOutcome *message,
+                      ProtobufCAllocator *allocator);
+/* RpVersion methods */
+void   rp_version__init
+                     (RpVersion         *message);
+size_t rp_version__get_packed_size
+                     (const RpVersion   *message);
+size_t rp_version__pack
+                     (const RpVersion   *message,
+                      uint8_t             *out);
+size_t rp_version__pack_to_buffer
+                     (const RpVersion   *message,
+                      ProtobufCBuffer     *buffer);
+RpVersion *
+       rp_version__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp_version__free_unpacked
+                     (RpVersion *message,
+                      ProtobufCAllocator *allocator);
+/* RpState methods */
+void   rp_state__init
+                     (RpState         *message);
+size_t rp_state__get_packed_size
+                     (const RpState   *message);
+size_t rp_state__pack
+                     (const RpState   *message,
+                      uint8_t             *out);
+size_t rp_state__pack_to_buffer
+                     (const RpState   *message,
+                      ProtobufCBuffer     *buffer);
+RpState *
+       rp_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp_state__free_unpacked
+                     (RpState *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*RpEntry_Closure)
@@ -441,9 +694,27 @@
 typedef void (*RpInstall_Closure)
                  (const RpInstall *message,
                   void *closure_data);
+typedef void (*RpInstallReply_Closure)
+                 (const RpInstallReply *message,
+                  void *closure_data);
+typedef void (*RpProbe_Closure)
+                 (const RpProbe *message,
+                  void *closure_data);
+typedef void (*RpForward_Closure)
+                 (const RpForward *message,
+                  void *closure_data);
 typedef void (*RpMessage_Closure)
                  (const RpMessage *message,
                   void *closure_data);
+typedef void (*RpOutcome_Closure)
+                 (const RpOutcome *message,
+                  void *closure_data);
+typedef void (*RpVersion_Closure)
+                 (const RpVersion *message,
+                  void *closure_data);
+typedef void (*RpState_Closure)
+                 (const RpState *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -460,7 +731,13 @@
 extern const ProtobufCMessageDescriptor rp_append__descriptor;
 extern const ProtobufCMessageDescriptor rp_append_reply__descriptor;
 extern const ProtobufCMessageDescriptor rp_install__descriptor;
+extern const ProtobufCMessageDescriptor rp_install_reply__descriptor;
+extern const ProtobufCMessageDescriptor rp_probe__descriptor;
+extern const ProtobufCMessageDescriptor rp_forward__descriptor;
 extern const ProtobufCMessageDescriptor rp_message__descriptor;
+extern const ProtobufCMessageDescriptor rp_outcome__descriptor;
+extern const ProtobufCMessageDescriptor rp_version__descriptor;
+extern const ProtobufCMessageDescriptor rp_state__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/wire/wi_type.h
+++ b/wire/wi_type.h
@@ -32,6 +32,7 @@
 	CT_ANSWER = 23,	 /* CtAnswer */
 
 	RP_MESSAGE = 40, /* RpMessage */
+	RP_FORWARD = 41, /* RpForward */
 
 	DS_SUBSCRIBE = 60, /* DsSubscribe */
 	DS_UPDATE = 61,	   /* DsUpdate */
@@ -45,12 +46,6 @@
 	RT_FIGURES = 100, /* RtFigures */
 	RT_BATCH = 101,	  /* RtBatch */
 	RT_ACK = 102,	  /* RtAck */
-
-	CL_REQUEST = 120, /* ClRequest */
-	CL_HEAD = 121,	  /* ClHead */
-	CL_DATA = 122,	  /* ClData */
-	CL_CREDIT = 123,  /* ClCredit */
-	CL_CANCEL = 124,  /* ClCancel */
 };
 
 #endif
