caraway-source: replicas that accept, keep and publish configurations

Cause: carawayctl and the relays had no source to talk to.

Change: sessions of operators (submit, status, current, history, report), relays (feed, figures) and replicas on one address. Any replica serves relays and queries from what it has committed; figures are forwarded to the leader and acknowledged by whichever replica the relay is connected to, once they are in the log. The leader notes when a version is in force on all daemons, from the acknowledgements of all replicas.

Shown by: test/cases/source-replicas.sh, three processes: a submission, kill -9 of the leader, a second submission and the first one sent again (same outcome), the dead leader's disk deleted and the replica repaired to a vote, kill -9 of the new leader, both submissions still there; one replica of three accepts nothing; two accept again.

--- /dev/null
+++ b/prog/so_feed.c
@@ -0,0 +1,179 @@
+#include <string.h>
+
+#include "base/ba_event.h"
+#include "base/ba_result.h"
+#include "prog/so.h"
+#include "wire/ds.pb-c.h"
+#include "wire/rp.pb-c.h"
+
+#define SUMMARY_AGE_LIMIT (5 * BA_SECOND)
+#define SUBSCRIBER_KEPT (24 * BA_HOUR)
+
+static void on_ack(struct ds_feed_owner *o, uint64_t lowest, uint32_t daemons);
+static void note_subscriber(struct so_conn *c, const struct wi_frame *f);
+static void set_behind(struct so_subscriber *r, const DsAck *m);
+static struct so_subscriber *subscriber(struct so_source *s,
+					const struct wi_peer *peer);
+static void subscriber_free(gpointer data);
+static gboolean is_forgotten(gpointer key, gpointer value, gpointer now);
+static void check_in_force(struct so_source *s, ba_time now);
+static void propose_in_force(struct so_source *s, uint64_t version,
+			     uint32_t daemons);
+
+void so_feed_start(struct so_source *s)
+{
+	s->feed_owner.on_ack = on_ack;
+	s->feed = ds_feed_new(s->loop, &s->feed_owner);
+	ds_feed_set_region(s->feed, s->identity->region);
+	ds_feed_set_stale(s->feed, ba_loop_now(s->loop));
+	s->subscribers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       subscriber_free);
+}
+
+void so_feed_stop(struct so_source *s)
+{
+	ds_feed_free(s->feed);
+	g_hash_table_destroy(s->subscribers);
+}
+
+int so_feed_frame(struct so_conn *c, const struct wi_frame *f)
+{
+	if (f->type == RT_BATCH)
+		return so_figures_batch(c, f);
+	if (f->type == DS_ACK)
+		note_subscriber(c, f);
+	return ds_feed_frame(c->source->feed, c->session, f);
+}
+
+/*
+ * What is published is fresh while a leader within its lease says so, or a
+ * follower hears one; nothing newer can then be held by any daemon.
+ */
+void so_feed_check(struct so_source *s, ba_time now)
+{
+	const struct rp_core *core = rp_node_core(s->node);
+	uint64_t version =
+		rp_machine_current(rp_node_machine(s->node))->version;
+	ba_time informed = rp_core_informed(core, now);
+	bool fresh = informed && now - informed <= 3 * s->heartbeat;
+
+	ds_feed_set_stale(s->feed,
+			  fresh ? BA_NEVER : MAX(informed, s->started));
+	ds_feed_set_floor(s->feed, version, fresh);
+	g_hash_table_foreach_remove(s->subscribers, is_forgotten, &now);
+	check_in_force(s, now);
+}
+
+static void on_ack(struct ds_feed_owner *o, uint64_t lowest, uint32_t daemons)
+{
+	struct so_source *s = ba_entry(o, struct so_source, feed_owner);
+
+	rp_node_summary(s->node, lowest, daemons);
+	check_in_force(s, ba_loop_now(s->loop));
+}
+
+static void note_subscriber(struct so_conn *c, const struct wi_frame *f)
+{
+	DsAck *m = (DsAck *)wi_frame_unpack(f, &ds_ack__descriptor);
+	struct so_subscriber *r;
+
+	if (!m)
+		return;
+	r = subscriber(c->source, wi_session_peer(c->session));
+	if (r) {
+		r->version = m->n_counts ? m->counts[0]->version : m->version;
+		r->daemons = m->daemons;
+		r->heard = ba_loop_now(c->source->loop);
+		set_behind(r, m);
+	}
+	ds_ack__free_unpacked(m, NULL);
+}
+
+static void set_behind(struct so_subscriber *r, const DsAck *m)
+{
+	g_strfreev(r->behind);
+	r->behind = g_new0(char *, m->n_behind + 1);
+	for (size_t i = 0; i < m->n_behind; i++)
+		r->behind[i] = g_strdup(m->behind[i]);
+}
+
+static struct so_subscriber *subscriber(struct so_source *s,
+					const struct wi_peer *peer)
+{
+	struct so_subscriber *r =
+		g_hash_table_lookup(s->subscribers, peer->instance);
+
+	if (r || g_hash_table_size(s->subscribers) >= SO_SUBSCRIBERS_LIMIT)
+		return r;
+	r = g_new0(struct so_subscriber, 1);
+	r->instance = g_strdup(peer->instance);
+	r->data_centre = g_strdup(peer->data_centre);
+	r->region = g_strdup(peer->region);
+	g_hash_table_insert(s->subscribers, r->instance, r);
+	return r;
+}
+
+static void subscriber_free(gpointer data)
+{
+	struct so_subscriber *r = data;
+
+	g_free(r->instance);
+	g_free(r->data_centre);
+	g_free(r->region);
+	g_strfreev(r->behind);
+	g_free(r);
+}
+
+static gboolean is_forgotten(gpointer key, gpointer value, gpointer now)
+{
+	const struct so_subscriber *r = value;
+
+	(void)key;
+	return *(ba_time *)now - r->heard > SUBSCRIBER_KEPT;
+}
+
+/*
+ * The leader adds up what the replicas' subscribers acknowledged.  A replica
+ * that has been silent for long is left out: its relays go to others.
+ */
+static void check_in_force(struct so_source *s, ba_time now)
+{
+	const struct rp_core *core = rp_node_core(s->node);
+	const struct rp_machine *m = rp_node_machine(s->node);
+	uint64_t lowest = UINT64_MAX;
+	uint32_t daemons = 0;
+
+	if (rp_core_accepting(core, now))
+		return;
+	for (size_t i = 0; i < s->settings->names.n; i++) {
+		struct rp_peer_state p = rp_core_peer(core, (int)i);
+		bool own = (int)i == s->self;
+
+		if (!p.daemons || (!own && now - p.heard > SUMMARY_AGE_LIMIT))
+			continue;
+		lowest = MIN(lowest, p.lowest);
+		daemons += p.daemons;
+	}
+	if (!daemons || lowest <= rp_machine_in_force(m) ||
+	    lowest <= s->proposed_in_force)
+		return;
+	propose_in_force(s, MIN(lowest, rp_machine_current(m)->version),
+			 daemons);
+}
+
+static void propose_in_force(struct so_source *s, uint64_t version,
+			     uint32_t daemons)
+{
+	RtInForce m = RT_IN_FORCE__INIT;
+	uint8_t packed[64];
+	size_t len;
+
+	m.version = version;
+	m.daemons = daemons;
+	m.wall_us = (uint64_t)ba_clock_wall();
+	len = rt_in_force__pack(&m, packed);
+	if (!rp_node_propose(s->node, RP_ENTRY_KIND__RP_ENTRY_IN_FORCE, packed,
+			     len, ba_loop_now(s->loop)))
+		s->proposed_in_force = version;
+	so_source_rearm(s);
+}
--- /dev/null
+++ b/prog/so_operator.c
@@ -0,0 +1,195 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/ba_event.h"
+#include "base/ba_result.h"
+#include "prog/so.h"
+
+enum {
+	DEFAULT_HISTORY = 100,
+	DAY_BYTES = 10,
+};
+
+/* One command of CtQuery; fills in the answer's JSON. */
+struct command {
+	const char *name;
+	int (*answer)(struct so_source *s, const char *argument,
+		      struct ba_buf *json, struct ba_buf *snapshot);
+};
+
+static int take_submit(struct so_conn *c, const struct wi_frame *f);
+static int take_query(struct so_conn *c, const struct wi_frame *f);
+static int answer_status(struct so_source *s, const char *argument,
+			 struct ba_buf *json, struct ba_buf *snapshot);
+static int answer_current(struct so_source *s, const char *argument,
+			  struct ba_buf *json, struct ba_buf *snapshot);
+static int answer_history(struct so_source *s, const char *argument,
+			  struct ba_buf *json, struct ba_buf *snapshot);
+static int answer_report(struct so_source *s, const char *argument,
+			 struct ba_buf *json, struct ba_buf *snapshot);
+static void send_refusal(struct so_conn *c, int code);
+static void log_outcome(const struct so_conn *c, const CtOutcome *outcome);
+
+static const struct command commands[] = {
+	{"status", answer_status},
+	{"current", answer_current},
+	{"history", answer_history},
+	{"report", answer_report},
+};
+
+int so_operator_frame(struct so_conn *c, const struct wi_frame *f)
+{
+	if (f->type == CT_SUBMIT)
+		return take_submit(c, f);
+	if (f->type == CT_QUERY)
+		return take_query(c, f);
+	return WI_FRAME_UNKNOWN;
+}
+
+void so_operator_outcome(struct so_source *s, uint64_t token,
+			 const CtOutcome *outcome)
+{
+	struct so_conn *c = g_hash_table_lookup(s->waiting, &token);
+
+	if (!c)
+		return;
+	g_hash_table_remove(s->waiting, &token);
+	c->token = 0;
+	log_outcome(c, outcome);
+	wi_send(c->session, CT_OUTCOME, &outcome->base);
+}
+
+void so_operator_closed(struct so_conn *c)
+{
+	if (!c->token)
+		return;
+	rp_node_forget(c->source->node, c->token);
+	g_hash_table_remove(c->source->waiting, &c->token);
+	c->token = 0;
+}
+
+/* The session says who the operator is, whatever the frame may say. */
+static int take_submit(struct so_conn *c, const struct wi_frame *f)
+{
+	struct so_source *s = c->source;
+	CtSubmit *m = (CtSubmit *)wi_frame_unpack(f, &ct_submit__descriptor);
+	CtSubmit submit;
+
+	if (!m)
+		return WI_FRAME_GARBAGE;
+	if (c->token) {
+		send_refusal(c, WI_QUEUE_FULL);
+	} else if (m->text.len > SO_TEXT_LIMIT_BYTES) {
+		send_refusal(c, WI_FRAME_TOO_LARGE);
+	} else {
+		submit = *m;
+		submit.operator_ = wi_session_peer(c->session)->operator_name;
+		c->token = ++s->last_token;
+		g_hash_table_insert(s->waiting, &c->token, c);
+		rp_node_submit(s->node, c->token, &submit, ba_loop_now(s->loop),
+			       ba_clock_wall());
+		so_source_rearm(s);
+	}
+	ct_submit__free_unpacked(m, NULL);
+	return BA_OK;
+}
+
+static int take_query(struct so_conn *c, const struct wi_frame *f)
+{
+	CtQuery *q = (CtQuery *)wi_frame_unpack(f, &ct_query__descriptor);
+	CtAnswer answer = CT_ANSWER__INIT;
+	struct ba_buf json = {0};
+	struct ba_buf snapshot = {0};
+	int code = BA_USAGE;
+
+	if (!q)
+		return WI_FRAME_GARBAGE;
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
+		if (!strcmp(commands[i].name, q->command))
+			code = commands[i].answer(
+				c->source,
+				q->n_arguments ? q->arguments[0] : "", &json,
+				&snapshot);
+	answer.code = (uint32_t)code;
+	answer.json.data = json.data;
+	answer.json.len = json.len;
+	answer.snapshot.data = snapshot.data;
+	answer.snapshot.len = snapshot.len;
+	wi_send(c->session, CT_ANSWER, &answer.base);
+	ba_buf_free(&json);
+	ba_buf_free(&snapshot);
+	ct_query__free_unpacked(q, NULL);
+	return BA_OK;
+}
+
+static int answer_status(struct so_source *s, const char *argument,
+			 struct ba_buf *json, struct ba_buf *snapshot)
+{
+	(void)argument;
+	(void)snapshot;
+	so_status_json(s, json);
+	return BA_OK;
+}
+
+static int answer_current(struct so_source *s, const char *argument,
+			  struct ba_buf *json, struct ba_buf *snapshot)
+{
+	(void)argument;
+	so_current_json(s, json);
+	cf_snapshot_encode(rp_machine_current(rp_node_machine(s->node)),
+			   snapshot);
+	return BA_OK;
+}
+
+static int answer_history(struct so_source *s, const char *argument,
+			  struct ba_buf *json, struct ba_buf *snapshot)
+{
+	char *end = NULL;
+	long limit = DEFAULT_HISTORY;
+
+	(void)snapshot;
+	if (*argument) {
+		limit = strtol(argument, &end, 10);
+		if (*end || limit < 1)
+			return BA_USAGE;
+	}
+	so_history_json(s, (size_t)limit, json);
+	return BA_OK;
+}
+
+static int answer_report(struct so_source *s, const char *argument,
+			 struct ba_buf *json, struct ba_buf *snapshot)
+{
+	const struct rp_machine *m = rp_node_machine(s->node);
+
+	(void)snapshot;
+	if (strlen(argument) > DAY_BYTES)
+		return RT_DAY_UNKNOWN;
+	return rt_days_json(rp_machine_days(m), rp_machine_current(m), argument,
+			    ba_clock_wall(), json);
+}
+
+static void send_refusal(struct so_conn *c, int code)
+{
+	CtOutcome outcome = CT_OUTCOME__INIT;
+
+	outcome.code = (uint32_t)code;
+	wi_send(c->session, CT_OUTCOME, &outcome.base);
+}
+
+static void log_outcome(const struct so_conn *c, const CtOutcome *outcome)
+{
+	const char *name = wi_session_peer(c->session)->operator_name;
+
+	if (outcome->code)
+		ba_event(
+			RP_EV_SUBMISSION_REFUSED,
+			"operator=%s code=%u reason=%s problems=%zu current=%llu",
+			name, outcome->code,
+			ba_result_info((int)outcome->code)->name,
+			outcome->n_problems,
+			(unsigned long long)outcome->current);
+	else
+		ba_event(RP_EV_ACCEPTED, "operator=%s version=%llu", name,
+			 (unsigned long long)outcome->version);
+}
--- /dev/null
+++ b/prog/so_source.c
@@ -0,0 +1,210 @@
+#include <string.h>
+
+#include "base/ba_event.h"
+#include "base/ba_result.h"
+#include "prog/so.h"
+#include "replica/rp_disk.h"
+#include "wire/rp.pb-c.h"
+
+#define CHECK_INTERVAL (200 * BA_MS)
+
+static int start_node(struct so_source *s);
+static void log_recovery(const struct rp_recovery *found);
+static void on_timer(struct ba_timer *t, ba_time now);
+static void on_send(struct rp_node_owner *o, int to, const void *data,
+		    size_t len);
+static void on_applied(struct rp_node_owner *o, const struct rp_entry *e,
+		       const struct rp_applied *a);
+static void on_published(struct rp_node_owner *o, struct cf_snapshot *snapshot);
+static void on_outcome(struct rp_node_owner *o, uint64_t token,
+		       const CtOutcome *outcome);
+static void on_role(struct rp_node_owner *o, enum rp_role role, int leader,
+		    int reason);
+
+int so_source_start(struct so_source *s)
+{
+	int ret = so_keys_load(s);
+
+	if (ret)
+		return ret;
+	ba_list_init(&s->conns);
+	s->waiting = g_hash_table_new(g_int64_hash, g_int64_equal);
+	s->rand.state = s->identity->incarnation;
+	s->started = ba_loop_now(s->loop);
+	s->timer.fire = on_timer;
+	so_feed_start(s);
+	so_figures_start(s);
+	ret = start_node(s);
+	if (!ret) {
+		s->acceptor.accept = so_session_accept;
+		ret = wi_listen(s->loop, &s->settings->address, s->identity,
+				&ds_limits, &s->acceptor, &s->listener);
+	}
+	if (ret)
+		return ret;
+	so_peer_start(s);
+	on_published(&s->owner, rp_machine_current(rp_node_machine(s->node)));
+	on_timer(&s->timer, ba_loop_now(s->loop));
+	return BA_OK;
+}
+
+void so_source_stop(struct so_source *s)
+{
+	ba_loop_disarm(s->loop, &s->timer);
+	wi_listener_close(s->listener);
+	so_peer_stop(s);
+	if (s->waiting) {
+		so_session_free_all(s);
+		so_figures_stop(s);
+		rp_node_free(s->node);
+		so_feed_stop(s);
+		g_hash_table_destroy(s->waiting);
+	}
+	so_keys_free(s->identity);
+}
+
+void so_source_rearm(struct so_source *s)
+{
+	ba_time deadline = rp_node_deadline(s->node);
+
+	ba_loop_arm(s->loop, &s->timer,
+		    MIN(deadline, ba_loop_now(s->loop) + CHECK_INTERVAL));
+}
+
+void so_source_propose(struct so_source *s, int kind, const void *body,
+		       size_t len)
+{
+	ba_time now = ba_loop_now(s->loop);
+	int leader = rp_core_leader(rp_node_core(s->node));
+	RpForward m = RP_FORWARD__INIT;
+	struct ba_buf packed = {0};
+
+	if (leader == s->self) {
+		rp_node_propose(s->node, kind, body, len, now);
+		so_source_rearm(s);
+		return;
+	}
+	if (leader == RP_NOBODY)
+		return;
+	m.kind = (RpEntryKind)kind;
+	m.body.data = (uint8_t *)body;
+	m.body.len = len;
+	ba_buf_reserve(&packed, rp_forward__get_packed_size(&m));
+	packed.len = rp_forward__pack(&m, packed.data);
+	so_peer_send(s, leader, RP_FORWARD, packed.data, packed.len);
+	ba_buf_free(&packed);
+}
+
+static int start_node(struct so_source *s)
+{
+	const struct so_settings *st = s->settings;
+	struct rp_node_options o = {.owner = &s->owner};
+	struct rp_recovery found = {0};
+	int ret = rp_disk_open(st->data_folder, &o.store);
+
+	if (ret)
+		return ret;
+	s->owner.send = on_send;
+	s->owner.applied = on_applied;
+	s->owner.published = on_published;
+	s->owner.outcome = on_outcome;
+	s->owner.role = on_role;
+	for (size_t i = 0; i < st->names.n; i++) {
+		s->names[i] = st->names.list[i];
+		s->addresses[i] = st->addresses.list[i].text;
+	}
+	s->self = so_peer_find(s, s->identity->instance);
+	o.core.names = s->names;
+	o.core.addresses = s->addresses;
+	o.core.n_names = st->names.n;
+	o.core.self = s->self;
+	o.core.times = rp_times_default;
+	o.core.seed = s->identity->incarnation;
+	s->heartbeat = o.core.times.heartbeat;
+	ret = rp_node_new(&o, ba_loop_now(s->loop), &found, &s->node);
+	log_recovery(&found);
+	return ret;
+}
+
+static void log_recovery(const struct rp_recovery *found)
+{
+	if (found->damaged)
+		ba_event(RP_EV_LOG_DAMAGED, "code=%d", (int)RP_LOG_DAMAGED);
+	if (found->cut_bytes)
+		ba_event(RP_EV_LOG_CUT, "bytes=%zu", found->cut_bytes);
+	ba_event(RP_EV_RECOVERED, "snapshot=%llu entries=%zu",
+		 (unsigned long long)found->snapshot_index, found->entries);
+}
+
+static void on_timer(struct ba_timer *t, ba_time now)
+{
+	struct so_source *s = ba_entry(t, struct so_source, timer);
+
+	if (now >= rp_node_deadline(s->node))
+		rp_node_tick(s->node, now);
+	so_feed_check(s, now);
+	if (rp_core_alone(rp_node_core(s->node))) {
+		ba_event(RP_EV_LOG_DAMAGED, "code=%d nobody_has_a_log=true",
+			 (int)RP_LOG_DAMAGED);
+		s->exit_code = RP_LOG_DAMAGED;
+		ba_loop_stop(s->loop);
+	}
+	so_source_rearm(s);
+}
+
+static void on_send(struct rp_node_owner *o, int to, const void *data,
+		    size_t len)
+{
+	struct so_source *s = ba_entry(o, struct so_source, owner);
+
+	so_peer_send(s, to, RP_MESSAGE, data, len);
+}
+
+static void on_applied(struct rp_node_owner *o, const struct rp_entry *e,
+		       const struct rp_applied *a)
+{
+	struct so_source *s = ba_entry(o, struct so_source, owner);
+
+	if (e->kind == RP_ENTRY_KIND__RP_ENTRY_FIGURES && !a->code)
+		so_figures_applied(s, e);
+	if (e->kind == RP_ENTRY_KIND__RP_ENTRY_MEMBERS)
+		ba_event(RP_EV_MEMBERS, "index=%llu",
+			 (unsigned long long)e->index);
+	if (e->kind == RP_ENTRY_KIND__RP_ENTRY_IN_FORCE)
+		ba_event(DS_EV_IN_FORCE, "version=%llu",
+			 (unsigned long long)rp_machine_in_force(
+				 rp_node_machine(s->node)));
+}
+
+static void on_published(struct rp_node_owner *o, struct cf_snapshot *snapshot)
+{
+	struct so_source *s = ba_entry(o, struct so_source, owner);
+
+	if (snapshot->version)
+		ds_feed_publish(s->feed, snapshot);
+}
+
+static void on_outcome(struct rp_node_owner *o, uint64_t token,
+		       const CtOutcome *outcome)
+{
+	so_operator_outcome(ba_entry(o, struct so_source, owner), token,
+			    outcome);
+}
+
+static void on_role(struct rp_node_owner *o, enum rp_role role, int leader,
+		    int reason)
+{
+	struct so_source *s = ba_entry(o, struct so_source, owner);
+	unsigned long long term = rp_core_term(rp_node_core(s->node));
+
+	s->proposed_in_force = 0;
+	if (role == RP_LEADER)
+		ba_event(RP_EV_ELECTED, "term=%llu", term);
+	else if (reason == RP_NO_QUORUM)
+		ba_event(RP_EV_QUORUM_LOST, "term=%llu", term);
+	else if (reason == BA_DISK_FULL)
+		ba_event(RP_EV_DISK_FULL, "term=%llu", term);
+	else
+		ba_event(RP_EV_DEPOSED, "term=%llu leader=%s", term,
+			 leader == RP_NOBODY ? "" : s->names[leader]);
+}
