--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 BINARIES := $(PROGRAMS:%=$(BUILD)/%) $(TOOLS:%=$(BUILD)/%)
 
 .PHONY: all demo check tests run-tests bench bench-converge bench-calls \
-	bench-scale install clean deps lint-deps format lint tidy proto
+	bench-scale install clean deps lint-deps format lint tidy proto docs
 
 all: $(BINARIES)
 
@@ -111,6 +111,15 @@
 proto:
 	cd wire && for f in *.proto; do protoc-c --c_out=. $$f || exit 1; done
 
+# The tables of docs/RESULTS.md and docs/EVENTS.md; a test compares them.
+docs: $(BUILD)/carawayctl
+	@for t in RESULTS EVENTS; do \
+		f=docs/$$t.md; \
+		sed '/^|/,$$d' $$f >$(BUILD)/$$t.md && \
+		$(BUILD)/carawayctl explain $$(echo $$t | tr A-Z a-z) \
+			>>$(BUILD)/$$t.md && cp $(BUILD)/$$t.md $$f || exit 1; \
+	done
+
 format: lint-deps
 	clang-format -i $(C_FILES)
 
--- a/base/ba_settings.c
+++ b/base/ba_settings.c
@@ -61,6 +61,13 @@
 			       set_addresses, NULL, false},
 };
 
+static const char *const kind_names[] = {
+	[BA_KIND_STRING] = "string",	 [BA_KIND_STRINGS] = "strings",
+	[BA_KIND_INTEGER] = "integer",	 [BA_KIND_BOOLEAN] = "boolean",
+	[BA_KIND_DURATION] = "duration", [BA_KIND_BYTES] = "size",
+	[BA_KIND_ADDRESS] = "address",	 [BA_KIND_ADDRESSES] = "addresses",
+};
+
 static void check_unknown(const struct ba_toml *table, const char *name,
 			  const struct ba_key *keys,
 			  struct ba_problems *problems);
@@ -153,6 +160,20 @@
 	}
 }
 
+void ba_settings_describe(const struct ba_key *keys, struct ba_buf *out)
+{
+	for (const struct ba_key *k = keys; k->name; k++) {
+		char full[FULL_KEY_BYTES];
+
+		full_key(full, sizeof(full), k->table, k->name);
+		ba_buf_addf(out, "| %s | %s | %s |\n", full,
+			    kind_names[k->kind],
+			    k->required	  ? "required"
+			    : k->fallback ? k->fallback
+					  : "none");
+	}
+}
+
 int ba_file_read(const char *file, size_t limit, struct ba_buf *out)
 {
 	int fd = open(file, O_RDONLY | O_CLOEXEC);
--- a/base/ba_settings.h
+++ b/base/ba_settings.h
@@ -88,6 +88,12 @@
 			   const struct ba_key *keys, void *out,
 			   struct ba_problems *problems);
 
+/**
+ * ba_settings_describe() - append a row "| table.key | kind | default |" for
+ * each key; the default of a required key reads "required"
+ */
+void ba_settings_describe(const struct ba_key *keys, struct ba_buf *out);
+
 /** ba_file_read() - read a whole file of at most @limit bytes into @out */
 int ba_file_read(const char *file, size_t limit, struct ba_buf *out);
 
--- a/prog/carawayctl.c
+++ b/prog/carawayctl.c
@@ -13,6 +13,7 @@
 	char *settings;
 	gboolean json;
 	gboolean version;
+	gboolean keys;
 	gint timeout_s;
 	char **rest;
 };
@@ -39,6 +40,7 @@
 static int parse(int argc, char **argv, struct command_line *c, struct ct *ct);
 static char *describe_commands(void);
 static int run(const struct command_line *c, struct ct *ct);
+static void print_keys(void);
 static int usage(const char *fmt, const char *detail);
 static void clear(struct command_line *c, struct ct *ct);
 
@@ -50,6 +52,8 @@
 
 	if (!code && c.version)
 		printf("carawayctl %s\n", CARAWAY_VERSION);
+	else if (!code && c.keys)
+		print_keys();
 	else if (!code)
 		code = run(&c, &ct);
 	clear(&c, &ct);
@@ -86,6 +90,8 @@
 		{"log", 'l', 0, G_OPTION_ARG_FILENAME_ARRAY, &ct->logs,
 		 "explain: log file of an instance; may be given again",
 		 "FILE"},
+		{"keys", 'k', 0, G_OPTION_ARG_NONE, &c->keys,
+		 "List the keys of the settings file and exit", NULL},
 		{"version", 'V', 0, G_OPTION_ARG_NONE, &c->version,
 		 "Print the version and exit", NULL},
 		{G_OPTION_REMAINING, 0, 0, G_OPTION_ARG_FILENAME_ARRAY,
@@ -157,6 +163,15 @@
 	return code;
 }
 
+static void print_keys(void)
+{
+	struct ba_buf text = {0};
+
+	ba_settings_describe(ct_settings_keys, &text);
+	fputs(ba_buf_text(&text), stdout);
+	ba_buf_free(&text);
+}
+
 static int usage(const char *fmt, const char *detail)
 {
 	char *text = g_strdup_printf(fmt, detail);
--- a/prog/ct_explain.c
+++ b/prog/ct_explain.c
@@ -16,6 +16,11 @@
 	LINE_BYTES = 4096,
 };
 
+static const char *const severities[] = {"debug", "info", "notice", "warning",
+					 "error"};
+
+static int list_results(void);
+static int list_events(void);
 static int explain_event(struct ct *ct, int id);
 static int explain_code(struct ct *ct, int code);
 static int explain_story(struct ct *ct, const char *what);
@@ -31,6 +36,10 @@
 	char *end;
 	long n = strtol(what, &end, 10);
 
+	if (!strcmp(what, "results"))
+		return list_results();
+	if (!strcmp(what, "events"))
+		return list_events();
 	if (strchr(what, '='))
 		return explain_story(ct, what);
 	if (*end)
@@ -53,10 +62,37 @@
 	return BA_USAGE;
 }
 
+/* The tables of docs/RESULTS.md and docs/EVENTS.md. */
+static int list_results(void)
+{
+	puts("| code | name | what happened | what to do | HTTP | exit |\n"
+	     "|---|---|---|---|---|---|");
+	for (int c = ba_result_next(-1); c >= 0; c = ba_result_next(c)) {
+		const struct ba_result_info *info = ba_result_info(c);
+		char http[16] = "";
+
+		if (info->http_status)
+			g_snprintf(http, sizeof(http), "%d", info->http_status);
+		printf("| %d | %s | %s | %s | %s | %d |\n", c, info->name,
+		       info->text, info->next_step, http, info->exit_code);
+	}
+	return BA_OK;
+}
+
+static int list_events(void)
+{
+	puts("| event | name | severity | what happened |\n|---|---|---|---|");
+	for (int id = ba_event_next(-1); id >= 0; id = ba_event_next(id)) {
+		const struct ba_event_info *info = ba_event_info(id);
+
+		printf("| %d | %s | %s | %s |\n", id, info->name,
+		       severities[info->severity], info->text);
+	}
+	return BA_OK;
+}
+
 static int explain_event(struct ct *ct, int id)
 {
-	static const char *const severities[] = {"debug", "info", "notice",
-						 "warning", "error"};
 	const struct ba_event_info *info = ba_event_info(id);
 
 	if (ct->json)
--- a/prog/pr.c
+++ b/prog/pr.c
@@ -13,6 +13,7 @@
 	char *file;
 	gboolean check;
 	gboolean version;
+	gboolean keys;
 };
 
 static const char *const level_names[] = {
@@ -21,6 +22,7 @@
 };
 
 static int parse(int argc, char **argv, struct command_line *c);
+static int print_keys(const struct ba_key *keys);
 static int validate(const struct command_line *c, const struct ba_key *keys,
 		    struct pr_common *s, struct wi_identity *id);
 static void check_level(const struct pr_common *s, struct ba_problems *p);
@@ -42,6 +44,8 @@
 	if (ret < 0 && c.version) {
 		printf("%s %s\n", program, CARAWAY_VERSION);
 		ret = 0;
+	} else if (ret < 0 && c.keys) {
+		ret = print_keys(keys);
 	} else if (ret < 0) {
 		ret = validate(&c, keys, settings, id);
 	}
@@ -92,6 +96,8 @@
 		 "Check the settings and exit", NULL},
 		{"version", 'V', 0, G_OPTION_ARG_NONE, &c->version,
 		 "Print the version and exit", NULL},
+		{"keys", 'k', 0, G_OPTION_ARG_NONE, &c->keys,
+		 "List the keys of the settings file and exit", NULL},
 		G_OPTION_ENTRY_NULL,
 	};
 	GOptionContext *ctx = g_option_context_new(NULL);
@@ -103,7 +109,7 @@
 		fprintf(stderr, "%s: %s\n", argv[0], err->message);
 		g_error_free(err);
 		ret = ba_result_info(BA_USAGE)->exit_code;
-	} else if (!c->version && !c->file) {
+	} else if (!c->version && !c->keys && !c->file) {
 		fprintf(stderr, "%s: --settings FILE is required; see --help\n",
 			argv[0]);
 		ret = ba_result_info(BA_USAGE)->exit_code;
@@ -112,6 +118,16 @@
 	return ret;
 }
 
+static int print_keys(const struct ba_key *keys)
+{
+	struct ba_buf text = {0};
+
+	ba_settings_describe(keys, &text);
+	fputs(ba_buf_text(&text), stdout);
+	ba_buf_free(&text);
+	return 0;
+}
+
 static int validate(const struct command_line *c, const struct ba_key *keys,
 		    struct pr_common *s, struct wi_identity *id)
 {
