--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -86,7 +86,7 @@
 	[EP_EV_EXPIRY_HELD] =
 		{"expiry-held", BA_WARNING,
 		 "Most leases expired at once; the endpoints are kept because this observer may be cut off."},
-	[CL_EV_ROUTED] = {"routed", BA_DEBUG,
+	[CL_EV_ROUTED] = {"routed", BA_INFO,
 			  "A call was routed to an endpoint."},
 	[CL_EV_NOT_RUN] =
 		{"not-run", BA_INFO,
--- a/base/ba_result.c
+++ b/base/ba_result.c
@@ -240,6 +240,19 @@
 		{"cancelled",
 		 "The caller went away before the answer; the request may have run.",
 		 "None needed.", 499, EXIT_FAILED},
+	[CL_DEADLINE_EXPIRED] =
+		{"deadline-expired",
+		 "The deadline had passed before the request was sent on; it was not run.",
+		 "Send it again with more time.", 503, EXIT_FAILED},
+	[CL_KEY_MALFORMED] =
+		{"key-malformed",
+		 "The Idempotency-Key does not name its home and its time of issue; the request was not run.",
+		 "Write it as DATA-CENTRE.MILLISECONDS.RANDOM, with the wall time of issue.",
+		 400, EXIT_FAILED},
+	[CL_KEY_REUSED] =
+		{"key-reused",
+		 "The Idempotency-Key was used for another request; this one was not run.",
+		 "Use a new key for each request.", 422, EXIT_FAILED},
 	[RT_DAY_UNKNOWN] = {"day-unknown", "No figures are kept for that day.",
 			    "Choose a day that status lists.", 0, EXIT_FAILED},
 	[RT_SOURCE_UNREACHABLE] =
--- a/bench/bn_http.c
+++ b/bench/bn_http.c
@@ -45,7 +45,7 @@
 static void on_ready(struct ba_watch *w, unsigned int bits);
 static size_t on_data(char *data, size_t size, size_t n, void *arg);
 static size_t on_header(char *data, size_t size, size_t n, void *arg);
-static void copy_value(char out[BN_ETAG_BYTES], const char *value, size_t n);
+static void copy_value(char *out, size_t size, const char *value, size_t n);
 static void collect(struct bn_http *h);
 static void complete(struct bn_http *h, struct transfer *t, CURLcode code);
 static enum bn_transport classify(CURLcode code);
@@ -77,6 +77,7 @@
 	r->result = -1;
 	r->status = 0;
 	r->etag[0] = '\0';
+	r->homes[0] = '\0';
 	r->answer.len = 0;
 	curl_easy_setopt(t->easy, CURLOPT_URL, r->url);
 	curl_easy_setopt(t->easy, CURLOPT_CUSTOMREQUEST, r->method);
@@ -214,20 +215,24 @@
 {
 	static const char result[] = BN_RESULT_HEADER ":";
 	static const char etag[] = "ETag:";
+	static const char homes[] = BN_HOMES_HEADER ":";
 	struct bn_request *r = arg;
 
 	if (n > sizeof(result) &&
 	    !strncasecmp(data, result, sizeof(result) - 1))
 		r->result = atoi(data + sizeof(result) - 1);
 	if (n > sizeof(etag) && !strncasecmp(data, etag, sizeof(etag) - 1))
-		copy_value(r->etag, data + sizeof(etag) - 1,
+		copy_value(r->etag, sizeof(r->etag), data + sizeof(etag) - 1,
 			   n - sizeof(etag) + 1);
+	if (n > sizeof(homes) && !strncasecmp(data, homes, sizeof(homes) - 1))
+		copy_value(r->homes, sizeof(r->homes), data + sizeof(homes) - 1,
+			   n - sizeof(homes) + 1);
 	return size * n;
 }
 
-static void copy_value(char out[BN_ETAG_BYTES], const char *value, size_t n)
+static void copy_value(char *out, size_t size, const char *value, size_t n)
 {
-	size_t len = n < BN_ETAG_BYTES ? n : BN_ETAG_BYTES - 1;
+	size_t len = n < size ? n : size - 1;
 
 	memcpy(out, value, len);
 	out[len] = '\0';
--- a/bench/bn_http.h
+++ b/bench/bn_http.h
@@ -18,6 +18,8 @@
 
 struct bn_http;
 
+enum { BN_HOMES_BYTES = 512 };
+
 /** enum bn_transport - how far a request came */
 enum bn_transport {
 	BN_COMPLETE,   /* the answer arrived to its end */
@@ -36,6 +38,7 @@
  * @status: HTTP status
  * @result: number in the result header, -1 when there is none
  * @etag: validator of the answer, or ""
+ * @homes: data centres that take new keys, or ""
  * @answer: body of the answer; freed by the owner
  */
 struct bn_request {
@@ -49,6 +52,7 @@
 	long status;
 	int result;
 	char etag[BN_ETAG_BYTES];
+	char homes[BN_HOMES_BYTES];
 	struct ba_buf answer;
 };
 
--- a/bench/caller_main.c
+++ b/bench/caller_main.c
@@ -28,6 +28,7 @@
 	URL_BYTES = 512,
 	PATH_BYTES = 256,
 	ID_BYTES = 64,
+	KEY_BYTES = 160,
 	NS_PER_US = 1000,
 	HTTP_OK_FIRST = 200,
 	HTTP_OK_LAST = 299,
@@ -40,11 +41,12 @@
 #define RESEND_PAUSE (100 * BA_MS)
 #define PROGRESS_TIME BA_SECOND
 
-/* One kind of call and its share of all. */
+/* One kind of call, its share of all, and where its keys may have homes. */
 struct kind {
 	char *method;
 	char *path;
 	int weight;
+	char **homes;
 };
 
 struct caller {
@@ -60,6 +62,7 @@
 	char **daemons;
 	unsigned int n_daemons;
 	char **backends;
+	char **near_homes;
 	char *name;
 	double rate;
 	int count;
@@ -78,7 +81,7 @@
 	struct bn_request request;
 	struct caller *caller;
 	struct ba_timer pause;
-	const struct kind *kind;
+	struct kind *kind;
 	bool keyed;
 	int item;
 	int attempts;
@@ -86,6 +89,8 @@
 	ba_time arrival;
 	ba_time deadline;
 	char id[ID_BYTES];
+	char home[ID_BYTES];
+	char key[KEY_BYTES];
 	char url[URL_BYTES];
 	char path[PATH_BYTES];
 	char body[PATH_BYTES];
@@ -93,16 +98,21 @@
 
 static void read_options(struct caller *c, int argc, char **argv);
 static void add_kind(struct caller *c, const char *text);
+static void free_options(struct caller *c);
 static void arm_arrival(struct caller *c);
 static void on_arrival(struct ba_watch *w, unsigned int bits);
 static void begin_call(struct caller *c);
-static const struct kind *draw_kind(struct caller *c);
+static struct kind *draw_kind(struct caller *c);
+static void make_key(struct call *k);
+static const char *draw_home(struct caller *c, char **homes, bool near);
+static void learn_homes(struct call *k);
 static void send_call(struct call *k);
 static void on_answer(struct bn_request *r);
 static enum bn_outcome judge(const struct call *k);
 static enum bn_outcome judge_refusal(const struct bn_request *r);
 static bool is_own(const struct call *k);
 static bool wants_resend(const struct call *k, enum bn_outcome o);
+static bool wants_new_key(const struct call *k, enum bn_outcome o);
 static void on_pause(struct ba_timer *t, ba_time now);
 static void end_call(struct call *k, enum bn_outcome o);
 static void on_progress(struct ba_timer *t, ba_time now);
@@ -144,6 +154,9 @@
 	bn_http_free(c.http);
 	bn_tally_free(c.tally);
 	ba_buf_free(&out);
+	close(c.arrival.fd);
+	ba_loop_free(c.loop);
+	free_options(&c);
 	return 0;
 }
 
@@ -161,6 +174,8 @@
 		{"call", 0, 0, G_OPTION_ARG_STRING_ARRAY, &kinds,
 		 "A kind of call and its share; may be repeated",
 		 "METHOD,PATH,WEIGHT"},
+		{"home", 0, 0, G_OPTION_ARG_STRING_ARRAY, &c->near_homes,
+		 "Data centre that keys name first; may be repeated", "NAME"},
 		{"rate", 0, 0, G_OPTION_ARG_DOUBLE, &c->rate,
 		 "Arrivals a second, over all daemons", "N"},
 		{"count", 0, 0, G_OPTION_ARG_INT, &c->count,
@@ -217,6 +232,19 @@
 	g_free(part);
 }
 
+static void free_options(struct caller *c)
+{
+	for (int i = 0; i < c->n_kinds; i++) {
+		g_free(c->kinds[i].method);
+		g_free(c->kinds[i].path);
+		g_strfreev(c->kinds[i].homes);
+	}
+	g_strfreev(c->daemons);
+	g_strfreev(c->backends);
+	g_strfreev(c->near_homes);
+	g_free(c->name);
+}
+
 static void arm_arrival(struct caller *c)
 {
 	struct itimerspec spec = {0};
@@ -277,16 +305,17 @@
 	k->request.url = k->url;
 	k->request.method = k->kind->method;
 	if (k->keyed) {
-		k->request.key = k->id;
+		make_key(k);
+		k->request.key = k->key;
 		k->request.body = k->body;
 	}
 	send_call(k);
 }
 
-static const struct kind *draw_kind(struct caller *c)
+static struct kind *draw_kind(struct caller *c)
 {
 	int n = (int)ba_rand_below(&c->rand, (uint64_t)c->weights);
-	const struct kind *k = c->kinds;
+	struct kind *k = c->kinds;
 
 	while (n >= k->weight) {
 		n -= k->weight;
@@ -295,6 +324,46 @@
 	return k;
 }
 
+/* A key names its home, the time of its issue and the call. */
+static void make_key(struct call *k)
+{
+	struct caller *c = k->caller;
+	const char *home = draw_home(c, k->kind->homes, true);
+
+	if (!home)
+		home = draw_home(c, k->kind->homes, false);
+	if (!home)
+		home = draw_home(c, c->near_homes, false);
+	g_strlcpy(k->home, home ? home : "home", sizeof(k->home));
+	snprintf(k->key, sizeof(k->key), "%s.%" PRId64 ".%s", k->home,
+		 ba_clock_wall() / BA_MS, k->id);
+}
+
+/* One of @homes by chance; with @near, one that is near, too. */
+static const char *draw_home(struct caller *c, char **homes, bool near)
+{
+	const char *drawn = NULL;
+	uint64_t n = 0;
+
+	for (char **h = homes; h && *h; h++) {
+		if (near &&
+		    (!c->near_homes ||
+		     !g_strv_contains((const char *const *)c->near_homes, *h)))
+			continue;
+		n++;
+		if (!ba_rand_below(&c->rand, n))
+			drawn = *h;
+	}
+	return drawn;
+}
+
+/* Only an answer that says not run may name other homes. */
+static void learn_homes(struct call *k)
+{
+	g_strfreev(k->kind->homes);
+	k->kind->homes = g_strsplit(k->request.homes, " ", -1);
+}
+
 static void send_call(struct call *k)
 {
 	k->attempts++;
@@ -309,8 +378,11 @@
 	struct call *k = ba_entry(r, struct call, request);
 	enum bn_outcome o = judge(k);
 
-	bn_tally_note(k->caller->tally, k->id, k->keyed, o);
-	if (!wants_resend(k, o)) {
+	bn_tally_note(k->caller->tally, k->keyed ? k->key : k->id, k->keyed, o);
+	if (wants_new_key(k, o)) {
+		learn_homes(k);
+		make_key(k);
+	} else if (!wants_resend(k, o)) {
 		end_call(k, o);
 		return;
 	}
@@ -375,6 +447,14 @@
 	       ba_clock_now() + RESEND_PAUSE < k->deadline;
 }
 
+/* The key was not run and has no owner; another home has one. */
+static bool wants_new_key(const struct call *k, enum bn_outcome o)
+{
+	return o == BN_NOT_RUN && k->request.homes[0] &&
+	       k->attempts <= k->caller->resends &&
+	       ba_clock_now() + RESEND_PAUSE < k->deadline;
+}
+
 static void on_pause(struct ba_timer *t, ba_time now)
 {
 	(void)now;
--- a/bench/demo.sh
+++ b/bench/demo.sh
@@ -71,6 +71,14 @@
 	esac
 }
 
+# keyed_path NAME: a path whose calls run once at most
+keyed_path() {
+	case $1 in
+	bucle-andino) echo /bookings ;;
+	dinas) echo /orders ;;
+	esac
+}
+
 start_all() {
 	local name fault
 	start_link 30ms "$1"
@@ -101,12 +109,18 @@
 }
 
 all_serve() {
-	local name path
+	local name path home
 	path=$(first_path "$mesh_name")
 	for name in $(names daemons)
 	do
 		poll "an answer through $name" serves "$name" "$path"
 	done
+	path=$(keyed_path "$mesh_name")
+	for home in $(data_centres)
+	do
+		poll "a keyed call with its home in $home" \
+			takes_key "$name" "$home" "$path"
+	done
 }
 
 # change_stream: one change a second until $work/enough exists; a change
@@ -140,6 +154,7 @@
 	for name in $(names_in "$1" daemons)
 	do
 		echo "--daemon $(caller_address "$name")"
+		echo "--home $(data_centre "$name")"
 	done
 }
 
@@ -208,7 +223,7 @@
 	note "graceful stop of daemon $name"
 	start caller-drain "$build/caller" --name drain --rate 50 --count 60 \
 		--deadline 3s --daemon "$(caller_address "$name")" \
-		$(calls_of "$mesh_name")
+		--home "$(data_centre "$name")" $(calls_of "$mesh_name")
 	sleep 0.5
 	stop "$name"
 	drain_status=$?
--- /dev/null
+++ b/bench/lib.sh
@@ -0,0 +1,131 @@
+# What the bench scripts share.  Sourced, in sh, after setting case_name;
+# the script's first argument is the build folder.
+
+top=$(cd "$(dirname "$0")/.." && pwd)
+build=$(cd "$1" && pwd)
+work=$build/bench-run/$case_name
+. "$top/test/process.sh"
+. "$top/bench/mesh.sh"
+
+# The only output is lines "bench NAME VALUE UNIT"; the rest goes to a file.
+bench() {
+	echo "bench $1 $2 $3"
+}
+
+# work_in NAME: a fresh folder for one part
+work_in() {
+	work=$build/bench-run/$case_name/$1
+	rm -rf "$work"
+	mkdir -p "$work"
+	mesh=$work/mesh
+}
+
+# now_us: wall time in microseconds
+now_us() {
+	echo $(($(date +%s%N) / 1000))
+}
+
+# grow_mesh N: add daemons like the first one of each data centre, without
+# backend servers, until there are N
+grow_mesh() {
+	local n data_centre like net slot
+	n=$(names daemons | wc -l)
+	slot=60
+	while test "$n" -lt "$1"
+	do
+		for data_centre in $(data_centres)
+		do
+			test "$n" -lt "$1" || break
+			n=$((n + 1))
+			like=$(first_daemon_of "$data_centre")
+			net=$(caller_address "$like" | cut -d. -f1-3)
+			sed -e "s/\"$like\"/\"extra-$n\"/" \
+				-e "s/$like\\.log/extra-$n.log/" \
+				-e "s/\"\\($mesh_net\\.[0-9]*\\)\\.3[0-9]:\\([789][0-9]*\\)\"/\"\\1.$slot:\\2\"/" \
+				"$mesh/daemons/$like.toml" \
+				>"$mesh/daemons/extra-$n.toml"
+		done
+		slot=$((slot + 1))
+	done
+}
+
+# first_daemon_of DATA-CENTRE
+first_daemon_of() {
+	grep -l "data_centre = \"$1\"" "$mesh"/daemons/*.toml |
+		grep -v /extra- | head -n 1 | xargs basename -s .toml
+}
+
+# start_control_plane LINK-MBIT-PER-S: link, sources and relays
+start_control_plane() {
+	local name
+	start_link 30ms "$1"
+	for name in $(names sources)
+	do
+		start_source "$name"
+	done
+	for name in $(names relays)
+	do
+		start_relay "$name"
+	done
+}
+
+# change N: a configuration that differs from the last one by a route
+change() {
+	{
+		cat "$mesh/configuration.toml"
+		printf '\n[[routes]]\nname = "trial-%d"\n' $(($1 % 7))
+		printf 'path = "/trial/%d"\n' "$1"
+		printf 'service = "%s"\nidempotent = true\n' \
+			"$(setting "$mesh/configuration.toml" '[services]' name)"
+	} >"$mesh/change.toml"
+}
+
+# submit_change N: submit it, again under its id until it is accepted
+submit_change() {
+	local tries=0
+	change "$1"
+	until submitted change.toml submit --id "change-$1-$$" --timeout 3
+	do
+		tries=$((tries + 1))
+		test $tries -lt 20 || fail "change $1 was not accepted"
+	done
+}
+
+# last_version: of the last submission
+last_version() {
+	version_of "$work/submit.json"
+}
+
+# cpu_us NAME: processor time used by a process so far
+cpu_us() {
+	awk -v tick="$(getconf CLK_TCK)" \
+		'{ sub(/.*\) /, ""); print ($12 + $13) * 1000000 / tick }' \
+		"/proc/$(pid "$1")/stat"
+}
+
+# counter NAME INSTANCE: a counter from its metrics, summed over labels
+counter() {
+	local file
+	file=$(echo "$mesh"/*/"$2.toml")
+	curl -s "http://$(setting "$file" metrics address)/metrics" |
+		awk -v name="$1" '{ split($1, part, "{") }
+			part[1] == name { n += $2 } END { print n + 0 }'
+}
+
+# between_regions: bytes that crossed the link so far, both directions
+between_regions() {
+	link_command count | awk '{ n += $2 } END { print n + 0 }'
+}
+
+# stop_mesh: end everything of this part
+stop_mesh() {
+	local file
+	for file in "$work"/*.pid
+	do
+		send TERM "$(basename "$file" .pid)"
+	done
+	for file in "$work"/*.pid
+	do
+		wait_end "$(basename "$file" .pid)"
+	done
+}
--- a/bench/link_main.c
+++ b/bench/link_main.c
@@ -105,6 +105,7 @@
 static struct flow *other(struct flow *f);
 static void watch_side(struct flow *f);
 static void close_connection(struct connection *c);
+static void close_all(void);
 static void on_control(struct ba_watch *w, unsigned int bits);
 static void on_command(struct ba_watch *w, unsigned int bits);
 static void run_command(const char *line, struct ba_buf *out);
@@ -138,8 +139,13 @@
 
 	bn_options(&argc, &argv, entries);
 	at = bn_option_address("control", control);
-	if (command)
-		return send_command(&at, command);
+	if (command) {
+		int ret = send_command(&at, command);
+
+		g_free(command);
+		g_free(control);
+		return ret;
+	}
 	link_state.loop = ba_loop_new();
 	link_state.delay = bn_option_duration("delay", delay);
 	ba_list_init(&link_state.connections);
@@ -150,6 +156,11 @@
 	link_state.control.ready = on_control;
 	ba_loop_watch(link_state.loop, &link_state.control, BA_READABLE);
 	ba_loop_run(link_state.loop);
+	close_all();
+	ba_loop_free(link_state.loop);
+	g_strfreev(maps);
+	g_free(control);
+	g_free(delay);
 	return 0;
 }
 
@@ -422,6 +433,15 @@
 	g_free(c);
 }
 
+static void close_all(void)
+{
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	ba_list_each_safe(pos, tmp, &link_state.connections)
+		close_connection(ba_entry(pos, struct connection, link));
+}
+
 static void on_control(struct ba_watch *w, unsigned int bits)
 {
 	int fd = accept4(w->fd, NULL, NULL, SOCK_CLOEXEC);
--- a/bench/mesh.sh
+++ b/bench/mesh.sh
@@ -57,6 +57,14 @@
 	done | uniq | sort -u
 }
 
+data_centres() {
+	local name
+	for name in $(names relays)
+	do
+		setting "$mesh/relays/$name.toml" instance data_centre
+	done | sort -u
+}
+
 # link_maps: a --map for each external address, from the other region
 link_maps() {
 	local file here pair table keys to at from
@@ -119,11 +127,15 @@
 		--connections "$(setting "$file" backend connections)" "$@"
 }
 
-# caller_address DAEMON, backend_address DAEMON
+# caller_address DAEMON, data_centre DAEMON, backend_address DAEMON
 caller_address() {
 	setting "$mesh/daemons/$1.toml" daemon caller_address
 }
 
+data_centre() {
+	setting "$mesh/daemons/$1.toml" instance data_centre
+}
+
 backend_address() {
 	setting "$mesh/daemons/$1.toml" backend address
 }
@@ -154,12 +166,21 @@
 
 # in_force VERSION NAME...: whether daemons have put a version in force
 in_force() {
-	local wanted=$1 name
+	local wanted=$1
 	shift
+	applied_lines "$@" | awk -v wanted="$wanted" -v daemons=$# '
+		match($0, /version=[0-9]+/) &&
+		substr($0, RSTART + 8, RLENGTH - 8) + 0 >= wanted { there[$2] }
+		END { for (d in there) n++; exit n != daemons }'
+}
+
+# applied_lines NAME...: the log lines of versions put in force
+applied_lines() {
+	local name
 	for name
 	do
-		test "$(held_version "$name")" -ge "$wanted" || return 1
-	done
+		echo "$mesh/log/$name.log"
+	done | xargs grep -h ' 3001 config-applied ' 2>/dev/null
 }
 
 # held_version DAEMON: the version it last put in force
@@ -174,6 +195,13 @@
 		"http://$(caller_address "$1")$2?id=probe")" = 200
 }
 
+# takes_key DAEMON HOME PATH: whether a keyed call that enters there is run
+takes_key() {
+	test "$(curl -s -o /dev/null -m 2 -w '%{http_code}' -X POST -d probe \
+		-H "Idempotency-Key: $2.$(date +%s%3N).probe-$(date +%N)" \
+		"http://$(caller_address "$1")$3?id=probe")" = 200
+}
+
 # backwards DAEMON: versions put in force below an earlier one
 backwards() {
 	sed -n 's/.* 3001 config-applied .*version=\([0-9]*\).*/\1/p' \
--- /dev/null
+++ b/call/cl.c
@@ -0,0 +1,29 @@
+#include "call/cl.h"
+
+static const char *const outcome_names[] = {
+	[CL_OUT_ANSWERED] = "answered",
+	[CL_OUT_NOT_RUN] = "not-run",
+	[CL_OUT_MAY_HAVE_RUN] = "may-have-run",
+};
+
+/* Every code that is not listed here is given before a backend server. */
+static const int may_have_run[] = {
+	CL_DEADLINE_PASSED, CL_KEY_STALE, CL_MAY_HAVE_RUN,
+	CL_ANSWER_BROKEN,   CL_CANCELLED, CL_KEY_IN_PROGRESS,
+	BA_INTERNAL,
+};
+
+enum cl_outcome cl_outcome_of(int code)
+{
+	if (code == BA_OK)
+		return CL_OUT_ANSWERED;
+	for (size_t i = 0; i < sizeof(may_have_run) / sizeof(int); i++)
+		if (may_have_run[i] == code)
+			return CL_OUT_MAY_HAVE_RUN;
+	return CL_OUT_NOT_RUN;
+}
+
+const char *cl_outcome_name(enum cl_outcome o)
+{
+	return outcome_names[o];
+}
--- /dev/null
+++ b/call/cl_key.c
@@ -0,0 +1,308 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/ba_digest.h"
+#include "base/ba_list.h"
+#include "call/cl_key.h"
+
+enum { MILLISECOND_DIGITS = 13 };
+
+/*
+ * One incarnation of an endpoint.  It can run keys issued from @open_from
+ * on, but none issued from @closed_from up to @reopened_from.
+ */
+struct owner {
+	struct ba_list link;
+	char *instance;
+	char *data_centre;
+	uint64_t incarnation;
+	ba_time open_from;
+	ba_time closed_from;
+	ba_time reopened_from;
+	ba_time gone_at;
+	bool draining;
+	bool listed;
+};
+
+struct owners_of {
+	char *service;
+	struct ba_list list;
+};
+
+struct cl_owners {
+	GHashTable *services;
+	ba_time known_from;
+};
+
+static const char *skip_name(const char *s);
+static void service_free(gpointer p);
+static struct owners_of *service_get(struct cl_owners *o, const char *name);
+static void take_record(struct owners_of *s, const struct ep_record *rec,
+			ba_time wall);
+static void close_earlier(struct owners_of *s, const struct ep_record *rec);
+static void close_lost(struct owners_of *s, ba_time wall);
+static void reopen(struct owner *w, ba_time wall);
+static bool could_own(const struct owner *w, const struct cl_key *key);
+static uint64_t rank(const struct owner *w, const struct cl_key *key);
+
+int cl_key_parse(const char *text, struct cl_key *out)
+{
+	const char *dot = skip_name(text);
+	const char *ms = dot + 1;
+	size_t digits;
+	const char *random;
+	const char *end;
+
+	if (dot == text || *dot != '.' || strlen(text) >= CL_KEY_TEXT_BYTES)
+		return CL_KEY_MALFORMED;
+	digits = strspn(ms, "0123456789");
+	if (digits != MILLISECOND_DIGITS || ms[digits] != '.')
+		return CL_KEY_MALFORMED;
+	random = ms + digits + 1;
+	end = random;
+	while (g_ascii_isalnum(*end) || strchr("-_:", *end ? *end : ' '))
+		end++;
+	if (*end || end - random < CL_KEY_RANDOM_LEAST)
+		return CL_KEY_MALFORMED;
+	out->text = text;
+	out->home = text;
+	out->home_len = (size_t)(dot - text);
+	out->issued = g_ascii_strtoll(ms, NULL, 10) * BA_MS;
+	return BA_OK;
+}
+
+struct cl_owners *cl_owners_new(ba_time wall)
+{
+	struct cl_owners *o = g_new0(struct cl_owners, 1);
+
+	o->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    service_free);
+	o->known_from = wall + CL_KEY_JOIN;
+	return o;
+}
+
+void cl_owners_free(struct cl_owners *o)
+{
+	if (!o)
+		return;
+	g_hash_table_destroy(o->services);
+	g_free(o);
+}
+
+void cl_owners_update(struct cl_owners *o, const struct ep_view *v,
+		      ba_time wall)
+{
+	GHashTableIter it;
+	gpointer p;
+
+	for (size_t i = 0; i < v->n_services; i++) {
+		const struct ep_service_view *sv = &v->services[i];
+		struct owners_of *s = service_get(o, sv->service);
+
+		for (size_t j = 0; j < sv->n_records; j++)
+			if (!sv->records[j].left)
+				take_record(s, &sv->records[j], wall);
+	}
+	g_hash_table_iter_init(&it, o->services);
+	while (g_hash_table_iter_next(&it, NULL, &p))
+		close_lost(p, wall);
+}
+
+enum cl_owner_reason cl_owner_find(const struct cl_owners *o,
+				   const char *service,
+				   const struct cl_key *key,
+				   const char **instance, uint64_t *incarnation)
+{
+	struct owners_of *s = g_hash_table_lookup(o->services, service);
+	const struct ba_list empty = {(struct ba_list *)&empty,
+				      (struct ba_list *)&empty};
+	const struct owner *best = NULL;
+	const struct ba_list *pos;
+
+	*instance = NULL;
+	*incarnation = 0;
+	ba_list_each(pos, s ? &s->list : &empty)
+	{
+		const struct owner *w = ba_entry(pos, struct owner, link);
+
+		if (could_own(w, key) &&
+		    (!best || rank(w, key) > rank(best, key)))
+			best = w;
+	}
+	if (!best)
+		return key->issued < o->known_from ? CL_OWNER_GONE
+						   : CL_OWNER_NONE;
+	if (best->gone_at)
+		return CL_OWNER_GONE;
+	*instance = best->instance;
+	*incarnation = best->incarnation;
+	return CL_OWNER_FOUND;
+}
+
+void cl_owners_homes(const struct cl_owners *o, const char *service,
+		     struct ba_buf *out)
+{
+	struct owners_of *s = g_hash_table_lookup(o->services, service);
+	GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+	struct ba_list *pos;
+
+	for (pos = s ? s->list.next : NULL; s && pos != &s->list;
+	     pos = pos->next) {
+		const struct owner *w = ba_entry(pos, struct owner, link);
+
+		if (w->gone_at || w->draining ||
+		    !g_hash_table_add(seen, w->data_centre))
+			continue;
+		ba_buf_addf(out, "%s%s", out->len ? " " : "", w->data_centre);
+	}
+	g_hash_table_destroy(seen);
+}
+
+static const char *skip_name(const char *s)
+{
+	while (g_ascii_isalnum(*s) || *s == '-' || *s == '_')
+		s++;
+	return s;
+}
+
+static void service_free(gpointer p)
+{
+	struct owners_of *s = p;
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	ba_list_each_safe(pos, tmp, &s->list)
+	{
+		struct owner *w = ba_entry(pos, struct owner, link);
+
+		g_free(w->instance);
+		g_free(w->data_centre);
+		g_free(w);
+	}
+	g_free(s->service);
+	g_free(s);
+}
+
+static struct owners_of *service_get(struct cl_owners *o, const char *name)
+{
+	struct owners_of *s = g_hash_table_lookup(o->services, name);
+
+	if (s)
+		return s;
+	s = g_new0(struct owners_of, 1);
+	s->service = g_strdup(name);
+	ba_list_init(&s->list);
+	g_hash_table_insert(o->services, s->service, s);
+	return s;
+}
+
+static void take_record(struct owners_of *s, const struct ep_record *rec,
+			ba_time wall)
+{
+	struct ba_list *pos;
+	struct owner *w = NULL;
+
+	ba_list_each(pos, &s->list)
+	{
+		struct owner *x = ba_entry(pos, struct owner, link);
+
+		if (x->incarnation == rec->incarnation &&
+		    !strcmp(x->instance, rec->instance))
+			w = x;
+	}
+	if (!w) {
+		close_earlier(s, rec);
+		w = g_new0(struct owner, 1);
+		w->instance = g_strdup(rec->instance);
+		w->data_centre = g_strdup(rec->data_centre);
+		w->incarnation = rec->incarnation;
+		w->open_from = (ba_time)rec->incarnation + CL_KEY_JOIN;
+		w->closed_from = BA_NEVER;
+		ba_list_append(&s->list, &w->link);
+	}
+	if (rec->draining && !w->draining) {
+		w->draining = true;
+		w->reopened_from = 0;
+		w->closed_from = MIN(w->closed_from, wall + CL_KEY_SKEW);
+	}
+	w->listed = true;
+}
+
+/* A new incarnation proves that the earlier one has ended. */
+static void close_earlier(struct owners_of *s, const struct ep_record *rec)
+{
+	struct ba_list *pos;
+
+	ba_list_each(pos, &s->list)
+	{
+		struct owner *w = ba_entry(pos, struct owner, link);
+
+		if (strcmp(w->instance, rec->instance) ||
+		    w->incarnation >= rec->incarnation)
+			continue;
+		w->reopened_from = 0;
+		w->closed_from = MIN(w->closed_from,
+				     (ba_time)rec->incarnation + CL_KEY_SKEW);
+	}
+}
+
+/* Those that are gone are remembered as long as their keys may come. */
+static void close_lost(struct owners_of *s, ba_time wall)
+{
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	ba_list_each_safe(pos, tmp, &s->list)
+	{
+		struct owner *w = ba_entry(pos, struct owner, link);
+
+		if (w->listed) {
+			w->listed = false;
+			if (w->gone_at)
+				reopen(w, wall);
+			continue;
+		}
+		if (!w->gone_at) {
+			w->gone_at = wall;
+			w->closed_from =
+				MIN(w->closed_from, wall + CL_KEY_GRACE);
+		}
+		if (wall <
+		    w->gone_at + CL_KEY_GRACE + CL_KEY_WINDOW + CL_KEY_SKEW)
+			continue;
+		ba_list_remove(&w->link);
+		g_free(w->instance);
+		g_free(w->data_centre);
+		g_free(w);
+	}
+}
+
+/* Back before it was closed, it has never stopped. */
+static void reopen(struct owner *w, ba_time wall)
+{
+	w->gone_at = 0;
+	if (w->draining)
+		return;
+	if (wall < w->closed_from)
+		w->closed_from = BA_NEVER;
+	else
+		w->reopened_from = wall;
+}
+
+static bool could_own(const struct owner *w, const struct cl_key *key)
+{
+	return !strncmp(w->data_centre, key->home, key->home_len) &&
+	       !w->data_centre[key->home_len] && w->open_from <= key->issued &&
+	       (key->issued < w->closed_from ||
+		(w->reopened_from && key->issued >= w->reopened_from));
+}
+
+static uint64_t rank(const struct owner *w, const struct cl_key *key)
+{
+	uint64_t seed =
+		ba_hash(w->instance, strlen(w->instance), w->incarnation);
+
+	return ba_hash(key->text, strlen(key->text), seed);
+}
--- /dev/null
+++ b/call/cl_once.c
@@ -0,0 +1,244 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/ba_list.h"
+#include "call/cl_once.h"
+
+enum state { RUNNING, ANSWERED, FORGOTTEN_ANSWER, UNKNOWN };
+
+/* @order is by issue time, so that the oldest goes first. */
+struct entry {
+	char *key;
+	ba_time issued;
+	struct ba_digest request;
+	enum state state;
+	struct ba_buf answer;
+	GSequenceIter *order;
+};
+
+/*
+ * @floor: keys issued before it may have been forgotten.
+ * @ceiling: keys issued from it on belong to another endpoint.
+ */
+struct cl_once {
+	struct cl_once_options options;
+	GHashTable *by_key;
+	GSequence *by_issue;
+	ba_time floor;
+	ba_time ceiling;
+	size_t bytes;
+};
+
+static int judge_time(const struct cl_once *t, const struct cl_key *key,
+		      ba_time wall);
+static enum cl_once_act judge_entry(const struct entry *e,
+				    const struct ba_digest *request, int *code,
+				    const struct ba_buf **answer);
+static void forget_old(struct cl_once *t, ba_time wall);
+static bool make_room(struct cl_once *t, size_t keys, size_t bytes);
+static void remove_entry(struct cl_once *t, struct entry *e);
+static struct entry *find(const struct cl_once *t, const char *key);
+static gint compare(gconstpointer a, gconstpointer b, gpointer user);
+static void entry_free(gpointer p);
+
+struct cl_once *cl_once_new(const struct cl_once_options *o)
+{
+	struct cl_once *t = g_new0(struct cl_once, 1);
+
+	t->options = *o;
+	t->by_key = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					  entry_free);
+	t->by_issue = g_sequence_new(NULL);
+	t->floor = o->incarnation;
+	t->ceiling = BA_NEVER;
+	return t;
+}
+
+void cl_once_free(struct cl_once *t)
+{
+	if (!t)
+		return;
+	g_sequence_free(t->by_issue);
+	g_hash_table_destroy(t->by_key);
+	g_free(t);
+}
+
+void cl_once_close(struct cl_once *t, ba_time wall)
+{
+	t->ceiling = MIN(t->ceiling, wall);
+}
+
+void cl_once_reopen(struct cl_once *t, ba_time wall)
+{
+	if (t->ceiling == BA_NEVER)
+		return;
+	t->floor = MAX(t->floor, wall);
+	t->ceiling = BA_NEVER;
+}
+
+enum cl_once_act cl_once_begin(struct cl_once *t, const struct cl_key *key,
+			       const struct ba_digest *request, ba_time wall,
+			       int *code, const struct ba_buf **answer)
+{
+	struct entry *e;
+
+	*answer = NULL;
+	forget_old(t, wall);
+	e = find(t, key->text);
+	if (e)
+		return judge_entry(e, request, code, answer);
+	*code = judge_time(t, key, wall);
+	if (*code)
+		return CL_ONCE_REFUSE;
+	*code = CL_OVERLOADED;
+	if (!make_room(t, 1, 0))
+		return CL_ONCE_REFUSE;
+	*code = CL_KEY_STALE;
+	if (key->issued < t->floor)
+		return CL_ONCE_REFUSE;
+	e = g_new0(struct entry, 1);
+	e->key = g_strdup(key->text);
+	e->issued = key->issued;
+	e->request = *request;
+	e->state = RUNNING;
+	e->order = g_sequence_insert_sorted(t->by_issue, e, compare, NULL);
+	g_hash_table_insert(t->by_key, e->key, e);
+	*code = BA_OK;
+	return CL_ONCE_RUN;
+}
+
+void cl_once_answered(struct cl_once *t, const char *key, const void *answer,
+		      size_t len)
+{
+	struct entry *e = find(t, key);
+
+	if (!e)
+		return;
+	e->state = FORGOTTEN_ANSWER;
+	if (len > CL_ONCE_ANSWER_BYTES || !make_room(t, 0, len))
+		return;
+	e = find(t, key);
+	if (!e)
+		return;
+	e->state = ANSWERED;
+	ba_buf_add(&e->answer, answer, len);
+	t->bytes += len;
+}
+
+void cl_once_unknown(struct cl_once *t, const char *key)
+{
+	struct entry *e = find(t, key);
+
+	if (e)
+		e->state = UNKNOWN;
+}
+
+void cl_once_released(struct cl_once *t, const char *key)
+{
+	struct entry *e = find(t, key);
+
+	if (e)
+		remove_entry(t, e);
+}
+
+size_t cl_once_size(const struct cl_once *t)
+{
+	return g_hash_table_size(t->by_key);
+}
+
+static int judge_time(const struct cl_once *t, const struct cl_key *key,
+		      ba_time wall)
+{
+	if (key->issued < t->floor || key->issued < wall - CL_KEY_WINDOW)
+		return CL_KEY_STALE;
+	if (key->issued > wall + CL_KEY_SKEW)
+		return CL_KEY_MALFORMED;
+	if (key->issued >= t->ceiling)
+		return CL_DRAINING;
+	return BA_OK;
+}
+
+static enum cl_once_act judge_entry(const struct entry *e,
+				    const struct ba_digest *request, int *code,
+				    const struct ba_buf **answer)
+{
+	static const int codes[] = {
+		[RUNNING] = CL_KEY_IN_PROGRESS,
+		[ANSWERED] = BA_OK,
+		[FORGOTTEN_ANSWER] = CL_KEY_STALE,
+		[UNKNOWN] = CL_MAY_HAVE_RUN,
+	};
+
+	*code = CL_KEY_REUSED;
+	if (!ba_digest_equal(&e->request, request))
+		return CL_ONCE_REFUSE;
+	*code = codes[e->state];
+	if (e->state != ANSWERED)
+		return CL_ONCE_REFUSE;
+	*answer = &e->answer;
+	return CL_ONCE_REPLAY;
+}
+
+static void forget_old(struct cl_once *t, ba_time wall)
+{
+	GSequenceIter *first = g_sequence_get_begin_iter(t->by_issue);
+
+	while (!g_sequence_iter_is_end(first)) {
+		struct entry *e = g_sequence_get(first);
+
+		if (e->issued >= wall - CL_KEY_WINDOW || e->state == RUNNING)
+			return;
+		remove_entry(t, e);
+		first = g_sequence_get_begin_iter(t->by_issue);
+	}
+}
+
+/* What goes raises the floor, so that it cannot come back as new. */
+static bool make_room(struct cl_once *t, size_t keys, size_t bytes)
+{
+	while (g_hash_table_size(t->by_key) + keys > t->options.keys ||
+	       t->bytes + bytes > t->options.bytes) {
+		GSequenceIter *first = g_sequence_get_begin_iter(t->by_issue);
+		struct entry *e;
+
+		if (g_sequence_iter_is_end(first))
+			return false;
+		e = g_sequence_get(first);
+		if (e->state == RUNNING)
+			return false;
+		t->floor = MAX(t->floor, e->issued + 1);
+		remove_entry(t, e);
+	}
+	return true;
+}
+
+static void remove_entry(struct cl_once *t, struct entry *e)
+{
+	t->bytes -= e->answer.len;
+	g_sequence_remove(e->order);
+	g_hash_table_remove(t->by_key, e->key);
+}
+
+static struct entry *find(const struct cl_once *t, const char *key)
+{
+	return g_hash_table_lookup(t->by_key, key);
+}
+
+static gint compare(gconstpointer a, gconstpointer b, gpointer user)
+{
+	const struct entry *x = a;
+	const struct entry *y = b;
+
+	(void)user;
+	return (x->issued > y->issued) - (x->issued < y->issued);
+}
+
+static void entry_free(gpointer p)
+{
+	struct entry *e = p;
+
+	g_free(e->key);
+	ba_buf_free(&e->answer);
+	g_free(e);
+}
--- /dev/null
+++ b/call/cl_route.c
@@ -0,0 +1,593 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "call/cl_route.h"
+
+enum { LATENCY_SHARE = 8 };
+
+#define DAY (24 * BA_HOUR)
+#define RAMP_LEAST 0.1
+
+/** struct cl_service_routes - the endpoints of one service */
+struct cl_service_routes {
+	char *name;
+	struct ba_list endpoints;
+	unsigned int n_endpoints;
+	unsigned int n_ejected;
+};
+
+struct cl_router {
+	char *instance;
+	char *data_centre;
+	char *region;
+	bool first_hand;
+	bool self_draining;
+	GHashTable *services;
+	struct ba_list gone;
+	uint64_t next_id;
+	bool has_budget;
+	double budget_bytes;
+	double budget_most;
+	double budget_per_us;
+	ba_time budget_at;
+};
+
+/* Two candidates drawn evenly from all that were offered. */
+struct draw {
+	struct cl_endpoint *two[2];
+	uint64_t n;
+};
+
+static const char *const reason_names[] = {
+	[CL_ROUTE_SELF] = "own-backend-server",
+	[CL_ROUTE_DATA_CENTRE] = "data-centre",
+	[CL_ROUTE_REGION] = "region",
+	[CL_ROUTE_LINK] = "paid-link",
+	[CL_ROUTE_PROBE] = "probe",
+	[CL_ROUTE_OWNER] = "key-owner",
+	[CL_ROUTE_BUSY] = "all-busy",
+	[CL_ROUTE_NONE_KNOWN] = "none-known",
+	[CL_ROUTE_NONE_LEFT] = "none-left",
+	[CL_ROUTE_BUDGET] = "link-budget-spent",
+};
+
+static const char *const seen_names[] = {
+	[CL_SEEN_ANSWER] = "answer",
+	[CL_SEEN_ERROR_ANSWER] = "error-answer",
+	[CL_SEEN_OVERLOADED] = "overloaded",
+	[CL_SEEN_UNREACHABLE] = "unreachable",
+	[CL_SEEN_SILENT] = "silent",
+	[CL_SEEN_BROKEN] = "broken",
+	[CL_SEEN_TIMEOUT] = "timeout",
+	[CL_SEEN_DRAINING] = "draining",
+	[CL_SEEN_CANCELLED] = "cancelled",
+};
+
+/* How much each observation counts towards an ejection. */
+static const uint32_t failure_weight[CL_SEEN_KINDS] = {
+	[CL_SEEN_ERROR_ANSWER] = 1, [CL_SEEN_UNREACHABLE] = 2,
+	[CL_SEEN_SILENT] = 3,	    [CL_SEEN_BROKEN] = 1,
+	[CL_SEEN_TIMEOUT] = 1,
+};
+
+static void service_free(gpointer p);
+static void endpoint_free(struct cl_endpoint *e);
+static struct cl_service_routes *service_get(struct cl_router *r,
+					     const char *name);
+static void take_record(struct cl_router *r, struct cl_service_routes *s,
+			const struct ep_record *rec, ba_time now);
+static struct cl_endpoint *find(struct cl_service_routes *s,
+				const struct ep_record *rec);
+static enum cl_tier tier_of(const struct cl_router *r,
+			    const struct ep_record *rec);
+static void drop_unlisted(struct cl_router *r);
+static void drop(struct cl_router *r, struct cl_endpoint *e);
+static struct cl_endpoint *pick_owner(struct cl_service_routes *s,
+				      const struct cl_pick_request *q,
+				      enum cl_route_reason *reason);
+static struct cl_endpoint *pick_probe(struct cl_service_routes *s,
+				      const struct cl_pick_request *q,
+				      ba_time now);
+static struct cl_endpoint *pick_tier(struct cl_router *r,
+				     struct cl_service_routes *s,
+				     const struct cl_pick_request *q,
+				     enum cl_tier tier, bool busy_too,
+				     ba_time now, struct ba_rand *rand);
+static bool tried(const struct cl_pick_request *q, const struct cl_endpoint *e);
+static void offer(struct draw *d, struct cl_endpoint *e, struct ba_rand *rand);
+static double load(const struct cl_endpoint *e, ba_time now);
+static double cost(const struct cl_service_routes *s,
+		   const struct cl_endpoint *e, ba_time now);
+static double best_latency(const struct cl_service_routes *s);
+static double ramp(const struct cl_endpoint *e, ba_time now);
+static bool link_allowed(struct cl_router *r, ba_time now);
+static void see_latency(struct cl_endpoint *e, ba_time latency, ba_time now);
+static enum cl_route_change see_failure(struct cl_endpoint *e, uint32_t weight,
+					ba_time now);
+static enum cl_route_change see_success(struct cl_endpoint *e, ba_time now);
+static bool may_eject(const struct cl_service_routes *s);
+
+struct cl_router *cl_router_new(const struct cl_router_options *o)
+{
+	struct cl_router *r = g_new0(struct cl_router, 1);
+
+	r->instance = g_strdup(o->instance);
+	r->data_centre = g_strdup(o->data_centre);
+	r->region = g_strdup(o->region);
+	r->first_hand = o->first_hand;
+	r->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					    service_free);
+	ba_list_init(&r->gone);
+	return r;
+}
+
+void cl_router_free(struct cl_router *r)
+{
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	if (!r)
+		return;
+	g_hash_table_destroy(r->services);
+	ba_list_each_safe(pos, tmp, &r->gone)
+		endpoint_free(ba_entry(pos, struct cl_endpoint, link));
+	g_free(r->instance);
+	g_free(r->data_centre);
+	g_free(r->region);
+	g_free(r);
+}
+
+void cl_router_update(struct cl_router *r, const struct ep_view *v, ba_time now)
+{
+	for (size_t i = 0; i < v->n_services; i++) {
+		const struct ep_service_view *sv = &v->services[i];
+		struct cl_service_routes *s = service_get(r, sv->service);
+
+		for (size_t j = 0; j < sv->n_records; j++)
+			take_record(r, s, &sv->records[j], now);
+	}
+	drop_unlisted(r);
+}
+
+void cl_router_drain_self(struct cl_router *r)
+{
+	r->self_draining = true;
+}
+
+void cl_router_budget(struct cl_router *r, uint64_t bytes_per_day, ba_time now)
+{
+	double per_us = (double)bytes_per_day / (double)DAY;
+
+	r->has_budget = bytes_per_day != 0;
+	if (per_us == r->budget_per_us)
+		return;
+	r->budget_per_us = per_us;
+	r->budget_most = per_us * (double)CL_BUDGET_BURST;
+	r->budget_bytes = r->budget_most;
+	r->budget_at = now;
+}
+
+void cl_router_spend(struct cl_router *r, uint64_t bytes)
+{
+	r->budget_bytes -= (double)bytes;
+}
+
+struct cl_endpoint *cl_route_pick(struct cl_router *r,
+				  const struct cl_pick_request *q, ba_time now,
+				  struct ba_rand *rand,
+				  enum cl_route_reason *reason)
+{
+	struct cl_service_routes *s =
+		g_hash_table_lookup(r->services, q->service);
+	struct cl_endpoint *e = NULL;
+	bool link = link_allowed(r, now);
+
+	*reason = CL_ROUTE_NONE_KNOWN;
+	if (!s || ba_list_empty(&s->endpoints))
+		return NULL;
+	if (q->owner) {
+		e = pick_owner(s, q, reason);
+	} else if (q->may_probe && (e = pick_probe(s, q, now))) {
+		*reason = CL_ROUTE_PROBE;
+	} else {
+		*reason = CL_ROUTE_NONE_LEFT;
+		for (int pass = 0; pass < 2 && !e; pass++)
+			for (int t = 0; t < CL_TIERS && !e; t++) {
+				if (t == CL_TIER_LINK && !link)
+					break;
+				if (t == CL_TIER_SELF && r->self_draining)
+					continue;
+				e = pick_tier(r, s, q, (enum cl_tier)t, pass,
+					      now, rand);
+				if (e)
+					*reason =
+						pass ? CL_ROUTE_BUSY
+						     : (enum cl_route_reason)t;
+			}
+		if (!e && !link)
+			*reason = CL_ROUTE_BUDGET;
+	}
+	if (!e)
+		return NULL;
+	e->in_flight++;
+	e->probing = e->ejected;
+	return e;
+}
+
+void cl_route_report(struct cl_endpoint *e, uint32_t reported, ba_time now)
+{
+	e->reported = reported;
+	e->reported_at = now;
+}
+
+enum cl_route_change cl_route_done(struct cl_router *r, struct cl_endpoint *e,
+				   enum cl_seen seen, ba_time latency,
+				   ba_time now)
+{
+	enum cl_route_change change = CL_ROUTE_UNCHANGED;
+
+	e->in_flight--;
+	if (seen == CL_SEEN_DRAINING)
+		e->draining = true;
+	if (seen == CL_SEEN_ANSWER || seen == CL_SEEN_TIMEOUT)
+		see_latency(e, latency, now);
+	if (failure_weight[seen])
+		change = see_failure(e, failure_weight[seen], now);
+	else if (seen == CL_SEEN_ANSWER)
+		change = see_success(e, now);
+	e->probing = false;
+	if (e->gone && !e->in_flight) {
+		ba_list_remove(&e->link);
+		endpoint_free(e);
+	}
+	(void)r;
+	return change;
+}
+
+const char *cl_route_reason_name(enum cl_route_reason reason)
+{
+	return reason_names[reason];
+}
+
+const char *cl_seen_name(enum cl_seen seen)
+{
+	return seen_names[seen];
+}
+
+static void service_free(gpointer p)
+{
+	struct cl_service_routes *s = p;
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	ba_list_each_safe(pos, tmp, &s->endpoints)
+		endpoint_free(ba_entry(pos, struct cl_endpoint, link));
+	g_free(s->name);
+	g_free(s);
+}
+
+static void endpoint_free(struct cl_endpoint *e)
+{
+	g_free(e->instance);
+	g_free(e->address);
+	g_free(e);
+}
+
+static struct cl_service_routes *service_get(struct cl_router *r,
+					     const char *name)
+{
+	struct cl_service_routes *s = g_hash_table_lookup(r->services, name);
+
+	if (s)
+		return s;
+	s = g_new0(struct cl_service_routes, 1);
+	s->name = g_strdup(name);
+	ba_list_init(&s->endpoints);
+	g_hash_table_insert(r->services, s->name, s);
+	return s;
+}
+
+static void take_record(struct cl_router *r, struct cl_service_routes *s,
+			const struct ep_record *rec, ba_time now)
+{
+	struct cl_endpoint *e = rec->left ? NULL : find(s, rec);
+	enum cl_tier tier = tier_of(r, rec);
+	const char *address = tier == CL_TIER_LINK && rec->external_address &&
+					      *rec->external_address
+				      ? rec->external_address
+				      : rec->address;
+
+	if (rec->left)
+		return;
+	if (!e) {
+		e = g_new0(struct cl_endpoint, 1);
+		e->id = ++r->next_id;
+		e->instance = g_strdup(rec->instance);
+		e->address = g_strdup(address);
+		e->incarnation = rec->incarnation;
+		e->service = s;
+		e->tier = tier;
+		e->latency = (double)CL_LATENCY_ASSUMED;
+		e->latency_at = now;
+		e->ramp_end = now + CL_SLOW_START;
+		ba_list_append(&s->endpoints, &e->link);
+		s->n_endpoints++;
+	}
+	e->slots = rec->slots;
+	e->draining = e->draining || rec->draining;
+	e->listed = true;
+}
+
+/* A new incarnation is a new endpoint: what was seen of the old is void. */
+static struct cl_endpoint *find(struct cl_service_routes *s,
+				const struct ep_record *rec)
+{
+	struct ba_list *pos;
+
+	ba_list_each(pos, &s->endpoints)
+	{
+		struct cl_endpoint *e = ba_entry(pos, struct cl_endpoint, link);
+
+		if (e->incarnation == rec->incarnation &&
+		    !strcmp(e->instance, rec->instance))
+			return e;
+	}
+	return NULL;
+}
+
+static enum cl_tier tier_of(const struct cl_router *r,
+			    const struct ep_record *rec)
+{
+	if (!strcmp(rec->instance, r->instance))
+		return CL_TIER_SELF;
+	if (!strcmp(rec->data_centre, r->data_centre))
+		return CL_TIER_DATA_CENTRE;
+	if (!strcmp(rec->region, r->region))
+		return CL_TIER_REGION;
+	return CL_TIER_LINK;
+}
+
+static void drop_unlisted(struct cl_router *r)
+{
+	GHashTableIter it;
+	gpointer p;
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	g_hash_table_iter_init(&it, r->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct cl_service_routes *s = p;
+
+		ba_list_each_safe(pos, tmp, &s->endpoints)
+		{
+			struct cl_endpoint *e =
+				ba_entry(pos, struct cl_endpoint, link);
+
+			if (e->listed)
+				e->listed = false;
+			else
+				drop(r, e);
+		}
+	}
+}
+
+static void drop(struct cl_router *r, struct cl_endpoint *e)
+{
+	ba_list_remove(&e->link);
+	e->service->n_endpoints--;
+	e->service->n_ejected -= e->ejected;
+	e->ejected = false;
+	e->gone = true;
+	if (e->in_flight)
+		ba_list_append(&r->gone, &e->link);
+	else
+		endpoint_free(e);
+}
+
+static struct cl_endpoint *pick_owner(struct cl_service_routes *s,
+				      const struct cl_pick_request *q,
+				      enum cl_route_reason *reason)
+{
+	struct ba_list *pos;
+
+	*reason = CL_ROUTE_NONE_LEFT;
+	ba_list_each(pos, &s->endpoints)
+	{
+		struct cl_endpoint *e = ba_entry(pos, struct cl_endpoint, link);
+
+		if (strcmp(e->instance, q->owner))
+			continue;
+		*reason = CL_ROUTE_OWNER;
+		return e;
+	}
+	return NULL;
+}
+
+static struct cl_endpoint *pick_probe(struct cl_service_routes *s,
+				      const struct cl_pick_request *q,
+				      ba_time now)
+{
+	struct ba_list *pos;
+
+	if (!s->n_ejected)
+		return NULL;
+	ba_list_each(pos, &s->endpoints)
+	{
+		struct cl_endpoint *e = ba_entry(pos, struct cl_endpoint, link);
+
+		if (e->ejected && !e->probing && !e->draining &&
+		    e->ejected_until <= now && !tried(q, e))
+			return e;
+	}
+	return NULL;
+}
+
+static struct cl_endpoint *pick_tier(struct cl_router *r,
+				     struct cl_service_routes *s,
+				     const struct cl_pick_request *q,
+				     enum cl_tier tier, bool busy_too,
+				     ba_time now, struct ba_rand *rand)
+{
+	struct draw d = {0};
+	struct ba_list *pos;
+
+	ba_list_each(pos, &s->endpoints)
+	{
+		struct cl_endpoint *e = ba_entry(pos, struct cl_endpoint, link);
+
+		if (e->tier != tier || e->draining || e->ejected || tried(q, e))
+			continue;
+		if (!busy_too && e->slots &&
+		    (tier == CL_TIER_SELF ? q->self_load : load(e, now)) >=
+			    e->slots)
+			continue;
+		offer(&d, e, rand);
+	}
+	if (d.n < 2 || !r->first_hand)
+		return d.two[0];
+	return cost(s, d.two[1], now) < cost(s, d.two[0], now) ? d.two[1]
+							       : d.two[0];
+}
+
+static bool tried(const struct cl_pick_request *q, const struct cl_endpoint *e)
+{
+	for (size_t i = 0; i < q->n_tried; i++)
+		if (q->tried[i] == e->id)
+			return true;
+	return false;
+}
+
+/* Reservoir sampling of two; their order is even too. */
+static void offer(struct draw *d, struct cl_endpoint *e, struct ba_rand *rand)
+{
+	uint64_t at;
+
+	d->n++;
+	if (d->n == 1) {
+		d->two[0] = e;
+		return;
+	}
+	at = ba_rand_below(rand, d->n);
+	if (d->n == 2) {
+		d->two[1] = d->two[0];
+		d->two[at] = e;
+	} else if (at < 2) {
+		d->two[at] = e;
+	}
+}
+
+/* A report adds to what we see ourselves, capped, and fades with its age. */
+static double load(const struct cl_endpoint *e, ba_time now)
+{
+	double others = e->reported;
+	double age = (double)(now - e->reported_at);
+
+	if (!e->reported)
+		return e->in_flight;
+	if (e->slots && others > e->slots)
+		others = e->slots;
+	return e->in_flight +
+	       others * (double)CL_REPORT_AGE / ((double)CL_REPORT_AGE + age);
+}
+
+static double cost(const struct cl_service_routes *s,
+		   const struct cl_endpoint *e, ba_time now)
+{
+	double least = best_latency(s);
+	double age = (double)(now - e->latency_at);
+	double over = e->latency > least ? e->latency - least : 0;
+	double latency = least + over * (double)CL_LATENCY_AGE /
+					 ((double)CL_LATENCY_AGE + age);
+
+	return (load(e, now) + 1) * latency / ramp(e, now);
+}
+
+static double best_latency(const struct cl_service_routes *s)
+{
+	struct ba_list *pos;
+	double best = 0;
+
+	ba_list_each(pos, &s->endpoints)
+	{
+		const struct cl_endpoint *e =
+			ba_entry(pos, struct cl_endpoint, link);
+
+		if (!best || e->latency < best)
+			best = e->latency;
+	}
+	return best;
+}
+
+static double ramp(const struct cl_endpoint *e, ba_time now)
+{
+	double left = (double)(e->ramp_end - now) / (double)CL_SLOW_START;
+
+	if (left <= 0)
+		return 1;
+	return left < 1 - RAMP_LEAST ? 1 - left : RAMP_LEAST;
+}
+
+static bool link_allowed(struct cl_router *r, ba_time now)
+{
+	if (!r->has_budget)
+		return true;
+	r->budget_bytes += (double)(now - r->budget_at) * r->budget_per_us;
+	r->budget_at = now;
+	if (r->budget_bytes > r->budget_most)
+		r->budget_bytes = r->budget_most;
+	return r->budget_bytes > 0;
+}
+
+static void see_latency(struct cl_endpoint *e, ba_time latency, ba_time now)
+{
+	double sample = latency > 0 ? (double)latency : 1;
+
+	e->latency += (sample - e->latency) / LATENCY_SHARE;
+	e->latency_at = now;
+}
+
+static enum cl_route_change see_failure(struct cl_endpoint *e, uint32_t weight,
+					ba_time now)
+{
+	ba_time span = CL_EJECTION_FIRST;
+
+	e->failures += weight;
+	if (e->gone || e->failures < CL_EJECT_AT)
+		return CL_ROUTE_UNCHANGED;
+	if (!e->ejected && !may_eject(e->service))
+		return CL_ROUTE_UNCHANGED;
+	for (uint32_t i = 0; i < e->ejections; i++)
+		if (span < CL_EJECTION_LONGEST)
+			span *= 2;
+	if (span > CL_EJECTION_LONGEST)
+		span = CL_EJECTION_LONGEST;
+	e->ejections++;
+	e->ejected_until = now + span;
+	if (e->ejected)
+		return CL_ROUTE_UNCHANGED;
+	e->ejected = true;
+	e->service->n_ejected++;
+	return CL_ROUTE_EJECTED;
+}
+
+static enum cl_route_change see_success(struct cl_endpoint *e, ba_time now)
+{
+	e->failures = 0;
+	if (!e->ejected) {
+		if (now - e->ejected_until > CL_EJECTION_LONGEST)
+			e->ejections = 0;
+		return CL_ROUTE_UNCHANGED;
+	}
+	e->ejected = false;
+	e->ejected_until = now;
+	e->service->n_ejected--;
+	e->ramp_end = now + CL_SLOW_START;
+	return CL_ROUTE_RESTORED;
+}
+
+/* At most half of a service's endpoints may be out at once. */
+static bool may_eject(const struct cl_service_routes *s)
+{
+	return 2 * (s->n_ejected + 1) <= s->n_endpoints;
+}
--- /dev/null
+++ b/prog/carawayd.c
@@ -0,0 +1,495 @@
+#include <stdio.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "base/ba_event.h"
+#include "base/ba_result.h"
+#include "distrib/ds_agent.h"
+#include "prog/da.h"
+#include "prog/da_client.h"
+#include "prog/da_http.h"
+#include "prog/da_peer.h"
+#include "prog/da_serve.h"
+#include "prog/pr_metrics.h"
+#include "report/rt.h"
+#include "report/rt_audit.h"
+#include "report/rt_figures.h"
+
+enum { WORKERS_MOST = 16, QUEUE_PER_SLOT = 4 };
+
+#define LEASE (3 * BA_SECOND)
+#define DRAIN_SPREAD (2 * BA_SECOND)
+#define STOP_LIMIT (CL_TIME_LIMIT + 5 * BA_SECOND)
+#define STOP_LOOK (20 * BA_MS)
+#define WATCH_PERIOD (100 * BA_MS)
+
+#define KEY(t, n, k, req, m, f, lo, hi)                                  \
+	{                                                                \
+		t, n, k, req, offsetof(struct da_settings, m), f, lo, hi \
+	}
+
+static const struct ba_key keys[] = {
+	PR_COMMON_KEYS,
+	KEY("daemon", "caller_address", BA_KIND_ADDRESS, true, caller_address,
+	    NULL, 0, 0),
+	KEY("daemon", "peer_address", BA_KIND_ADDRESS, true, peer_address, NULL,
+	    0, 0),
+	KEY("daemon", "external_peer_address", BA_KIND_ADDRESS, false,
+	    external_peer_address, NULL, 0, 0),
+	KEY("daemon", "control_address", BA_KIND_ADDRESS, false,
+	    control_address, NULL, 0, 0),
+	KEY("daemon", "data_folder", BA_KIND_STRING, false, data_folder, NULL,
+	    0, 0),
+	KEY("daemon", "workers", BA_KIND_INTEGER, false, workers, "2", 1,
+	    WORKERS_MOST),
+	KEY("relays", "addresses", BA_KIND_ADDRESSES, true, relays, NULL, 0, 0),
+	KEY("backend", "service", BA_KIND_STRING, true, backend_service, NULL,
+	    0, 0),
+	KEY("backend", "address", BA_KIND_ADDRESS, true, backend_address, NULL,
+	    0, 0),
+	KEY("backend", "slots", BA_KIND_INTEGER, true, slots, NULL, 1, 65536),
+	KEY("backend", "connections", BA_KIND_INTEGER, true, connections, NULL,
+	    1, 65536),
+	{.name = NULL},
+};
+
+struct daemon {
+	struct ds_agent_owner owner;
+	struct da_settings settings;
+	struct wi_identity identity;
+	struct ba_loop *loop;
+	struct ds_agent *agent;
+	struct pr_metrics *metrics;
+	struct rt_audit audit;
+	struct da_tables tables;
+	struct da_worker *workers;
+	int64_t n_workers;
+	struct ep_view *view;
+	bool cut_off;
+	ba_time lost_at;
+	struct ba_timer watch_timer;
+	struct ba_timer stop_timer;
+	ba_time closing_at;
+	ba_time stop_deadline;
+};
+
+static int run(struct daemon *d);
+static int start_workers(struct daemon *d);
+static int start_worker(struct daemon *d, struct da_worker *w, int callers);
+static void start_tables(struct daemon *d);
+static void end_tables(struct da_tables *t);
+static void stop_worker(void *arg);
+static void share_limits(struct daemon *d);
+static uint64_t count_in_region(const struct daemon *d);
+static void on_watch_timer(struct ba_timer *t, ba_time now);
+static void *work(void *arg);
+static void end_workers(struct daemon *d);
+static void on_turn(struct ba_timer *t, ba_time now);
+static void on_sweep(struct ba_timer *t, ba_time now);
+static int start_agent(struct daemon *d);
+static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s);
+static void on_view(struct ds_agent_owner *o, struct ep_view *v);
+static void on_figures(struct ds_agent_owner *o, struct ba_buf *out);
+static void on_figures_taken(struct ds_agent_owner *o, uint64_t incarnation,
+			     uint64_t sequence);
+static void on_signal(int signo, void *arg);
+static void begin_stop(struct daemon *d);
+static void on_stop_timer(struct ba_timer *t, ba_time now);
+
+int main(int argc, char **argv)
+{
+	struct daemon *d = g_new0(struct daemon, 1);
+	int ret = pr_start(argc, argv, WI_DAEMON, keys, &d->settings.common,
+			   &d->identity);
+
+	if (ret < 0) {
+		ret = run(d);
+		pr_end(keys, &d->settings.common);
+	}
+	g_free(d);
+	return ret;
+}
+
+static int run(struct daemon *d)
+{
+	int ret;
+
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	d->loop = ba_loop_new();
+	ba_loop_signals(d->loop, on_signal, d);
+	d->stop_timer.fire = on_stop_timer;
+	d->watch_timer.fire = on_watch_timer;
+	start_tables(d);
+	ret = start_workers(d);
+	if (!ret && pr_metrics_start(&d->settings.common.metrics, &d->metrics))
+		ret = pr_listen_failed(&d->settings.common.metrics);
+	if (!ret)
+		ret = start_agent(d);
+	if (!ret)
+		ba_loop_run(d->loop);
+	ds_agent_free(d->agent);
+	pr_metrics_stop(d->metrics);
+	end_workers(d);
+	end_tables(&d->tables);
+	ep_view_unref(d->view);
+	ba_loop_free(d->loop);
+	curl_global_cleanup();
+	return ret;
+}
+
+static void start_tables(struct daemon *d)
+{
+	const struct da_settings *s = &d->settings;
+	struct da_tables *t = &d->tables;
+	struct cl_router_options router = {
+		.instance = d->identity.instance,
+		.data_centre = d->identity.data_centre,
+		.region = d->identity.region,
+		.first_hand = true,
+	};
+	struct cl_admit_options admit = {
+		.slots = (uint32_t)s->slots,
+		.connections = (uint32_t)s->connections,
+		.queue = (uint32_t)(s->slots * QUEUE_PER_SLOT),
+		.adaptive = true,
+		.bounded = true,
+	};
+	struct cl_once_options once = {
+		.incarnation = (ba_time)d->identity.incarnation + CL_KEY_JOIN,
+		.keys = CL_ONCE_KEYS,
+		.bytes = CL_ONCE_BYTES,
+	};
+
+	pthread_mutex_init(&t->lock, NULL);
+	t->settings = s;
+	t->identity = &d->identity;
+	t->router = cl_router_new(&router);
+	t->admit = cl_admit_new(&admit);
+	t->once = cl_once_new(&once);
+	t->owners = cl_owners_new((ba_time)d->identity.incarnation);
+	t->retries =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	t->figures = rt_figures_new(d->identity.instance, "daemon",
+				    d->identity.incarnation, ba_clock_wall());
+}
+
+static void end_tables(struct da_tables *t)
+{
+	cl_router_free(t->router);
+	cl_admit_free(t->admit);
+	cl_once_free(t->once);
+	cl_owners_free(t->owners);
+	g_hash_table_destroy(t->retries);
+	rt_figures_free(t->figures);
+	cf_snapshot_unref(t->snapshot);
+	pthread_mutex_destroy(&t->lock);
+}
+
+static int start_workers(struct daemon *d)
+{
+	int64_t n = MIN(d->settings.workers, d->settings.connections);
+	int callers = da_http_socket(&d->settings.caller_address);
+	int ret = 0;
+
+	d->n_workers = n;
+	d->workers = g_new0(struct da_worker, n);
+	if (callers < 0)
+		ret = pr_listen_failed(&d->settings.caller_address);
+	for (int64_t i = 0; !ret && i < n; i++)
+		ret = start_worker(d, &d->workers[i], callers);
+	if (callers >= 0)
+		close(callers);
+	return ret;
+}
+
+/* Other daemons are served by the first worker, callers by all. */
+static int start_worker(struct daemon *d, struct da_worker *w, int callers)
+{
+	const struct da_settings *s = &d->settings;
+	uint64_t seed;
+
+	ba_random_bytes(&seed, sizeof(seed));
+	w->tables = &d->tables;
+	w->rand.state = seed;
+	w->turn.fire = on_turn;
+	w->sweep.fire = on_sweep;
+	ba_list_init(&w->calls);
+	ba_list_init(&w->ready);
+	w->loop = ba_loop_new();
+	w->client = da_client_new(w->loop, s->connections / d->n_workers);
+	w->peers = da_peers_new(w->loop, &d->identity);
+	w->callers = da_http_new(w, callers);
+	if (!w->callers)
+		return ba_result_info(BA_INTERNAL)->exit_code;
+	if (w == d->workers) {
+		w->serve = da_serve_new(w, &s->peer_address);
+		if (!w->serve)
+			return pr_listen_failed(&s->peer_address);
+	}
+	pthread_create(&w->thread, NULL, work, w);
+	return 0;
+}
+
+static void *work(void *arg)
+{
+	struct da_worker *w = arg;
+
+	ba_loop_run(w->loop);
+	return NULL;
+}
+
+/* Sessions end in the same turn, before the loop stops. */
+static void stop_worker(void *arg)
+{
+	struct da_worker *w = arg;
+
+	da_http_free(w->callers);
+	w->callers = NULL;
+	if (w->serve)
+		da_serve_close(w->serve);
+	da_peers_close(w->peers);
+	ba_loop_stop(w->loop);
+}
+
+static void end_workers(struct daemon *d)
+{
+	for (int64_t i = 0; i < d->n_workers; i++) {
+		struct da_worker *w = &d->workers[i];
+
+		if (!w->loop)
+			continue;
+		if (w->thread) {
+			ba_loop_post(w->loop, stop_worker, w);
+			pthread_join(w->thread, NULL);
+		}
+		da_http_free(w->callers);
+		da_serve_free(w->serve);
+		da_peers_free(w->peers);
+		da_client_free(w->client);
+		ba_loop_free(w->loop);
+	}
+	g_free(d->workers);
+}
+
+static void on_turn(struct ba_timer *t, ba_time now)
+{
+	struct da_worker *w = ba_entry(t, struct da_worker, turn);
+
+	(void)now;
+	da_call_turn(w);
+	if (w->callers)
+		da_http_run(w->callers);
+}
+
+static void on_sweep(struct ba_timer *t, ba_time now)
+{
+	da_call_sweep(ba_entry(t, struct da_worker, sweep), now);
+}
+
+static int start_agent(struct daemon *d)
+{
+	const struct da_settings *s = &d->settings;
+	struct ep_record record = {
+		.instance = s->common.instance_name,
+		.service = s->backend_service,
+		.data_centre = s->common.data_centre,
+		.region = s->common.region,
+		.address = (char *)s->peer_address.text,
+		.external_address = (char *)s->external_peer_address.text,
+		.control_address = (char *)s->control_address.text,
+		.incarnation = d->identity.incarnation,
+		.sequence = 1,
+		.slots = (uint32_t)s->slots,
+		.connections = (uint32_t)s->connections,
+	};
+	struct ds_agent_options o = {
+		.identity = &d->identity,
+		.relays = &s->relays,
+		.record = &record,
+		.lease = LEASE,
+		.data_folder = s->data_folder,
+		.control_address =
+			s->control_address.len ? &s->control_address : NULL,
+	};
+
+	ba_random_bytes(&o.seed, sizeof(o.seed));
+	d->lost_at = BA_NEVER;
+	d->owner.on_snapshot = on_snapshot;
+	d->owner.on_view = on_view;
+	d->owner.figures = on_figures;
+	d->owner.figures_taken = on_figures_taken;
+	d->agent = ds_agent_new(d->loop, &o, &d->owner);
+	if (!d->agent)
+		return pr_listen_failed(&s->control_address);
+	ba_loop_arm(d->loop, &d->watch_timer, 0);
+	return 0;
+}
+
+static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s)
+{
+	struct daemon *d = ba_entry(o, struct daemon, owner);
+	struct cf_snapshot *old;
+
+	pthread_mutex_lock(&d->tables.lock);
+	old = d->tables.snapshot;
+	d->tables.snapshot = s;
+	share_limits(d);
+	pthread_mutex_unlock(&d->tables.lock);
+	cf_snapshot_unref(old);
+	rt_count(RT_VERSIONS_APPLIED, 1);
+	rt_audit_version(&d->audit, s);
+	ba_event(CF_EV_APPLIED, "version=%llu", (unsigned long long)s->version);
+}
+
+static void on_view(struct ds_agent_owner *o, struct ep_view *v)
+{
+	struct daemon *d = ba_entry(o, struct daemon, owner);
+
+	pthread_mutex_lock(&d->tables.lock);
+	cl_router_update(d->tables.router, v, ba_clock_now());
+	cl_owners_update(d->tables.owners, v, ba_clock_wall());
+	ep_view_unref(d->view);
+	d->view = v;
+	share_limits(d);
+	pthread_mutex_unlock(&d->tables.lock);
+}
+
+/*
+ * The limits of a service hold for the whole mesh; each of its endpoints
+ * gets an equal part.  The budget of the paid link is parted among the
+ * daemons of the region.  Under the lock of the tables.
+ */
+static void share_limits(struct daemon *d)
+{
+	struct da_tables *t = &d->tables;
+	const struct cf_snapshot *s = t->snapshot;
+	const struct ep_service_view *own;
+	const struct cf_row *row;
+	ba_time now = ba_clock_now();
+	int i;
+
+	if (!s || !d->view)
+		return;
+	i = cf_service_find(s, d->settings.backend_service);
+	own = ep_view_find(d->view, d->settings.backend_service);
+	row = i >= 0 && s->policy.rows ? &s->policy.rows[i] : NULL;
+	t->own_weight = row ? row->weight : 1;
+	t->heaviest = 0;
+	for (size_t k = 0; s->policy.rows && k < s->n_services; k++)
+		t->heaviest = MAX(t->heaviest, s->policy.rows[k].weight);
+	if (own && own->n_records && i >= 0)
+		cl_admit_share(t->admit,
+			       (uint32_t)((s->services[i].max_in_flight +
+					   own->n_records - 1) /
+					  own->n_records),
+			       row ? (double)row->calls_limit /
+					       (double)own->n_records
+				   : 0,
+			       now);
+	cl_router_budget(
+		t->router,
+		s->policy.cross_region_bytes_per_day / count_in_region(d), now);
+}
+
+static uint64_t count_in_region(const struct daemon *d)
+{
+	uint64_t n = 0;
+
+	for (size_t i = 0; i < d->view->n_services; i++)
+		for (size_t j = 0; j < d->view->services[i].n_records; j++)
+			n += !strcmp(d->view->services[i].records[j].region,
+				     d->identity.region);
+	return n ? n : 1;
+}
+
+/* Without a relay others may believe that this endpoint is gone. */
+static void on_watch_timer(struct ba_timer *t, ba_time now)
+{
+	struct daemon *d = ba_entry(t, struct daemon, watch_timer);
+	bool connected = ds_agent_connected(d->agent);
+	ba_time wall = ba_clock_wall();
+
+	pthread_mutex_lock(&d->tables.lock);
+	if (connected) {
+		if (d->cut_off && !d->tables.draining)
+			cl_once_reopen(d->tables.once, wall + CL_KEY_JOIN);
+		d->cut_off = false;
+		d->lost_at = BA_NEVER;
+	} else if (d->lost_at == BA_NEVER) {
+		d->lost_at = now;
+	} else if (!d->cut_off && now - d->lost_at >= CL_KEY_CUT_OFF) {
+		cl_once_close(d->tables.once, wall);
+		d->cut_off = true;
+	}
+	pthread_mutex_unlock(&d->tables.lock);
+	ba_loop_arm(d->loop, t, now + WATCH_PERIOD);
+}
+
+static void on_figures(struct ds_agent_owner *o, struct ba_buf *out)
+{
+	struct daemon *d = ba_entry(o, struct daemon, owner);
+
+	rt_figures_pack(d->tables.figures, ba_clock_wall(),
+			d->stop_deadline != 0, out);
+}
+
+static void on_figures_taken(struct ds_agent_owner *o, uint64_t incarnation,
+			     uint64_t sequence)
+{
+	struct daemon *d = ba_entry(o, struct daemon, owner);
+
+	rt_figures_taken(d->tables.figures, incarnation, sequence);
+}
+
+static void on_signal(int signo, void *arg)
+{
+	struct daemon *d = arg;
+
+	if (signo == SIGHUP)
+		ba_event_reopen();
+	else if (!d->stop_deadline)
+		begin_stop(d);
+}
+
+/* Others learn of the drain first; only then are callers refused here. */
+static void begin_stop(struct daemon *d)
+{
+	ba_time now = ba_clock_now();
+
+	ba_event(BA_EV_STOPPING, "instance=%s", d->identity.instance);
+	rt_count(RT_DRAINS, 1);
+	ds_agent_drain(d->agent);
+	pthread_mutex_lock(&d->tables.lock);
+	d->tables.draining = true;
+	cl_router_drain_self(d->tables.router);
+	cl_once_close(d->tables.once, ba_clock_wall());
+	pthread_mutex_unlock(&d->tables.lock);
+	d->closing_at = now + DRAIN_SPREAD;
+	d->stop_deadline = now + STOP_LIMIT;
+	ba_loop_arm(d->loop, &d->stop_timer, now + STOP_LOOK);
+}
+
+static void on_stop_timer(struct ba_timer *t, ba_time now)
+{
+	struct daemon *d = ba_entry(t, struct daemon, stop_timer);
+	unsigned int left;
+
+	pthread_mutex_lock(&d->tables.lock);
+	if (now >= d->closing_at)
+		d->tables.closing = true;
+	left = d->tables.in_progress;
+	pthread_mutex_unlock(&d->tables.lock);
+	if (now < d->closing_at || (left && now < d->stop_deadline)) {
+		ba_loop_arm(d->loop, t, now + STOP_LOOK);
+		return;
+	}
+	if (left)
+		rt_count(RT_CUT_BY_STOP, left);
+	ds_agent_leave(d->agent);
+	ba_loop_stop(d->loop);
+}
--- /dev/null
+++ b/prog/da_attempt.c
@@ -0,0 +1,462 @@
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#include <glib.h>
+
+#include "base/ba_event.h"
+#include "prog/da_attempt.h"
+#include "prog/da_client.h"
+#include "prog/da_local.h"
+#include "prog/da_peer.h"
+#include "report/rt.h"
+
+enum {
+	BACKLOG_BYTES = 256 * 1024,
+	NO_BODY_STATUS = 204,
+	NOT_MODIFIED_STATUS = 304,
+};
+
+static int find_owner(struct da_call *c, const char **owner);
+static void fill_request(struct da_call *c);
+static void fill_sent(struct da_call *c);
+static void add_range(struct da_call *c);
+static void on_header(struct da_fetch_owner *o, const char *name,
+		      const char *value);
+static void on_head(struct da_fetch_owner *o, int status, int64_t length);
+static bool on_data(struct da_fetch_owner *o, const void *data, size_t len);
+static void on_load(struct da_fetch_owner *o, uint32_t load);
+static void on_ended(struct da_fetch_owner *o, const struct da_end *end);
+static bool held_back(const struct da_call *c);
+static bool wants_another(struct da_call *c, enum cl_seen seen);
+static bool has_no_body(const struct da_call *c);
+static enum cl_seen seen_at_end(const struct da_call *c,
+				const struct da_end *end);
+static int code_of_end(const struct da_call *c, const struct da_end *end,
+		       enum cl_seen seen);
+static void release(struct da_call *c, enum cl_seen seen);
+static bool decide_retry(struct da_call *c, int code,
+			 enum cl_retry_reason *reason);
+static struct cl_retry *budget(struct da_tables *t, const char *service);
+static void reset_answer(struct da_call *c);
+static void break_off(struct da_call *c);
+
+void da_attempt_init(struct da_call *c)
+{
+	c->owner.header = on_header;
+	c->owner.head = on_head;
+	c->owner.data = on_data;
+	c->owner.load = on_load;
+	c->owner.ended = on_ended;
+}
+
+int da_attempt_choose(struct da_call *c)
+{
+	struct da_tables *t = c->w->tables;
+	struct cl_pick_request q = {
+		.service = c->service,
+		.self_load = cl_admit_load(t->admit),
+		.tried = c->tried,
+		.n_tried = c->n_tried,
+		.may_probe = c->idempotent,
+	};
+	int code = c->key ? find_owner(c, &q.owner) : BA_OK;
+
+	if (code)
+		return code;
+	c->endpoint = cl_route_pick(t->router, &q, ba_clock_now(), &c->w->rand,
+				    &c->route_reason);
+	if (!c->endpoint)
+		return CL_NO_ENDPOINT;
+	c->to_backend = c->endpoint->tier == CL_TIER_SELF;
+	if (c->n_tried < CL_ATTEMPTS_LIMIT)
+		c->tried[c->n_tried++] = c->endpoint->id;
+	return BA_OK;
+}
+
+void da_attempt_start(struct da_call *c)
+{
+	ba_event(CL_EV_ROUTED, "call=%s service=%s endpoint=%s reason=%s",
+		 c->id, c->service, c->endpoint->instance,
+		 cl_route_reason_name(c->route_reason));
+	c->sent_at = ba_clock_now();
+	if (c->to_backend) {
+		da_local_begin(c);
+		return;
+	}
+	fill_request(c);
+	c->fetch = da_peers_fetch(c->w->peers, c->endpoint->address,
+				  &c->request, &c->owner);
+}
+
+void da_attempt_backend(struct da_call *c)
+{
+	c->to_backend = true;
+	c->sent_at = ba_clock_now();
+	fill_request(c);
+	c->fetch = da_client_fetch(c->w->client,
+				   c->w->tables->settings->backend_address.text,
+				   &c->request, &c->owner);
+}
+
+void da_attempt_failed(struct da_call *c, int code, enum cl_seen seen)
+{
+	struct da_tables *t = c->w->tables;
+	enum cl_retry_reason reason;
+	bool again;
+
+	release(c, seen);
+	if (c->from_peer || c->orphan) {
+		da_call_fail(c, code);
+		return;
+	}
+	pthread_mutex_lock(&t->lock);
+	again = decide_retry(c, code, &reason) && !da_attempt_choose(c);
+	pthread_mutex_unlock(&t->lock);
+	if (!again) {
+		da_call_fail(c, code);
+		return;
+	}
+	ba_event(CL_EV_RETRIED, "call=%s seen=%s code=%d reason=%s", c->id,
+		 cl_seen_name(seen), code, cl_retry_reason_name(reason));
+	reset_answer(c);
+	da_attempt_start(c);
+}
+
+void da_attempt_cancel(struct da_call *c)
+{
+	if (c->fetch) {
+		c->fetch->ops->cancel(c->fetch);
+		c->fetch = NULL;
+	}
+	da_local_end(c, CL_SEEN_CANCELLED, CL_CANCELLED);
+	release(c, CL_SEEN_CANCELLED);
+}
+
+/* Not run is certain only when nobody can have owned the key. */
+static int find_owner(struct da_call *c, const char **owner)
+{
+	static const int codes[] = {
+		[CL_OWNER_FOUND] = BA_OK,
+		[CL_OWNER_NONE] = CL_NO_ENDPOINT,
+		[CL_OWNER_GONE] = CL_KEY_STALE,
+	};
+	uint64_t incarnation;
+
+	return codes[cl_owner_find(c->w->tables->owners, c->service,
+				   &c->parsed_key, owner, &incarnation)];
+}
+
+static void fill_request(struct da_call *c)
+{
+	struct da_request *q = &c->request;
+
+	q->call = c->id;
+	q->method = c->method;
+	q->target = c->target;
+	q->service = c->service;
+	q->key = c->key;
+	q->headers = &c->sent;
+	q->body = c->body.data;
+	q->body_len = c->body.len;
+	q->deadline = c->deadline;
+	q->idempotent = c->idempotent;
+	q->retry = c->n_tried > 1;
+	fill_sent(c);
+}
+
+static void fill_sent(struct da_call *c)
+{
+	ba_time left = c->deadline - ba_clock_now();
+	char number[24];
+
+	da_headers_clear(&c->sent);
+	for (size_t i = 0; i < c->headers.n; i++) {
+		const struct da_header *h = &c->headers.list[i];
+
+		if (!da_header_is_hop(h->name) && !da_header_is_own(h->name))
+			da_headers_add(&c->sent, h->name, h->value);
+	}
+	if (c->resuming)
+		add_range(c);
+	if (!c->to_backend)
+		return;
+	snprintf(number, sizeof(number), "%lld",
+		 (long long)(left > BA_MS ? left / BA_MS : 1));
+	da_headers_add(&c->sent, CL_HEADER_TIME_LEFT, number);
+	if (!da_headers_get(&c->headers, CL_HEADER_LAYER))
+		da_headers_add(&c->sent, CL_HEADER_LAYER, "inner");
+}
+
+static void add_range(struct da_call *c)
+{
+	char range[CL_RANGE_BYTES];
+
+	cl_answer_range(&c->check, range);
+	da_headers_add(&c->sent, "Range", range);
+	da_headers_add(&c->sent, "If-Range", c->check.etag);
+}
+
+static void on_header(struct da_fetch_owner *o, const char *name,
+		      const char *value)
+{
+	struct da_call *c = (struct da_call *)o;
+
+	if (da_header_is_own(name))
+		return;
+	if (!strcasecmp(name, "ETag")) {
+		g_free(c->part_etag);
+		c->part_etag = g_strdup(value);
+	} else if (!strcasecmp(name, "Content-Range")) {
+		g_free(c->part_range);
+		c->part_range = g_strdup(value);
+	}
+	if (!c->resuming)
+		da_headers_add(&c->answer.headers, name, value);
+}
+
+static void on_head(struct da_fetch_owner *o, int status, int64_t length)
+{
+	struct da_call *c = (struct da_call *)o;
+	bool plain = c->idempotent && !strcmp(c->method, "GET") &&
+		     !da_headers_get(&c->headers, "Range");
+
+	if (c->resuming) {
+		c->part_bad = cl_answer_resume(&c->check, status, c->part_etag,
+					       c->part_range) != CL_PART_GOOD;
+		da_call_moved(c);
+		return;
+	}
+	cl_answer_head(&c->check, status, length, c->part_etag,
+		       plain && !c->from_peer);
+	c->answer.status = status;
+	c->answer.length = length;
+	if (!held_back(c))
+		da_call_moved(c);
+}
+
+static bool on_data(struct da_fetch_owner *o, const void *data, size_t len)
+{
+	struct da_call *c = (struct da_call *)o;
+	struct da_answer *a = &c->answer;
+
+	if (!held_back(c) && a->data.len - a->taken > BACKLOG_BYTES) {
+		c->paused = true;
+		return false;
+	}
+	if (c->part_bad || cl_answer_data(&c->check, len) != CL_PART_GOOD) {
+		c->part_bad = true;
+		da_call_moved(c);
+		return true;
+	}
+	ba_buf_add(&a->data, data, len);
+	c->big = c->big || a->data.len > CL_ONCE_ANSWER_BYTES;
+	if (!held_back(c))
+		da_call_moved(c);
+	return true;
+}
+
+static bool held_back(const struct da_call *c)
+{
+	return c->keep && !c->big;
+}
+
+static void on_load(struct da_fetch_owner *o, uint32_t load)
+{
+	struct da_call *c = (struct da_call *)o;
+	struct cl_endpoint *e = c->endpoint;
+
+	if (!e)
+		return;
+	pthread_mutex_lock(&c->w->tables->lock);
+	cl_route_report(e, load > e->in_flight ? load - e->in_flight : 0,
+			ba_clock_now());
+	pthread_mutex_unlock(&c->w->tables->lock);
+}
+
+static void on_ended(struct da_fetch_owner *o, const struct da_end *end)
+{
+	struct da_call *c = (struct da_call *)o;
+	enum cl_seen seen = seen_at_end(c, end);
+	int code = code_of_end(c, end, seen);
+
+	c->fetch = NULL;
+	da_local_end(c, seen, code);
+	if (!code && wants_another(c, seen)) {
+		da_attempt_failed(c, CL_OVERLOADED, seen);
+	} else if (!code) {
+		release(c, seen);
+		pthread_mutex_lock(&c->w->tables->lock);
+		cl_retry_answered(budget(c->w->tables, c->service));
+		pthread_mutex_unlock(&c->w->tables->lock);
+		da_call_whole(c);
+	} else if (c->started) {
+		release(c, seen);
+		break_off(c);
+	} else {
+		da_attempt_failed(c, code, seen);
+	}
+}
+
+/*
+ * A backend server that is at its limit answers 503.  Another may do better;
+ * when there is none, or no budget, the caller gets that answer.
+ */
+static bool wants_another(struct da_call *c, enum cl_seen seen)
+{
+	struct da_tables *t = c->w->tables;
+	enum cl_retry_reason reason;
+	struct cl_retry before;
+	bool again;
+
+	if (seen != CL_SEEN_OVERLOADED || !c->idempotent || c->inner ||
+	    c->started || c->from_peer || c->orphan)
+		return false;
+	pthread_mutex_lock(&t->lock);
+	before = *budget(t, c->service);
+	again = decide_retry(c, CL_OVERLOADED, &reason);
+	*budget(t, c->service) = before;
+	pthread_mutex_unlock(&t->lock);
+	return again;
+}
+
+static bool has_no_body(const struct da_call *c)
+{
+	return !strcmp(c->method, "HEAD") ||
+	       c->answer.status == NO_BODY_STATUS ||
+	       c->answer.status == NOT_MODIFIED_STATUS;
+}
+
+static enum cl_seen seen_at_end(const struct da_call *c,
+				const struct da_end *end)
+{
+	if (end->result == CL_DRAINING)
+		return CL_SEEN_DRAINING;
+	if (end->result == CL_OVERLOADED)
+		return CL_SEEN_OVERLOADED;
+	if (end->result == CL_BACKEND_UNREACHABLE)
+		return CL_SEEN_UNREACHABLE;
+	if (end->result)
+		return cl_outcome_of(end->result) == CL_OUT_NOT_RUN
+			       ? CL_SEEN_ANSWER
+			       : CL_SEEN_BROKEN;
+	if (end->seen != CL_SEEN_ANSWER)
+		return end->seen;
+	if (!has_no_body(c) &&
+	    (c->part_bad || cl_answer_end(&c->check) != CL_PART_GOOD))
+		return CL_SEEN_BROKEN;
+	if (c->answer.status == 503)
+		return CL_SEEN_OVERLOADED;
+	return c->answer.status >= 500 ? CL_SEEN_ERROR_ANSWER : CL_SEEN_ANSWER;
+}
+
+static int code_of_end(const struct da_call *c, const struct da_end *end,
+		       enum cl_seen seen)
+{
+	if (end->result)
+		return end->result;
+	if (!end->written)
+		return ba_clock_now() >= c->deadline ? CL_OVERLOADED
+						     : CL_BACKEND_UNREACHABLE;
+	switch (seen) {
+	case CL_SEEN_ANSWER:
+	case CL_SEEN_ERROR_ANSWER:
+	case CL_SEEN_OVERLOADED:
+		return BA_OK;
+	case CL_SEEN_TIMEOUT:
+		return CL_DEADLINE_PASSED;
+	default:
+		return c->answer.status ? CL_ANSWER_BROKEN : CL_MAY_HAVE_RUN;
+	}
+}
+
+static void release(struct da_call *c, enum cl_seen seen)
+{
+	struct da_tables *t = c->w->tables;
+	enum cl_route_change change;
+	ba_time now = ba_clock_now();
+	char name[CF_NAME_BYTES + 1];
+
+	if (!c->endpoint)
+		return;
+	g_strlcpy(name, c->endpoint->instance, sizeof(name));
+	pthread_mutex_lock(&t->lock);
+	if (c->endpoint->tier == CL_TIER_LINK)
+		cl_router_spend(t->router,
+				(uint64_t)c->check.received + c->body.len);
+	change = cl_route_done(t->router, c->endpoint, seen, now - c->sent_at,
+			       now);
+	pthread_mutex_unlock(&t->lock);
+	c->endpoint = NULL;
+	if (change == CL_ROUTE_EJECTED)
+		ba_event(CL_EV_EJECTED, "endpoint=%s service=%s seen=%s", name,
+			 c->service, cl_seen_name(seen));
+	else if (change == CL_ROUTE_RESTORED)
+		ba_event(CL_EV_RESTORED, "endpoint=%s service=%s", name,
+			 c->service);
+}
+
+static bool decide_retry(struct da_call *c, int code,
+			 enum cl_retry_reason *reason)
+{
+	struct cl_failure f = {
+		.code = code,
+		.idempotent = c->idempotent,
+		.inner = c->inner,
+		.attempts = (unsigned int)c->n_tried,
+		.deadline = c->deadline,
+	};
+
+	return cl_retry_decide(budget(c->w->tables, c->service), &f,
+			       ba_clock_now(), reason);
+}
+
+static struct cl_retry *budget(struct da_tables *t, const char *service)
+{
+	struct cl_retry *r = g_hash_table_lookup(t->retries, service);
+
+	if (r)
+		return r;
+	r = g_new0(struct cl_retry, 1);
+	cl_retry_init(r);
+	g_hash_table_insert(t->retries, g_strdup(service), r);
+	return r;
+}
+
+static void reset_answer(struct da_call *c)
+{
+	c->answer.status = 0;
+	c->answer.length = -1;
+	c->answer.data.len = 0;
+	c->answer.taken = 0;
+	da_headers_clear(&c->answer.headers);
+	memset(&c->check, 0, sizeof(c->check));
+	c->paused = false;
+	c->part_bad = false;
+}
+
+/* A part of the answer has gone out: the rest, or a visible end. */
+static void break_off(struct da_call *c)
+{
+	struct da_tables *t = c->w->tables;
+	enum cl_retry_reason reason;
+	bool again = false;
+
+	if (c->check.resumable && !c->orphan) {
+		pthread_mutex_lock(&t->lock);
+		again = decide_retry(c, CL_ANSWER_BROKEN, &reason) &&
+			!da_attempt_choose(c);
+		pthread_mutex_unlock(&t->lock);
+	}
+	if (again) {
+		ba_event(CL_EV_RETRIED, "call=%s resumed_at=%lld", c->id,
+			 (long long)c->check.received);
+		c->resuming = true;
+		c->part_bad = false;
+		c->paused = false;
+		da_attempt_start(c);
+		return;
+	}
+	rt_count(RT_ANSWERS_BROKEN, 1);
+	da_call_fail(c, CL_ANSWER_BROKEN);
+}
--- /dev/null
+++ b/prog/da_call.c
@@ -0,0 +1,253 @@
+#include <stdio.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/ba_event.h"
+#include "prog/da_attempt.h"
+#include "prog/da_call.h"
+#include "prog/da_enter.h"
+#include "prog/da_local.h"
+#include "report/rt.h"
+#include "report/rt_figures.h"
+
+enum { BACKLOG_LOW_BYTES = 64 * 1024 };
+
+#define SWEEP_PERIOD (50 * BA_MS)
+#define GONE_AFTER (100 * BA_MS)
+
+static int begin(struct da_call *c);
+static int begin_peer(struct da_call *c);
+static void arm_sweep(struct da_worker *w, ba_time now);
+static void end_orphan(struct da_call *c);
+static void count_end(struct da_call *c);
+static void call_free(struct da_call *c);
+
+void da_call_init(struct da_call *c, struct da_worker *w,
+		  const struct da_front *front)
+{
+	da_attempt_init(c);
+	c->w = w;
+	c->front = front;
+	c->arrived = ba_clock_now();
+	c->answer.length = -1;
+	ba_list_init(&c->ready);
+	ba_list_init(&c->ticket.link);
+	ba_list_append(&w->calls, &c->link);
+	if (!w->sweep.slot)
+		arm_sweep(w, c->arrived);
+}
+
+void da_call_begin(struct da_call *c)
+{
+	struct da_tables *t = c->w->tables;
+	int code;
+
+	if (!c->id[0])
+		snprintf(c->id, sizeof(c->id), "%016llx",
+			 (unsigned long long)ba_rand_next(&c->w->rand));
+	c->inner = da_headers_get(&c->headers, CL_HEADER_LAYER) != NULL;
+	pthread_mutex_lock(&t->lock);
+	t->in_progress++;
+	c->counted = true;
+	code = c->from_peer ? begin_peer(c) : begin(c);
+	pthread_mutex_unlock(&t->lock);
+	if (code)
+		da_call_fail(c, code);
+	else if (c->from_peer)
+		da_local_begin(c);
+	else
+		da_attempt_start(c);
+}
+
+void da_call_fail(struct da_call *c, int code)
+{
+	enum cl_outcome o = cl_outcome_of(code);
+
+	c->result = code;
+	c->answer.broken = c->started;
+	ba_event(o == CL_OUT_NOT_RUN ? CL_EV_NOT_RUN : CL_EV_MAY_HAVE_RUN,
+		 "call=%s method=%s target=%s service=%s code=%d", c->id,
+		 c->method, c->target, c->service ? c->service : "-", code);
+	if (c->orphan)
+		end_orphan(c);
+	else
+		da_call_moved(c);
+}
+
+void da_call_whole(struct da_call *c)
+{
+	c->answer.whole = true;
+	if (c->orphan)
+		end_orphan(c);
+	else
+		da_call_moved(c);
+}
+
+/* Looked at once at the end of the turn, when small answers are whole. */
+void da_call_moved(struct da_call *c)
+{
+	if (!ba_list_empty(&c->ready))
+		return;
+	ba_list_append(&c->w->ready, &c->ready);
+	ba_loop_arm(c->w->loop, &c->w->turn, 0);
+}
+
+void da_call_drained(struct da_call *c, size_t bytes)
+{
+	struct da_answer *a = &c->answer;
+
+	if (a->taken == a->data.len) {
+		a->taken = 0;
+		a->data.len = 0;
+	}
+	if (!c->fetch)
+		return;
+	if (c->paused && a->data.len - a->taken > BACKLOG_LOW_BYTES)
+		return;
+	c->paused = false;
+	c->fetch->ops->drained(c->fetch, bytes);
+}
+
+bool da_call_over(const struct da_call *c)
+{
+	return c->orphan || c->result || c->answer.whole;
+}
+
+void da_call_leave(struct da_call *c)
+{
+	ba_list_remove(&c->ready);
+	if (c->granted || (c->keep && c->fetch)) {
+		c->orphan = true;
+		return;
+	}
+	da_attempt_cancel(c);
+	call_free(c);
+}
+
+void da_call_turn(struct da_worker *w)
+{
+	while (!ba_list_empty(&w->ready)) {
+		struct da_call *c =
+			ba_entry(w->ready.next, struct da_call, ready);
+
+		ba_list_remove(&c->ready);
+		if (c->part_bad && c->fetch) {
+			da_attempt_cancel(c);
+			rt_count(RT_ANSWERS_BROKEN, 1);
+			c->result = CL_ANSWER_BROKEN;
+			c->answer.broken = c->started;
+		}
+		c->front->moved(c);
+	}
+}
+
+void da_call_sweep(struct da_worker *w, ba_time now)
+{
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	ba_list_each_safe(pos, tmp, &w->calls)
+	{
+		struct da_call *c = ba_entry(pos, struct da_call, link);
+
+		if (now - c->arrived < GONE_AFTER || c->granted || c->orphan ||
+		    !c->front->gone || !c->front->gone(c))
+			continue;
+		if (c->keep && c->fetch)
+			continue;
+		da_attempt_cancel(c);
+		if (!da_call_over(c))
+			da_call_fail(c, CL_CANCELLED);
+	}
+	da_local_pump(w->tables);
+	if (!ba_list_empty(&w->calls))
+		arm_sweep(w, now);
+}
+
+void da_call_json(int code, struct ba_buf *out)
+{
+	const struct ba_result_info *info = ba_result_info(code);
+
+	ba_buf_addf(out,
+		    "{\"code\":%d,\"name\":\"%s\",\"outcome\":\"%s\","
+		    "\"message\":\"%s\",\"next_step\":\"%s\"}\n",
+		    code, info->name, cl_outcome_name(cl_outcome_of(code)),
+		    info->text, info->next_step);
+}
+
+static int begin(struct da_call *c)
+{
+	int code = da_enter(c);
+
+	return code ? code : da_attempt_choose(c);
+}
+
+static int begin_peer(struct da_call *c)
+{
+	const struct da_settings *s = c->w->tables->settings;
+
+	if (strcmp(c->service, s->backend_service))
+		return CL_NO_ENDPOINT;
+	if (c->deadline <= ba_clock_now())
+		return CL_DEADLINE_EXPIRED;
+	return c->key ? cl_key_parse(c->key, &c->parsed_key) : BA_OK;
+}
+
+static void arm_sweep(struct da_worker *w, ba_time now)
+{
+	ba_loop_arm(w->loop, &w->sweep, now + SWEEP_PERIOD);
+}
+
+static void end_orphan(struct da_call *c)
+{
+	c->orphan = false;
+	da_call_leave(c);
+}
+
+/* A call is counted by the daemon that took it in from its caller. */
+static void count_end(struct da_call *c)
+{
+	static const enum rt_outcome outcomes[] = {
+		[CL_OUT_ANSWERED] = RT_OUTCOME_ANSWERED,
+		[CL_OUT_NOT_RUN] = RT_OUTCOME_NOT_RUN,
+		[CL_OUT_MAY_HAVE_RUN] = RT_OUTCOME_MAY_HAVE_RUN,
+	};
+	struct da_tables *t = c->w->tables;
+	ba_time took = ba_clock_now() - c->arrived;
+	enum rt_outcome o = outcomes[cl_outcome_of(c->result)];
+
+	if (!c->counted)
+		return;
+	pthread_mutex_lock(&t->lock);
+	t->in_progress--;
+	pthread_mutex_unlock(&t->lock);
+	if (c->result == CL_OVERLOADED)
+		o = RT_OUTCOME_SHED;
+	if (!c->from_peer)
+		rt_figures_call(
+			t->figures, c->service ? c->service : "-", o, took,
+			c->n_tried > 1 ? (unsigned int)c->n_tried - 1 : 0);
+	if (!c->result)
+		ba_event(CL_EV_ANSWERED, "call=%s status=%d us=%lld", c->id,
+			 c->answer.status, (long long)took);
+}
+
+static void call_free(struct da_call *c)
+{
+	count_end(c);
+	ba_list_remove(&c->link);
+	cf_snapshot_unref(c->snapshot);
+	da_headers_free(&c->headers);
+	da_headers_free(&c->sent);
+	da_headers_free(&c->answer.headers);
+	ba_buf_free(&c->answer.data);
+	ba_buf_free(&c->body);
+	g_free(c->part_etag);
+	g_free(c->part_range);
+	g_free(c->method);
+	g_free(c->target);
+	g_free(c->service);
+	g_free(c->key);
+	g_free(c);
+}
--- /dev/null
+++ b/prog/da_client.c
@@ -0,0 +1,436 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include <curl/curl.h>
+#include <glib.h>
+
+#include "base/ba_loop.h"
+#include "prog/da_client.h"
+
+enum {
+	CONNECT_LIMIT_MS = 300,
+	KEEP_IDLE_SECONDS = 20,
+	IDLE_HANDLES = 64,
+	URL_BYTES = 64,
+	STATUS_INTERIM_END = 200,
+};
+
+struct da_client {
+	struct ba_loop *loop;
+	CURLM *multi;
+	struct ba_timer timer;
+	struct ba_list idle;
+	unsigned int n_idle;
+};
+
+struct socket_watch {
+	struct ba_watch watch;
+	struct da_client *client;
+};
+
+struct transfer {
+	struct da_fetch fetch;
+	struct ba_list link;
+	struct da_client *client;
+	CURL *easy;
+	struct curl_slist *headers;
+	int status;
+	int64_t length;
+	unsigned int sendings;
+	bool resend;
+	bool headed;
+	bool paused;
+};
+
+static void drained(struct da_fetch *fetch, size_t bytes);
+static void cancel(struct da_fetch *fetch);
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *user,
+		     void *socket_user);
+static int on_timeout(CURLM *multi, long ms, void *user);
+static void fire(struct ba_timer *t, ba_time now);
+static void ready(struct ba_watch *w, unsigned int bits);
+static void act(struct da_client *c, curl_socket_t fd, int bits);
+static void finish(struct transfer *f, CURLcode code);
+static enum cl_seen seen_of(CURLcode code, bool connected);
+static struct transfer *fetch_new(struct da_client *c);
+static void fetch_release(struct transfer *f);
+static void set_constant(CURL *easy);
+static void set_request(struct transfer *f, const char *address,
+			const struct da_request *q);
+static void set_headers(struct transfer *f, const struct da_request *q);
+static size_t on_header(char *data, size_t size, size_t n, void *user);
+static void start_head(struct transfer *f, const char *line, size_t len);
+static void take_field(struct transfer *f, const char *line, size_t len);
+static size_t on_data(char *data, size_t size, size_t n, void *user);
+static int on_sending(void *user, char *to, char *from, int to_port,
+		      int from_port);
+
+static const struct da_fetch_ops transfer_ops = {
+	.drained = drained,
+	.cancel = cancel,
+};
+
+struct da_client *da_client_new(struct ba_loop *loop, long connections)
+{
+	struct da_client *c = g_new0(struct da_client, 1);
+
+	c->loop = loop;
+	c->timer.fire = fire;
+	ba_list_init(&c->idle);
+	c->multi = curl_multi_init();
+	curl_multi_setopt(c->multi, CURLMOPT_SOCKETFUNCTION, on_socket);
+	curl_multi_setopt(c->multi, CURLMOPT_SOCKETDATA, c);
+	curl_multi_setopt(c->multi, CURLMOPT_TIMERFUNCTION, on_timeout);
+	curl_multi_setopt(c->multi, CURLMOPT_TIMERDATA, c);
+	curl_multi_setopt(c->multi, CURLMOPT_MAXCONNECTS, 1024L);
+	curl_multi_setopt(c->multi, CURLMOPT_MAX_HOST_CONNECTIONS, connections);
+	return c;
+}
+
+void da_client_free(struct da_client *c)
+{
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	if (!c)
+		return;
+	ba_list_each_safe(pos, tmp, &c->idle)
+	{
+		struct transfer *f = ba_entry(pos, struct transfer, link);
+
+		curl_easy_cleanup(f->easy);
+		g_free(f);
+	}
+	curl_multi_cleanup(c->multi);
+	ba_loop_disarm(c->loop, &c->timer);
+	g_free(c);
+}
+
+struct da_fetch *da_client_fetch(struct da_client *c, const char *address,
+				 const struct da_request *q,
+				 struct da_fetch_owner *o)
+{
+	struct transfer *f = fetch_new(c);
+
+	f->fetch.ops = &transfer_ops;
+	f->fetch.owner = o;
+	f->paused = false;
+	f->status = 0;
+	f->length = -1;
+	f->sendings = 0;
+	f->headed = false;
+	f->resend = q->idempotent;
+	set_request(f, address, q);
+	set_headers(f, q);
+	curl_multi_add_handle(c->multi, f->easy);
+	return &f->fetch;
+}
+
+static void drained(struct da_fetch *fetch, size_t bytes)
+{
+	struct transfer *f = (struct transfer *)fetch;
+
+	(void)bytes;
+	if (!f->paused)
+		return;
+	f->paused = false;
+	curl_easy_pause(f->easy, CURLPAUSE_CONT);
+}
+
+static void cancel(struct da_fetch *fetch)
+{
+	struct transfer *f = (struct transfer *)fetch;
+
+	curl_multi_remove_handle(f->client->multi, f->easy);
+	fetch_release(f);
+}
+
+static int on_socket(CURL *easy, curl_socket_t fd, int what, void *user,
+		     void *socket_user)
+{
+	struct da_client *c = user;
+	struct socket_watch *s = socket_user;
+	unsigned int bits = 0;
+
+	(void)easy;
+	if (what == CURL_POLL_REMOVE) {
+		if (s)
+			ba_loop_unwatch(c->loop, &s->watch);
+		g_free(s);
+		return 0;
+	}
+	if (!s) {
+		s = g_new0(struct socket_watch, 1);
+		s->watch.fd = fd;
+		s->watch.ready = ready;
+		s->client = c;
+		curl_multi_assign(c->multi, fd, s);
+	}
+	if (what & CURL_POLL_IN)
+		bits |= BA_READABLE;
+	if (what & CURL_POLL_OUT)
+		bits |= BA_WRITABLE;
+	ba_loop_watch(c->loop, &s->watch, bits);
+	return 0;
+}
+
+static int on_timeout(CURLM *multi, long ms, void *user)
+{
+	struct da_client *c = user;
+
+	(void)multi;
+	if (ms < 0)
+		ba_loop_disarm(c->loop, &c->timer);
+	else
+		ba_loop_arm(c->loop, &c->timer,
+			    ms ? ba_clock_now() + ms * BA_MS : 0);
+	return 0;
+}
+
+static void fire(struct ba_timer *t, ba_time now)
+{
+	(void)now;
+	act(ba_entry(t, struct da_client, timer), CURL_SOCKET_TIMEOUT, 0);
+}
+
+static void ready(struct ba_watch *w, unsigned int bits)
+{
+	struct socket_watch *s = ba_entry(w, struct socket_watch, watch);
+	int select = 0;
+
+	if (bits & BA_READABLE)
+		select |= CURL_CSELECT_IN;
+	if (bits & BA_WRITABLE)
+		select |= CURL_CSELECT_OUT;
+	if (bits & BA_HANGUP)
+		select |= CURL_CSELECT_ERR;
+	act(s->client, w->fd, select);
+}
+
+static void act(struct da_client *c, curl_socket_t fd, int bits)
+{
+	int running;
+	int left;
+	const CURLMsg *m;
+
+	curl_multi_socket_action(c->multi, fd, bits, &running);
+	while ((m = curl_multi_info_read(c->multi, &left))) {
+		struct transfer *f;
+		CURLcode code = m->data.result;
+
+		if (m->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(m->easy_handle, CURLINFO_PRIVATE, &f);
+		finish(f, code);
+	}
+}
+
+static void finish(struct transfer *f, CURLcode code)
+{
+	struct da_fetch_owner *o = f->fetch.owner;
+	struct da_end end;
+
+	end.result = BA_OK;
+	end.written = f->sendings != 0;
+	end.seen = seen_of(code, end.written);
+	curl_multi_remove_handle(f->client->multi, f->easy);
+	fetch_release(f);
+	o->ended(o, &end);
+}
+
+static enum cl_seen seen_of(CURLcode code, bool connected)
+{
+	if (code == CURLE_OK)
+		return CL_SEEN_ANSWER;
+	if (!connected)
+		return CL_SEEN_UNREACHABLE;
+	if (code == CURLE_OPERATION_TIMEDOUT)
+		return CL_SEEN_TIMEOUT;
+	return CL_SEEN_BROKEN;
+}
+
+static struct transfer *fetch_new(struct da_client *c)
+{
+	struct transfer *f;
+
+	if (!ba_list_empty(&c->idle)) {
+		f = ba_entry(c->idle.next, struct transfer, link);
+		ba_list_remove(&f->link);
+		c->n_idle--;
+		return f;
+	}
+	f = g_new0(struct transfer, 1);
+	ba_list_init(&f->link);
+	f->client = c;
+	f->easy = curl_easy_init();
+	curl_easy_setopt(f->easy, CURLOPT_PRIVATE, f);
+	curl_easy_setopt(f->easy, CURLOPT_HEADERDATA, f);
+	curl_easy_setopt(f->easy, CURLOPT_WRITEDATA, f);
+	curl_easy_setopt(f->easy, CURLOPT_PREREQDATA, f);
+	set_constant(f->easy);
+	return f;
+}
+
+static void fetch_release(struct transfer *f)
+{
+	struct da_client *c = f->client;
+
+	curl_slist_free_all(f->headers);
+	f->headers = NULL;
+	if (c->n_idle >= IDLE_HANDLES) {
+		curl_easy_cleanup(f->easy);
+		g_free(f);
+		return;
+	}
+	ba_list_prepend(&c->idle, &f->link);
+	c->n_idle++;
+}
+
+static void set_constant(CURL *easy)
+{
+	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
+	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_sending);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
+	curl_easy_setopt(easy, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(easy, CURLOPT_HTTP_CONTENT_DECODING, 0L);
+	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)CONNECT_LIMIT_MS);
+	curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, (long)KEEP_IDLE_SECONDS);
+}
+
+static void set_request(struct transfer *f, const char *address,
+			const struct da_request *q)
+{
+	char *url = g_strdup_printf("http://%s%s", address, q->target);
+	ba_time left = q->deadline - ba_clock_now();
+	bool head = !strcmp(q->method, "HEAD");
+
+	curl_easy_setopt(f->easy, CURLOPT_URL, url);
+	g_free(url);
+	curl_easy_setopt(f->easy, CURLOPT_CUSTOMREQUEST, NULL);
+	curl_easy_setopt(f->easy, CURLOPT_NOBODY, 0L);
+	if (head) {
+		curl_easy_setopt(f->easy, CURLOPT_NOBODY, 1L);
+	} else if (!q->body_len && !strcmp(q->method, "GET")) {
+		curl_easy_setopt(f->easy, CURLOPT_HTTPGET, 1L);
+	} else {
+		curl_easy_setopt(f->easy, CURLOPT_POST, 1L);
+		curl_easy_setopt(f->easy, CURLOPT_POSTFIELDS,
+				 q->body_len ? q->body : "");
+		curl_easy_setopt(f->easy, CURLOPT_POSTFIELDSIZE,
+				 (long)q->body_len);
+		curl_easy_setopt(f->easy, CURLOPT_CUSTOMREQUEST, q->method);
+	}
+	curl_easy_setopt(f->easy, CURLOPT_TIMEOUT_MS,
+			 left > BA_MS ? (long)(left / BA_MS) : 1L);
+}
+
+/* An empty "Name:" keeps the library from adding a field of its own. */
+static void set_headers(struct transfer *f, const struct da_request *q)
+{
+	static const char *const unwanted[] = {"Accept", "Content-Type",
+					       "User-Agent"};
+	char line[CL_HEADER_LIMIT_BYTES];
+
+	f->headers = curl_slist_append(NULL, "Expect:");
+	for (size_t i = 0; i < G_N_ELEMENTS(unwanted); i++) {
+		if (da_headers_get(q->headers, unwanted[i]))
+			continue;
+		snprintf(line, sizeof(line), "%s:", unwanted[i]);
+		f->headers = curl_slist_append(f->headers, line);
+	}
+	for (size_t i = 0; i < q->headers->n; i++) {
+		const struct da_header *h = &q->headers->list[i];
+
+		snprintf(line, sizeof(line), *h->value ? "%s: %s" : "%s;",
+			 h->name, h->value);
+		f->headers = curl_slist_append(f->headers, line);
+	}
+	curl_easy_setopt(f->easy, CURLOPT_HTTPHEADER, f->headers);
+}
+
+static size_t on_header(char *data, size_t size, size_t n, void *user)
+{
+	struct transfer *f = user;
+	size_t len = size * n;
+	size_t text = len;
+
+	while (text && (data[text - 1] == '\n' || data[text - 1] == '\r'))
+		text--;
+	if (f->headed)
+		return len; /* a trailer */
+	if (text > 5 && !strncasecmp(data, "HTTP/", 5)) {
+		start_head(f, data, text);
+	} else if (text) {
+		take_field(f, data, text);
+	} else if (f->status >= STATUS_INTERIM_END) {
+		f->headed = true;
+		f->fetch.owner->head(f->fetch.owner, f->status, f->length);
+	}
+	return len;
+}
+
+static void start_head(struct transfer *f, const char *line, size_t len)
+{
+	const char *space = memchr(line, ' ', len);
+
+	f->status = space ? atoi(space + 1) : 0;
+	f->length = -1;
+}
+
+static void take_field(struct transfer *f, const char *line, size_t len)
+{
+	const char *colon = memchr(line, ':', len);
+	char *name;
+	char *value;
+
+	if (!colon || f->status < STATUS_INTERIM_END)
+		return;
+	name = g_strndup(line, (size_t)(colon - line));
+	value = g_strstrip(
+		g_strndup(colon + 1, len - (size_t)(colon + 1 - line)));
+	if (!strcasecmp(name, "Content-Length"))
+		f->length = g_ascii_strtoll(value, NULL, 10);
+	else if (!da_header_is_hop(name))
+		f->fetch.owner->header(f->fetch.owner, name, value);
+	g_free(name);
+	g_free(value);
+}
+
+static size_t on_data(char *data, size_t size, size_t n, void *user)
+{
+	struct transfer *f = user;
+
+	if (!f->fetch.owner->data(f->fetch.owner, data, size * n)) {
+		f->paused = true;
+		return CURL_WRITEFUNC_PAUSE;
+	}
+	return size * n;
+}
+
+/*
+ * Called each time before the request is written.  The library would write
+ * it again when a kept connection turns out to be lost, which is a second
+ * run for a request that is not idempotent.
+ */
+static int on_sending(void *user, char *to, char *from, int to_port,
+		      int from_port)
+{
+	struct transfer *f = user;
+
+	(void)to;
+	(void)from;
+	(void)to_port;
+	(void)from_port;
+	if (f->sendings++ && !f->resend)
+		return CURL_PREREQFUNC_ABORT;
+	return CURL_PREREQFUNC_OK;
+}
--- /dev/null
+++ b/prog/da_client.h
@@ -0,0 +1,23 @@
+/*
+ * Attempts over HTTP, to the backend server beside this daemon.
+ */
+#ifndef DA_CLIENT_H
+#define DA_CLIENT_H
+
+#include "base/ba_loop.h"
+#include "prog/da_fetch.h"
+
+struct da_client;
+
+/** da_client_new() - a client on @loop with so many connections at most */
+struct da_client *da_client_new(struct ba_loop *loop, long connections);
+
+/** da_client_free() - free it; no attempt may be running */
+void da_client_free(struct da_client *c);
+
+/** da_client_fetch() - start an attempt at @address, "ip:port" */
+struct da_fetch *da_client_fetch(struct da_client *c, const char *address,
+				 const struct da_request *q,
+				 struct da_fetch_owner *o);
+
+#endif
--- /dev/null
+++ b/prog/da_enter.c
@@ -0,0 +1,90 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "prog/da_enter.h"
+
+static int find_route(struct da_call *c);
+static int check_key(struct da_call *c);
+static ba_time limit_of(const struct cf_snapshot *s, int service);
+
+int da_enter(struct da_call *c)
+{
+	struct da_tables *t = c->w->tables;
+	int code;
+
+	if (t->closing)
+		return CL_DRAINING;
+	if (!t->snapshot || !t->snapshot->version)
+		return CL_NOT_CONFIGURED;
+	c->snapshot = cf_snapshot_ref(t->snapshot);
+	code = find_route(c);
+	if (code)
+		return code;
+	if (!cl_admit_entry(t->in_progress, DA_CALLS_LIMIT, c->weight,
+			    t->heaviest))
+		return CL_OVERLOADED;
+	return check_key(c);
+}
+
+int da_enter_deadline(struct da_call *c, ba_time limit)
+{
+	const char *text = da_headers_get(&c->headers, CL_HEADER_TIME_LEFT);
+	int64_t ms;
+	char *end;
+
+	if (text) {
+		ms = g_ascii_strtoll(text, &end, 10);
+		if (end == text || *end)
+			return CL_REQUEST_MALFORMED;
+		if (ms <= 0)
+			return CL_DEADLINE_EXPIRED;
+		if (ms < limit / BA_MS)
+			limit = ms * BA_MS;
+	}
+	c->deadline = c->arrived + limit;
+	if (c->deadline <= ba_clock_now())
+		return CL_DEADLINE_EXPIRED;
+	return BA_OK;
+}
+
+static int find_route(struct da_call *c)
+{
+	const struct cf_snapshot *s = c->snapshot;
+	char *path = g_strndup(c->target, strcspn(c->target, "?"));
+	const struct cf_route *route = cf_route_find(s, c->method, path);
+
+	g_free(path);
+	if (!route)
+		return CL_NO_ROUTE;
+	c->service = g_strdup(s->services[route->service].name);
+	c->idempotent = route->idempotent;
+	c->weight = s->policy.rows ? s->policy.rows[route->service].weight : 1;
+	return da_enter_deadline(c, limit_of(s, route->service));
+}
+
+/* A key on an idempotent route asks for no more than the route gives. */
+static int check_key(struct da_call *c)
+{
+	const char *key = da_headers_get(&c->headers, CL_HEADER_KEY);
+
+	if (c->idempotent)
+		return BA_OK;
+	if (!key)
+		return CL_KEY_REQUIRED;
+	c->key = g_strdup(key);
+	return cl_key_parse(c->key, &c->parsed_key);
+}
+
+static ba_time limit_of(const struct cf_snapshot *s, int service)
+{
+	ba_time limit = CL_TIME_LIMIT;
+
+	if (s->services[service].timeout &&
+	    s->services[service].timeout < limit)
+		limit = s->services[service].timeout;
+	if (s->policy.rows && s->policy.rows[service].deadline &&
+	    s->policy.rows[service].deadline < limit)
+		limit = s->policy.rows[service].deadline;
+	return limit;
+}
--- /dev/null
+++ b/prog/da_http.c
@@ -0,0 +1,426 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <microhttpd.h>
+
+#include "prog/da_http.h"
+
+enum {
+	BACKLOG = 1024,
+	CONNECTIONS_LIMIT = 8192,
+	CALLER_IDLE_SECONDS = 60,
+	STREAM_BLOCK_BYTES = 64 * 1024,
+	BODY_IGNORED_BYTES = 16 * CL_BODY_LIMIT_BYTES,
+	RESULT_BYTES = 48,
+	RETRY_AFTER_STATUS = 503,
+};
+
+#define RETRY_AFTER "1"
+#define REQUEST_LIMIT (10 * BA_SECOND)
+
+struct da_http {
+	struct ba_watch watch;
+	struct ba_timer timer;
+	struct da_worker *w;
+	struct MHD_Daemon *daemon;
+};
+
+/* A call of a caller, with the connection that its answer goes to. */
+struct asked {
+	struct da_call call;
+	struct MHD_Connection *conn;
+	bool begun;
+	bool suspended;
+	bool too_large;
+};
+
+/* What a look at the fields of a request found. */
+struct scan {
+	struct asked *q;
+	unsigned int lengths;
+	unsigned int codings;
+	unsigned int hosts;
+	bool bad_length;
+	uint64_t length;
+};
+
+static void ready(struct ba_watch *w, unsigned int bits);
+static void fire(struct ba_timer *t, ba_time now);
+static void *on_target(void *cls, const char *target,
+		       struct MHD_Connection *conn);
+static enum MHD_Result on_request(void *cls, struct MHD_Connection *conn,
+				  const char *url, const char *method,
+				  const char *version, const char *data,
+				  size_t *len, void **state);
+static void on_completed(void *cls, struct MHD_Connection *conn, void **state,
+			 enum MHD_RequestTerminationCode why);
+static int check_head(struct asked *q);
+static enum MHD_Result on_field(void *cls, enum MHD_ValueKind kind,
+				const char *name, const char *value);
+static bool parse_length(const char *text, uint64_t *out);
+static enum MHD_Result take_body(struct asked *q, const char *data, size_t len);
+static void on_moved(struct da_call *c);
+static bool is_gone(struct da_call *c);
+static int descriptor(const struct asked *q);
+static enum MHD_Result answer(struct asked *q);
+static enum MHD_Result answer_error(struct asked *q);
+static enum MHD_Result answer_body(struct asked *q);
+static ssize_t on_read(void *cls, uint64_t pos, char *buf, size_t max);
+static void add_homes(struct MHD_Response *res, const struct da_call *c);
+static void add_result(struct MHD_Response *res, const struct da_call *c);
+
+static const struct da_front front = {.moved = on_moved, .gone = is_gone};
+
+int da_http_socket(const struct ba_address *at)
+{
+	int fd = socket(at->sockaddr.ss_family,
+			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int one = 1;
+
+	if (fd < 0)
+		return -1;
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (!bind(fd, (const struct sockaddr *)&at->sockaddr, at->len) &&
+	    !listen(fd, BACKLOG))
+		return fd;
+	close(fd);
+	return -1;
+}
+
+struct da_http *da_http_new(struct da_worker *w, int listen_fd)
+{
+	struct da_http *h = g_new0(struct da_http, 1);
+	int fd = fcntl(listen_fd, F_DUPFD_CLOEXEC, 0);
+
+	h->w = w;
+	h->timer.fire = fire;
+	h->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, 0, NULL, NULL,
+		on_request, h, MHD_OPTION_LISTEN_SOCKET, fd,
+		MHD_OPTION_URI_LOG_CALLBACK, on_target, h,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, h,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned int)CONNECTIONS_LIMIT,
+		MHD_OPTION_CONNECTION_TIMEOUT,
+		(unsigned int)CALLER_IDLE_SECONDS,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)CL_HEADER_LIMIT_BYTES, MHD_OPTION_STRICT_FOR_CLIENT, 1,
+		MHD_OPTION_END);
+	if (!h->daemon) {
+		close(fd);
+		g_free(h);
+		return NULL;
+	}
+	h->watch.fd = MHD_get_daemon_info(h->daemon, MHD_DAEMON_INFO_EPOLL_FD)
+			      ->epoll_fd;
+	h->watch.ready = ready;
+	ba_loop_watch(w->loop, &h->watch, BA_READABLE);
+	return h;
+}
+
+void da_http_run(struct da_http *h)
+{
+	MHD_UNSIGNED_LONG_LONG ms;
+
+	MHD_run(h->daemon);
+	if (MHD_get_timeout(h->daemon, &ms) == MHD_YES)
+		ba_loop_arm(h->w->loop, &h->timer,
+			    ms ? ba_clock_now() + (ba_time)ms * BA_MS : 0);
+	else
+		ba_loop_disarm(h->w->loop, &h->timer);
+}
+
+void da_http_free(struct da_http *h)
+{
+	if (!h)
+		return;
+	ba_loop_unwatch(h->w->loop, &h->watch);
+	ba_loop_disarm(h->w->loop, &h->timer);
+	MHD_stop_daemon(h->daemon);
+	g_free(h);
+}
+
+static void ready(struct ba_watch *w, unsigned int bits)
+{
+	(void)bits;
+	da_http_run(ba_entry(w, struct da_http, watch));
+}
+
+static void fire(struct ba_timer *t, ba_time now)
+{
+	(void)now;
+	da_http_run(ba_entry(t, struct da_http, timer));
+}
+
+static void *on_target(void *cls, const char *target,
+		       struct MHD_Connection *conn)
+{
+	struct da_http *h = cls;
+	struct asked *q = g_new0(struct asked, 1);
+
+	q->conn = conn;
+	q->call.target = g_strdup(target);
+	da_call_init(&q->call, h->w, &front);
+	return q;
+}
+
+/* Called once for the head, for each piece of the body, and at its end. */
+static enum MHD_Result on_request(void *cls, struct MHD_Connection *conn,
+				  const char *url, const char *method,
+				  const char *version, const char *data,
+				  size_t *len, void **state)
+{
+	struct asked *q = *state;
+	size_t n = *len;
+	int code;
+
+	(void)cls;
+	(void)url;
+	(void)version;
+	if (!q->call.method) {
+		q->call.method = g_strdup(method);
+		code = check_head(q);
+		if (code)
+			da_call_fail(&q->call, code);
+		return code ? answer(q) : MHD_YES;
+	}
+	if (n) {
+		*len = 0;
+		return take_body(q, data, n);
+	}
+	if (q->begun)
+		return answer(q);
+	q->begun = true;
+	q->suspended = true;
+	MHD_suspend_connection(conn);
+	if (q->too_large)
+		da_call_fail(&q->call, CL_REQUEST_TOO_LARGE);
+	else
+		da_call_begin(&q->call);
+	return MHD_YES;
+}
+
+static void on_completed(void *cls, struct MHD_Connection *conn, void **state,
+			 enum MHD_RequestTerminationCode why)
+{
+	struct asked *q = *state;
+
+	(void)cls;
+	(void)conn;
+	*state = NULL;
+	if (!q)
+		return;
+	q->conn = NULL;
+	if (why != MHD_REQUEST_TERMINATED_COMPLETED_OK && !q->call.result)
+		q->call.result = CL_CANCELLED;
+	da_call_leave(&q->call);
+}
+
+/* Two ideas of where a request ends are two requests to somebody else. */
+static int check_head(struct asked *q)
+{
+	struct scan s = {.q = q};
+
+	MHD_get_connection_values(q->conn, MHD_HEADER_KIND, on_field, &s);
+	if (s.lengths + s.codings > 1 || s.bad_length || s.hosts > 1)
+		return CL_REQUEST_MALFORMED;
+	if (*q->call.target != '/')
+		return CL_REQUEST_MALFORMED;
+	if (s.length > CL_BODY_LIMIT_BYTES)
+		return CL_REQUEST_TOO_LARGE;
+	return BA_OK;
+}
+
+static enum MHD_Result on_field(void *cls, enum MHD_ValueKind kind,
+				const char *name, const char *value)
+{
+	struct scan *s = cls;
+
+	(void)kind;
+	if (!value)
+		value = "";
+	if (!strcasecmp(name, "Content-Length")) {
+		s->lengths++;
+		if (!parse_length(value, &s->length))
+			s->bad_length = true;
+	} else if (!strcasecmp(name, "Transfer-Encoding")) {
+		s->codings++;
+		if (strcasecmp(value, "chunked"))
+			s->bad_length = true;
+	} else if (!strcasecmp(name, "Host")) {
+		s->hosts++;
+	}
+	da_headers_add(&s->q->call.headers, name, value);
+	return MHD_YES;
+}
+
+static bool parse_length(const char *text, uint64_t *out)
+{
+	size_t digits = strspn(text, "0123456789");
+
+	if (!digits || digits > 18 || text[digits])
+		return false;
+	*out = g_ascii_strtoull(text, NULL, 10);
+	return true;
+}
+
+/* The rest of a body that is too large is read, up to a point, to answer. */
+static enum MHD_Result take_body(struct asked *q, const char *data, size_t len)
+{
+	struct ba_buf *body = &q->call.body;
+
+	if (q->too_large) {
+		body->len += len;
+		return body->len > BODY_IGNORED_BYTES ? MHD_NO : MHD_YES;
+	}
+	if (body->len + len > CL_BODY_LIMIT_BYTES) {
+		ba_buf_free(body);
+		q->too_large = true;
+		return MHD_YES;
+	}
+	ba_buf_add(body, data, len);
+	return MHD_YES;
+}
+
+static void on_moved(struct da_call *c)
+{
+	struct asked *q = (struct asked *)c;
+
+	if (!q->suspended || !(da_call_over(c) || c->answer.status))
+		return;
+	q->suspended = false;
+	MHD_resume_connection(q->conn);
+}
+
+/* A request that takes too long to arrive is cut off here as well. */
+static bool is_gone(struct da_call *c)
+{
+	struct asked *q = (struct asked *)c;
+	char byte;
+	ssize_t n;
+
+	if (!q->begun) {
+		if (ba_clock_now() - c->arrived > REQUEST_LIMIT)
+			shutdown(descriptor(q), SHUT_RDWR);
+		return false;
+	}
+	if (!q->suspended || c->started)
+		return false;
+	n = recv(descriptor(q), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+	return !n || (n < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+static int descriptor(const struct asked *q)
+{
+	return MHD_get_connection_info(q->conn,
+				       MHD_CONNECTION_INFO_CONNECTION_FD)
+		->connect_fd;
+}
+
+static enum MHD_Result answer(struct asked *q)
+{
+	q->call.started = true;
+	return q->call.result ? answer_error(q) : answer_body(q);
+}
+
+static enum MHD_Result answer_error(struct asked *q)
+{
+	struct da_call *c = &q->call;
+	int status = ba_result_info(c->result)->http_status;
+	struct ba_buf json = {0};
+	struct MHD_Response *res;
+	enum MHD_Result ret;
+
+	da_call_json(c->result, &json);
+	res = MHD_create_response_from_buffer(json.len, json.data,
+					      MHD_RESPMEM_MUST_COPY);
+	MHD_add_response_header(res, "Content-Type", "application/json");
+	if (status == RETRY_AFTER_STATUS || c->result == CL_KEY_IN_PROGRESS)
+		MHD_add_response_header(res, "Retry-After", RETRY_AFTER);
+	add_homes(res, c);
+	add_result(res, c);
+	ret = MHD_queue_response(q->conn, status ? (unsigned int)status : 500,
+				 res);
+	MHD_destroy_response(res);
+	ba_buf_free(&json);
+	return ret;
+}
+
+static enum MHD_Result answer_body(struct asked *q)
+{
+	struct da_answer *a = &q->call.answer;
+	uint64_t size = a->length < 0 ? MHD_SIZE_UNKNOWN : (uint64_t)a->length;
+	struct MHD_Response *res;
+	enum MHD_Result ret;
+
+	if (a->whole && strcmp(q->call.method, "HEAD"))
+		res = MHD_create_response_from_buffer(a->data.len, a->data.data,
+						      MHD_RESPMEM_PERSISTENT);
+	else
+		res = MHD_create_response_from_callback(
+			size, STREAM_BLOCK_BYTES, on_read, q, NULL);
+	for (size_t i = 0; i < a->headers.n; i++)
+		MHD_add_response_header(res, a->headers.list[i].name,
+					a->headers.list[i].value);
+	add_result(res, &q->call);
+	ret = MHD_queue_response(q->conn, (unsigned int)a->status, res);
+	MHD_destroy_response(res);
+	return ret;
+}
+
+/* A caller whose key had no owner learns where new keys have one. */
+static void add_homes(struct MHD_Response *res, const struct da_call *c)
+{
+	struct da_tables *t = c->w->tables;
+	struct ba_buf homes = {0};
+
+	if (!c->service || c->idempotent)
+		return;
+	pthread_mutex_lock(&t->lock);
+	cl_owners_homes(t->owners, c->service, &homes);
+	pthread_mutex_unlock(&t->lock);
+	if (homes.len)
+		MHD_add_response_header(res, CL_HEADER_HOMES,
+					ba_buf_text(&homes));
+	ba_buf_free(&homes);
+}
+
+static ssize_t on_read(void *cls, uint64_t pos, char *buf, size_t max)
+{
+	struct asked *q = cls;
+	struct da_answer *a = &q->call.answer;
+	size_t n = a->data.len - a->taken;
+
+	(void)pos;
+	if (!n && a->broken)
+		return MHD_CONTENT_READER_END_WITH_ERROR;
+	if (!n && a->whole)
+		return MHD_CONTENT_READER_END_OF_STREAM;
+	if (!n) {
+		q->suspended = true;
+		MHD_suspend_connection(q->conn);
+		return 0;
+	}
+	if (n > max)
+		n = max;
+	memcpy(buf, a->data.data + a->taken, n);
+	a->taken += n;
+	da_call_drained(&q->call, n);
+	return (ssize_t)n;
+}
+
+static void add_result(struct MHD_Response *res, const struct da_call *c)
+{
+	char text[RESULT_BYTES];
+
+	snprintf(text, sizeof(text), "%d %s", c->result,
+		 cl_outcome_name(cl_outcome_of(c->result)));
+	MHD_add_response_header(res, CL_HEADER_RESULT, text);
+	if (c->w->tables->draining)
+		MHD_add_response_header(res, "Connection", "close");
+}
--- /dev/null
+++ b/prog/da_http.h
@@ -0,0 +1,23 @@
+/*
+ * The HTTP server of a worker, for callers.
+ */
+#ifndef DA_HTTP_H
+#define DA_HTTP_H
+
+#include "prog/da_call.h"
+
+struct da_http;
+
+/** da_http_socket() - listen on @at; -1 when it is in use */
+int da_http_socket(const struct ba_address *at);
+
+/** da_http_new() - serve callers at @listen_fd, which is duplicated */
+struct da_http *da_http_new(struct da_worker *w, int listen_fd);
+
+/** da_http_run() - do what the server can do now */
+void da_http_run(struct da_http *h);
+
+/** da_http_free() - stop serving */
+void da_http_free(struct da_http *h);
+
+#endif
--- /dev/null
+++ b/prog/da_local.c
@@ -0,0 +1,283 @@
+#include <string.h>
+
+#include <glib.h>
+
+#include "base/ba_event.h"
+#include "prog/da_attempt.h"
+#include "prog/da_local.h"
+#include "report/rt.h"
+#include "wire/cl.pb-c.h"
+
+/* What pump() decided about a call of any worker. */
+struct verdict {
+	struct ba_list link;
+	struct da_call *call;
+	enum cl_admit_act act;
+	enum cl_admit_reason reason;
+};
+
+static int check_key(struct da_call *c, const struct ba_buf **answer);
+static bool own_key(const struct da_call *c);
+static struct ba_digest digest_request(const struct da_call *c);
+static int admit(struct da_call *c, enum cl_admit_reason *reason);
+static void refuse(struct da_call *c, int code);
+static void settle_key(struct da_call *c, int code);
+static bool was_shed(const struct da_call *c);
+static void keep_answer(struct da_call *c);
+static void replay(struct da_call *c, const void *data, size_t len);
+static void carry_out(void *arg);
+
+void da_local_begin(struct da_call *c)
+{
+	struct da_tables *t = c->w->tables;
+	const struct ba_buf *answer = NULL;
+	struct ba_buf copy = {0};
+	enum cl_admit_reason reason = CL_ADMIT_FREE_SLOT;
+	int code;
+
+	pthread_mutex_lock(&t->lock);
+	code = check_key(c, &answer);
+	if (answer)
+		ba_buf_add(&copy, answer->data, answer->len);
+	else if (!code)
+		code = admit(c, &reason);
+	pthread_mutex_unlock(&t->lock);
+	if (copy.len) {
+		rt_count(RT_DOUBLE_PREVENTED, 1);
+		replay(c, copy.data, copy.len);
+		ba_buf_free(&copy);
+	} else if (code) {
+		if (code == CL_OVERLOADED)
+			ba_event(CL_EV_SHED, "call=%s service=%s reason=%s",
+				 c->id, c->service,
+				 cl_admit_reason_name(reason));
+		refuse(c, code);
+	} else if (c->ticket.running) {
+		da_attempt_backend(c);
+	}
+}
+
+void da_local_end(struct da_call *c, enum cl_seen seen, int code)
+{
+	struct da_tables *t = c->w->tables;
+	enum cl_admit_seen s = seen == CL_SEEN_ANSWER	    ? CL_ADMIT_SERVED
+			       : seen == CL_SEEN_OVERLOADED ? CL_ADMIT_SHED
+							    : CL_ADMIT_OTHER;
+	uint32_t limit;
+	bool changed;
+
+	if (!c->ticket.running && !c->ticket.waiting && !c->keep)
+		return;
+	pthread_mutex_lock(&t->lock);
+	settle_key(c, code);
+	cl_admit_leave(t->admit, &c->ticket);
+	changed = cl_admit_done(t->admit, &c->ticket, s, ba_clock_now());
+	limit = cl_admit_limit(t->admit);
+	pthread_mutex_unlock(&t->lock);
+	if (changed)
+		ba_event(CL_EV_LIMIT, "service=%s limit=%u seen=%s", c->service,
+			 limit, cl_seen_name(seen));
+	da_local_pump(t);
+}
+
+/* Verdicts are given under the lock and carried out by each call's worker. */
+void da_local_pump(struct da_tables *t)
+{
+	enum cl_admit_reason reason;
+	enum cl_admit_act act;
+	struct cl_ticket *ticket;
+
+	pthread_mutex_lock(&t->lock);
+	while ((ticket = cl_admit_next(t->admit, ba_clock_now(), &act,
+				       &reason))) {
+		struct verdict *v = g_new(struct verdict, 1);
+
+		v->call = ba_entry(ticket, struct da_call, ticket);
+		v->act = act;
+		v->reason = reason;
+		v->call->granted = true;
+		ba_loop_post(v->call->w->loop, carry_out, v);
+	}
+	pthread_mutex_unlock(&t->lock);
+}
+
+static int check_key(struct da_call *c, const struct ba_buf **answer)
+{
+	struct da_tables *t = c->w->tables;
+	struct ba_digest digest;
+	int code;
+
+	if (t->closing || (t->draining && !c->key))
+		return CL_DRAINING;
+	if (!c->key)
+		return BA_OK;
+	if (!own_key(c))
+		return CL_KEY_STALE;
+	digest = digest_request(c);
+	switch (cl_once_begin(t->once, &c->parsed_key, &digest, ba_clock_wall(),
+			      &code, answer)) {
+	case CL_ONCE_RUN:
+		c->keep = true;
+		return BA_OK;
+	case CL_ONCE_REPLAY:
+		return BA_OK;
+	default:
+		return code;
+	}
+}
+
+/* What the sender believes of the owner does not count. */
+static bool own_key(const struct da_call *c)
+{
+	const struct da_tables *t = c->w->tables;
+	const char *instance;
+	uint64_t incarnation;
+
+	return cl_owner_find(t->owners, c->service, &c->parsed_key, &instance,
+			     &incarnation) == CL_OWNER_FOUND &&
+	       !strcmp(instance, t->identity->instance) &&
+	       incarnation == t->identity->incarnation;
+}
+
+static struct ba_digest digest_request(const struct da_call *c)
+{
+	struct ba_buf b = {0};
+	struct ba_digest d;
+
+	ba_buf_addf(&b, "%s %s\n", c->method, c->target);
+	ba_buf_add(&b, c->body.data, c->body.len);
+	d = ba_digest(b.data, b.len);
+	ba_buf_free(&b);
+	return d;
+}
+
+static int admit(struct da_call *c, enum cl_admit_reason *reason)
+{
+	struct da_tables *t = c->w->tables;
+
+	c->ticket.weight = t->own_weight;
+	c->ticket.deadline = c->deadline;
+	if (cl_admit_arrive(t->admit, &c->ticket, ba_clock_now(), reason) !=
+	    CL_ADMIT_REFUSE)
+		return BA_OK;
+	settle_key(c, CL_OVERLOADED);
+	return CL_OVERLOADED;
+}
+
+static void refuse(struct da_call *c, int code)
+{
+	enum cl_seen seen = code == CL_DRAINING	    ? CL_SEEN_DRAINING
+			    : code == CL_OVERLOADED ? CL_SEEN_OVERLOADED
+						    : CL_SEEN_ANSWER;
+
+	if (c->key && code != CL_OVERLOADED && code != CL_DRAINING) {
+		rt_count(RT_KEYS_REFUSED, 1);
+		ba_event(CL_EV_KEY_REFUSED, "call=%s key=%s code=%d", c->id,
+			 c->key, code);
+	}
+	da_attempt_failed(c, code, seen);
+}
+
+/* Under the lock of the tables. */
+static void settle_key(struct da_call *c, int code)
+{
+	struct cl_once *once = c->w->tables->once;
+
+	if (!c->keep)
+		return;
+	c->keep = false;
+	if (cl_outcome_of(code) == CL_OUT_NOT_RUN || (!code && was_shed(c)))
+		cl_once_released(once, c->key);
+	else if (!code)
+		keep_answer(c);
+	else if (code == CL_CANCELLED && !c->fetch && !c->ticket.running)
+		cl_once_released(once, c->key);
+	else
+		cl_once_unknown(once, c->key);
+}
+
+/* By 503 with Retry-After a backend server says that it has not begun. */
+static bool was_shed(const struct da_call *c)
+{
+	return c->answer.status == 503 &&
+	       da_headers_get(&c->answer.headers, "Retry-After");
+}
+
+static void keep_answer(struct da_call *c)
+{
+	const struct da_headers *h = &c->answer.headers;
+	ClHeader **pointers;
+	ClHeader *list;
+	ClHead m = CL_HEAD__INIT;
+	uint8_t *packed;
+	size_t len;
+
+	if (c->big) {
+		cl_once_answered(c->w->tables->once, c->key, NULL,
+				 CL_ONCE_ANSWER_BYTES + 1);
+		return;
+	}
+	list = g_new(ClHeader, h->n);
+	pointers = g_new(ClHeader *, h->n);
+	for (size_t i = 0; i < h->n; i++) {
+		cl_header__init(&list[i]);
+		list[i].name = h->list[i].name;
+		list[i].value = h->list[i].value;
+		pointers[i] = &list[i];
+	}
+	m.status = (uint32_t)c->answer.status;
+	m.length = c->answer.length;
+	m.headers = pointers;
+	m.n_headers = h->n;
+	m.data.data = c->answer.data.data;
+	m.data.len = c->answer.data.len;
+	len = cl_head__get_packed_size(&m);
+	packed = g_malloc(len);
+	cl_head__pack(&m, packed);
+	cl_once_answered(c->w->tables->once, c->key, packed, len);
+	g_free(packed);
+	g_free(pointers);
+	g_free(list);
+}
+
+static void replay(struct da_call *c, const void *data, size_t len)
+{
+	ClHead *m = cl_head__unpack(NULL, len, data);
+	struct da_end end = {CL_SEEN_ANSWER, BA_OK, true};
+
+	for (size_t i = 0; i < m->n_headers; i++)
+		c->owner.header(&c->owner, m->headers[i]->name,
+				m->headers[i]->value);
+	c->owner.head(&c->owner, (int)m->status, m->length);
+	c->owner.data(&c->owner, m->data.data, m->data.len);
+	cl_head__free_unpacked(m, NULL);
+	c->owner.ended(&c->owner, &end);
+}
+
+static void carry_out(void *arg)
+{
+	struct verdict *v = arg;
+	struct da_call *c = v->call;
+	enum cl_admit_act act = v->act;
+	enum cl_admit_reason reason = v->reason;
+
+	g_free(v);
+	c->granted = false;
+	if (act == CL_ADMIT_START && !da_call_over(c)) {
+		da_attempt_backend(c);
+		return;
+	}
+	if (act == CL_ADMIT_START) {
+		da_local_end(c, CL_SEEN_CANCELLED, CL_OVERLOADED);
+		if (c->orphan)
+			da_call_leave(c);
+		return;
+	}
+	ba_event(CL_EV_SHED, "call=%s service=%s reason=%s", c->id, c->service,
+		 cl_admit_reason_name(reason));
+	da_local_end(c, CL_SEEN_OVERLOADED, CL_OVERLOADED);
+	if (c->orphan)
+		da_call_leave(c);
+	else
+		refuse(c, CL_OVERLOADED);
+}
--- /dev/null
+++ b/test/mesh.sh
@@ -0,0 +1,99 @@
+# A small mesh for shell cases: three sources, one relay in two regions each,
+# a daemon with its backend server beside each relay.  Sourced after
+# test/lib.sh.
+
+top=$(cd "$(dirname "$0")/../.." && pwd)
+MESH_NET=${net%.*}
+. "$top/bench/mesh.sh"
+
+near=floor-plans-1 # in region andina
+far=scheduling-3   # in region caribe
+
+# small_mesh: start it and wait until the first version is in force
+small_mesh() {
+	local name
+	mesh_prepare bucle-andino
+	(cd "$mesh/daemons" && ls | grep -v -x -e "$near.toml" \
+		-e "$far.toml" | xargs rm)
+	start_link 2ms 0
+	for name in s1 s2 s3
+	do
+		start_source $name
+	done
+	for name in andina-1-r1 caribe-1-r1
+	do
+		start_relay $name
+	done
+	for name in $near $far
+	do
+		start_backend $name
+		start_daemon $name
+	done
+	poll "the first submission accepted" \
+		submitted configuration.toml submit --id first
+	first=$(version_of "$work/submit.json")
+	poll "version $first everywhere" in_force "$first" $near $far
+	for name in $near $far
+	do
+		poll "floor plans through $name" serves $name /floor-plans
+		poll "bookings through $name" serves $name /bookings
+	done
+}
+
+# await_keys: until bookings have an owner, which joins some seconds late
+await_keys() {
+	poll "a booking" takes_key $near caribe-1 /bookings
+}
+
+# change N: a configuration with one route more, in $mesh/change.toml
+change() {
+	{
+		cat "$mesh/configuration.toml"
+		printf '\n[[routes]]\nname = "trial"\npath = "/trial/%s"\n' "$1"
+		printf 'service = "floor-plans"\nidempotent = true\n'
+	} >"$mesh/change.toml"
+}
+
+# accept N OPTIONS...: submit change N; its version in $version
+accept() {
+	change "$1"
+	shift
+	poll "a change accepted" submitted change.toml submit "$@"
+	version=$(version_of "$work/submit.json")
+}
+
+# call DAEMON FILE OPTIONS...: calls that enter there, figures in FILE.json
+call() {
+	local name=$1 file=$2
+	shift 2
+	"$build/caller" --daemon "$(caller_address "$name")" --home caribe-1 \
+		--backend "$(backend_address $near)" \
+		--backend "$(backend_address $far)" --name "$file" \
+		"$@" >"$work/$file.json" 2>"$work/$file.err"
+	cat "$work/$file.json"
+}
+
+# expect_harmless FILE: nothing double, false, foreign or short
+expect_harmless() {
+	expect_field "$1" wrong_or_short_answers 0
+	expect_field "$1" double_runs 0
+	expect_field "$1" false_not_run 0
+	expect_field "$1" answered_not_run 0
+}
+
+# never_back: no daemon has put in force an older version after a newer
+never_back() {
+	local name
+	for name in $near $far
+	do
+		test "$(backwards $name)" = 0 ||
+			fail "$name went back to an older version"
+	done
+}
+
+# other_leader NAME: whether another source than NAME leads
+other_leader() {
+	local name
+	name=$(leader)
+	test -n "$name" && test "$name" != "$1"
+}
--- a/wire/wi_session.c
+++ b/wire/wi_session.c
@@ -29,6 +29,7 @@
 	struct ba_watch watch;
 	struct ba_timer timer;
 	struct ba_timer closer;
+	struct ba_timer flusher;
 	struct ba_loop *loop;
 	struct wi_handler *handler;
 	const struct wi_identity *id;
@@ -75,6 +76,7 @@
 static void on_ready(struct ba_watch *w, unsigned int bits);
 static void on_timer(struct ba_timer *t, ba_time now);
 static void on_closer(struct ba_timer *t, ba_time now);
+static void on_flusher(struct ba_timer *t, ba_time now);
 static int finish_connect(struct wi_session *s);
 static void send_hello(struct wi_session *s);
 static int read_frames(struct wi_session *s);
@@ -87,6 +89,7 @@
 static struct ba_digest proof(const struct wi_session *s, bool of_dialler);
 static int flush(struct wi_session *s);
 static void update_watch(struct wi_session *s);
+static void flush_soon(struct wi_session *s);
 static void arm(struct wi_session *s);
 static void queue_frame(struct wi_session *s, int type,
 			const ProtobufCMessage *message);
@@ -176,7 +179,7 @@
 		return WI_PEER_CLOSED;
 	ba_buf_add(&s->out, header, sizeof(header));
 	ba_buf_add(&s->out, data, len);
-	update_watch(s);
+	flush_soon(s);
 	if (s->out.len <= s->limits.queue_bytes)
 		return BA_OK;
 	wi_close(s, WI_QUEUE_FULL);
@@ -192,6 +195,7 @@
 	s->state = WI_CLOSING;
 	s->close_code = code;
 	ba_loop_disarm(s->loop, &s->timer);
+	ba_loop_disarm(s->loop, &s->flusher);
 	ba_loop_arm(s->loop, &s->closer, 0);
 }
 
@@ -250,6 +254,7 @@
 	s->watch.ready = on_ready;
 	s->timer.fire = on_timer;
 	s->closer.fire = on_closer;
+	s->flusher.fire = on_flusher;
 	s->opening_deadline = now + limits->opening;
 	s->silence_deadline = now + limits->silence;
 	s->ping_deadline = now + limits->heartbeat;
@@ -262,6 +267,7 @@
 {
 	ba_loop_disarm(s->loop, &s->timer);
 	ba_loop_disarm(s->loop, &s->closer);
+	ba_loop_disarm(s->loop, &s->flusher);
 	if (s->watch.fd >= 0)
 		close(s->watch.fd);
 	ba_buf_free(&s->in);
@@ -562,6 +568,24 @@
 	return BA_OK;
 }
 
+/*
+ * All frames of one turn of the loop are written at its end, without
+ * waiting for another turn that says that the socket is writable.
+ */
+static void flush_soon(struct wi_session *s)
+{
+	if (s->state == WI_CONNECTING || s->state == WI_CLOSING)
+		return;
+	if (!(s->watched & BA_WRITABLE))
+		ba_loop_arm(s->loop, &s->flusher, 0);
+}
+
+static void on_flusher(struct ba_timer *t, ba_time now)
+{
+	(void)now;
+	flush(ba_entry(t, struct wi_session, flusher));
+}
+
 static void update_watch(struct wi_session *s)
 {
 	unsigned int bits = BA_READABLE;
@@ -630,5 +654,5 @@
 			const ProtobufCMessage *message)
 {
 	wi_frame_add(&s->out, type, message);
-	update_watch(s);
+	flush_soon(s);
 }
--- a/wire/wi_type.h
+++ b/wire/wi_type.h
@@ -46,6 +46,12 @@
 	RT_FIGURES = 100, /* RtFigures */
 	RT_BATCH = 101,	  /* RtBatch */
 	RT_ACK = 102,	  /* RtAck */
+
+	CL_REQUEST = 120, /* ClRequest */
+	CL_HEAD = 121,	  /* ClHead */
+	CL_DATA = 122,	  /* ClData */
+	CL_CREDIT = 123,  /* ClCredit */
+	CL_CANCEL = 124,  /* ClCancel */
 };
 
 #endif
