--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,9 @@
 HARDEN += -D_FORTIFY_SOURCE=2
 else
 SAN_FLAGS = -fsanitize=$(SAN) -fno-omit-frame-pointer
+# GCC 12 sees uninitialised members in std::regex when sanitizers are on; the
+# plain build keeps the warning.
+SAN_CXX_WARN = -Wno-maybe-uninitialized
 endif
 WARN = -Wall -Wextra -Werror
 # GCC 12 takes std::regex for uninitialized when it adds sanitizers' checks.
@@ -34,7 +37,7 @@
 endif
 CPPFLAGS = -I. -D_GNU_SOURCE -DCARAWAY_VERSION='"$(VERSION)"' $(PKG_CFLAGS)
 CFLAGS = -std=gnu11 -O2 -g $(WARN) $(HARDEN) $(SAN_FLAGS)
-CXXFLAGS = -std=c++17 -O1 -g $(WARN) $(HARDEN) $(SAN_FLAGS)
+CXXFLAGS = -std=c++17 -O1 -g $(WARN) $(SAN_CXX_WARN) $(HARDEN) $(SAN_FLAGS)
 LDFLAGS = -pie -Wl,-z,relro,-z,now $(SAN_FLAGS)
 
 LIB_SRC := $(foreach d,$(AGGREGATES),$(wildcard $(d)/*.c) $(wildcard $(d)/*.cc))
--- a/distrib/ds_dialer.c
+++ b/distrib/ds_dialer.c
@@ -61,8 +61,13 @@
 		d->dial_deadline = now + back_off(d);
 }
 
-void ds_dialer_stale(struct ds_dialer *d, bool stale)
+/* A peer with fresh data ends the growing pauses between departures. */
+void ds_dialer_stale(struct ds_dialer *d, bool stale, ba_time now)
 {
+	if (!stale) {
+		d->leave_after = DS_LEAVE_AFTER;
+		d->leave_deadline = now;
+	}
 	d->stale = stale;
 }
 
--- a/distrib/ds_dialer.h
+++ b/distrib/ds_dialer.h
@@ -19,7 +19,7 @@
 #define DS_BACK_OFF_LIMIT BA_SECOND
 #define DS_NEXT_ADDRESS_SPREAD (50 * BA_MS)
 #define DS_RETURN_AFTER (30 * BA_SECOND)
-#define DS_LEAVE_FIRST (3 * BA_SECOND)
+#define DS_LEAVE_FIRST (500 * BA_MS)
 #define DS_LEAVE_AFTER (15 * BA_SECOND)
 #define DS_LEAVE_LIMIT (2 * BA_MINUTE)
 
@@ -69,7 +69,7 @@
 void ds_dialer_closed(struct ds_dialer *d, ba_time retry_after, ba_time now);
 
 /** ds_dialer_stale() - whether the peer's data are stale */
-void ds_dialer_stale(struct ds_dialer *d, bool stale);
+void ds_dialer_stale(struct ds_dialer *d, bool stale, ba_time now);
 
 /** ds_dialer_leaves() - whether to leave a peer whose data are stale */
 bool ds_dialer_leaves(struct ds_dialer *d, ba_time now);
--- a/distrib/ds_feed.c
+++ b/distrib/ds_feed.c
@@ -176,18 +176,25 @@
 		run(f, &e);
 }
 
-void ds_feed_set_floor(struct ds_feed *f, uint64_t floor, bool known)
+void ds_feed_set_authority(struct ds_feed *f, bool authority)
 {
-	struct ds_event e = {.kind = DS_FLOOR_TOLD};
+	struct ds_event e = {.kind = DS_AUTHORITY, .authority = authority};
 
-	e.floor = floor;
-	e.floor_known = known;
 	run(f, &e);
 }
 
-uint64_t ds_feed_floor(const struct ds_feed *f, bool *known)
+void ds_feed_ask_ready(struct ds_feed *f, bool ready)
 {
-	return ds_publisher_floor(f->publisher, known);
+	struct ds_event e = {.kind = ready ? DS_ASK_READY : DS_ASK_LOST};
+
+	run(f, &e);
+}
+
+void ds_feed_answered(struct ds_feed *f, uint64_t floor)
+{
+	struct ds_event e = {.kind = DS_ANSWERED, .floor = floor};
+
+	run(f, &e);
 }
 
 size_t ds_feed_counts(const struct ds_feed *f,
@@ -243,6 +250,11 @@
 		tell_summary(f);
 		return;
 	}
+	if (a->kind == DS_ASK) {
+		if (f->owner && f->owner->on_ask)
+			f->owner->on_ask(f->owner);
+		return;
+	}
 	if (a->kind != DS_REFUSE) {
 		send_update(f, a);
 		return;
@@ -275,13 +287,13 @@
 	const struct ba_buf *delta = NULL;
 	struct ba_buf out = {0};
 	DsUpdate m = DS_UPDATE__INIT;
-	bool known;
 
 	if (!peer)
 		return;
 	m.current_version = ds_publisher_version(f->publisher);
-	m.floor = ds_publisher_floor(f->publisher, &known);
-	m.floor_known = known;
+	m.floor = a->floor;
+	m.floor_known = a->floor_known;
+	m.answer = a->answer;
 	if (f->stale_since != BA_NEVER)
 		m.source_age_ms =
 			(uint64_t)((ba_loop_now(f->loop) - f->stale_since) /
@@ -373,11 +385,17 @@
 	e.floor = m->floor;
 	if (m->held_digest.len == BA_DIGEST_BYTES)
 		memcpy(e.digest.bytes, m->held_digest.data, BA_DIGEST_BYTES);
+	e.ask = m->ask;
 	ds_subscribe__free_unpacked(m, NULL);
 	peer = admit(f, s);
 	if (!peer)
 		return BA_OK;
 	e.subscriber = peer->id;
+	if (e.ask) {
+		e.kind = DS_ASKED;
+		run(f, &e);
+		return BA_OK;
+	}
 	e.remote = peer->remote;
 	e.is_relay = wi_session_peer(s)->role == WI_RELAY;
 	if (wi_session_peer(s)->role == WI_DAEMON) {
--- a/distrib/ds_feed.h
+++ b/distrib/ds_feed.h
@@ -25,10 +25,12 @@
  * struct ds_feed_owner - told about acknowledgements; embed it first
  * @on_ack: the summary of all subscribers has changed: @lowest is the
  *	lowest version in force among @daemons daemons
+ * @on_ask: ask upstream for the newest version; may be NULL
  */
 struct ds_feed_owner {
 	void (*on_ack)(struct ds_feed_owner *o, uint64_t lowest,
 		       uint32_t daemons);
+	void (*on_ask)(struct ds_feed_owner *o);
 };
 
 /** ds_feed_new() - a feed on @loop; @owner may be NULL */
@@ -65,16 +67,19 @@
 void ds_feed_set_stale(struct ds_feed *f, ba_time since);
 
 /**
- * ds_feed_set_floor() - versions up to @floor have been held by daemons, and
- * with @known none above it
+ * ds_feed_set_authority() - whether this process leads the sources, with a
+ * lease: then no newer version than the one published has been accepted
  *
- * A feed starts with the floor unknown; a source that hears a quorum, and a
- * daemon, know it.
+ * A daemon that may have held any version is given one only after the
+ * authority was asked; a feed starts without authority.
  */
-void ds_feed_set_floor(struct ds_feed *f, uint64_t floor, bool known);
+void ds_feed_set_authority(struct ds_feed *f, bool authority);
 
-/** ds_feed_floor() - highest version known to be held; @known may be NULL */
-uint64_t ds_feed_floor(const struct ds_feed *f, bool *known);
+/** ds_feed_ask_ready() - whether @on_ask can reach an upstream now */
+void ds_feed_ask_ready(struct ds_feed *f, bool ready);
+
+/** ds_feed_answered() - the authority's newest version, after @on_ask */
+void ds_feed_answered(struct ds_feed *f, uint64_t floor);
 
 /** ds_feed_counts() - the summary as a list; the number of counts */
 size_t ds_feed_counts(const struct ds_feed *f,
--- a/distrib/ds_intake.c
+++ b/distrib/ds_intake.c
@@ -22,6 +22,7 @@
 	taken->current = o.current;
 	taken->floor = o.floor;
 	taken->floor_known = o.floor_known;
+	taken->answer = m->answer;
 	taken->source_age = (ba_time)m->source_age_ms * BA_MS;
 	taken->verdict = ds_follower_take(&in->follower, &o);
 	if (taken->verdict == DS_APPLY)
@@ -54,6 +55,14 @@
 	wi_send(s, DS_SUBSCRIBE, &m.base);
 }
 
+void ds_intake_ask(struct wi_session *s, uint64_t ask)
+{
+	DsSubscribe m = DS_SUBSCRIBE__INIT;
+
+	m.ask = ask;
+	wi_send(s, DS_SUBSCRIBE, &m.base);
+}
+
 void ds_intake_free(struct ds_intake *in)
 {
 	cf_snapshot_unref(in->current);
--- a/distrib/ds_intake.h
+++ b/distrib/ds_intake.h
@@ -26,7 +26,8 @@
  * struct ds_taken - what an update came to
  * @verdict: the decision
  * @code: why a payload could not be applied, or %BA_OK
- * @floor: what the publisher said of its floor
+ * @floor: the floor it named, when @floor_known
+ * @answer: number of the question that it answers, or 0
  * @source_age: time since the source was heard, 0 when it is heard
  */
 struct ds_taken {
@@ -35,6 +36,7 @@
 	uint64_t current;
 	uint64_t floor;
 	bool floor_known;
+	uint64_t answer;
 	ba_time source_age;
 };
 
@@ -58,6 +60,9 @@
 void ds_intake_subscribe(const struct ds_intake *in, struct wi_session *s,
 			 bool whole);
 
+/** ds_intake_ask() - ask for the floor with question number @ask */
+void ds_intake_ask(struct wi_session *s, uint64_t ask);
+
 /** ds_intake_free() - drop the snapshot */
 void ds_intake_free(struct ds_intake *in);
 
--- a/distrib/ds_link.c
+++ b/distrib/ds_link.c
@@ -55,7 +55,7 @@
 
 void ds_link_stale(struct ds_link *l, bool stale)
 {
-	ds_dialer_stale(&l->dialer, stale);
+	ds_dialer_stale(&l->dialer, stale, ba_loop_now(l->loop));
 	arm(l);
 }
 
--- a/distrib/ds_publisher.c
+++ b/distrib/ds_publisher.c
@@ -15,6 +15,8 @@
  * struct subscriber - what is known of one
  * @held: version it last acknowledged or subscribed with
  * @in_flight: version sent and not yet acknowledged, 0 for none
+ * @waits: the question of ours whose answer it waits for, 0 for none
+ * @ask: number of its own question
  * @pace_deadline: nothing more before then, when it is across a paid link
  */
 struct subscriber {
@@ -24,6 +26,8 @@
 	struct ba_digest digest;
 	uint64_t floor;
 	uint64_t in_flight;
+	uint64_t waits;
+	uint64_t ask;
 	bool remote;
 	bool is_relay;
 	ba_time pace_deadline;
@@ -38,8 +42,11 @@
 	size_t n_history;
 	uint64_t version;
 	struct ba_digest digest;
-	uint64_t floor;
-	bool floor_known;
+	bool authority;
+	bool can_ask;
+	bool asking;
+	uint64_t asked; /* questions asked so far */
+	size_t n_waiting;
 	ba_time window;
 	ba_time deadline;
 	struct ds_tally tally;
@@ -58,8 +65,16 @@
 		       ba_time now, struct ds_actions *out);
 static void on_published(struct ds_publisher *p, const struct ds_event *e,
 			 ba_time now, struct ds_actions *out);
-static void on_floor_told(struct ds_publisher *p, const struct ds_event *e,
-			  ba_time now, struct ds_actions *out);
+static void on_asked(struct ds_publisher *p, const struct ds_event *e,
+		     ba_time now, struct ds_actions *out);
+static void on_answered(struct ds_publisher *p, const struct ds_event *e,
+			ba_time now, struct ds_actions *out);
+static void on_ask_lost(struct ds_publisher *p, const struct ds_event *e,
+			ba_time now, struct ds_actions *out);
+static void on_ask_ready(struct ds_publisher *p, const struct ds_event *e,
+			 ba_time now, struct ds_actions *out);
+static void on_authority(struct ds_publisher *p, const struct ds_event *e,
+			 ba_time now, struct ds_actions *out);
 static void on_age_told(struct ds_publisher *p, const struct ds_event *e,
 			ba_time now, struct ds_actions *out);
 static void on_tick(struct ds_publisher *p, const struct ds_event *e,
@@ -76,10 +91,19 @@
 		 const struct ba_digest *digest);
 static const struct kept *find_kept(const struct ds_publisher *p,
 				    uint64_t version);
-static void raise_floor(struct ds_publisher *p, uint64_t floor);
-static void add_action(struct ds_actions *out, enum ds_action_kind kind,
-		       enum ds_reason reason, uint64_t subscriber,
-		       uint64_t from);
+static bool is_blank(const struct subscriber *s);
+static void wait_for_floor(struct ds_publisher *p, struct subscriber *s,
+			   struct ds_actions *out);
+static void stop_waiting(struct ds_publisher *p, struct subscriber *s);
+static void ask(struct ds_publisher *p, struct ds_actions *out);
+static void answer_all(struct ds_publisher *p, uint64_t floor, ba_time now,
+		       struct ds_actions *out);
+static void answer_one(struct ds_publisher *p, struct subscriber *s,
+		       uint64_t floor, ba_time now, struct ds_actions *out);
+static struct ds_action *add_action(struct ds_actions *out,
+				    enum ds_action_kind kind,
+				    enum ds_reason reason, uint64_t subscriber,
+				    uint64_t from);
 static void summarize(struct ds_publisher *p, struct ds_actions *out);
 static void set_counts(struct ds_publisher *p, struct subscriber *s,
 		       const struct ds_event *e);
@@ -89,7 +113,11 @@
 	[DS_ACKED] = on_acked,
 	[DS_DROPPED] = on_dropped,
 	[DS_PUBLISHED] = on_published,
-	[DS_FLOOR_TOLD] = on_floor_told,
+	[DS_ASKED] = on_asked,
+	[DS_ANSWERED] = on_answered,
+	[DS_ASK_LOST] = on_ask_lost,
+	[DS_ASK_READY] = on_ask_ready,
+	[DS_AUTHORITY] = on_authority,
 	[DS_AGE_TOLD] = on_age_told,
 	[DS_TICK] = on_tick,
 };
@@ -130,13 +158,6 @@
 	return p->version;
 }
 
-uint64_t ds_publisher_floor(const struct ds_publisher *p, bool *known)
-{
-	if (known)
-		*known = p->floor_known;
-	return p->floor;
-}
-
 bool ds_publisher_keeps(const struct ds_publisher *p, uint64_t version)
 {
 	return version == p->version || find_kept(p, version);
@@ -175,32 +196,35 @@
 	s->remote = e->remote;
 	s->is_relay = e->is_relay;
 	s->in_flight = 0;
+	stop_waiting(p, s);
 	set_counts(p, s, e);
-	raise_floor(p, s->floor);
-	greet(p, s, now, out);
+	if (is_blank(s))
+		wait_for_floor(p, s, out);
+	if (s->waits)
+		add_action(out, DS_SEND_RESUME, DS_BECAUSE_FLOOR_UNKNOWN, s->id,
+			   0);
+	else if (is_blank(s))
+		answer_one(p, s, p->version, now, out);
+	else
+		greet(p, s, now, out);
 	summarize(p, out);
 }
 
 /*
- * The first answer is always sent, so that the subscriber learns the floor
- * and the age of the data even when there is nothing to apply.
+ * The first answer is always sent, so that the subscriber learns the age of
+ * the data even when there is nothing to apply.
  */
 static void greet(struct ds_publisher *p, struct subscriber *s, ba_time now,
 		  struct ds_actions *out)
 {
-	enum ds_reason reason = DS_BECAUSE_IN_STEP;
-	bool same = s->held == p->version &&
-		    ba_digest_equal(&s->digest, &p->digest);
+	size_t n = out->n;
 
-	if (!same && may_be_sent(p, s)) {
-		send_one(p, s, now, out);
-		return;
-	}
-	if (s->floor > p->version)
-		reason = DS_BECAUSE_BEHIND_PEER;
-	else if (!same)
-		reason = DS_BECAUSE_FLOOR_UNKNOWN;
-	add_action(out, DS_SEND_RESUME, reason, s->id, 0);
+	send_one(p, s, now, out);
+	if (out->n == n)
+		add_action(out, DS_SEND_RESUME,
+			   s->floor > p->version ? DS_BECAUSE_BEHIND_PEER
+						 : DS_BECAUSE_IN_STEP,
+			   s->id, 0);
 }
 
 static void on_acked(struct ds_publisher *p, const struct ds_event *e,
@@ -212,9 +236,6 @@
 	if (!s)
 		return;
 	set_counts(p, s, e);
-	if (s->n_counts)
-		raise_floor(p, s->counts[s->n_counts - 1].version);
-	raise_floor(p, e->version);
 	if (e->version > s->held) {
 		s->held = e->version;
 		s->floor = MAX(s->floor, e->version);
@@ -240,6 +261,7 @@
 	if (!s)
 		return;
 	set_counts(p, s, e);
+	stop_waiting(p, s);
 	ba_list_remove(&s->link);
 	g_hash_table_remove(p->by_id, &e->subscriber);
 	summarize(p, out);
@@ -255,19 +277,61 @@
 	p->version = e->version;
 	p->digest = e->digest;
 	p->window = e->window;
-	raise_floor(p, e->version);
 	send_all(p, now, out);
 }
 
-static void on_floor_told(struct ds_publisher *p, const struct ds_event *e,
-			  ba_time now, struct ds_actions *out)
+static void on_asked(struct ds_publisher *p, const struct ds_event *e,
+		     ba_time now, struct ds_actions *out)
 {
-	bool was_known = p->floor_known;
+	struct subscriber *s = g_hash_table_lookup(p->by_id, &e->subscriber);
+
+	if (!s)
+		return;
+	s->ask = e->ask;
+	wait_for_floor(p, s, out);
+	if (!s->waits)
+		answer_one(p, s, p->version, now, out);
+}
+
+static void on_answered(struct ds_publisher *p, const struct ds_event *e,
+			ba_time now, struct ds_actions *out)
+{
+	if (!p->asking)
+		return;
+	p->asking = false;
+	answer_all(p, e->floor, now, out);
+	ask(p, out);
+}
+
+static void on_ask_lost(struct ds_publisher *p, const struct ds_event *e,
+			ba_time now, struct ds_actions *out)
+{
+	(void)e;
+	(void)now;
+	(void)out;
+	p->can_ask = false;
+	p->asking = false;
+}
+
+static void on_ask_ready(struct ds_publisher *p, const struct ds_event *e,
+			 ba_time now, struct ds_actions *out)
+{
+	(void)e;
+	(void)now;
+	p->can_ask = true;
+	ask(p, out);
+}
 
-	raise_floor(p, e->floor);
-	p->floor_known = e->floor_known;
-	if (p->floor_known && !was_known)
-		send_all(p, now, out);
+static void on_authority(struct ds_publisher *p, const struct ds_event *e,
+			 ba_time now, struct ds_actions *out)
+{
+	if (p->authority == e->authority)
+		return;
+	p->authority = e->authority;
+	if (!p->authority)
+		return;
+	p->asked++;
+	answer_all(p, p->version, now, out);
 }
 
 static void on_age_told(struct ds_publisher *p, const struct ds_event *e,
@@ -326,11 +390,77 @@
 static bool may_be_sent(const struct ds_publisher *p,
 			const struct subscriber *s)
 {
-	if (!p->version || s->floor > p->version)
-		return false;
-	if (s->floor || s->is_relay)
-		return true;
-	return p->floor_known && p->floor <= p->version;
+	return p->version && s->floor <= p->version &&
+	       (s->is_relay || !s->waits);
+}
+
+/* Whether it may have held any version before it was restarted. */
+static bool is_blank(const struct subscriber *s)
+{
+	return !s->is_relay && !s->floor;
+}
+
+/* It waits for a question that is asked from now on. */
+static void wait_for_floor(struct ds_publisher *p, struct subscriber *s,
+			   struct ds_actions *out)
+{
+	if (p->authority)
+		return;
+	if (!s->waits)
+		p->n_waiting++;
+	s->waits = p->asked + 1;
+	ask(p, out);
+}
+
+static void stop_waiting(struct ds_publisher *p, struct subscriber *s)
+{
+	if (s->waits)
+		p->n_waiting--;
+	s->waits = 0;
+}
+
+static void ask(struct ds_publisher *p, struct ds_actions *out)
+{
+	if (p->asking || !p->can_ask || !p->n_waiting)
+		return;
+	p->asking = true;
+	p->asked++;
+	add_action(out, DS_ASK, DS_BECAUSE_FLOOR_UNKNOWN, 0, 0);
+}
+
+static void answer_all(struct ds_publisher *p, uint64_t floor, ba_time now,
+		       struct ds_actions *out)
+{
+	const struct ba_list *pos;
+
+	ba_list_each(pos, &p->subscribers)
+	{
+		struct subscriber *s = ba_entry(pos, struct subscriber, link);
+
+		if (!s->waits || s->waits > p->asked)
+			continue;
+		stop_waiting(p, s);
+		answer_one(p, s, floor, now, out);
+	}
+}
+
+static void answer_one(struct ds_publisher *p, struct subscriber *s,
+		       uint64_t floor, ba_time now, struct ds_actions *out)
+{
+	struct ds_action *a;
+	size_t n = out->n;
+
+	if (!s->is_relay) {
+		s->floor = MAX(s->floor, floor);
+		send_one(p, s, now, out);
+	}
+	if (out->n == n)
+		add_action(out, DS_SEND_RESUME, DS_BECAUSE_ANSWERED, s->id, 0);
+	a = &out->list[out->n - 1];
+	a->floor = floor;
+	a->floor_known = true;
+	a->answer = s->ask;
+	s->ask = 0;
 }
 
 static void keep(struct ds_publisher *p, uint64_t version,
@@ -355,22 +485,22 @@
 	return NULL;
 }
 
-static void raise_floor(struct ds_publisher *p, uint64_t floor)
-{
-	p->floor = MAX(p->floor, floor);
-}
-
-static void add_action(struct ds_actions *out, enum ds_action_kind kind,
-		       enum ds_reason reason, uint64_t subscriber,
-		       uint64_t from)
+static struct ds_action *add_action(struct ds_actions *out,
+				    enum ds_action_kind kind,
+				    enum ds_reason reason, uint64_t subscriber,
+				    uint64_t from)
 {
-	struct ds_action a = {kind, reason, subscriber, from};
+	struct ds_action a = {.kind = kind,
+			      .reason = reason,
+			      .subscriber = subscriber,
+			      .from = from};
 
 	if (out->n == out->alloc) {
 		out->alloc = out->alloc ? out->alloc * 2 : 16;
 		out->list = g_renew(struct ds_action, out->list, out->alloc);
 	}
-	out->list[out->n++] = a;
+	out->list[out->n] = a;
+	return &out->list[out->n++];
 }
 
 static void summarize(struct ds_publisher *p, struct ds_actions *out)
--- a/distrib/ds_publisher.h
+++ b/distrib/ds_publisher.h
@@ -6,9 +6,12 @@
  * - A version is never published below an earlier one.
  * - At most one update is in flight to a subscriber; what comes meanwhile
  *   is sent as one when it has acknowledged.
- * - A subscriber that holds a version is never sent an older one.  A daemon
- *   that holds none and knows no floor is sent nothing below the publisher's
- *   floor, and nothing at all until that floor is known.
+ * - A subscriber that holds a version is never sent an older one.
+ * - A daemon that holds none and knows no floor may have held any version
+ *   before it was restarted.  It is sent nothing before the leader of the
+ *   sources, asked after it subscribed, has told the newest version; that
+ *   becomes its floor.
+ * - One such question is on its way at a time; it stands for all who wait.
  * - Subscribers across a paid link are sent at most one update a window.
  * - Resumes carry no configuration and are never held up.
  */
@@ -36,11 +39,15 @@
 
 /** enum ds_event_kind - what happened to a publisher */
 enum ds_event_kind {
-	DS_SUBSCRIBED, /* all but window */
+	DS_SUBSCRIBED, /* version, digest, floor, remote, is_relay, counts */
 	DS_ACKED,      /* subscriber, version, counts */
 	DS_DROPPED,    /* subscriber */
 	DS_PUBLISHED,  /* version, digest, window */
-	DS_FLOOR_TOLD, /* floor, floor_known */
+	DS_ASKED,      /* subscriber, ask: a relay asks for the floor */
+	DS_ANSWERED,   /* floor: the answer to our own question */
+	DS_ASK_LOST,   /* the upstream that was asked is gone */
+	DS_ASK_READY,  /* there is an upstream to ask */
+	DS_AUTHORITY,  /* authority: we lead the sources, or not any more */
 	DS_AGE_TOLD,   /* the age of the data has changed much */
 	DS_TICK,
 };
@@ -49,8 +56,9 @@
  * struct ds_event - one event
  * @subscriber: id, not 0
  * @version: version held, acknowledged or published
- * @floor: lowest version the subscriber, or anybody, may be given
- * @floor_known: whether nothing above @floor was ever held
+ * @floor: lowest version the subscriber may be given
+ * @ask: number of a relay's question
+ * @authority: whether no source can know a newer version than we do
  * @remote: the subscriber is across a paid link
  * @is_relay: the subscriber puts nothing in force itself
  * @window: least time between updates across a paid link
@@ -62,7 +70,8 @@
 	uint64_t version;
 	struct ba_digest digest;
 	uint64_t floor;
-	bool floor_known;
+	uint64_t ask;
+	bool authority;
 	bool remote;
 	bool is_relay;
 	ba_time window;
@@ -77,6 +86,7 @@
 	DS_SEND_SNAPSHOT, /* the current version whole */
 	DS_REFUSE,	  /* too many subscribers */
 	DS_SUMMARY,	  /* the summary has changed */
+	DS_ASK,		  /* ask the upstream for the floor */
 };
 
 /** enum ds_reason - why */
@@ -88,16 +98,26 @@
 	DS_BECAUSE_DIGEST_DIFFERS,
 	DS_BECAUSE_BEHIND_PEER,
 	DS_BECAUSE_FLOOR_UNKNOWN,
+	DS_BECAUSE_ANSWERED,
 	DS_BECAUSE_AGE,
 	DS_BECAUSE_FULL,
 	DS_BECAUSE_ACKED,
 };
 
+/**
+ * struct ds_action - one action
+ * @from: version a delta starts from
+ * @floor: floor of the subscriber, when @floor_known
+ * @answer: number of the relay's question that is answered, or 0
+ */
 struct ds_action {
 	enum ds_action_kind kind;
 	enum ds_reason reason;
 	uint64_t subscriber;
 	uint64_t from;
+	uint64_t floor;
+	bool floor_known;
+	uint64_t answer;
 };
 
 /** struct ds_actions - a growable list; zeroed when empty */
@@ -107,7 +127,7 @@
 	size_t alloc;
 };
 
-/** ds_publisher_new() - nothing published, floor unknown */
+/** ds_publisher_new() - nothing published, no authority */
 struct ds_publisher *ds_publisher_new(void);
 
 /** ds_publisher_free() - free it; NULL is allowed */
@@ -123,9 +143,6 @@
 /** ds_publisher_version() - newest version published */
 uint64_t ds_publisher_version(const struct ds_publisher *p);
 
-/** ds_publisher_floor() - highest version that is known to be held */
-uint64_t ds_publisher_floor(const struct ds_publisher *p, bool *known);
-
 /** ds_publisher_keeps() - whether deltas from @version can be made */
 bool ds_publisher_keeps(const struct ds_publisher *p, uint64_t version);
 
--- a/prog/re.h
+++ b/prog/re.h
@@ -16,7 +16,6 @@
 
 #include "base/ba_list.h"
 #include "distrib/ds_feed.h"
-#include "distrib/ds_floor.h"
 #include "distrib/ds_intake.h"
 #include "distrib/ds_link.h"
 #include "endpoint/ep_table.h"
@@ -83,10 +82,11 @@
 	uint64_t last_holder;
 
 	struct ds_feed *feed;
-	struct ds_floor floor;
 	struct ds_intake intake;
 	struct ds_link *upstream;
 	ba_time stale_since;
+	uint64_t ask;
+	ba_time ask_deadline;
 	struct ba_timer ack_timer;
 	struct ba_timer second_timer;
 	ba_time roots_deadline;
@@ -96,8 +96,6 @@
 	struct ba_timer batch_timer;
 	struct re_peer *peers;
 	size_t n_peers;
-	uint64_t told_floor;
-	bool told_known;
 
 	struct rt_figures *own_figures;
 	ba_time own_figures_deadline;
@@ -166,16 +164,16 @@
 /** re_peer_send_roots() - compare tables with one of them */
 void re_peer_send_roots(struct re_relay *r);
 
-/** re_peer_send_floor() - tell those of this data centre the floor */
-void re_peer_send_floor(struct re_relay *r);
-
 /** re_peer_free_all() - end the sessions */
 void re_peer_free_all(struct re_relay *r);
 
 /** re_upstream_start() - dial a source or a relay of the region */
 void re_upstream_start(struct re_relay *r);
 
-/** re_upstream_check() - settle the floor again; once a second */
+/** re_upstream_ask() - ask for the newest version of the sources */
+void re_upstream_ask(struct re_relay *r);
+
+/** re_upstream_check() - look for a better upstream; once a second */
 void re_upstream_check(struct re_relay *r, ba_time now);
 
 /** re_upstream_ack() - send the summary, a little later */
--- a/prog/re_endpoint.c
+++ b/prog/re_endpoint.c
@@ -181,8 +181,6 @@
 		return;
 	ep_table_release_holder(c->relay->table, c->holder,
 				now + 2 * RE_LEASE_LEAST);
-	ds_floor_sibling_lost(&c->relay->floor, now);
-	re_upstream_check(c->relay, now);
 }
 
 void re_endpoint_expire(struct re_relay *r, ba_time now)
--- a/prog/re_peer.c
+++ b/prog/re_peer.c
@@ -2,13 +2,11 @@
 
 #include "base/ba_result.h"
 #include "prog/re.h"
-#include "wire/ds.pb-c.h"
 
 static void on_opened(struct ds_link_owner *o, struct wi_session *s);
 static int on_frame(struct ds_link_owner *o, struct wi_session *s,
 		    const struct wi_frame *f);
 static void on_lost(struct ds_link_owner *o, int code);
-static void send_floor(struct re_relay *r, struct wi_session *s);
 static bool is_self(const struct re_relay *r, const struct ba_address *a);
 
 void re_peer_start(struct re_relay *r)
@@ -59,17 +57,6 @@
 	}
 }
 
-void re_peer_send_floor(struct re_relay *r)
-{
-	for (size_t i = 0; i < r->n_peers; i++) {
-		struct wi_session *s = ds_link_session(r->peers[i].link);
-
-		if (s && !strcmp(wi_session_peer(s)->data_centre,
-				 r->identity->data_centre))
-			send_floor(r, s);
-	}
-}
-
 void re_peer_free_all(struct re_relay *r)
 {
 	for (size_t i = 0; i < r->n_peers; i++)
@@ -87,10 +74,8 @@
 	struct re_peer *p = (struct re_peer *)o;
 
 	if (!strcmp(wi_session_peer(s)->data_centre,
-		    p->relay->identity->data_centre)) {
-		send_floor(p->relay, s);
+		    p->relay->identity->data_centre))
 		re_endpoint_send_held(p->relay, s);
-	}
 	re_endpoint_send_roots(p->relay, s);
 	p->sent_generation = ep_table_generation(p->relay->table);
 }
@@ -113,15 +98,6 @@
 	(void)code;
 }
 
-static void send_floor(struct re_relay *r, struct wi_session *s)
-{
-	DsFloor m = DS_FLOOR__INIT;
-
-	m.floor = r->told_floor;
-	m.known = r->told_known;
-	wi_send(s, DS_FLOOR, &m.base);
-}
-
 static bool is_self(const struct re_relay *r, const struct ba_address *a)
 {
 	return !strcmp(a->text, r->settings->address.text) ||
--- a/prog/re_relay.c
+++ b/prog/re_relay.c
@@ -5,6 +5,7 @@
 
 static void on_summary(struct ds_feed_owner *o, uint64_t lowest,
 		       uint32_t daemons);
+static void on_ask(struct ds_feed_owner *o);
 static void on_second(struct ba_timer *t, ba_time now);
 
 int re_relay_start(struct re_relay *r)
@@ -25,6 +26,7 @@
 			       r->identity->incarnation, ba_clock_wall());
 	r->table = ep_table_new(EP_TABLE_LIMIT);
 	r->feed_owner.on_ack = on_summary;
+	r->feed_owner.on_ask = on_ask;
 	r->feed = ds_feed_new(r->loop, &r->feed_owner);
 	ds_feed_set_region(r->feed, r->identity->region);
 	ds_feed_set_admission(r->feed, r->identity->incarnation);
@@ -67,6 +69,11 @@
 	re_upstream_ack(r);
 }
 
+static void on_ask(struct ds_feed_owner *o)
+{
+	re_upstream_ask(ba_entry(o, struct re_relay, feed_owner));
+}
+
 static void on_second(struct ba_timer *t, ba_time now)
 {
 	struct re_relay *r = ba_entry(t, struct re_relay, second_timer);
--- a/prog/re_session.c
+++ b/prog/re_session.c
@@ -4,14 +4,12 @@
 #include "base/ba_result.h"
 #include "prog/re.h"
 #include "report/rt.h"
-#include "wire/ds.pb-c.h"
 
 static void on_opened(struct wi_handler *h, struct wi_session *s);
 static int on_frame(struct wi_handler *h, struct wi_session *s,
 		    const struct wi_frame *f);
 static int daemon_frame(struct re_conn *c, const struct wi_frame *f);
 static int relay_frame(struct re_conn *c, const struct wi_frame *f);
-static int take_floor(struct re_relay *r, const struct wi_frame *f);
 static void on_closed(struct wi_handler *h, struct wi_session *s, int code,
 		      ba_time retry_after);
 static void forget(struct re_conn *c);
@@ -102,25 +100,11 @@
 		return re_endpoint_update(c->relay, c->holder, f);
 	if (f->type == EP_DIGEST)
 		return re_endpoint_digest(c->relay, c->session, false, f);
-	if (f->type == DS_FLOOR)
-		return take_floor(c->relay, f);
 	if (f->type == RT_BATCH)
 		return re_figures_take_batch(c, f);
 	return WI_FRAME_UNKNOWN;
 }
 
-static int take_floor(struct re_relay *r, const struct wi_frame *f)
-{
-	DsFloor *m = (DsFloor *)wi_frame_unpack(f, &ds_floor__descriptor);
-
-	if (!m)
-		return WI_FRAME_GARBAGE;
-	ds_floor_told(&r->floor, m->floor, m->known);
-	ds_floor__free_unpacked(m, NULL);
-	re_upstream_check(r, ba_loop_now(r->loop));
-	return BA_OK;
-}
-
 static void on_closed(struct wi_handler *h, struct wi_session *s, int code,
 		      ba_time retry_after)
 {
--- a/prog/re_upstream.c
+++ b/prog/re_upstream.c
@@ -6,6 +6,8 @@
 #include "prog/re.h"
 #include "wire/ds.pb-c.h"
 
+#define ASK_TIMEOUT BA_SECOND
+
 static void on_opened(struct ds_link_owner *o, struct wi_session *s);
 static int on_frame(struct ds_link_owner *o, struct wi_session *s,
 		    const struct wi_frame *f);
@@ -35,28 +37,27 @@
 	r->upstream_owner.lost = on_lost;
 	r->ack_timer.fire = on_ack_timer;
 	r->stale_since = ba_loop_now(r->loop);
+	r->ask_deadline = BA_NEVER;
 	r->intake.follower.floor_known = true;
 	ds_feed_set_stale(r->feed, r->stale_since);
 	r->upstream = ds_link_new(r->loop, &options, &r->upstream_owner);
 	g_free(list);
 }
 
+void re_upstream_ask(struct re_relay *r)
+{
+	r->ask_deadline = ba_loop_now(r->loop) + ASK_TIMEOUT;
+	ds_intake_ask(ds_link_session(r->upstream), ++r->ask);
+}
+
+/*
+ * An upstream that leaves a question open does not reach the leader; another
+ * one may.
+ */
 void re_upstream_check(struct re_relay *r, ba_time now)
 {
-	uint64_t floor = ds_feed_floor(r->feed, NULL);
-	bool known;
-
-	ds_floor_told(&r->floor, floor, false);
-	known = ds_floor_known(&r->floor, now);
-	floor = r->floor.floor;
-	if (floor > r->intake.follower.floor)
-		r->intake.follower.floor = floor;
-	if (floor == r->told_floor && known == r->told_known)
-		return;
-	r->told_floor = floor;
-	r->told_known = known;
-	ds_feed_set_floor(r->feed, floor, known);
-	re_peer_send_floor(r);
+	if (now >= r->ask_deadline && ds_link_session(r->upstream))
+		ds_link_stale(r->upstream, true);
 }
 
 void re_upstream_ack(struct re_relay *r)
@@ -72,6 +73,7 @@
 
 	ds_intake_subscribe(&r->intake, s, false);
 	re_upstream_ack(r);
+	ds_feed_ask_ready(r->feed, true);
 }
 
 static int on_frame(struct ds_link_owner *o, struct wi_session *s,
@@ -95,13 +97,14 @@
 	if (r->stale_since == BA_NEVER)
 		r->stale_since = now;
 	ds_feed_set_stale(r->feed, r->stale_since);
-	ds_floor_source(&r->floor, false, now);
-	re_upstream_check(r, now);
+	r->ask_deadline = BA_NEVER;
+	ds_feed_ask_ready(r->feed, false);
 }
 
 static int take_update(struct re_relay *r, struct wi_session *s,
 		       const struct wi_frame *f)
 {
+	ba_time now = ba_loop_now(r->loop);
 	struct cf_snapshot *next;
 	struct ds_taken taken;
 	int ret = ds_intake_update(&r->intake, f, &taken, &next);
@@ -115,17 +118,22 @@
 		send_ack(r, s);
 	}
 	take_age(r, &taken);
+	if (taken.answer && taken.answer == r->ask) {
+		r->ask_deadline = BA_NEVER;
+		ds_feed_answered(r->feed, taken.floor);
+	}
 	if (taken.verdict == DS_ASK_AGAIN)
 		ds_intake_subscribe(&r->intake, s, true);
 	if (taken.verdict == DS_IN_STEP)
 		re_upstream_ack(r);
-	ds_link_stale(r->upstream, r->stale_since != BA_NEVER);
+	ds_link_stale(r->upstream,
+		      r->stale_since != BA_NEVER || now >= r->ask_deadline);
 	return BA_OK;
 }
 
 /*
- * The source counts as heard when the upstream hears it and offers nothing
- * below what daemons are known to hold.
+ * The source counts as heard when the upstream hears it and is not behind
+ * what is held here.
  */
 static void take_age(struct re_relay *r, const struct ds_taken *taken)
 {
@@ -139,10 +147,7 @@
 		r->stale_since = now - taken->source_age;
 	else if (r->stale_since == BA_NEVER)
 		r->stale_since = now;
-	ds_floor_told(&r->floor, taken->floor, taken->floor_known);
-	ds_floor_source(&r->floor, fresh && taken->floor_known, now);
 	ds_feed_set_stale(r->feed, r->stale_since);
-	re_upstream_check(r, now);
 }
 
 static void on_ack_timer(struct ba_timer *t, ba_time now)
--- a/prog/so_feed.c
+++ b/prog/so_feed.c
@@ -10,6 +10,7 @@
 #define SUBSCRIBER_KEPT (24 * BA_HOUR)
 
 static void on_ack(struct ds_feed_owner *o, uint64_t lowest, uint32_t daemons);
+static void set_authority(struct so_source *s, ba_time now);
 static void note_subscriber(struct so_conn *c, const struct wi_frame *f);
 static void set_behind(struct so_subscriber *r, const DsAck *m);
 static struct so_subscriber *subscriber(struct so_source *s,
@@ -42,28 +43,40 @@
 		return so_figures_batch(c, f);
 	if (f->type == DS_ACK)
 		note_subscriber(c, f);
+	if (f->type == DS_SUBSCRIBE)
+		set_authority(c->source, ba_loop_now(c->source->loop));
 	return ds_feed_frame(c->source->feed, c->session, f);
 }
 
 /*
  * What is published is fresh while a leader within its lease says so, or a
- * follower hears one; nothing newer can then be held by any daemon.
+ * follower hears one.  Only the leader itself can know that no daemon holds
+ * anything newer.
  */
 void so_feed_check(struct so_source *s, ba_time now)
 {
 	const struct rp_core *core = rp_node_core(s->node);
-	uint64_t version =
-		rp_machine_current(rp_node_machine(s->node))->version;
 	ba_time informed = rp_core_informed(core, now);
 	bool fresh = informed && now - informed <= 3 * s->heartbeat;
 
 	ds_feed_set_stale(s->feed,
 			  fresh ? BA_NEVER : MAX(informed, s->started));
-	ds_feed_set_floor(s->feed, version, fresh);
+	set_authority(s, now);
 	g_hash_table_foreach_remove(s->subscribers, is_forgotten, &now);
 	check_in_force(s, now);
 }
 
+/*
+ * Looked at again for each question: a leader that was frozen has lost its
+ * lease before its timers say so.
+ */
+static void set_authority(struct so_source *s, ba_time now)
+{
+	const struct rp_core *core = rp_node_core(s->node);
+
+	ds_feed_set_authority(s->feed, !rp_core_accepting(core, now));
+}
+
 static void on_ack(struct ds_feed_owner *o, uint64_t lowest, uint32_t daemons)
 {
 	struct so_source *s = ba_entry(o, struct so_source, feed_owner);
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -117,7 +117,7 @@
 	s->loop = loop;
 	s->id = identity("s1", WI_SOURCE, "d1", "r1");
 	s->feed = ds_feed_new(loop, &s->owner);
-	ds_feed_set_floor(s->feed, 0, true);
+	ds_feed_set_authority(s->feed, true);
 	ASSERT_EQ(wi_listen(loop, &at, &s->id, &ds_limits, &s->acceptor,
 			    &s->listener),
 		  BA_OK);
--- a/wire/ds.pb-c.c
+++ b/wire/ds.pb-c.c
@@ -187,52 +187,7 @@
   assert(message->base.descriptor == &ds_ack__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   ds_floor__init
-                     (DsFloor         *message)
-{
-  static const DsFloor init_value = DS_FLOOR__INIT;
-  *message = init_value;
-}
-size_t ds_floor__get_packed_size
-                     (const DsFloor *message)
-{
-  assert(message->base.descriptor == &ds_floor__descriptor);
-  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
-}
-size_t ds_floor__pack
-                     (const DsFloor *message,
-                      uint8_t       *out)
-{
-  assert(message->base.descriptor == &ds_floor__descriptor);
-  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
-}
-size_t ds_floor__pack_to_buffer
-                     (const DsFloor *message,
-                      ProtobufCBuffer *buffer)
-{
-  assert(message->base.descriptor == &ds_floor__descriptor);
-  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
-}
-DsFloor *
-       ds_floor__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data)
-{
-  return (DsFloor *)
-     protobuf_c_message_unpack (&ds_floor__descriptor,
-                                allocator, len, data);
-}
-void   ds_floor__free_unpacked
-                     (DsFloor *message,
-                      ProtobufCAllocator *allocator)
-{
-  if(!message)
-    return;
-  assert(message->base.descriptor == &ds_floor__descriptor);
-  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
-}
-static const ProtobufCFieldDescriptor ds_subscribe__field_descriptors[3] =
+static const ProtobufCFieldDescriptor ds_subscribe__field_descriptors[4] =
 {
   {
     "held_version",
@@ -270,8 +225,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ask",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(DsSubscribe, ask),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ds_subscribe__field_indices_by_name[] = {
+  3,   /* field[3] = ask */
   2,   /* field[2] = floor */
   1,   /* field[1] = held_digest */
   0,   /* field[0] = held_version */
@@ -279,7 +247,7 @@
 static const ProtobufCIntRange ds_subscribe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor ds_subscribe__descriptor =
 {
@@ -289,14 +257,14 @@
   "DsSubscribe",
   "",
   sizeof(DsSubscribe),
-  3,
+  4,
   ds_subscribe__field_descriptors,
   ds_subscribe__field_indices_by_name,
   1,  ds_subscribe__number_ranges,
   (ProtobufCMessageInit) ds_subscribe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ds_update__field_descriptors[7] =
+static const ProtobufCFieldDescriptor ds_update__field_descriptors[8] =
 {
   {
     "current_version",
@@ -382,8 +350,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "answer",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(DsUpdate, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ds_update__field_indices_by_name[] = {
+  7,   /* field[7] = answer */
   0,   /* field[0] = current_version */
   3,   /* field[3] = delta */
   4,   /* field[4] = digest */
@@ -395,7 +376,7 @@
 static const ProtobufCIntRange ds_update__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor ds_update__descriptor =
 {
@@ -405,7 +386,7 @@
   "DsUpdate",
   "",
   sizeof(DsUpdate),
-  7,
+  8,
   ds_update__field_descriptors,
   ds_update__field_indices_by_name,
   1,  ds_update__number_ranges,
@@ -566,54 +547,3 @@
   (ProtobufCMessageInit) ds_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ds_floor__field_descriptors[2] =
-{
-  {
-    "floor",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(DsFloor, floor),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "known",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
-    offsetof(DsFloor, known),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned ds_floor__field_indices_by_name[] = {
-  0,   /* field[0] = floor */
-  1,   /* field[1] = known */
-};
-static const ProtobufCIntRange ds_floor__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor ds_floor__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "DsFloor",
-  "DsFloor",
-  "DsFloor",
-  "",
-  sizeof(DsFloor),
-  2,
-  ds_floor__field_descriptors,
-  ds_floor__field_indices_by_name,
-  1,  ds_floor__number_ranges,
-  (ProtobufCMessageInit) ds_floor__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
--- a/wire/ds.pb-c.h
+++ b/wire/ds.pb-c.h
@@ -19,7 +19,6 @@
 typedef struct DsUpdate DsUpdate;
 typedef struct DsVersionCount DsVersionCount;
 typedef struct DsAck DsAck;
-typedef struct DsFloor DsFloor;
 
 
 /* --- enums --- */
@@ -36,10 +35,14 @@
    * lowest version the peer may accept
    */
   uint64_t floor;
+  /*
+   * a relay asks for the floor; 0 if not
+   */
+  uint64_t ask;
 };
 #define DS_SUBSCRIBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ds_subscribe__descriptor) \
-    , 0, {0,NULL}, 0 }
+    , 0, {0,NULL}, 0, 0 }
 
 
 struct  DsUpdate
@@ -50,7 +53,7 @@
    */
   uint64_t current_version;
   /*
-   * highest version acknowledged by the peer
+   * lowest version the peer may accept
    */
   uint64_t floor;
   /*
@@ -70,13 +73,20 @@
    */
   uint64_t source_age_ms;
   /*
-   * nothing above floor was ever held
+   * nothing above floor was held before
    */
   protobuf_c_boolean floor_known;
+  /*
+   * the subscription, or the question
+   */
+  /*
+   * to the question of that number
+   */
+  uint64_t answer;
 };
 #define DS_UPDATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ds_update__descriptor) \
-    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0 }
+    , 0, 0, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0 }
 
 
 struct  DsVersionCount
@@ -116,26 +126,6 @@
     , 0, 0, 0,NULL, 0, 0, 0,NULL }
 
 
-/*
- * Between relays of one data centre.
- */
-struct  DsFloor
-{
-  ProtobufCMessage base;
-  /*
-   * highest version known to be held
-   */
-  uint64_t floor;
-  /*
-   * none above it was ever held
-   */
-  protobuf_c_boolean known;
-};
-#define DS_FLOOR__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&ds_floor__descriptor) \
-    , 0, 0 }
-
-
 /* DsSubscribe methods */
 void   ds_subscribe__init
                      (DsSubscribe         *message);
@@ -212,25 +202,6 @@
 void   ds_ack__free_unpacked
                      (DsAck *message,
                       ProtobufCAllocator *allocator);
-/* DsFloor methods */
-void   ds_floor__init
-                     (DsFloor         *message);
-size_t ds_floor__get_packed_size
-                     (const DsFloor   *message);
-size_t ds_floor__pack
-                     (const DsFloor   *message,
-                      uint8_t             *out);
-size_t ds_floor__pack_to_buffer
-                     (const DsFloor   *message,
-                      ProtobufCBuffer     *buffer);
-DsFloor *
-       ds_floor__unpack
-                     (ProtobufCAllocator  *allocator,
-                      size_t               len,
-                      const uint8_t       *data);
-void   ds_floor__free_unpacked
-                     (DsFloor *message,
-                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*DsSubscribe_Closure)
@@ -245,9 +216,6 @@
 typedef void (*DsAck_Closure)
                  (const DsAck *message,
                   void *closure_data);
-typedef void (*DsFloor_Closure)
-                 (const DsFloor *message,
-                  void *closure_data);
 
 /* --- services --- */
 
@@ -258,7 +226,6 @@
 extern const ProtobufCMessageDescriptor ds_update__descriptor;
 extern const ProtobufCMessageDescriptor ds_version_count__descriptor;
 extern const ProtobufCMessageDescriptor ds_ack__descriptor;
-extern const ProtobufCMessageDescriptor ds_floor__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/wire/wi_type.h
+++ b/wire/wi_type.h
@@ -37,7 +37,6 @@
 	DS_SUBSCRIBE = 60, /* DsSubscribe */
 	DS_UPDATE = 61,	   /* DsUpdate */
 	DS_ACK = 62,	   /* DsAck */
-	DS_FLOOR = 63,	   /* DsFloor */
 
 	EP_ANNOUNCE = 80, /* EpAnnounce */
 	EP_UPDATE = 81,	  /* EpUpdate */
