--- a/distrib/ds_dialer.c
+++ b/distrib/ds_dialer.c
@@ -5,16 +5,17 @@
 static ba_time back_off(struct ds_dialer *d);
 static ba_time below(struct ds_dialer *d, ba_time limit);
 
-void ds_dialer_init(struct ds_dialer *d, size_t n, bool prefer_first,
+void ds_dialer_init(struct ds_dialer *d, size_t n, size_t n_preferred,
 		    uint64_t seed, ba_time now)
 {
 	memset(d, 0, sizeof(*d));
 	d->n = n;
-	d->prefer_first = prefer_first;
+	d->n_preferred = n_preferred;
 	d->rand.state = seed;
 	d->dial_deadline = n ? now : BA_NEVER;
 	d->return_deadline = BA_NEVER;
 	d->leave_after = DS_LEAVE_AFTER;
+	d->return_after = DS_RETURN_AFTER;
 }
 
 void ds_dialer_dialled(struct ds_dialer *d)
@@ -29,9 +30,9 @@
 	d->tried = 0;
 	if (d->leave_deadline < now + DS_LEAVE_FIRST)
 		d->leave_deadline = now + DS_LEAVE_FIRST;
-	if (d->prefer_first && d->current)
+	if (d->n_preferred && d->current >= d->n_preferred)
 		d->return_deadline =
-			now + DS_RETURN_AFTER + below(d, DS_RETURN_AFTER / 2);
+			now + d->return_after + below(d, d->return_after / 2);
 }
 
 /*
@@ -50,7 +51,7 @@
 		d->dial_deadline = now + retry_after;
 		return;
 	}
-	if (was_open && d->prefer_first && !d->leaving)
+	if (was_open && d->n_preferred && !d->leaving)
 		d->current = 0;
 	else
 		d->current = (d->current + 1) % d->n;
@@ -67,6 +68,8 @@
 	if (!stale) {
 		d->leave_after = DS_LEAVE_AFTER;
 		d->leave_deadline = now;
+		if (d->current < d->n_preferred)
+			d->return_after = DS_RETURN_AFTER;
 	}
 	d->stale = stale;
 }
@@ -76,6 +79,10 @@
 	if (!d->open || !d->stale || d->n < 2 || now < d->leave_deadline)
 		return false;
 	d->leaving = true;
+	if (d->current < d->n_preferred)
+		d->return_after *= 2;
+	if (d->return_after > DS_RETURN_LIMIT)
+		d->return_after = DS_RETURN_LIMIT;
 	d->leave_deadline = now + d->leave_after + below(d, d->leave_after);
 	d->leave_after *= 2;
 	if (d->leave_after > DS_LEAVE_LIMIT)
--- a/distrib/ds_dialer.h
+++ b/distrib/ds_dialer.h
@@ -19,6 +19,7 @@
 #define DS_BACK_OFF_LIMIT BA_SECOND
 #define DS_NEXT_ADDRESS_SPREAD (50 * BA_MS)
 #define DS_RETURN_AFTER (30 * BA_SECOND)
+#define DS_RETURN_LIMIT (10 * BA_MINUTE)
 #define DS_LEAVE_FIRST (500 * BA_MS)
 #define DS_LEAVE_AFTER (15 * BA_SECOND)
 #define DS_LEAVE_LIMIT (2 * BA_MINUTE)
@@ -28,12 +29,14 @@
  * @n: number of addresses
  * @current: address dialled now or next
  * @tried: addresses tried since one was open
- * @prefer_first: after a loss begin with the first again, and go back to it
+ * @n_preferred: so many of the first addresses are gone back to whenever one
+ *	of the others is open
  * @open: whether a session is open
  * @stale: whether the peer's data are stale
  * @leaving: the peer is left because its data are stale
  * @dial_deadline: when to dial @current, %BA_NEVER while dialling or open
  * @return_deadline: when to go back to the first address
+ * @return_after: time until then, longer each time it was in vain
  * @leave_deadline: a stale peer is not left before then
  * @leave_after: time until a stale peer may be left again
  */
@@ -41,19 +44,20 @@
 	size_t n;
 	size_t current;
 	unsigned int tried;
-	bool prefer_first;
+	size_t n_preferred;
 	bool open;
 	bool stale;
 	bool leaving;
 	ba_time dial_deadline;
 	ba_time return_deadline;
+	ba_time return_after;
 	ba_time leave_deadline;
 	ba_time leave_after;
 	struct ba_rand rand;
 };
 
 /** ds_dialer_init() - dial the first address at @now */
-void ds_dialer_init(struct ds_dialer *d, size_t n, bool prefer_first,
+void ds_dialer_init(struct ds_dialer *d, size_t n, size_t n_preferred,
 		    uint64_t seed, ba_time now);
 
 /** ds_dialer_dialled() - @current is being dialled */
--- a/distrib/ds_link.c
+++ b/distrib/ds_link.c
@@ -42,7 +42,7 @@
 	l->addresses =
 		g_memdup2(options->addresses,
 			  options->n_addresses * sizeof(struct ba_address));
-	ds_dialer_init(&l->dialer, options->n_addresses, options->prefer_first,
+	ds_dialer_init(&l->dialer, options->n_addresses, options->n_preferred,
 		       options->seed, ba_loop_now(loop));
 	arm(l);
 	return l;
--- a/distrib/ds_link.h
+++ b/distrib/ds_link.h
@@ -29,13 +29,13 @@
 /**
  * struct ds_link_options - how a link runs
  * @addresses: where to connect, in order of preference; copied
- * @prefer_first: go back to the first whenever possible
+ * @n_preferred: how many of the first to go back to when possible
  */
 struct ds_link_options {
 	const struct wi_identity *identity;
 	const struct ba_address *addresses;
 	size_t n_addresses;
-	bool prefer_first;
+	size_t n_preferred;
 	uint64_t seed;
 };
 
--- a/prog/re_upstream.c
+++ b/prog/re_upstream.c
@@ -27,11 +27,11 @@
 	struct ds_link_options options = {
 		.identity = r->identity,
 		.addresses = list,
-		.prefer_first = true,
 		.seed = r->identity->incarnation,
 	};
 
 	options.n_addresses = order_upstreams(r, list);
+	options.n_preferred = options.n_addresses - st->sources.n;
 	r->upstream_owner.opened = on_opened;
 	r->upstream_owner.frame = on_frame;
 	r->upstream_owner.lost = on_lost;
