--- a/distrib/ds_dialer.c
+++ b/distrib/ds_dialer.c
@@ -62,10 +62,11 @@
 		d->dial_deadline = now + back_off(d);
 }
 
-/* A peer with fresh data ends the growing pauses between departures. */
+/* A peer with fresh data ends the search and its growing pauses. */
 void ds_dialer_stale(struct ds_dialer *d, bool stale, ba_time now)
 {
 	if (!stale) {
+		d->left = 0;
 		d->leave_after = DS_LEAVE_AFTER;
 		d->leave_deadline = now;
 		if (d->current < d->n_preferred)
@@ -74,6 +75,7 @@
 	d->stale = stale;
 }
 
+/* Each address gets a short try; when all were stale, a pause follows. */
 bool ds_dialer_leaves(struct ds_dialer *d, ba_time now)
 {
 	if (!d->open || !d->stale || d->n < 2 || now < d->leave_deadline)
@@ -83,6 +85,8 @@
 		d->return_after *= 2;
 	if (d->return_after > DS_RETURN_LIMIT)
 		d->return_after = DS_RETURN_LIMIT;
+	if (++d->left % d->n)
+		return true;
 	d->leave_deadline = now + d->leave_after + below(d, d->leave_after);
 	d->leave_after *= 2;
 	if (d->leave_after > DS_LEAVE_LIMIT)
--- a/distrib/ds_dialer.h
+++ b/distrib/ds_dialer.h
@@ -21,8 +21,8 @@
 #define DS_RETURN_AFTER (30 * BA_SECOND)
 #define DS_RETURN_LIMIT (10 * BA_MINUTE)
 #define DS_LEAVE_FIRST (500 * BA_MS)
-#define DS_LEAVE_AFTER (15 * BA_SECOND)
-#define DS_LEAVE_LIMIT (2 * BA_MINUTE)
+#define DS_LEAVE_AFTER (5 * BA_SECOND)
+#define DS_LEAVE_LIMIT (30 * BA_SECOND)
 
 /**
  * struct ds_dialer - state of one dialer
@@ -38,7 +38,8 @@
  * @return_deadline: when to go back to the first address
  * @return_after: time until then, longer each time it was in vain
  * @leave_deadline: a stale peer is not left before then
- * @leave_after: time until a stale peer may be left again
+ * @leave_after: pause after a whole round of stale peers
+ * @left: stale peers left in this round
  */
 struct ds_dialer {
 	size_t n;
@@ -53,6 +54,7 @@
 	ba_time return_after;
 	ba_time leave_deadline;
 	ba_time leave_after;
+	unsigned int left;
 	struct ba_rand rand;
 };
 
--- a/test/ds_world.h
+++ b/test/ds_world.h
@@ -7,6 +7,7 @@
 #ifndef TEST_DS_WORLD_H
 #define TEST_DS_WORLD_H
 
+#include <cstring>
 #include <functional>
 #include <map>
 #include <memory>
