replica: test groups in virtual time; mend two faults that they found

Cause: the decisions were shown by three processes only.

Change: test/rp_world.h runs replicas on a network that loses, delays, duplicates, reorders and cuts (one-way too), with stores that lose what was not synced, fill up, stop within an operation or are lost. Checked at every step: one leader for a term, committed entries the same everywhere, one outcome for a submission id, one replica accepting at a time; after the trouble: a leader, accepted versions kept, all caught up and voting again. Tables of cases: torn tails, damage and full disks in a data folder, cuts of a leader, racing and resent submissions, a second loss right after a repair, damage with nobody to catch up from.

The vote is now kept in both meta slots, so damage of one cannot bring back an older vote.

--- a/replica/rp_core.c
+++ b/replica/rp_core.c
@@ -409,6 +409,7 @@
 	c->unsaved = true;
 	ba_buf_free(&c->install);
 	rp_log_truncate(&c->log, c->stored + 1);
+	c->commit = MIN(c->commit, rp_log_last(&c->log));
 	rp_members_refresh(c);
 	if (!rp_log_last(&c->log)) {
 		c->role = RP_UNFORMED;
--- a/replica/rp_disk.c
+++ b/replica/rp_disk.c
@@ -182,6 +182,7 @@
 	return ret;
 }
 
+/* In both slots, so that the vote outlives the damage of one. */
 static int disk_save_vote(struct rp_store *s, uint64_t term, const char *vote)
 {
 	struct rp_disk *d = (struct rp_disk *)s;
@@ -192,6 +193,8 @@
 	memset(d->meta.vote, 0, sizeof(d->meta.vote));
 	g_strlcpy(d->meta.vote, vote, sizeof(d->meta.vote));
 	ret = save_meta(d);
+	if (!ret)
+		ret = save_meta(d);
 	if (ret)
 		d->meta = before;
 	return ret;
--- a/replica/rp_lead.c
+++ b/replica/rp_lead.c
@@ -222,7 +222,8 @@
 
 	if (now < p->wait_deadline)
 		return;
-	if (!rp_log_term(&c->log, p->next - 1, &term)) {
+	if (p->next < c->log.first ||
+	    !rp_log_term(&c->log, p->next - 1, &term)) {
 		send_chunk(c, to, now, out);
 		return;
 	}
--- a/replica/rp_node.c
+++ b/replica/rp_node.c
@@ -10,7 +10,7 @@
 
 enum {
 	DEFAULT_SNAPSHOT_ENTRIES = 4096,
-	KEEP_ENTRIES = 1024,
+	DEFAULT_KEEP_ENTRIES = 1024,
 	KEEP_LIMIT_BYTES = 8 * 1024 * 1024,
 	LOG_LIMIT_BYTES = 32 * 1024 * 1024,
 	WAITERS_LIMIT = 1024,
@@ -101,6 +101,8 @@
 	n->leader = RP_NOBODY;
 	if (!n->o.snapshot_entries)
 		n->o.snapshot_entries = DEFAULT_SNAPSHOT_ENTRIES;
+	if (!n->o.keep_entries)
+		n->o.keep_entries = DEFAULT_KEEP_ENTRIES;
 	ba_list_init(&n->waiters);
 	ret = o->store->ops->load(o->store, &r);
 	if (!ret && r.damaged && o->core.n_names == 1)
@@ -576,7 +578,8 @@
 	size_t bytes = 0;
 	size_t keep = 0;
 
-	while (e && keep < KEEP_ENTRIES && bytes + e->len < KEEP_LIMIT_BYTES) {
+	while (e && keep < n->o.keep_entries &&
+	       bytes + e->len < KEEP_LIMIT_BYTES) {
 		bytes += e->len;
 		keep++;
 		e = rp_log_get(log, index - keep);
--- a/replica/rp_node.h
+++ b/replica/rp_node.h
@@ -45,12 +45,14 @@
  * struct rp_node_options - how a replica runs
  * @store: taken over, also on failure
  * @snapshot_entries: entries between two snapshots, 0 for the default
+ * @keep_entries: most entries kept before a snapshot, 0 for the default
  */
 struct rp_node_options {
 	struct rp_core_options core;
 	struct rp_store *store;
 	struct rp_node_owner *owner;
 	size_t snapshot_entries;
+	size_t keep_entries;
 };
 
 /**
--- /dev/null
+++ b/test/rp_test.cc
@@ -0,0 +1,379 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <iostream>
+
+#include "test/rp_world.h"
+
+namespace
+{
+
+enum { RUNS = 10 };
+
+/* Which kinds of trouble a run has. */
+enum trouble {
+	LOSS = 1,
+	CUTS = 2,
+	CRASHES = 4,
+	DISK_LOSS = 8,
+	FULL_DISKS = 16,
+	EVERYTHING = 31,
+};
+
+void cut_something(world &w)
+{
+	int a = (int)w.below((uint64_t)w.n);
+	int b = (int)w.below((uint64_t)w.n);
+
+	if (w.below(3)) {
+		w.cut[a][b] = true;
+		return;
+	}
+	for (int i = 0; i < w.n; i++) {
+		w.cut[a][i] = true;
+		w.cut[i][a] = w.below(2);
+	}
+}
+
+void lose_disk(world &w)
+{
+	int i = (int)w.below((uint64_t)w.n);
+
+	if (!w.repaired())
+		return;
+	w.crash(i);
+	w.new_disk(i);
+	w.start(i);
+}
+
+void trouble_once(world &w, int kinds)
+{
+	int i = (int)w.below((uint64_t)w.n);
+
+	switch (w.below(10)) {
+	case 0:
+	case 1:
+		if (kinds & CUTS)
+			cut_something(w);
+		break;
+	case 2:
+	case 3:
+		memset(w.cut, 0, sizeof(w.cut));
+		break;
+	case 4:
+		if (kinds & CRASHES)
+			w.crash(i);
+		break;
+	case 5:
+		if (kinds & CRASHES)
+			w.all[i]->store.crash_after = (int)w.below(6);
+		break;
+	case 6:
+	case 7:
+		w.start(i);
+		break;
+	case 8:
+		if (kinds & DISK_LOSS)
+			lose_disk(w);
+		break;
+	default:
+		w.all[i]->store.full = (kinds & FULL_DISKS) && w.below(2);
+		break;
+	}
+}
+
+/* Submissions race, repeat ids and start from old bases. */
+void submit_something(world &w)
+{
+	int l = w.leader();
+	int i = l >= 0 && w.below(4) ? l : (int)w.below((uint64_t)w.n);
+	std::string id = "id-" + std::to_string(w.below(w.tokens / 2 + 2));
+	uint64_t base = w.up(i) ? rp_machine_current(w.machine(i))->version : 0;
+
+	w.submit(i, id, base, (int)w.below(50));
+}
+
+/* After the trouble everything must be whole again. */
+void check_quiet(world &w)
+{
+	w.heal();
+	w.run(w.now + 20 * BA_SECOND);
+	if (!w.violation.empty())
+		return;
+	int l = w.leader();
+
+	if (l < 0) {
+		w.fail("no leader after the trouble");
+		return;
+	}
+	std::set<uint64_t> kept;
+	const struct rp_version *v;
+
+	for (size_t i = 0; (v = rp_machine_version(w.machine(l), i)); i++)
+		kept.insert(v->version);
+	for (uint64_t version : w.accepted)
+		if (!kept.count(version))
+			w.fail("accepted version " + std::to_string(version) +
+			       " is lost");
+	for (int i = 0; i < w.n; i++)
+		if (rp_machine_applied(w.machine(i)) !=
+		    rp_machine_applied(w.machine(l)))
+			w.fail("a replica did not catch up");
+	if (!w.repaired())
+		w.fail("a replica did not get its vote back");
+}
+
+std::string run_world(uint64_t seed, int n, int kinds, enum fault fault)
+{
+	world w(seed, n, fault);
+
+	w.run(w.now + 2 * BA_SECOND);
+	if (kinds & LOSS)
+		w.lost_percent = 5;
+	for (int i = 0; i < 60 && w.violation.empty(); i++) {
+		submit_something(w);
+		if (!w.below(1 + seed % 5))
+			trouble_once(w, kinds);
+		w.run(w.now + (ba_time)w.below(700) * BA_MS);
+	}
+	if (w.violation.empty())
+		check_quiet(w);
+	return w.violation;
+}
+
+RC_GTEST_PROP(RpGroup, HoldsUnderEveryTrouble, (uint64_t seed))
+{
+	struct ba_rand seeds = {seed};
+
+	for (int i = 0; i < RUNS; i++) {
+		uint64_t one = ba_rand_next(&seeds);
+		std::string violation =
+			run_world(one, i % 4 ? 3 : 5, EVERYTHING, NO_FAULT);
+
+		RC_ASSERT(violation == "");
+	}
+}
+
+bool contains(const std::string &text, const char *part)
+{
+	return *part && text.find(part) != std::string::npos;
+}
+
+/* For each checker a broken replica that it finds within a few hundred runs. */
+TEST(RpBroken, EveryCheckerFindsItsFault)
+{
+	static const struct {
+		enum fault fault;
+		int kinds;
+		const char *finding;
+		const char *or_finding;
+	} cases[] = {
+		{VOTE_NOT_SAVED, LOSS | CRASHES, "two leaders in term", ""},
+		{SYNC_LIES, CUTS | CRASHES, "is lost", "differs"},
+		{DISK_ID_KEPT, CUTS | CRASHES | DISK_LOSS, "is lost",
+		 "differs"},
+		{COMMITS_ALONE, CUTS, "is lost", "differs"},
+		{LEASE_TOO_LONG, CUTS, "two replicas accept", ""},
+		{NEW_ID_ON_RESEND, LOSS, "two outcomes", ""},
+		{LOG_REORDERED, LOSS, "differs", ""},
+	};
+
+	for (const auto &c : cases) {
+		std::string found;
+		uint64_t seed = 0;
+		bool expected = false;
+
+		while (!expected && seed < 400) {
+			found = run_world(++seed, 3, c.kinds, c.fault);
+			expected = contains(found, c.finding) ||
+				   contains(found, c.or_finding);
+		}
+		EXPECT_TRUE(expected) << c.finding << ", not: " << found;
+		std::cout << "seed " << seed << ": " << found << "\n";
+	}
+}
+
+/* Until @w has a leader that accepts. */
+int wait_leader(world &w)
+{
+	for (int i = 0; i < 100 && w.leader() < 0; i++)
+		w.run(w.now + 100 * BA_MS);
+	return w.leader();
+}
+
+uint64_t version(const world &w, int i)
+{
+	return rp_machine_current(w.machine(i))->version;
+}
+
+TEST(RpLease, CutOffLeaderStopsAccepting)
+{
+	static const struct {
+		const char *name;
+		bool in, out;
+	} cases[] = {
+		{"two-way", true, true},
+		{"answers lost", true, false},
+		{"heartbeats lost", false, true},
+	};
+
+	for (const auto &c : cases) {
+		world w(3, 3);
+		int l = wait_leader(w);
+
+		ASSERT_GE(l, 0);
+		for (int i = 0; i < 3; i++) {
+			w.cut[i][l] = c.in;
+			w.cut[l][i] = c.out;
+		}
+		w.run(w.now + w.times.lease + 2 * w.delay_most);
+		w.submit(l, "late", version(w, l), 1);
+		EXPECT_EQ(w.codes[w.tokens].first, RP_NO_QUORUM) << c.name;
+		w.run(w.now + 5 * BA_SECOND);
+		ASSERT_GE(w.leader(), 0) << c.name;
+		EXPECT_NE(w.leader(), l) << c.name;
+		EXPECT_EQ(w.violation, "") << c.name;
+	}
+}
+
+TEST(RpRepair, SecondLossRightAfterARepairLosesNothing)
+{
+	world w(5, 3);
+	int l = wait_leader(w);
+
+	ASSERT_GE(l, 0);
+	w.submit(l, "kept", 0, 1);
+	w.run(w.now + BA_SECOND);
+	uint64_t kept = version(w, l);
+	int first = (l + 1) % 3;
+	int second = (l + 2) % 3;
+
+	w.crash(first);
+	w.new_disk(first);
+	w.start(first);
+	EXPECT_FALSE(rp_core_votes(w.core(first)));
+	while (!w.repaired())
+		w.run(w.now + 10 * BA_MS);
+	w.crash(second);
+	w.new_disk(second);
+	w.crash(l);
+	w.start(l);
+	w.run(w.now + 5 * BA_SECOND);
+	ASSERT_GE(w.leader(), 0);
+	EXPECT_GT(kept, 0u);
+	EXPECT_EQ(version(w, w.leader()), kept);
+}
+
+TEST(RpSubmission, OfEqualBasesExactlyOneWins)
+{
+	world w(7, 3);
+	int l = wait_leader(w);
+
+	ASSERT_GE(l, 0);
+	w.submit(l, "ana-1", 0, 1);
+	w.submit(l, "eva-1", 0, 2);
+	w.run(w.now + BA_SECOND);
+	EXPECT_EQ(w.told["ana-1"].first, (uint32_t)BA_OK);
+	EXPECT_EQ(w.told["eva-1"].first, (uint32_t)RP_BASE_STALE);
+	EXPECT_EQ(w.codes[2].second, w.told["ana-1"].second);
+}
+
+TEST(RpSubmission, ResentAfterALostAnswerAndAChangeOfLeader)
+{
+	world w(9, 3);
+	int l = wait_leader(w);
+
+	ASSERT_GE(l, 0);
+	w.submit(l, "first", 0, 1);
+	w.submit(l, "wrong", 0, 7);
+	w.run(w.now + BA_SECOND);
+	auto first = w.told["first"];
+	auto wrong = w.told["wrong"];
+
+	w.crash(l);
+	l = wait_leader(w);
+	ASSERT_GE(l, 0);
+	w.submit(l, "other", version(w, l), 2);
+	w.run(w.now + BA_SECOND);
+	EXPECT_EQ(w.told["other"].first, (uint32_t)BA_OK);
+	w.submit(l, "first", 0, 1);
+	w.submit(l, "wrong", version(w, l), 3);
+	EXPECT_EQ(w.told["first"], first);
+	EXPECT_EQ(w.told["wrong"], wrong);
+	EXPECT_EQ(w.codes[w.tokens].first, wrong.first);
+	EXPECT_EQ(w.violation, "");
+}
+
+TEST(RpDiskFull, LeaderRefusesAndRecovers)
+{
+	for (int n : {1, 3}) {
+		world w(11, n);
+		int l = wait_leader(w);
+
+		ASSERT_GE(l, 0);
+		w.all[l]->store.full = true;
+		w.submit(l, "full", 0, 1);
+		EXPECT_EQ(w.codes[w.tokens].first, (uint32_t)BA_DISK_FULL);
+		EXPECT_EQ(version(w, l), 0u);
+		if (n > 1) {
+			w.run(w.now + 5 * BA_SECOND);
+			ASSERT_GE(w.leader(), 0);
+			EXPECT_NE(w.leader(), l);
+		}
+		w.all[l]->store.full = false;
+		l = wait_leader(w);
+		w.submit(l, "again", 0, 1);
+		w.run(w.now + BA_SECOND);
+		EXPECT_EQ(w.told["again"].first, (uint32_t)BA_OK);
+	}
+}
+
+/* A replica that is damaged forms no new group over the ruins. */
+TEST(RpDamaged, NobodyToCatchUpFrom)
+{
+	world w(13, 3);
+
+	for (int i = 0; i < 3; i++)
+		w.crash(i);
+	for (int i = 0; i < 3; i++) {
+		w.new_disk(i);
+		w.all[i]->store.damaged = i == 1;
+		w.start(i);
+	}
+	w.run(w.now + 5 * BA_SECOND);
+	EXPECT_EQ(w.leader(), -1);
+	EXPECT_TRUE(rp_core_alone(w.core(1)));
+	EXPECT_FALSE(rp_core_alone(w.core(0)));
+}
+
+TEST(RpMachine, EncodingHoldsTheWholeState)
+{
+	world w(15, 1);
+	int l = wait_leader(w);
+	struct ba_buf once = {};
+	struct ba_buf twice = {};
+	struct rp_machine *back = nullptr;
+
+	for (int i = 1; i < 10; i++)
+		w.submit(l, "id-" + std::to_string(i), version(w, l), i);
+	rp_machine_encode(w.machine(l), &once);
+	ASSERT_EQ(rp_machine_decode(once.data, once.len,
+				    rp_machine_applied(w.machine(l)), &back),
+		  BA_OK);
+	rp_machine_encode(back, &twice);
+	EXPECT_EQ(std::string((char *)once.data, once.len),
+		  std::string((char *)twice.data, twice.len));
+	rp_machine_free(back);
+	ba_buf_free(&once);
+	ba_buf_free(&twice);
+}
+
+RC_GTEST_PROP(RpCodec, GarbageIsRefused, (const std::string &text))
+{
+	struct rp_received r;
+
+	if (!rp_message_decode(text.data(), text.size(), &r))
+		rp_received_free(&r);
+}
+
+} // namespace
--- /dev/null
+++ b/test/rp_world.h
@@ -0,0 +1,545 @@
+/*
+ * A group of replicas in virtual time: a network that loses, delays,
+ * duplicates, reorders and cuts, stores in memory that lose what was not
+ * synced, and checkers of what must hold at every moment.
+ */
+#ifndef TEST_RP_WORLD_H
+#define TEST_RP_WORLD_H
+
+#include <algorithm>
+#include <cstring>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/ba_rand.h"
+#include "base/ba_result.h"
+#include "replica/rp_codec.h"
+#include "replica/rp_node.h"
+#include "wire/rp.pb-c.h"
+
+/* What is broken on purpose, so that a checker has something to find. */
+enum fault {
+	NO_FAULT,
+	VOTE_NOT_SAVED,
+	SYNC_LIES,
+	DISK_ID_KEPT,  /* an empty disk goes on under its old identity */
+	COMMITS_ALONE, /* a cut-off leader takes silence for an answer */
+	LEASE_TOO_LONG,
+	NEW_ID_ON_RESEND,
+	LOG_REORDERED,
+};
+
+struct mem_store {
+	struct rp_store store;
+	std::string disk_id;
+	uint64_t term = 0;
+	std::string vote;
+	uint64_t snapshot_index = 0, snapshot_term = 0;
+	std::string snapshot;
+	std::map<uint64_t, std::pair<uint64_t, std::pair<int, std::string>>>
+		log;
+	std::map<uint64_t, std::pair<uint64_t, std::pair<int, std::string>>>
+		pending;
+	bool full = false;
+	bool damaged = false;
+	bool crashed = false;
+	int crash_after = -1; /* operations */
+	int installs = 0;
+	enum fault fault = NO_FAULT;
+
+	bool dies()
+	{
+		if (crash_after >= 0 && !crash_after--)
+			crashed = true;
+		return crashed;
+	}
+};
+
+extern const struct rp_store_ops mem_ops;
+
+static inline int mem_load(struct rp_store *s, struct rp_recovered *out)
+{
+	auto *m = (struct mem_store *)s;
+
+	strcpy(out->disk_id, m->disk_id.c_str());
+	out->term = m->term;
+	out->damaged = m->damaged;
+	strcpy(out->vote, m->vote.c_str());
+	ba_buf_add(&out->snapshot, m->snapshot.data(), m->snapshot.size());
+	rp_log_init(&out->log, m->snapshot_index, m->snapshot_term);
+	for (const auto &[index, e] : m->log)
+		rp_log_append(&out->log,
+			      rp_entry_new(index, e.first, e.second.first,
+					   e.second.second.data(),
+					   e.second.second.size()));
+	return BA_OK;
+}
+
+static inline int mem_append(struct rp_store *s, const struct rp_entry *e)
+{
+	auto *m = (struct mem_store *)s;
+
+	if (m->dies() || m->full)
+		return BA_DISK_FULL;
+	m->pending[e->index] = {
+		e->term, {e->kind, std::string((const char *)e->body, e->len)}};
+	return BA_OK;
+}
+
+static inline int mem_sync(struct rp_store *s)
+{
+	auto *m = (struct mem_store *)s;
+
+	if (m->dies() || m->full) {
+		m->pending.clear();
+		return BA_DISK_FULL;
+	}
+	if (m->fault == SYNC_LIES && m->pending.rbegin()->first > 10)
+		return BA_OK;
+	for (const auto &[index, e] : m->pending)
+		m->log[index] = e;
+	m->pending.clear();
+	return BA_OK;
+}
+
+static inline int mem_truncate(struct rp_store *s, uint64_t index)
+{
+	auto *m = (struct mem_store *)s;
+
+	if (m->dies())
+		return BA_DISK_FULL;
+	m->log.erase(m->log.lower_bound(index), m->log.end());
+	m->pending.erase(m->pending.lower_bound(index), m->pending.end());
+	return BA_OK;
+}
+
+static inline int mem_save_vote(struct rp_store *s, uint64_t term,
+				const char *vote)
+{
+	auto *m = (struct mem_store *)s;
+
+	if (m->dies() || m->full)
+		return BA_DISK_FULL;
+	if (m->fault == VOTE_NOT_SAVED)
+		return BA_OK;
+	m->term = term;
+	m->vote = vote;
+	return BA_OK;
+}
+
+static inline int mem_save_snapshot(struct rp_store *s, uint64_t index,
+				    uint64_t term, const struct ba_buf *state,
+				    uint64_t keep_from, bool reset)
+{
+	auto *m = (struct mem_store *)s;
+
+	if (m->dies() || m->full)
+		return BA_DISK_FULL;
+	m->installs += reset;
+	m->snapshot_index = index;
+	m->snapshot_term = term;
+	m->snapshot.assign((const char *)state->data, state->len);
+	if (reset)
+		m->log.clear();
+	else
+		m->log.erase(m->log.begin(), m->log.lower_bound(keep_from));
+	return BA_OK;
+}
+
+static inline void mem_close(struct rp_store *)
+{
+}
+
+inline const struct rp_store_ops mem_ops = {
+	mem_load,      mem_append,	  mem_sync,  mem_truncate,
+	mem_save_vote, mem_save_snapshot, mem_close,
+};
+
+struct world;
+
+struct replica {
+	struct rp_node_owner owner;
+	struct world *w;
+	int index;
+	struct mem_store store;
+	struct rp_node *node = nullptr;
+};
+
+struct packet {
+	ba_time at;
+	uint64_t order;
+	int from, to;
+	std::string data;
+	bool operator<(const packet &o) const
+	{
+		return at != o.at ? at > o.at : order > o.order;
+	}
+};
+
+/* An outcome that says what became of a submission for good. */
+static inline bool is_final(const CtOutcome *o)
+{
+	return o->code != RP_NOT_LEADER && o->code != RP_NO_QUORUM &&
+	       o->code != RP_SUBMISSION_TIMEOUT && o->code != BA_DISK_FULL;
+}
+
+struct world {
+	struct ba_rand rand;
+	enum fault fault;
+	struct rp_times times = rp_times_default;
+	int n;
+	ba_time now = BA_SECOND;
+	uint64_t order = 0;
+	unsigned int lost_percent = 0;
+	ba_time delay_most = 20 * BA_MS;
+	std::vector<std::unique_ptr<replica>> all;
+	std::vector<const char *> names, addresses;
+	std::priority_queue<packet> packets;
+	bool cut[RP_MEMBERS_LIMIT][RP_MEMBERS_LIMIT] = {};
+	uint64_t disks = 0, tokens = 0;
+	size_t snapshot_entries = 15;
+	int disks_lost = 0;
+	std::string violation;
+
+	std::map<uint64_t, int> leaders;	   /* by term */
+	std::map<uint64_t, std::string> committed; /* by index */
+	std::map<uint64_t, std::string> asked;	   /* id by token */
+	std::map<std::string, std::pair<uint32_t, uint64_t>> told; /* by id */
+	std::map<uint64_t, std::pair<uint32_t, uint64_t>> codes; /* by token */
+	std::set<uint64_t> accepted; /* versions told to operators */
+
+	world(uint64_t seed, int n, enum fault f = NO_FAULT)
+	    : rand{seed}, fault(f), n(n)
+	{
+		static const char *const list[] = {"s1", "s2", "s3", "s4",
+						   "s5"};
+
+		names.assign(list, list + n);
+		addresses = names;
+		if (f == LEASE_TOO_LONG)
+			times.lease = 4 * times.election_most;
+		for (int i = 0; i < n; i++) {
+			all.emplace_back(new replica{});
+			all[i]->w = this;
+			all[i]->index = i;
+			all[i]->store.store.ops = &mem_ops;
+			all[i]->store.fault = f;
+			new_disk(i);
+			start(i);
+		}
+	}
+
+	~world()
+	{
+		for (int i = 0; i < n; i++)
+			stop(i);
+	}
+
+	void fail(const std::string &what)
+	{
+		if (violation.empty())
+			violation = what;
+	}
+
+	void new_disk(int i)
+	{
+		struct mem_store &s = all[i]->store;
+		std::string id = s.disk_id;
+		const struct rp_store_ops *ops = s.store.ops;
+
+		disks_lost += !id.empty();
+		s = mem_store{};
+		s.store.ops = ops;
+		s.fault = fault;
+		s.disk_id = fault == DISK_ID_KEPT && !id.empty()
+				    ? id
+				    : "disk-" + std::to_string(++disks);
+	}
+
+	void start(int i);
+	void stop(int i);
+	void crash(int i);
+	void send(int from, int to, const void *data, size_t len);
+	void forge(int from, int to, const void *data, size_t len);
+	void deliver(const packet &p);
+	void check(int i);
+	void run(ba_time until);
+	void submit(int i, const std::string &id, uint64_t base, int variant);
+	void heal();
+
+	bool up(int i) const
+	{
+		return all[i]->node != nullptr;
+	}
+
+	const struct rp_core *core(int i) const
+	{
+		return rp_node_core(all[i]->node);
+	}
+
+	const struct rp_machine *machine(int i) const
+	{
+		return rp_node_machine(all[i]->node);
+	}
+
+	int leader() const
+	{
+		for (int i = 0; i < n; i++)
+			if (up(i) && !rp_core_accepting(core(i), now))
+				return i;
+		return -1;
+	}
+
+	/* Whether every replica votes with the disk that it has. */
+	bool repaired() const
+	{
+		int l = leader();
+
+		if (l < 0)
+			return false;
+		struct rp_members m = *rp_machine_members(machine(l));
+
+		for (int i = 0; i < n; i++) {
+			const struct rp_member *one =
+				rp_members_find(&m, names[i]);
+
+			if (!one || !one->voting ||
+			    all[i]->store.disk_id != one->disk_id)
+				return false;
+		}
+		return true;
+	}
+
+	uint64_t below(uint64_t limit)
+	{
+		return ba_rand_below(&rand, limit);
+	}
+};
+
+static inline void on_send(struct rp_node_owner *o, int to, const void *data,
+			   size_t len)
+{
+	auto *r = (replica *)o;
+
+	r->w->send(r->index, to, data, len);
+}
+
+static inline void on_applied(struct rp_node_owner *o, const struct rp_entry *e,
+			      const struct rp_applied *)
+{
+	auto *r = (replica *)o;
+	std::string text = std::to_string(e->term) + ":" +
+			   std::to_string(e->kind) + ":" +
+			   std::string((const char *)e->body, e->len);
+	uint64_t index = e->index;
+
+	if (r->w->fault == LOG_REORDERED && r->index == 1 && index > 5)
+		index ^= 1;
+	auto [at, first] = r->w->committed.emplace(index, text);
+
+	if (!first && at->second != text)
+		r->w->fail("committed entry " + std::to_string(e->index) +
+			   " differs");
+}
+
+static inline void on_published(struct rp_node_owner *, struct cf_snapshot *)
+{
+}
+
+static inline void on_outcome(struct rp_node_owner *o, uint64_t token,
+			      const CtOutcome *outcome)
+{
+	auto *r = (replica *)o;
+	world *w = r->w;
+
+	w->codes[token] = {outcome->code, outcome->current};
+	if (!is_final(outcome) || r->store.crashed)
+		return;
+	auto now = std::make_pair(outcome->code, outcome->version);
+	auto [at, first] = w->told.emplace(w->asked[token], now);
+
+	if (!first && at->second != now)
+		w->fail("submission " + at->first + " has two outcomes");
+	if (!outcome->code)
+		w->accepted.insert(outcome->version);
+}
+
+static inline void on_role(struct rp_node_owner *o, enum rp_role role, int, int)
+{
+	auto *r = (replica *)o;
+
+	if (role != RP_LEADER || r->store.crashed)
+		return;
+	uint64_t term = rp_core_term(rp_node_core(r->node));
+	auto [at, first] = r->w->leaders.emplace(term, r->index);
+
+	if (!first && at->second != r->index)
+		r->w->fail("two leaders in term " + std::to_string(term));
+}
+
+inline void world::start(int i)
+{
+	replica &r = *all[i];
+	struct rp_node_options o = {};
+
+	if (r.node)
+		return;
+	r.store.crashed = false;
+	r.store.crash_after = -1;
+	r.owner = {on_send, on_applied, on_published, on_outcome, on_role};
+	o.core.names = names.data();
+	o.core.addresses = addresses.data();
+	o.core.n_names = (size_t)n;
+	o.core.self = i;
+	o.core.times = times;
+	o.core.seed = ba_rand_next(&rand);
+	o.store = &r.store.store;
+	o.owner = &r.owner;
+	o.snapshot_entries = snapshot_entries;
+	o.keep_entries = 3;
+	if (rp_node_new(&o, now, nullptr, &r.node))
+		fail("a replica did not start");
+}
+
+inline void world::stop(int i)
+{
+	rp_node_free(all[i]->node);
+	all[i]->node = nullptr;
+}
+
+/* What was appended and not synced is gone. */
+inline void world::crash(int i)
+{
+	all[i]->store.pending.clear();
+	stop(i);
+}
+
+inline void world::send(int from, int to, const void *data, size_t len)
+{
+	if (fault == COMMITS_ALONE && cut[from][to])
+		forge(from, to, data, len);
+	if (all[from]->store.crashed || cut[from][to] ||
+	    below(100) < lost_percent)
+		return;
+	int copies = lost_percent && below(100) < 5 ? 2 : 1;
+
+	while (copies--)
+		packets.push({now + 100 + (ba_time)below((uint64_t)delay_most),
+			      ++order, from, to,
+			      std::string((const char *)data, len)});
+}
+
+/* An answer that nobody gave. */
+inline void world::forge(int from, int to, const void *data, size_t len)
+{
+	struct rp_received r;
+	struct ba_buf out = {};
+	struct rp_message m = {};
+
+	if (rp_message_decode(data, len, &r))
+		return;
+	if (r.message.type == RP_APPEND && r.message.n_entries) {
+		m.type = RP_APPEND_REPLY;
+		m.term = r.message.term;
+		m.accepted = true;
+		m.index = r.message.index + r.message.n_entries;
+		strcpy(m.disk_id, all[to]->store.disk_id.c_str());
+		rp_message_encode(&m, nullptr, nullptr, &out);
+		packets.push({now + 1, ++order, to, from,
+			      std::string((char *)out.data, out.len)});
+	}
+	ba_buf_free(&out);
+	rp_received_free(&r);
+}
+
+inline void world::deliver(const packet &p)
+{
+	if (up(p.to))
+		rp_node_receive(all[p.to]->node, p.from, p.data.data(),
+				p.data.size(), now);
+	check(p.to);
+}
+
+/* One replica at most accepts at any moment: the leases do not overlap. */
+inline void world::check(int i)
+{
+	int accepting = 0;
+
+	if (up(i) && all[i]->store.crashed)
+		crash(i);
+	for (int j = 0; j < n; j++)
+		accepting += up(j) && !rp_core_accepting(core(j), now);
+	if (accepting > 1)
+		fail("two replicas accept at once");
+}
+
+inline void world::run(ba_time until)
+{
+	while (violation.empty() && now < until) {
+		ba_time next = until;
+		int who = -1;
+
+		if (!packets.empty())
+			next = std::min(next, packets.top().at);
+		for (int i = 0; i < n; i++) {
+			ba_time d = up(i) ? rp_node_deadline(all[i]->node)
+					  : BA_NEVER;
+
+			if (d < next || (d == next && packets.empty())) {
+				next = d;
+				who = i;
+			}
+		}
+		now = std::max(now, next);
+		if (who >= 0) {
+			rp_node_tick(all[who]->node, now);
+			check(who);
+		} else if (!packets.empty() && packets.top().at <= now) {
+			packet p = packets.top();
+
+			packets.pop();
+			deliver(p);
+		}
+	}
+}
+
+inline void world::submit(int i, const std::string &id, uint64_t base,
+			  int variant)
+{
+	CtSubmit s = CT_SUBMIT__INIT;
+	std::string text = "[[services]]\nname = \"s" +
+			   std::to_string(variant) + "\"\n" +
+			   (variant % 7 ? "" : "wrong = 1\n");
+	uint64_t token = ++tokens;
+	std::string sent = id;
+
+	if (!up(i))
+		return;
+	asked[token] = id;
+	if (fault == NEW_ID_ON_RESEND && told.count(id))
+		sent += "x";
+	s.submission_id = (char *)sent.c_str();
+	s.operator_ = (char *)"ana";
+	s.base_version = base;
+	s.text.data = (uint8_t *)text.data();
+	s.text.len = text.size();
+	rp_node_submit(all[i]->node, token, &s, now, now);
+	check(i);
+}
+
+inline void world::heal()
+{
+	memset(cut, 0, sizeof(cut));
+	lost_percent = 0;
+	for (int i = 0; i < n; i++) {
+		all[i]->store.full = false;
+		all[i]->store.crash_after = -1;
+		start(i);
+	}
+}
+
+#endif
