distrib, endpoint: a named test for each row of what fails, and each pair

Cause: the rows were covered only by chance, within random faults.

Change: herds and storms, outages of the source, updates that cross, isolation for 100 s and 100 versions, restarts after 300 changes and silent connections each have a test, and so has each ordered pair. The table of endpoints: outcomes by (incarnation, sequence), bounded size, guarded expiry, takeover by the other relay, digests, shared views; the checker that a leaving backend server gets no new work catches a table where the last news wins.

--- a/test/distrib_test.cc
+++ b/test/distrib_test.cc
@@ -72,4 +72,204 @@
 	}
 }
 
+/* The rows of "What fails", as far as distribution meets them. */
+void herd(world &w)
+{
+	for (int i = ds_world::FIRST_RELAY; i < ds_world::N_NODES; i++)
+		w.stop(i);
+	for (int i = ds_world::FIRST_RELAY; i < ds_world::N_NODES; i++)
+		w.start(i);
+}
+
+void source_outage(world &w)
+{
+	for (int i = 0; i < ds_world::FIRST_RELAY; i++)
+		w.stop(i);
+	w.run(10 * BA_SECOND);
+	for (int i = 0; i < ds_world::FIRST_RELAY; i++)
+		w.start(i);
+	w.lead(1);
+}
+
+void updates_crossing(world &w)
+{
+	for (int i = 0; i < 20; i++) {
+		w.accept_version();
+		w.lead(i % ds_world::N_SOURCES);
+		w.run(BA_MS);
+	}
+}
+
+void isolated_for_long(world &w)
+{
+	w.cut_region(ds_world::FIRST_RELAY);
+	for (int i = 0; i < 100; i++) {
+		w.accept_version();
+		w.run(BA_SECOND);
+	}
+}
+
+void restart_after_hundreds(world &w)
+{
+	w.stop(ds_world::HAS_DISK);
+	w.stop(ds_world::FIRST_DAEMON);
+	w.stop(ds_world::FIRST_RELAY + 1);
+	for (int i = 0; i < 300; i++) {
+		w.accept_version();
+		w.run(2 * BA_MS);
+	}
+	w.start(ds_world::HAS_DISK);
+	w.start(ds_world::FIRST_DAEMON);
+	w.start(ds_world::FIRST_RELAY + 1);
+}
+
+void silent_connections(world &w)
+{
+	for (int i = ds_world::FIRST_DAEMON; i < ds_world::N_NODES; i++)
+		for (int r = 0; r < ds_world::N_RELAYS; r++)
+			w.cut_off(ds_world::FIRST_RELAY + r, i, r % 2);
+	w.accept_version();
+	w.run(ds_world::SILENCE);
+}
+
+struct failure {
+	const char *name;
+	void (*cause)(world &w);
+};
+
+const failure failures[] = {
+	{"HerdAndStorm", herd},
+	{"SourceOutage", source_outage},
+	{"UpdatesCrossing", updates_crossing},
+	{"IsolatedForLong", isolated_for_long},
+	{"RestartAfterHundreds", restart_after_hundreds},
+	{"SilentConnections", silent_connections},
+};
+constexpr int N_FAILURES = sizeof(failures) / sizeof(failures[0]);
+
+class DsFails : public testing::TestWithParam<std::tuple<int, int>>
+{
+};
+
+/* Row i alone when both are the same, otherwise one into the other. */
+TEST_P(DsFails, NothingIsOlderPartialOrLost)
+{
+	int first = std::get<0>(GetParam());
+	int second = std::get<1>(GetParam());
+
+	for (uint64_t seed = 1; seed <= 5; seed++) {
+		world w(seed, {});
+
+		w.run(BA_SECOND);
+		failures[first].cause(w);
+		w.accept_version();
+		w.run((ba_time)seed * 400 * BA_MS);
+		if (second != first)
+			failures[second].cause(w);
+		w.accept_version();
+		w.heal();
+		EXPECT_EQ(w.violations, std::vector<std::string>());
+		EXPECT_GT(w.applied, (size_t)ds_world::N_DAEMONS);
+	}
+}
+
+std::string failure_name(const testing::TestParamInfo<std::tuple<int, int>> &i)
+{
+	int first = std::get<0>(i.param);
+	int second = std::get<1>(i.param);
+
+	if (first == second)
+		return failures[first].name;
+	return std::string(failures[first].name) + "Then" +
+	       failures[second].name;
+}
+
+INSTANTIATE_TEST_SUITE_P(WhatFails, DsFails,
+			 testing::Combine(testing::Range(0, N_FAILURES),
+					  testing::Range(0, N_FAILURES)),
+			 failure_name);
+
+TEST(DsPacing, TheWindowFollowsThePolicy)
+{
+	static const struct {
+		uint32_t convergence_weight;
+		uint32_t bytes_weight;
+		ba_time limit;
+		uint64_t budget;
+		uint64_t spent;
+		ba_time window;
+	} cases[] = {
+		{1, 0, 6 * BA_SECOND, 0, 0, 0},
+		{3, 1, 4 * BA_SECOND, 0, 0, 125 * BA_MS},
+		{1, 3, 4 * BA_SECOND, 0, 0, 375 * BA_MS},
+		{0, 1, 60 * BA_SECOND, 0, 0, BA_SECOND},
+		{1, 1, 4 * BA_SECOND, 24000000, 10, 250 * BA_MS},
+		{1, 1, 4 * BA_SECOND, 24000000, 2000000, 2 * BA_SECOND},
+	};
+
+	for (const auto &c : cases) {
+		struct cf_policy p = {};
+		struct ds_budget b = {};
+
+		p.convergence_weight = c.convergence_weight;
+		p.bytes_weight = c.bytes_weight;
+		p.convergence_limit = c.limit;
+		p.cross_region_bytes_per_day = c.budget;
+		ds_budget_spend(&b, &p, c.spent, BA_SECOND);
+		EXPECT_EQ(ds_pacing_window(&p, &b, BA_SECOND), c.window);
+	}
+}
+
+/* A herd is admitted at the rate of the relay; the others get their turn. */
+TEST(DsAdmission, AHerdIsSpreadOut)
+{
+	struct ds_admission a = {};
+	struct ba_rand r = {1};
+	ba_time now = 1000 * BA_SECOND;
+	int admitted = 0;
+	ba_time longest = 0;
+
+	for (int i = 0; i < 1000; i++) {
+		ba_time wait = ds_admission_take(&a, &r, now);
+
+		admitted += !wait;
+		longest = std::max(longest, wait);
+	}
+	EXPECT_EQ(admitted, DS_ADMISSION_BURST / DS_ADMISSION_SPACING + 1);
+	EXPECT_GT(longest, 0);
+	EXPECT_LT(longest, 2 * BA_SECOND);
+}
+
+/* One update is in flight; what comes meanwhile goes as one delta. */
+TEST(DsPublisher, CoalescesWhileAnUpdateIsInFlight)
+{
+	struct ds_publisher *p = ds_publisher_new();
+	struct ds_actions out = {};
+	struct ds_event e = ds_world::event(DS_PUBLISHED);
+
+	e.version = 1;
+	ds_publisher_step(p, &e, 0, &out);
+	e = ds_world::event(DS_SUBSCRIBED, 7);
+	e.version = e.floor = 1;
+	ds_publisher_step(p, &e, 0, &out);
+	out.n = 0;
+	for (uint64_t v = 2; v <= 9; v++) {
+		e = ds_world::event(DS_PUBLISHED);
+		e.version = v;
+		e.digest.bytes[0] = (uint8_t)v;
+		ds_publisher_step(p, &e, 0, &out);
+	}
+	ASSERT_EQ(out.n, 1u);
+	EXPECT_EQ(out.list[0].kind, DS_SEND_DELTA);
+	out.n = 0;
+	e = ds_world::event(DS_ACKED, 7);
+	e.version = 2;
+	ds_publisher_step(p, &e, 0, &out);
+	ASSERT_GE(out.n, 1u);
+	EXPECT_EQ(out.list[0].kind, DS_SEND_DELTA);
+	EXPECT_EQ(out.list[0].from, 2u);
+	ds_actions_free(&out);
+	ds_publisher_free(p);
+}
+
 } // namespace
--- a/test/ds_world.h
+++ b/test/ds_world.h
@@ -131,6 +131,13 @@
 	void fault(uint32_t op);
 	void heal();
 
+	void start(int id);
+	void stop(int id);
+	void accept_version();
+	void lead(int id);
+	void cut_off(int a, int c, bool both_ways);
+	void cut_region(int relay);
+
 	std::vector<std::string> violations;
 	uint64_t version = 0;
 	size_t applied = 0;
@@ -139,8 +146,6 @@
 
 private:
 	void at(ba_time when, std::function<void()> fn);
-	void start(int id);
-	void stop(int id);
 	void publish(int id, struct cf_snapshot *s);
 	void step(int id, struct ds_event e);
 	void act(int id, const struct ds_action &a);
@@ -158,8 +163,6 @@
 	void close(uint64_t sid);
 	void set_stale(int id, bool stale);
 	bool cut(int from, int to) const;
-	void accept_version();
-	void lead(int id);
 
 	ba_time now = 1000 * BA_SECOND;
 	struct ba_rand rand;
@@ -672,6 +675,32 @@
 	set_stale(id, false);
 }
 
+/* Open connections go silent, and both ends find out by themselves. */
+inline void world::cut_off(int a, int c, bool both_ways)
+{
+	cuts.insert({a, c});
+	if (both_ways)
+		cuts.insert({c, a});
+	at(now + SILENCE, [this, a, c] {
+		for (auto &s : sessions) {
+			int p = s.second.parent;
+			int ch = s.second.child;
+
+			if ((cut(p, ch) || cut(ch, p)) &&
+			    ((p == a && ch == c) || (p == c && ch == a)))
+				close(s.first);
+		}
+	});
+}
+
+/* A relay on one side, all sources and other relays on the other. */
+inline void world::cut_region(int relay)
+{
+	for (int i = 0; i < FIRST_DAEMON; i++)
+		if (i != relay)
+			cut_off(i, relay, true);
+}
+
 inline void world::fault(uint32_t op)
 {
 	uint32_t kind = op % 12;
@@ -696,20 +725,7 @@
 		if (nodes[1 - leader].alive)
 			lead(1 - leader);
 	} else if (kind < 10) {
-		cuts.insert({a, c});
-		if (x % 2)
-			cuts.insert({c, a});
-		at(now + SILENCE, [this, a, c] {
-			for (auto &s : sessions) {
-				int p = s.second.parent;
-				int ch = s.second.child;
-
-				if ((cut(p, ch) || cut(ch, p)) &&
-				    ((p == a && ch == c) ||
-				     (p == c && ch == a)))
-					close(s.first);
-			}
-		});
+		cut_off(a, c, x % 2);
 	} else if (kind == 10) {
 		cuts.clear();
 	} else {
--- /dev/null
+++ b/test/endpoint_test.cc
@@ -0,0 +1,314 @@
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/ba_rand.h"
+#include "endpoint/ep_table.h"
+
+namespace
+{
+
+struct ep_record record(const std::string &instance, uint64_t incarnation,
+			uint64_t sequence, const char *data_centre = "d1")
+{
+	static std::set<std::string> names;
+	struct ep_record r = {};
+
+	r.instance = (char *)names.insert(instance).first->c_str();
+	r.service = (char *)"orders";
+	r.data_centre = (char *)data_centre;
+	r.region = (char *)"r1";
+	r.address = (char *)"127.0.0.1:1";
+	r.external_address = (char *)"";
+	r.control_address = (char *)"";
+	r.incarnation = incarnation;
+	r.sequence = sequence;
+	return r;
+}
+
+TEST(EpTable, Outcomes)
+{
+	struct step {
+		uint64_t incarnation;
+		uint64_t sequence;
+		bool draining;
+		bool left;
+		uint64_t holder;
+		enum ep_outcome want;
+	};
+	static const std::vector<step> cases[] = {
+		{{1, 1, false, false, EP_HELD_HERE, EP_JOINED},
+		 {1, 1, false, false, EP_HELD_HERE, EP_UNCHANGED},
+		 {1, 2, true, false, EP_HELD_HERE, EP_DRAINS},
+		 {1, 1, false, false, EP_HELD_HERE, EP_OLDER},
+		 {1, 3, true, true, EP_HELD_HERE, EP_GONE},
+		 {1, 2, false, false, EP_HELD_BY_PEER, EP_OLDER},
+		 {2, 1, false, false, EP_HELD_HERE, EP_JOINED}},
+		/* News of the end before the news of the beginning. */
+		{{1, 5, false, true, EP_HELD_BY_NONE, EP_UNCHANGED},
+		 {1, 4, false, false, EP_HELD_BY_PEER, EP_OLDER}},
+		/* A peer lost sight of an endpoint whose session is here. */
+		{{1, 1, false, false, EP_HELD_HERE, EP_JOINED},
+		 {1, 1, false, true, EP_HELD_BY_NONE, EP_REFUTED},
+		 {1, 2, false, false, EP_HELD_HERE, EP_CHANGED}},
+		/* It is gone here, and the writer refutes with its next. */
+		{{1, 1, false, false, EP_HELD_BY_PEER, EP_JOINED},
+		 {1, 1, false, true, EP_HELD_BY_NONE, EP_GONE},
+		 {1, 1, false, false, EP_HELD_HERE, EP_REFUTED},
+		 {1, 2, false, false, EP_HELD_HERE, EP_JOINED}},
+	};
+
+	for (const auto &c : cases) {
+		struct ep_table *t = ep_table_new(10);
+
+		for (const auto &s : c) {
+			struct ep_record r =
+				record("a", s.incarnation, s.sequence);
+
+			r.draining = s.draining;
+			r.left = s.left;
+			EXPECT_EQ(ep_table_put(t, &r, s.holder, BA_NEVER, 0),
+				  s.want)
+				<< s.incarnation << "." << s.sequence;
+		}
+		ep_table_free(t);
+	}
+}
+
+TEST(EpTable, IsBounded)
+{
+	struct ep_table *t = ep_table_new(1);
+	struct ep_record a = record("a", 1, 1);
+	struct ep_record b = record("b", 1, 1);
+
+	EXPECT_EQ(ep_table_put(t, &a, EP_HELD_HERE, 0, 0), EP_JOINED);
+	EXPECT_EQ(ep_table_put(t, &b, EP_HELD_HERE, 0, 0), EP_NO_ROOM);
+	ep_table_free(t);
+}
+
+TEST(EpTable, MassExpiryIsHeldBackAndFewAreNot)
+{
+	static const struct {
+		int lost;
+		size_t expired;
+		size_t held_back;
+	} cases[] = {{0, 0, 0}, {1, 1, 0}, {5, 5, 0}, {6, 0, 6}, {10, 0, 10}};
+
+	for (const auto &c : cases) {
+		struct ep_table *t = ep_table_new(100);
+		struct ep_expiry x;
+
+		for (int i = 0; i < 10; i++) {
+			std::string name = "e" + std::to_string(i);
+			struct ep_record r = record(name, 1, 1);
+
+			ep_table_put(t, &r, EP_HELD_HERE, 0, 0);
+			if (i < c.lost)
+				ep_table_release(t, name.c_str(), BA_SECOND);
+		}
+		x = ep_table_expire(t, BA_SECOND);
+		EXPECT_EQ(x.expired, c.expired);
+		EXPECT_EQ(x.held_back, c.held_back);
+		EXPECT_EQ(ep_table_live(t), 10 - c.expired);
+		x = ep_table_expire(t, BA_SECOND + EP_HOLD_LIMIT);
+		EXPECT_EQ(ep_table_live(t), (size_t)(10 - c.lost));
+		ep_table_free(t);
+	}
+}
+
+TEST(EpTable, ATakeoverByTheOtherRelayKeepsTheLease)
+{
+	struct ep_table *t = ep_table_new(100);
+
+	for (int i = 0; i < 4; i++) {
+		struct ep_record r = record("e" + std::to_string(i), 1, 1);
+
+		ep_table_put(t, &r, i ? EP_HELD_HERE : EP_HELD_BY_PEER, 0, 0);
+	}
+	ep_table_release_holder(t, EP_HELD_BY_PEER, BA_SECOND);
+	struct ep_record again = record("e0", 1, 2);
+
+	ep_table_put(t, &again, EP_HELD_HERE, 0, 0);
+	EXPECT_EQ(ep_table_expire(t, BA_HOUR).expired, 0u);
+	EXPECT_EQ(ep_table_live(t), 4u);
+	ep_table_free(t);
+}
+
+/* What an endpoint has told, in the order in which it told it. */
+struct history {
+	std::vector<struct ep_record> told;
+	std::vector<std::string> names;
+};
+
+history make_history(uint64_t seed)
+{
+	struct ba_rand r = {seed};
+	history h;
+
+	for (int i = 0; i < 4; i++)
+		h.names.push_back("e" + std::to_string(i));
+	for (const auto &name : h.names) {
+		uint64_t sequence = 0;
+		uint64_t incarnation = 1;
+
+		for (int i = 0; i < 6; i++) {
+			struct ep_record rec =
+				record(name, incarnation, ++sequence);
+
+			rec.draining = i % 3 == 1;
+			rec.left = i % 3 == 2;
+			h.told.push_back(rec);
+			if (rec.left && ba_rand_below(&r, 2)) {
+				incarnation++;
+				sequence = 0;
+			}
+		}
+	}
+	return h;
+}
+
+/*
+ * Gives a table the news in any order, some twice and some never, and checks
+ * after each that a backend server that is leaving gets no new work: once
+ * its drain or departure was seen, older news never brings it back.
+ *
+ * @broken: the last news wins, whatever its age
+ */
+bool revives(uint64_t seed, bool broken)
+{
+	history h = make_history(seed);
+	struct ba_rand r = {seed};
+	struct ep_table *t = ep_table_new(100);
+	std::map<std::string, struct ep_record> newest;
+	bool revived = false;
+
+	for (int i = 0; i < 60 && !revived; i++) {
+		struct ep_record rec = h.told[ba_rand_below(&r, h.told.size())];
+		struct ep_record &n = newest[rec.instance];
+
+		if (!n.instance || rec.incarnation > n.incarnation ||
+		    (rec.incarnation == n.incarnation &&
+		     rec.sequence > n.sequence))
+			n = rec;
+		if (broken) {
+			ep_table_free(t);
+			t = ep_table_new(100);
+		}
+		ep_table_put(t, &rec, EP_HELD_BY_PEER, BA_NEVER, i);
+		const struct ep_record *got = ep_table_get(t, rec.instance);
+
+		revived = got->draining != n.draining || got->left != n.left;
+	}
+	ep_table_free(t);
+	return revived;
+}
+
+RC_GTEST_PROP(EpTable, ALeavingBackendServerGetsNoNewWork, (uint64_t seed))
+{
+	RC_ASSERT(!revives(seed, false));
+}
+
+TEST(EpTable, TheCheckerCatchesLastNewsWins)
+{
+	bool caught = false;
+
+	for (uint64_t seed = 1; seed < 50; seed++)
+		caught |= revives(seed, true);
+	EXPECT_TRUE(caught);
+}
+
+/* Two tables that heard different news agree after exchanging buckets. */
+
+void put_one(const struct ep_record *r, void *arg)
+{
+	ep_table_put((struct ep_table *)arg, r, EP_HELD_BY_PEER, BA_NEVER, 0);
+}
+
+void exchange(struct ep_table *from, struct ep_table *to)
+{
+	struct ep_centre_digest a;
+	struct ep_centre_digest b;
+	uint32_t mask = 0;
+
+	ep_table_digest(from, "d1", &a);
+	ep_table_digest(to, "d1", &b);
+	for (unsigned int i = 0; i < EP_BUCKETS; i++)
+		if (a.buckets[i] != b.buckets[i])
+			mask |= 1U << i;
+	ep_table_buckets(from, "d1", mask, put_one, to);
+}
+
+RC_GTEST_PROP(EpTable, DigestsFindEveryDifference, (uint64_t seed))
+{
+	history h = make_history(seed);
+	struct ba_rand r = {seed};
+	struct ep_table *t[2] = {ep_table_new(100), ep_table_new(100)};
+	struct ep_centre_digest d[2];
+
+	for (const auto &rec : h.told)
+		for (auto *table : t)
+			if (ba_rand_below(&r, 2))
+				ep_table_put(table, &rec, EP_HELD_BY_PEER,
+					     BA_NEVER, 0);
+	exchange(t[0], t[1]);
+	exchange(t[1], t[0]);
+	ep_table_digest(t[0], "d1", &d[0]);
+	ep_table_digest(t[1], "d1", &d[1]);
+	RC_ASSERT(d[0].root == d[1].root);
+	for (const auto &name : h.names) {
+		const struct ep_record *a = ep_table_get(t[0], name.c_str());
+		const struct ep_record *b = ep_table_get(t[1], name.c_str());
+		bool live_a = a && !a->left;
+		bool live_b = b && !b->left;
+
+		RC_ASSERT(live_a == live_b);
+		if (live_a)
+			RC_ASSERT(a->sequence == b->sequence);
+	}
+	ep_table_free(t[0]);
+	ep_table_free(t[1]);
+}
+
+TEST(EpView, SharesWhatHasNotChangedAndPrefersItsOwnDataCentre)
+{
+	struct ep_table *t = ep_table_new(1000);
+	struct ep_view_options o = {"me", "d1", "r1", 8};
+	struct ep_view *first;
+	struct ep_view *second;
+
+	for (int i = 0; i < 40; i++) {
+		struct ep_record r = record("e" + std::to_string(i), 1, 1,
+					    i < 4 ? "d1" : "d2");
+		std::string service = i % 2 ? "orders" : "stock";
+
+		r.service = (char *)service.c_str();
+		ep_table_put(t, &r, EP_HELD_BY_PEER, BA_NEVER, 0);
+	}
+	first = ep_table_view(t, nullptr, &o);
+	ASSERT_EQ(first->n_services, 2u);
+	const struct ep_service_view *orders = ep_view_find(first, "orders");
+
+	ASSERT_EQ(orders->n_records, 8u);
+	EXPECT_STREQ(orders->records[0].data_centre, "d1");
+	EXPECT_STREQ(orders->records[1].data_centre, "d1");
+	EXPECT_STREQ(orders->records[2].data_centre, "d2");
+	struct ep_record change = record("e2", 1, 2);
+
+	change.service = (char *)"stock";
+	change.draining = true;
+	ep_table_put(t, &change, EP_HELD_BY_PEER, BA_NEVER, 0);
+	second = ep_table_view(t, first, &o);
+	EXPECT_EQ(ep_view_find(second, "orders")->records, orders->records);
+	EXPECT_NE(ep_view_find(second, "stock")->records,
+		  ep_view_find(first, "stock")->records);
+	ep_view_unref(first);
+	EXPECT_EQ(ep_view_find(second, "orders")->n_records, 8u);
+	ep_view_unref(second);
+	ep_table_free(t);
+}
+
+} // namespace
