distrib: let another region subscribe before anything is published

Cause: what is sent across regions is taken from the budget of the policy, and before the first accepted configuration there is no policy: a source crashed on the first relay of another region.

Change: nothing is taken from a budget that does not exist yet.

Conclusion: a mesh starts up across regions with an empty log.

--- a/distrib/ds_feed.c
+++ b/distrib/ds_feed.c
@@ -311,7 +311,7 @@
 		add_payload(&out, TAG_DELTA, delta);
 	else if (a->kind != DS_SEND_RESUME)
 		add_payload(&out, TAG_SNAPSHOT, whole(f));
-	if (peer->remote)
+	if (peer->remote && f->current)
 		ds_budget_spend(&f->budget, &f->current->policy, out.len,
 				ba_loop_now(f->loop));
 	if (a->kind == DS_SEND_SNAPSHOT)
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -71,6 +71,7 @@
 	struct ds_feed *feed;
 	uint64_t lowest;
 	uint32_t daemons;
+	int subscriptions;
 };
 
 struct wi_handler *source_accept(struct wi_acceptor *a, struct wi_session *)
@@ -88,6 +89,7 @@
 {
 	if (f->type == RT_BATCH)
 		return BA_OK;
+	of_handler(h)->subscriptions += f->type == DS_SUBSCRIBE;
 	return ds_feed_frame(of_handler(h)->feed, s, f);
 }
 
@@ -307,6 +309,19 @@
 	}
 };
 
+/* The first start of a mesh: relays of another region, nothing accepted. */
+TEST(DsRelay, OtherRegionSubscribesBeforeAnythingIsPublished)
+{
+	struct world w(43111);
+
+	ds_feed_set_region(w.src.feed, "r9");
+	w.add("a1", false);
+	EXPECT_TRUE(
+		wait_until(w.loop, [&] { return w.src.subscriptions > 0; }));
+	w.publish(1);
+	EXPECT_TRUE(wait_until(w.loop, [&] { return w.all_at(1); }));
+}
+
 TEST(DsRelay, ChangesAndEndpointsReachEveryDaemon)
 {
 	struct world w(43101);
