bench: costs of a source for each change, and of reading its log back

Cause: docs/CAPACITY.md needs slopes for the source.

Change: rp_bench submits 200 small changes each to configurations of 140, 280 and 560 services (two routes each) on one replica with its data folder on the disk, and reads back a log of 18,000 entries.

--- /dev/null
+++ b/bench/rp_bench_main.c
@@ -0,0 +1,281 @@
+/*
+ * Costs of a source: processor time and waiting for the disk for each
+ * accepted change, sizes of what is sent, and the time to read a log back.
+ *
+ * usage: rp_bench [FOLDER]     (a new folder there; default: the temporary
+ *                               folder of the system)
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "base/ba_result.h"
+#include "replica/rp_disk.h"
+#include "replica/rp_node.h"
+
+enum {
+	CHANGES = 200,
+	LOG_ENTRIES = 18000,
+	ROUTES_PER_SERVICE = 2,
+	ID_BYTES = 32,
+};
+
+static const int sizes[] = {140, 280, 560};
+
+/*
+ * One replica that is a group of its own.
+ * @delta: encoded for the relays, as a source does with each version
+ */
+struct bench {
+	struct rp_node_owner owner;
+	struct rp_node *node;
+	struct cf_snapshot *last;
+	struct ba_buf delta;
+	uint32_t code;
+	uint64_t index;
+};
+
+static void on_send(struct rp_node_owner *o, int to, const void *data,
+		    size_t len);
+static void on_published(struct rp_node_owner *o, struct cf_snapshot *s);
+static void on_outcome(struct rp_node_owner *o, uint64_t token,
+		       const CtOutcome *outcome);
+static void measure_changes(const char *folder, int services);
+static void measure_recovery(const char *folder);
+static void measure_sizes(const struct cf_snapshot *s, int services,
+			  size_t delta);
+static int start(struct bench *b, const char *folder, size_t snapshots);
+static void stop(struct bench *b, const char *folder);
+static void submit(struct bench *b, const struct ba_buf *text, uint64_t n);
+static void write_configuration(struct ba_buf *out, int services, uint64_t n);
+static ba_time cpu(void);
+static int by_time(const void *a, const void *b);
+static void remove_folder(const char *folder);
+
+int main(int argc, char **argv)
+{
+	char *folder = g_build_filename(argc > 1 ? argv[1] : g_get_tmp_dir(),
+					"rp-bench-XXXXXX", NULL);
+
+	if (!g_mkdtemp(folder)) {
+		fprintf(stderr, "%s: %s\n", folder,
+			ba_result_info(BA_FOLDER_UNWRITABLE)->text);
+		g_free(folder);
+		return ba_result_info(BA_FOLDER_UNWRITABLE)->exit_code;
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		measure_changes(folder, sizes[i]);
+	measure_recovery(folder);
+	rmdir(folder);
+	g_free(folder);
+	return 0;
+}
+
+static void measure_changes(const char *folder, int services)
+{
+	struct bench b = {.code = 0};
+	ba_time wall[CHANGES];
+	struct ba_buf text = {0};
+	ba_time used = 0;
+
+	if (start(&b, folder, 0))
+		return;
+	write_configuration(&text, services, 0);
+	submit(&b, &text, 0);
+	for (uint64_t i = 0; i < CHANGES; i++) {
+		ba_time begun = ba_clock_now();
+		ba_time cpu_begun;
+
+		text.len = 0;
+		write_configuration(&text, services, i + 1);
+		cpu_begun = cpu();
+		begun = ba_clock_now();
+		submit(&b, &text, i + 1);
+		used += cpu() - cpu_begun;
+		wall[i] = ba_clock_now() - begun;
+	}
+	qsort(wall, CHANGES, sizeof(*wall), by_time);
+	printf("bench source_cpu_us_per_change_%d %.1f us\n", services,
+	       (double)used / CHANGES);
+	if (services == sizes[G_N_ELEMENTS(sizes) - 1])
+		printf("bench source_cpu_us_per_change %.1f us\n",
+		       (double)used / CHANGES);
+	printf("bench source_accept_p50_us_%d %lld us\n", services,
+	       (long long)wall[CHANGES / 2]);
+	printf("bench source_accept_p99_us_%d %lld us\n", services,
+	       (long long)wall[CHANGES * 99 / 100]);
+	measure_sizes(b.last, services, b.delta.len);
+	ba_buf_free(&text);
+	stop(&b, folder);
+}
+
+static void measure_sizes(const struct cf_snapshot *s, int services,
+			  size_t delta)
+{
+	struct ba_buf whole = {0};
+
+	cf_snapshot_encode(s, &whole);
+	printf("bench snapshot_bytes_%d %zu B\n", services, whole.len);
+	printf("bench delta_bytes_%d %zu B\n", services, delta);
+	ba_buf_free(&whole);
+}
+
+/* The entries of a day at the target, without a snapshot among them. */
+static void measure_recovery(const char *folder)
+{
+	struct bench b = {.code = 0};
+	struct ba_buf text = {0};
+	ba_time begun;
+
+	if (start(&b, folder, 2 * LOG_ENTRIES))
+		return;
+	for (uint64_t i = 0; i < LOG_ENTRIES; i++) {
+		text.len = 0;
+		write_configuration(&text, 4, i);
+		submit(&b, &text, i);
+	}
+	rp_node_free(b.node);
+	cf_snapshot_unref(b.last);
+	b.last = NULL;
+	begun = ba_clock_now();
+	if (start(&b, folder, 2 * LOG_ENTRIES))
+		return;
+	printf("bench source_recovery_%d_entries_ms %.1f ms\n", LOG_ENTRIES,
+	       (double)(ba_clock_now() - begun) / BA_MS);
+	ba_buf_free(&text);
+	stop(&b, folder);
+}
+
+static int start(struct bench *b, const char *folder, size_t snapshots)
+{
+	static const char *const names[] = {"s1"};
+	struct rp_node_options o = {
+		.core = {.names = names,
+			 .addresses = names,
+			 .n_names = 1,
+			 .times = rp_times_default},
+		.owner = &b->owner,
+		.snapshot_entries = snapshots,
+	};
+
+	b->owner.send = on_send;
+	b->owner.published = on_published;
+	b->owner.outcome = on_outcome;
+	if (rp_disk_open(folder, &o.store) ||
+	    rp_node_new(&o, ba_clock_now(), NULL, &b->node)) {
+		fprintf(stderr, "%s: %s\n", folder,
+			ba_result_info(BA_FOLDER_UNWRITABLE)->text);
+		return BA_FOLDER_UNWRITABLE;
+	}
+	while (rp_core_accepting(rp_node_core(b->node), ba_clock_now()))
+		rp_node_tick(b->node, ba_clock_now());
+	return BA_OK;
+}
+
+static void stop(struct bench *b, const char *folder)
+{
+	rp_node_free(b->node);
+	cf_snapshot_unref(b->last);
+	ba_buf_free(&b->delta);
+	remove_folder(folder);
+}
+
+static void on_send(struct rp_node_owner *o, int to, const void *data,
+		    size_t len)
+{
+	(void)o;
+	(void)to;
+	(void)data;
+	(void)len;
+}
+
+static void on_published(struct rp_node_owner *o, struct cf_snapshot *s)
+{
+	struct bench *b = (struct bench *)o;
+
+	b->delta.len = 0;
+	if (b->last)
+		cf_delta_encode(b->last, s, &b->delta);
+	cf_snapshot_unref(b->last);
+	b->last = cf_snapshot_ref(s);
+}
+
+static void on_outcome(struct rp_node_owner *o, uint64_t token,
+		       const CtOutcome *outcome)
+{
+	struct bench *b = (struct bench *)o;
+
+	(void)token;
+	b->code = outcome->code;
+}
+
+static void submit(struct bench *b, const struct ba_buf *text, uint64_t n)
+{
+	CtSubmit s = CT_SUBMIT__INIT;
+	char id[ID_BYTES];
+
+	g_snprintf(id, sizeof(id), "change-%llu", (unsigned long long)n);
+	rp_node_tick(b->node, ba_clock_now());
+	s.submission_id = id;
+	s.operator_ = "bench";
+	s.base_version = rp_machine_current(rp_node_machine(b->node))->version;
+	s.text.data = text->data;
+	s.text.len = text->len;
+	rp_node_submit(b->node, ++b->index, &s, ba_clock_now(),
+		       ba_clock_wall());
+	if (b->code)
+		fprintf(stderr, "change %llu: %s\n", (unsigned long long)n,
+			ba_result_info((int)b->code)->text);
+}
+
+/* Change @n touches one service and one route. */
+static void write_configuration(struct ba_buf *out, int services, uint64_t n)
+{
+	int changed = (int)(n % (uint64_t)services);
+
+	for (int i = 0; i < services; i++)
+		ba_buf_addf(out,
+			    "[[services]]\nname = \"service-%03d\"\n"
+			    "max_in_flight = %llu\ntimeout = \"2s\"\n",
+			    i,
+			    i == changed ? (unsigned long long)n % 1000 : 100);
+	for (int i = 0; i < services * ROUTES_PER_SERVICE; i++)
+		ba_buf_addf(out,
+			    "[[routes]]\nname = \"route-%04d\"\n"
+			    "path = \"/area-%d/part-%d\"\nmethod = \"%s\"\n"
+			    "service = \"service-%03d\"\nidempotent = %s\n",
+			    i, i / ROUTES_PER_SERVICE, i,
+			    i == changed && n % 2 ? "PUT" : "GET",
+			    i / ROUTES_PER_SERVICE, i % 2 ? "true" : "false");
+}
+
+static ba_time cpu(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+	return ts.tv_sec * BA_SECOND + ts.tv_nsec / 1000;
+}
+
+static int by_time(const void *a, const void *b)
+{
+	const ba_time *x = a;
+	const ba_time *y = b;
+
+	return (*x > *y) - (*x < *y);
+}
+
+static void remove_folder(const char *folder)
+{
+	static const char *const names[] = {"meta", "log", "snapshot", "lock"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		char *path = g_build_filename(folder, names[i], NULL);
+
+		unlink(path);
+		g_free(path);
+	}
+}
