--- a/bench/rp_bench_main.c
+++ b/bench/rp_bench_main.c
@@ -86,7 +86,7 @@
 	write_configuration(&text, services, 0);
 	submit(&b, &text, 0);
 	for (uint64_t i = 0; i < CHANGES; i++) {
-		ba_time begun = ba_clock_now();
+		ba_time begun;
 		ba_time cpu_begun;
 
 		text.len = 0;
