--- a/call/cl_route.c
+++ b/call/cl_route.c
@@ -33,6 +33,14 @@
 	ba_time budget_at;
 };
 
+/* Endpoints with room go first, then busy ones, then ejected ones. */
+enum pass { PASS_FREE, PASS_BUSY, PASS_EJECTED, PASSES };
+
+static const enum cl_route_reason pass_reasons[PASSES] = {
+	[PASS_BUSY] = CL_ROUTE_BUSY,
+	[PASS_EJECTED] = CL_ROUTE_LAST_RESORT,
+};
+
 /* Two candidates drawn evenly from all that were offered. */
 struct draw {
 	struct cl_endpoint *two[2];
@@ -47,6 +55,7 @@
 	[CL_ROUTE_PROBE] = "probe",
 	[CL_ROUTE_OWNER] = "key-owner",
 	[CL_ROUTE_BUSY] = "all-busy",
+	[CL_ROUTE_LAST_RESORT] = "last-resort",
 	[CL_ROUTE_NONE_KNOWN] = "none-known",
 	[CL_ROUTE_NONE_LEFT] = "none-left",
 	[CL_ROUTE_BUDGET] = "link-budget-spent",
@@ -83,6 +92,11 @@
 			    const struct ep_record *rec);
 static void drop_unlisted(struct cl_router *r);
 static void drop(struct cl_router *r, struct cl_endpoint *e);
+static struct cl_endpoint *pick_nearest(struct cl_router *r,
+					struct cl_service_routes *s,
+					const struct cl_pick_request *q,
+					ba_time now, struct ba_rand *rand,
+					enum cl_route_reason *reason);
 static struct cl_endpoint *pick_owner(struct cl_service_routes *s,
 				      const struct cl_pick_request *q,
 				      enum cl_route_reason *reason);
@@ -92,7 +106,7 @@
 static struct cl_endpoint *pick_tier(struct cl_router *r,
 				     struct cl_service_routes *s,
 				     const struct cl_pick_request *q,
-				     enum cl_tier tier, bool busy_too,
+				     enum cl_tier tier, enum pass pass,
 				     ba_time now, struct ba_rand *rand);
 static bool tried(const struct cl_pick_request *q, const struct cl_endpoint *e);
 static void offer(struct draw *d, struct cl_endpoint *e, struct ba_rand *rand);
@@ -181,7 +195,6 @@
 	struct cl_service_routes *s =
 		g_hash_table_lookup(r->services, q->service);
 	struct cl_endpoint *e = NULL;
-	bool link = link_allowed(r, now);
 
 	*reason = CL_ROUTE_NONE_KNOWN;
 	if (!s || ba_list_empty(&s->endpoints))
@@ -191,22 +204,7 @@
 	} else if (q->may_probe && (e = pick_probe(s, q, now))) {
 		*reason = CL_ROUTE_PROBE;
 	} else {
-		*reason = CL_ROUTE_NONE_LEFT;
-		for (int pass = 0; pass < 2 && !e; pass++)
-			for (int t = 0; t < CL_TIERS && !e; t++) {
-				if (t == CL_TIER_LINK && !link)
-					break;
-				if (t == CL_TIER_SELF && r->self_draining)
-					continue;
-				e = pick_tier(r, s, q, (enum cl_tier)t, pass,
-					      now, rand);
-				if (e)
-					*reason =
-						pass ? CL_ROUTE_BUSY
-						     : (enum cl_route_reason)t;
-			}
-		if (!e && !link)
-			*reason = CL_ROUTE_BUDGET;
+		e = pick_nearest(r, s, q, now, rand, reason);
 	}
 	if (!e)
 		return NULL;
@@ -385,6 +383,34 @@
 		endpoint_free(e);
 }
 
+static struct cl_endpoint *pick_nearest(struct cl_router *r,
+					struct cl_service_routes *s,
+					const struct cl_pick_request *q,
+					ba_time now, struct ba_rand *rand,
+					enum cl_route_reason *reason)
+{
+	bool link = link_allowed(r, now);
+
+	for (int pass = 0; pass < PASSES; pass++) {
+		for (int t = 0; t < CL_TIERS; t++) {
+			struct cl_endpoint *e;
+
+			if (t == CL_TIER_LINK && !link)
+				continue;
+			if (t == CL_TIER_SELF && r->self_draining)
+				continue;
+			e = pick_tier(r, s, q, (enum cl_tier)t, (enum pass)pass,
+				      now, rand);
+			*reason = pass == PASS_FREE ? (enum cl_route_reason)t
+						    : pass_reasons[pass];
+			if (e)
+				return e;
+		}
+	}
+	*reason = link ? CL_ROUTE_NONE_LEFT : CL_ROUTE_BUDGET;
+	return NULL;
+}
+
 static struct cl_endpoint *pick_owner(struct cl_service_routes *s,
 				      const struct cl_pick_request *q,
 				      enum cl_route_reason *reason)
@@ -426,7 +452,7 @@
 static struct cl_endpoint *pick_tier(struct cl_router *r,
 				     struct cl_service_routes *s,
 				     const struct cl_pick_request *q,
-				     enum cl_tier tier, bool busy_too,
+				     enum cl_tier tier, enum pass pass,
 				     ba_time now, struct ba_rand *rand)
 {
 	struct draw d = {0};
@@ -436,9 +462,11 @@
 	{
 		struct cl_endpoint *e = ba_entry(pos, struct cl_endpoint, link);
 
-		if (e->tier != tier || e->draining || e->ejected || tried(q, e))
+		if (e->tier != tier || e->draining || tried(q, e))
+			continue;
+		if (e->ejected != (pass == PASS_EJECTED))
 			continue;
-		if (!busy_too && e->slots &&
+		if (pass == PASS_FREE && e->slots &&
 		    (tier == CL_TIER_SELF ? q->self_load : load(e, now)) >=
 			    e->slots)
 			continue;
--- a/call/cl_route.h
+++ b/call/cl_route.h
@@ -8,7 +8,8 @@
  *   taken; what was seen first-hand counts, a report only adds to it and
  *   loses its weight with age.
  * - An ejected endpoint gets one probe after its time; at most half of the
- *   endpoints of a service are ejected.
+ *   endpoints of a service are ejected, and an ejected one is still used
+ *   when nothing else is left.
  * - A draining endpoint gets no new work.
  * - A router is not locked; its owner holds one lock around each call.
  */
@@ -54,6 +55,7 @@
 	CL_ROUTE_PROBE,
 	CL_ROUTE_OWNER,
 	CL_ROUTE_BUSY,
+	CL_ROUTE_LAST_RESORT,
 	CL_ROUTE_NONE_KNOWN,
 	CL_ROUTE_NONE_LEFT,
 	CL_ROUTE_BUDGET,
