--- a/distrib/ds_feed.c
+++ b/distrib/ds_feed.c
@@ -14,6 +14,7 @@
 	TAG_SNAPSHOT = 3 << 3 | 2, /* DsUpdate.snapshot, length-delimited */
 	TAG_DELTA = 4 << 3 | 2,	   /* DsUpdate.delta, length-delimited */
 	VARINT_BYTES = 10,
+	SMALL_DELTA_BYTES = 4096, /* no need to compare with a snapshot */
 };
 
 /** struct peer - the session of one subscriber */
@@ -307,7 +308,8 @@
 	out.len = ds_update__pack(&m, out.data);
 	if (a->kind == DS_SEND_DELTA)
 		delta = delta_from(f, a->from);
-	if (delta && delta->len < whole(f)->len)
+	if (delta &&
+	    (delta->len <= SMALL_DELTA_BYTES || delta->len < whole(f)->len))
 		add_payload(&out, TAG_DELTA, delta);
 	else if (a->kind != DS_SEND_RESUME)
 		add_payload(&out, TAG_SNAPSHOT, whole(f));
