--- a/call/cl.c
+++ b/call/cl.c
@@ -23,6 +23,13 @@
 	return CL_OUT_NOT_RUN;
 }
 
+int cl_code_told(int code, bool earlier_ran)
+{
+	if (earlier_ran && cl_outcome_of(code) == CL_OUT_NOT_RUN)
+		return CL_MAY_HAVE_RUN;
+	return code;
+}
+
 const char *cl_outcome_name(enum cl_outcome o)
 {
 	return outcome_names[o];
--- a/call/cl.h
+++ b/call/cl.h
@@ -12,6 +12,7 @@
 #ifndef CL_H
 #define CL_H
 
+#include <stdbool.h>
 #include <stddef.h>
 
 #include "base/ba_clock.h"
@@ -48,6 +49,15 @@
 /** cl_outcome_of() - what the result @code says about the call */
 enum cl_outcome cl_outcome_of(int code);
 
+/**
+ * cl_code_told() - the code that a caller is told
+ * @code: of the last attempt
+ * @earlier_ran: an earlier attempt may have run
+ *
+ * Return: @code, or %CL_MAY_HAVE_RUN where it would deny that attempt.
+ */
+int cl_code_told(int code, bool earlier_ran);
+
 /** cl_outcome_name() - "answered", "not-run" or "may-have-run" */
 const char *cl_outcome_name(enum cl_outcome o);
 
--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -121,6 +121,19 @@
 	announce_again(a);
 }
 
+void ds_agent_send_figures(struct ds_agent *a)
+{
+	struct wi_session *s = ds_link_session(a->link);
+	struct ba_buf out = {0};
+
+	if (!s || !a->owner->figures)
+		return;
+	a->owner->figures(a->owner, &out);
+	if (out.len)
+		wi_send_raw(s, RT_FIGURES, out.data, out.len);
+	ba_buf_free(&out);
+}
+
 uint64_t ds_agent_version(const struct ds_agent *a)
 {
 	return a->intake.follower.held;
@@ -214,16 +227,9 @@
 static void on_figures_timer(struct ba_timer *t, ba_time now)
 {
 	struct ds_agent *a = ba_entry(t, struct ds_agent, figures_timer);
-	struct wi_session *s = ds_link_session(a->link);
-	struct ba_buf out = {0};
 
 	ba_loop_arm(a->loop, t, now + FIGURES_PERIOD);
-	if (!s || !a->owner->figures)
-		return;
-	a->owner->figures(a->owner, &out);
-	if (out.len)
-		wi_send_raw(s, RT_FIGURES, out.data, out.len);
-	ba_buf_free(&out);
+	ds_agent_send_figures(a);
 }
 
 static void on_expiry_timer(struct ba_timer *t, ba_time now)
--- a/distrib/ds_agent.h
+++ b/distrib/ds_agent.h
@@ -74,6 +74,9 @@
 /** ds_agent_leave() - announce that the endpoint has gone */
 void ds_agent_leave(struct ds_agent *a);
 
+/** ds_agent_send_figures() - send figures now, out of their turn */
+void ds_agent_send_figures(struct ds_agent *a);
+
 /** ds_agent_version() - version held, 0 for none */
 uint64_t ds_agent_version(const struct ds_agent *a);
 
--- a/prog/carawayd.c
+++ b/prog/carawayd.c
@@ -24,6 +24,8 @@
 
 #define LEASE (3 * BA_SECOND)
 #define DRAIN_SPREAD (2 * BA_SECOND)
+#define DRAIN_LIMIT (2 * BA_SECOND)
+#define FIGURES_LIMIT BA_SECOND
 #define STOP_LIMIT (CL_TIME_LIMIT + 5 * BA_SECOND)
 #define STOP_LOOK (20 * BA_MS)
 #define WATCH_PERIOD (100 * BA_MS)
@@ -62,6 +64,7 @@
 	struct ds_agent_owner owner;
 	struct da_settings settings;
 	struct wi_identity identity;
+	struct wi_identity call_identity;
 	struct ba_loop *loop;
 	struct ds_agent *agent;
 	struct pr_metrics *metrics;
@@ -72,6 +75,8 @@
 	struct ep_view *view;
 	bool cut_off;
 	ba_time lost_at;
+	ba_time figures_deadline;
+	bool last_figures;
 	struct ba_timer watch_timer;
 	struct ba_timer stop_timer;
 	ba_time closing_at;
@@ -100,6 +105,7 @@
 static void on_signal(int signo, void *arg);
 static void begin_stop(struct daemon *d);
 static void on_stop_timer(struct ba_timer *t, ba_time now);
+static bool hand_in_figures(struct daemon *d);
 
 int main(int argc, char **argv)
 {
@@ -124,6 +130,8 @@
 	ba_loop_signals(d->loop, on_signal, d);
 	d->stop_timer.fire = on_stop_timer;
 	d->watch_timer.fire = on_watch_timer;
+	d->call_identity = d->identity;
+	d->call_identity.meter = NULL;
 	start_tables(d);
 	ret = start_workers(d);
 	if (!ret && pr_metrics_start(&d->settings.common.metrics, &d->metrics))
@@ -167,7 +175,7 @@
 
 	pthread_mutex_init(&t->lock, NULL);
 	t->settings = s;
-	t->identity = &d->identity;
+	t->identity = &d->call_identity;
 	t->router = cl_router_new(&router);
 	t->admit = cl_admit_new(&admit);
 	t->once = cl_once_new(&once);
@@ -222,7 +230,7 @@
 	ba_list_init(&w->ready);
 	w->loop = ba_loop_new();
 	w->client = da_client_new(w->loop, s->connections / d->n_workers);
-	w->peers = da_peers_new(w->loop, &d->identity);
+	w->peers = da_peers_new(w->loop, &d->call_identity);
 	w->callers = da_http_new(w, callers);
 	if (!w->callers)
 		return ba_result_info(BA_INTERNAL)->exit_code;
@@ -435,7 +443,7 @@
 	struct daemon *d = ba_entry(o, struct daemon, owner);
 
 	rt_figures_pack(d->tables.figures, ba_clock_wall(),
-			d->stop_deadline != 0, out);
+			d->figures_deadline != 0, out);
 }
 
 static void on_figures_taken(struct ds_agent_owner *o, uint64_t incarnation,
@@ -463,9 +471,11 @@
 
 	ba_event(BA_EV_STOPPING, "instance=%s", d->identity.instance);
 	rt_count(RT_DRAINS, 1);
+	rt_count(RT_STOPS_BEGUN, 1);
 	ds_agent_drain(d->agent);
 	pthread_mutex_lock(&d->tables.lock);
 	d->tables.draining = true;
+	d->tables.work_deadline = now + DRAIN_LIMIT;
 	cl_router_drain_self(d->tables.router);
 	cl_once_close(d->tables.once, ba_clock_wall());
 	pthread_mutex_unlock(&d->tables.lock);
@@ -488,8 +498,31 @@
 		ba_loop_arm(d->loop, t, now + STOP_LOOK);
 		return;
 	}
-	if (left)
+	if (!d->figures_deadline) {
 		rt_count(RT_CUT_BY_STOP, left);
-	ds_agent_leave(d->agent);
-	ba_loop_stop(d->loop);
+		rt_count(RT_STOPS_ENDED, 1);
+		rt_count(RT_DRAINS_CHECKED, 1);
+		d->figures_deadline = now + FIGURES_LIMIT;
+		ds_agent_leave(d->agent);
+	}
+	if (now >= d->figures_deadline || !hand_in_figures(d)) {
+		ba_loop_stop(d->loop);
+		return;
+	}
+	ba_loop_arm(d->loop, t, now + STOP_LOOK);
+}
+
+/*
+ * Figures that were packed before the end of the stop are to be taken first;
+ * only then the last ones can be packed.  Whether there is more to wait for.
+ */
+static bool hand_in_figures(struct daemon *d)
+{
+	if (rt_figures_waiting(d->tables.figures))
+		return true;
+	if (d->last_figures)
+		return false;
+	d->last_figures = true;
+	ds_agent_send_figures(d->agent);
+	return true;
 }
--- a/prog/da.h
+++ b/prog/da.h
@@ -69,6 +69,7 @@
 	uint32_t own_weight;
 	bool draining;
 	bool closing;
+	ba_time work_deadline;
 	unsigned int in_progress;
 };
 
--- a/prog/da_attempt.c
+++ b/prog/da_attempt.c
@@ -6,6 +6,7 @@
 
 #include "base/ba_event.h"
 #include "prog/da_attempt.h"
+#include "prog/da_audit.h"
 #include "prog/da_client.h"
 #include "prog/da_local.h"
 #include "prog/da_peer.h"
@@ -93,6 +94,7 @@
 {
 	c->to_backend = true;
 	c->sent_at = ba_clock_now();
+	da_audit_handed(c);
 	fill_request(c);
 	c->fetch = da_client_fetch(c->w->client,
 				   c->w->tables->settings->backend_address.text,
@@ -280,6 +282,9 @@
 	enum cl_seen seen = seen_at_end(c, end);
 	int code = code_of_end(c, end, seen);
 
+	da_audit_attempt(c, end);
+	if (code && cl_outcome_of(code) == CL_OUT_MAY_HAVE_RUN)
+		c->may_have_run = true;
 	c->fetch = NULL;
 	da_local_end(c, seen, code);
 	if (!code && wants_another(c, seen)) {
--- /dev/null
+++ b/prog/da_audit.c
@@ -0,0 +1,104 @@
+#include <pthread.h>
+#include <string.h>
+
+#include "base/ba_digest.h"
+#include "prog/da_audit.h"
+#include "report/rt.h"
+
+enum { KEYS_KEPT = 65536, STATUS_OVERLOADED = 503 };
+
+/*
+ * Hashes of the last keys that were handed over, by the order in which they
+ * were; an entry whose request was not begun is cleared.
+ *
+ * Lock order: lock stands below the lock of the tables.
+ */
+static struct {
+	pthread_mutex_t lock;
+	GHashTable *places;
+	uint64_t hashes[KEYS_KEPT];
+	size_t next;
+} keys = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+static bool remember(uint64_t hash);
+static void forget(uint64_t hash);
+static uint64_t hash_of(const struct da_call *c);
+
+void da_audit_handed(const struct da_call *c)
+{
+	const struct da_tables *t = c->w->tables;
+
+	if (t->draining && c->arrived > t->work_deadline)
+		rt_count(RT_WORK_WHILE_DRAINING, 1);
+	if (!c->key)
+		return;
+	rt_count(RT_KEYED_CALLS, 1);
+	rt_count(RT_KEYED_CHECKED, 1);
+	if (!remember(hash_of(c)))
+		rt_count(RT_DOUBLE_RUNS, 1);
+}
+
+void da_audit_attempt(struct da_call *c, const struct da_end *end)
+{
+	bool begun = end->written && !end->result &&
+		     c->answer.status != STATUS_OVERLOADED;
+
+	if (begun)
+		c->handed = true;
+	else if (c->to_backend && c->key)
+		forget(hash_of(c));
+}
+
+void da_audit_end(const struct da_call *c)
+{
+	switch (cl_outcome_of(c->result)) {
+	case CL_OUT_ANSWERED:
+		if (c->from_peer)
+			break;
+		rt_count(RT_ANSWERS_CHECKED, 1);
+		if (!c->answer.whole || c->answer.broken)
+			rt_count(RT_ANSWERS_WRONG, 1);
+		break;
+	case CL_OUT_NOT_RUN:
+		if (!c->from_peer)
+			rt_count(RT_NOT_RUN_CHECKED, 1);
+		if (c->handed)
+			rt_count(RT_FALSE_NOT_RUN, 1);
+		break;
+	case CL_OUT_MAY_HAVE_RUN:
+		break;
+	}
+}
+
+/* Whether the hash is new; the oldest one makes room for it. */
+static bool remember(uint64_t hash)
+{
+	uint64_t *place;
+	bool fresh;
+
+	pthread_mutex_lock(&keys.lock);
+	if (!keys.places)
+		keys.places = g_hash_table_new(g_int64_hash, g_int64_equal);
+	fresh = !g_hash_table_contains(keys.places, &hash);
+	if (fresh) {
+		place = &keys.hashes[keys.next++ % KEYS_KEPT];
+		g_hash_table_remove(keys.places, place);
+		*place = hash;
+		g_hash_table_add(keys.places, place);
+	}
+	pthread_mutex_unlock(&keys.lock);
+	return fresh;
+}
+
+static void forget(uint64_t hash)
+{
+	pthread_mutex_lock(&keys.lock);
+	if (keys.places)
+		g_hash_table_remove(keys.places, &hash);
+	pthread_mutex_unlock(&keys.lock);
+}
+
+static uint64_t hash_of(const struct da_call *c)
+{
+	return ba_hash(c->key, strlen(c->key), 0);
+}
--- a/prog/da_call.c
+++ b/prog/da_call.c
@@ -5,6 +5,7 @@
 
 #include "base/ba_event.h"
 #include "prog/da_attempt.h"
+#include "prog/da_audit.h"
 #include "prog/da_call.h"
 #include "prog/da_enter.h"
 #include "prog/da_local.h"
@@ -62,8 +63,10 @@
 
 void da_call_fail(struct da_call *c, int code)
 {
-	enum cl_outcome o = cl_outcome_of(code);
+	enum cl_outcome o;
 
+	code = cl_code_told(code, c->may_have_run);
+	o = cl_outcome_of(code);
 	c->result = code;
 	c->answer.broken = c->started;
 	ba_event(o == CL_OUT_NOT_RUN ? CL_EV_NOT_RUN : CL_EV_MAY_HAVE_RUN,
@@ -219,6 +222,7 @@
 
 	if (!c->counted)
 		return;
+	da_audit_end(c);
 	pthread_mutex_lock(&t->lock);
 	t->in_progress--;
 	pthread_mutex_unlock(&t->lock);
--- a/prog/da_call.h
+++ b/prog/da_call.h
@@ -78,6 +78,8 @@
 	bool big;
 	bool granted;
 	bool orphan;
+	bool may_have_run;
+	bool handed;
 
 	char *method;
 	char *target;
--- a/prog/pr.c
+++ b/prog/pr.c
@@ -8,6 +8,7 @@
 #include "base/ba_event.h"
 #include "base/ba_result.h"
 #include "prog/pr.h"
+#include "prog/pr_meter.h"
 
 struct command_line {
 	char *file;
@@ -66,6 +67,7 @@
 	id->region = settings->region;
 	id->incarnation = (uint64_t)ba_clock_wall();
 	id->key_id = "";
+	id->meter = pr_meter(id->data_centre, id->region);
 	return open_log(program, settings);
 }
 
--- a/prog/re.h
+++ b/prog/re.h
@@ -57,7 +57,6 @@
 	bool synced;
 	ba_time lease;
 	uint64_t holder;
-	uint64_t counted_bytes;
 };
 
 /** struct re_peer - one session that was dialled to another relay */
--- a/prog/re_endpoint.c
+++ b/prog/re_endpoint.c
@@ -239,8 +239,6 @@
 		id = EP_EV_LEFT;
 	else
 		return;
-	if (outcome == EP_DRAINS)
-		rt_count(RT_DRAINS, 1);
 	ba_event(id, "instance=%s service=%s sequence=%llu", r->instance,
 		 r->service, (unsigned long long)r->sequence);
 }
--- a/prog/re_figures.c
+++ b/prog/re_figures.c
@@ -8,7 +8,6 @@
 
 static void add(struct re_relay *r, RtFigures *m, const char *from);
 static void add_own(struct re_relay *r, ba_time now);
-static void count_bytes(struct re_relay *r);
 static void schedule(struct re_relay *r);
 
 int re_figures_take(struct re_conn *c, const struct wi_frame *f)
@@ -102,7 +101,6 @@
 	RtFigures *m;
 
 	(void)now;
-	count_bytes(r);
 	rt_figures_pack(r->own_figures, ba_clock_wall(), false, &out);
 	m = rt_figures__unpack(NULL, out.len, out.data);
 	ba_buf_free(&out);
@@ -110,25 +108,6 @@
 		add(r, m, r->identity->instance);
 }
 
-/* What open sessions have sent since they were last counted. */
-static void count_bytes(struct re_relay *r)
-{
-	struct ba_list *pos;
-
-	ba_list_each(pos, &r->conns)
-	{
-		struct re_conn *c = ba_entry(pos, struct re_conn, link);
-		uint64_t sent = wi_session_sent(c->session);
-
-		rt_count(RT_CONTROL_BYTES_SENT, sent - c->counted_bytes);
-		if (c->open && strcmp(wi_session_peer(c->session)->region,
-				      r->identity->region) != 0)
-			rt_count(RT_CROSS_REGION_BYTES,
-				 sent - c->counted_bytes);
-		c->counted_bytes = sent;
-	}
-}
-
 static void schedule(struct re_relay *r)
 {
 	if (!r->figures_timer.slot)
--- a/prog/re_session.c
+++ b/prog/re_session.c
@@ -110,12 +110,9 @@
 {
 	struct re_conn *c = (struct re_conn *)h;
 
+	(void)code;
 	(void)retry_after;
 	if (c->open) {
-		rt_count(RT_CONTROL_BYTES_SENT, wi_session_sent(s));
-		rt_count(RT_CONTROL_BYTES_RECEIVED, wi_session_received(s));
-		if (code == WI_PEER_SILENT)
-			rt_count(RT_SESSIONS_LOST, 1);
 		ds_feed_drop(c->relay->feed, s);
 		re_endpoint_lost(c);
 	}
--- a/prog/so_session.c
+++ b/prog/so_session.c
@@ -97,13 +97,9 @@
 {
 	struct so_conn *c = (struct so_conn *)h;
 
+	(void)code;
 	(void)retry_after;
 	if (c->open) {
-		rt_count(RT_CONTROL_BYTES_SENT, wi_session_sent(session));
-		rt_count(RT_CONTROL_BYTES_RECEIVED,
-			 wi_session_received(session));
-		if (code == WI_PEER_SILENT)
-			rt_count(RT_SESSIONS_LOST, 1);
 		ds_feed_drop(c->source->feed, session);
 		so_operator_closed(c);
 	}
--- a/wire/wi_session.c
+++ b/wire/wi_session.c
@@ -49,6 +49,9 @@
 	unsigned int watched;
 	uint64_t sent;
 	uint64_t received;
+	uint64_t metered_sent;
+	uint64_t metered_received;
+	bool was_open;
 	int close_code;
 	ba_time retry_after;
 };
@@ -91,6 +94,7 @@
 static void update_watch(struct wi_session *s);
 static void flush_soon(struct wi_session *s);
 static void arm(struct wi_session *s);
+static void meter(struct wi_session *s);
 static void queue_frame(struct wi_session *s, int type,
 			const ProtobufCMessage *message);
 
@@ -376,6 +380,7 @@
 	}
 	s->in.len += (size_t)n;
 	s->received += (uint64_t)n;
+	meter(s);
 	s->silence_deadline = ba_loop_now(s->loop) + s->limits.silence;
 	while (s->state != WI_CLOSING) {
 		size_t limit = s->state == WI_OPEN ? WI_FRAME_LIMIT_BYTES
@@ -519,6 +524,9 @@
 	ba_event(WI_EV_SESSION_OPEN, "peer=%s role=%d data_centre=%s",
 		 s->peer.instance, (int)s->peer.role, s->peer.data_centre);
 	arm(s);
+	s->was_open = true;
+	if (s->id->meter)
+		s->id->meter->opened(s->id->meter, &s->peer);
 	if (s->handler->opened)
 		s->handler->opened(s->handler, s);
 	return BA_OK;
@@ -558,6 +566,7 @@
 		done += (size_t)n;
 	}
 	s->sent += done;
+	meter(s);
 	if (done)
 		s->ping_deadline = ba_loop_now(s->loop) + s->limits.heartbeat;
 	if (done == s->out.len)
@@ -600,6 +609,19 @@
 	ba_loop_watch(s->loop, &s->watch, bits);
 }
 
+/* The frames of the opening are metered with the first ones after it. */
+static void meter(struct wi_session *s)
+{
+	struct wi_meter *m = s->id->meter;
+
+	if (!m || !s->was_open)
+		return;
+	m->carried(m, &s->peer, s->sent - s->metered_sent,
+		   s->received - s->metered_received);
+	s->metered_sent = s->sent;
+	s->metered_received = s->received;
+}
+
 static void arm(struct wi_session *s)
 {
 	ba_time deadline = MIN(s->silence_deadline, s->ping_deadline);
@@ -644,6 +666,8 @@
 		event = WI_EV_SESSION_REFUSED;
 	ba_event(event, "peer=%s code=%d reason=%s", name, s->close_code,
 		 ba_result_info(s->close_code)->name);
+	if (s->id->meter && s->was_open)
+		s->id->meter->closed(s->id->meter, &s->peer, s->close_code);
 	if (s->handler)
 		s->handler->closed(s->handler, s, s->close_code,
 				   s->retry_after);
--- a/wire/wi_session.h
+++ b/wire/wi_session.h
@@ -29,6 +29,23 @@
 struct wi_session;
 struct wi_listener;
 
+struct wi_peer;
+
+/**
+ * struct wi_meter - told what open sessions carry and how they end; embed it
+ * first
+ * @opened: a session with @peer is open
+ * @carried: bytes written to and read from @peer since the last call
+ * @closed: the session with @peer has ended; @code is the reason
+ */
+struct wi_meter {
+	void (*opened)(struct wi_meter *m, const struct wi_peer *peer);
+	void (*carried)(struct wi_meter *m, const struct wi_peer *peer,
+			uint64_t sent, uint64_t received);
+	void (*closed)(struct wi_meter *m, const struct wi_peer *peer,
+		       int code);
+};
+
 /** struct wi_operator - an operator's name and key */
 struct wi_operator {
 	const char *name;
@@ -39,6 +56,7 @@
  * struct wi_identity - who this process is; outlives its sessions
  * @key_id: "" to prove the key of the mesh, or an operator's name
  * @operators: operators that are admitted, for listeners of a source
+ * @meter: told what its sessions carry, or NULL
  */
 struct wi_identity {
 	const char *mesh;
@@ -51,6 +69,7 @@
 	uint8_t key[BA_KEY_BYTES];
 	const struct wi_operator *operators;
 	size_t n_operators;
+	struct wi_meter *meter;
 };
 
 /** struct wi_peer - who the other end proved to be */
