--- a/bench/rp_bench_main.c
+++ b/bench/rp_bench_main.c
@@ -27,11 +27,13 @@
 
 /*
  * One replica that is a group of its own.
- * @delta: encoded for the relays, as a source does with each version
+ * @before: the version before @last
+ * @delta: between the two, encoded for the relays, as a source does with each version
  */
 struct bench {
 	struct rp_node_owner owner;
 	struct rp_node *node;
+	struct cf_snapshot *before;
 	struct cf_snapshot *last;
 	struct ba_buf delta;
 	uint32_t code;
@@ -47,6 +49,7 @@
 static void measure_recovery(const char *folder);
 static void measure_sizes(const struct cf_snapshot *s, int services,
 			  size_t delta);
+static void measure_apply(const struct bench *b, int services);
 static int start(struct bench *b, const char *folder, size_t snapshots);
 static void stop(struct bench *b, const char *folder);
 static void submit(struct bench *b, const struct ba_buf *text, uint64_t n);
@@ -108,6 +111,7 @@
 	printf("bench source_accept_p99_us_%d %lld us\n", services,
 	       (long long)wall[CHANGES * 99 / 100]);
 	measure_sizes(b.last, services, b.delta.len);
+	measure_apply(&b, services);
 	ba_buf_free(&text);
 	stop(&b, folder);
 }
@@ -123,6 +127,22 @@
 	ba_buf_free(&whole);
 }
 
+/* What a daemon does with each change, before it puts it in force. */
+static void measure_apply(const struct bench *b, int services)
+{
+	ba_time begun = cpu();
+
+	for (int i = 0; i < CHANGES; i++) {
+		struct cf_snapshot *s = NULL;
+
+		if (cf_delta_apply(b->before, b->delta.data, b->delta.len, &s))
+			fprintf(stderr, "the delta cannot be applied\n");
+		cf_snapshot_unref(s);
+	}
+	printf("bench delta_apply_cpu_us_%d %.1f us\n", services,
+	       (double)(cpu() - begun) / CHANGES);
+}
+
 /* The entries of a day at the target, without a snapshot among them. */
 static void measure_recovery(const char *folder)
 {
@@ -138,7 +158,9 @@
 		submit(&b, &text, i);
 	}
 	rp_node_free(b.node);
+	cf_snapshot_unref(b.before);
 	cf_snapshot_unref(b.last);
+	b.before = NULL;
 	b.last = NULL;
 	begun = ba_clock_now();
 	if (start(&b, folder, 2 * LOG_ENTRIES))
@@ -178,6 +200,7 @@
 static void stop(struct bench *b, const char *folder)
 {
 	rp_node_free(b->node);
+	cf_snapshot_unref(b->before);
 	cf_snapshot_unref(b->last);
 	ba_buf_free(&b->delta);
 	remove_folder(folder);
@@ -199,7 +222,8 @@
 	b->delta.len = 0;
 	if (b->last)
 		cf_delta_encode(b->last, s, &b->delta);
-	cf_snapshot_unref(b->last);
+	cf_snapshot_unref(b->before);
+	b->before = b->last;
 	b->last = cf_snapshot_ref(s);
 }
 
--- a/config/cf_check.c
+++ b/config/cf_check.c
@@ -5,13 +5,16 @@
 
 static void check_counts(const struct cf_draft *d, struct ba_problems *p);
 static void check_services(const struct cf_draft *d, struct ba_problems *p);
+static void check_service(const struct cf_draft_service *s,
+			  struct ba_problems *p);
 static void check_routes(const struct cf_draft *d, struct ba_problems *p);
-static void check_route(const struct cf_draft *d,
-			const struct cf_draft_route *r, struct ba_problems *p);
+static void check_route(const struct cf_draft_route *r, struct ba_problems *p);
 static void check_paths(const struct cf_draft *d, struct ba_problems *p);
-static gint by_path(gconstpointer a, gconstpointer b);
 static void check_policy(const struct cf_draft *d, struct ba_problems *p);
 static void check_rows(const struct cf_draft *d, struct ba_problems *p);
+static bool walk_to(const struct cf_draft *d, guint *at, const char *name);
+static void check_row(const struct cf_draft_row *r, struct ba_problems *p);
+static int line_of(int line);
 static void check_name(const char *name, int line, const char *key,
 		       struct ba_problems *p);
 static void check_time(ba_time t, int line, const char *key,
@@ -50,18 +53,25 @@
 		const struct cf_draft_service *s =
 			&g_array_index(d->services, struct cf_draft_service, i);
 
-		check_name(s->value.name, s->line, "services.name", p);
-		check_number(s->value.max_in_flight, 0, CF_IN_FLIGHT_LIMIT,
-			     s->line, "services.max_in_flight", p);
-		check_time(s->value.timeout, s->line, "services.timeout", p);
+		if (s->line != CF_LINE_KEPT)
+			check_service(s, p);
 		if (last && !strcmp(last, s->value.name))
-			ba_problem_add(p, CF_DUPLICATE_NAME, s->line,
+			ba_problem_add(p, CF_DUPLICATE_NAME, line_of(s->line),
 				       "services.name", "one service \"%s\"",
 				       last);
 		last = s->value.name;
 	}
 }
 
+static void check_service(const struct cf_draft_service *s,
+			  struct ba_problems *p)
+{
+	check_name(s->value.name, s->line, "services.name", p);
+	check_number(s->value.max_in_flight, 0, CF_IN_FLIGHT_LIMIT, s->line,
+		     "services.max_in_flight", p);
+	check_time(s->value.timeout, s->line, "services.timeout", p);
+}
+
 static void check_routes(const struct cf_draft *d, struct ba_problems *p)
 {
 	const char *last = NULL;
@@ -70,16 +80,21 @@
 		const struct cf_draft_route *r =
 			&g_array_index(d->routes, struct cf_draft_route, i);
 
-		check_route(d, r, p);
+		if (r->line != CF_LINE_KEPT)
+			check_route(r, p);
+		if (r->value.service == CF_NO_SERVICE)
+			ba_problem_add(p, CF_ROUTE_DANGLING, line_of(r->line),
+				       "routes.service",
+				       "the name of a service, not \"%s\"",
+				       r->service);
 		if (last && !strcmp(last, r->value.name))
-			ba_problem_add(p, CF_DUPLICATE_NAME, r->line,
+			ba_problem_add(p, CF_DUPLICATE_NAME, line_of(r->line),
 				       "routes.name", "one route \"%s\"", last);
 		last = r->value.name;
 	}
 }
 
-static void check_route(const struct cf_draft *d,
-			const struct cf_draft_route *r, struct ba_problems *p)
+static void check_route(const struct cf_draft_route *r, struct ba_problems *p)
 {
 	check_name(r->value.name, r->line, "routes.name", p);
 	if (!is_path(r->value.path))
@@ -90,27 +105,19 @@
 	if (!is_method(r->value.method))
 		ba_problem_add(p, BA_RANGE_WRONG, r->line, "routes.method",
 			       "a method such as \"GET\", or none");
-	if (cf_draft_service_find(d, r->service) == CF_NO_SERVICE)
-		ba_problem_add(p, CF_ROUTE_DANGLING, r->line, "routes.service",
-			       "the name of a service, not \"%s\"", r->service);
 }
 
 /* Two routes of the same path and method would make the choice arbitrary. */
 static void check_paths(const struct cf_draft *d, struct ba_problems *p)
 {
 	const struct cf_draft_route *last = NULL;
-	GPtrArray *order = g_ptr_array_new();
 
-	for (guint i = 0; i < d->routes->len; i++)
-		g_ptr_array_add(
-			order,
-			&g_array_index(d->routes, struct cf_draft_route, i));
-	g_ptr_array_sort(order, by_path);
-	for (guint i = 0; i < order->len; i++) {
-		const struct cf_draft_route *r = g_ptr_array_index(order, i);
+	for (guint i = 0; i < d->by_path->len; i++) {
+		const struct cf_draft_route *r =
+			g_ptr_array_index(d->by_path, i);
 
 		if (last && !cf_route_compare(&last->value, &r->value))
-			ba_problem_add(p, CF_DUPLICATE_NAME, r->line,
+			ba_problem_add(p, CF_DUPLICATE_NAME, line_of(r->line),
 				       "routes.path",
 				       "one route for %s %s, not \"%s\" too",
 				       *r->value.method ? r->value.method
@@ -118,16 +125,6 @@
 				       r->value.path, last->value.name);
 		last = r;
 	}
-	g_ptr_array_free(order, TRUE);
-}
-
-static gint by_path(gconstpointer a, gconstpointer b)
-{
-	const struct cf_draft_route *const *x = a;
-	const struct cf_draft_route *const *y = b;
-	int order = cf_route_compare(&(*x)->value, &(*y)->value);
-
-	return order ? order : (*x)->line - (*y)->line;
 }
 
 static void check_policy(const struct cf_draft *d, struct ba_problems *p)
@@ -150,29 +147,56 @@
 static void check_rows(const struct cf_draft *d, struct ba_problems *p)
 {
 	const char *last = NULL;
+	guint at = 0;
 
 	for (guint i = 0; i < d->rows->len; i++) {
 		const struct cf_draft_row *r =
 			&g_array_index(d->rows, struct cf_draft_row, i);
 
-		check_number(r->value.weight, 1, CF_WEIGHT_LIMIT, r->line,
-			     "rows.weight", p);
-		check_time(r->value.convergence_limit, r->line,
-			   "rows.convergence_limit", p);
-		check_time(r->value.deadline, r->line, "rows.deadline", p);
-		if (cf_draft_service_find(d, r->service) == CF_NO_SERVICE)
-			ba_problem_add(p, CF_POLICY_ROW_DANGLING, r->line,
-				       "rows.service",
+		if (r->line != CF_LINE_KEPT)
+			check_row(r, p);
+		if (!walk_to(d, &at, r->service))
+			ba_problem_add(p, CF_POLICY_ROW_DANGLING,
+				       line_of(r->line), "rows.service",
 				       "the name of a service, not \"%s\"",
 				       r->service);
 		if (last && !strcmp(last, r->service))
-			ba_problem_add(p, CF_DUPLICATE_NAME, r->line,
+			ba_problem_add(p, CF_DUPLICATE_NAME, line_of(r->line),
 				       "rows.service", "one row for \"%s\"",
 				       last);
 		last = r->service;
 	}
 }
 
+/* Rows and services are both sorted; whether service @name is there. */
+static bool walk_to(const struct cf_draft *d, guint *at, const char *name)
+{
+	int order = -1;
+
+	while (*at < d->services->len && order < 0) {
+		order = strcmp(
+			g_array_index(d->services, struct cf_draft_service, *at)
+				.value.name,
+			name);
+		*at += order < 0;
+	}
+	return !order;
+}
+
+static void check_row(const struct cf_draft_row *r, struct ba_problems *p)
+{
+	check_number(r->value.weight, 1, CF_WEIGHT_LIMIT, r->line,
+		     "rows.weight", p);
+	check_time(r->value.convergence_limit, r->line,
+		   "rows.convergence_limit", p);
+	check_time(r->value.deadline, r->line, "rows.deadline", p);
+}
+
+static int line_of(int line)
+{
+	return line == CF_LINE_KEPT ? 0 : line;
+}
+
 static void check_name(const char *name, int line, const char *key,
 		       struct ba_problems *p)
 {
--- a/config/cf_delta.c
+++ b/config/cf_delta.c
@@ -20,7 +20,15 @@
 			   const struct cf_snapshot *to);
 static void compare_rows(struct delta *d, const struct cf_snapshot *from,
 			 const struct cf_snapshot *to);
-static bool same(const ProtobufCMessage *a, const ProtobufCMessage *b);
+static void put_service(struct delta *d, const struct cf_service *s);
+static void put_route(struct delta *d, const struct cf_snapshot *to,
+		      const struct cf_route *r);
+static bool same_service(const struct cf_service *a,
+			 const struct cf_service *b);
+static bool same_route(const struct cf_snapshot *from, const struct cf_route *a,
+		       const struct cf_snapshot *to, const struct cf_route *b);
+static bool same_policy(const struct cf_policy *a, const struct cf_policy *b);
+static bool same_row(const struct cf_row *a, const struct cf_row *b);
 static void delta_init(struct delta *d, const struct cf_snapshot *from,
 		       const struct cf_snapshot *to);
 static void delta_free(struct delta *d);
@@ -81,8 +89,6 @@
 	while (i < from->n_services || j < to->n_services) {
 		const struct cf_service *a = &from->services[i];
 		const struct cf_service *b = &to->services[j];
-		CfService *put = &d->services[d->m.n_put_services];
-		CfService old;
 		int order = i == from->n_services ? 1
 			    : j == to->n_services ? -1
 						  : strcmp(a->name, b->name);
@@ -93,11 +99,8 @@
 			i++;
 			continue;
 		}
-		cf_to_service(put, b);
-		if (!order)
-			cf_to_service(&old, a);
-		if (order || !same(&old.base, &put->base))
-			d->m.put_services[d->m.n_put_services++] = put;
+		if (order || !same_service(a, b))
+			put_service(d, b);
 		i += !order;
 		j++;
 	}
@@ -112,8 +115,6 @@
 	while (i < from->n_routes || j < to->n_routes) {
 		const struct cf_route *a = &from->routes[i];
 		const struct cf_route *b = &to->routes[j];
-		CfRoute *put = &d->routes[d->m.n_put_routes];
-		CfRoute old;
 		int order = i == from->n_routes ? 1
 			    : j == to->n_routes ? -1
 						: strcmp(a->name, b->name);
@@ -124,11 +125,8 @@
 			i++;
 			continue;
 		}
-		cf_to_route(put, to, b);
-		if (!order)
-			cf_to_route(&old, from, a);
-		if (order || !same(&old.base, &put->base))
-			d->m.put_routes[d->m.n_put_routes++] = put;
+		if (order || !same_route(from, a, to, b))
+			put_route(d, to, b);
 		i += !order;
 		j++;
 	}
@@ -137,44 +135,80 @@
 static void compare_policy(struct delta *d, const struct cf_snapshot *from,
 			   const struct cf_snapshot *to)
 {
-	CfPolicy old;
-
-	cf_to_policy(&old, &from->policy);
+	if (same_policy(&from->policy, &to->policy))
+		return;
 	cf_to_policy(&d->policy, &to->policy);
-	if (!same(&old.base, &d->policy.base))
-		d->m.policy = &d->policy;
+	d->m.policy = &d->policy;
 }
 
 static void compare_rows(struct delta *d, const struct cf_snapshot *from,
 			 const struct cf_snapshot *to)
 {
+	size_t i = 0;
+
 	for (size_t j = 0; j < to->n_services; j++) {
+		const struct cf_row *row = &to->policy.rows[j];
 		CfPolicyRow *put = &d->rows[d->m.n_put_rows];
-		int i = cf_service_find(from, to->services[j].name);
-		CfPolicyRow old;
-
-		cf_to_row(put, to, &to->policy.rows[j]);
-		if (i != CF_NO_SERVICE) {
-			cf_to_row(&old, from, &from->policy.rows[i]);
-			if (same(&old.base, &put->base))
-				continue;
+		int order = 1;
+
+		while (i < from->n_services && order > 0) {
+			order = strcmp(to->services[j].name,
+				       from->services[i].name);
+			i += order > 0;
 		}
+		if (!order && i < from->n_services &&
+		    same_row(&from->policy.rows[i], row))
+			continue;
+		cf_to_row(put, to, row);
 		d->m.put_rows[d->m.n_put_rows++] = put;
 	}
 }
 
-/* Messages of a few fields: their encodings are compared on the stack. */
-static bool same(const ProtobufCMessage *a, const ProtobufCMessage *b)
+static void put_service(struct delta *d, const struct cf_service *s)
+{
+	CfService *put = &d->services[d->m.n_put_services];
+
+	cf_to_service(put, s);
+	d->m.put_services[d->m.n_put_services++] = put;
+}
+
+static void put_route(struct delta *d, const struct cf_snapshot *to,
+		      const struct cf_route *r)
+{
+	CfRoute *put = &d->routes[d->m.n_put_routes];
+
+	cf_to_route(put, to, r);
+	d->m.put_routes[d->m.n_put_routes++] = put;
+}
+
+static bool same_service(const struct cf_service *a, const struct cf_service *b)
+{
+	return a->max_in_flight == b->max_in_flight && a->timeout == b->timeout;
+}
+
+static bool same_route(const struct cf_snapshot *from, const struct cf_route *a,
+		       const struct cf_snapshot *to, const struct cf_route *b)
+{
+	return a->idempotent == b->idempotent && !strcmp(a->path, b->path) &&
+	       !strcmp(a->method, b->method) &&
+	       !strcmp(from->services[a->service].name,
+		       to->services[b->service].name);
+}
+
+static bool same_policy(const struct cf_policy *a, const struct cf_policy *b)
+{
+	return !strcmp(a->time_zone, b->time_zone) &&
+	       a->cross_region_bytes_per_day == b->cross_region_bytes_per_day &&
+	       a->convergence_weight == b->convergence_weight &&
+	       a->bytes_weight == b->bytes_weight &&
+	       a->convergence_limit == b->convergence_limit;
+}
+
+static bool same_row(const struct cf_row *a, const struct cf_row *b)
 {
-	uint8_t x[1024];
-	uint8_t y[1024];
-	size_t len = protobuf_c_message_get_packed_size(a);
-
-	if (len != protobuf_c_message_get_packed_size(b) || len > sizeof(x))
-		return false;
-	protobuf_c_message_pack(a, x);
-	protobuf_c_message_pack(b, y);
-	return !memcmp(x, y, len);
+	return a->weight == b->weight && a->calls_limit == b->calls_limit &&
+	       a->convergence_limit == b->convergence_limit &&
+	       a->deadline == b->deadline;
 }
 
 static void delta_init(struct delta *d, const struct cf_snapshot *from,
@@ -259,7 +293,7 @@
 	}
 	for (size_t i = 0; i < from->n_services; i++)
 		if (!g_hash_table_contains(names, from->services[i].name))
-			cf_draft_service(d, &from->services[i], 0);
+			cf_draft_service(d, &from->services[i], CF_LINE_KEPT);
 	g_hash_table_destroy(names);
 }
 
@@ -277,7 +311,7 @@
 
 		if (!g_hash_table_contains(names, r->name))
 			cf_draft_route(d, r, from->services[r->service].name,
-				       0);
+				       CF_LINE_KEPT);
 	}
 	g_hash_table_destroy(names);
 }
@@ -296,7 +330,8 @@
 		const char *name = from->services[i].name;
 
 		if (!g_hash_table_contains(names, name))
-			cf_draft_row(d, &from->policy.rows[i], name, 0);
+			cf_draft_row(d, &from->policy.rows[i], name,
+				     CF_LINE_KEPT);
 	}
 	g_hash_table_destroy(names);
 }
--- a/config/cf_draft.c
+++ b/config/cf_draft.c
@@ -1,17 +1,18 @@
-#include <stdlib.h>
 #include <string.h>
 
 #include "config/cf_internal.h"
 
-static const char *keep(struct cf_draft *d, const char *text);
 static void sort(struct cf_draft *d);
+static void sort_array(GArray *a, GCompareFunc compare);
+static void find_services(struct cf_draft *d);
+static void sort_paths(struct cf_draft *d);
 static gint by_service_name(gconstpointer a, gconstpointer b);
 static gint by_route_name(gconstpointer a, gconstpointer b);
 static gint by_row_service(gconstpointer a, gconstpointer b);
-static int by_path(const void *a, const void *b);
+static gint by_path(gconstpointer a, gconstpointer b);
 static void add_default_rows(struct cf_draft *d);
 static struct cf_snapshot *make(struct cf_draft *d);
-static void index_paths(struct cf_whole *w);
+static void index_paths(const struct cf_draft *d, struct cf_whole *w);
 
 void cf_draft_init(struct cf_draft *d, uint64_t version)
 {
@@ -27,6 +28,7 @@
 	d->services = g_array_new(FALSE, TRUE, sizeof(struct cf_draft_service));
 	d->routes = g_array_new(FALSE, TRUE, sizeof(struct cf_draft_route));
 	d->rows = g_array_new(FALSE, TRUE, sizeof(struct cf_draft_row));
+	d->by_path = g_ptr_array_new();
 	cf_draft_policy(d, &policy);
 }
 
@@ -36,31 +38,32 @@
 	g_array_free(d->services, TRUE);
 	g_array_free(d->routes, TRUE);
 	g_array_free(d->rows, TRUE);
+	g_ptr_array_free(d->by_path, TRUE);
 }
 
 void cf_draft_service(struct cf_draft *d, const struct cf_service *s, int line)
 {
 	struct cf_draft_service one = {*s, line};
 
-	one.value.name = keep(d, s->name);
+	one.value.name = cf_draft_keep(d, s->name);
 	g_array_append_val(d->services, one);
 }
 
 void cf_draft_route(struct cf_draft *d, const struct cf_route *r,
 		    const char *service, int line)
 {
-	struct cf_draft_route one = {*r, keep(d, service), line};
+	struct cf_draft_route one = {*r, service, line};
 
-	one.value.name = keep(d, r->name);
-	one.value.path = keep(d, r->path);
-	one.value.method = keep(d, r->method);
+	one.value.name = cf_draft_keep(d, r->name);
+	one.value.path = cf_draft_keep(d, r->path);
+	one.value.method = *r->method ? cf_draft_keep(d, r->method) : "";
 	g_array_append_val(d->routes, one);
 }
 
 void cf_draft_row(struct cf_draft *d, const struct cf_row *r,
 		  const char *service, int line)
 {
-	struct cf_draft_row one = {*r, keep(d, service), line};
+	struct cf_draft_row one = {*r, service, line};
 
 	g_array_append_val(d->rows, one);
 }
@@ -68,16 +71,23 @@
 void cf_draft_policy(struct cf_draft *d, const struct cf_policy *p)
 {
 	d->policy = *p;
-	d->policy.time_zone = keep(d, p->time_zone);
+	d->policy.time_zone = cf_draft_keep(d, p->time_zone);
 	d->policy.rows = NULL;
 }
 
+const char *cf_draft_keep(struct cf_draft *d, const char *text)
+{
+	return g_string_chunk_insert(d->strings, text);
+}
+
 struct cf_snapshot *cf_draft_finish(struct cf_draft *d,
 				    struct ba_problems *problems)
 {
 	size_t before = problems->n;
 
 	sort(d);
+	find_services(d);
+	sort_paths(d);
 	cf_check(d, problems);
 	if (problems->n > before)
 		return NULL;
@@ -106,16 +116,43 @@
 	return CF_NO_SERVICE;
 }
 
-static const char *keep(struct cf_draft *d, const char *text)
+static void sort(struct cf_draft *d)
 {
-	return g_string_chunk_insert_const(d->strings, text ? text : "");
+	sort_array(d->services, by_service_name);
+	sort_array(d->routes, by_route_name);
+	sort_array(d->rows, by_row_service);
 }
 
-static void sort(struct cf_draft *d)
+/* Encoded entries come sorted, so looking first is the shorter way. */
+static void sort_array(GArray *a, GCompareFunc compare)
+{
+	guint size = g_array_get_element_size(a);
+
+	for (guint i = 1; i < a->len; i++) {
+		if (compare(a->data + (i - 1) * size, a->data + i * size) <= 0)
+			continue;
+		g_array_sort(a, compare);
+		return;
+	}
+}
+
+static void find_services(struct cf_draft *d)
+{
+	for (guint i = 0; i < d->routes->len; i++) {
+		struct cf_draft_route *r =
+			&g_array_index(d->routes, struct cf_draft_route, i);
+
+		r->value.service = cf_draft_service_find(d, r->service);
+	}
+}
+
+static void sort_paths(struct cf_draft *d)
 {
-	g_array_sort(d->services, by_service_name);
-	g_array_sort(d->routes, by_route_name);
-	g_array_sort(d->rows, by_row_service);
+	for (guint i = 0; i < d->routes->len; i++)
+		g_ptr_array_add(
+			d->by_path,
+			&g_array_index(d->routes, struct cf_draft_route, i));
+	g_ptr_array_sort(d->by_path, by_path);
 }
 
 static gint by_service_name(gconstpointer a, gconstpointer b)
@@ -142,12 +179,14 @@
 	return strcmp(x->service, y->service);
 }
 
-static int by_path(const void *a, const void *b)
+/* Equal ones in the order of the file, so that the later is reported. */
+static gint by_path(gconstpointer a, gconstpointer b)
 {
-	const struct cf_route *const *x = a;
-	const struct cf_route *const *y = b;
+	const struct cf_draft_route *const *x = a;
+	const struct cf_draft_route *const *y = b;
+	int order = cf_route_compare(&(*x)->value, &(*y)->value);
 
-	return cf_route_compare(*x, *y);
+	return order ? order : (*x)->line - (*y)->line;
 }
 
 /* Both lists are sorted and every row has its service: one merge. */
@@ -174,7 +213,7 @@
 		else
 			cf_draft_row(d, &fallback, s->name, 0);
 	}
-	g_array_sort(d->rows, by_row_service);
+	sort_array(d->rows, by_row_service);
 }
 
 static struct cf_snapshot *make(struct cf_draft *d)
@@ -199,24 +238,25 @@
 			g_array_index(d->rows, struct cf_draft_row, i).value;
 		s->policy.rows[i].service = (int)i;
 	}
-	for (guint i = 0; i < d->routes->len; i++) {
-		const struct cf_draft_route *r =
-			&g_array_index(d->routes, struct cf_draft_route, i);
-
-		s->routes[i] = r->value;
-		s->routes[i].service = cf_service_find(s, r->service);
-	}
-	index_paths(w);
+	for (guint i = 0; i < d->routes->len; i++)
+		s->routes[i] =
+			g_array_index(d->routes, struct cf_draft_route, i)
+				.value;
+	index_paths(d, w);
 	s->digest = cf_snapshot_digest(s);
 	return s;
 }
 
-static void index_paths(struct cf_whole *w)
+static void index_paths(const struct cf_draft *d, struct cf_whole *w)
 {
-	size_t n = w->s.n_routes;
+	const struct cf_draft_route *first =
+		(const struct cf_draft_route *)d->routes->data;
 
-	w->by_path = g_new0(const struct cf_route *, n + 1);
-	for (size_t i = 0; i < n; i++)
-		w->by_path[i] = &w->s.routes[i];
-	qsort((void *)w->by_path, n, sizeof(*w->by_path), by_path);
+	w->by_path = g_new0(const struct cf_route *, w->s.n_routes + 1);
+	for (guint i = 0; i < d->by_path->len; i++) {
+		const struct cf_draft_route *r =
+			g_ptr_array_index(d->by_path, i);
+
+		w->by_path[i] = &w->s.routes[r - first];
+	}
 }
--- a/config/cf_internal.h
+++ b/config/cf_internal.h
@@ -19,6 +19,9 @@
 	CF_DEFAULT_POLICY_WEIGHT = 50,
 };
 
+/* Stands for the line of an entry that comes from a checked snapshot. */
+enum { CF_LINE_KEPT = -1 };
+
 #define CF_TIME_LIMIT (24 * BA_HOUR)
 #define CF_DEFAULT_TIMEOUT (10 * BA_SECOND)
 #define CF_DEFAULT_CONVERGENCE (6 * BA_SECOND)
@@ -55,7 +58,9 @@
 
 /**
  * struct cf_draft - a snapshot under construction: entries in any order,
- * services named and not yet found
+ * services named and not yet found; names of services that routes and rows
+ * refer to are borrowed until the draft is finished
+ * @by_path: the routes in the order of path and method, once they are sorted
  */
 struct cf_draft {
 	uint64_t version;
@@ -63,6 +68,7 @@
 	GArray *services;
 	GArray *routes;
 	GArray *rows;
+	GPtrArray *by_path;
 	struct cf_policy policy;
 };
 
@@ -86,6 +92,9 @@
 /** cf_draft_policy() - set all of the policy but its rows */
 void cf_draft_policy(struct cf_draft *d, const struct cf_policy *p);
 
+/** cf_draft_keep() - a copy of @text that lives as long as the snapshot */
+const char *cf_draft_keep(struct cf_draft *d, const char *text);
+
 /**
  * cf_draft_finish() - sort, check every rule, and make the snapshot
  * @problems: every rule that is broken
@@ -97,7 +106,7 @@
 struct cf_snapshot *cf_draft_finish(struct cf_draft *d,
 				    struct ba_problems *problems);
 
-/** cf_check() - check the rules of a sorted draft */
+/** cf_check() - check the rules of a sorted draft with services found */
 void cf_check(const struct cf_draft *d, struct ba_problems *problems);
 
 /** cf_draft_service_find() - index in a sorted draft, or %CF_NO_SERVICE */
--- a/config/cf_parse.c
+++ b/config/cf_parse.c
@@ -240,7 +240,7 @@
 			.idempotent = v.idempotent,
 		};
 
-		cf_draft_route(d, &r, v.service, table->line);
+		cf_draft_route(d, &r, cf_draft_keep(d, v.service), table->line);
 	}
 	ba_settings_free(route_keys, &v);
 }
@@ -301,7 +301,7 @@
 			r.deadline = at == CF_NO_SERVICE
 					     ? CF_DEFAULT_TIMEOUT
 					     : base->services[at].timeout;
-		cf_draft_row(d, &r, v.service, table->line);
+		cf_draft_row(d, &r, cf_draft_keep(d, v.service), table->line);
 	}
 	ba_settings_free(row_keys, &v);
 }
@@ -321,7 +321,8 @@
 		const char *name = base->services[i].name;
 
 		if (g_hash_table_contains(names, name))
-			cf_draft_row(d, &base->policy.rows[i], name, 0);
+			cf_draft_row(d, &base->policy.rows[i], name,
+				     CF_LINE_KEPT);
 	}
 	g_hash_table_destroy(names);
 }
@@ -329,11 +330,12 @@
 static void keep_services(const struct cf_snapshot *base, struct cf_draft *d)
 {
 	for (size_t i = 0; i < base->n_services; i++)
-		cf_draft_service(d, &base->services[i], 0);
+		cf_draft_service(d, &base->services[i], CF_LINE_KEPT);
 	for (size_t i = 0; i < base->n_routes; i++) {
 		const struct cf_route *r = &base->routes[i];
 
-		cf_draft_route(d, r, base->services[r->service].name, 0);
+		cf_draft_route(d, r, base->services[r->service].name,
+			       CF_LINE_KEPT);
 	}
 }
 
