report: each breach is an event, and an answer's bytes and id are compared

Cause: the report named no event for a breach, and the check of answers looked only at whether they had ended; an answer to another's request passed it.

Change: event 6011 names call, key and counter of each breach. Bytes passed on are compared with the length that the answer named, and X-Request-Id, where a backend server repeats it, with the request's; the stand-ins send and repeat it, so that the fault wrong-id shows.

Ruled out: a check of my own beside da_audit, written at the same time; it was dropped, and these two checks went into da_audit.

Conclusion: a double run by two daemons is still seen by the stand-ins' own counts only.

--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -108,6 +108,9 @@
 	[CL_EV_LIMIT] =
 		{"limit", BA_INFO,
 		 "The concurrency limit of a backend server was changed."},
+	[CL_EV_BREACH] =
+		{"breach", BA_ERROR,
+		 "A second look at a call found a promise broken; the counter is named."},
 	[RT_EV_DAY_CLOSED] = {"day-closed", BA_NOTICE,
 			      "The figures of a day are complete."},
 	[RT_EV_FIGURES] = {"figures", BA_DEBUG, "Figures were taken in."},
--- a/bench/backend_main.c
+++ b/bench/backend_main.c
@@ -109,7 +109,8 @@
 static enum MHD_Result answer(struct call *c, const char *url,
 			      const char *method);
 static enum MHD_Result answer_text(struct MHD_Connection *conn, int status,
-				   struct ba_buf *text, const char *load);
+				   struct ba_buf *text, const char *load,
+				   const char *id);
 static enum MHD_Result answer_download(struct call *c, const char *url,
 				       const char *load);
 static enum MHD_Result answer_counts(struct server *s,
@@ -338,18 +339,23 @@
 {
 	struct server *s = c->server;
 	struct ba_buf text = {0};
+	char *answered = g_strdup(c->id);
+	enum MHD_Result ret;
 	char load[16];
 
 	write_load(s, load);
 	if (c->status == MHD_HTTP_OK && !c->probe && s->download_bytes &&
-	    !strcmp(method, "GET"))
+	    !strcmp(method, "GET")) {
+		g_free(answered);
 		return answer_download(c, url, load);
+	}
 	if (c->status == MHD_HTTP_OK && !c->probe) {
-		const char *id = c->id;
-
-		if (s->fault == FAULT_WRONG_ID && s->last_id)
-			id = s->last_id;
-		bn_answer_write(&text, s->service, id, (size_t)s->answer_bytes);
+		if (s->fault == FAULT_WRONG_ID && s->last_id) {
+			g_free(answered);
+			answered = g_strdup(s->last_id);
+		}
+		bn_answer_write(&text, s->service, answered,
+				(size_t)s->answer_bytes);
 		if (s->fault == FAULT_SHORT)
 			text.len /= 2;
 		g_free(s->last_id);
@@ -360,17 +366,22 @@
 		ba_buf_addf(&text, "{\"draining\":%s,\"load\":\"%s\"}\n",
 			    s->draining ? "true" : "false", load);
 	}
-	return answer_text(c->conn, c->status, &text, load);
+	ret = answer_text(c->conn, c->status, &text, load, answered);
+	g_free(answered);
+	return ret;
 }
 
 static enum MHD_Result answer_text(struct MHD_Connection *conn, int status,
-				   struct ba_buf *text, const char *load)
+				   struct ba_buf *text, const char *load,
+				   const char *id)
 {
 	struct MHD_Response *r = MHD_create_response_from_buffer(
 		text->len, text->data, MHD_RESPMEM_MUST_COPY);
 	enum MHD_Result ret;
 
 	MHD_add_response_header(r, BN_LOAD_HEADER, load);
+	if (*id)
+		MHD_add_response_header(r, BN_ID_HEADER, id);
 	if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
 		MHD_add_response_header(r, "Retry-After", "1");
 	ret = MHD_queue_response(conn, (unsigned int)status, r);
@@ -431,7 +442,7 @@
 		comma = ",";
 	}
 	ba_buf_addf(&text, "}}\n");
-	return answer_text(conn, MHD_HTTP_OK, &text, "0/0");
+	return answer_text(conn, MHD_HTTP_OK, &text, "0/0", "");
 }
 
 /* Only "bytes=N-" is known; any other range gets the whole download. */
--- a/bench/bn.h
+++ b/bench/bn.h
@@ -30,6 +30,7 @@
 #define BN_TIME_LEFT_HEADER "X-Caraway-Time-Left"
 #define BN_LOAD_HEADER "X-Caraway-Load"
 #define BN_KEY_HEADER "Idempotency-Key"
+#define BN_ID_HEADER "X-Request-Id"
 #define BN_HOMES_HEADER "X-Caraway-Key-Homes"
 
 /** bn_answer_write() - append the answer to request @id, @pad bytes longer */
--- a/bench/bn_http.c
+++ b/bench/bn_http.c
@@ -93,6 +93,8 @@
 		curl_easy_setopt(t->easy, CURLOPT_POSTFIELDS, r->body);
 	if (r->key)
 		add_header(t, BN_KEY_HEADER, r->key);
+	if (r->id)
+		add_header(t, BN_ID_HEADER, r->id);
 	if (r->time_left > 0) {
 		long ms = (long)(r->time_left / BA_MS);
 
--- a/bench/bn_http.h
+++ b/bench/bn_http.h
@@ -33,6 +33,7 @@
  * @url: where to; the owner keeps it until @done
  * @method: HTTP method
  * @key: Idempotency-Key, or NULL
+ * @id: sent as X-Request-Id, or NULL
  * @body: of the request, or NULL
  * @time_left: told to the daemon and kept as timeout, 0 for none
  * @status: HTTP status
@@ -46,6 +47,7 @@
 	const char *url;
 	const char *method;
 	const char *key;
+	const char *id;
 	const char *body;
 	ba_time time_left;
 	enum bn_transport transport;
--- a/bench/caller_main.c
+++ b/bench/caller_main.c
@@ -369,6 +369,7 @@
 	k->attempts++;
 	snprintf(k->url, sizeof(k->url), "http://%s%s?id=%s",
 		 k->caller->daemons[k->daemon], k->path, k->id);
+	k->request.id = k->id;
 	k->request.time_left = k->deadline - ba_clock_now();
 	bn_http_send(k->caller->http, &k->request);
 }
--- a/prog/da_audit.c
+++ b/prog/da_audit.c
@@ -2,10 +2,18 @@
 #include <string.h>
 
 #include "base/ba_digest.h"
+#include "base/ba_event.h"
 #include "prog/da_audit.h"
 #include "report/rt.h"
 
-enum { KEYS_KEPT = 65536, STATUS_OVERLOADED = 503 };
+enum {
+	KEYS_KEPT = 65536,
+	STATUS_OVERLOADED = 503,
+	STATUS_NO_CONTENT = 204,
+	STATUS_NOT_MODIFIED = 304,
+};
+
+#define REQUEST_ID "X-Request-Id"
 
 /*
  * Hashes of the last keys that were handed over, by the order in which they
@@ -20,6 +28,10 @@
 	size_t next;
 } keys = {.lock = PTHREAD_MUTEX_INITIALIZER};
 
+static bool is_wrong(const struct da_call *c);
+static bool has_named_length(const struct da_call *c);
+static bool is_anothers(const struct da_call *c);
+static void breach(const struct da_call *c, enum rt_counter id);
 static bool remember(uint64_t hash);
 static void forget(uint64_t hash);
 static uint64_t hash_of(const struct da_call *c);
@@ -29,13 +41,13 @@
 	const struct da_tables *t = c->w->tables;
 
 	if (t->draining && c->arrived > t->work_deadline)
-		rt_count(RT_WORK_WHILE_DRAINING, 1);
+		breach(c, RT_WORK_WHILE_DRAINING);
 	if (!c->key)
 		return;
 	rt_count(RT_KEYED_CALLS, 1);
 	rt_count(RT_KEYED_CHECKED, 1);
 	if (!remember(hash_of(c)))
-		rt_count(RT_DOUBLE_RUNS, 1);
+		breach(c, RT_DOUBLE_RUNS);
 }
 
 void da_audit_attempt(struct da_call *c, const struct da_end *end)
@@ -56,20 +68,57 @@
 		if (c->from_peer)
 			break;
 		rt_count(RT_ANSWERS_CHECKED, 1);
-		if (!c->answer.whole || c->answer.broken)
-			rt_count(RT_ANSWERS_WRONG, 1);
+		if (is_wrong(c))
+			breach(c, RT_ANSWERS_WRONG);
 		break;
 	case CL_OUT_NOT_RUN:
 		if (!c->from_peer)
 			rt_count(RT_NOT_RUN_CHECKED, 1);
 		if (c->handed)
-			rt_count(RT_FALSE_NOT_RUN, 1);
+			breach(c, RT_FALSE_NOT_RUN);
 		break;
 	case CL_OUT_MAY_HAVE_RUN:
 		break;
 	}
 }
 
+/* The bytes that went out or wait to, against what the head named. */
+static bool is_wrong(const struct da_call *c)
+{
+	const struct da_answer *a = &c->answer;
+	uint64_t total = c->passed + (a->data.len - a->taken);
+
+	return !a->whole || a->broken || is_anothers(c) ||
+	       (has_named_length(c) && total != (uint64_t)a->length);
+}
+
+static bool has_named_length(const struct da_call *c)
+{
+	return c->answer.length >= 0 && strcmp(c->method, "HEAD") != 0 &&
+	       c->answer.status != STATUS_NO_CONTENT &&
+	       c->answer.status != STATUS_NOT_MODIFIED;
+}
+
+/*
+ * A backend server that repeats the id of a request must repeat this one;
+ * a key that was sent again gets its first answer, with the first id.
+ */
+static bool is_anothers(const struct da_call *c)
+{
+	const char *asked = da_headers_get(&c->headers, REQUEST_ID);
+	const char *answered = da_headers_get(&c->answer.headers, REQUEST_ID);
+
+	return !c->key && asked && answered && strcmp(asked, answered) != 0;
+}
+
+static void breach(const struct da_call *c, enum rt_counter id)
+{
+	rt_count(id, 1);
+	ba_event(CL_EV_BREACH, "call=%s service=%s counter=%s key=%s", c->id,
+		 c->service ? c->service : "-", rt_counter_name(id),
+		 c->key ? c->key : "-");
+}
+
 /* Whether the hash is new; the oldest one makes room for it. */
 static bool remember(uint64_t hash)
 {
--- a/prog/da_call.c
+++ b/prog/da_call.c
@@ -100,6 +100,7 @@
 {
 	struct da_answer *a = &c->answer;
 
+	c->passed += bytes;
 	if (a->taken == a->data.len) {
 		a->taken = 0;
 		a->data.len = 0;
--- a/prog/da_call.h
+++ b/prog/da_call.h
@@ -60,6 +60,7 @@
  * @granted: a slot was given, the note of it is on its way to the worker
  * @orphan: its front has gone
  * @started: the head of the answer has gone out
+ * @passed: bytes of the answer that have gone out
  * @result: result code, %BA_OK while it is going well
  */
 struct da_call {
@@ -111,6 +112,7 @@
 	struct cl_answer check;
 	char *part_etag;
 	char *part_range;
+	uint64_t passed;
 	int result;
 };
 
