--- a/replica/rp_codec.c
+++ b/replica/rp_codec.c
@@ -6,29 +6,36 @@
 #include "replica/rp_codec.h"
 #include "wire/rp.pb-c.h"
 
-typedef void (*encoder)(const struct rp_message *m, const struct rp_log *log,
-			const struct ba_buf *state, struct ba_buf *out);
+/*
+ * What messages take their content from.
+ * @log: entries of an append
+ * @state: snapshot of an installation, in pieces of @chunk bytes
+ */
+struct content {
+	const struct rp_log *log;
+	const struct ba_buf *state;
+	size_t chunk;
+};
+
+typedef void (*encoder)(const struct rp_message *m, const struct content *from,
+			struct ba_buf *out);
 typedef bool (*decoder)(const RpMessage *raw, struct rp_received *out);
 
 static void encode_vote_request(const struct rp_message *m,
-				const struct rp_log *log,
-				const struct ba_buf *state, struct ba_buf *out);
+				const struct content *from, struct ba_buf *out);
 static void encode_vote_reply(const struct rp_message *m,
-			      const struct rp_log *log,
-			      const struct ba_buf *state, struct ba_buf *out);
-static void encode_append(const struct rp_message *m, const struct rp_log *log,
-			  const struct ba_buf *state, struct ba_buf *out);
+			      const struct content *from, struct ba_buf *out);
+static void encode_append(const struct rp_message *m,
+			  const struct content *from, struct ba_buf *out);
 static void encode_append_reply(const struct rp_message *m,
-				const struct rp_log *log,
-				const struct ba_buf *state, struct ba_buf *out);
-static void encode_install(const struct rp_message *m, const struct rp_log *log,
-			   const struct ba_buf *state, struct ba_buf *out);
+				const struct content *from, struct ba_buf *out);
+static void encode_install(const struct rp_message *m,
+			   const struct content *from, struct ba_buf *out);
 static void encode_install_reply(const struct rp_message *m,
-				 const struct rp_log *log,
-				 const struct ba_buf *state,
+				 const struct content *from,
 				 struct ba_buf *out);
-static void encode_probe(const struct rp_message *m, const struct rp_log *log,
-			 const struct ba_buf *state, struct ba_buf *out);
+static void encode_probe(const struct rp_message *m, const struct content *from,
+			 struct ba_buf *out);
 static bool decode_vote_request(const RpMessage *raw, struct rp_received *out);
 static bool decode_vote_reply(const RpMessage *raw, struct rp_received *out);
 static bool decode_append(const RpMessage *raw, struct rp_received *out);
@@ -60,9 +67,12 @@
 };
 
 void rp_message_encode(const struct rp_message *m, const struct rp_log *log,
-		       const struct ba_buf *state, struct ba_buf *out)
+		       const struct ba_buf *state, size_t chunk,
+		       struct ba_buf *out)
 {
-	encoders[m->type](m, log, state, out);
+	const struct content from = {log, state, chunk};
+
+	encoders[m->type](m, &from, out);
 }
 
 int rp_message_decode(const void *data, size_t len, struct rp_received *out)
@@ -92,14 +102,12 @@
 }
 
 static void encode_vote_request(const struct rp_message *m,
-				const struct rp_log *log,
-				const struct ba_buf *state, struct ba_buf *out)
+				const struct content *from, struct ba_buf *out)
 {
 	RpVoteRequest body = RP_VOTE_REQUEST__INIT;
 	RpMessage raw = RP_MESSAGE__INIT;
 
-	(void)log;
-	(void)state;
+	(void)from;
 	body.term = m->term;
 	body.last_index = m->index;
 	body.last_term = m->log_term;
@@ -111,14 +119,12 @@
 }
 
 static void encode_vote_reply(const struct rp_message *m,
-			      const struct rp_log *log,
-			      const struct ba_buf *state, struct ba_buf *out)
+			      const struct content *from, struct ba_buf *out)
 {
 	RpVoteReply body = RP_VOTE_REPLY__INIT;
 	RpMessage raw = RP_MESSAGE__INIT;
 
-	(void)log;
-	(void)state;
+	(void)from;
 	body.term = m->term;
 	body.granted = m->granted;
 	body.pre = m->pre;
@@ -128,17 +134,17 @@
 	pack(&raw, out);
 }
 
-static void encode_append(const struct rp_message *m, const struct rp_log *log,
-			  const struct ba_buf *state, struct ba_buf *out)
+static void encode_append(const struct rp_message *m,
+			  const struct content *from, struct ba_buf *out)
 {
 	RpAppend body = RP_APPEND__INIT;
 	RpMessage raw = RP_MESSAGE__INIT;
 	RpEntry *entries = g_new(RpEntry, m->n_entries + 1);
 	RpEntry **list = g_new(RpEntry *, m->n_entries + 1);
 
-	(void)state;
 	for (size_t i = 0; i < m->n_entries; i++) {
-		const struct rp_entry *e = rp_log_get(log, m->index + 1 + i);
+		const struct rp_entry *e =
+			rp_log_get(from->log, m->index + 1 + i);
 
 		rp_entry__init(&entries[i]);
 		entries[i].index = e->index;
@@ -163,14 +169,12 @@
 }
 
 static void encode_append_reply(const struct rp_message *m,
-				const struct rp_log *log,
-				const struct ba_buf *state, struct ba_buf *out)
+				const struct content *from, struct ba_buf *out)
 {
 	RpAppendReply body = RP_APPEND_REPLY__INIT;
 	RpMessage raw = RP_MESSAGE__INIT;
 
-	(void)log;
-	(void)state;
+	(void)from;
 	body.term = m->term;
 	body.accepted = m->accepted;
 	body.match_index = m->index;
@@ -183,21 +187,20 @@
 	pack(&raw, out);
 }
 
-static void encode_install(const struct rp_message *m, const struct rp_log *log,
-			   const struct ba_buf *state, struct ba_buf *out)
+static void encode_install(const struct rp_message *m,
+			   const struct content *from, struct ba_buf *out)
 {
 	RpInstall body = RP_INSTALL__INIT;
 	RpMessage raw = RP_MESSAGE__INIT;
-	size_t at = MIN((size_t)m->offset, state->len);
+	size_t at = MIN((size_t)m->offset, from->state->len);
 
-	(void)log;
 	body.term = m->term;
 	body.last_index = m->index;
 	body.last_term = m->log_term;
 	body.offset = m->offset;
-	body.chunk.data = state->data + at;
-	body.chunk.len = MIN(state->len - at, (size_t)RP_CHUNK_BYTES);
-	body.done = at + body.chunk.len == state->len;
+	body.chunk.data = from->state->data + at;
+	body.chunk.len = MIN(from->state->len - at, from->chunk);
+	body.done = at + body.chunk.len == from->state->len;
 	body.round = m->round;
 	raw.body_case = RP_MESSAGE__BODY_INSTALL;
 	raw.install = &body;
@@ -205,14 +208,12 @@
 }
 
 static void encode_install_reply(const struct rp_message *m,
-				 const struct rp_log *log,
-				 const struct ba_buf *state, struct ba_buf *out)
+				 const struct content *from, struct ba_buf *out)
 {
 	RpInstallReply body = RP_INSTALL_REPLY__INIT;
 	RpMessage raw = RP_MESSAGE__INIT;
 
-	(void)log;
-	(void)state;
+	(void)from;
 	body.term = m->term;
 	body.last_index = m->index;
 	body.offset = m->offset;
@@ -223,14 +224,13 @@
 	pack(&raw, out);
 }
 
-static void encode_probe(const struct rp_message *m, const struct rp_log *log,
-			 const struct ba_buf *state, struct ba_buf *out)
+static void encode_probe(const struct rp_message *m, const struct content *from,
+			 struct ba_buf *out)
 {
 	RpProbe body = RP_PROBE__INIT;
 	RpMessage raw = RP_MESSAGE__INIT;
 
-	(void)log;
-	(void)state;
+	(void)from;
 	body.disk_id = (char *)m->disk_id;
 	body.formed = m->formed;
 	body.answer = m->answer;
--- a/replica/rp_codec.h
+++ b/replica/rp_codec.h
@@ -21,9 +21,11 @@
  * rp_message_encode() - append a packed RpMessage
  * @log: where the entries of an append are
  * @state: where the chunk of an installation is
+ * @chunk: most bytes of a chunk
  */
 void rp_message_encode(const struct rp_message *m, const struct rp_log *log,
-		       const struct ba_buf *state, struct ba_buf *out);
+		       const struct ba_buf *state, size_t chunk,
+		       struct ba_buf *out);
 
 /**
  * rp_message_decode() - read a packed RpMessage
--- a/replica/rp_node.c
+++ b/replica/rp_node.c
@@ -11,6 +11,7 @@
 enum {
 	DEFAULT_SNAPSHOT_ENTRIES = 4096,
 	DEFAULT_KEEP_ENTRIES = 1024,
+	DEFAULT_CHUNK_BYTES = 512 * 1024,
 	KEEP_LIMIT_BYTES = 8 * 1024 * 1024,
 	LOG_LIMIT_BYTES = 32 * 1024 * 1024,
 	WAITERS_LIMIT = 1024,
@@ -103,6 +104,8 @@
 		n->o.snapshot_entries = DEFAULT_SNAPSHOT_ENTRIES;
 	if (!n->o.keep_entries)
 		n->o.keep_entries = DEFAULT_KEEP_ENTRIES;
+	if (!n->o.chunk_bytes)
+		n->o.chunk_bytes = DEFAULT_CHUNK_BYTES;
 	ba_list_init(&n->waiters);
 	ret = o->store->ops->load(o->store, &r);
 	if (!ret && r.damaged && o->core.n_names == 1)
@@ -357,7 +360,7 @@
 
 	(void)now;
 	rp_message_encode(&a->message, rp_core_log(n->core), &n->state,
-			  &packed);
+			  n->o.chunk_bytes, &packed);
 	n->o.owner->send(n->o.owner, a->to, packed.data, packed.len);
 	ba_buf_free(&packed);
 	return BA_OK;
--- a/replica/rp_node.h
+++ b/replica/rp_node.h
@@ -46,6 +46,7 @@
  * @store: taken over, also on failure
  * @snapshot_entries: entries between two snapshots, 0 for the default
  * @keep_entries: most entries kept before a snapshot, 0 for the default
+ * @chunk_bytes: pieces that a snapshot is sent in, 0 for the default
  */
 struct rp_node_options {
 	struct rp_core_options core;
@@ -53,6 +54,7 @@
 	struct rp_node_owner *owner;
 	size_t snapshot_entries;
 	size_t keep_entries;
+	size_t chunk_bytes;
 };
 
 /**
--- a/test/rp_test.cc
+++ b/test/rp_test.cc
@@ -264,6 +264,52 @@
 	EXPECT_EQ(version(w, w.leader()), kept);
 }
 
+/* Restart every replica, one at a time, with settings that name @known. */
+void rename_replicas(world &w, int known)
+{
+	w.known = known;
+	for (int i = 0; i < known; i++) {
+		w.crash(i);
+		w.start(i);
+		ASSERT_GE(wait_leader(w), 0);
+		w.run(w.now + 2 * BA_SECOND);
+	}
+}
+
+TEST(RpMembers, ComeAndGoOneAtATimeWithTheSettings)
+{
+	world w(17, 5);
+	size_t members;
+
+	for (int i = 0; i < 5; i++) {
+		w.crash(i);
+		w.new_disk(i);
+	}
+	w.known = 3;
+	for (int i = 0; i < 3; i++)
+		w.start(i);
+	ASSERT_GE(wait_leader(w), 0);
+	w.submit(w.leader(), "kept", 0, 1);
+	rename_replicas(w, 5);
+	w.run(w.now + 5 * BA_SECOND);
+	ASSERT_GE(w.leader(), 0);
+	EXPECT_TRUE(w.repaired());
+	EXPECT_GT(version(w, 4), 0u);
+	w.crash(0);
+	w.crash(1);
+	w.run(w.now + 5 * BA_SECOND);
+	EXPECT_GE(w.leader(), 2);
+	rename_replicas(w, 3);
+	w.crash(3);
+	w.crash(4);
+	w.run(w.now + 5 * BA_SECOND);
+	ASSERT_GE(w.leader(), 0);
+	members = rp_machine_members(w.machine(w.leader()))->n;
+	EXPECT_EQ(members, 3u);
+	EXPECT_GT(version(w, w.leader()), 0u);
+	EXPECT_EQ(w.violation, "");
+}
+
 TEST(RpSubmission, OfEqualBasesExactlyOneWins)
 {
 	world w(7, 3);
--- a/test/rp_world.h
+++ b/test/rp_world.h
@@ -192,6 +192,7 @@
 	enum fault fault;
 	struct rp_times times = rp_times_default;
 	int n;
+	int known; /* how many the settings name */
 	ba_time now = BA_SECOND;
 	uint64_t order = 0;
 	unsigned int lost_percent = 0;
@@ -213,7 +214,7 @@
 	std::set<uint64_t> accepted; /* versions told to operators */
 
 	world(uint64_t seed, int n, enum fault f = NO_FAULT)
-	    : rand{seed}, fault(f), n(n)
+	    : rand{seed}, fault(f), n(n), known(n)
 	{
 		static const char *const list[] = {"s1", "s2", "s3", "s4",
 						   "s5"};
@@ -393,7 +394,7 @@
 	r.owner = {on_send, on_applied, on_published, on_outcome, on_role};
 	o.core.names = names.data();
 	o.core.addresses = addresses.data();
-	o.core.n_names = (size_t)n;
+	o.core.n_names = (size_t)known;
 	o.core.self = i;
 	o.core.times = times;
 	o.core.seed = ba_rand_next(&rand);
@@ -401,6 +402,7 @@
 	o.owner = &r.owner;
 	o.snapshot_entries = snapshot_entries;
 	o.keep_entries = 3;
+	o.chunk_bytes = 150;
 	if (rp_node_new(&o, now, nullptr, &r.node))
 		fail("a replica did not start");
 }
@@ -448,7 +450,7 @@
 		m.accepted = true;
 		m.index = r.message.index + r.message.n_entries;
 		strcpy(m.disk_id, all[to]->store.disk_id.c_str());
-		rp_message_encode(&m, nullptr, nullptr, &out);
+		rp_message_encode(&m, nullptr, nullptr, 0, &out);
 		packets.push({now + 1, ++order, to, from,
 			      std::string((char *)out.data, out.len)});
 	}
