--- a/base/ba_result.c
+++ b/base/ba_result.c
@@ -41,8 +41,8 @@
 		 0, EXIT_UNAVAILABLE},
 	[BA_FOLDER_UNWRITABLE] =
 		{"folder-unwritable", "The data folder cannot be written.",
-		 "Create it and give its owner write permission.", 0,
-		 EXIT_UNAVAILABLE},
+		 "Create it, give its owner write permission, and end any other process that uses it.",
+		 0, EXIT_UNAVAILABLE},
 	[BA_DISK_FULL] = {"disk-full", "The data folder has no space left.",
 			  "Free space; nothing is accepted until then.", 503,
 			  EXIT_UNAVAILABLE},
--- a/prog/caraway-source.c
+++ b/prog/caraway-source.c
@@ -25,8 +25,9 @@
 	{0},
 };
 
-static int check_replicas(const struct so_settings *st);
-static int refuse(const char *key, const char *expected, int code);
+static void check(const struct pr_common *common, struct ba_problems *problems);
+static void check_names(const struct so_settings *st,
+			struct ba_problems *problems);
 static int run(struct so_source *s);
 static int start_failed(const struct so_settings *st, int code);
 static void on_signal(int signo, void *arg);
@@ -36,13 +37,12 @@
 	struct so_settings settings = {0};
 	struct wi_identity identity = {0};
 	struct so_source source = {0};
-	int ret = pr_start(argc, argv, WI_SOURCE, keys, &settings.common,
-			   &identity);
+	int ret;
 
-	if (ret < 0)
-		ret = check_replicas(&settings);
+	settings.common.check = check;
+	ret = pr_start(argc, argv, WI_SOURCE, keys, &settings.common,
+		       &identity);
 	if (ret >= 0) {
-		ba_event_close();
 		ba_settings_free(keys, &settings);
 		return ret;
 	}
@@ -56,38 +56,46 @@
 	return ret;
 }
 
-/* What one key cannot say about itself: -1 to go on, or the exit status. */
-static int check_replicas(const struct so_settings *st)
+static void check(const struct pr_common *common, struct ba_problems *problems)
 {
-	bool found = false;
+	const struct so_settings *st = (const struct so_settings *)common;
 
 	if (st->names.n != st->addresses.n)
-		return refuse("replicas.addresses", "one for each name",
-			      BA_RANGE_WRONG);
+		ba_problem_add(problems, BA_RANGE_WRONG, 0,
+			       "replicas.addresses", "one for each name");
 	if (!st->names.n || st->names.n > RP_MEMBERS_LIMIT)
-		return refuse("replicas.names", "1 to 9 names", BA_RANGE_WRONG);
-	for (size_t i = 0; i < st->names.n; i++) {
-		found |= !strcmp(st->names.list[i], st->common.instance_name);
-		for (size_t j = 0; j < i; j++)
-			if (!strcmp(st->names.list[i], st->names.list[j]))
-				return refuse("replicas.names",
-					      "each name once",
-					      CF_DUPLICATE_NAME);
-	}
-	if (!found)
-		return refuse("replicas.names", "instance.name among them",
-			      RP_NOT_A_MEMBER);
-	return -1;
+		ba_problem_add(problems, BA_RANGE_WRONG, 0, "replicas.names",
+			       "1 to %d names", RP_MEMBERS_LIMIT);
+	if (!g_file_test(st->operators_folder, G_FILE_TEST_IS_DIR))
+		ba_problem_add(problems, BA_FILE_UNREADABLE, 0,
+			       "source.operators_folder",
+			       "a folder of files NAME.key");
+	check_names(st, problems);
 }
 
-static int refuse(const char *key, const char *expected, int code)
+static void check_names(const struct so_settings *st,
+			struct ba_problems *problems)
 {
-	const struct ba_result_info *info = ba_result_info(code);
+	bool found = false;
 
-	ba_event(BA_EV_SETTINGS_REFUSED, "key=%s code=%d", key, code);
-	fprintf(stderr, "%s: %s (%s; %d %s)\n", key, info->text, expected, code,
-		info->name);
-	return info->exit_code;
+	for (size_t i = 0; i < st->names.n; i++) {
+		const char *name = st->names.list[i];
+
+		found |= !strcmp(name, st->common.instance_name);
+		if (strlen(name) >= RP_NAME_BYTES)
+			ba_problem_add(problems, CF_NAME_WRONG, 0,
+				       "replicas.names", "%d bytes at most",
+				       RP_NAME_BYTES - 1);
+		for (size_t j = 0; j < i; j++)
+			if (!strcmp(name, st->names.list[j]))
+				ba_problem_add(problems, CF_DUPLICATE_NAME, 0,
+					       "replicas.names", "\"%s\" once",
+					       name);
+	}
+	if (!found)
+		ba_problem_add(problems, RP_NOT_A_MEMBER, 0, "replicas.names",
+			       "instance.name, \"%s\", among them",
+			       st->common.instance_name);
 }
 
 static int run(struct so_source *s)
@@ -121,7 +129,9 @@
 		return pr_listen_failed(&st->address);
 	if (code == BA_FILE_UNREADABLE || code == BA_TYPE_WRONG)
 		what = st->operators_folder;
-	ba_event(RP_EV_LOG_DAMAGED, "folder=%s code=%d", what, code);
+	ba_event(code == RP_LOG_DAMAGED ? RP_EV_LOG_DAMAGED
+					: BA_EV_SETTINGS_REFUSED,
+		 "folder=%s code=%d", what, code);
 	fprintf(stderr, "%s: %s %s (%d %s)\n", what, info->text,
 		info->next_step, code, info->name);
 	return info->exit_code;
--- a/prog/pr.c
+++ b/prog/pr.c
@@ -142,6 +142,8 @@
 		check_level(s, &problems);
 	if (s->mesh_key_file)
 		check_key(s, id, &problems);
+	if (!problems.n && s->check)
+		s->check(s, &problems);
 	if (problems.n) {
 		ba_problems_format(&problems, &text);
 		fputs(ba_buf_text(&text), stderr);
--- a/prog/pr.h
+++ b/prog/pr.h
@@ -5,6 +5,7 @@
 #define PR_H
 
 #include "base/ba_loop.h"
+#include "base/ba_problem.h"
 #include "base/ba_settings.h"
 #include "base/ba_unit.h"
 #include "wire/wi_session.h"
@@ -12,6 +13,8 @@
 /**
  * struct pr_common - settings that every daemon program has; embed it first
  * @metrics: where counters are served over HTTP; empty when not wanted
+ * @check: set by the program before pr_start(), or NULL: what one key cannot
+ *	tell, once all keys have been read without a problem
  */
 struct pr_common {
 	char *mesh_name;
@@ -22,6 +25,8 @@
 	char *log_file;
 	char *log_level;
 	struct ba_address metrics;
+	void (*check)(const struct pr_common *settings,
+		      struct ba_problems *problems);
 };
 
 /* The rows of the common settings, for a table of struct ba_key. */
