report: judge a change by the daemons that have a lease, not by those in reach

Cause: during a cut between the regions the leader logged versions as in force after 43 ms, with 8 of 14 daemons: it counted only the daemons that it could reach. The page showed a promise as held that was not looked at.

Change: relays tell how many daemons have a lease, as their endpoint tables know the whole mesh and keep a data centre that is cut off; the leader logs when fewer are in reach, and when all are again; a version is in force everywhere only on as many daemons as have a lease. Daemons in reach are judged from the acceptance, the others from the time they can be reached again; the page shows from when to when how many were out of reach.

--- a/prog/re_endpoint.c
+++ b/prog/re_endpoint.c
@@ -263,8 +263,10 @@
 
 static void schedule(struct re_relay *r)
 {
-	if (!r->batch_timer.slot &&
-	    ep_table_generation(r->table) != r->sent_generation)
+	if (ep_table_generation(r->table) == r->sent_generation)
+		return;
+	re_upstream_ack(r);
+	if (!r->batch_timer.slot)
 		ba_loop_arm(r->loop, &r->batch_timer,
 			    ba_loop_now(r->loop) + RE_BATCH_DELAY);
 }
--- a/prog/re_upstream.c
+++ b/prog/re_upstream.c
@@ -177,6 +177,7 @@
 		pointers[i] = &list[i];
 		m.daemons += counts[i].daemons;
 	}
+	m.live = (uint32_t)ep_table_live(r->table);
 	wi_send(s, DS_ACK, &m.base);
 }
 
--- a/prog/so.h
+++ b/prog/so.h
@@ -75,6 +75,7 @@
 	char *region;
 	uint64_t version;
 	uint32_t daemons;
+	uint32_t live;
 	char **behind;
 	ba_time heard;
 };
@@ -84,6 +85,7 @@
  * @heartbeat: of the leader among the replicas
  * @started: when it began, in time of ba_clock_now()
  * @proposed_in_force: newest version for which an entry was proposed
+ * @apart: whether the last such entry lacked daemons that have a lease
  */
 struct so_source {
 	struct wi_acceptor acceptor;
@@ -109,6 +111,7 @@
 	struct ds_feed *feed;
 	GHashTable *subscribers;
 	uint64_t proposed_in_force;
+	bool apart;
 	struct rt_figures *figures;
 	struct ba_timer figures_timer;
 	int exit_code;
--- a/prog/so_feed.c
+++ b/prog/so_feed.c
@@ -18,8 +18,9 @@
 static void subscriber_free(gpointer data);
 static gboolean is_forgotten(gpointer key, gpointer value, gpointer now);
 static void check_in_force(struct so_source *s, ba_time now);
-static void propose_in_force(struct so_source *s, uint64_t version,
-			     uint32_t daemons);
+static void propose_in_force(struct so_source *s, RtInForce *e, bool apart);
+static uint32_t count_live(struct so_source *s);
+static void tell_live(struct so_source *s);
 
 void so_feed_start(struct so_source *s)
 {
@@ -81,7 +82,7 @@
 {
 	struct so_source *s = ba_entry(o, struct so_source, feed_owner);
 
-	rp_node_summary(s->node, lowest, daemons);
+	rp_node_summary(s->node, lowest, daemons, count_live(s));
 	check_in_force(s, ba_loop_now(s->loop));
 }
 
@@ -96,8 +97,10 @@
 	if (r) {
 		r->version = m->n_counts ? m->counts[0]->version : m->version;
 		r->daemons = m->daemons;
+		r->live = m->live;
 		r->heard = ba_loop_now(c->source->loop);
 		set_behind(r, m);
+		tell_live(c->source);
 	}
 	ds_ack__free_unpacked(m, NULL);
 }
@@ -145,16 +148,45 @@
 	return *(ba_time *)now - r->heard > SUBSCRIBER_KEPT;
 }
 
+/* Each relay knows the leases of the whole mesh; only open sessions count. */
+static uint32_t count_live(struct so_source *s)
+{
+	GHashTableIter it;
+	gpointer value;
+	uint32_t live = 0;
+
+	g_hash_table_iter_init(&it, s->subscribers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct so_subscriber *r = value;
+
+		if (so_session_find(s, r->instance))
+			live = MAX(live, r->live);
+	}
+	return live;
+}
+
+static void tell_live(struct so_source *s)
+{
+	struct rp_peer_state own = rp_core_peer(rp_node_core(s->node), s->self);
+	uint32_t live = count_live(s);
+
+	if (live != own.live)
+		rp_node_summary(s->node, own.lowest, own.daemons, live);
+}
+
 /*
  * The leader adds up what the replicas' subscribers acknowledged.  A replica
- * that has been silent for long is left out: its relays go to others.
+ * that has been silent for long is left out: its relays go to others.  An
+ * entry is also due when daemons with a lease get out of reach, and when
+ * they are back.
  */
 static void check_in_force(struct so_source *s, ba_time now)
 {
 	const struct rp_core *core = rp_node_core(s->node);
 	const struct rp_machine *m = rp_node_machine(s->node);
+	RtInForce e = RT_IN_FORCE__INIT;
 	uint64_t lowest = UINT64_MAX;
-	uint32_t daemons = 0;
+	bool apart;
 
 	if (rp_core_accepting(core, now))
 		return;
@@ -162,31 +194,35 @@
 		struct rp_peer_state p = rp_core_peer(core, (int)i);
 		bool own = (int)i == s->self;
 
-		if (!p.daemons || (!own && now - p.heard > SUMMARY_AGE_LIMIT))
+		if (!own && now - p.heard > SUMMARY_AGE_LIMIT)
+			continue;
+		e.live = MAX(e.live, p.live);
+		if (!p.daemons)
 			continue;
 		lowest = MIN(lowest, p.lowest);
-		daemons += p.daemons;
+		e.daemons += p.daemons;
 	}
-	if (!daemons || lowest <= rp_machine_in_force(m) ||
-	    lowest <= s->proposed_in_force)
+	if (!e.daemons)
+		return;
+	apart = e.daemons < e.live;
+	if (apart == s->apart && (lowest <= rp_machine_in_force(m) ||
+				  lowest <= s->proposed_in_force))
 		return;
-	propose_in_force(s, MIN(lowest, rp_machine_current(m)->version),
-			 daemons);
+	e.version = MIN(lowest, rp_machine_current(m)->version);
+	propose_in_force(s, &e, apart);
 }
 
-static void propose_in_force(struct so_source *s, uint64_t version,
-			     uint32_t daemons)
+static void propose_in_force(struct so_source *s, RtInForce *e, bool apart)
 {
-	RtInForce m = RT_IN_FORCE__INIT;
 	uint8_t packed[64];
 	size_t len;
 
-	m.version = version;
-	m.daemons = daemons;
-	m.wall_us = (uint64_t)ba_clock_wall();
-	len = rt_in_force__pack(&m, packed);
-	if (!rp_node_propose(s->node, RP_ENTRY_KIND__RP_ENTRY_IN_FORCE, packed,
-			     len, ba_loop_now(s->loop)))
-		s->proposed_in_force = version;
+	e->wall_us = (uint64_t)ba_clock_wall();
+	len = rt_in_force__pack(e, packed);
+	if (rp_node_propose(s->node, RP_ENTRY_KIND__RP_ENTRY_IN_FORCE, packed,
+			    len, ba_loop_now(s->loop)))
+		return;
+	s->proposed_in_force = apart == s->apart || apart ? e->version : 0;
+	s->apart = apart;
 	so_source_rearm(s);
 }
--- a/prog/so_source.c
+++ b/prog/so_source.c
@@ -198,6 +198,7 @@
 	unsigned long long term = rp_core_term(rp_node_core(s->node));
 
 	s->proposed_in_force = 0;
+	s->apart = rt_days_apart(rp_machine_days(rp_node_machine(s->node)));
 	if (role == RP_LEADER)
 		ba_event(RP_EV_ELECTED, "term=%llu", term);
 	else if (reason == RP_NO_QUORUM)
--- a/replica/rp_codec.c
+++ b/replica/rp_codec.c
@@ -182,6 +182,7 @@
 	body.disk_id = (char *)m->disk_id;
 	body.lowest = m->lowest;
 	body.daemons = m->daemons;
+	body.live = m->live;
 	raw.body_case = RP_MESSAGE__BODY_APPEND_REPLY;
 	raw.append_reply = &body;
 	pack(&raw, out);
@@ -300,6 +301,7 @@
 	m->round = body->round;
 	m->lowest = body->lowest;
 	m->daemons = body->daemons;
+	m->live = body->live;
 	return take_disk_id(body->disk_id, out);
 }
 
--- a/replica/rp_core.c
+++ b/replica/rp_core.c
@@ -214,15 +214,18 @@
 		.heard = p->heard,
 		.lowest = p->lowest,
 		.daemons = p->daemons,
+		.live = p->live,
 	};
 
 	return s;
 }
 
-void rp_core_summary(struct rp_core *c, uint64_t lowest, uint32_t daemons)
+void rp_core_summary(struct rp_core *c, uint64_t lowest, uint32_t daemons,
+		     uint32_t live)
 {
 	c->peers[c->self].lowest = lowest;
 	c->peers[c->self].daemons = daemons;
+	c->peers[c->self].live = live;
 }
 
 void rp_actions_free(struct rp_actions *a)
--- a/replica/rp_core.h
+++ b/replica/rp_core.h
@@ -107,6 +107,7 @@
 	uint64_t offset;
 	uint64_t lowest;
 	uint32_t daemons;
+	uint32_t live;
 	char disk_id[RP_DISK_ID_BYTES];
 	struct rp_entry *const *entries;
 	size_t n_entries;
@@ -198,6 +199,7 @@
 	ba_time heard;
 	uint64_t lowest;
 	uint32_t daemons;
+	uint32_t live;
 };
 
 struct rp_core;
@@ -269,7 +271,8 @@
 struct rp_peer_state rp_core_peer(const struct rp_core *c, int i);
 
 /** rp_core_summary() - own acknowledgements, told to the leader */
-void rp_core_summary(struct rp_core *c, uint64_t lowest, uint32_t daemons);
+void rp_core_summary(struct rp_core *c, uint64_t lowest, uint32_t daemons,
+		     uint32_t live);
 
 /** rp_actions_free() - free the list */
 void rp_actions_free(struct rp_actions *a);
--- a/replica/rp_follow.c
+++ b/replica/rp_follow.c
@@ -172,6 +172,7 @@
 	reply->round = round;
 	reply->lowest = c->peers[c->self].lowest;
 	reply->daemons = c->peers[c->self].daemons;
+	reply->live = c->peers[c->self].live;
 }
 
 static void take_chunk(struct rp_core *c, int from, const struct rp_message *m,
--- a/replica/rp_internal.h
+++ b/replica/rp_internal.h
@@ -36,6 +36,7 @@
 	ba_time heard;
 	uint64_t lowest;
 	uint32_t daemons;
+	uint32_t live;
 };
 
 /**
--- a/replica/rp_lead.c
+++ b/replica/rp_lead.c
@@ -46,6 +46,7 @@
 		p->wait_deadline = 0;
 		p->lowest = i == c->self ? p->lowest : 0;
 		p->daemons = i == c->self ? p->daemons : 0;
+		p->live = i == c->self ? p->live : 0;
 	}
 	c->round = 0;
 	c->lease_until = now;
@@ -82,6 +83,7 @@
 		return;
 	p->lowest = m->lowest;
 	p->daemons = m->daemons;
+	p->live = m->live;
 	if (m->accepted) {
 		p->match = MAX(p->match, m->index);
 		p->next = MAX(p->next, p->match + 1);
--- a/replica/rp_machine.c
+++ b/replica/rp_machine.c
@@ -16,6 +16,7 @@
 			  struct rp_applied *out);
 static void apply_in_force(struct rp_machine *m, const struct rp_entry *e,
 			   struct rp_applied *out);
+static void mark_in_force(struct rp_machine *m, const RtInForce *f);
 static int decide(struct rp_machine *m, const RpSubmission *s,
 		  struct cf_snapshot **out);
 static void accept_version(struct rp_machine *m, const RpSubmission *s,
@@ -209,6 +210,15 @@
 		out->code = CF_ENCODING_WRONG;
 		return;
 	}
+	rt_days_in_force(m->days, f->version, f->daemons, f->live,
+			 (ba_time)f->wall_us);
+	if (f->daemons >= f->live)
+		mark_in_force(m, f);
+	rt_in_force__free_unpacked(f, NULL);
+}
+
+static void mark_in_force(struct rp_machine *m, const RtInForce *f)
+{
 	for (GList *l = m->versions.tail; l; l = l->prev) {
 		struct rp_version *v = l->data;
 
@@ -218,11 +228,8 @@
 			break;
 		v->in_force = (ba_time)f->wall_us;
 		v->daemons = f->daemons;
-		rt_days_in_force(m->days, v->version, f->daemons,
-				 (ba_time)f->wall_us);
 	}
 	m->in_force = MAX(m->in_force, f->version);
-	rt_in_force__free_unpacked(f, NULL);
 }
 
 static int decide(struct rp_machine *m, const RpSubmission *s,
--- a/replica/rp_node.c
+++ b/replica/rp_node.c
@@ -268,9 +268,10 @@
 	return n->machine;
 }
 
-void rp_node_summary(struct rp_node *n, uint64_t lowest, uint32_t daemons)
+void rp_node_summary(struct rp_node *n, uint64_t lowest, uint32_t daemons,
+		     uint32_t live)
 {
-	rp_core_summary(n->core, lowest, daemons);
+	rp_core_summary(n->core, lowest, daemons, live);
 }
 
 static int start_machine(struct rp_node *n, struct rp_recovered *r)
--- a/replica/rp_node.h
+++ b/replica/rp_node.h
@@ -118,7 +118,8 @@
 const struct rp_machine *rp_node_machine(const struct rp_node *n);
 
 /** rp_node_summary() - acknowledgements of the own subscribers */
-void rp_node_summary(struct rp_node *n, uint64_t lowest, uint32_t daemons);
+void rp_node_summary(struct rp_node *n, uint64_t lowest, uint32_t daemons,
+		     uint32_t live);
 
 #ifdef __cplusplus
 }
--- a/report/rt_day.c
+++ b/report/rt_day.c
@@ -79,22 +79,42 @@
 
 /* A version that was overtaken is in force with the one that overtook it. */
 void rt_days_in_force(struct rt_days *d, uint64_t version, uint32_t daemons,
-		      ba_time wall)
+		      uint32_t live, ba_time wall)
 {
 	RtDay *day = rt_day_get(d, (uint64_t)(wall / BA_MS));
+	bool apart = daemons < live;
+	bool grew = false;
 	size_t at;
 
 	if (daemons > day->most_daemons)
 		day->most_daemons = daemons;
+	if (apart)
+		grew = rt_outage_goes_on(d, live - daemons, wall);
+	else if (rt_days_apart(d))
+		rt_outage_ends(d, day, wall);
 	find_version(d->state, version + 1, &at);
 	while (at > 0 && !d->state->versions[at - 1]->in_force_us) {
 		RtVersion *v = d->state->versions[--at];
 
+		if (!v->reached_us) {
+			v->reached_us = (uint64_t)wall;
+			v->waited = grew;
+			v->daemons = daemons;
+		}
+		if (apart)
+			continue;
 		v->in_force_us = (uint64_t)wall;
 		v->daemons = daemons;
+		if (d->state->reach_us > v->accepted_us)
+			v->reach_us = d->state->reach_us;
 	}
 }
 
+bool rt_days_apart(const struct rt_days *d)
+{
+	return d->state->outage != NULL;
+}
+
 void rt_days_encode(const struct rt_days *d, struct ba_buf *out)
 {
 	ba_buf_reserve(out, rt_days__get_packed_size(d->state));
--- a/report/rt_day.h
+++ b/report/rt_day.h
@@ -6,6 +6,7 @@
 #ifndef RT_DAY_H
 #define RT_DAY_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -36,9 +37,20 @@
 void rt_days_accepted(struct rt_days *d, const struct cf_snapshot *s,
 		      ba_time wall);
 
-/** rt_days_in_force() - a version was in force on all @daemons at @wall */
+/**
+ * rt_days_in_force() - a version was in force on all daemons in reach
+ * @daemons: that are in reach
+ * @live: that have a lease, 0 when it is not known
+ *
+ * A version is in force everywhere once it is on as many daemons as have a
+ * lease.  While some are out of reach, the others are judged alone; for the
+ * rest the time starts anew when all can be reached again.
+ */
 void rt_days_in_force(struct rt_days *d, uint64_t version, uint32_t daemons,
-		      ba_time wall);
+		      uint32_t live, ba_time wall);
+
+/** rt_days_apart() - whether daemons with a lease are out of reach */
+bool rt_days_apart(const struct rt_days *d);
 
 /**
  * rt_days_json() - append the figures and verdicts of a day as JSON
--- a/report/rt_day_json.c
+++ b/report/rt_day_json.c
@@ -84,6 +84,7 @@
 
 	json_object_set_new(report, "promises", promises);
 	json_object_set_new(report, "versions", rt_versions_json(v));
+	json_object_set_new(report, "outages", rt_outages_json(v));
 	json_object_set_new(report, "control", control);
 	json_object_set_new(report, "calls", rt_calls_json(v));
 	json_object_set_new(report, "incidents", incidents_json(v->day));
--- a/report/rt_html.c
+++ b/report/rt_html.c
@@ -54,6 +54,7 @@
 static void add_calls(const struct rt_page *p, struct ba_buf *out);
 static void add_service(json_t *s, struct ba_buf *out);
 static void add_incidents(const struct rt_page *p, struct ba_buf *out);
+static void add_outages(const struct rt_page *p, struct ba_buf *out);
 static void add_unseen(const struct rt_page *p, struct ba_buf *out);
 static void add_escaped(struct ba_buf *out, const char *text);
 static const char *class_of(const char *state);
@@ -342,7 +343,27 @@
 			    (long long)rt_int(o, "count"),
 			    (long long)rt_int(o, "event"));
 	}
-	ba_buf_addf(out, "</table></div></section>\n");
+	ba_buf_addf(out, "</table></div>\n");
+	add_outages(p, out);
+	ba_buf_addf(out, "</section>\n");
+}
+
+static void add_outages(const struct rt_page *p, struct ba_buf *out)
+{
+	char from[RT_TEXT_BYTES];
+	char to[RT_TEXT_BYTES];
+	json_t *o;
+	size_t i;
+
+	json_array_foreach (rt_get(p->root, "outages"), i, o)
+		ba_buf_addf(out,
+			    "<p>%lld daemons were out of reach from %s to %s; "
+			    "their time counts from then on.</p>\n",
+			    (long long)rt_int(o, "daemons"),
+			    rt_clock(p, rt_int(o, "from_ms"), from),
+			    rt_int(o, "to_ms")
+				    ? rt_clock(p, rt_int(o, "to_ms"), to)
+				    : "now");
 }
 
 static void add_unseen(const struct rt_page *p, struct ba_buf *out)
--- a/report/rt_internal.h
+++ b/report/rt_internal.h
@@ -20,6 +20,7 @@
 	RT_DAY_COUNTERS_LIMIT = 512,
 	RT_GAPS_LIMIT = 256,
 	RT_BREACHES_LIMIT = 64,
+	RT_OUTAGES_LIMIT = 64,
 	RT_KEY_BYTES = 11,
 	RT_WINDOW = 64, /* sequences that may come out of order */
 };
@@ -71,6 +72,16 @@
 /** rt_day_breach() - keep who counted a breach, and when */
 void rt_day_breach(RtDay *day, const RtBreach *breach);
 
+/**
+ * rt_outage_goes_on() - daemons with a lease are out of reach at @wall
+ *
+ * Return: whether more of them than before.
+ */
+bool rt_outage_goes_on(struct rt_days *d, uint32_t missing, ba_time wall);
+
+/** rt_outage_ends() - all daemons with a lease are in reach; kept in @day */
+void rt_outage_ends(struct rt_days *d, RtDay *day, ba_time wall);
+
 /** rt_instance_get() - an instance, made when there is none; NULL if full */
 RtInstance *rt_instance_get(struct rt_days *d, const char *name);
 
@@ -118,6 +129,9 @@
 /** rt_control_json() - control bytes by role and link, against the limit */
 json_t *rt_control_json(const struct rt_view *v);
 
+/** rt_outages_json() - the outages of a day, and the one that lasts */
+json_t *rt_outages_json(const struct rt_view *v);
+
 /** rt_calls_json() - calls by service and outcome */
 json_t *rt_calls_json(const struct rt_view *v);
 
@@ -125,11 +139,13 @@
  * struct rt_convergence - versions accepted on a day
  * @late: in force after their limit, or past it and not yet in force
  * @pending: not yet in force and inside their limit
+ * @apart: not yet in force on daemons that cannot be reached
  */
 struct rt_convergence {
 	size_t accepted;
 	size_t late;
 	size_t pending;
+	size_t apart;
 };
 
 /** rt_version_is_late() - whether it is of the day and over its limit */
--- a/report/rt_measure.c
+++ b/report/rt_measure.c
@@ -29,6 +29,7 @@
 		c.accepted++;
 		c.late += !strcmp(state, "late");
 		c.pending += !strcmp(state, "on its way");
+		c.apart += !strcmp(state, "out of reach");
 	}
 	return c;
 }
@@ -115,13 +116,27 @@
 	return ms >= v->from_ms && ms < v->to_ms;
 }
 
+/*
+ * Daemons in reach are judged by the time since the version was accepted,
+ * all of them by the time since the last ones could be reached again.  A
+ * version that turned out to wait for daemons out of reach is judged by the
+ * second alone.
+ */
 static const char *version_state(const struct rt_view *v,
 				 const RtVersion *version)
 {
-	uint64_t end =
-		version->in_force_us ? version->in_force_us : v->wall_ms * 1000;
+	const RtDays *s = v->days->state;
+	uint64_t now = v->wall_ms * 1000;
+	uint64_t reached = version->reached_us ? version->reached_us : now;
+	uint64_t all = version->in_force_us ? version->in_force_us : now;
+	uint64_t reach = version->in_force_us ? version->reach_us : s->reach_us;
 
-	if (end > version->accepted_us + version->limit_us)
+	if (!version->waited && !(s->outage && !version->reached_us) &&
+	    reached > version->accepted_us + version->limit_us)
+		return "late";
+	if (!version->in_force_us && s->outage)
+		return "out of reach";
+	if (all > MAX(version->accepted_us, reach) + version->limit_us)
 		return "late";
 	return version->in_force_us ? "in force" : "on its way";
 }
@@ -141,6 +156,10 @@
 				    json_real((double)(version->in_force_us -
 						       version->accepted_us) /
 					      1000.0));
+	if (version->reach_us)
+		json_object_set_new(
+			o, "reach_ms",
+			json_integer((json_int_t)(version->reach_us / 1000)));
 	return o;
 }
 
--- /dev/null
+++ b/report/rt_outage.c
@@ -0,0 +1,58 @@
+/*
+ * Times in which daemons that have a lease could not be reached.
+ */
+#include "report/rt_internal.h"
+
+static json_t *outage_json(const RtOutage *o);
+
+bool rt_outage_goes_on(struct rt_days *d, uint32_t missing, ba_time wall)
+{
+	RtOutage *o = d->state->outage;
+	bool grew;
+
+	if (!o) {
+		o = g_new(RtOutage, 1);
+		rt_outage__init(o);
+		o->from_us = (uint64_t)wall;
+		d->state->outage = o;
+	}
+	grew = missing > o->missing;
+	o->missing = MAX(o->missing, missing);
+	return grew;
+}
+
+void rt_outage_ends(struct rt_days *d, RtDay *day, ba_time wall)
+{
+	RtOutage *o = d->state->outage;
+
+	o->to_us = (uint64_t)wall;
+	d->state->outage = NULL;
+	d->state->reach_us = (uint64_t)wall;
+	if (day->n_outages >= RT_OUTAGES_LIMIT) {
+		day->outages_left_out++;
+		rt_outage__free_unpacked(o, NULL);
+		return;
+	}
+	day->outages = g_renew(RtOutage *, day->outages, day->n_outages + 1);
+	day->outages[day->n_outages++] = o;
+}
+
+json_t *rt_outages_json(const struct rt_view *v)
+{
+	const RtOutage *lasting = v->days->state->outage;
+	json_t *list = json_array();
+
+	for (size_t i = 0; i < v->day->n_outages; i++)
+		json_array_append_new(list, outage_json(v->day->outages[i]));
+	if (lasting && lasting->from_us / 1000 < v->to_ms)
+		json_array_append_new(list, outage_json(lasting));
+	return list;
+}
+
+static json_t *outage_json(const RtOutage *o)
+{
+	return json_pack("{sI sI si}", "from_ms",
+			 (json_int_t)(o->from_us / 1000), "to_ms",
+			 (json_int_t)(o->to_us / 1000), "daemons",
+			 (int)o->missing);
+}
--- a/report/rt_text.c
+++ b/report/rt_text.c
@@ -10,6 +10,7 @@
 static void add_promises(const struct rt_page *p, struct ba_buf *out);
 static void add_wrapped(struct ba_buf *out, const char *text);
 static void add_versions(const struct rt_page *p, struct ba_buf *out);
+static void add_outages(const struct rt_page *p, struct ba_buf *out);
 static void add_control(const struct rt_page *p, struct ba_buf *out);
 static void add_calls(const struct rt_page *p, struct ba_buf *out);
 static void add_service(json_t *s, struct ba_buf *out);
@@ -27,6 +28,7 @@
 	add_head(&p, out);
 	add_promises(&p, out);
 	add_versions(&p, out);
+	add_outages(&p, out);
 	add_control(&p, out);
 	add_calls(&p, out);
 	add_incidents(&p, out);
@@ -129,6 +131,24 @@
 	}
 }
 
+static void add_outages(const struct rt_page *p, struct ba_buf *out)
+{
+	char from[RT_TEXT_BYTES];
+	char to[RT_TEXT_BYTES];
+	json_t *o;
+	size_t i;
+
+	json_array_foreach (rt_get(p->root, "outages"), i, o)
+		ba_buf_addf(out,
+			    "%lld daemons out of reach from %s to %s; their "
+			    "time counts from then on\n",
+			    (long long)rt_int(o, "daemons"),
+			    rt_clock(p, rt_int(o, "from_ms"), from),
+			    rt_int(o, "to_ms")
+				    ? rt_clock(p, rt_int(o, "to_ms"), to)
+				    : "now");
+}
+
 static void add_control(const struct rt_page *p, struct ba_buf *out)
 {
 	json_t *control = rt_get(p->root, "control");
--- a/report/rt_verdict.c
+++ b/report/rt_verdict.c
@@ -148,8 +148,9 @@
 
 	json_object_set_new(o, "occasions",
 			    json_integer((json_int_t)c.accepted));
-	json_object_set_new(o, "checked",
-			    json_integer((json_int_t)(c.accepted - c.pending)));
+	json_object_set_new(
+		o, "checked",
+		json_integer((json_int_t)(c.accepted - c.pending - c.apart)));
 	json_object_set_new(o, "breaches", json_integer((json_int_t)c.late));
 	json_object_set_new(o, "noun", json_string("accepted versions"));
 	json_object_set_new(o, "places", places_json(v, RT_OLDER_APPLIED));
@@ -194,6 +195,12 @@
 		out.reason = late_text(v, older);
 	} else if (judge_unseen(v, &out)) {
 		return out;
+	} else if (c.apart) {
+		out.state = NOT_KNOWN;
+		out.since_ms = v->days->state->outage->from_us / 1000;
+		out.reason = g_strdup_printf(
+			"%u daemons are out of reach; %zu versions wait",
+			v->days->state->outage->missing, c.apart);
 	} else if (c.pending) {
 		out.state = NOT_KNOWN;
 		out.since_ms = v->wall_ms;
--- a/test/report_day_test.cc
+++ b/test/report_day_test.cc
@@ -356,7 +356,7 @@
 	Days days;
 
 	days.take({one("d1", 1, NOON_MS, good())});
-	rt_days_in_force(days.d, 1, 2, (ba_time)NOON_MS * BA_MS);
+	rt_days_in_force(days.d, 1, 2, 0, (ba_time)NOON_MS * BA_MS);
 	EXPECT_EQ(days.promise(0, NOON_MS + 11000), "not known");
 }
 
@@ -381,7 +381,7 @@
 		days.accepted(2, NOON_MS);
 		if (c.in_force_after_ms)
 			rt_days_in_force(
-				days.d, 2, 1,
+				days.d, 2, 1, 0,
 				(ba_time)(NOON_MS + c.in_force_after_ms) *
 					BA_MS);
 		EXPECT_EQ(days.promise(8, NOON_MS + c.asked_after_ms), c.state)
@@ -389,6 +389,92 @@
 	}
 }
 
+/*
+ * Version 2 is accepted at noon.  Entries tell, some time later, the lowest
+ * version in force, the daemons in reach and those with a lease.
+ */
+TEST(RtDay, DaemonsOutOfReach)
+{
+	struct entry {
+		uint64_t after_ms;
+		uint64_t version;
+		uint32_t daemons;
+		uint32_t live;
+	};
+	static const struct {
+		const char *what;
+		std::vector<entry> entries;
+		uint64_t asked_after_ms;
+		const char *state;
+	} cases[] = {
+		{"fewer than have a lease is not everywhere",
+		 {{100, 2, 8, 14}},
+		 200,
+		 "not known"},
+		{"no longer late once they cannot be reached",
+		 {{100, 2, 8, 14}},
+		 60000,
+		 "not known"},
+		{"all of them in time after the outage",
+		 {{100, 2, 8, 14}, {60000, 1, 14, 14}, {65999, 2, 14, 14}},
+		 70000,
+		 "held"},
+		{"too slow after the outage",
+		 {{100, 2, 8, 14}, {60000, 1, 14, 14}, {66001, 2, 14, 14}},
+		 70000,
+		 "broken"},
+		{"not in force long after the outage",
+		 {{100, 2, 8, 14}, {60000, 1, 14, 14}},
+		 66001,
+		 "broken"},
+		{"daemons in reach are not excused",
+		 {{100, 1, 8, 14}, {6001, 2, 8, 14}, {7000, 2, 14, 14}},
+		 8000,
+		 "broken"},
+		{"the wait itself showed that they are away",
+		 {{9000, 2, 8, 14}, {12000, 1, 14, 14}, {12100, 2, 14, 14}},
+		 13000,
+		 "held"},
+		{"more of them turn out to be away",
+		 {{100, 1, 12, 14},
+		  {9000, 2, 8, 14},
+		  {12000, 1, 14, 14},
+		  {12100, 2, 14, 14}},
+		 13000,
+		 "held"},
+		{"a daemon whose lease ended is not waited for",
+		 {{100, 2, 13, 14}, {3000, 2, 13, 13}},
+		 4000,
+		 "held"},
+	};
+
+	for (auto &c : cases) {
+		Days days;
+
+		days.take({one("d1", 1, NOON_MS - 60000, good())});
+		rt_days_in_force(days.d, 1, 1, 1,
+				 (ba_time)(NOON_MS - 1000) * BA_MS);
+		days.accepted(2, NOON_MS);
+		for (auto &e : c.entries)
+			rt_days_in_force(days.d, e.version, e.daemons, e.live,
+					 (ba_time)(NOON_MS + e.after_ms) *
+						 BA_MS);
+		days.take({one("d1", 2, NOON_MS + 60000, good())});
+		json_t *r = days.report(NOON_MS + c.asked_after_ms);
+		json_t *list =
+			json_object_get(json_object_get(r, "versions"), "list");
+		std::string state = json_string_value(
+			json_object_get(json_array_get(list, 0), "state"));
+
+		EXPECT_EQ(state == "late"	? "broken"
+			  : state == "in force" ? "held"
+						: "not known",
+			  std::string(c.state))
+			<< c.what;
+		json_decref(r);
+	}
+}
+
 TEST(RtDay, AVersionThatWasOvertakenIsInForceWithTheNext)
 {
 	Days days;
@@ -396,7 +482,7 @@
 	days.take({one("d1", 1, NOON_MS, good())});
 	days.accepted(2, NOON_MS);
 	days.accepted(3, NOON_MS + 10);
-	rt_days_in_force(days.d, 3, 1, (ba_time)(NOON_MS + 200) * BA_MS);
+	rt_days_in_force(days.d, 3, 1, 0, (ba_time)(NOON_MS + 200) * BA_MS);
 	EXPECT_EQ(days.promise(8, NOON_MS + 9000), "held");
 	EXPECT_EQ(days.promise(8, NOON_MS + 9000, "occasions"), "2");
 }
--- a/wire/ds.pb-c.c
+++ b/wire/ds.pb-c.c
@@ -444,7 +444,7 @@
   (ProtobufCMessageInit) ds_version_count__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ds_ack__field_descriptors[6] =
+static const ProtobufCFieldDescriptor ds_ack__field_descriptors[7] =
 {
   {
     "version",
@@ -518,11 +518,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "live",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(DsAck, live),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ds_ack__field_indices_by_name[] = {
   5,   /* field[5] = behind */
   2,   /* field[2] = counts */
   1,   /* field[1] = daemons */
+  6,   /* field[6] = live */
   3,   /* field[3] = refused_code */
   4,   /* field[4] = refused_version */
   0,   /* field[0] = version */
@@ -530,7 +543,7 @@
 static const ProtobufCIntRange ds_ack__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor ds_ack__descriptor =
 {
@@ -540,7 +553,7 @@
   "DsAck",
   "",
   sizeof(DsAck),
-  6,
+  7,
   ds_ack__field_descriptors,
   ds_ack__field_indices_by_name,
   1,  ds_ack__number_ranges,
--- a/wire/ds.pb-c.h
+++ b/wire/ds.pb-c.h
@@ -120,10 +120,14 @@
    */
   size_t n_behind;
   char **behind;
+  /*
+   * daemons with a lease in the whole mesh
+   */
+  uint32_t live;
 };
 #define DS_ACK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ds_ack__descriptor) \
-    , 0, 0, 0,NULL, 0, 0, 0,NULL }
+    , 0, 0, 0,NULL, 0, 0, 0,NULL, 0 }
 
 
 /* DsSubscribe methods */
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -1279,7 +1279,7 @@
   (ProtobufCMessageInit) rp_append__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_append_reply__field_descriptors[7] =
+static const ProtobufCFieldDescriptor rp_append_reply__field_descriptors[8] =
 {
   {
     "term",
@@ -1365,11 +1365,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "live",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpAppendReply, live),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_append_reply__field_indices_by_name[] = {
   1,   /* field[1] = accepted */
   6,   /* field[6] = daemons */
   4,   /* field[4] = disk_id */
+  7,   /* field[7] = live */
   5,   /* field[5] = lowest */
   2,   /* field[2] = match_index */
   3,   /* field[3] = round */
@@ -1378,7 +1391,7 @@
 static const ProtobufCIntRange rp_append_reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor rp_append_reply__descriptor =
 {
@@ -1388,7 +1401,7 @@
   "RpAppendReply",
   "",
   sizeof(RpAppendReply),
-  7,
+  8,
   rp_append_reply__field_descriptors,
   rp_append_reply__field_indices_by_name,
   1,  rp_append_reply__number_ranges,
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -188,10 +188,14 @@
    */
   uint64_t lowest;
   uint32_t daemons;
+  /*
+   * daemons with a lease in the whole mesh
+   */
+  uint32_t live;
 };
 #define RP_APPEND_REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_append_reply__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/wire/rt.pb-c.c
+++ b/wire/rt.pb-c.c
@@ -547,6 +547,51 @@
   assert(message->base.descriptor == &rt_service_day__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rt_outage__init
+                     (RtOutage         *message)
+{
+  static const RtOutage init_value = RT_OUTAGE__INIT;
+  *message = init_value;
+}
+size_t rt_outage__get_packed_size
+                     (const RtOutage *message)
+{
+  assert(message->base.descriptor == &rt_outage__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rt_outage__pack
+                     (const RtOutage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rt_outage__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rt_outage__pack_to_buffer
+                     (const RtOutage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rt_outage__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RtOutage *
+       rt_outage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RtOutage *)
+     protobuf_c_message_unpack (&rt_outage__descriptor,
+                                allocator, len, data);
+}
+void   rt_outage__free_unpacked
+                     (RtOutage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rt_outage__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rt_day__init
                      (RtDay         *message)
 {
@@ -1177,7 +1222,7 @@
   (ProtobufCMessageInit) rt_ack__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rt_in_force__field_descriptors[3] =
+static const ProtobufCFieldDescriptor rt_in_force__field_descriptors[4] =
 {
   {
     "version",
@@ -1215,16 +1260,29 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "live",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RtInForce, live),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rt_in_force__field_indices_by_name[] = {
   1,   /* field[1] = daemons */
+  3,   /* field[3] = live */
   0,   /* field[0] = version */
   2,   /* field[2] = wall_us */
 };
 static const ProtobufCIntRange rt_in_force__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor rt_in_force__descriptor =
 {
@@ -1234,7 +1292,7 @@
   "RtInForce",
   "",
   sizeof(RtInForce),
-  3,
+  4,
   rt_in_force__field_descriptors,
   rt_in_force__field_indices_by_name,
   1,  rt_in_force__number_ranges,
@@ -1794,7 +1852,71 @@
   (ProtobufCMessageInit) rt_service_day__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rt_day__field_descriptors[9] =
+static const ProtobufCFieldDescriptor rt_outage__field_descriptors[3] =
+{
+  {
+    "from_us",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RtOutage, from_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to_us",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RtOutage, to_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "missing",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RtOutage, missing),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rt_outage__field_indices_by_name[] = {
+  0,   /* field[0] = from_us */
+  2,   /* field[2] = missing */
+  1,   /* field[1] = to_us */
+};
+static const ProtobufCIntRange rt_outage__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor rt_outage__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RtOutage",
+  "RtOutage",
+  "RtOutage",
+  "",
+  sizeof(RtOutage),
+  3,
+  rt_outage__field_descriptors,
+  rt_outage__field_indices_by_name,
+  1,  rt_outage__number_ranges,
+  (ProtobufCMessageInit) rt_outage__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rt_day__field_descriptors[11] =
 {
   {
     "key",
@@ -1904,6 +2026,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "outages",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RtDay, n_outages),
+    offsetof(RtDay, outages),
+    &rt_outage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outages_left_out",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RtDay, outages_left_out),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rt_day__field_indices_by_name[] = {
   6,   /* field[6] = breaches */
@@ -1914,12 +2060,14 @@
   3,   /* field[3] = hours */
   0,   /* field[0] = key */
   8,   /* field[8] = most_daemons */
+  9,   /* field[9] = outages */
+  10,   /* field[10] = outages_left_out */
   2,   /* field[2] = services */
 };
 static const ProtobufCIntRange rt_day__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor rt_day__descriptor =
 {
@@ -1929,14 +2077,14 @@
   "RtDay",
   "",
   sizeof(RtDay),
-  9,
+  11,
   rt_day__field_descriptors,
   rt_day__field_indices_by_name,
   1,  rt_day__number_ranges,
   (ProtobufCMessageInit) rt_day__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rt_version__field_descriptors[6] =
+static const ProtobufCFieldDescriptor rt_version__field_descriptors[9] =
 {
   {
     "version",
@@ -2010,6 +2158,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reached_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RtVersion, reached_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reach_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RtVersion, reach_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waited",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RtVersion, waited),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rt_version__field_indices_by_name[] = {
   1,   /* field[1] = accepted_us */
@@ -2017,12 +2201,15 @@
   2,   /* field[2] = in_force_us */
   3,   /* field[3] = limit_us */
   4,   /* field[4] = limited_by */
+  7,   /* field[7] = reach_us */
+  6,   /* field[6] = reached_us */
   0,   /* field[0] = version */
+  8,   /* field[8] = waited */
 };
 static const ProtobufCIntRange rt_version__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor rt_version__descriptor =
 {
@@ -2032,7 +2219,7 @@
   "RtVersion",
   "",
   sizeof(RtVersion),
-  6,
+  9,
   rt_version__field_descriptors,
   rt_version__field_indices_by_name,
   1,  rt_version__number_ranges,
@@ -2090,7 +2277,7 @@
   (ProtobufCMessageInit) rt_service_mark__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rt_days__field_descriptors[6] =
+static const ProtobufCFieldDescriptor rt_days__field_descriptors[8] =
 {
   {
     "zone",
@@ -2164,19 +2351,45 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "outage",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(RtDays, outage),
+    &rt_outage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reach_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RtDays, reach_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rt_days__field_indices_by_name[] = {
   2,   /* field[2] = days */
   1,   /* field[1] = instances */
   5,   /* field[5] = instances_left_out */
   4,   /* field[4] = marks */
+  6,   /* field[6] = outage */
+  7,   /* field[7] = reach_us */
   3,   /* field[3] = versions */
   0,   /* field[0] = zone */
 };
 static const ProtobufCIntRange rt_days__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor rt_days__descriptor =
 {
@@ -2186,7 +2399,7 @@
   "RtDays",
   "",
   sizeof(RtDays),
-  6,
+  8,
   rt_days__field_descriptors,
   rt_days__field_indices_by_name,
   1,  rt_days__number_ranges,
--- a/wire/rt.pb-c.h
+++ b/wire/rt.pb-c.h
@@ -27,6 +27,7 @@
 typedef struct RtBreach RtBreach;
 typedef struct RtHour RtHour;
 typedef struct RtServiceDay RtServiceDay;
+typedef struct RtOutage RtOutage;
 typedef struct RtDay RtDay;
 typedef struct RtVersion RtVersion;
 typedef struct RtServiceMark RtServiceMark;
@@ -138,12 +139,19 @@
 {
   ProtobufCMessage base;
   uint64_t version;
+  /*
+   * that can be reached and have it in force
+   */
   uint32_t daemons;
   uint64_t wall_us;
+  /*
+   * daemons with a lease, 0 when not known
+   */
+  uint32_t live;
 };
 #define RT_IN_FORCE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rt_in_force__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -252,6 +260,27 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0,NULL }
 
 
+/*
+ * A time in which daemons with a lease could not be reached.
+ */
+struct  RtOutage
+{
+  ProtobufCMessage base;
+  uint64_t from_us;
+  /*
+   * 0 while it lasts
+   */
+  uint64_t to_us;
+  /*
+   * at most
+   */
+  uint32_t missing;
+};
+#define RT_OUTAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rt_outage__descriptor) \
+    , 0, 0, 0 }
+
+
 struct  RtDay
 {
   ProtobufCMessage base;
@@ -275,10 +304,13 @@
    * that had a version in force
    */
   uint32_t most_daemons;
+  size_t n_outages;
+  RtOutage **outages;
+  uint64_t outages_left_out;
 };
 #define RT_DAY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rt_day__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0 }
 
 
 struct  RtVersion
@@ -296,10 +328,22 @@
    */
   char *limited_by;
   uint32_t daemons;
+  /*
+   * in force on all that could be reached
+   */
+  uint64_t reached_us;
+  /*
+   * when the last outage before it ended
+   */
+  uint64_t reach_us;
+  /*
+   * for daemons that turned out to be away
+   */
+  protobuf_c_boolean waited;
 };
 #define RT_VERSION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rt_version__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 struct  RtServiceMark
@@ -329,10 +373,18 @@
   size_t n_marks;
   RtServiceMark **marks;
   uint64_t instances_left_out;
+  /*
+   * that lasts
+   */
+  RtOutage *outage;
+  /*
+   * when the last one ended
+   */
+  uint64_t reach_us;
 };
 #define RT_DAYS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rt_days__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0 }
 
 
 /* RtServiceFigures methods */
@@ -563,6 +615,25 @@
 void   rt_service_day__free_unpacked
                      (RtServiceDay *message,
                       ProtobufCAllocator *allocator);
+/* RtOutage methods */
+void   rt_outage__init
+                     (RtOutage         *message);
+size_t rt_outage__get_packed_size
+                     (const RtOutage   *message);
+size_t rt_outage__pack
+                     (const RtOutage   *message,
+                      uint8_t             *out);
+size_t rt_outage__pack_to_buffer
+                     (const RtOutage   *message,
+                      ProtobufCBuffer     *buffer);
+RtOutage *
+       rt_outage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rt_outage__free_unpacked
+                     (RtOutage *message,
+                      ProtobufCAllocator *allocator);
 /* RtDay methods */
 void   rt_day__init
                      (RtDay         *message);
@@ -677,6 +748,9 @@
 typedef void (*RtServiceDay_Closure)
                  (const RtServiceDay *message,
                   void *closure_data);
+typedef void (*RtOutage_Closure)
+                 (const RtOutage *message,
+                  void *closure_data);
 typedef void (*RtDay_Closure)
                  (const RtDay *message,
                   void *closure_data);
@@ -707,6 +781,7 @@
 extern const ProtobufCMessageDescriptor rt_breach__descriptor;
 extern const ProtobufCMessageDescriptor rt_hour__descriptor;
 extern const ProtobufCMessageDescriptor rt_service_day__descriptor;
+extern const ProtobufCMessageDescriptor rt_outage__descriptor;
 extern const ProtobufCMessageDescriptor rt_day__descriptor;
 extern const ProtobufCMessageDescriptor rt_version__descriptor;
 extern const ProtobufCMessageDescriptor rt_service_mark__descriptor;
