carawayd: close after a malformed request; keep watches of kept connections

Cause: bytes that follow a refused request of doubtful length could be read as another request on the same connection; and each call to the backend server cost four epoll_ctl, as libcurl gives its socket back after every transfer.

Change: refusals of malformed and too large requests close the connection. The client keeps a kept connection watched until it is closed.

--- a/prog/da_client.c
+++ b/prog/da_client.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <unistd.h>
 
 #include <curl/curl.h>
 #include <glib.h>
@@ -17,19 +18,27 @@
 	STATUS_INTERIM_END = 200,
 };
 
+struct socket_watch {
+	struct ba_watch watch;
+	struct da_client *client;
+	unsigned int bits;
+	bool used;
+};
+
+/*
+ * @watches is by descriptor.  A kept connection stays watched between two
+ * transfers, which saves telling the kernel twice for each call.
+ */
 struct da_client {
 	struct ba_loop *loop;
 	CURLM *multi;
+	struct socket_watch **watches;
+	size_t n_watches;
 	struct ba_timer timer;
 	struct ba_list idle;
 	unsigned int n_idle;
 };
 
-struct socket_watch {
-	struct ba_watch watch;
-	struct da_client *client;
-};
-
 struct transfer {
 	struct da_fetch fetch;
 	struct ba_list link;
@@ -48,6 +57,9 @@
 static void cancel(struct da_fetch *fetch);
 static int on_socket(CURL *easy, curl_socket_t fd, int what, void *user,
 		     void *socket_user);
+static struct socket_watch *watch_get(struct da_client *c, curl_socket_t fd);
+static void unwatch(struct socket_watch *s);
+static int on_close(void *user, curl_socket_t fd);
 static int on_timeout(CURLM *multi, long ms, void *user);
 static void fire(struct ba_timer *t, ba_time now);
 static void ready(struct ba_watch *w, unsigned int bits);
@@ -105,6 +117,9 @@
 	}
 	curl_multi_cleanup(c->multi);
 	ba_loop_disarm(c->loop, &c->timer);
+	for (size_t i = 0; i < c->n_watches; i++)
+		g_free(c->watches[i]);
+	g_free(c->watches);
 	g_free(c);
 }
 
@@ -151,31 +166,62 @@
 		     void *socket_user)
 {
 	struct da_client *c = user;
-	struct socket_watch *s = socket_user;
+	struct socket_watch *s = watch_get(c, fd);
 	unsigned int bits = 0;
 
 	(void)easy;
-	if (what == CURL_POLL_REMOVE) {
-		if (s)
-			ba_loop_unwatch(c->loop, &s->watch);
-		g_free(s);
+	(void)socket_user;
+	s->used = what != CURL_POLL_REMOVE;
+	if (!s->used)
 		return 0;
-	}
-	if (!s) {
-		s = g_new0(struct socket_watch, 1);
-		s->watch.fd = fd;
-		s->watch.ready = ready;
-		s->client = c;
-		curl_multi_assign(c->multi, fd, s);
-	}
 	if (what & CURL_POLL_IN)
 		bits |= BA_READABLE;
 	if (what & CURL_POLL_OUT)
 		bits |= BA_WRITABLE;
-	ba_loop_watch(c->loop, &s->watch, bits);
+	if (bits != s->bits)
+		ba_loop_watch(c->loop, &s->watch, bits);
+	s->bits = bits;
 	return 0;
 }
 
+static struct socket_watch *watch_get(struct da_client *c, curl_socket_t fd)
+{
+	size_t i = (size_t)fd;
+
+	if (i >= c->n_watches) {
+		size_t n = MAX(2 * c->n_watches, i + 1);
+
+		c->watches = g_renew(struct socket_watch *, c->watches, n);
+		memset(c->watches + c->n_watches, 0,
+		       (n - c->n_watches) * sizeof(*c->watches));
+		c->n_watches = n;
+	}
+	if (!c->watches[i]) {
+		c->watches[i] = g_new0(struct socket_watch, 1);
+		c->watches[i]->watch.fd = fd;
+		c->watches[i]->watch.ready = ready;
+		c->watches[i]->client = c;
+	}
+	return c->watches[i];
+}
+
+static void unwatch(struct socket_watch *s)
+{
+	ba_loop_unwatch(s->client->loop, &s->watch);
+	s->bits = 0;
+}
+
+static int on_close(void *user, curl_socket_t fd)
+{
+	struct da_client *c = user;
+
+	if ((size_t)fd < c->n_watches && c->watches[fd]) {
+		unwatch(c->watches[fd]);
+		c->watches[fd]->used = false;
+	}
+	return close(fd);
+}
+
 static int on_timeout(CURLM *multi, long ms, void *user)
 {
 	struct da_client *c = user;
@@ -200,6 +246,10 @@
 	struct socket_watch *s = ba_entry(w, struct socket_watch, watch);
 	int select = 0;
 
+	if (!s->used) {
+		unwatch(s);
+		return;
+	}
 	if (bits & BA_READABLE)
 		select |= CURL_CSELECT_IN;
 	if (bits & BA_WRITABLE)
@@ -269,6 +319,7 @@
 	curl_easy_setopt(f->easy, CURLOPT_HEADERDATA, f);
 	curl_easy_setopt(f->easy, CURLOPT_WRITEDATA, f);
 	curl_easy_setopt(f->easy, CURLOPT_PREREQDATA, f);
+	curl_easy_setopt(f->easy, CURLOPT_CLOSESOCKETDATA, c);
 	set_constant(f->easy);
 	return f;
 }
@@ -293,6 +344,8 @@
 	curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, on_header);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_data);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_sending);
+	curl_easy_setopt(easy, CURLOPT_CLOSESOCKETFUNCTION, on_close);
+	curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
 	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
--- a/prog/da_http.c
+++ b/prog/da_http.c
@@ -414,6 +414,7 @@
 	return (ssize_t)n;
 }
 
+/* What follows a request whose end is in doubt is not read as a request. */
 static void add_result(struct MHD_Response *res, const struct da_call *c)
 {
 	char text[RESULT_BYTES];
@@ -421,6 +422,7 @@
 	snprintf(text, sizeof(text), "%d %s", c->result,
 		 cl_outcome_name(cl_outcome_of(c->result)));
 	MHD_add_response_header(res, CL_HEADER_RESULT, text);
-	if (c->w->tables->draining)
+	if (c->w->tables->draining || c->result == CL_REQUEST_MALFORMED ||
+	    c->result == CL_REQUEST_TOO_LARGE)
 		MHD_add_response_header(res, "Connection", "close");
 }
