carawayd: log a decision after the request is on its way

Cause: the line of a routing decision was formed before the request was given to the session, so its cost stood in the time of each call.

Change: for other daemons it is logged right after; the own backend server may end a call at once, so there it stays before.

--- a/prog/da_attempt.c
+++ b/prog/da_attempt.c
@@ -19,6 +19,7 @@
 };
 
 static int find_owner(struct da_call *c, const char **owner);
+static void log_route(const struct da_call *c);
 static void fill_request(struct da_call *c);
 static void fill_sent(struct da_call *c);
 static void add_range(struct da_call *c);
@@ -77,17 +78,23 @@
 
 void da_attempt_start(struct da_call *c)
 {
-	ba_event(CL_EV_ROUTED, "call=%s service=%s endpoint=%s reason=%s",
-		 c->id, c->service, c->endpoint->instance,
-		 cl_route_reason_name(c->route_reason));
 	c->sent_at = ba_clock_now();
 	if (c->to_backend) {
+		log_route(c);
 		da_local_begin(c);
 		return;
 	}
 	fill_request(c);
 	c->fetch = da_peers_fetch(c->w->peers, c->endpoint->address,
 				  &c->request, &c->owner);
+	log_route(c);
+}
+
+static void log_route(const struct da_call *c)
+{
+	ba_event(CL_EV_ROUTED, "call=%s service=%s endpoint=%s reason=%s",
+		 c->id, c->service, c->endpoint->instance,
+		 cl_route_reason_name(c->route_reason));
 }
 
 void da_attempt_backend(struct da_call *c)
