--- a/test/rp_world.h
+++ b/test/rp_world.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <queue>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -205,6 +206,8 @@
 	size_t snapshot_entries = 15;
 	int disks_lost = 0;
 	std::string violation;
+	int traced = -1; /* whose events and actions go into @trace */
+	std::ostringstream trace;
 
 	std::map<uint64_t, int> leaders;	   /* by term */
 	std::map<uint64_t, std::string> committed; /* by index */
@@ -261,7 +264,11 @@
 				    : "disk-" + std::to_string(++disks);
 	}
 
-	void start(int i);
+	void start(int i)
+	{
+		start(i, ba_rand_next(&rand));
+	}
+	void start(int i, uint64_t seed);
 	void stop(int i);
 	void crash(int i);
 	void send(int from, int to, const void *data, size_t len);
@@ -321,11 +328,27 @@
 	}
 };
 
+static inline std::string to_hex(const void *data, size_t len)
+{
+	static const char digits[] = "0123456789abcdef";
+	std::string out;
+
+	for (size_t i = 0; i < len; i++) {
+		uint8_t c = ((const uint8_t *)data)[i];
+
+		out += {digits[c >> 4], digits[c & 15]};
+	}
+	return out;
+}
+
 static inline void on_send(struct rp_node_owner *o, int to, const void *data,
 			   size_t len)
 {
 	auto *r = (replica *)o;
 
+	if (r->index == r->w->traced)
+		r->w->trace << "send " << to << " " << to_hex(data, len)
+			    << "\n";
 	r->w->send(r->index, to, data, len);
 }
 
@@ -357,6 +380,9 @@
 	auto *r = (replica *)o;
 	world *w = r->w;
 
+	if (r->index == w->traced)
+		w->trace << "outcome " << token << " " << outcome->code << " "
+			 << outcome->version << "\n";
 	w->codes[token] = {outcome->code, outcome->current};
 	if (!is_final(outcome) || r->store.crashed)
 		return;
@@ -373,6 +399,8 @@
 {
 	auto *r = (replica *)o;
 
+	if (r->index == r->w->traced)
+		r->w->trace << "role " << role << "\n";
 	if (role != RP_LEADER || r->store.crashed)
 		return;
 	uint64_t term = rp_core_term(rp_node_core(r->node));
@@ -382,7 +410,7 @@
 		r->w->fail("two leaders in term " + std::to_string(term));
 }
 
-inline void world::start(int i)
+inline void world::start(int i, uint64_t seed)
 {
 	replica &r = *all[i];
 	struct rp_node_options o = {};
@@ -397,7 +425,10 @@
 	o.core.n_names = (size_t)known;
 	o.core.self = i;
 	o.core.times = times;
-	o.core.seed = ba_rand_next(&rand);
+	o.core.seed = seed;
+	if (i == traced)
+		trace << "start " << now << " " << i << " " << o.core.seed
+		      << " " << r.store.disk_id << "\n";
 	o.store = &r.store.store;
 	o.owner = &r.owner;
 	o.snapshot_entries = snapshot_entries;
@@ -460,6 +491,9 @@
 
 inline void world::deliver(const packet &p)
 {
+	if (up(p.to) && p.to == traced)
+		trace << "receive " << now << " " << p.from << " "
+		      << to_hex(p.data.data(), p.data.size()) << "\n";
 	if (up(p.to))
 		rp_node_receive(all[p.to]->node, p.from, p.data.data(),
 				p.data.size(), now);
@@ -498,6 +532,8 @@
 		}
 		now = std::max(now, next);
 		if (who >= 0) {
+			if (who == traced)
+				trace << "tick " << now << "\n";
 			rp_node_tick(all[who]->node, now);
 			check(who);
 		} else if (!packets.empty() && packets.top().at <= now) {
@@ -521,6 +557,9 @@
 
 	if (!up(i))
 		return;
+	if (i == traced)
+		trace << "submit " << now << " " << token << " " << id << " "
+		      << base << " " << variant << "\n";
 	asked[token] = id;
 	if (fault == NEW_ID_ON_RESEND && told.count(id))
 		sent += "x";
