--- a/bench/bench-calls.sh
+++ b/bench/bench-calls.sh
@@ -4,7 +4,7 @@
 # the same run.
 #
 # usage: bench/bench-calls.sh BUILD [PART...]
-# parts: added capacity slow harm
+# parts: decisions added capacity slow harm
 
 case_name=calls
 . "$(dirname "$0")/lib.sh"
@@ -98,6 +98,11 @@
 	done
 }
 
+# what the decisions cost and do, in virtual time
+part_decisions() {
+	"$build/cl_bench"
+}
+
 part_added() {
 	work_in added
 	begin_calls floor-plans-1 scheduling-1
@@ -283,7 +288,7 @@
 
 if test $# -eq 0
 then
-	set -- added capacity slow harm
+	set -- decisions added capacity slow harm
 fi
 for part
 do
