cl_bench: keep integer and floating point apart

Cause: the linter refuses integer divisions inside floating point terms. Change: the rate is computed in floating point, the rank of the quantile on its own.

--- a/bench/cl_bench_main.c
+++ b/bench/cl_bench_main.c
@@ -267,7 +267,7 @@
 static double goodput(double load, bool bounded)
 {
 	struct sim s;
-	double rate = load * SLOTS * BA_SECOND / WORK;
+	double rate = load * SLOTS * (double)BA_SECOND / (double)WORK;
 	double good;
 
 	sim_init(&s, 1, true, bounded);
@@ -290,17 +290,18 @@
 static double p99(bool first_hand, unsigned int slower)
 {
 	struct sim s;
-	double at;
+	guint rank;
+	ba_time at;
 
 	sim_init(&s, ENDPOINTS, first_hand, true);
 	s.hosts[1].slower = slower;
 	sim_run(&s, 300);
 	qsort(s.latencies->data, s.latencies->len, sizeof(ba_time),
 	      compare_times);
-	at = (double)g_array_index(s.latencies, ba_time,
-				   s.latencies->len * 99 / 100);
+	rank = s.latencies->len * 99 / 100;
+	at = g_array_index(s.latencies, ba_time, rank);
 	sim_clear(&s);
-	return at;
+	return (double)at;
 }
 
 /* Attempts for each call while nothing answers. */
