source: look at the group in time, and answer for floors through the leader

Cause: after a cut between the regions its last daemon got the current version 5 to 9 s after the end. A restarted daemon that knows no floor waits for the leader's word; its relay had the follower of its own data centre as upstream, which could not answer, and which was not left either. Ruled out: the dialling of relays and the sessions of replicas, all open 100 ms after the end. Found: each message of the group re-arms the timer of a source, so that a follower with a heartbeat every 100 ms never came to look whether its data is fresh: relays saw it as stale and went from one source to the next.

Change: the next look has a deadline of its own. A follower asks the leader for the newest version (as a linearizable read does), so that any replica answers for a floor. In the report the time out of reach does not count, in place of a clock that starts anew with each outage, which let a daemon that changed its relay excuse every other one.

Conclusion: the wait was in the source, not on the link.

--- a/prog/so.h
+++ b/prog/so.h
@@ -80,10 +80,23 @@
 	ba_time heard;
 };
 
+/**
+ * struct so_read - a follower's question to the leader for the newest version
+ * @leader: who is asked, or %RP_NOBODY
+ * @number: of the last question; answers to earlier ones are dropped
+ * @deadline: when the question is lost, %BA_NEVER while none is open
+ */
+struct so_read {
+	int leader;
+	uint64_t number;
+	ba_time deadline;
+};
+
 /**
  * struct so_source - the program
  * @heartbeat: of the leader among the replicas
  * @started: when it began, in time of ba_clock_now()
+ * @check_deadline: when the state of the group is looked at again
  * @proposed_in_force: newest version for which an entry was proposed
  * @apart: whether the last such entry lacked daemons that have a lease
  */
@@ -107,11 +120,13 @@
 	int self;
 	ba_time heartbeat;
 	ba_time started;
+	ba_time check_deadline;
 	struct ba_rand rand;
 	struct ds_feed *feed;
 	GHashTable *subscribers;
 	uint64_t proposed_in_force;
 	bool apart;
+	struct so_read read;
 	struct rt_figures *figures;
 	struct ba_timer figures_timer;
 	int exit_code;
@@ -170,6 +185,9 @@
 /** so_peer_stop() - end the sessions to the other replicas */
 void so_peer_stop(struct so_source *s);
 
+/** so_peer_is_open() - whether a session to a replica is open */
+bool so_peer_is_open(const struct so_source *s, int index);
+
 /** so_peer_send() - send a frame to replica @to; it may be lost */
 void so_peer_send(struct so_source *s, int to, int type, const void *data,
 		  size_t len);
@@ -215,4 +233,19 @@
 /** so_keys_free() - forget the operators' keys */
 void so_keys_free(struct wi_identity *id);
 
+/** so_read_start() - nobody is asked yet */
+void so_read_start(struct so_source *s);
+
+/** so_read_check() - follow changes of the leader, and lost questions */
+void so_read_check(struct so_source *s, ba_time now);
+
+/** so_read_ask() - ask the leader for the newest version */
+void so_read_ask(struct so_source *s);
+
+/** so_read_answer() - a follower asks; only a leader in its lease answers */
+int so_read_answer(struct so_source *s, int from, const struct wi_frame *f);
+
+/** so_read_reply() - the leader has answered */
+int so_read_reply(struct so_source *s, int from, const struct wi_frame *f);
+
 #endif
--- a/prog/so_feed.c
+++ b/prog/so_feed.c
@@ -10,6 +10,7 @@
 #define SUBSCRIBER_KEPT (24 * BA_HOUR)
 
 static void on_ack(struct ds_feed_owner *o, uint64_t lowest, uint32_t daemons);
+static void on_ask(struct ds_feed_owner *o);
 static void set_authority(struct so_source *s, ba_time now);
 static void note_subscriber(struct so_conn *c, const struct wi_frame *f);
 static void set_behind(struct so_subscriber *r, const DsAck *m);
@@ -25,7 +26,9 @@
 void so_feed_start(struct so_source *s)
 {
 	s->feed_owner.on_ack = on_ack;
+	s->feed_owner.on_ask = on_ask;
 	s->feed = ds_feed_new(s->loop, &s->feed_owner);
+	so_read_start(s);
 	ds_feed_set_region(s->feed, s->identity->region);
 	ds_feed_set_stale(s->feed, ba_loop_now(s->loop));
 	s->subscribers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -63,6 +66,7 @@
 	ds_feed_set_stale(s->feed,
 			  fresh ? BA_NEVER : MAX(informed, s->started));
 	set_authority(s, now);
+	so_read_check(s, now);
 	g_hash_table_foreach_remove(s->subscribers, is_forgotten, &now);
 	check_in_force(s, now);
 }
@@ -86,6 +90,11 @@
 	check_in_force(s, ba_loop_now(s->loop));
 }
 
+static void on_ask(struct ds_feed_owner *o)
+{
+	so_read_ask(ba_entry(o, struct so_source, feed_owner));
+}
+
 static void note_subscriber(struct so_conn *c, const struct wi_frame *f)
 {
 	DsAck *m = (DsAck *)wi_frame_unpack(f, &ds_ack__descriptor);
--- a/prog/so_peer.c
+++ b/prog/so_peer.c
@@ -52,6 +52,11 @@
 	}
 }
 
+bool so_peer_is_open(const struct so_source *s, int index)
+{
+	return s->peers[index].open;
+}
+
 void so_peer_send(struct so_source *s, int to, int type, const void *data,
 		  size_t len)
 {
@@ -69,6 +74,10 @@
 
 	if (f->type == RP_FORWARD)
 		return take_forward(s, f);
+	if (f->type == RP_READ && from != RP_NOBODY)
+		return so_read_answer(s, from, f);
+	if (f->type == RP_READ_REPLY && from != RP_NOBODY)
+		return so_read_reply(s, from, f);
 	if (f->type != RP_MESSAGE || from == RP_NOBODY)
 		return WI_FRAME_UNKNOWN;
 	ret = rp_node_receive(s->node, from, f->data, f->len,
--- a/prog/so_source.c
+++ b/prog/so_source.c
@@ -67,8 +67,7 @@
 {
 	ba_time deadline = rp_node_deadline(s->node);
 
-	ba_loop_arm(s->loop, &s->timer,
-		    MIN(deadline, ba_loop_now(s->loop) + CHECK_INTERVAL));
+	ba_loop_arm(s->loop, &s->timer, MIN(deadline, s->check_deadline));
 }
 
 void so_source_propose(struct so_source *s, int kind, const void *body,
@@ -142,7 +141,10 @@
 
 	if (now >= rp_node_deadline(s->node))
 		rp_node_tick(s->node, now);
-	so_feed_check(s, now);
+	if (now >= s->check_deadline) {
+		s->check_deadline = now + CHECK_INTERVAL;
+		so_feed_check(s, now);
+	}
 	if (rp_core_alone(rp_node_core(s->node))) {
 		ba_event(RP_EV_LOG_DAMAGED, "code=%d nobody_has_a_log=true",
 			 (int)RP_LOG_DAMAGED);
--- a/report/rt_day.c
+++ b/report/rt_day.c
@@ -16,6 +16,7 @@
 static void take_services(RtDay *day, const RtFigures *f);
 static void take_hour(RtDay *day, const RtFigures *f);
 static uint64_t figure(const RtFigures *f, enum rt_counter id);
+static uint64_t oldest_wait(const struct rt_days *d, size_t at);
 static RtVersion *add_version(RtDays *s, uint64_t version);
 static RtVersion *find_version(const RtDays *s, uint64_t version, size_t *at);
 static int compare_version(const void *key, const void *element);
@@ -82,34 +83,48 @@
 		      uint32_t live, ba_time wall)
 {
 	RtDay *day = rt_day_get(d, (uint64_t)(wall / BA_MS));
+	uint32_t holders = live ? MIN(daemons, live) : daemons;
 	bool apart = daemons < live;
 	bool grew = false;
 	size_t at;
 
-	if (daemons > day->most_daemons)
-		day->most_daemons = daemons;
+	day->most_daemons = MAX(day->most_daemons, holders);
+	find_version(d->state, version + 1, &at);
 	if (apart)
-		grew = rt_outage_goes_on(d, live - daemons, wall);
+		grew = rt_outage_goes_on(d, live - daemons, oldest_wait(d, at),
+					 wall);
 	else if (rt_days_apart(d))
 		rt_outage_ends(d, day, wall);
-	find_version(d->state, version + 1, &at);
 	while (at > 0 && !d->state->versions[at - 1]->in_force_us) {
 		RtVersion *v = d->state->versions[--at];
 
 		if (!v->reached_us) {
 			v->reached_us = (uint64_t)wall;
 			v->waited = grew;
-			v->daemons = daemons;
+			v->daemons = holders;
 		}
 		if (apart)
 			continue;
 		v->in_force_us = (uint64_t)wall;
-		v->daemons = daemons;
-		if (d->state->reach_us > v->accepted_us)
-			v->reach_us = d->state->reach_us;
+		v->daemons = holders;
+		v->away_us =
+			rt_outage_time(d, day, v->accepted_us, (uint64_t)wall);
 	}
 }
 
+/*
+ * When the oldest version was accepted that nobody knew to be waiting: the
+ * daemons it waited for have been out of reach since then, 0 for none.
+ */
+static uint64_t oldest_wait(const struct rt_days *d, size_t at)
+{
+	uint64_t since = 0;
+
+	while (at > 0 && !d->state->versions[at - 1]->reached_us)
+		since = d->state->versions[--at]->accepted_us;
+	return since;
+}
+
 bool rt_days_apart(const struct rt_days *d)
 {
 	return d->state->outage != NULL;
--- a/report/rt_day.h
+++ b/report/rt_day.h
@@ -44,7 +44,7 @@
  *
  * A version is in force everywhere once it is on as many daemons as have a
  * lease.  While some are out of reach, the others are judged alone; for the
- * rest the time starts anew when all can be reached again.
+ * rest that time does not count.
  */
 void rt_days_in_force(struct rt_days *d, uint64_t version, uint32_t daemons,
 		      uint32_t live, ba_time wall);
--- a/report/rt_internal.h
+++ b/report/rt_internal.h
@@ -74,14 +74,20 @@
 
 /**
  * rt_outage_goes_on() - daemons with a lease are out of reach at @wall
+ * @since_us: since when more of them may have been, 0 when not known
  *
- * Return: whether more of them than before.
+ * Return: whether more of them are than before.
  */
-bool rt_outage_goes_on(struct rt_days *d, uint32_t missing, ba_time wall);
+bool rt_outage_goes_on(struct rt_days *d, uint32_t missing, uint64_t since_us,
+		       ba_time wall);
 
 /** rt_outage_ends() - all daemons with a lease are in reach; kept in @day */
 void rt_outage_ends(struct rt_days *d, RtDay *day, ba_time wall);
 
+/** rt_outage_time() - how long outages lasted between two times, in us */
+uint64_t rt_outage_time(const struct rt_days *d, const RtDay *day,
+			uint64_t from_us, uint64_t to_us);
+
 /** rt_instance_get() - an instance, made when there is none; NULL if full */
 RtInstance *rt_instance_get(struct rt_days *d, const char *name);
 
--- a/report/rt_outage.c
+++ b/report/rt_outage.c
@@ -5,7 +5,8 @@
 
 static json_t *outage_json(const RtOutage *o);
 
-bool rt_outage_goes_on(struct rt_days *d, uint32_t missing, ba_time wall)
+bool rt_outage_goes_on(struct rt_days *d, uint32_t missing, uint64_t since_us,
+		       ba_time wall)
 {
 	RtOutage *o = d->state->outage;
 	bool grew;
@@ -17,6 +18,8 @@
 		d->state->outage = o;
 	}
 	grew = missing > o->missing;
+	if (grew && since_us)
+		o->from_us = MIN(o->from_us, since_us);
 	o->missing = MAX(o->missing, missing);
 	return grew;
 }
@@ -27,7 +30,6 @@
 
 	o->to_us = (uint64_t)wall;
 	d->state->outage = NULL;
-	d->state->reach_us = (uint64_t)wall;
 	if (day->n_outages >= RT_OUTAGES_LIMIT) {
 		day->outages_left_out++;
 		rt_outage__free_unpacked(o, NULL);
@@ -37,6 +39,29 @@
 	day->outages[day->n_outages++] = o;
 }
 
+/* Outages may overlap when one is found to have begun before another ended. */
+uint64_t rt_outage_time(const struct rt_days *d, const RtDay *day,
+			uint64_t from_us, uint64_t to_us)
+{
+	const RtOutage *lasting = d->state->outage;
+	uint64_t counted = from_us;
+	uint64_t sum = 0;
+
+	for (size_t i = 0; i < day->n_outages; i++) {
+		const RtOutage *o = day->outages[i];
+		uint64_t begin = MAX(o->from_us, counted);
+		uint64_t end = MIN(o->to_us, to_us);
+
+		if (begin >= end)
+			continue;
+		sum += end - begin;
+		counted = end;
+	}
+	if (lasting)
+		counted = MAX(counted, lasting->from_us);
+	return sum + (lasting && counted < to_us ? to_us - counted : 0);
+}
+
 json_t *rt_outages_json(const struct rt_view *v)
 {
 	const RtOutage *lasting = v->days->state->outage;
--- a/report/rt_text.c
+++ b/report/rt_text.c
@@ -140,8 +140,8 @@
 
 	json_array_foreach (rt_get(p->root, "outages"), i, o)
 		ba_buf_addf(out,
-			    "%lld daemons out of reach from %s to %s; their "
-			    "time counts from then on\n",
+			    "%lld daemons out of reach from %s to %s; that "
+			    "time does not count\n",
 			    (long long)rt_int(o, "daemons"),
 			    rt_clock(p, rt_int(o, "from_ms"), from),
 			    rt_int(o, "to_ms")
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -502,6 +502,96 @@
   assert(message->base.descriptor == &rp_probe__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rp_read__init
+                     (RpRead         *message)
+{
+  static const RpRead init_value = RP_READ__INIT;
+  *message = init_value;
+}
+size_t rp_read__get_packed_size
+                     (const RpRead *message)
+{
+  assert(message->base.descriptor == &rp_read__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_read__pack
+                     (const RpRead *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_read__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_read__pack_to_buffer
+                     (const RpRead *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_read__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpRead *
+       rp_read__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpRead *)
+     protobuf_c_message_unpack (&rp_read__descriptor,
+                                allocator, len, data);
+}
+void   rp_read__free_unpacked
+                     (RpRead *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_read__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rp_read_reply__init
+                     (RpReadReply         *message)
+{
+  static const RpReadReply init_value = RP_READ_REPLY__INIT;
+  *message = init_value;
+}
+size_t rp_read_reply__get_packed_size
+                     (const RpReadReply *message)
+{
+  assert(message->base.descriptor == &rp_read_reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_read_reply__pack
+                     (const RpReadReply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_read_reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_read_reply__pack_to_buffer
+                     (const RpReadReply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_read_reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpReadReply *
+       rp_read_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpReadReply *)
+     protobuf_c_message_unpack (&rp_read_reply__descriptor,
+                                allocator, len, data);
+}
+void   rp_read_reply__free_unpacked
+                     (RpReadReply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_read_reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rp_forward__init
                      (RpForward         *message)
 {
@@ -1692,6 +1782,95 @@
   (ProtobufCMessageInit) rp_probe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rp_read__field_descriptors[1] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpRead, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_read__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+};
+static const ProtobufCIntRange rp_read__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rp_read__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpRead",
+  "RpRead",
+  "RpRead",
+  "",
+  sizeof(RpRead),
+  1,
+  rp_read__field_descriptors,
+  rp_read__field_indices_by_name,
+  1,  rp_read__number_ranges,
+  (ProtobufCMessageInit) rp_read__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rp_read_reply__field_descriptors[2] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpReadReply, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpReadReply, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_read_reply__field_indices_by_name[] = {
+  0,   /* field[0] = number */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange rp_read_reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor rp_read_reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpReadReply",
+  "RpReadReply",
+  "RpReadReply",
+  "",
+  sizeof(RpReadReply),
+  2,
+  rp_read_reply__field_descriptors,
+  rp_read_reply__field_indices_by_name,
+  1,  rp_read_reply__number_ranges,
+  (ProtobufCMessageInit) rp_read_reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rp_forward__field_descriptors[2] =
 {
   {
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -27,6 +27,8 @@
 typedef struct RpInstall RpInstall;
 typedef struct RpInstallReply RpInstallReply;
 typedef struct RpProbe RpProbe;
+typedef struct RpRead RpRead;
+typedef struct RpReadReply RpReadReply;
 typedef struct RpForward RpForward;
 typedef struct RpMessage RpMessage;
 typedef struct RpOutcome RpOutcome;
@@ -252,7 +254,29 @@
 
 /*
  * An entry that a follower took in for the leader to propose.
+ * A follower asks the leader for the newest version.
  */
+struct  RpRead
+{
+  ProtobufCMessage base;
+  uint64_t number;
+};
+#define RP_READ__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp_read__descriptor) \
+    , 0 }
+
+
+struct  RpReadReply
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  uint64_t version;
+};
+#define RP_READ_REPLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp_read_reply__descriptor) \
+    , 0, 0 }
+
+
 struct  RpForward
 {
   ProtobufCMessage base;
@@ -574,6 +598,44 @@
 void   rp_probe__free_unpacked
                      (RpProbe *message,
                       ProtobufCAllocator *allocator);
+/* RpRead methods */
+void   rp_read__init
+                     (RpRead         *message);
+size_t rp_read__get_packed_size
+                     (const RpRead   *message);
+size_t rp_read__pack
+                     (const RpRead   *message,
+                      uint8_t             *out);
+size_t rp_read__pack_to_buffer
+                     (const RpRead   *message,
+                      ProtobufCBuffer     *buffer);
+RpRead *
+       rp_read__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp_read__free_unpacked
+                     (RpRead *message,
+                      ProtobufCAllocator *allocator);
+/* RpReadReply methods */
+void   rp_read_reply__init
+                     (RpReadReply         *message);
+size_t rp_read_reply__get_packed_size
+                     (const RpReadReply   *message);
+size_t rp_read_reply__pack
+                     (const RpReadReply   *message,
+                      uint8_t             *out);
+size_t rp_read_reply__pack_to_buffer
+                     (const RpReadReply   *message,
+                      ProtobufCBuffer     *buffer);
+RpReadReply *
+       rp_read_reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp_read_reply__free_unpacked
+                     (RpReadReply *message,
+                      ProtobufCAllocator *allocator);
 /* RpForward methods */
 void   rp_forward__init
                      (RpForward         *message);
@@ -704,6 +766,12 @@
 typedef void (*RpProbe_Closure)
                  (const RpProbe *message,
                   void *closure_data);
+typedef void (*RpRead_Closure)
+                 (const RpRead *message,
+                  void *closure_data);
+typedef void (*RpReadReply_Closure)
+                 (const RpReadReply *message,
+                  void *closure_data);
 typedef void (*RpForward_Closure)
                  (const RpForward *message,
                   void *closure_data);
@@ -737,6 +805,8 @@
 extern const ProtobufCMessageDescriptor rp_install__descriptor;
 extern const ProtobufCMessageDescriptor rp_install_reply__descriptor;
 extern const ProtobufCMessageDescriptor rp_probe__descriptor;
+extern const ProtobufCMessageDescriptor rp_read__descriptor;
+extern const ProtobufCMessageDescriptor rp_read_reply__descriptor;
 extern const ProtobufCMessageDescriptor rp_forward__descriptor;
 extern const ProtobufCMessageDescriptor rp_message__descriptor;
 extern const ProtobufCMessageDescriptor rp_outcome__descriptor;
--- a/wire/rt.pb-c.c
+++ b/wire/rt.pb-c.c
@@ -2171,12 +2171,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reach_us",
+    "away_us",
     8,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(RtVersion, reach_us),
+    offsetof(RtVersion, away_us),
     NULL,
     NULL,
     0,             /* flags */
@@ -2197,11 +2197,11 @@
 };
 static const unsigned rt_version__field_indices_by_name[] = {
   1,   /* field[1] = accepted_us */
+  7,   /* field[7] = away_us */
   5,   /* field[5] = daemons */
   2,   /* field[2] = in_force_us */
   3,   /* field[3] = limit_us */
   4,   /* field[4] = limited_by */
-  7,   /* field[7] = reach_us */
   6,   /* field[6] = reached_us */
   0,   /* field[0] = version */
   8,   /* field[8] = waited */
@@ -2277,7 +2277,7 @@
   (ProtobufCMessageInit) rt_service_mark__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rt_days__field_descriptors[8] =
+static const ProtobufCFieldDescriptor rt_days__field_descriptors[7] =
 {
   {
     "zone",
@@ -2363,18 +2363,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "reach_us",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(RtDays, reach_us),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
 };
 static const unsigned rt_days__field_indices_by_name[] = {
   2,   /* field[2] = days */
@@ -2382,14 +2370,13 @@
   5,   /* field[5] = instances_left_out */
   4,   /* field[4] = marks */
   6,   /* field[6] = outage */
-  7,   /* field[7] = reach_us */
   3,   /* field[3] = versions */
   0,   /* field[0] = zone */
 };
 static const ProtobufCIntRange rt_days__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor rt_days__descriptor =
 {
@@ -2399,7 +2386,7 @@
   "RtDays",
   "",
   sizeof(RtDays),
-  8,
+  7,
   rt_days__field_descriptors,
   rt_days__field_indices_by_name,
   1,  rt_days__number_ranges,
--- a/wire/rt.pb-c.h
+++ b/wire/rt.pb-c.h
@@ -333,9 +333,9 @@
    */
   uint64_t reached_us;
   /*
-   * when the last outage before it ended
+   * time that outages took until then
    */
-  uint64_t reach_us;
+  uint64_t away_us;
   /*
    * for daemons that turned out to be away
    */
@@ -377,14 +377,10 @@
    * that lasts
    */
   RtOutage *outage;
-  /*
-   * when the last one ended
-   */
-  uint64_t reach_us;
 };
 #define RT_DAYS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rt_days__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL }
 
 
 /* RtServiceFigures methods */
--- a/wire/wi_type.h
+++ b/wire/wi_type.h
@@ -31,8 +31,10 @@
 	CT_QUERY = 22,	 /* CtQuery */
 	CT_ANSWER = 23,	 /* CtAnswer */
 
-	RP_MESSAGE = 40, /* RpMessage */
-	RP_FORWARD = 41, /* RpForward */
+	RP_MESSAGE = 40,    /* RpMessage */
+	RP_FORWARD = 41,    /* RpForward */
+	RP_READ = 42,	    /* RpRead */
+	RP_READ_REPLY = 43, /* RpReadReply */
 
 	DS_SUBSCRIBE = 60, /* DsSubscribe */
 	DS_UPDATE = 61,	   /* DsUpdate */
