carawayd: end the relay session before the loop goes

Cause: under the address sanitizer a graceful stop leaked the session to the relay (757 bytes): a closed session ends in the next turn of its loop, and there was none.

Change: one more turn after the agent is freed.

Figures: call-path with carawayd built with address and undefined behaviour sanitizers and leak detection: before, ended with status 1 at the stop; after, passed, no report in any process's output. The Cl tests pass there too (32 passed).

--- a/prog/carawayd.c
+++ b/prog/carawayd.c
@@ -86,6 +86,8 @@
 static int run(struct daemon *d);
 static int start_workers(struct daemon *d);
 static int start_worker(struct daemon *d, struct da_worker *w, int callers);
+static void finish_turn(struct ba_loop *loop);
+static void stop_loop(void *arg);
 static void start_tables(struct daemon *d);
 static void end_tables(struct da_tables *t);
 static void stop_worker(void *arg);
@@ -142,6 +144,7 @@
 		ba_loop_run(d->loop);
 	ds_agent_free(d->agent);
 	pr_metrics_stop(d->metrics);
+	finish_turn(d->loop);
 	end_workers(d);
 	end_tables(&d->tables);
 	ep_view_unref(d->view);
@@ -150,6 +153,18 @@
 	return ret;
 }
 
+/* Sessions that were closed end in one more turn. */
+static void finish_turn(struct ba_loop *loop)
+{
+	ba_loop_post(loop, stop_loop, loop);
+	ba_loop_run(loop);
+}
+
+static void stop_loop(void *arg)
+{
+	ba_loop_stop(arg);
+}
+
 static void start_tables(struct daemon *d)
 {
 	const struct da_settings *s = &d->settings;
