replica: a leader that is stopped hands its lead over

Cause: a planned stop of the leading source left the group without a leader until an election timed out, 0.9 to 1.5 s, in which nothing is accepted.

Change: RP_ON_STOPPING: the leader becomes a follower that is no candidate for a while and sends RP_HANDOVER to a voting replica that has every entry; that one asks for votes at once, and its request says that the lease is over. caraway-source waits 100 ms before it closes.

Ruled out: the heartbeat with a shorter lease, which would cost elections on a slow disk.

--- a/prog/caraway-source.c
+++ b/prog/caraway-source.c
@@ -145,6 +145,6 @@
 		ba_event_reopen();
 		so_keys_load(s);
 	} else {
-		ba_loop_stop(s->loop);
+		so_source_end(s);
 	}
 }
--- a/prog/so.h
+++ b/prog/so.h
@@ -112,6 +112,7 @@
 	unsigned int n_conns;
 	struct rp_node *node;
 	struct ba_timer timer;
+	struct ba_timer end_timer;
 	uint64_t last_token;
 	GHashTable *waiting;
 	struct so_peer peers[RP_MEMBERS_LIMIT];
@@ -143,6 +144,9 @@
 /** so_source_stop() - end everything that so_source_start() began */
 void so_source_stop(struct so_source *s);
 
+/** so_source_end() - hand over, then stop the loop */
+void so_source_end(struct so_source *s);
+
 /** so_source_rearm() - the replica may have another deadline now */
 void so_source_rearm(struct so_source *s);
 
--- a/prog/so_source.c
+++ b/prog/so_source.c
@@ -7,10 +7,12 @@
 #include "wire/rp.pb-c.h"
 
 #define CHECK_INTERVAL (200 * BA_MS)
+#define HANDOVER_TIME (100 * BA_MS)
 
 static int start_node(struct so_source *s);
 static void log_recovery(const struct rp_recovery *found);
 static void on_timer(struct ba_timer *t, ba_time now);
+static void on_end(struct ba_timer *t, ba_time now);
 static void on_send(struct rp_node_owner *o, int to, const void *data,
 		    size_t len);
 static void on_applied(struct rp_node_owner *o, const struct rp_entry *e,
@@ -51,6 +53,7 @@
 void so_source_stop(struct so_source *s)
 {
 	ba_loop_disarm(s->loop, &s->timer);
+	ba_loop_disarm(s->loop, &s->end_timer);
 	wi_listener_close(s->listener);
 	so_peer_stop(s);
 	if (s->waiting) {
@@ -63,6 +66,17 @@
 	so_keys_free(s->identity);
 }
 
+/* The short while is for what is still to be sent. */
+void so_source_end(struct so_source *s)
+{
+	ba_time now = ba_loop_now(s->loop);
+
+	rp_node_stopping(s->node, now);
+	so_source_rearm(s);
+	s->end_timer.fire = on_end;
+	ba_loop_arm(s->loop, &s->end_timer, now + HANDOVER_TIME);
+}
+
 void so_source_rearm(struct so_source *s)
 {
 	ba_time deadline = rp_node_deadline(s->node);
@@ -154,6 +168,12 @@
 	so_source_rearm(s);
 }
 
+static void on_end(struct ba_timer *t, ba_time now)
+{
+	(void)now;
+	ba_loop_stop(ba_entry(t, struct so_source, end_timer)->loop);
+}
+
 static void on_send(struct rp_node_owner *o, int to, const void *data,
 		    size_t len)
 {
--- a/replica/rp_codec.c
+++ b/replica/rp_codec.c
@@ -36,6 +36,8 @@
 				 struct ba_buf *out);
 static void encode_probe(const struct rp_message *m, const struct content *from,
 			 struct ba_buf *out);
+static void encode_handover(const struct rp_message *m,
+			    const struct content *from, struct ba_buf *out);
 static bool decode_vote_request(const RpMessage *raw, struct rp_received *out);
 static bool decode_vote_reply(const RpMessage *raw, struct rp_received *out);
 static bool decode_append(const RpMessage *raw, struct rp_received *out);
@@ -43,6 +45,7 @@
 static bool decode_install(const RpMessage *raw, struct rp_received *out);
 static bool decode_install_reply(const RpMessage *raw, struct rp_received *out);
 static bool decode_probe(const RpMessage *raw, struct rp_received *out);
+static bool decode_handover(const RpMessage *raw, struct rp_received *out);
 static void pack(const RpMessage *raw, struct ba_buf *out);
 static bool take_disk_id(const char *id, struct rp_received *out);
 
@@ -54,6 +57,7 @@
 	[RP_INSTALL] = encode_install,
 	[RP_INSTALL_REPLY] = encode_install_reply,
 	[RP_PROBE] = encode_probe,
+	[RP_HANDOVER] = encode_handover,
 };
 
 static const decoder decoders[] = {
@@ -64,6 +68,7 @@
 	[RP_MESSAGE__BODY_INSTALL] = decode_install,
 	[RP_MESSAGE__BODY_INSTALL_REPLY] = decode_install_reply,
 	[RP_MESSAGE__BODY_PROBE] = decode_probe,
+	[RP_MESSAGE__BODY_HANDOVER] = decode_handover,
 };
 
 void rp_message_encode(const struct rp_message *m, const struct rp_log *log,
@@ -112,6 +117,7 @@
 	body.last_index = m->index;
 	body.last_term = m->log_term;
 	body.pre = m->pre;
+	body.handover = m->handover;
 	body.voter_disk = (char *)m->disk_id;
 	raw.body_case = RP_MESSAGE__BODY_VOTE_REQUEST;
 	raw.vote_request = &body;
@@ -241,6 +247,19 @@
 	pack(&raw, out);
 }
 
+static void encode_handover(const struct rp_message *m,
+			    const struct content *from, struct ba_buf *out)
+{
+	RpHandover body = RP_HANDOVER__INIT;
+	RpMessage raw = RP_MESSAGE__INIT;
+
+	(void)from;
+	body.term = m->term;
+	raw.body_case = RP_MESSAGE__BODY_HANDOVER;
+	raw.handover = &body;
+	pack(&raw, out);
+}
+
 static bool decode_vote_request(const RpMessage *raw, struct rp_received *out)
 {
 	const RpVoteRequest *body = raw->vote_request;
@@ -251,6 +270,7 @@
 	m->index = body->last_index;
 	m->log_term = body->last_term;
 	m->pre = body->pre;
+	m->handover = body->handover;
 	return take_disk_id(body->voter_disk, out);
 }
 
@@ -347,6 +367,13 @@
 	return take_disk_id(body->disk_id, out);
 }
 
+static bool decode_handover(const RpMessage *raw, struct rp_received *out)
+{
+	out->message.type = RP_HANDOVER;
+	out->message.term = raw->handover->term;
+	return true;
+}
+
 static void pack(const RpMessage *raw, struct ba_buf *out)
 {
 	size_t len = rp_message__get_packed_size(raw);
--- a/replica/rp_core.c
+++ b/replica/rp_core.c
@@ -20,6 +20,8 @@
 			 ba_time now, struct rp_actions *out);
 static void on_snapshot(struct rp_core *c, const struct rp_event *e,
 			ba_time now, struct rp_actions *out);
+static void on_stopping(struct rp_core *c, const struct rp_event *e,
+			ba_time now, struct rp_actions *out);
 static int find_name(const struct rp_core *c, const char *name);
 
 const struct rp_times rp_times_default = {
@@ -41,6 +43,7 @@
 	[RP_ON_STORE_FAILED] = on_store_failed,
 	[RP_ON_INSTALLED] = on_installed,
 	[RP_ON_SNAPSHOT] = on_snapshot,
+	[RP_ON_STOPPING] = on_stopping,
 };
 
 static void (*const message_handlers[])(struct rp_core *c, int from,
@@ -53,6 +56,7 @@
 	[RP_INSTALL] = rp_on_install,
 	[RP_INSTALL_REPLY] = rp_on_install_reply,
 	[RP_PROBE] = rp_on_probe,
+	[RP_HANDOVER] = rp_on_handover,
 };
 
 struct rp_core *rp_core_new(const struct rp_core_options *o,
@@ -440,6 +444,14 @@
 	rp_members_refresh(c);
 }
 
+static void on_stopping(struct rp_core *c, const struct rp_event *e,
+			ba_time now, struct rp_actions *out)
+{
+	(void)e;
+	if (c->role == RP_LEADER)
+		rp_hand_over(c, now, out);
+}
+
 static int find_name(const struct rp_core *c, const char *name)
 {
 	for (int i = 0; i < c->n_peers; i++)
--- a/replica/rp_core.h
+++ b/replica/rp_core.h
@@ -74,6 +74,7 @@
 	RP_INSTALL,
 	RP_INSTALL_REPLY,
 	RP_PROBE,
+	RP_HANDOVER,
 };
 
 /**
@@ -100,6 +101,7 @@
 	bool formed;
 	bool answer;
 	bool damaged;
+	bool handover;
 	uint64_t index;
 	uint64_t log_term;
 	uint64_t commit;
@@ -123,6 +125,7 @@
 	RP_ON_STORE_FAILED, /* @code: of an entry at @index, or with 0 the vote */
 	RP_ON_INSTALLED,    /* the snapshot of %RP_DO_INSTALL is in place */
 	RP_ON_SNAPSHOT,	    /* a snapshot at @index was taken */
+	RP_ON_STOPPING,	    /* the replica ends soon; it hands its lead over */
 };
 
 /** struct rp_event - one event; members that its type does not use are 0 */
--- a/replica/rp_elect.c
+++ b/replica/rp_elect.c
@@ -4,9 +4,10 @@
 #include "replica/rp_internal.h"
 #include "wire/rp.pb-c.h"
 
-static void ask_for_votes(struct rp_core *c, bool pre, struct rp_actions *out);
+static void ask_for_votes(struct rp_core *c, bool pre, bool handover,
+			  struct rp_actions *out);
 static void count_votes(struct rp_core *c, ba_time now, struct rp_actions *out);
-static void become_candidate(struct rp_core *c, ba_time now,
+static void become_candidate(struct rp_core *c, bool handover, ba_time now,
 			     struct rp_actions *out);
 static bool has_leader(const struct rp_core *c, ba_time now);
 static bool may_vote_for(const struct rp_core *c, int from,
@@ -24,14 +25,15 @@
 	if (!rp_counts(c, c->self) || now < c->store_deadline)
 		return;
 	c->role = RP_PRE_CANDIDATE;
-	ask_for_votes(c, true, out);
+	ask_for_votes(c, true, false, out);
 	count_votes(c, now, out);
 }
 
 void rp_on_vote_request(struct rp_core *c, int from, const struct rp_message *m,
 			ba_time now, struct rp_actions *out)
 {
-	bool grant = !has_leader(c, now) && may_vote_for(c, from, m);
+	bool free = m->handover || !has_leader(c, now);
+	bool grant = free && may_vote_for(c, from, m);
 	struct rp_message *reply;
 
 	if (grant && !m->pre) {
@@ -71,6 +73,16 @@
 	count_votes(c, now, out);
 }
 
+/* The leader has given its lease up, so nobody needs to wait for its end. */
+void rp_on_handover(struct rp_core *c, int from, const struct rp_message *m,
+		    ba_time now, struct rp_actions *out)
+{
+	if (c->role != RP_FOLLOWER || c->leader != from || m->term != c->term ||
+	    !rp_counts(c, c->self) || now < c->store_deadline)
+		return;
+	become_candidate(c, true, now, out);
+}
+
 /* Asks whether there is a group, and forms one only when there is none. */
 void rp_form_tick(struct rp_core *c, ba_time now, struct rp_actions *out)
 {
@@ -110,7 +122,8 @@
 	reply->damaged = c->damaged && c->role == RP_UNFORMED;
 }
 
-static void ask_for_votes(struct rp_core *c, bool pre, struct rp_actions *out)
+static void ask_for_votes(struct rp_core *c, bool pre, bool handover,
+			  struct rp_actions *out)
 {
 	uint64_t last = rp_log_last(&c->log);
 	uint64_t last_term = 0;
@@ -125,6 +138,7 @@
 			continue;
 		m = rp_send(c, out, i, RP_VOTE_REQUEST);
 		m->pre = pre;
+		m->handover = handover;
 		m->term = pre ? c->term + 1 : c->term;
 		m->index = last;
 		m->log_term = last_term;
@@ -141,12 +155,12 @@
 	if (votes < rp_members_quorum(&c->members))
 		return;
 	if (c->role == RP_PRE_CANDIDATE)
-		become_candidate(c, now, out);
+		become_candidate(c, false, now, out);
 	else
 		rp_become_leader(c, now, out);
 }
 
-static void become_candidate(struct rp_core *c, ba_time now,
+static void become_candidate(struct rp_core *c, bool handover, ba_time now,
 			     struct rp_actions *out)
 {
 	c->role = RP_CANDIDATE;
@@ -154,7 +168,7 @@
 	c->vote = c->self;
 	c->election_deadline = rp_later(c, now);
 	rp_save_vote(c, out);
-	ask_for_votes(c, false, out);
+	ask_for_votes(c, false, handover, out);
 	count_votes(c, now, out);
 }
 
--- a/replica/rp_internal.h
+++ b/replica/rp_internal.h
@@ -135,6 +135,8 @@
 		      ba_time now, struct rp_actions *out);
 void rp_on_probe(struct rp_core *c, int from, const struct rp_message *m,
 		 ba_time now, struct rp_actions *out);
+void rp_on_handover(struct rp_core *c, int from, const struct rp_message *m,
+		    ba_time now, struct rp_actions *out);
 
 /* Following: rp_follow.c */
 void rp_on_append(struct rp_core *c, int from, const struct rp_message *m,
@@ -153,6 +155,7 @@
 void rp_on_install_reply(struct rp_core *c, int from,
 			 const struct rp_message *m, ba_time now,
 			 struct rp_actions *out);
+void rp_hand_over(struct rp_core *c, ba_time now, struct rp_actions *out);
 void rp_replicate_all(struct rp_core *c, ba_time now, struct rp_actions *out);
 
 #endif
--- a/replica/rp_lead.c
+++ b/replica/rp_lead.c
@@ -6,6 +6,7 @@
 #include "replica/rp_internal.h"
 #include "wire/rp.pb-c.h"
 
+static int successor(struct rp_core *c, ba_time now);
 static void begin_round(struct rp_core *c, ba_time now, struct rp_actions *out);
 static void renew_lease(struct rp_core *c);
 static void advance_commit(struct rp_core *c, ba_time now,
@@ -122,6 +123,34 @@
 			replicate(c, i, now, out);
 }
 
+/*
+ * A leader that stops gives its lead to a replica that has every entry.  It
+ * is a follower from then on, so it accepts nothing more in this term.
+ */
+void rp_hand_over(struct rp_core *c, ba_time now, struct rp_actions *out)
+{
+	int to = successor(c, now);
+
+	if (to == RP_NOBODY)
+		return;
+	rp_send(c, out, to, RP_HANDOVER);
+	c->store_deadline = now + 2 * c->o.times.election_most;
+	rp_become_follower(c, c->term, RP_NOBODY, BA_OK, now, out);
+}
+
+static int successor(struct rp_core *c, ba_time now)
+{
+	for (int i = 0; i < c->n_peers; i++) {
+		const struct rp_peer *p = &c->peers[i];
+
+		if (i != c->self && rp_counts(c, i) &&
+		    p->match == rp_log_last(&c->log) &&
+		    now < p->heard + c->o.times.election_least)
+			return i;
+	}
+	return RP_NOBODY;
+}
+
 static void begin_round(struct rp_core *c, ba_time now, struct rp_actions *out)
 {
 	c->round++;
--- a/replica/rp_node.c
+++ b/replica/rp_node.c
@@ -159,6 +159,13 @@
 	fail_waiters(n, now, 0, RP_SUBMISSION_TIMEOUT);
 }
 
+void rp_node_stopping(struct rp_node *n, ba_time now)
+{
+	struct rp_event e = {.type = RP_ON_STOPPING};
+
+	step(n, &e, now);
+}
+
 ba_time rp_node_deadline(const struct rp_node *n)
 {
 	ba_time deadline = rp_core_deadline(n->core);
--- a/replica/rp_node.h
+++ b/replica/rp_node.h
@@ -84,6 +84,9 @@
 /** rp_node_tick() - time has passed */
 void rp_node_tick(struct rp_node *n, ba_time now);
 
+/** rp_node_stopping() - the replica ends soon; a leader hands over */
+void rp_node_stopping(struct rp_node *n, ba_time now);
+
 /** rp_node_deadline() - when to call rp_node_tick() */
 ba_time rp_node_deadline(const struct rp_node *n);
 
--- a/test/rp_test.cc
+++ b/test/rp_test.cc
@@ -65,7 +65,9 @@
 			w.crash(i);
 		break;
 	case 5:
-		if (kinds & CRASHES)
+		if (w.up(i) && w.below(2))
+			rp_node_stopping(w.all[i]->node, w.now);
+		else if (kinds & CRASHES)
 			w.all[i]->store.crash_after = (int)w.below(6);
 		break;
 	case 6:
@@ -236,6 +238,23 @@
 	}
 }
 
+TEST(RpLease, StoppingLeaderHandsOver)
+{
+	world w(21, 3);
+	int l = wait_leader(w);
+	ba_time begun = w.now;
+
+	ASSERT_GE(l, 0);
+	rp_node_stopping(w.all[l]->node, w.now);
+	EXPECT_NE(rp_core_accepting(w.core(l), w.now), BA_OK);
+	w.run(w.now + 200 * BA_MS);
+	ASSERT_GE(w.leader(), 0);
+	EXPECT_NE(w.leader(), l);
+	w.run(begun + 10 * BA_SECOND);
+	EXPECT_NE(w.leader(), l);
+	EXPECT_EQ(w.violation, "");
+}
+
 TEST(RpRepair, SecondLossRightAfterARepairLosesNothing)
 {
 	world w(5, 3);
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &rp_vote_request__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rp_handover__init
+                     (RpHandover         *message)
+{
+  static const RpHandover init_value = RP_HANDOVER__INIT;
+  *message = init_value;
+}
+size_t rp_handover__get_packed_size
+                     (const RpHandover *message)
+{
+  assert(message->base.descriptor == &rp_handover__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_handover__pack
+                     (const RpHandover *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_handover__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_handover__pack_to_buffer
+                     (const RpHandover *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_handover__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpHandover *
+       rp_handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpHandover *)
+     protobuf_c_message_unpack (&rp_handover__descriptor,
+                                allocator, len, data);
+}
+void   rp_handover__free_unpacked
+                     (RpHandover *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_handover__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rp_vote_reply__init
                      (RpVoteReply         *message)
 {
@@ -1099,7 +1144,7 @@
   (ProtobufCMessageInit) rp_submission__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_vote_request__field_descriptors[5] =
+static const ProtobufCFieldDescriptor rp_vote_request__field_descriptors[6] =
 {
   {
     "term",
@@ -1161,8 +1206,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handover",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpVoteRequest, handover),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_vote_request__field_indices_by_name[] = {
+  5,   /* field[5] = handover */
   1,   /* field[1] = last_index */
   2,   /* field[2] = last_term */
   3,   /* field[3] = pre */
@@ -1172,7 +1230,7 @@
 static const ProtobufCIntRange rp_vote_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor rp_vote_request__descriptor =
 {
@@ -1182,13 +1240,51 @@
   "RpVoteRequest",
   "",
   sizeof(RpVoteRequest),
-  5,
+  6,
   rp_vote_request__field_descriptors,
   rp_vote_request__field_indices_by_name,
   1,  rp_vote_request__number_ranges,
   (ProtobufCMessageInit) rp_vote_request__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rp_handover__field_descriptors[1] =
+{
+  {
+    "term",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpHandover, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_handover__field_indices_by_name[] = {
+  0,   /* field[0] = term */
+};
+static const ProtobufCIntRange rp_handover__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rp_handover__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpHandover",
+  "RpHandover",
+  "RpHandover",
+  "",
+  sizeof(RpHandover),
+  1,
+  rp_handover__field_descriptors,
+  rp_handover__field_indices_by_name,
+  1,  rp_handover__number_ranges,
+  (ProtobufCMessageInit) rp_handover__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rp_vote_reply__field_descriptors[4] =
 {
   {
@@ -1922,7 +2018,7 @@
   (ProtobufCMessageInit) rp_forward__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_message__field_descriptors[7] =
+static const ProtobufCFieldDescriptor rp_message__field_descriptors[8] =
 {
   {
     "vote_request",
@@ -2008,10 +2104,23 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "handover",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RpMessage, body_case),
+    offsetof(RpMessage, handover),
+    &rp_handover__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_message__field_indices_by_name[] = {
   2,   /* field[2] = append */
   3,   /* field[3] = append_reply */
+  7,   /* field[7] = handover */
   4,   /* field[4] = install */
   5,   /* field[5] = install_reply */
   6,   /* field[6] = probe */
@@ -2021,7 +2130,7 @@
 static const ProtobufCIntRange rp_message__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor rp_message__descriptor =
 {
@@ -2031,7 +2140,7 @@
   "RpMessage",
   "",
   sizeof(RpMessage),
-  7,
+  8,
   rp_message__field_descriptors,
   rp_message__field_indices_by_name,
   1,  rp_message__number_ranges,
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct RpMembers RpMembers;
 typedef struct RpSubmission RpSubmission;
 typedef struct RpVoteRequest RpVoteRequest;
+typedef struct RpHandover RpHandover;
 typedef struct RpVoteReply RpVoteReply;
 typedef struct RpAppend RpAppend;
 typedef struct RpAppendReply RpAppendReply;
@@ -139,10 +140,27 @@
    * disk of the voter that the candidate knows
    */
   char *voter_disk;
+  /*
+   * the leader of the term before has asked for it
+   */
+  protobuf_c_boolean handover;
 };
 #define RP_VOTE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_vote_request__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * The leader stops; the receiver is to be elected at once.
+ */
+struct  RpHandover
+{
+  ProtobufCMessage base;
+  uint64_t term;
+};
+#define RP_HANDOVER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp_handover__descriptor) \
+    , 0 }
 
 
 struct  RpVoteReply
@@ -296,7 +314,8 @@
   RP_MESSAGE__BODY_APPEND_REPLY = 4,
   RP_MESSAGE__BODY_INSTALL = 5,
   RP_MESSAGE__BODY_INSTALL_REPLY = 6,
-  RP_MESSAGE__BODY_PROBE = 7
+  RP_MESSAGE__BODY_PROBE = 7,
+  RP_MESSAGE__BODY_HANDOVER = 8
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RP_MESSAGE__BODY__CASE)
 } RpMessage__BodyCase;
 
@@ -312,6 +331,7 @@
     RpInstall *install;
     RpInstallReply *install_reply;
     RpProbe *probe;
+    RpHandover *handover;
   };
 };
 #define RP_MESSAGE__INIT \
@@ -484,6 +504,25 @@
 void   rp_vote_request__free_unpacked
                      (RpVoteRequest *message,
                       ProtobufCAllocator *allocator);
+/* RpHandover methods */
+void   rp_handover__init
+                     (RpHandover         *message);
+size_t rp_handover__get_packed_size
+                     (const RpHandover   *message);
+size_t rp_handover__pack
+                     (const RpHandover   *message,
+                      uint8_t             *out);
+size_t rp_handover__pack_to_buffer
+                     (const RpHandover   *message,
+                      ProtobufCBuffer     *buffer);
+RpHandover *
+       rp_handover__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp_handover__free_unpacked
+                     (RpHandover *message,
+                      ProtobufCAllocator *allocator);
 /* RpVoteReply methods */
 void   rp_vote_reply__init
                      (RpVoteReply         *message);
@@ -748,6 +787,9 @@
 typedef void (*RpVoteRequest_Closure)
                  (const RpVoteRequest *message,
                   void *closure_data);
+typedef void (*RpHandover_Closure)
+                 (const RpHandover *message,
+                  void *closure_data);
 typedef void (*RpVoteReply_Closure)
                  (const RpVoteReply *message,
                   void *closure_data);
@@ -799,6 +841,7 @@
 extern const ProtobufCMessageDescriptor rp_members__descriptor;
 extern const ProtobufCMessageDescriptor rp_submission__descriptor;
 extern const ProtobufCMessageDescriptor rp_vote_request__descriptor;
+extern const ProtobufCMessageDescriptor rp_handover__descriptor;
 extern const ProtobufCMessageDescriptor rp_vote_reply__descriptor;
 extern const ProtobufCMessageDescriptor rp_append__descriptor;
 extern const ProtobufCMessageDescriptor rp_append_reply__descriptor;
