replica: give waiters and durable files modules of their own

Change: rp_waiters keeps who waits for which outcome, rp_file writes files that outlive a crash; no behaviour is meant to change.

--- a/replica/rp_disk.c
+++ b/replica/rp_disk.c
@@ -14,13 +14,13 @@
 #include "base/ba_result.h"
 #include "base/ba_settings.h"
 #include "replica/rp_disk.h"
+#include "replica/rp_file.h"
 #include "replica/rp_record.h"
 
 #define FILE_LIMIT_BYTES ((size_t)4 << 30)
 
 enum {
 	FOLDER_MODE = 0700,
-	FILE_MODE = 0600,
 	NAME_BYTES = 64,
 };
 
@@ -78,13 +78,9 @@
 static int set_aside(struct rp_disk *d, struct rp_recovered *out);
 static int save_meta(struct rp_disk *d);
 static int read_file(struct rp_disk *d, const char *name, struct ba_buf *out);
-static int replace_file(struct rp_disk *d, const char *name,
-			const struct ba_buf *content);
 static int rewrite_log(struct rp_disk *d, uint64_t from, uint64_t to);
 static int select_records(struct rp_disk *d, uint64_t from, uint64_t to,
 			  struct ba_buf *out);
-static int write_at(int fd, const void *data, size_t len, off_t at);
-static int write_failure(void);
 
 int rp_disk_open(const char *folder, struct rp_store **out)
 {
@@ -144,11 +140,11 @@
 {
 	struct rp_disk *d = (struct rp_disk *)s;
 	struct rp_meta before = d->meta;
-	int ret = write_at(d->log_fd, d->pending.data, d->pending.len,
-			   d->log_size);
+	int ret = rp_file_write(d->log_fd, d->pending.data, d->pending.len,
+				d->log_size);
 
 	if (!ret && fdatasync(d->log_fd))
-		ret = write_failure();
+		ret = rp_file_failure();
 	if (!ret) {
 		d->meta.mark = d->pending_last;
 		d->meta.damaged = false;
@@ -157,7 +153,7 @@
 	if (ret) {
 		d->meta = before;
 		if (ftruncate(d->log_fd, d->log_size))
-			ret = write_failure();
+			ret = rp_file_failure();
 	} else {
 		d->last = d->pending_last;
 		d->log_size += (off_t)d->pending.len;
@@ -209,7 +205,7 @@
 	int ret;
 
 	rp_snapshot_write(&file, index, term, state);
-	ret = replace_file(d, "snapshot", &file);
+	ret = rp_file_replace(d->dir_fd, "snapshot", &file);
 	ba_buf_free(&file);
 	if (ret)
 		return ret;
@@ -246,7 +242,7 @@
 	if (d->dir_fd < 0)
 		return BA_FOLDER_UNWRITABLE;
 	d->lock_fd = openat(d->dir_fd, "lock", O_RDWR | O_CREAT | O_CLOEXEC,
-			    FILE_MODE);
+			    RP_FILE_MODE);
 	if (d->lock_fd < 0 || flock(d->lock_fd, LOCK_EX | LOCK_NB))
 		return BA_FOLDER_UNWRITABLE;
 	return BA_OK;
@@ -255,9 +251,9 @@
 static int open_data(struct rp_disk *d)
 {
 	d->meta_fd = openat(d->dir_fd, "meta", O_RDWR | O_CREAT | O_CLOEXEC,
-			    FILE_MODE);
+			    RP_FILE_MODE);
 	d->log_fd = openat(d->dir_fd, "log", O_RDWR | O_CREAT | O_CLOEXEC,
-			   FILE_MODE);
+			   RP_FILE_MODE);
 	if (d->meta_fd < 0 || d->log_fd < 0 || fsync(d->dir_fd))
 		return BA_FOLDER_UNWRITABLE;
 	return BA_OK;
@@ -426,10 +422,10 @@
 
 	d->meta.sequence++;
 	rp_meta_write(slot, &d->meta);
-	ret = write_at(d->meta_fd, slot, sizeof(slot),
-		       (off_t)(d->meta.sequence % 2) * RP_META_SLOT_BYTES);
+	ret = rp_file_write(d->meta_fd, slot, sizeof(slot),
+			    (off_t)(d->meta.sequence % 2) * RP_META_SLOT_BYTES);
 	if (!ret && fdatasync(d->meta_fd))
-		ret = write_failure();
+		ret = rp_file_failure();
 	return ret;
 }
 
@@ -442,30 +438,6 @@
 	return ret;
 }
 
-static int replace_file(struct rp_disk *d, const char *name,
-			const struct ba_buf *content)
-{
-	char aside[NAME_BYTES];
-	int fd;
-	int ret;
-
-	g_snprintf(aside, sizeof(aside), "%s.new", name);
-	fd = openat(d->dir_fd, aside, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC,
-		    FILE_MODE);
-	if (fd < 0)
-		return write_failure();
-	ret = write_at(fd, content->data, content->len, 0);
-	if (!ret && fsync(fd))
-		ret = write_failure();
-	close(fd);
-	if (!ret &&
-	    (renameat(d->dir_fd, aside, d->dir_fd, name) || fsync(d->dir_fd)))
-		ret = write_failure();
-	if (ret)
-		unlinkat(d->dir_fd, aside, 0);
-	return ret;
-}
-
 static int rewrite_log(struct rp_disk *d, uint64_t from, uint64_t to)
 {
 	struct ba_buf kept = {0};
@@ -473,7 +445,7 @@
 	int fd;
 
 	if (!ret)
-		ret = replace_file(d, "log", &kept);
+		ret = rp_file_replace(d->dir_fd, "log", &kept);
 	if (!ret) {
 		fd = openat(d->dir_fd, "log", O_RDWR | O_CLOEXEC);
 		if (fd < 0) {
@@ -510,28 +482,3 @@
 	ba_buf_free(&file);
 	return ret ? BA_FOLDER_UNWRITABLE : BA_OK;
 }
-
-static int write_at(int fd, const void *data, size_t len, off_t at)
-{
-	const uint8_t *p = data;
-
-	while (len) {
-		ssize_t n = pwrite(fd, p, len, at);
-
-		if (n < 0 && errno == EINTR)
-			continue;
-		if (n <= 0)
-			return write_failure();
-		p += n;
-		at += n;
-		len -= (size_t)n;
-	}
-	return BA_OK;
-}
-
-static int write_failure(void)
-{
-	if (errno == ENOSPC || errno == EDQUOT || errno == EFBIG)
-		return BA_DISK_FULL;
-	return BA_FOLDER_UNWRITABLE;
-}
--- /dev/null
+++ b/replica/rp_file.c
@@ -0,0 +1,58 @@
+#include <errno.h>
+#include <fcntl.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "base/ba_result.h"
+#include "replica/rp_file.h"
+
+enum { NAME_BYTES = 64 };
+
+int rp_file_write(int fd, const void *data, size_t len, off_t at)
+{
+	const uint8_t *p = data;
+
+	while (len) {
+		ssize_t n = pwrite(fd, p, len, at);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			return rp_file_failure();
+		p += n;
+		at += n;
+		len -= (size_t)n;
+	}
+	return BA_OK;
+}
+
+int rp_file_replace(int dir_fd, const char *name, const struct ba_buf *content)
+{
+	char aside[NAME_BYTES];
+	int fd;
+	int ret;
+
+	g_snprintf(aside, sizeof(aside), "%s.new", name);
+	fd = openat(dir_fd, aside, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC,
+		    RP_FILE_MODE);
+	if (fd < 0)
+		return rp_file_failure();
+	ret = rp_file_write(fd, content->data, content->len, 0);
+	if (!ret && fsync(fd))
+		ret = rp_file_failure();
+	close(fd);
+	if (!ret && (renameat(dir_fd, aside, dir_fd, name) || fsync(dir_fd)))
+		ret = rp_file_failure();
+	if (ret)
+		unlinkat(dir_fd, aside, 0);
+	return ret;
+}
+
+int rp_file_failure(void)
+{
+	if (errno == ENOSPC || errno == EDQUOT || errno == EFBIG)
+		return BA_DISK_FULL;
+	return BA_FOLDER_UNWRITABLE;
+}
--- a/replica/rp_node.c
+++ b/replica/rp_node.c
@@ -2,10 +2,10 @@
 
 #include <glib.h>
 
-#include "base/ba_list.h"
 #include "base/ba_result.h"
 #include "replica/rp_codec.h"
 #include "replica/rp_node.h"
+#include "replica/rp_waiters.h"
 #include "wire/rp.pb-c.h"
 
 enum {
@@ -20,18 +20,6 @@
 
 #define OUTCOME_TIME (5 * BA_SECOND)
 
-/*
- * Somebody who waits for the outcome of a submission.
- * @index: of the entry it went into
- */
-struct waiter {
-	struct ba_list link;
-	uint64_t token;
-	char *id;
-	uint64_t index;
-	ba_time deadline;
-};
-
 /*
  * @state: the packed snapshot that the log begins behind
  * @running: actions are being carried out; steps only add to them
@@ -42,8 +30,7 @@
 	struct rp_machine *machine;
 	struct ba_buf state;
 	struct rp_actions actions;
-	struct ba_list waiters;
-	size_t n_waiters;
+	struct rp_waiters waiters;
 	enum rp_role role;
 	int leader;
 	uint64_t snapshot_at;
@@ -82,10 +69,6 @@
 static int check(const CtSubmit *submit);
 static void refuse(struct rp_node *n, uint64_t token, int code);
 static void tell(struct rp_node *n, uint64_t token, const CtOutcome *outcome);
-static struct waiter *find_waiter(const struct rp_node *n, const char *id);
-static void add_waiter(struct rp_node *n, uint64_t token, const char *id,
-		       uint64_t index, ba_time now);
-static void drop_waiter(struct rp_node *n, struct waiter *w);
 static void tell_waiters(struct rp_node *n, const char *id);
 static void fail_waiters(struct rp_node *n, ba_time until, uint64_t from,
 			 int code);
@@ -106,7 +89,7 @@
 		n->o.keep_entries = DEFAULT_KEEP_ENTRIES;
 	if (!n->o.chunk_bytes)
 		n->o.chunk_bytes = DEFAULT_CHUNK_BYTES;
-	ba_list_init(&n->waiters);
+	rp_waiters_init(&n->waiters);
 	ret = o->store->ops->load(o->store, &r);
 	if (!ret && r.damaged && o->core.n_names == 1)
 		ret = RP_LOG_DAMAGED;
@@ -134,15 +117,9 @@
 
 void rp_node_free(struct rp_node *n)
 {
-	struct ba_list *pos;
-	struct ba_list *tmp;
-
 	if (!n)
 		return;
-	ba_list_each_safe(pos, tmp, &n->waiters)
-	{
-		drop_waiter(n, ba_entry(pos, struct waiter, link));
-	}
+	rp_waiters_free(&n->waiters);
 	rp_core_free(n->core);
 	rp_machine_free(n->machine);
 	rp_actions_free(&n->actions);
@@ -168,15 +145,7 @@
 
 ba_time rp_node_deadline(const struct rp_node *n)
 {
-	ba_time deadline = rp_core_deadline(n->core);
-
-	if (!ba_list_empty(&n->waiters)) {
-		const struct waiter *w =
-			ba_entry(n->waiters.next, struct waiter, link);
-
-		deadline = MIN(deadline, w->deadline);
-	}
-	return deadline;
+	return MIN(rp_core_deadline(n->core), rp_waiters_deadline(&n->waiters));
 }
 
 int rp_node_receive(struct rp_node *n, int from, const void *data, size_t len,
@@ -203,13 +172,13 @@
 	};
 	uint64_t index = rp_log_last(rp_core_log(n->core)) + 1;
 	struct ba_buf body = {0};
-	const struct waiter *first;
+	uint64_t first;
 	CtOutcome *known;
 	int code = check(submit);
 
 	if (!code)
 		code = rp_core_accepting(n->core, now);
-	if (!code && (n->n_waiters >= WAITERS_LIMIT ||
+	if (!code && (n->waiters.n >= WAITERS_LIMIT ||
 		      index > rp_core_commit(n->core) + UNCOMMITTED_LIMIT))
 		code = RP_NO_QUORUM;
 	if (code) {
@@ -222,13 +191,12 @@
 		ct_outcome__free_unpacked(known, NULL);
 		return;
 	}
-	first = find_waiter(n, submit->submission_id);
-	if (first) {
-		add_waiter(n, token, submit->submission_id, first->index, now);
+	first = rp_waiters_index(&n->waiters, submit->submission_id);
+	rp_waiters_add(&n->waiters, token, submit->submission_id,
+		       first ? first : index, now + OUTCOME_TIME);
+	if (first)
 		return;
-	}
 	rp_machine_prepare(n->machine, submit, index, wall, &body);
-	add_waiter(n, token, submit->submission_id, index, now);
 	e.body = body.data;
 	e.len = body.len;
 	step(n, &e, now);
@@ -237,16 +205,7 @@
 
 void rp_node_forget(struct rp_node *n, uint64_t token)
 {
-	struct ba_list *pos;
-	struct ba_list *tmp;
-
-	ba_list_each_safe(pos, tmp, &n->waiters)
-	{
-		struct waiter *w = ba_entry(pos, struct waiter, link);
-
-		if (w->token == token)
-			drop_waiter(n, w);
-	}
+	rp_waiters_forget(&n->waiters, token);
 }
 
 int rp_node_propose(struct rp_node *n, int kind, const void *body, size_t len,
@@ -499,85 +458,27 @@
 	n->o.owner->outcome(n->o.owner, token, &full);
 }
 
-static struct waiter *find_waiter(const struct rp_node *n, const char *id)
-{
-	const struct ba_list *pos;
-
-	ba_list_each(pos, &n->waiters)
-	{
-		struct waiter *w = ba_entry(pos, struct waiter, link);
-
-		if (!strcmp(w->id, id))
-			return w;
-	}
-	return NULL;
-}
-
-static void add_waiter(struct rp_node *n, uint64_t token, const char *id,
-		       uint64_t index, ba_time now)
-{
-	struct waiter *w = g_new0(struct waiter, 1);
-
-	w->token = token;
-	w->id = g_strdup(id);
-	w->index = index;
-	w->deadline = now + OUTCOME_TIME;
-	ba_list_append(&n->waiters, &w->link);
-	n->n_waiters++;
-}
-
-static void drop_waiter(struct rp_node *n, struct waiter *w)
-{
-	ba_list_remove(&w->link);
-	n->n_waiters--;
-	g_free(w->id);
-	g_free(w);
-}
-
-/* Found anew each time, as the owner may submit again from its callback. */
 static void tell_waiters(struct rp_node *n, const char *id)
 {
 	CtOutcome *outcome = rp_machine_outcome(n->machine, id);
-	struct waiter *w;
-
-	while ((w = find_waiter(n, id))) {
-		uint64_t token = w->token;
+	uint64_t token;
 
-		drop_waiter(n, w);
+	while (rp_waiters_take(&n->waiters, id, &token))
 		tell(n, token, outcome);
-	}
 	ct_outcome__free_unpacked(outcome, NULL);
 }
 
-/*
- * Waiters whose deadline is not after @until and whose entry is not before
- * @from.
- */
+/* Moved aside first, as the owner may submit again from its callback. */
 static void fail_waiters(struct rp_node *n, ba_time until, uint64_t from,
 			 int code)
 {
-	struct ba_list failed;
-	struct ba_list *pos;
-	struct ba_list *tmp;
-
-	ba_list_init(&failed);
-	ba_list_each_safe(pos, tmp, &n->waiters)
-	{
-		const struct waiter *w = ba_entry(pos, struct waiter, link);
-
-		if (w->deadline > until || w->index < from)
-			continue;
-		ba_list_remove(pos);
-		ba_list_append(&failed, pos);
-	}
-	ba_list_each_safe(pos, tmp, &failed)
-	{
-		struct waiter *w = ba_entry(pos, struct waiter, link);
-		uint64_t token = w->token;
+	struct rp_waiters failed;
+	uint64_t token;
 
-		drop_waiter(n, w);
+	rp_waiters_init(&failed);
+	rp_waiters_move(&n->waiters, until, from, &failed);
+	while (rp_waiters_take(&failed, NULL, &token))
 		refuse(n, token, code);
-	}
 }
 
 /* Followers that are behind by less need no snapshot. */
