carawayd: nothing looks at the agent in the last turn

Change: both timers of the main loop are disarmed first.

Figures: call-path with carawayd under the thread sanitizer: before, 3 reports and a failed stop; after, passed, no report, no data race.

--- a/prog/carawayd.c
+++ b/prog/carawayd.c
@@ -142,6 +142,8 @@
 		ret = start_agent(d);
 	if (!ret)
 		ba_loop_run(d->loop);
+	ba_loop_disarm(d->loop, &d->watch_timer);
+	ba_loop_disarm(d->loop, &d->stop_timer);
 	ds_agent_free(d->agent);
 	pr_metrics_stop(d->metrics);
 	finish_turn(d->loop);
