--- a/test/cases/call-path.sh
+++ b/test/cases/call-path.sh
@@ -126,6 +126,22 @@
 		grep -o '":[0-9]*[,}]' | wc -l
 }
 
+# slow_sender: a request whose end never comes
+slow_sender() {
+	{
+		printf 'POST /floor-plans HTTP/1.1\r\nHost: a\r\n'
+		printf 'Content-Length: 100\r\n\r\nabc'
+		sleep 14
+	} | curl -s -m 14 "telnet://$(caller_address scheduling-1)" >/dev/null
+}
+
+# connected DAEMON: whether a caller has an open connection to it
+connected() {
+	local at
+	at=$(hex_address "$(caller_address "$1")")
+	grep -q " $at [0-9A-F]*:[0-9A-F]* 01 " /proc/net/tcp
+}
+
 refusals() {
 	local old before
 	before=$(total_runs)
@@ -253,10 +269,19 @@
 }
 
 begin
+slow_sender &
+poll "the slow sender" connected scheduling-1
+from=$(now_ms)
 refusals
 keys
 late_answer
 backend_dies
 download
 frozen_peer
+while test $(($(now_ms) - from)) -lt 11500
+do
+	sleep 0.2
+done
+connected scheduling-1 && fail "a slow sender is still connected"
+echo "a slow sender was closed"
 graceful_stop
