--- a/test/cf_test.cc
+++ b/test/cf_test.cc
@@ -8,6 +8,7 @@
 
 #include "base/ba_result.h"
 #include "config/cf.h"
+#include "wire/cf.pb-c.h"
 
 namespace
 {
@@ -304,6 +305,43 @@
 	cf_snapshot_unref(to);
 }
 
+/*
+ * A delta that lost one of its changes is refused by its digest.  With the
+ * digest of the partial result in its place, as if nobody compared it, the
+ * check of the property above finds the difference.
+ */
+TEST(CfBroken, PartOfADeltaIsFoundByTheDigest)
+{
+	struct cf_snapshot *empty = cf_snapshot_empty();
+	struct cf_snapshot *from =
+		must_parse(service("a") + service("b"), empty, 3);
+	struct cf_snapshot *to = must_parse(service("a", 5) + service("b", 6) +
+						    route("r", "/p", "b"),
+					    from, 9);
+	struct cf_snapshot *part = must_parse(service("a", 5) + service("b") +
+						      route("r", "/p", "b"),
+					      from, 9);
+	std::string d = delta(from, to);
+	CfDelta *m = cf_delta__unpack(nullptr, d.size(), (uint8_t *)d.data());
+	struct cf_snapshot *got = nullptr;
+
+	ASSERT_EQ(m->n_put_services, 2u);
+	cf_service__free_unpacked(m->put_services[--m->n_put_services],
+				  nullptr);
+	d.resize(cf_delta__get_packed_size(m));
+	cf_delta__pack(m, (uint8_t *)d.data());
+	EXPECT_EQ(cf_delta_apply(from, d.data(), d.size(), &got),
+		  CF_DIGEST_WRONG);
+	EXPECT_EQ(got, nullptr);
+	memcpy(m->to_digest.data, part->digest.bytes, BA_DIGEST_BYTES);
+	cf_delta__pack(m, (uint8_t *)d.data());
+	ASSERT_EQ(cf_delta_apply(from, d.data(), d.size(), &got), BA_OK);
+	EXPECT_FALSE(ba_digest_equal(&got->digest, &to->digest));
+	cf_delta__free_unpacked(m, nullptr);
+	for (auto *s : {empty, from, to, part, got})
+		cf_snapshot_unref(s);
+}
+
 RC_GTEST_PROP(CfEncoding, GarbageIsRefused, (const std::string &text))
 {
 	struct cf_snapshot *s = nullptr;
