source: leave out what a silent replica last summed up after a second

Cause: a cut of 4 s between the regions was over before the leader left out the replica behind it, whose last summary counted for 5 s: no outage was logged, and changes accepted during the cut were late in the report although they were in force 230 ms after its end.

Change: a summary counts for one second, ten heartbeats of the leader.

--- a/prog/so_feed.c
+++ b/prog/so_feed.c
@@ -6,7 +6,7 @@
 #include "wire/ds.pb-c.h"
 #include "wire/rp.pb-c.h"
 
-#define SUMMARY_AGE_LIMIT (5 * BA_SECOND)
+#define SUMMARY_AGE_LIMIT BA_SECOND
 #define SUBSCRIBER_KEPT (24 * BA_HOUR)
 
 static void on_ack(struct ds_feed_owner *o, uint64_t lowest, uint32_t daemons);
