report: daemons send figures at a rate that the log can carry at any size

Change: the interval is 20 ms times the endpoints that a daemon knows, 5 s at least, so that all together send 50 a second at most; an instance is out of sight after three of its own intervals, 30 s at least. rt_bench measures bytes, processor time and state of figures.

Ruled out: sums made by relays, as a relay that dies after it acknowledged would take its daemons' figures with it.

Conclusion: it fits; a killed daemon takes up to 320 s of counts with it at full size, and the report says not known for them.

--- a/bench/bench-scale.sh
+++ b/bench/bench-scale.sh
@@ -14,7 +14,7 @@
 # The slopes of single decisions and tables come from programs of their own.
 part_decisions() {
 	local program
-	for program in rp_bench ds_bench cl_bench
+	for program in rp_bench ds_bench cl_bench rt_bench
 	do
 		test -x "$build/$program" || continue
 		"$build/$program" | grep '^bench ' || fail "$program"
--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -17,6 +17,9 @@
 
 #define VIEW_DELAY (20 * BA_MS)
 #define FIGURES_PERIOD (5 * BA_SECOND)
+
+/* All daemons together send figures 50 times a second at most. */
+#define FIGURES_SPREAD (20 * BA_MS)
 #define SIBLING_PERIOD (3 * BA_SECOND)
 #define ABSENT_LEASE BA_MINUTE
 
@@ -51,6 +54,7 @@
 			    const struct wi_frame *f);
 static void on_view_timer(struct ba_timer *t, ba_time now);
 static void on_figures_timer(struct ba_timer *t, ba_time now);
+static ba_time figures_period(const struct ds_agent *a);
 static void on_expiry_timer(struct ba_timer *t, ba_time now);
 static void on_sibling_timer(struct ba_timer *t, ba_time now);
 static void start_from_store(struct ds_agent *a);
@@ -228,10 +232,18 @@
 {
 	struct ds_agent *a = ba_entry(t, struct ds_agent, figures_timer);
 
-	ba_loop_arm(a->loop, t, now + FIGURES_PERIOD);
+	ba_loop_arm(a->loop, t, now + figures_period(a));
 	ds_agent_send_figures(a);
 }
 
+/* The log of the sources takes all figures, so that it sets their rate. */
+static ba_time figures_period(const struct ds_agent *a)
+{
+	ba_time spread = (ba_time)ep_table_live(a->table) * FIGURES_SPREAD;
+
+	return spread > FIGURES_PERIOD ? spread : FIGURES_PERIOD;
+}
+
 static void on_expiry_timer(struct ba_timer *t, ba_time now)
 {
 	struct ds_agent *a = ba_entry(t, struct ds_agent, expiry_timer);
--- a/report/rt_internal.h
+++ b/report/rt_internal.h
@@ -25,8 +25,12 @@
 	RT_WINDOW = 64, /* sequences that may come out of order */
 };
 
+/** RT_INTERVALS_MISSED - figures that may be late before it is not seen */
+#define RT_INTERVALS_MISSED 3
+
 /** RT_SILENCE_MS - an instance that sent nothing for so long is not seen */
-#define RT_SILENCE_MS ((uint64_t)(3 * RT_FIGURES_INTERVAL / BA_MS))
+#define RT_SILENCE_MS \
+	((uint64_t)(RT_INTERVALS_MISSED * RT_FIGURES_INTERVAL / BA_MS))
 
 /** RT_FORGET_MS - an instance that ended so long before a day is not of it */
 #define RT_FORGET_MS 600000ULL
--- a/report/rt_seen.c
+++ b/report/rt_seen.c
@@ -49,6 +49,7 @@
 		in->role = g_strdup(f->role);
 	l->from_wall_ms = MIN(l->from_wall_ms, f->from_wall_ms);
 	l->to_wall_ms = MAX(l->to_wall_ms, f->to_wall_ms);
+	l->interval_ms = MAX(l->interval_ms, f->to_wall_ms - f->from_wall_ms);
 	l->final = l->final || f->final;
 	return true;
 }
@@ -216,12 +217,14 @@
 			RtGap *gap)
 {
 	bool missing = l->above || l->holes;
+	uint64_t silence =
+		MAX(RT_SILENCE_MS, RT_INTERVALS_MISSED * l->interval_ms);
 
 	gap->from_wall_ms = missing ? l->from_wall_ms : l->to_wall_ms;
 	gap->to_wall_ms = next ? next->from_wall_ms : wall_ms;
 	if (missing)
 		return;
-	if (l->final || (!next && wall_ms < l->to_wall_ms + RT_SILENCE_MS))
+	if (l->final || (!next && wall_ms < l->to_wall_ms + silence))
 		gap->to_wall_ms = gap->from_wall_ms;
 }
 
--- a/wire/rt.pb-c.c
+++ b/wire/rt.pb-c.c
@@ -1299,7 +1299,7 @@
   (ProtobufCMessageInit) rt_in_force__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rt_life__field_descriptors[7] =
+static const ProtobufCFieldDescriptor rt_life__field_descriptors[8] =
 {
   {
     "incarnation",
@@ -1385,6 +1385,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "interval_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RtLife, interval_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rt_life__field_indices_by_name[] = {
   4,   /* field[4] = above */
@@ -1392,13 +1404,14 @@
   1,   /* field[1] = from_wall_ms */
   6,   /* field[6] = holes */
   0,   /* field[0] = incarnation */
+  7,   /* field[7] = interval_ms */
   3,   /* field[3] = taken */
   2,   /* field[2] = to_wall_ms */
 };
 static const ProtobufCIntRange rt_life__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor rt_life__descriptor =
 {
@@ -1408,7 +1421,7 @@
   "RtLife",
   "",
   sizeof(RtLife),
-  7,
+  8,
   rt_life__field_descriptors,
   rt_life__field_indices_by_name,
   1,  rt_life__number_ranges,
--- a/wire/rt.pb-c.h
+++ b/wire/rt.pb-c.h
@@ -171,10 +171,14 @@
    * sequences were passed over
    */
   protobuf_c_boolean holes;
+  /*
+   * longest time between two figures
+   */
+  uint64_t interval_ms;
 };
 #define RT_LIFE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rt_life__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  RtInstance
