carawayctl: show what the leader knows, else what a follower knows

Cause: test/cases/leader-crash.sh failed once in 183 cases: history, asked of a source that had just come back, lacked the version that had just been accepted. The same would give submit an old base.

Ruled out: a lost version; the leader had it, and daemons ran it.

Change: a follower's answer names the leader, and carawayctl then asks it; the follower's answer stands if the leader does not answer.

Conclusion: by reading, the race is closed while the leader answers.

--- a/prog/ct_client.c
+++ b/prog/ct_client.c
@@ -39,6 +39,8 @@
  * What differs between a query and a submission.
  * @code: the result code inside an answer
  * @leader: the address of the leader inside an answer
+ * @of_leader: the leader's answer is preferred to that of a follower, which
+ *	may not have heard of the latest versions
  */
 struct kind {
 	int type;
@@ -46,6 +48,7 @@
 	const ProtobufCMessageDescriptor *answer_descriptor;
 	int (*code)(const ProtobufCMessage *answer);
 	const char *(*leader)(const ProtobufCMessage *answer);
+	bool of_leader;
 };
 
 static int answer_code(const ProtobufCMessage *m);
@@ -54,11 +57,12 @@
 static const char *outcome_leader(const ProtobufCMessage *m);
 
 static const struct kind query_kind = {
-	CT_QUERY, CT_ANSWER, &ct_answer__descriptor, answer_code, answer_leader,
+	CT_QUERY,    CT_ANSWER,	    &ct_answer__descriptor,
+	answer_code, answer_leader, true,
 };
 static const struct kind submit_kind = {
 	CT_SUBMIT,    CT_OUTCOME,     &ct_outcome__descriptor,
-	outcome_code, outcome_leader,
+	outcome_code, outcome_leader, false,
 };
 
 static int ask_until_known(struct ct *ct, const struct kind *kind,
@@ -73,6 +77,9 @@
 static int ask(struct ct *ct, const struct kind *kind,
 	       const struct ba_address *to, const ProtobufCMessage *request,
 	       ProtobufCMessage **answer);
+static void prefer_leader(struct ct *ct, const struct kind *kind,
+			  const ProtobufCMessage *request,
+			  ProtobufCMessage **answer);
 static bool is_passing(int code);
 static void on_opened(struct wi_handler *h, struct wi_session *s);
 static int on_frame(struct wi_handler *h, struct wi_session *s,
@@ -193,8 +200,11 @@
 		if (code)
 			return code;
 		code = kind->code(*answer);
-		if (!is_passing(code))
+		if (!is_passing(code)) {
+			if (kind->of_leader)
+				prefer_leader(ct, kind, request, answer);
 			return BA_OK;
+		}
 		if (code != RP_NOT_LEADER ||
 		    ba_parse_address(kind->leader(*answer), &next))
 			i = REDIRECTS_LIMIT;
@@ -204,6 +214,24 @@
 	return code;
 }
 
+static void prefer_leader(struct ct *ct, const struct kind *kind,
+			  const ProtobufCMessage *request,
+			  ProtobufCMessage **answer)
+{
+	struct ba_address leader;
+	ProtobufCMessage *better = NULL;
+
+	if (ba_parse_address(kind->leader(*answer), &leader) ||
+	    ask(ct, kind, &leader, request, &better))
+		return;
+	if (kind->code(better)) {
+		protobuf_c_message_free_unpacked(better, NULL);
+		return;
+	}
+	protobuf_c_message_free_unpacked(*answer, NULL);
+	*answer = better;
+}
+
 static int ask(struct ct *ct, const struct kind *kind,
 	       const struct ba_address *to, const ProtobufCMessage *request,
 	       ProtobufCMessage **answer)
--- a/prog/so_operator.c
+++ b/prog/so_operator.c
@@ -100,6 +100,7 @@
 	CtAnswer answer = CT_ANSWER__INIT;
 	struct ba_buf json = {0};
 	struct ba_buf snapshot = {0};
+	int leader = rp_core_leader(rp_node_core(c->source->node));
 	int code = BA_USAGE;
 
 	if (!q)
@@ -110,6 +111,8 @@
 				c->source,
 				q->n_arguments ? q->arguments[0] : "", &json,
 				&snapshot);
+	if (leader != RP_NOBODY && leader != c->source->self)
+		answer.leader = (char *)c->source->addresses[leader];
 	answer.code = (uint32_t)code;
 	answer.json.data = json.data;
 	answer.json.len = json.len;
