--- a/prog/da_audit.c
+++ b/prog/da_audit.c
@@ -119,7 +119,10 @@
 		 c->key ? c->key : "-");
 }
 
-/* Whether the hash is new; the oldest one makes room for it. */
+/*
+ * Whether the hash is new; the oldest one makes room for it, unless it was
+ * cleared and stands in a newer place by now.
+ */
 static bool remember(uint64_t hash)
 {
 	uint64_t *place;
@@ -131,7 +134,8 @@
 	fresh = !g_hash_table_contains(keys.places, &hash);
 	if (fresh) {
 		place = &keys.hashes[keys.next++ % KEYS_KEPT];
-		g_hash_table_remove(keys.places, place);
+		if (g_hash_table_lookup(keys.places, place) == place)
+			g_hash_table_remove(keys.places, place);
 		*place = hash;
 		g_hash_table_add(keys.places, place);
 	}
