distrib: a shorter window of the policy holds at once

Until the first table the window between updates is that of the default policy, one second; its deadline stood on for each subscriber after the table had made the window 50 ms.

Change: with each version the deadlines of subscribers are brought inside the new window.

Conclusion: a table that asks for a faster pace gets it with the same version.

--- a/distrib/ds_publisher.c
+++ b/distrib/ds_publisher.c
@@ -79,6 +79,7 @@
 			ba_time now, struct ds_actions *out);
 static void on_tick(struct ds_publisher *p, const struct ds_event *e,
 		    ba_time now, struct ds_actions *out);
+static void set_window(struct ds_publisher *p, ba_time window, ba_time now);
 static void send_all(struct ds_publisher *p, ba_time now,
 		     struct ds_actions *out);
 static void send_one(struct ds_publisher *p, struct subscriber *s, ba_time now,
@@ -276,10 +277,24 @@
 		keep(p, p->version, &p->digest);
 	p->version = e->version;
 	p->digest = e->digest;
-	p->window = e->window;
+	set_window(p, e->window, now);
 	send_all(p, now, out);
 }
 
+/* A window that the policy has made shorter holds at once. */
+static void set_window(struct ds_publisher *p, ba_time window, ba_time now)
+{
+	struct ba_list *pos;
+
+	p->window = window;
+	ba_list_each(pos, &p->subscribers)
+	{
+		struct subscriber *s = ba_entry(pos, struct subscriber, link);
+
+		s->pace_deadline = MIN(s->pace_deadline, now + window);
+	}
+}
+
 static void on_asked(struct ds_publisher *p, const struct ds_event *e,
 		     ba_time now, struct ds_actions *out)
 {
--- a/test/distrib_test.cc
+++ b/test/distrib_test.cc
@@ -272,4 +272,41 @@
 	ds_publisher_free(p);
 }
 
+/* The first table comes after the first configuration: its pace holds. */
+TEST(DsPublisher, AShorterWindowHoldsAtOnce)
+{
+	struct ds_publisher *p = ds_publisher_new();
+	struct ds_actions out = {};
+	auto publish = [&](uint64_t version, ba_time window, ba_time now) {
+		struct ds_event e = ds_world::event(DS_PUBLISHED);
+
+		e.version = version;
+		e.window = window;
+		ds_publisher_step(p, &e, now, &out);
+	};
+	auto tell = [&](enum ds_event_kind kind, uint64_t version) {
+		struct ds_event e = ds_world::event(kind, 7);
+
+		e.version = e.floor = version;
+		e.remote = true;
+		e.is_relay = true;
+		ds_publisher_step(p, &e, 0, &out);
+	};
+
+	publish(1, BA_SECOND, 0);
+	tell(DS_SUBSCRIBED, 1);
+	publish(2, BA_SECOND, 0);
+	tell(DS_ACKED, 2);
+	out.n = 0;
+	publish(3, 50 * BA_MS, 100 * BA_MS);
+	EXPECT_EQ(out.n, 0u);
+	EXPECT_EQ(ds_publisher_deadline(p), 150 * BA_MS);
+	struct ds_event tick = ds_world::event(DS_TICK);
+
+	ds_publisher_step(p, &tick, 150 * BA_MS, &out);
+	EXPECT_EQ(out.n, 1u);
+	ds_actions_free(&out);
+	ds_publisher_free(p);
+}
+
 } // namespace
