Let the log thread look for lines by itself while they come

Cause: with the log on, a call over two daemons took 62 us more at the half and 124 us more at 99 of 100 than with it off, at 2,000 calls/s: the first line after each write of the log woke its thread by a system call, on the thread that carries the call.

Change: the log thread looks every 5 ms while lines come, and waits to be woken only after 200 ms without one.

--- a/base/ba_event.c
+++ b/base/ba_event.c
@@ -25,6 +25,7 @@
 	CALENDAR_BYTES = 24,
 	STAMP_BYTES = 40,
 	GATHER_NS = 5000000,
+	IDLE_PAUSES = 40,
 };
 
 static const GLogLevelFlags glib_levels[] = {
@@ -47,6 +48,7 @@
 	bool running;
 	bool stopping;
 	bool reopen;
+	bool asleep;
 } lg = {
 	.lock = PTHREAD_MUTEX_INITIALIZER,
 	.wake = PTHREAD_COND_INITIALIZER,
@@ -66,6 +68,8 @@
 static void format_stamp(char *out, size_t size);
 static void enqueue(const char *line, size_t len);
 static void *write_lines(void *arg);
+static void wait_for_lines(int *idle);
+static void pause_unlocked(void);
 static uint64_t take_queue(struct ba_buf *out);
 static void write_all(int fd, const uint8_t *data, size_t len);
 static int open_file(const char *path);
@@ -230,7 +234,7 @@
 	} else if (lg.queue.len + len > QUEUE_LIMIT_BYTES) {
 		lg.dropped++;
 	} else {
-		if (!lg.queue.len)
+		if (lg.asleep)
 			pthread_cond_signal(&lg.wake);
 		ba_buf_add(&lg.queue, line, len);
 	}
@@ -238,14 +242,15 @@
 }
 
 /*
- * A line wakes this thread only when the queue was empty; the short pause
- * then gathers more lines, so that a busy thread pays for no wake-up.
+ * While lines come this thread looks for them every few milliseconds by
+ * itself; only when none came for a while does it wait to be woken, so that
+ * a busy thread pays for no wake-up.
  */
 static void *write_lines(void *arg)
 {
-	static const struct timespec gather = {0, GATHER_NS};
 	struct ba_buf out = {0};
 	uint64_t dropped;
+	int idle = 0;
 
 	(void)arg;
 	pthread_mutex_lock(&lg.lock);
@@ -253,14 +258,10 @@
 		if (lg.reopen)
 			handle_reopen();
 		if (!lg.queue.len) {
-			pthread_cond_wait(&lg.wake, &lg.lock);
+			wait_for_lines(&idle);
 			continue;
 		}
-		if (!lg.stopping) {
-			pthread_mutex_unlock(&lg.lock);
-			nanosleep(&gather, NULL);
-			pthread_mutex_lock(&lg.lock);
-		}
+		idle = 0;
 		dropped = take_queue(&out);
 		pthread_mutex_unlock(&lg.lock);
 		write_all(lg.fd, out.data, out.len);
@@ -268,6 +269,8 @@
 		if (dropped)
 			report_dropped(dropped);
 		pthread_mutex_lock(&lg.lock);
+		if (!lg.stopping)
+			pause_unlocked();
 	}
 	ba_buf_free(&lg.queue);
 	pthread_mutex_unlock(&lg.lock);
@@ -275,6 +278,28 @@
 	return NULL;
 }
 
+/* With the lock held, which is given up meanwhile. */
+static void wait_for_lines(int *idle)
+{
+	if (++*idle <= IDLE_PAUSES) {
+		pause_unlocked();
+		return;
+	}
+	lg.asleep = true;
+	pthread_cond_wait(&lg.wake, &lg.lock);
+	lg.asleep = false;
+	*idle = 0;
+}
+
+static void pause_unlocked(void)
+{
+	static const struct timespec gather = {0, GATHER_NS};
+
+	pthread_mutex_unlock(&lg.lock);
+	nanosleep(&gather, NULL);
+	pthread_mutex_lock(&lg.lock);
+}
+
 /* Swap the queue for the empty buffer @out; the lock is held. */
 static uint64_t take_queue(struct ba_buf *out)
 {
