--- a/report/rt_html.c
+++ b/report/rt_html.c
@@ -350,20 +350,12 @@
 
 static void add_outages(const struct rt_page *p, struct ba_buf *out)
 {
-	char from[RT_TEXT_BYTES];
-	char to[RT_TEXT_BYTES];
+	char line[RT_LINE_BYTES];
 	json_t *o;
 	size_t i;
 
 	json_array_foreach (rt_get(p->root, "outages"), i, o)
-		ba_buf_addf(out,
-			    "<p>%lld daemons were out of reach from %s to %s; "
-			    "that time does not count.</p>\n",
-			    (long long)rt_int(o, "daemons"),
-			    rt_clock(p, rt_int(o, "from_ms"), from),
-			    rt_int(o, "to_ms")
-				    ? rt_clock(p, rt_int(o, "to_ms"), to)
-				    : "now");
+		ba_buf_addf(out, "<p>%s.</p>\n", rt_outage_line(p, o, line));
 }
 
 static void add_unseen(const struct rt_page *p, struct ba_buf *out)
--- a/report/rt_page.c
+++ b/report/rt_page.c
@@ -199,3 +199,19 @@
 		n += !strcmp(rt_str(promise, "reason"), "no occasion arose");
 	return n;
 }
+
+const char *rt_outage_line(const struct rt_page *p, json_t *outage,
+			   char out[RT_LINE_BYTES])
+{
+	json_int_t ended = rt_int(outage, "to_ms");
+	char from[RT_TEXT_BYTES];
+	char to[RT_TEXT_BYTES];
+
+	g_snprintf(out, RT_LINE_BYTES,
+		   "%lld daemons out of reach from %s to %s; that time does "
+		   "not count",
+		   (long long)rt_int(outage, "daemons"),
+		   rt_clock(p, rt_int(outage, "from_ms"), from),
+		   ended ? rt_clock(p, ended, to) : "now");
+	return out;
+}
--- a/report/rt_page_internal.h
+++ b/report/rt_page_internal.h
@@ -71,4 +71,10 @@
 void rt_chart_hours(const struct rt_page *p, const char *key, bool bytes,
 		    struct ba_buf *out);
 
+enum { RT_LINE_BYTES = 160 };
+
+/** rt_outage_line() - when how many daemons were out of reach, as text */
+const char *rt_outage_line(const struct rt_page *p, json_t *outage,
+			   char out[RT_LINE_BYTES]);
+
 #endif
--- a/report/rt_text.c
+++ b/report/rt_text.c
@@ -133,20 +133,12 @@
 
 static void add_outages(const struct rt_page *p, struct ba_buf *out)
 {
-	char from[RT_TEXT_BYTES];
-	char to[RT_TEXT_BYTES];
+	char line[RT_LINE_BYTES];
 	json_t *o;
 	size_t i;
 
 	json_array_foreach (rt_get(p->root, "outages"), i, o)
-		ba_buf_addf(out,
-			    "%lld daemons out of reach from %s to %s; that "
-			    "time does not count\n",
-			    (long long)rt_int(o, "daemons"),
-			    rt_clock(p, rt_int(o, "from_ms"), from),
-			    rt_int(o, "to_ms")
-				    ? rt_clock(p, rt_int(o, "to_ms"), to)
-				    : "now");
+		ba_buf_addf(out, "%s\n", rt_outage_line(p, o, line));
 }
 
 static void add_control(const struct rt_page *p, struct ba_buf *out)
