test: listen below the ports that the system hands out itself

Cause: WiSession.Opening failed once in a whole run with 109 port-in-use: 42101 to 43211 lie among the ports that outgoing connections are given (32768 to 60999), so another test's connection can hold one.

Change: the same ports less 20,000.

Conclusion: the verdict no longer hangs on what other connections hold.

--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -312,7 +312,7 @@
 /* The first start of a mesh: relays of another region, nothing accepted. */
 TEST(DsRelay, OtherRegionSubscribesBeforeAnythingIsPublished)
 {
-	struct world w(43111);
+	struct world w(23111);
 
 	ds_feed_set_region(w.src.feed, "r9");
 	w.add("a1", false);
@@ -324,7 +324,7 @@
 
 TEST(DsRelay, ChangesAndEndpointsReachEveryDaemon)
 {
-	struct world w(43101);
+	struct world w(23101);
 
 	w.publish(5);
 	w.add("a1", false);
@@ -345,7 +345,7 @@
 
 TEST(DsRelay, LossOfARelayCostsNeitherVersionsNorEndpoints)
 {
-	struct world w(43102);
+	struct world w(23102);
 
 	w.publish(5);
 	w.add("a1", false);
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -128,7 +128,7 @@
  */
 TEST(RpSource, MessagesDoNotPutOffTheChecks)
 {
-	struct group g(1, 43201);
+	struct group g(1, 23201);
 	struct so_source *s = &g.replicas[0]->source;
 	ba_time first = s->check_deadline;
 
@@ -141,7 +141,7 @@
 /* Any replica can answer for the floor of a daemon, through the leader. */
 TEST(RpSource, FollowersLearnTheNewestVersionFromTheLeader)
 {
-	struct group g(3, 43211);
+	struct group g(3, 23211);
 	size_t asked = 0;
 
 	EXPECT_TRUE(step_until(g.loop, [&] {
--- a/test/wire_test.cc
+++ b/test/wire_test.cc
@@ -131,7 +131,7 @@
 		{"m", WI_DAEMON, "ana", 7, WI_KEY_WRONG},
 	};
 	struct wi_operator ana = {"ana", {7}};
-	int port = 42101;
+	int port = 22101;
 
 	for (const auto &c : cases) {
 		struct ba_loop *loop = ba_loop_new();
@@ -197,7 +197,7 @@
 		{"truncated", std::string("\0\0\0\7\0\1\1", 7), WI_PEER_SILENT},
 	};
 	struct wi_limits limits = wi_limits_default;
-	int port = 42141;
+	int port = 22141;
 
 	limits.opening = 50 * BA_MS;
 	for (const auto &c : cases) {
@@ -248,7 +248,7 @@
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	limits.opening = 50 * BA_MS;
-	ASSERT_EQ(ba_parse_address(test_address(1, 42161).c_str(), &at), BA_OK);
+	ASSERT_EQ(ba_parse_address(test_address(1, 22161).c_str(), &at), BA_OK);
 	ASSERT_EQ(bind(fd, (const struct sockaddr *)&at.sockaddr, at.len), 0);
 	ASSERT_EQ(listen(fd, 1), 0);
 	wi_dial(loop, &at, &id, &limits, &client.handler);
@@ -287,7 +287,7 @@
 
 	limits.heartbeat = 20 * BA_MS;
 	limits.silence = 100 * BA_MS;
-	ASSERT_EQ(ba_parse_address(test_address(1, 42163).c_str(), &at), BA_OK);
+	ASSERT_EQ(ba_parse_address(test_address(1, 22163).c_str(), &at), BA_OK);
 	ASSERT_EQ(wi_listen(loop, &at, &id, &limits, &t.acceptor, &l), BA_OK);
 	std::thread dialler([&] {
 		wi_dial(frozen, &at, &id, &limits, &client.handler);
@@ -313,7 +313,7 @@
 	struct wi_identity id = identity("m", WI_DAEMON, "", 1);
 	struct ba_address at;
 
-	ASSERT_EQ(ba_parse_address(test_address(1, 42162).c_str(), &at), BA_OK);
+	ASSERT_EQ(ba_parse_address(test_address(1, 22162).c_str(), &at), BA_OK);
 	wi_dial(loop, &at, &id, &wi_limits_default, &client.handler);
 	ba_loop_run(loop);
 	EXPECT_EQ(client.code, WI_CONNECT_FAILED);
