relay: drop a time that add_own() no longer uses

Cause: when the relay's own count of bytes moved to the meter of the sessions, the function kept a parameter that it only cast away.

Change: the parameter is gone; behaviour is the same.

--- a/prog/re_figures.c
+++ b/prog/re_figures.c
@@ -7,7 +7,7 @@
 #include "wire/rt.pb-c.h"
 
 static void add(struct re_relay *r, RtFigures *m, const char *from);
-static void add_own(struct re_relay *r, ba_time now);
+static void add_own(struct re_relay *r);
 static void schedule(struct re_relay *r);
 
 int re_figures_take(struct re_conn *c, const struct wi_frame *f)
@@ -68,7 +68,7 @@
 
 	if (now >= r->own_figures_deadline) {
 		r->own_figures_deadline = now + RT_FIGURES_INTERVAL;
-		add_own(r, now);
+		add_own(r);
 	}
 	if (!s || !r->figures->len)
 		return;
@@ -95,12 +95,11 @@
 	schedule(r);
 }
 
-static void add_own(struct re_relay *r, ba_time now)
+static void add_own(struct re_relay *r)
 {
 	struct ba_buf out = {0};
 	RtFigures *m;
 
-	(void)now;
 	rt_figures_pack(r->own_figures, ba_clock_wall(), false, &out);
 	m = rt_figures__unpack(NULL, out.len, out.data);
 	ba_buf_free(&out);
