Give each program a folder of its own

Cause: prog/ held the parts of five programs, 9,400 lines in one folder, and a further program would have added to it.

Change: moves only. daemon/, source/, relay/ and ctl/ hold the parts of their programs under the prefixes they had; prog/ keeps the mains, the man pages and what all programs share.

Before and after: 191 passed, 0 failed.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 VERSION := 0.1.0
 
 AGGREGATES = base wire config replica endpoint distrib call report
+ROLES = daemon source relay
 PROGRAMS := $(patsubst prog/%.c,%,$(wildcard prog/caraway*.c))
 TOOLS := $(patsubst bench/%_main.c,%,$(wildcard bench/*_main.c))
 
@@ -42,8 +43,8 @@
 
 LIB_SRC := $(foreach d,$(AGGREGATES),$(wildcard $(d)/*.c) $(wildcard $(d)/*.cc))
 LIB_OBJ := $(patsubst %,$(BUILD)/%.o,$(LIB_SRC))
-PROG_COMMON := $(patsubst %,$(BUILD)/%.o,$(filter-out prog/caraway% prog/ct_%,$(wildcard prog/*.c)))
-CTL_OBJ := $(patsubst %,$(BUILD)/%.o,$(wildcard prog/ct_*.c))
+PROG_COMMON := $(patsubst %,$(BUILD)/%.o,$(wildcard prog/pr*.c) $(foreach d,$(ROLES),$(wildcard $(d)/*.c)))
+CTL_OBJ := $(patsubst %,$(BUILD)/%.o,$(wildcard ctl/*.c))
 BENCH_COMMON := $(patsubst %,$(BUILD)/%.o,$(filter-out %_main.c,$(wildcard bench/*.c)))
 TEST_SRC := $(wildcard test/*.cc)
 TEST_OBJ := $(patsubst %,$(BUILD)/%.o,$(TEST_SRC))
@@ -163,4 +164,4 @@
 	rm -rf build
 
 -include $(LIB_OBJ:.o=.d) $(TEST_OBJ:.o=.d)
--include $(wildcard $(BUILD)/prog/*.d) $(wildcard $(BUILD)/bench/*.d)
+-include $(foreach d,prog bench ctl $(ROLES),$(wildcard $(BUILD)/$(d)/*.d))
--- a/bench/ds_bench_main.c
+++ b/bench/ds_bench_main.c
@@ -16,7 +16,7 @@
 #include "base/ba_event.h"
 #include "base/ba_result.h"
 #include "distrib/ds_agent.h"
-#include "prog/re.h"
+#include "relay/re.h"
 
 enum {
 	SERVICES = 560,
--- a/prog/ct_check.c
+++ b/ctl/ct_check.c
@@ -3,7 +3,7 @@
 #include <glib.h>
 
 #include "base/ba_result.h"
-#include "prog/ct.h"
+#include "ctl/ct.h"
 
 static int base_snapshot(struct ct *ct, struct cf_snapshot **out);
 static json_t *snapshot_json(const struct cf_snapshot *s);
--- a/prog/ct_client.c
+++ b/ctl/ct_client.c
@@ -6,7 +6,7 @@
 #include "base/ba_loop.h"
 #include "base/ba_rand.h"
 #include "base/ba_result.h"
-#include "prog/ct.h"
+#include "ctl/ct.h"
 
 #define ATTEMPT_TIME (5 * BA_SECOND)
 #define PAUSE_LEAST (50 * BA_MS)
--- a/prog/ct_explain.c
+++ b/ctl/ct_explain.c
@@ -6,7 +6,7 @@
 
 #include "base/ba_event.h"
 #include "base/ba_result.h"
-#include "prog/ct.h"
+#include "ctl/ct.h"
 
 enum {
 	FIRST_CODE = 100,
--- a/prog/ct_print.c
+++ b/ctl/ct_print.c
@@ -4,7 +4,7 @@
 #include <glib.h>
 
 #include "base/ba_result.h"
-#include "prog/ct.h"
+#include "ctl/ct.h"
 
 static json_t *problems_json(const struct ba_problems *p);
 
--- a/prog/ct_report.c
+++ b/ctl/ct_report.c
@@ -4,7 +4,7 @@
 #include <glib.h>
 
 #include "base/ba_result.h"
-#include "prog/ct.h"
+#include "ctl/ct.h"
 #include "report/rt_page.h"
 
 static int show(struct ct *ct, const CtAnswer *answer);
--- a/prog/ct_settings.c
+++ b/ctl/ct_settings.c
@@ -3,7 +3,7 @@
 #include <glib.h>
 
 #include "base/ba_result.h"
-#include "prog/ct.h"
+#include "ctl/ct.h"
 
 #define KEY(t, n, k, m)                                                    \
 	{                                                                  \
--- a/prog/ct_submit.c
+++ b/ctl/ct_submit.c
@@ -4,7 +4,7 @@
 
 #include "base/ba_digest.h"
 #include "base/ba_result.h"
-#include "prog/ct.h"
+#include "ctl/ct.h"
 
 enum {
 	FILE_LIMIT_BYTES = 8 * 1024 * 1024,
--- a/prog/da_attempt.c
+++ b/daemon/da_attempt.c
@@ -5,11 +5,11 @@
 #include <glib.h>
 
 #include "base/ba_event.h"
-#include "prog/da_attempt.h"
-#include "prog/da_audit.h"
-#include "prog/da_client.h"
-#include "prog/da_local.h"
-#include "prog/da_peer.h"
+#include "daemon/da_attempt.h"
+#include "daemon/da_audit.h"
+#include "daemon/da_client.h"
+#include "daemon/da_local.h"
+#include "daemon/da_peer.h"
 #include "report/rt.h"
 
 enum {
--- a/prog/da_attempt.h
+++ b/daemon/da_attempt.h
@@ -5,7 +5,7 @@
 #ifndef DA_ATTEMPT_H
 #define DA_ATTEMPT_H
 
-#include "prog/da_call.h"
+#include "daemon/da_call.h"
 
 /** da_attempt_init() - let the call take answers */
 void da_attempt_init(struct da_call *c);
--- a/prog/da_audit.c
+++ b/daemon/da_audit.c
@@ -3,7 +3,7 @@
 
 #include "base/ba_digest.h"
 #include "base/ba_event.h"
-#include "prog/da_audit.h"
+#include "daemon/da_audit.h"
 #include "report/rt.h"
 
 enum {
--- a/prog/da_audit.h
+++ b/daemon/da_audit.h
@@ -6,7 +6,7 @@
 #ifndef DA_AUDIT_H
 #define DA_AUDIT_H
 
-#include "prog/da_call.h"
+#include "daemon/da_call.h"
 
 /** da_audit_handed() - the call is handed to the backend server now */
 void da_audit_handed(const struct da_call *c);
--- a/prog/da_call.c
+++ b/daemon/da_call.c
@@ -4,11 +4,11 @@
 #include <glib.h>
 
 #include "base/ba_event.h"
-#include "prog/da_attempt.h"
-#include "prog/da_audit.h"
-#include "prog/da_call.h"
-#include "prog/da_enter.h"
-#include "prog/da_local.h"
+#include "daemon/da_attempt.h"
+#include "daemon/da_audit.h"
+#include "daemon/da_call.h"
+#include "daemon/da_enter.h"
+#include "daemon/da_local.h"
 #include "report/rt.h"
 #include "report/rt_figures.h"
 
--- a/prog/da_call.h
+++ b/daemon/da_call.h
@@ -13,9 +13,9 @@
 
 #include "base/ba_buf.h"
 #include "call/cl_answer.h"
-#include "prog/da.h"
-#include "prog/da_fetch.h"
-#include "prog/da_headers.h"
+#include "daemon/da.h"
+#include "daemon/da_fetch.h"
+#include "daemon/da_headers.h"
 
 enum { DA_CALL_ID_BYTES = 17 };
 
--- a/prog/da_client.c
+++ b/daemon/da_client.c
@@ -8,7 +8,7 @@
 #include <glib.h>
 
 #include "base/ba_loop.h"
-#include "prog/da_client.h"
+#include "daemon/da_client.h"
 
 enum {
 	CONNECT_LIMIT_MS = 300,
--- a/prog/da_client.h
+++ b/daemon/da_client.h
@@ -5,7 +5,7 @@
 #define DA_CLIENT_H
 
 #include "base/ba_loop.h"
-#include "prog/da_fetch.h"
+#include "daemon/da_fetch.h"
 
 struct da_client;
 
--- a/prog/da_enter.h
+++ b/daemon/da_enter.h
@@ -4,7 +4,7 @@
 #ifndef DA_ENTER_H
 #define DA_ENTER_H
 
-#include "prog/da_call.h"
+#include "daemon/da_call.h"
 
 /**
  * da_enter() - find the route, the deadline and the key of a call
--- a/prog/da_fetch.h
+++ b/daemon/da_fetch.h
@@ -6,7 +6,7 @@
 
 #include "base/ba_clock.h"
 #include "call/cl_route.h"
-#include "prog/da_headers.h"
+#include "daemon/da_headers.h"
 
 /**
  * struct da_request - what is sent on; outlives the attempt
--- a/prog/da_headers.c
+++ b/daemon/da_headers.c
@@ -4,7 +4,7 @@
 #include <glib.h>
 
 #include "call/cl.h"
-#include "prog/da_headers.h"
+#include "daemon/da_headers.h"
 
 static const char *const hop_names[] = {
 	"Connection",
--- a/prog/da_http.c
+++ b/daemon/da_http.c
@@ -9,7 +9,7 @@
 #include <glib.h>
 #include <microhttpd.h>
 
-#include "prog/da_http.h"
+#include "daemon/da_http.h"
 
 enum {
 	BACKLOG = 1024,
--- a/prog/da_http.h
+++ b/daemon/da_http.h
@@ -4,7 +4,7 @@
 #ifndef DA_HTTP_H
 #define DA_HTTP_H
 
-#include "prog/da_call.h"
+#include "daemon/da_call.h"
 
 struct da_http;
 
--- a/prog/da_local.c
+++ b/daemon/da_local.c
@@ -3,8 +3,8 @@
 #include <glib.h>
 
 #include "base/ba_event.h"
-#include "prog/da_attempt.h"
-#include "prog/da_local.h"
+#include "daemon/da_attempt.h"
+#include "daemon/da_local.h"
 #include "report/rt.h"
 #include "wire/cl.pb-c.h"
 
--- a/prog/da_local.h
+++ b/daemon/da_local.h
@@ -4,7 +4,7 @@
 #ifndef DA_LOCAL_H
 #define DA_LOCAL_H
 
-#include "prog/da_call.h"
+#include "daemon/da_call.h"
 
 /** da_local_begin() - run the call here, when it may */
 void da_local_begin(struct da_call *c);
--- a/prog/da_peer.c
+++ b/daemon/da_peer.c
@@ -5,7 +5,7 @@
 #include "base/ba_event.h"
 #include "base/ba_list.h"
 #include "base/ba_result.h"
-#include "prog/da_peer.h"
+#include "daemon/da_peer.h"
 #include "wire/cl.pb-c.h"
 
 enum { CREDIT_STEP_BYTES = DA_PEER_CREDIT_BYTES / 4 };
--- a/prog/da_peer.h
+++ b/daemon/da_peer.h
@@ -12,7 +12,7 @@
 #define DA_PEER_H
 
 #include "base/ba_loop.h"
-#include "prog/da_fetch.h"
+#include "daemon/da_fetch.h"
 #include "wire/wi_session.h"
 
 struct da_peers;
--- a/prog/da_serve.c
+++ b/daemon/da_serve.c
@@ -3,8 +3,8 @@
 #include <glib.h>
 
 #include "base/ba_result.h"
-#include "prog/da_peer.h"
-#include "prog/da_serve.h"
+#include "daemon/da_peer.h"
+#include "daemon/da_serve.h"
 #include "wire/cl.pb-c.h"
 
 enum { SESSIONS_LIMIT = 4096, QUEUE_LOW_BYTES = 512 * 1024 };
--- a/prog/da_serve.h
+++ b/daemon/da_serve.h
@@ -4,7 +4,7 @@
 #ifndef DA_SERVE_H
 #define DA_SERVE_H
 
-#include "prog/da_call.h"
+#include "daemon/da_call.h"
 
 /** da_serve_new() - take calls of other daemons; NULL when the port is in use */
 struct da_serve *da_serve_new(struct da_worker *w, const struct ba_address *at);
--- a/prog/caraway-relay.c
+++ b/prog/caraway-relay.c
@@ -3,7 +3,7 @@
 #include "base/ba_event.h"
 #include "base/ba_result.h"
 #include "prog/pr_metrics.h"
-#include "prog/re.h"
+#include "relay/re.h"
 
 #define RE_KEY(t, n, k, req, m)                                           \
 	{                                                                 \
--- a/prog/caraway-source.c
+++ b/prog/caraway-source.c
@@ -5,7 +5,7 @@
 #include "base/ba_event.h"
 #include "base/ba_result.h"
 #include "prog/pr_metrics.h"
-#include "prog/so.h"
+#include "source/so.h"
 
 #define SO_KEY(t, n, k, req, m)                                           \
 	{                                                                 \
--- a/prog/carawayctl.c
+++ b/prog/carawayctl.c
@@ -5,7 +5,7 @@
 
 #include "base/ba_event.h"
 #include "base/ba_result.h"
-#include "prog/ct.h"
+#include "ctl/ct.h"
 
 enum { DEFAULT_TIMEOUT_S = 15 };
 
--- a/prog/re_endpoint.c
+++ b/relay/re_endpoint.c
@@ -3,7 +3,7 @@
 #include "base/ba_event.h"
 #include "base/ba_result.h"
 #include "endpoint/ep_wire.h"
-#include "prog/re.h"
+#include "relay/re.h"
 #include "report/rt.h"
 
 /** struct packer - records that are gathered into one EpUpdate */
--- a/prog/re_figures.c
+++ b/relay/re_figures.c
@@ -2,7 +2,7 @@
 
 #include "base/ba_clock.h"
 #include "base/ba_result.h"
-#include "prog/re.h"
+#include "relay/re.h"
 #include "report/rt.h"
 #include "wire/rt.pb-c.h"
 
--- a/prog/re_peer.c
+++ b/relay/re_peer.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "base/ba_result.h"
-#include "prog/re.h"
+#include "relay/re.h"
 
 static void on_opened(struct ds_link_owner *o, struct wi_session *s);
 static int on_frame(struct ds_link_owner *o, struct wi_session *s,
--- a/prog/re_relay.c
+++ b/relay/re_relay.c
@@ -1,5 +1,5 @@
 #include "base/ba_result.h"
-#include "prog/re.h"
+#include "relay/re.h"
 
 #define ROOTS_PERIOD (30 * BA_SECOND)
 
--- a/prog/re_session.c
+++ b/relay/re_session.c
@@ -2,7 +2,7 @@
 
 #include "base/ba_event.h"
 #include "base/ba_result.h"
-#include "prog/re.h"
+#include "relay/re.h"
 #include "report/rt.h"
 
 static void on_opened(struct wi_handler *h, struct wi_session *s);
--- a/prog/re_upstream.c
+++ b/relay/re_upstream.c
@@ -3,7 +3,7 @@
 #include "base/ba_digest.h"
 #include "base/ba_event.h"
 #include "base/ba_result.h"
-#include "prog/re.h"
+#include "relay/re.h"
 #include "wire/ds.pb-c.h"
 
 #define ASK_TIMEOUT BA_SECOND
--- a/prog/so_figures.c
+++ b/source/so_figures.c
@@ -1,5 +1,5 @@
 #include "base/ba_result.h"
-#include "prog/so.h"
+#include "source/so.h"
 #include "wire/rp.pb-c.h"
 
 enum { BATCH_LIMIT_BYTES = 8 * 1024 * 1024 };
--- a/prog/so_keys.c
+++ b/source/so_keys.c
@@ -3,7 +3,7 @@
 
 #include "base/ba_result.h"
 #include "base/ba_settings.h"
-#include "prog/so.h"
+#include "source/so.h"
 
 #define KEY_SUFFIX ".key"
 
--- a/prog/so_operator.c
+++ b/source/so_operator.c
@@ -3,7 +3,7 @@
 
 #include "base/ba_event.h"
 #include "base/ba_result.h"
-#include "prog/so.h"
+#include "source/so.h"
 
 enum {
 	DEFAULT_HISTORY = 100,
--- a/prog/so_peer.c
+++ b/source/so_peer.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "base/ba_result.h"
-#include "prog/so.h"
+#include "source/so.h"
 #include "wire/rp.pb-c.h"
 
 #define REDIAL_LEAST (100 * BA_MS)
--- a/prog/so_read.c
+++ b/source/so_read.c
@@ -4,7 +4,7 @@
  * leader alone.
  */
 #include "base/ba_result.h"
-#include "prog/so.h"
+#include "source/so.h"
 #include "wire/rp.pb-c.h"
 
 #define READ_TIMEOUT (300 * BA_MS)
--- a/prog/so_session.c
+++ b/source/so_session.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "base/ba_result.h"
-#include "prog/so.h"
+#include "source/so.h"
 #include "report/rt.h"
 
 static void on_opened(struct wi_handler *h, struct wi_session *session);
--- a/prog/so_source.c
+++ b/source/so_source.c
@@ -2,7 +2,7 @@
 
 #include "base/ba_event.h"
 #include "base/ba_result.h"
-#include "prog/so.h"
+#include "source/so.h"
 #include "replica/rp_disk.h"
 #include "wire/rp.pb-c.h"
 
--- a/prog/so_status.c
+++ b/source/so_status.c
@@ -3,7 +3,7 @@
 
 #include <jansson.h>
 
-#include "prog/so.h"
+#include "source/so.h"
 
 static json_t *replicas_json(struct so_source *s, ba_time now, ba_time wall);
 static json_t *subscribers_json(struct so_source *s, ba_time now, ba_time wall);
--- a/test/audit_test.cc
+++ b/test/audit_test.cc
@@ -6,7 +6,7 @@
 #include "report/rt.h"
 
 extern "C" {
-#include "prog/da_audit.h"
+#include "daemon/da_audit.h"
 }
 
 namespace
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -10,7 +10,7 @@
 #include "test/net.h"
 
 extern "C" {
-#include "prog/re.h"
+#include "relay/re.h"
 }
 
 namespace
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -9,7 +9,7 @@
 #include "test/net.h"
 
 extern "C" {
-#include "prog/so.h"
+#include "source/so.h"
 }
 
 namespace
