config: routes by host and prefix, kinds, splits, limits and revisions

Cause: callers of an outside platform name a host and a path prefix; routes say how long a call may take, which answers are downloads, how many endpoints a call may run on, and may be split over services by weight. Operators number their versions themselves. The configuration had none of these.

Rows and routes that are kept go through one function in place of three.

--- a/config/cf.h
+++ b/config/cf.h
@@ -36,26 +36,72 @@
  * @name: lower case letters, digits and '-'
  * @max_in_flight: calls in flight over the mesh, 0 for no limit
  * @timeout: longest time a call may take
+ * @health_path: where a backend server tells its health, or ""
+ * @max_connections: that one endpoint accepts, 0 when not known
+ * @protocol: what its backend servers speak, "" for HTTP/1.1
+ * @tls: whether they want it encrypted
  */
 struct cf_service {
 	const char *name;
 	uint32_t max_in_flight;
 	ba_time timeout;
+	const char *health_path;
+	uint32_t max_connections;
+	const char *protocol;
+	bool tls;
+};
+
+/**
+ * struct cf_part - one of the services that a route is split over
+ * @service: index into the services of the same snapshot
+ * @weight: its share, against the sum of all parts
+ */
+struct cf_part {
+	int service;
+	uint32_t weight;
+};
+
+/**
+ * struct cf_limits - what a caller may send; zeroed for the defaults of the
+ * program
+ */
+struct cf_limits {
+	uint32_t max_header_bytes;
+	uint64_t max_body_bytes;
+	ba_time header_timeout;
+	ba_time idle_timeout;
 };
 
 /**
  * struct cf_route - one route
- * @path: prefix that ends at a '/' boundary
+ * @host: host that the caller names, in lower case, or "" for every one
+ * @path: prefix that ends at a '/' boundary; with a final '/' it matches
+ *	only what is below it
  * @method: HTTP method, or "" for every one
- * @service: index into the services of the same snapshot
+ * @service: index into the services of the same snapshot; that of the first
+ *	part when the route is split
  * @idempotent: whether calls may be tried again without a key
+ * @download: answers are large
+ * @timeout: longest time a call may take, 0 for that of the service
+ * @latency_target: within which an answer is worth most, 0 for none
+ * @priority: rank of its calls, 0 is the highest
+ * @attempts: endpoints that one call may run on, 0 for the default
+ * @parts: the services it is split over, or NULL
  */
 struct cf_route {
 	const char *name;
+	const char *host;
 	const char *path;
 	const char *method;
 	int service;
 	bool idempotent;
+	bool download;
+	ba_time timeout;
+	ba_time latency_target;
+	uint32_t priority;
+	uint32_t attempts;
+	struct cf_part *parts;
+	size_t n_parts;
 };
 
 /**
@@ -95,6 +141,7 @@
 /**
  * struct cf_snapshot - one version of the configuration with its policy
  * @version: position in the replicated log, 0 for the empty one
+ * @revision: the operators' own number, 0 when they use none
  * @digest: of the canonical encoding, without the version
  */
 struct cf_snapshot {
@@ -105,6 +152,8 @@
 	struct cf_route *routes;
 	size_t n_routes;
 	struct cf_policy policy;
+	uint64_t revision;
+	struct cf_limits limits;
 };
 
 /** cf_snapshot_empty() - version 0, without services */
@@ -146,6 +195,18 @@
  */
 int cf_snapshot_decode(const void *data, size_t len, struct cf_snapshot **out);
 
+/**
+ * cf_snapshot_adopt() - read a CfSnapshot message that an operator submits
+ * @base: the current snapshot; its policy is kept, with the rows of services
+ *	that remain
+ * @version: version the result gets
+ *
+ * Return: %BA_OK or the code of the first problem.
+ */
+int cf_snapshot_adopt(const void *data, size_t len,
+		      const struct cf_snapshot *base, uint64_t version,
+		      struct cf_snapshot **out, struct ba_problems *problems);
+
 /** cf_delta_encode() - append the CfDelta from @from to @to to @out */
 void cf_delta_encode(const struct cf_snapshot *from,
 		     const struct cf_snapshot *to, struct ba_buf *out);
@@ -164,11 +225,19 @@
 int cf_service_find(const struct cf_snapshot *s, const char *name);
 
 /**
- * cf_route_find() - the route with the longest matching path; one with a
- * method goes before one without
+ * cf_route_match() - the route of @host with the longest matching path, else
+ * one of every host; one with a method goes before one without
+ * @host: in lower case, without a port
+ * @path: without a query
+ * @len: its length
  *
  * Return: the route, or NULL.
  */
+const struct cf_route *cf_route_match(const struct cf_snapshot *s,
+				      const char *host, const char *method,
+				      const char *path, size_t len);
+
+/** cf_route_find() - the route of every host for a path that ends in NUL */
 const struct cf_route *cf_route_find(const struct cf_snapshot *s,
 				     const char *method, const char *path);
 
--- a/config/cf_check.c
+++ b/config/cf_check.c
@@ -9,6 +9,10 @@
 			  struct ba_problems *p);
 static void check_routes(const struct cf_draft *d, struct ba_problems *p);
 static void check_route(const struct cf_draft_route *r, struct ba_problems *p);
+static void check_hosted(const struct cf_draft *d,
+			 const struct cf_draft_route *r, struct ba_problems *p);
+static void check_parts(const struct cf_draft *d,
+			const struct cf_draft_route *r, struct ba_problems *p);
 static void check_paths(const struct cf_draft *d, struct ba_problems *p);
 static void check_policy(const struct cf_draft *d, struct ba_problems *p);
 static void check_rows(const struct cf_draft *d, struct ba_problems *p);
@@ -22,6 +26,8 @@
 static void check_number(uint32_t n, uint32_t least, uint32_t most, int line,
 			 const char *key, struct ba_problems *p);
 static bool is_path(const char *path);
+static bool ends_below(const char *path);
+static bool is_host(const char *host);
 static bool is_method(const char *method);
 static bool is_time_zone(const char *zone);
 
@@ -80,8 +86,11 @@
 		const struct cf_draft_route *r =
 			&g_array_index(d->routes, struct cf_draft_route, i);
 
-		if (r->line != CF_LINE_KEPT)
+		if (r->line != CF_LINE_KEPT) {
 			check_route(r, p);
+			check_hosted(d, r, p);
+		}
+		check_parts(d, r, p);
 		if (r->value.service == CF_NO_SERVICE)
 			ba_problem_add(p, CF_ROUTE_DANGLING, line_of(r->line),
 				       "routes.service",
@@ -97,7 +106,8 @@
 static void check_route(const struct cf_draft_route *r, struct ba_problems *p)
 {
 	check_name(r->value.name, r->line, "routes.name", p);
-	if (!is_path(r->value.path))
+	if (!is_path(r->value.path) ||
+	    (!*r->value.host && ends_below(r->value.path)))
 		ba_problem_add(p, BA_RANGE_WRONG, r->line, "routes.path",
 			       "a path such as \"/plans\", %d bytes at most, "
 			       "without a final '/'",
@@ -107,7 +117,57 @@
 			       "a method such as \"GET\", or none");
 }
 
-/* Two routes of the same path and method would make the choice arbitrary. */
+/* A route of a host says itself how long its calls may take. */
+static void check_hosted(const struct cf_draft *d,
+			 const struct cf_draft_route *r, struct ba_problems *p)
+{
+	const struct cf_route *v = &r->value;
+
+	(void)d;
+	if (!*v->host)
+		return;
+	if (!is_host(v->host))
+		ba_problem_add(p, BA_RANGE_WRONG, r->line, "routes.host",
+			       "a host name in lower case without a port");
+	check_time(v->timeout, r->line, "routes.timeout", p);
+	if (v->latency_target >= v->timeout + CF_TARGET_ABOVE_TIMEOUT)
+		ba_problem_add(p, BA_RANGE_WRONG, r->line,
+			       "routes.latency_target",
+			       "less than a minute above the timeout");
+	check_number(v->priority, 0, CF_PRIORITY_LIMIT, r->line,
+		     "routes.priority", p);
+	check_number(v->attempts, 0, CF_ATTEMPTS_LIMIT, r->line,
+		     "routes.attempts", p);
+}
+
+static void check_parts(const struct cf_draft *d,
+			const struct cf_draft_route *r, struct ba_problems *p)
+{
+	uint64_t sum = 0;
+
+	if (!r->n_parts)
+		return;
+	if (r->n_parts > CF_PARTS_LIMIT)
+		ba_problem_add(p, CF_TOO_MANY, line_of(r->line), "routes.split",
+			       "%d parts at most", CF_PARTS_LIMIT);
+	for (guint i = 0; i < r->n_parts; i++) {
+		const struct cf_draft_part *part = &g_array_index(
+			d->parts, struct cf_draft_part, r->first_part + i);
+
+		sum += part->weight;
+		if (cf_draft_service_find(d, part->service) == CF_NO_SERVICE)
+			ba_problem_add(p, CF_ROUTE_DANGLING, line_of(r->line),
+				       "routes.split.service",
+				       "the name of a service, not \"%s\"",
+				       part->service);
+	}
+	if (!sum)
+		ba_problem_add(p, BA_RANGE_WRONG, line_of(r->line),
+			       "routes.split.weight",
+			       "weights whose sum is above 0");
+}
+
+/* Two routes of the same host, path and method would make the choice arbitrary. */
 static void check_paths(const struct cf_draft *d, struct ba_problems *p)
 {
 	const struct cf_draft_route *last = NULL;
@@ -232,14 +292,28 @@
 
 	if (path[0] != '/' || len > CF_PATH_BYTES || strstr(path, "//"))
 		return false;
-	if (len > 1 && path[len - 1] == '/')
-		return false;
 	for (const char *c = path; *c; c++)
 		if (*c <= ' ' || *c >= 0x7f || strchr("?#\\\"", *c))
 			return false;
 	return true;
 }
 
+/* Only a route of a host may match what is below its path and not the path. */
+static bool ends_below(const char *path)
+{
+	size_t len = strlen(path);
+
+	return len > 1 && path[len - 1] == '/';
+}
+
+static bool is_host(const char *host)
+{
+	size_t len = strlen(host);
+
+	return len <= CF_HOST_BYTES &&
+	       strspn(host, "abcdefghijklmnopqrstuvwxyz0123456789.-_") == len;
+}
+
 static bool is_method(const char *method)
 {
 	size_t len = strlen(method);
--- a/config/cf_delta.c
+++ b/config/cf_delta.c
@@ -7,6 +7,7 @@
 struct delta {
 	CfDelta m;
 	CfPolicy policy;
+	CfLimits limits;
 	CfService *services;
 	CfRoute *routes;
 	CfPolicyRow *rows;
@@ -27,6 +28,8 @@
 			 const struct cf_service *b);
 static bool same_route(const struct cf_snapshot *from, const struct cf_route *a,
 		       const struct cf_snapshot *to, const struct cf_route *b);
+static bool same_parts(const struct cf_snapshot *from, const struct cf_route *a,
+		       const struct cf_snapshot *to, const struct cf_route *b);
 static bool same_policy(const struct cf_policy *a, const struct cf_policy *b);
 static bool same_row(const struct cf_row *a, const struct cf_row *b);
 static void delta_init(struct delta *d, const struct cf_snapshot *from,
@@ -183,16 +186,38 @@
 
 static bool same_service(const struct cf_service *a, const struct cf_service *b)
 {
-	return a->max_in_flight == b->max_in_flight && a->timeout == b->timeout;
+	return a->max_in_flight == b->max_in_flight &&
+	       a->timeout == b->timeout && a->tls == b->tls &&
+	       a->max_connections == b->max_connections &&
+	       !strcmp(a->health_path, b->health_path) &&
+	       !strcmp(a->protocol, b->protocol);
 }
 
 static bool same_route(const struct cf_snapshot *from, const struct cf_route *a,
 		       const struct cf_snapshot *to, const struct cf_route *b)
 {
-	return a->idempotent == b->idempotent && !strcmp(a->path, b->path) &&
+	return a->idempotent == b->idempotent && a->download == b->download &&
+	       a->timeout == b->timeout &&
+	       a->latency_target == b->latency_target &&
+	       a->priority == b->priority && a->attempts == b->attempts &&
+	       !strcmp(a->host, b->host) && !strcmp(a->path, b->path) &&
 	       !strcmp(a->method, b->method) &&
 	       !strcmp(from->services[a->service].name,
-		       to->services[b->service].name);
+		       to->services[b->service].name) &&
+	       same_parts(from, a, to, b);
+}
+
+static bool same_parts(const struct cf_snapshot *from, const struct cf_route *a,
+		       const struct cf_snapshot *to, const struct cf_route *b)
+{
+	if (a->n_parts != b->n_parts)
+		return false;
+	for (size_t i = 0; i < a->n_parts; i++)
+		if (a->parts[i].weight != b->parts[i].weight ||
+		    strcmp(from->services[a->parts[i].service].name,
+			   to->services[b->parts[i].service].name) != 0)
+			return false;
+	return true;
 }
 
 static bool same_policy(const struct cf_policy *a, const struct cf_policy *b)
@@ -217,6 +242,10 @@
 	cf_delta__init(&d->m);
 	d->m.from_version = from->version;
 	d->m.to_version = to->version;
+	d->m.revision = to->revision;
+	cf_to_limits(&d->limits, &to->limits);
+	if (protobuf_c_message_get_packed_size(&d->limits.base))
+		d->m.limits = &d->limits;
 	d->m.to_digest.data = (uint8_t *)to->digest.bytes;
 	d->m.to_digest.len = sizeof(to->digest.bytes);
 	d->services = g_new(CfService, to->n_services + 1);
@@ -231,6 +260,8 @@
 
 static void delta_free(struct delta *d)
 {
+	for (size_t i = 0; i < d->m.n_put_routes; i++)
+		cf_to_route_free(d->m.put_routes[i]);
 	g_free(d->services);
 	g_free(d->routes);
 	g_free(d->rows);
@@ -250,6 +281,8 @@
 	int ret = BA_OK;
 
 	cf_draft_init(&d, m->to_version);
+	d.revision = m->revision;
+	d.limits = cf_from_limits(m->limits);
 	keep_services(&d, from, m);
 	keep_routes(&d, from, m);
 	if (m->policy)
@@ -310,8 +343,7 @@
 		const struct cf_route *r = &from->routes[i];
 
 		if (!g_hash_table_contains(names, r->name))
-			cf_draft_route(d, r, from->services[r->service].name,
-				       CF_LINE_KEPT);
+			cf_draft_keep_route(d, from, r);
 	}
 	g_hash_table_destroy(names);
 }
--- a/config/cf_encode.c
+++ b/config/cf_encode.c
@@ -7,6 +7,7 @@
 struct encoder {
 	CfSnapshot m;
 	CfPolicy policy;
+	CfLimits limits;
 	CfService *services;
 	CfRoute *routes;
 	CfPolicyRow *rows;
@@ -14,6 +15,7 @@
 
 static void encoder_init(struct encoder *e, const struct cf_snapshot *s);
 static void encoder_free(struct encoder *e);
+static void add_entries(struct cf_draft *d, const CfSnapshot *m);
 static void pack(const ProtobufCMessage *m, struct ba_buf *out);
 static uint32_t to_ms(ba_time t);
 static ba_time from_ms(uint32_t ms);
@@ -52,10 +54,7 @@
 	if (!m)
 		return CF_ENCODING_WRONG;
 	cf_draft_init(&d, m->version);
-	for (size_t i = 0; i < m->n_services; i++)
-		cf_from_service(&d, m->services[i]);
-	for (size_t i = 0; i < m->n_routes; i++)
-		cf_from_route(&d, m->routes[i]);
+	add_entries(&d, m);
 	if (m->policy) {
 		cf_from_policy(&d, m->policy);
 		for (size_t i = 0; i < m->policy->n_rows; i++)
@@ -69,9 +68,41 @@
 	return ret;
 }
 
+int cf_snapshot_adopt(const void *data, size_t len,
+		      const struct cf_snapshot *base, uint64_t version,
+		      struct cf_snapshot **out, struct ba_problems *problems)
+{
+	CfSnapshot *m = cf_snapshot__unpack(NULL, len, data);
+	struct cf_draft d;
+
+	if (!m)
+		return CF_ENCODING_WRONG;
+	cf_draft_init(&d, version);
+	add_entries(&d, m);
+	cf_draft_keep_policy(&d, base);
+	*out = cf_draft_finish(&d, problems);
+	cf_draft_free(&d);
+	cf_snapshot__free_unpacked(m, NULL);
+	return problems->n ? problems->list[0].code : BA_OK;
+}
+
+static void add_entries(struct cf_draft *d, const CfSnapshot *m)
+{
+	for (size_t i = 0; i < m->n_services; i++)
+		cf_from_service(d, m->services[i]);
+	for (size_t i = 0; i < m->n_routes; i++)
+		cf_from_route(d, m->routes[i]);
+	d->revision = m->revision;
+	d->limits = cf_from_limits(m->limits);
+}
+
 void cf_to_service(CfService *m, const struct cf_service *s)
 {
 	cf_service__init(m);
+	m->health_path = (char *)s->health_path;
+	m->max_connections = s->max_connections;
+	m->protocol = (char *)s->protocol;
+	m->tls = s->tls;
 	m->name = (char *)s->name;
 	m->max_in_flight = s->max_in_flight;
 	m->timeout_ms = to_ms(s->timeout);
@@ -86,6 +117,52 @@
 	m->method = (char *)r->method;
 	m->service = (char *)s->services[r->service].name;
 	m->idempotent = r->idempotent;
+	m->host = (char *)r->host;
+	m->timeout_ms = to_ms(r->timeout);
+	m->latency_target_ms = to_ms(r->latency_target);
+	m->priority = r->priority;
+	m->attempts = r->attempts;
+	m->download = r->download;
+	if (!r->n_parts)
+		return;
+	m->parts = g_new(CfPart *, r->n_parts);
+	m->n_parts = r->n_parts;
+	for (size_t i = 0; i < r->n_parts; i++) {
+		m->parts[i] = g_new(CfPart, 1);
+		cf_part__init(m->parts[i]);
+		m->parts[i]->service =
+			(char *)s->services[r->parts[i].service].name;
+		m->parts[i]->weight = r->parts[i].weight;
+	}
+}
+
+void cf_to_route_free(CfRoute *m)
+{
+	for (size_t i = 0; i < m->n_parts; i++)
+		g_free(m->parts[i]);
+	g_free(m->parts);
+}
+
+void cf_to_limits(CfLimits *m, const struct cf_limits *l)
+{
+	cf_limits__init(m);
+	m->max_header_bytes = l->max_header_bytes;
+	m->max_body_bytes = l->max_body_bytes;
+	m->header_timeout_ms = to_ms(l->header_timeout);
+	m->idle_timeout_ms = to_ms(l->idle_timeout);
+}
+
+struct cf_limits cf_from_limits(const CfLimits *m)
+{
+	struct cf_limits l = {0};
+
+	if (!m)
+		return l;
+	l.max_header_bytes = m->max_header_bytes;
+	l.max_body_bytes = m->max_body_bytes;
+	l.header_timeout = from_ms(m->header_timeout_ms);
+	l.idle_timeout = from_ms(m->idle_timeout_ms);
+	return l;
 }
 
 void cf_to_row(CfPolicyRow *m, const struct cf_snapshot *s,
@@ -115,6 +192,10 @@
 		.name = m->name,
 		.max_in_flight = m->max_in_flight,
 		.timeout = from_ms(m->timeout_ms),
+		.health_path = m->health_path,
+		.max_connections = m->max_connections,
+		.protocol = m->protocol,
+		.tls = m->tls,
 	};
 
 	cf_draft_service(d, &s, 0);
@@ -127,9 +208,17 @@
 		.path = m->path,
 		.method = m->method,
 		.idempotent = m->idempotent,
+		.host = m->host,
+		.download = m->download,
+		.timeout = from_ms(m->timeout_ms),
+		.latency_target = from_ms(m->latency_target_ms),
+		.priority = m->priority,
+		.attempts = m->attempts,
 	};
 
 	cf_draft_route(d, &r, m->service, 0);
+	for (size_t i = 0; i < m->n_parts; i++)
+		cf_draft_part(d, m->parts[i]->service, m->parts[i]->weight);
 }
 
 void cf_from_row(struct cf_draft *d, const CfPolicyRow *m)
@@ -164,6 +253,10 @@
 	e->routes = g_new(CfRoute, s->n_routes + 1);
 	e->rows = g_new(CfPolicyRow, s->n_services + 1);
 	e->m.version = s->version;
+	e->m.revision = s->revision;
+	cf_to_limits(&e->limits, &s->limits);
+	if (protobuf_c_message_get_packed_size(&e->limits.base))
+		e->m.limits = &e->limits;
 	e->m.n_services = s->n_services;
 	e->m.n_routes = s->n_routes;
 	e->m.services = g_new(CfService *, s->n_services + 1);
@@ -186,6 +279,8 @@
 
 static void encoder_free(struct encoder *e)
 {
+	for (size_t i = 0; i < e->m.n_routes; i++)
+		cf_to_route_free(&e->routes[i]);
 	g_free(e->m.services);
 	g_free(e->m.routes);
 	g_free(e->policy.rows);
--- a/config/cf_parse.c
+++ b/config/cf_parse.c
@@ -111,7 +111,6 @@
 static void read_row(const struct ba_toml *table,
 		     const struct cf_snapshot *base, struct cf_draft *d,
 		     struct ba_problems *problems);
-static void keep_rows(const struct cf_snapshot *base, struct cf_draft *d);
 static void keep_services(const struct cf_snapshot *base, struct cf_draft *d);
 static int finish(struct cf_draft *d, struct ba_toml *root, size_t before,
 		  struct cf_snapshot **out, struct ba_problems *problems);
@@ -133,7 +132,7 @@
 	check_root(root, names, problems);
 	read_array(root, "services", read_service, base, &d, problems);
 	read_array(root, "routes", read_route, base, &d, problems);
-	keep_rows(base, &d);
+	cf_draft_keep_policy(&d, base);
 	return finish(&d, root, before, out, problems);
 }
 
@@ -307,36 +306,14 @@
 }
 
 /* The policy stays as it is; rows go only with their service. */
-static void keep_rows(const struct cf_snapshot *base, struct cf_draft *d)
-{
-	GHashTable *names = g_hash_table_new(g_str_hash, g_str_equal);
-
-	cf_draft_policy(d, &base->policy);
-	for (guint i = 0; i < d->services->len; i++)
-		g_hash_table_add(
-			names, (char *)g_array_index(d->services,
-						     struct cf_draft_service, i)
-				       .value.name);
-	for (size_t i = 0; i < base->n_services; i++) {
-		const char *name = base->services[i].name;
-
-		if (g_hash_table_contains(names, name))
-			cf_draft_row(d, &base->policy.rows[i], name,
-				     CF_LINE_KEPT);
-	}
-	g_hash_table_destroy(names);
-}
-
 static void keep_services(const struct cf_snapshot *base, struct cf_draft *d)
 {
 	for (size_t i = 0; i < base->n_services; i++)
 		cf_draft_service(d, &base->services[i], CF_LINE_KEPT);
-	for (size_t i = 0; i < base->n_routes; i++) {
-		const struct cf_route *r = &base->routes[i];
-
-		cf_draft_route(d, r, base->services[r->service].name,
-			       CF_LINE_KEPT);
-	}
+	for (size_t i = 0; i < base->n_routes; i++)
+		cf_draft_keep_route(d, base, &base->routes[i]);
+	d->revision = base->revision;
+	d->limits = base->limits;
 }
 
 /* Rules are checked also after a wrong key, so that all is told at once. */
--- a/config/cf_snapshot.c
+++ b/config/cf_snapshot.c
@@ -5,9 +5,12 @@
 #include "config/cf_internal.h"
 
 static struct cf_whole *whole(const struct cf_snapshot *s);
+static const struct cf_route *match_host(const struct cf_whole *w,
+					 const char *host, const char *method,
+					 const char *path, size_t len);
 static const struct cf_route *find_exact(const struct cf_whole *w,
-					 const char *path, size_t len,
-					 const char *method);
+					 const char *host, const char *path,
+					 size_t len, const char *method);
 static int compare_prefix(const char *route, const char *path, size_t len);
 
 struct cf_snapshot *cf_snapshot_empty(void)
@@ -41,6 +44,7 @@
 	g_free(s->routes);
 	g_free(s->policy.rows);
 	g_free((void *)w->by_path);
+	g_free(w->parts);
 	g_string_chunk_free(w->strings);
 	g_free(w);
 }
@@ -64,33 +68,31 @@
 	return CF_NO_SERVICE;
 }
 
-/* Tries the whole path, then each shorter prefix at a '/', then "/". */
-const struct cf_route *cf_route_find(const struct cf_snapshot *s,
-				     const char *method, const char *path)
+const struct cf_route *cf_route_match(const struct cf_snapshot *s,
+				      const char *host, const char *method,
+				      const char *path, size_t len)
 {
-	const struct cf_whole *w = whole(s);
-	size_t len = strlen(path);
+	const struct cf_route *r = NULL;
 
-	if (path[0] != '/')
+	if (!len || path[0] != '/')
 		return NULL;
-	while (len) {
-		const struct cf_route *r = find_exact(w, path, len, method);
+	if (*host)
+		r = match_host(whole(s), host, method, path, len);
+	return r ? r : match_host(whole(s), "", method, path, len);
+}
 
-		if (!r)
-			r = find_exact(w, path, len, "");
-		if (r || len == 1)
-			return r;
-		while (len > 1 && path[len - 1] != '/')
-			len--;
-		if (len > 1)
-			len--;
-	}
-	return NULL;
+const struct cf_route *cf_route_find(const struct cf_snapshot *s,
+				     const char *method, const char *path)
+{
+	return cf_route_match(s, "", method, path, strlen(path));
 }
 
 int cf_route_compare(const struct cf_route *a, const struct cf_route *b)
 {
-	int order = strcmp(a->path, b->path);
+	int order = strcmp(a->host, b->host);
+
+	if (!order)
+		order = strcmp(a->path, b->path);
 
 	return order ? order : strcmp(a->method, b->method);
 }
@@ -100,9 +102,32 @@
 	return (struct cf_whole *)s;
 }
 
+/* Tries the whole path, then each shorter prefix on both sides of a '/'. */
+static const struct cf_route *match_host(const struct cf_whole *w,
+					 const char *host, const char *method,
+					 const char *path, size_t len)
+{
+	while (len) {
+		const struct cf_route *r =
+			find_exact(w, host, path, len, method);
+
+		if (!r)
+			r = find_exact(w, host, path, len, "");
+		if (r || len == 1)
+			return r;
+		if (path[len - 1] == '/') {
+			len--;
+			continue;
+		}
+		while (len > 1 && path[len - 1] != '/')
+			len--;
+	}
+	return NULL;
+}
+
 static const struct cf_route *find_exact(const struct cf_whole *w,
-					 const char *path, size_t len,
-					 const char *method)
+					 const char *host, const char *path,
+					 size_t len, const char *method)
 {
 	size_t low = 0;
 	size_t high = w->s.n_routes;
@@ -110,8 +135,10 @@
 	while (low < high) {
 		size_t mid = (low + high) / 2;
 		const struct cf_route *r = w->by_path[mid];
-		int order = compare_prefix(r->path, path, len);
+		int order = strcmp(r->host, host);
 
+		if (!order)
+			order = compare_prefix(r->path, path, len);
 		if (!order)
 			order = strcmp(r->method, method);
 		if (!order)
--- a/wire/cf.pb-c.c
+++ b/wire/cf.pb-c.c
@@ -52,6 +52,96 @@
   assert(message->base.descriptor == &cf_service__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cf_part__init
+                     (CfPart         *message)
+{
+  static const CfPart init_value = CF_PART__INIT;
+  *message = init_value;
+}
+size_t cf_part__get_packed_size
+                     (const CfPart *message)
+{
+  assert(message->base.descriptor == &cf_part__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cf_part__pack
+                     (const CfPart *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cf_part__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cf_part__pack_to_buffer
+                     (const CfPart *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cf_part__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CfPart *
+       cf_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CfPart *)
+     protobuf_c_message_unpack (&cf_part__descriptor,
+                                allocator, len, data);
+}
+void   cf_part__free_unpacked
+                     (CfPart *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cf_part__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cf_limits__init
+                     (CfLimits         *message)
+{
+  static const CfLimits init_value = CF_LIMITS__INIT;
+  *message = init_value;
+}
+size_t cf_limits__get_packed_size
+                     (const CfLimits *message)
+{
+  assert(message->base.descriptor == &cf_limits__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cf_limits__pack
+                     (const CfLimits *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cf_limits__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cf_limits__pack_to_buffer
+                     (const CfLimits *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cf_limits__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CfLimits *
+       cf_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CfLimits *)
+     protobuf_c_message_unpack (&cf_limits__descriptor,
+                                allocator, len, data);
+}
+void   cf_limits__free_unpacked
+                     (CfLimits *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cf_limits__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cf_route__init
                      (CfRoute         *message)
 {
@@ -277,7 +367,7 @@
   assert(message->base.descriptor == &cf_delta__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cf_service__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cf_service__field_descriptors[7] =
 {
   {
     "name",
@@ -315,16 +405,68 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "health_path",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CfService, health_path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_connections",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfService, max_connections),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "protocol",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CfService, protocol),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tls",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CfService, tls),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cf_service__field_indices_by_name[] = {
+  3,   /* field[3] = health_path */
+  4,   /* field[4] = max_connections */
   1,   /* field[1] = max_in_flight */
   0,   /* field[0] = name */
+  5,   /* field[5] = protocol */
   2,   /* field[2] = timeout_ms */
+  6,   /* field[6] = tls */
 };
 static const ProtobufCIntRange cf_service__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cf_service__descriptor =
 {
@@ -334,14 +476,142 @@
   "CfService",
   "",
   sizeof(CfService),
-  3,
+  7,
   cf_service__field_descriptors,
   cf_service__field_indices_by_name,
   1,  cf_service__number_ranges,
   (ProtobufCMessageInit) cf_service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_route__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cf_part__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CfPart, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "weight",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfPart, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cf_part__field_indices_by_name[] = {
+  0,   /* field[0] = service */
+  1,   /* field[1] = weight */
+};
+static const ProtobufCIntRange cf_part__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cf_part__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "CfPart",
+  "CfPart",
+  "CfPart",
+  "",
+  sizeof(CfPart),
+  2,
+  cf_part__field_descriptors,
+  cf_part__field_indices_by_name,
+  1,  cf_part__number_ranges,
+  (ProtobufCMessageInit) cf_part__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cf_limits__field_descriptors[4] =
+{
+  {
+    "max_header_bytes",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfLimits, max_header_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_body_bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CfLimits, max_body_bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "header_timeout_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfLimits, header_timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "idle_timeout_ms",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfLimits, idle_timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cf_limits__field_indices_by_name[] = {
+  2,   /* field[2] = header_timeout_ms */
+  3,   /* field[3] = idle_timeout_ms */
+  1,   /* field[1] = max_body_bytes */
+  0,   /* field[0] = max_header_bytes */
+};
+static const ProtobufCIntRange cf_limits__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cf_limits__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "CfLimits",
+  "CfLimits",
+  "CfLimits",
+  "",
+  sizeof(CfLimits),
+  4,
+  cf_limits__field_descriptors,
+  cf_limits__field_indices_by_name,
+  1,  cf_limits__number_ranges,
+  (ProtobufCMessageInit) cf_limits__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cf_route__field_descriptors[12] =
 {
   {
     "name",
@@ -403,18 +673,109 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "host",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CfRoute, host),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "timeout_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfRoute, timeout_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "latency_target_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfRoute, latency_target_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfRoute, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempts",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfRoute, attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CfRoute, n_parts),
+    offsetof(CfRoute, parts),
+    &cf_part__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "download",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CfRoute, download),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cf_route__field_indices_by_name[] = {
+  9,   /* field[9] = attempts */
+  11,   /* field[11] = download */
+  5,   /* field[5] = host */
   4,   /* field[4] = idempotent */
+  7,   /* field[7] = latency_target_ms */
   2,   /* field[2] = method */
   0,   /* field[0] = name */
+  10,   /* field[10] = parts */
   1,   /* field[1] = path */
+  8,   /* field[8] = priority */
   3,   /* field[3] = service */
+  6,   /* field[6] = timeout_ms */
 };
 static const ProtobufCIntRange cf_route__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cf_route__descriptor =
 {
@@ -424,7 +785,7 @@
   "CfRoute",
   "",
   sizeof(CfRoute),
-  5,
+  12,
   cf_route__field_descriptors,
   cf_route__field_indices_by_name,
   1,  cf_route__number_ranges,
@@ -624,7 +985,7 @@
   (ProtobufCMessageInit) cf_policy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_snapshot__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cf_snapshot__field_descriptors[6] =
 {
   {
     "version",
@@ -674,9 +1035,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "revision",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CfSnapshot, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(CfSnapshot, limits),
+    &cf_limits__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cf_snapshot__field_indices_by_name[] = {
+  5,   /* field[5] = limits */
   3,   /* field[3] = policy */
+  4,   /* field[4] = revision */
   2,   /* field[2] = routes */
   1,   /* field[1] = services */
   0,   /* field[0] = version */
@@ -684,7 +1071,7 @@
 static const ProtobufCIntRange cf_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cf_snapshot__descriptor =
 {
@@ -694,14 +1081,14 @@
   "CfSnapshot",
   "",
   sizeof(CfSnapshot),
-  4,
+  6,
   cf_snapshot__field_descriptors,
   cf_snapshot__field_indices_by_name,
   1,  cf_snapshot__number_ranges,
   (ProtobufCMessageInit) cf_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_delta__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cf_delta__field_descriptors[11] =
 {
   {
     "from_version",
@@ -811,22 +1198,48 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "revision",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CfDelta, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limits",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(CfDelta, limits),
+    &cf_limits__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cf_delta__field_indices_by_name[] = {
   6,   /* field[6] = drop_routes */
   4,   /* field[4] = drop_services */
   0,   /* field[0] = from_version */
+  10,   /* field[10] = limits */
   7,   /* field[7] = policy */
   5,   /* field[5] = put_routes */
   8,   /* field[8] = put_rows */
   3,   /* field[3] = put_services */
+  9,   /* field[9] = revision */
   2,   /* field[2] = to_digest */
   1,   /* field[1] = to_version */
 };
 static const ProtobufCIntRange cf_delta__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cf_delta__descriptor =
 {
@@ -836,7 +1249,7 @@
   "CfDelta",
   "",
   sizeof(CfDelta),
-  9,
+  11,
   cf_delta__field_descriptors,
   cf_delta__field_indices_by_name,
   1,  cf_delta__number_ranges,
--- a/wire/cf.pb-c.h
+++ b/wire/cf.pb-c.h
@@ -16,6 +16,8 @@
 
 
 typedef struct CfService CfService;
+typedef struct CfPart CfPart;
+typedef struct CfLimits CfLimits;
 typedef struct CfRoute CfRoute;
 typedef struct CfPolicyRow CfPolicyRow;
 typedef struct CfPolicy CfPolicy;
@@ -40,10 +42,47 @@
    * longest deadline a call may ask for
    */
   uint32_t timeout_ms;
+  char *health_path;
+  /*
+   * of one endpoint, 0 when not known
+   */
+  uint32_t max_connections;
+  char *protocol;
+  protobuf_c_boolean tls;
 };
 #define CF_SERVICE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_service__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * One of the services that a route is split over.
+ */
+struct  CfPart
+{
+  ProtobufCMessage base;
+  char *service;
+  uint32_t weight;
+};
+#define CF_PART__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cf_part__descriptor) \
+    , (char *)protobuf_c_empty_string, 0 }
+
+
+/*
+ * What a caller may send, and how long it may take.
+ */
+struct  CfLimits
+{
+  ProtobufCMessage base;
+  uint32_t max_header_bytes;
+  uint64_t max_body_bytes;
+  uint32_t header_timeout_ms;
+  uint32_t idle_timeout_ms;
+};
+#define CF_LIMITS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cf_limits__descriptor) \
+    , 0, 0, 0, 0 }
 
 
 struct  CfRoute
@@ -60,10 +99,33 @@
   char *method;
   char *service;
   protobuf_c_boolean idempotent;
+  /*
+   * "" for every host
+   */
+  char *host;
+  /*
+   * 0 for that of the service
+   */
+  uint32_t timeout_ms;
+  uint32_t latency_target_ms;
+  /*
+   * 0 is the highest
+   */
+  uint32_t priority;
+  /*
+   * endpoints that one call may run on
+   */
+  uint32_t attempts;
+  /*
+   * in place of the service
+   */
+  size_t n_parts;
+  CfPart **parts;
+  protobuf_c_boolean download;
 };
 #define CF_ROUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_route__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
@@ -126,10 +188,15 @@
   size_t n_routes;
   CfRoute **routes;
   CfPolicy *policy;
+  /*
+   * the operators' own number
+   */
+  uint64_t revision;
+  CfLimits *limits;
 };
 #define CF_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_snapshot__descriptor) \
-    , 0, 0,NULL, 0,NULL, NULL }
+    , 0, 0,NULL, 0,NULL, NULL, 0, NULL }
 
 
 struct  CfDelta
@@ -152,10 +219,12 @@
   CfPolicy *policy;
   size_t n_put_rows;
   CfPolicyRow **put_rows;
+  uint64_t revision;
+  CfLimits *limits;
 };
 #define CF_DELTA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_delta__descriptor) \
-    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL }
+    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, NULL }
 
 
 /* CfService methods */
@@ -177,6 +246,44 @@
 void   cf_service__free_unpacked
                      (CfService *message,
                       ProtobufCAllocator *allocator);
+/* CfPart methods */
+void   cf_part__init
+                     (CfPart         *message);
+size_t cf_part__get_packed_size
+                     (const CfPart   *message);
+size_t cf_part__pack
+                     (const CfPart   *message,
+                      uint8_t             *out);
+size_t cf_part__pack_to_buffer
+                     (const CfPart   *message,
+                      ProtobufCBuffer     *buffer);
+CfPart *
+       cf_part__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cf_part__free_unpacked
+                     (CfPart *message,
+                      ProtobufCAllocator *allocator);
+/* CfLimits methods */
+void   cf_limits__init
+                     (CfLimits         *message);
+size_t cf_limits__get_packed_size
+                     (const CfLimits   *message);
+size_t cf_limits__pack
+                     (const CfLimits   *message,
+                      uint8_t             *out);
+size_t cf_limits__pack_to_buffer
+                     (const CfLimits   *message,
+                      ProtobufCBuffer     *buffer);
+CfLimits *
+       cf_limits__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cf_limits__free_unpacked
+                     (CfLimits *message,
+                      ProtobufCAllocator *allocator);
 /* CfRoute methods */
 void   cf_route__init
                      (CfRoute         *message);
@@ -277,6 +384,12 @@
 typedef void (*CfService_Closure)
                  (const CfService *message,
                   void *closure_data);
+typedef void (*CfPart_Closure)
+                 (const CfPart *message,
+                  void *closure_data);
+typedef void (*CfLimits_Closure)
+                 (const CfLimits *message,
+                  void *closure_data);
 typedef void (*CfRoute_Closure)
                  (const CfRoute *message,
                   void *closure_data);
@@ -299,6 +412,8 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor cf_service__descriptor;
+extern const ProtobufCMessageDescriptor cf_part__descriptor;
+extern const ProtobufCMessageDescriptor cf_limits__descriptor;
 extern const ProtobufCMessageDescriptor cf_route__descriptor;
 extern const ProtobufCMessageDescriptor cf_policy_row__descriptor;
 extern const ProtobufCMessageDescriptor cf_policy__descriptor;
--- a/wire/ct.pb-c.h
+++ b/wire/ct.pb-c.h
@@ -26,7 +26,11 @@
 
 typedef enum _CtKind {
   CT_KIND__CT_KIND_CONFIGURATION = 0,
-  CT_KIND__CT_KIND_POLICY = 1
+  CT_KIND__CT_KIND_POLICY = 1,
+  /*
+   * the text is a packed CfSnapshot
+   */
+  CT_KIND__CT_KIND_SNAPSHOT = 2
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CT_KIND)
 } CtKind;
 
