endpoint: announce what a backend server says of itself; leases in boot time

Cause: a daemon announced the endpoint of its settings from its start on. Where backend servers announce themselves, the endpoint comes, changes and goes while the daemon runs. An instance can be suspended for seconds without its monotonic clock counting them, so a lease would outlive the suspension.

Change: ds_agent_announce() replaces the record, with a new incarnation for another start of the backend server. A relay may serve the daemons of every data centre, for deployments that have a few relays in all. ba_clock_now() reads CLOCK_BOOTTIME. cl_admit_resize() follows the slots that are announced.

--- a/base/ba_clock.c
+++ b/base/ba_clock.c
@@ -6,7 +6,7 @@
 
 ba_time ba_clock_now(void)
 {
-	return read_clock(CLOCK_MONOTONIC);
+	return read_clock(CLOCK_BOOTTIME);
 }
 
 ba_time ba_clock_wall(void)
--- a/base/ba_clock.h
+++ b/base/ba_clock.h
@@ -20,7 +20,10 @@
 #define BA_HOUR (60 * BA_MINUTE)
 #define BA_NEVER INT64_MAX
 
-/** ba_clock_now() - monotonic time of this process, for deadlines */
+/**
+ * ba_clock_now() - steady time of this instance, for deadlines; it goes on
+ * while the instance is suspended, so that no lease outlives a suspension
+ */
 ba_time ba_clock_now(void);
 
 /** ba_clock_wall() - time since 1970 in UTC, for people and for reports */
--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -86,6 +86,9 @@
 	[EP_EV_EXPIRY_HELD] =
 		{"expiry-held", BA_WARNING,
 		 "Most leases expired at once; the endpoints are kept because this observer may be cut off."},
+	[EP_EV_REFUSED] =
+		{"endpoint-refused", BA_WARNING,
+		 "A backend server's announcement could not be read."},
 	[CL_EV_ROUTED] = {"routed", BA_INFO,
 			  "A call was routed to an endpoint."},
 	[CL_EV_NOT_RUN] =
--- a/call/cl_admit.c
+++ b/call/cl_admit.c
@@ -87,6 +87,14 @@
 	a->tokens_at = now;
 }
 
+void cl_admit_resize(struct cl_admit *a, uint32_t slots)
+{
+	if (a->options.slots == slots)
+		return;
+	a->options.slots = slots;
+	a->limit = most(a);
+}
+
 enum cl_admit_act cl_admit_arrive(struct cl_admit *a, struct cl_ticket *t,
 				  ba_time now, enum cl_admit_reason *reason)
 {
--- a/call/cl_admit.h
+++ b/call/cl_admit.h
@@ -94,6 +94,9 @@
 void cl_admit_share(struct cl_admit *a, uint32_t in_flight, double per_second,
 		    ba_time now);
 
+/** cl_admit_resize() - the backend server has @slots from now on */
+void cl_admit_resize(struct cl_admit *a, uint32_t slots);
+
 /** cl_admit_arrive() - a call has arrived */
 enum cl_admit_act cl_admit_arrive(struct cl_admit *a, struct cl_ticket *t,
 				  ba_time now, enum cl_admit_reason *reason);
--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -113,6 +113,21 @@
 	return a;
 }
 
+void ds_agent_announce(struct ds_agent *a, const struct ep_record *record,
+		       bool renewed)
+{
+	struct ep_record next;
+
+	ep_record_copy(&next, record);
+	g_free(next.instance);
+	next.instance = g_strdup(a->record.instance);
+	next.incarnation = a->record.incarnation + renewed;
+	next.sequence = renewed ? 0 : a->record.sequence;
+	ep_record_clear(&a->record);
+	a->record = next;
+	announce_again(a);
+}
+
 void ds_agent_drain(struct ds_agent *a)
 {
 	a->record.draining = true;
--- a/distrib/ds_agent.h
+++ b/distrib/ds_agent.h
@@ -68,6 +68,15 @@
 			      const struct ds_agent_options *options,
 			      struct ds_agent_owner *owner);
 
+/**
+ * ds_agent_announce() - the endpoint is as @record says
+ * @record: its instance, incarnation and sequence are not looked at; copied
+ * @renewed: the backend server has started anew: what others have seen of it
+ *	does not hold any more
+ */
+void ds_agent_announce(struct ds_agent *a, const struct ep_record *record,
+		       bool renewed);
+
 /** ds_agent_drain() - announce that the endpoint takes no new work */
 void ds_agent_drain(struct ds_agent *a);
 
--- a/endpoint/ep.h
+++ b/endpoint/ep.h
@@ -34,6 +34,8 @@
  * @left: has gone; kept for a while so that older news cannot revive it
  * @slots: calls its backend server runs at once
  * @connections: connections its backend server accepts
+ * @backend: id that the backend server gave itself at its start, or ""
+ * @cold: the backend server stays slow for so long after the announcement
  * @lease_deadline: when it expires unless renewed
  */
 struct ep_record {
@@ -44,6 +46,8 @@
 	char *address;
 	char *external_address;
 	char *control_address;
+	char *backend;
+	ba_time cold;
 	uint64_t incarnation;
 	uint64_t sequence;
 	bool draining;
--- a/endpoint/ep_record.c
+++ b/endpoint/ep_record.c
@@ -18,6 +18,7 @@
 	to->address = g_strdup(from->address);
 	to->external_address = g_strdup(from->external_address);
 	to->control_address = g_strdup(from->control_address);
+	to->backend = g_strdup(from->backend);
 }
 
 void ep_record_clear(struct ep_record *r)
@@ -29,6 +30,7 @@
 	g_free(r->address);
 	g_free(r->external_address);
 	g_free(r->control_address);
+	g_free(r->backend);
 	memset(r, 0, sizeof(*r));
 }
 
@@ -38,7 +40,7 @@
 	    !is_name(r->region, true) || !is_name(r->service, !r->left) ||
 	    !is_name(r->address, !r->left) ||
 	    !is_name(r->external_address, false) ||
-	    !is_name(r->control_address, false))
+	    !is_name(r->control_address, false) || !is_name(r->backend, false))
 		return WI_FRAME_GARBAGE;
 	return BA_OK;
 }
@@ -55,6 +57,9 @@
 		m->external_address = r->external_address;
 	if (r->control_address)
 		m->control_address = r->control_address;
+	if (r->backend)
+		m->backend = r->backend;
+	m->cold_ms = (uint32_t)(r->cold / BA_MS);
 	m->incarnation = r->incarnation;
 	m->sequence = r->sequence;
 	m->draining = r->draining;
@@ -73,6 +78,8 @@
 	r->address = m->address;
 	r->external_address = m->external_address;
 	r->control_address = m->control_address;
+	r->backend = m->backend;
+	r->cold = m->cold_ms * BA_MS;
 	r->incarnation = m->incarnation;
 	r->sequence = m->sequence;
 	r->draining = m->draining;
--- a/relay/re.h
+++ b/relay/re.h
@@ -32,7 +32,10 @@
 #define RE_BATCH_DELAY (20 * BA_MS)
 #define RE_FIGURES_DELAY (500 * BA_MS)
 
-/** struct re_settings - the settings file */
+/**
+ * struct re_settings - the settings file
+ * @every_centre: serves the daemons of all data centres, with the other relays
+ */
 struct re_settings {
 	struct pr_common common;
 	struct ba_address address;
@@ -40,6 +43,7 @@
 	struct ba_addresses sources;
 	struct ba_addresses upstream_relays;
 	struct ba_addresses peers;
+	bool every_centre;
 };
 
 /**
@@ -114,6 +118,9 @@
 /** re_relay_stop() - end everything that re_relay_start() began */
 void re_relay_stop(struct re_relay *r);
 
+/** re_relay_serves() - whether it serves daemons of @data_centre */
+bool re_relay_serves(const struct re_relay *r, const char *data_centre);
+
 /** re_session_accept() - take in an incoming session */
 struct wi_handler *re_session_accept(struct wi_acceptor *a,
 				     struct wi_session *s);
--- a/relay/re_endpoint.c
+++ b/relay/re_endpoint.c
@@ -17,7 +17,6 @@
 static void log_outcome(enum ep_outcome outcome, const struct ep_record *r);
 static void refute(struct re_relay *r, const char *instance);
 static void schedule(struct re_relay *r);
-static bool is_own(const struct re_relay *r, const char *data_centre);
 static void pack_start(struct packer *p, struct re_relay *r, bool held_only);
 static void pack_record(const struct ep_record *rec, void *arg);
 static void pack_end(struct packer *p, EpUpdate *m);
@@ -92,7 +91,7 @@
 		ep_record_from_message(m->records[i], &rec);
 		if (ep_record_check(&rec))
 			continue;
-		if (!is_own(r, rec.data_centre))
+		if (!re_relay_serves(r, rec.data_centre))
 			by = EP_HELD_BY_PEER;
 		outcome = ep_table_put(r->table, &rec, by,
 				       now + 2 * RE_LEASE_LEAST, now);
@@ -177,7 +176,8 @@
 	    re_session_find(c->relay, peer->instance) == c)
 		ep_table_release(c->relay->table, peer->instance,
 				 now + c->lease);
-	if (peer->role != WI_RELAY || !is_own(c->relay, peer->data_centre))
+	if (peer->role != WI_RELAY ||
+	    !re_relay_serves(c->relay, peer->data_centre))
 		return;
 	ep_table_release_holder(c->relay->table, c->holder,
 				now + 2 * RE_LEASE_LEAST);
@@ -271,11 +271,6 @@
 			    ba_loop_now(r->loop) + RE_BATCH_DELAY);
 }
 
-static bool is_own(const struct re_relay *r, const char *data_centre)
-{
-	return !strcmp(r->identity->data_centre, data_centre);
-}
-
 static void pack_start(struct packer *p, struct re_relay *r, bool held_only)
 {
 	p->relay = r;
@@ -290,7 +285,7 @@
 	struct packer *p = arg;
 	EpRecord m;
 
-	if (p->held_only && !is_own(p->relay, rec->data_centre))
+	if (p->held_only && !re_relay_serves(p->relay, rec->data_centre))
 		return;
 	if (p->held_only && !rec->left &&
 	    !ep_table_is_held_here(p->relay->table, rec->instance))
--- a/relay/re_peer.c
+++ b/relay/re_peer.c
@@ -73,8 +73,7 @@
 {
 	struct re_peer *p = (struct re_peer *)o;
 
-	if (!strcmp(wi_session_peer(s)->data_centre,
-		    p->relay->identity->data_centre))
+	if (re_relay_serves(p->relay, wi_session_peer(s)->data_centre))
 		re_endpoint_send_held(p->relay, s);
 	re_endpoint_send_roots(p->relay, s);
 	p->sent_generation = ep_table_generation(p->relay->table);
--- a/relay/re_relay.c
+++ b/relay/re_relay.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include "base/ba_result.h"
 #include "relay/re.h"
 
@@ -59,6 +61,12 @@
 	g_hash_table_destroy(r->by_instance);
 }
 
+bool re_relay_serves(const struct re_relay *r, const char *data_centre)
+{
+	return r->settings->every_centre ||
+	       !strcmp(data_centre, r->identity->data_centre);
+}
+
 static void on_summary(struct ds_feed_owner *o, uint64_t lowest,
 		       uint32_t daemons)
 {
--- a/wire/ep.pb-c.c
+++ b/wire/ep.pb-c.c
@@ -232,7 +232,7 @@
   assert(message->base.descriptor == &ep_digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ep_record__field_descriptors[13] =
+static const ProtobufCFieldDescriptor ep_record__field_descriptors[15] =
 {
   {
     "instance",
@@ -390,9 +390,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "backend",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(EpRecord, backend),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(EpRecord, cold_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ep_record__field_indices_by_name[] = {
   4,   /* field[4] = address */
+  13,   /* field[13] = backend */
+  14,   /* field[14] = cold_ms */
   10,   /* field[10] = connections */
   12,   /* field[12] = control_address */
   2,   /* field[2] = data_centre */
@@ -409,7 +435,7 @@
 static const ProtobufCIntRange ep_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor ep_record__descriptor =
 {
@@ -419,7 +445,7 @@
   "EpRecord",
   "",
   sizeof(EpRecord),
-  13,
+  15,
   ep_record__field_descriptors,
   ep_record__field_indices_by_name,
   1,  ep_record__number_ranges,
--- a/wire/ep.pb-c.h
+++ b/wire/ep.pb-c.h
@@ -55,10 +55,18 @@
    * where siblings can catch up
    */
   char *control_address;
+  /*
+   * the backend server's own id, changes at its start
+   */
+  char *backend;
+  /*
+   * it stays slow for so long
+   */
+  uint32_t cold_ms;
 };
 #define EP_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ep_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
 
 
 struct  EpAnnounce
