--- a/source/so.h
+++ b/source/so.h
@@ -4,7 +4,9 @@
  *
  *   so_source.c      start, stop, and the replica's owner
  *   so_session.c     sessions that were accepted, and their frames
+ *   so_submit.c      submissions that wait for their outcome
  *   so_operator.c    submissions and queries
+ *   so_http.c        the operators' API over HTTP
  *   so_status.c      the JSON that queries are answered with
  *   so_peer.c        sessions dialled to the other replicas
  *   so_feed.c        relays: what they are sent, what they acknowledge
@@ -42,9 +44,18 @@
 	struct ba_addresses addresses;
 };
 
+/**
+ * struct so_waiter - whoever waits for the outcome of a submission; embed it
+ * @outcome: the outcome has come
+ * @token: of the submission, 0 for none
+ */
+struct so_waiter {
+	void (*outcome)(struct so_waiter *w, const CtOutcome *outcome);
+	uint64_t token;
+};
+
 /**
  * struct so_conn - one accepted session
- * @token: of the submission that waits for its outcome, 0 for none
  */
 struct so_conn {
 	struct wi_handler handler;
@@ -52,7 +63,7 @@
 	struct so_source *source;
 	struct wi_session *session;
 	bool open;
-	uint64_t token;
+	struct so_waiter waiter;
 };
 
 /** struct so_peer - the session dialled to another replica */
@@ -167,9 +178,16 @@
 /** so_operator_frame() - a frame of an operator's session */
 int so_operator_frame(struct so_conn *c, const struct wi_frame *f);
 
-/** so_operator_outcome() - the outcome of the submission with @token */
-void so_operator_outcome(struct so_source *s, uint64_t token,
-			 const CtOutcome *outcome);
+/** so_submit() - take in a submission; @w is told of its outcome */
+void so_submit(struct so_source *s, struct so_waiter *w,
+	       const CtSubmit *submit);
+
+/** so_submit_outcome() - the outcome of the submission with @token */
+void so_submit_outcome(struct so_source *s, uint64_t token,
+		       const CtOutcome *outcome);
+
+/** so_submit_forget() - @w waits no more */
+void so_submit_forget(struct so_source *s, struct so_waiter *w);
 
 /** so_operator_closed() - the session has ended */
 void so_operator_closed(struct so_conn *c);
--- a/source/so_keys.c
+++ b/source/so_keys.c
@@ -17,7 +17,10 @@
 	struct wi_operator *list =
 		g_new0(struct wi_operator, SO_OPERATORS_LIMIT);
 	size_t n = 0;
-	int ret = read_folder(s->settings->operators_folder, list, &n);
+	int ret = BA_OK;
+
+	if (s->settings->operators_folder)
+		ret = read_folder(s->settings->operators_folder, list, &n);
 
 	if (ret) {
 		free_list(list, n);
--- a/source/so_operator.c
+++ b/source/so_operator.c
@@ -17,6 +17,7 @@
 		      struct ba_buf *json, struct ba_buf *snapshot);
 };
 
+static void on_outcome(struct so_waiter *w, const CtOutcome *outcome);
 static int take_submit(struct so_conn *c, const struct wi_frame *f);
 static int take_query(struct so_conn *c, const struct wi_frame *f);
 static int answer_status(struct so_source *s, const char *argument,
@@ -46,49 +47,36 @@
 	return WI_FRAME_UNKNOWN;
 }
 
-void so_operator_outcome(struct so_source *s, uint64_t token,
-			 const CtOutcome *outcome)
+void so_operator_closed(struct so_conn *c)
 {
-	struct so_conn *c = g_hash_table_lookup(s->waiting, &token);
-
-	if (!c)
-		return;
-	g_hash_table_remove(s->waiting, &token);
-	c->token = 0;
-	log_outcome(c, outcome);
-	wi_send(c->session, CT_OUTCOME, &outcome->base);
+	so_submit_forget(c->source, &c->waiter);
 }
 
-void so_operator_closed(struct so_conn *c)
+static void on_outcome(struct so_waiter *w, const CtOutcome *outcome)
 {
-	if (!c->token)
-		return;
-	rp_node_forget(c->source->node, c->token);
-	g_hash_table_remove(c->source->waiting, &c->token);
-	c->token = 0;
+	struct so_conn *c = ba_entry(w, struct so_conn, waiter);
+
+	log_outcome(c, outcome);
+	wi_send(c->session, CT_OUTCOME, &outcome->base);
 }
 
 /* The session says who the operator is, whatever the frame may say. */
 static int take_submit(struct so_conn *c, const struct wi_frame *f)
 {
-	struct so_source *s = c->source;
 	CtSubmit *m = (CtSubmit *)wi_frame_unpack(f, &ct_submit__descriptor);
 	CtSubmit submit;
 
 	if (!m)
 		return WI_FRAME_GARBAGE;
-	if (c->token) {
+	if (c->waiter.token) {
 		send_refusal(c, WI_QUEUE_FULL);
 	} else if (m->text.len > SO_TEXT_LIMIT_BYTES) {
 		send_refusal(c, WI_FRAME_TOO_LARGE);
 	} else {
 		submit = *m;
 		submit.operator_ = wi_session_peer(c->session)->operator_name;
-		c->token = ++s->last_token;
-		g_hash_table_insert(s->waiting, &c->token, c);
-		rp_node_submit(s->node, c->token, &submit, ba_loop_now(s->loop),
-			       ba_clock_wall());
-		so_source_rearm(s);
+		c->waiter.outcome = on_outcome;
+		so_submit(c->source, &c->waiter, &submit);
 	}
 	ct_submit__free_unpacked(m, NULL);
 	return BA_OK;
--- a/source/so_source.c
+++ b/source/so_source.c
@@ -209,8 +209,7 @@
 static void on_outcome(struct rp_node_owner *o, uint64_t token,
 		       const CtOutcome *outcome)
 {
-	so_operator_outcome(ba_entry(o, struct so_source, owner), token,
-			    outcome);
+	so_submit_outcome(ba_entry(o, struct so_source, owner), token, outcome);
 }
 
 static void on_role(struct rp_node_owner *o, enum rp_role role, int leader,
--- /dev/null
+++ b/source/so_submit.c
@@ -0,0 +1,31 @@
+#include "source/so.h"
+
+void so_submit(struct so_source *s, struct so_waiter *w, const CtSubmit *submit)
+{
+	w->token = ++s->last_token;
+	g_hash_table_insert(s->waiting, &w->token, w);
+	rp_node_submit(s->node, w->token, submit, ba_loop_now(s->loop),
+		       ba_clock_wall());
+	so_source_rearm(s);
+}
+
+void so_submit_forget(struct so_source *s, struct so_waiter *w)
+{
+	if (!w->token)
+		return;
+	rp_node_forget(s->node, w->token);
+	g_hash_table_remove(s->waiting, &w->token);
+	w->token = 0;
+}
+
+void so_submit_outcome(struct so_source *s, uint64_t token,
+		       const CtOutcome *outcome)
+{
+	struct so_waiter *w = g_hash_table_lookup(s->waiting, &token);
+
+	if (!w)
+		return;
+	g_hash_table_remove(s->waiting, &token);
+	w->token = 0;
+	w->outcome(w, outcome);
+}
