proxy, platform: the whole path on the users' platform

Cause: nothing ran there.

Change: proxy/ takes requests by host and path, sends each to the proxy beside an endpoint and guards its own backend server; routing, admission and retry are the decisions of call/. platform/ holds names, paths and formats. caraway-proxy runs beside each backend server, caraway-core is source and relay in one process. deploy/ has the deploy file and the settings' templates.

--- a/Makefile
+++ b/Makefile
@@ -8,19 +8,19 @@
 PACKAGES = gcc g++ make pkg-config libck-dev libprotobuf-c-dev \
 	libtomlplusplus-dev libmicrohttpd-dev libcurl4-openssl-dev \
 	libglib2.0-dev libgtest-dev librapidcheck-dev libxxhash-dev \
-	libsodium-dev libjansson-dev tzdata
+	libsodium-dev libjansson-dev libhttp-parser-dev tzdata
 LINT_PACKAGES = clang-format clang-tidy cppcheck git
 
 VERSION := 0.1.0
 
-AGGREGATES = base wire config replica endpoint distrib call report
-ROLES = daemon source relay
+AGGREGATES = base wire http config replica endpoint distrib call report proxy
+ROLES = daemon source relay platform
 PROGRAMS := $(patsubst prog/%.c,%,$(wildcard prog/caraway*.c))
 TOOLS := $(patsubst bench/%_main.c,%,$(wildcard bench/*_main.c))
 
 PKGS = glib-2.0 libmicrohttpd libcurl libxxhash libsodium jansson
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
-PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lprotobuf-c -lck -lpthread -lm
+PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lprotobuf-c -lhttp_parser -lck -lpthread -lm
 
 HARDEN = -fstack-protector-strong -fPIE -fcf-protection
 ifeq ($(SAN),)
@@ -39,11 +39,11 @@
 CPPFLAGS = -I. -D_GNU_SOURCE -DCARAWAY_VERSION='"$(VERSION)"' $(PKG_CFLAGS)
 CFLAGS = -std=gnu11 -O2 -g $(WARN) $(HARDEN) $(SAN_FLAGS)
 CXXFLAGS = -std=c++17 -O1 -g $(WARN) $(SAN_CXX_WARN) $(HARDEN) $(SAN_FLAGS)
-LDFLAGS = -pie -Wl,-z,relro,-z,now $(SAN_FLAGS)
+LDFLAGS = -pie -Wl,-z,relro,-z,now -Wl,--as-needed $(SAN_FLAGS)
 
 LIB_SRC := $(foreach d,$(AGGREGATES),$(wildcard $(d)/*.c) $(wildcard $(d)/*.cc))
 LIB_OBJ := $(patsubst %,$(BUILD)/%.o,$(LIB_SRC))
-PROG_COMMON := $(patsubst %,$(BUILD)/%.o,$(wildcard prog/pr*.c) $(foreach d,$(ROLES),$(wildcard $(d)/*.c)))
+PROG_OBJ := $(patsubst %,$(BUILD)/%.o,$(wildcard prog/pr*.c) $(foreach d,$(ROLES),$(wildcard $(d)/*.c)))
 CTL_OBJ := $(patsubst %,$(BUILD)/%.o,$(wildcard ctl/*.c))
 BENCH_COMMON := $(patsubst %,$(BUILD)/%.o,$(filter-out %_main.c,$(wildcard bench/*.c)))
 TEST_SRC := $(wildcard test/*.cc)
@@ -52,17 +52,20 @@
 
 BINARIES := $(PROGRAMS:%=$(BUILD)/%) $(TOOLS:%=$(BUILD)/%)
 
-.PHONY: all demo check tests run-tests bench bench-converge bench-calls \
+.PHONY: all programs demo check tests run-tests bench bench-converge bench-calls \
 	bench-scale install clean deps lint-deps format lint tidy proto docs
 
 all: $(BINARIES)
 
+programs: $(PROGRAMS:%=$(BUILD)/%)
+
 # Package installation is skipped when the build already has all it needs.
 deps:
 	@command -v pkg-config >/dev/null && pkg-config --exists $(PKGS) && \
 	 test -e /usr/include/rapidcheck.h -a -e /usr/include/gtest/gtest.h \
 	      -a -e /usr/include/toml++/toml.h -a -e /usr/include/ck_pr.h \
-	      -a -e /usr/include/protobuf-c/protobuf-c.h || \
+	      -a -e /usr/include/protobuf-c/protobuf-c.h \
+	      -a -e /usr/include/http_parser.h || \
 	 { apt-get update -q && DEBIAN_FRONTEND=noninteractive \
 	   apt-get install -y -q $(PACKAGES); }
 
@@ -88,6 +91,12 @@
 	@$(MAKE) --no-print-directory -s -j$$(nproc) all
 	@bench/$@.sh $(BUILD)
 
+PROG_COMMON := $(BUILD)/libprog.a
+
+$(BUILD)/libprog.a: $(PROG_OBJ)
+	@rm -f $@
+	$(AR) rcs $@ $^
+
 $(BUILD)/libcaraway.a: $(LIB_OBJ)
 	@rm -f $@
 	$(AR) rcs $@ $^
--- /dev/null
+++ b/prog/caraway-core.c
@@ -0,0 +1,181 @@
+#include <signal.h>
+#include <string.h>
+
+#include "base/ba_event.h"
+#include "base/ba_result.h"
+#include "platform/pf.h"
+#include "prog/pr.h"
+#include "relay/re.h"
+#include "source/so.h"
+#include "source/so_http.h"
+
+/**
+ * struct settings - the settings file
+ * @operators: where operators reach this process
+ * @seeds: where operators reach the first members of the group
+ * @source_port: where replicas reach each other, on every instance
+ * @relay_port: where daemons and relays reach a relay, on every instance
+ */
+struct settings {
+	struct pr_common common;
+	struct ba_address operators;
+	struct ba_address source_address;
+	struct ba_address relay_address;
+	char *data_folder;
+	struct ba_addresses seeds;
+};
+
+#define KEY(t, n, k, req, m)                                           \
+	{                                                              \
+		t, n, k, req, offsetof(struct settings, m), NULL, 0, 0 \
+	}
+
+static const struct ba_key keys[] = {
+	PR_COMMON_KEYS,
+	KEY("core", "operator_address", BA_KIND_ADDRESS, true, operators),
+	KEY("core", "source_address", BA_KIND_ADDRESS, true, source_address),
+	KEY("core", "relay_address", BA_KIND_ADDRESS, true, relay_address),
+	KEY("core", "data_folder", BA_KIND_STRING, true, data_folder),
+	KEY("group", "seeds", BA_KIND_ADDRESSES, true, seeds),
+	{.name = NULL},
+};
+
+/*
+ * @member: this instance is one of the seeds, and so a replica of the log
+ */
+struct program {
+	struct settings settings;
+	struct wi_identity relay_identity;
+	struct wi_identity source_identity;
+	struct so_settings source_settings;
+	struct re_settings relay_settings;
+	struct ba_loop *loop;
+	struct so_source source;
+	struct re_relay relay;
+	struct so_http *http;
+	bool member;
+};
+
+static int run(struct program *g);
+static void share_settings(struct program *g);
+static struct ba_addresses with_port(const struct ba_addresses *from,
+				     const struct ba_address *port_of);
+static int start(struct program *g);
+static void on_signal(int signo, void *arg);
+
+int main(int argc, char **argv)
+{
+	struct program *g = g_new0(struct program, 1);
+	int ret = pr_start(argc, argv, WI_RELAY, keys, &g->settings.common,
+			   &g->relay_identity);
+
+	if (ret < 0) {
+		ret = run(g);
+		pr_end(keys, &g->settings.common);
+	}
+	g_free(g);
+	return ret;
+}
+
+static int run(struct program *g)
+{
+	int ret;
+
+	g->loop = ba_loop_new();
+	ba_loop_signals(g->loop, on_signal, g);
+	share_settings(g);
+	ret = start(g);
+	if (!ret)
+		ba_loop_run(g->loop);
+	so_http_free(g->http);
+	if (g->relay.listener)
+		re_relay_stop(&g->relay);
+	if (g->member)
+		so_source_stop(&g->source);
+	ba_loop_free(g->loop);
+	return ret;
+}
+
+/* The two roles in this process get the settings they have as programs. */
+static void share_settings(struct program *g)
+{
+	const struct settings *s = &g->settings;
+	struct so_settings *so = &g->source_settings;
+	struct re_settings *re = &g->relay_settings;
+
+	so->common = s->common;
+	so->address = s->source_address;
+	so->data_folder = s->data_folder;
+	so->names.n = s->seeds.n;
+	so->names.list = g_new0(char *, s->seeds.n + 1);
+	for (size_t i = 0; i < s->seeds.n; i++) {
+		so->names.list[i] = s->seeds.list[i].text;
+		g->member |= !strcmp(s->seeds.list[i].text, s->operators.text);
+	}
+	so->addresses = with_port(&s->seeds, &s->source_address);
+	re->common = s->common;
+	re->address = s->relay_address;
+	re->sources = so->addresses;
+	re->peers = with_port(&s->seeds, &s->relay_address);
+	re->every_centre = true;
+	g->source_identity = g->relay_identity;
+	g->source_identity.role = WI_SOURCE;
+	g->source_identity.instance = s->operators.text;
+	g->source.settings = so;
+	g->source.identity = &g->source_identity;
+	g->source.loop = g->loop;
+	g->relay.settings = re;
+	g->relay.identity = &g->relay_identity;
+	g->relay.loop = g->loop;
+}
+
+static struct ba_addresses with_port(const struct ba_addresses *from,
+				     const struct ba_address *port_of)
+{
+	struct ba_addresses to = {
+		.list = g_memdup2(from->list, from->n * sizeof(*from->list)),
+		.n = from->n,
+	};
+
+	pr_set_port(&to, pr_port(port_of));
+	return to;
+}
+
+static int start(struct program *g)
+{
+	const struct so_http_options http = {
+		.at = &g->settings.operators,
+		.others = &g->settings.seeds,
+		.source = g->member ? &g->source : NULL,
+		.dialect = &pf_operators,
+	};
+	int ret = g->member ? so_source_start(&g->source) : BA_OK;
+
+	if (ret == BA_PORT_IN_USE)
+		return pr_listen_failed(&g->settings.source_address);
+	if (ret) {
+		ba_event(BA_EV_SETTINGS_REFUSED, "folder=%s code=%d",
+			 g->settings.data_folder, ret);
+		return ba_result_info(ret)->exit_code;
+	}
+	if (re_relay_start(&g->relay))
+		return pr_listen_failed(&g->settings.relay_address);
+	if (so_http_new(g->loop, &http, &g->http))
+		return pr_listen_failed(&g->settings.operators);
+	return 0;
+}
+
+static void on_signal(int signo, void *arg)
+{
+	struct program *g = arg;
+
+	if (signo == SIGHUP) {
+		ba_event_reopen();
+		return;
+	}
+	ba_event(BA_EV_STOPPING, "instance=%s", g->relay_identity.instance);
+	if (g->member)
+		so_source_end(&g->source);
+	else
+		ba_loop_stop(g->loop);
+}
--- /dev/null
+++ b/prog/caraway-proxy.c
@@ -0,0 +1,235 @@
+#include <signal.h>
+#include <string.h>
+
+#include "base/ba_digest.h"
+#include "base/ba_event.h"
+#include "base/ba_result.h"
+#include "distrib/ds_agent.h"
+#include "platform/pf.h"
+#include "prog/pr.h"
+#include "proxy/px.h"
+
+#define LEASE (3 * BA_SECOND)
+/* Others learn of the stop, and callers of readiness, within this time. */
+#define STOP_LEAST (2500 * BA_MS)
+#define STOP_LIMIT (5500 * BA_MS)
+#define STOP_LOOK (20 * BA_MS)
+
+/**
+ * struct settings - the settings file
+ * @relay_port: of relays whose addresses are given with another port, or 0
+ */
+struct settings {
+	struct pr_common common;
+	struct ba_address callers;
+	struct ba_address peers;
+	struct ba_address ready;
+	struct ba_address beats;
+	struct ba_address backend;
+	char *service;
+	struct ba_addresses relays;
+	int64_t relay_port;
+};
+
+#define KEY(t, n, k, req, m)                                           \
+	{                                                              \
+		t, n, k, req, offsetof(struct settings, m), NULL, 0, 0 \
+	}
+
+static const struct ba_key keys[] = {
+	PR_COMMON_KEYS,
+	KEY("proxy", "caller_address", BA_KIND_ADDRESS, true, callers),
+	KEY("proxy", "peer_address", BA_KIND_ADDRESS, true, peers),
+	KEY("proxy", "ready_address", BA_KIND_ADDRESS, false, ready),
+	KEY("proxy", "beat_address", BA_KIND_ADDRESS, false, beats),
+	KEY("backend", "address", BA_KIND_ADDRESS, true, backend),
+	KEY("backend", "service", BA_KIND_STRING, true, service),
+	KEY("relays", "addresses", BA_KIND_ADDRESSES, true, relays),
+	{"relays", "port", BA_KIND_INTEGER, false,
+	 offsetof(struct settings, relay_port), NULL, 1, 65535},
+	{.name = NULL},
+};
+
+struct program {
+	struct px_owner proxy_owner;
+	struct ds_agent_owner agent_owner;
+	struct settings settings;
+	struct wi_identity identity;
+	struct ba_loop *loop;
+	struct px *proxy;
+	struct ds_agent *agent;
+	struct ba_timer stop_timer;
+	ba_time stop_least;
+	ba_time stop_limit;
+};
+
+static int run(struct program *g);
+static int start_proxy(struct program *g);
+static void start_agent(struct program *g);
+static void on_backend(struct px_owner *o, const struct px_beat *b,
+		       bool renewed);
+static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s);
+static void on_view(struct ds_agent_owner *o, struct ep_view *v);
+static void on_signal(int signo, void *arg);
+static void on_stop_timer(struct ba_timer *t, ba_time now);
+
+int main(int argc, char **argv)
+{
+	struct program *g = g_new0(struct program, 1);
+	int ret = pr_start(argc, argv, WI_DAEMON, keys, &g->settings.common,
+			   &g->identity);
+
+	if (ret < 0) {
+		ret = run(g);
+		pr_end(keys, &g->settings.common);
+	}
+	g_free(g);
+	return ret;
+}
+
+static int run(struct program *g)
+{
+	int ret;
+
+	g->loop = ba_loop_new();
+	ba_loop_signals(g->loop, on_signal, g);
+	g->stop_timer.fire = on_stop_timer;
+	ret = start_proxy(g);
+	if (!ret) {
+		start_agent(g);
+		ba_loop_run(g->loop);
+	}
+	ba_loop_disarm(g->loop, &g->stop_timer);
+	ds_agent_free(g->agent);
+	px_free(g->proxy);
+	ba_loop_free(g->loop);
+	return ret;
+}
+
+static int start_proxy(struct program *g)
+{
+	const struct settings *s = &g->settings;
+	const struct ba_address *failed = NULL;
+	struct px_options o = {
+		.callers = s->callers,
+		.peers = s->peers,
+		.ready = s->ready,
+		.beats = s->beats,
+		.backend = s->backend,
+		.instance = s->common.instance_name,
+		.data_centre = s->common.data_centre,
+		.region = s->common.region,
+		.service = s->service,
+		.dialect = &pf_proxy,
+	};
+
+	ba_random_bytes(&o.seed, sizeof(o.seed));
+	g->proxy_owner.backend = on_backend;
+	if (px_new(g->loop, &o, &g->proxy_owner, &failed, &g->proxy))
+		return pr_listen_failed(failed);
+	return 0;
+}
+
+/* Until its backend server has announced itself, there is no endpoint. */
+static void start_agent(struct program *g)
+{
+	struct settings *s = &g->settings;
+	struct ep_record record = {
+		.instance = s->common.instance_name,
+		.service = "",
+		.data_centre = s->common.data_centre,
+		.region = s->common.region,
+		.address = "",
+		.external_address = "",
+		.control_address = "",
+		.backend = "",
+		.incarnation = g->identity.incarnation,
+		.left = true,
+	};
+	struct ds_agent_options o = {
+		.identity = &g->identity,
+		.relays = &s->relays,
+		.record = &record,
+		.lease = LEASE,
+	};
+
+	ba_random_bytes(&o.seed, sizeof(o.seed));
+	pr_set_port(&s->relays, s->relay_port);
+	pr_shuffle(&s->relays, s->common.instance_name);
+	g->agent_owner.on_snapshot = on_snapshot;
+	g->agent_owner.on_view = on_view;
+	g->agent = ds_agent_new(g->loop, &o, &g->agent_owner);
+}
+
+static void on_backend(struct px_owner *o, const struct px_beat *b,
+		       bool renewed)
+{
+	struct program *g = ba_entry(o, struct program, proxy_owner);
+	const struct settings *s = &g->settings;
+	struct ep_record record = {
+		.service = b ? (char *)b->service : "",
+		.data_centre = s->common.data_centre,
+		.region = s->common.region,
+		.address = (char *)s->peers.text,
+		.external_address = "",
+		.control_address = "",
+		.backend = b ? (char *)b->backend : "",
+		.cold = b ? b->cold : 0,
+		.slots = b ? b->slots : 0,
+		.draining = b && b->draining,
+		.left = !b,
+	};
+
+	ds_agent_announce(g->agent, &record, renewed);
+}
+
+static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s)
+{
+	struct program *g = ba_entry(o, struct program, agent_owner);
+
+	px_configure(g->proxy, s);
+	ba_event(CF_EV_APPLIED, "version=%llu revision=%llu",
+		 (unsigned long long)s->version,
+		 (unsigned long long)s->revision);
+	cf_snapshot_unref(s);
+}
+
+static void on_view(struct ds_agent_owner *o, struct ep_view *v)
+{
+	struct program *g = ba_entry(o, struct program, agent_owner);
+
+	px_endpoints(g->proxy, v);
+	ep_view_unref(v);
+}
+
+static void on_signal(int signo, void *arg)
+{
+	struct program *g = arg;
+	ba_time now = ba_loop_now(g->loop);
+
+	if (signo == SIGHUP) {
+		ba_event_reopen();
+		return;
+	}
+	if (g->stop_limit)
+		return;
+	ba_event(BA_EV_STOPPING, "instance=%s", g->identity.instance);
+	g->stop_least = now + STOP_LEAST;
+	g->stop_limit = now + STOP_LIMIT;
+	px_stop(g->proxy);
+	ds_agent_drain(g->agent);
+	ba_loop_arm(g->loop, &g->stop_timer, now + STOP_LOOK);
+}
+
+static void on_stop_timer(struct ba_timer *t, ba_time now)
+{
+	struct program *g = ba_entry(t, struct program, stop_timer);
+	bool busy = px_in_progress(g->proxy);
+
+	if (now < g->stop_least || (busy && now < g->stop_limit)) {
+		ba_loop_arm(g->loop, t, now + STOP_LOOK);
+		return;
+	}
+	ds_agent_leave(g->agent);
+	ba_loop_stop(g->loop);
+}
--- a/prog/pr.c
+++ b/prog/pr.c
@@ -1,11 +1,14 @@
 #include <stdio.h>
+#include <arpa/inet.h>
 #include <string.h>
 #include <sys/resource.h>
 
 #include <glib.h>
 #include <sodium.h>
 
+#include "base/ba_digest.h"
 #include "base/ba_event.h"
+#include "base/ba_rand.h"
 #include "base/ba_result.h"
 #include "prog/pr.h"
 #include "prog/pr_meter.h"
@@ -82,6 +85,43 @@
 	return info->exit_code;
 }
 
+int pr_port(const struct ba_address *a)
+{
+	const struct sockaddr_in6 *v6 = (const void *)&a->sockaddr;
+	const struct sockaddr_in *v4 = (const void *)&a->sockaddr;
+
+	return ntohs(a->sockaddr.ss_family == AF_INET6 ? v6->sin6_port
+						       : v4->sin_port);
+}
+
+void pr_set_port(struct ba_addresses *list, int64_t port)
+{
+	for (size_t i = 0; port && i < list->n; i++) {
+		struct ba_address *a = &list->list[i];
+		char *text = g_strndup(
+			a->text, (gsize)(strrchr(a->text, ':') - a->text));
+		char *whole = g_strdup_printf("%s:%d", text, (int)port);
+
+		/* The host was valid and the port is in its range. */
+		(void)ba_parse_address(whole, a);
+		g_free(whole);
+		g_free(text);
+	}
+}
+
+void pr_shuffle(struct ba_addresses *list, const char *instance)
+{
+	struct ba_rand rand = {ba_hash(instance, strlen(instance), 0)};
+
+	for (size_t i = list->n; i > 1; i--) {
+		size_t at = ba_rand_below(&rand, i);
+		struct ba_address swap = list->list[at];
+
+		list->list[at] = list->list[i - 1];
+		list->list[i - 1] = swap;
+	}
+}
+
 void pr_end(const struct ba_key *keys, struct pr_common *settings)
 {
 	ba_event(BA_EV_STOPPED, "instance=%s", settings->instance_name);
--- a/prog/pr.h
+++ b/prog/pr.h
@@ -68,6 +68,15 @@
 /** pr_listen_failed() - log that @address cannot be listened on; the exit status */
 int pr_listen_failed(const struct ba_address *address);
 
+/** pr_port() - the port of an address */
+int pr_port(const struct ba_address *a);
+
+/** pr_set_port() - give all addresses @port, unless it is 0 */
+void pr_set_port(struct ba_addresses *list, int64_t port);
+
+/** pr_shuffle() - an order of the list that differs between instances */
+void pr_shuffle(struct ba_addresses *list, const char *instance);
+
 /** pr_end() - close the log and free the settings */
 void pr_end(const struct ba_key *keys, struct pr_common *settings);
 
--- /dev/null
+++ b/proxy/px_compose.c
@@ -0,0 +1,150 @@
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#include "base/ba_result.h"
+#include "proxy/px_internal.h"
+
+static bool is_private(const char *name);
+static void add_fields(const struct px_exchange *x, const struct ht_head *h,
+		       struct ba_buf *out);
+static void add_stamp(const struct px_exchange *x, struct ba_buf *out);
+static void add_private(const struct px_exchange *x, struct ba_buf *out);
+static ba_time time_left(const struct px_exchange *x);
+static ba_time return_after(struct px_exchange *x);
+
+void px_compose_request(struct px_exchange *x, bool to_backend,
+			struct ba_buf *out)
+{
+	const struct ht_head *h = ht_conn_head(x->front->conn);
+	const struct ba_buf *body = &x->front->body;
+
+	ba_buf_addf(out, "%s %s HTTP/1.1\r\n", h->method, ht_head_target(h));
+	add_fields(x, h, out);
+	if (to_backend)
+		add_stamp(x, out);
+	else
+		add_private(x, out);
+	if (body->len || h->length >= 0 || h->chunked)
+		ba_buf_addf(out, "Content-Length: %zu\r\n", body->len);
+	ba_buf_addf(out, "\r\n");
+	ba_buf_add(out, body->data, body->len);
+}
+
+/*
+ * The length is told when it is known.  Without one the answer comes in
+ * chunks, so that one that breaks off can be told from a whole one.
+ */
+void px_compose_answer(struct px_exchange *x, const struct ht_head *h,
+		       struct ba_buf *out)
+{
+	const struct ht_head *request = ht_conn_head(x->front->conn);
+
+	ba_buf_addf(out, "HTTP/1.1 %d %s\r\n", h->status, ht_reason(h->status));
+	for (size_t i = 0; i < h->n_fields; i++)
+		if (!ht_head_is_hop(h, i) && !is_private(ht_head_name(h, i)))
+			ba_buf_addf(out, "%s: %s\r\n", ht_head_name(h, i),
+				    ht_head_value(h, i));
+	if (x->front->from_peer)
+		ba_buf_addf(out, PX_LOAD ": %u\r\n",
+			    cl_admit_load(x->p->gate.admit));
+	x->bodyless = !strcmp(request->method, "HEAD") || h->status == 204 ||
+		      h->status == 304;
+	x->chunked = !x->bodyless && x->length < 0 && request->minor >= 1;
+	if (x->length >= 0 && h->status != 204)
+		ba_buf_addf(out, "Content-Length: %lld\r\n",
+			    (long long)x->length);
+	else if (x->chunked)
+		ba_buf_addf(out, "Transfer-Encoding: chunked\r\n");
+	if (request->last || (x->p->stopping && !x->front->from_peer))
+		ba_buf_addf(out, "Connection: close\r\n");
+	ba_buf_addf(out, "\r\n");
+}
+
+void px_compose_refusal(struct px_exchange *x, int status, int code,
+			struct ba_buf *out)
+{
+	const struct ba_result_info *info = ba_result_info(code);
+	char body[256];
+	int len = snprintf(body, sizeof(body),
+			   "{\"code\":%d,\"name\":\"%s\",\"text\":\"%s\"}\n",
+			   code, info->name, info->text);
+
+	ba_buf_addf(out, "HTTP/1.1 %d %s\r\n", status, ht_reason(status));
+	if (x->front->from_peer)
+		ba_buf_addf(out, PX_NOT_RUN ": %d\r\n" PX_LOAD ": %u\r\n", code,
+			    x->p->gate.admit ? cl_admit_load(x->p->gate.admit)
+					     : 0);
+	else if (status == 503)
+		ba_buf_addf(out, "Retry-After: %.3f\r\n",
+			    (double)return_after(x) / (double)BA_SECOND);
+	if (ht_conn_head(x->front->conn)->last ||
+	    (x->p->stopping && !x->front->from_peer))
+		ba_buf_addf(out, "Connection: close\r\n");
+	ba_buf_addf(out,
+		    "Content-Type: application/json\r\n"
+		    "Content-Length: %d\r\n\r\n",
+		    len);
+	if (strcmp(ht_conn_head(x->front->conn)->method, "HEAD") != 0)
+		ba_buf_add(out, body, (size_t)len);
+}
+
+void px_compose_plain(int status, struct ba_buf *out)
+{
+	ba_buf_addf(out,
+		    "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
+		    "Connection: close\r\n\r\n",
+		    status, ht_reason(status));
+}
+
+static bool is_private(const char *name)
+{
+	return !strncasecmp(name, PX_PRIVATE, strlen(PX_PRIVATE));
+}
+
+static void add_fields(const struct px_exchange *x, const struct ht_head *h,
+		       struct ba_buf *out)
+{
+	for (size_t i = 0; i < h->n_fields; i++) {
+		const char *name = ht_head_name(h, i);
+
+		if (ht_head_is_hop(h, i) || is_private(name) ||
+		    x->p->dialect->is_set_here(name))
+			continue;
+		ba_buf_addf(out, "%s: %s\r\n", name, ht_head_value(h, i));
+	}
+}
+
+static void add_stamp(const struct px_exchange *x, struct ba_buf *out)
+{
+	const struct px_stamp stamp = {
+		.time_left = time_left(x),
+		.caller = x->caller,
+		.backend = x->p->gate.beat.backend,
+	};
+
+	x->p->dialect->write_stamp(&stamp, out);
+}
+
+static void add_private(const struct px_exchange *x, struct ba_buf *out)
+{
+	ba_buf_addf(out,
+		    PX_SERVICE ": %s\r\n" PX_CALLER ": %s\r\n" PX_TIME_LEFT
+			       ": %lld\r\n" PX_PRIORITY ": %u\r\n",
+		    x->service, x->caller, (long long)time_left(x),
+		    x->priority);
+}
+
+static ba_time time_left(const struct px_exchange *x)
+{
+	ba_time left = x->deadline - ba_loop_now(x->p->loop);
+
+	return left > BA_MS ? left : BA_MS;
+}
+
+/* Callers that were refused together do not come back together. */
+static ba_time return_after(struct px_exchange *x)
+{
+	return PX_RETURN_LEAST +
+	       (ba_time)ba_rand_below(&x->p->rand, PX_RETURN_SPREAD);
+}
