replica: a group whose members are not told by the settings

Ruled out: keeping the first seeds for ever; an instance that comes for one that is gone, or is no seed, would never hold the log.

Change: an open group. Replicas are named by the address where operators reach them; who is met is told on to the others (RpRoster) and dialled. Members of the log are known also when no setting names them, and so is the vote that was given. The founders are kept in the data folder; only they form a group, and only at the first start. The leader keeps 2f+1 voters: a replica that has caught up takes the vote of one that was silent for 2 s. Relays of such a group dial each other likewise.

--- a/prog/caraway-core.c
+++ b/prog/caraway-core.c
@@ -7,14 +7,18 @@
 #include "prog/pr.h"
 #include "relay/re.h"
 #include "source/so.h"
+#include "source/so_group.h"
 #include "source/so_http.h"
 
 /**
  * struct settings - the settings file
  * @operators: where operators reach this process
  * @seeds: where operators reach the first members of the group
- * @source_port: where replicas reach each other, on every instance
- * @relay_port: where daemons and relays reach a relay, on every instance
+ * @source_address: where replicas reach each other; one port everywhere
+ * @relay_address: where daemons and relays reach a relay; one port everywhere
+ * @first_start: the whole system starts for the first time; the seeds form
+ *	the group
+ * @losses: instances that may be lost at once while the group goes on
  */
 struct settings {
 	struct pr_common common;
@@ -23,6 +27,8 @@
 	struct ba_address relay_address;
 	char *data_folder;
 	struct ba_addresses seeds;
+	bool first_start;
+	int64_t losses;
 };
 
 #define KEY(t, n, k, req, m)                                           \
@@ -37,14 +43,19 @@
 	KEY("core", "relay_address", BA_KIND_ADDRESS, true, relay_address),
 	KEY("core", "data_folder", BA_KIND_STRING, true, data_folder),
 	KEY("group", "seeds", BA_KIND_ADDRESSES, true, seeds),
+	KEY("group", "first_start", BA_KIND_BOOLEAN, false, first_start),
+	{"group", "losses", BA_KIND_INTEGER, false,
+	 offsetof(struct settings, losses), "1", 0, 4},
 	{.name = NULL},
 };
 
-/*
- * @member: this instance is one of the seeds, and so a replica of the log
- */
+/* Of fewer replicas none could be lost. */
+enum { VOTERS_LEAST = 3 };
+
 struct program {
 	struct settings settings;
+	struct ba_addresses founders;
+	struct ba_addresses known;
 	struct wi_identity relay_identity;
 	struct wi_identity source_identity;
 	struct so_settings source_settings;
@@ -53,15 +64,18 @@
 	struct so_source source;
 	struct re_relay relay;
 	struct so_http *http;
-	bool member;
+	bool started;
 };
 
 static int run(struct program *g);
+static void gather_known(struct program *g);
+static void add_known(struct program *g, const struct ba_address *a);
 static void share_settings(struct program *g);
 static struct ba_addresses with_port(const struct ba_addresses *from,
 				     const struct ba_address *port_of);
 static int start(struct program *g);
 static void on_signal(int signo, void *arg);
+static void on_met(struct so_source *s, const char *name);
 
 int main(int argc, char **argv)
 {
@@ -83,6 +97,7 @@
 
 	g->loop = ba_loop_new();
 	ba_loop_signals(g->loop, on_signal, g);
+	gather_known(g);
 	share_settings(g);
 	ret = start(g);
 	if (!ret)
@@ -90,12 +105,41 @@
 	so_http_free(g->http);
 	if (g->relay.listener)
 		re_relay_stop(&g->relay);
-	if (g->member)
+	if (g->started)
 		so_source_stop(&g->source);
 	ba_loop_free(g->loop);
 	return ret;
 }
 
+/* The founders first, in the order that all of them have, then all others. */
+static void gather_known(struct program *g)
+{
+	const struct settings *s = &g->settings;
+
+	if (s->first_start && so_group_found(s->data_folder, &s->seeds))
+		ba_event(BA_EV_SETTINGS_REFUSED, "folder=%s founders=not-kept",
+			 s->data_folder);
+	so_group_read(s->data_folder, &g->founders);
+	if (!g->founders.n && s->first_start)
+		g->founders = s->seeds;
+	for (size_t i = 0; i < g->founders.n; i++)
+		add_known(g, &g->founders.list[i]);
+	for (size_t i = 0; i < s->seeds.n; i++)
+		add_known(g, &s->seeds.list[i]);
+	add_known(g, &s->operators);
+}
+
+static void add_known(struct program *g, const struct ba_address *a)
+{
+	struct ba_addresses *k = &g->known;
+
+	for (size_t i = 0; i < k->n; i++)
+		if (!strcmp(k->list[i].text, a->text))
+			return;
+	k->list = g_renew(struct ba_address, k->list, k->n + 1);
+	k->list[k->n++] = *a;
+}
+
 /* The two roles in this process get the settings they have as programs. */
 static void share_settings(struct program *g)
 {
@@ -106,17 +150,18 @@
 	so->common = s->common;
 	so->address = s->source_address;
 	so->data_folder = s->data_folder;
-	so->names.n = s->seeds.n;
-	so->names.list = g_new0(char *, s->seeds.n + 1);
-	for (size_t i = 0; i < s->seeds.n; i++) {
-		so->names.list[i] = s->seeds.list[i].text;
-		g->member |= !strcmp(s->seeds.list[i].text, s->operators.text);
-	}
-	so->addresses = with_port(&s->seeds, &s->source_address);
+	so->open = true;
+	so->voters = (size_t)MAX(2 * s->losses + 1, VOTERS_LEAST);
+	so->founders = g->founders.n;
+	so->names.list = g_new0(char *, g->known.n + 1);
+	for (size_t i = 0; i < g->known.n; i++)
+		so->names.list[so->names.n++] = g->known.list[i].text;
+	so->addresses = with_port(&g->known, &s->source_address);
 	re->common = s->common;
 	re->address = s->relay_address;
-	re->sources = so->addresses;
-	re->peers = with_port(&s->seeds, &s->relay_address);
+	re->sources.list = (struct ba_address *)&s->source_address;
+	re->sources.n = 1;
+	re->peers = with_port(&g->known, &s->relay_address);
 	re->every_centre = true;
 	g->source_identity = g->relay_identity;
 	g->source_identity.role = WI_SOURCE;
@@ -124,6 +169,7 @@
 	g->source.settings = so;
 	g->source.identity = &g->source_identity;
 	g->source.loop = g->loop;
+	g->source.met = on_met;
 	g->relay.settings = re;
 	g->relay.identity = &g->relay_identity;
 	g->relay.loop = g->loop;
@@ -145,11 +191,10 @@
 {
 	const struct so_http_options http = {
 		.at = &g->settings.operators,
-		.others = &g->settings.seeds,
-		.source = g->member ? &g->source : NULL,
+		.source = &g->source,
 		.dialect = &pf_operators,
 	};
-	int ret = g->member ? so_source_start(&g->source) : BA_OK;
+	int ret = so_source_start(&g->source);
 
 	if (ret == BA_PORT_IN_USE)
 		return pr_listen_failed(&g->settings.source_address);
@@ -158,6 +203,7 @@
 			 g->settings.data_folder, ret);
 		return ba_result_info(ret)->exit_code;
 	}
+	g->started = true;
 	if (re_relay_start(&g->relay))
 		return pr_listen_failed(&g->settings.relay_address);
 	if (so_http_new(g->loop, &http, &g->http))
@@ -174,8 +220,18 @@
 		return;
 	}
 	ba_event(BA_EV_STOPPING, "instance=%s", g->relay_identity.instance);
-	if (g->member)
-		so_source_end(&g->source);
-	else
-		ba_loop_stop(g->loop);
+	so_source_end(&g->source);
+}
+
+/* Each instance of the group has a relay beside its replica. */
+static void on_met(struct so_source *s, const char *name)
+{
+	struct program *g = ba_entry(s, struct program, source);
+	struct ba_address address;
+	struct ba_addresses one = {&address, 1};
+
+	if (!g->relay.listener || ba_parse_address(name, &address))
+		return;
+	pr_set_port(&one, pr_port(&g->settings.relay_address));
+	re_peer_meet(&g->relay, &address);
 }
--- a/relay/re.h
+++ b/relay/re.h
@@ -68,6 +68,7 @@
 	struct ds_link_owner owner;
 	struct re_relay *relay;
 	struct ds_link *link;
+	char *address;
 	uint64_t sent_generation;
 };
 
@@ -97,8 +98,7 @@
 	struct ep_table *table;
 	uint64_t sent_generation;
 	struct ba_timer batch_timer;
-	struct re_peer *peers;
-	size_t n_peers;
+	GPtrArray *peers; /* struct re_peer */
 
 	struct rt_figures *own_figures;
 	ba_time own_figures_deadline;
@@ -164,6 +164,9 @@
 /** re_peer_start() - dial the other relays */
 void re_peer_start(struct re_relay *r);
 
+/** re_peer_meet() - dial another relay too, unless it is dialled already */
+void re_peer_meet(struct re_relay *r, const struct ba_address *address);
+
 /** re_peer_send_changes() - tell them of records that changed here */
 void re_peer_send_changes(struct re_relay *r);
 
--- a/relay/re_peer.c
+++ b/relay/re_peer.c
@@ -7,37 +7,45 @@
 static int on_frame(struct ds_link_owner *o, struct wi_session *s,
 		    const struct wi_frame *f);
 static void on_lost(struct ds_link_owner *o, int code);
+static void peer_free(gpointer data);
+static bool is_dialled(const struct re_relay *r, const struct ba_address *a);
 static bool is_self(const struct re_relay *r, const struct ba_address *a);
 
 void re_peer_start(struct re_relay *r)
 {
 	const struct ba_addresses *peers = &r->settings->peers;
 
-	r->peers = g_new0(struct re_peer, peers->n);
-	for (size_t i = 0; i < peers->n; i++) {
-		struct re_peer *p = &r->peers[r->n_peers];
-		struct ds_link_options options = {
-			.identity = r->identity,
-			.addresses = &peers->list[i],
-			.n_addresses = 1,
-			.seed = r->identity->incarnation + i,
-		};
-
-		if (is_self(r, &peers->list[i]))
-			continue;
-		p->owner.opened = on_opened;
-		p->owner.frame = on_frame;
-		p->owner.lost = on_lost;
-		p->relay = r;
-		p->link = ds_link_new(r->loop, &options, &p->owner);
-		r->n_peers++;
-	}
+	r->peers = g_ptr_array_new_with_free_func(peer_free);
+	for (size_t i = 0; i < peers->n; i++)
+		re_peer_meet(r, &peers->list[i]);
+}
+
+void re_peer_meet(struct re_relay *r, const struct ba_address *address)
+{
+	struct ds_link_options options = {
+		.identity = r->identity,
+		.addresses = address,
+		.n_addresses = 1,
+		.seed = r->identity->incarnation + r->peers->len,
+	};
+	struct re_peer *p;
+
+	if (is_self(r, address) || is_dialled(r, address))
+		return;
+	p = g_new0(struct re_peer, 1);
+	p->owner.opened = on_opened;
+	p->owner.frame = on_frame;
+	p->owner.lost = on_lost;
+	p->relay = r;
+	p->address = g_strdup(address->text);
+	p->link = ds_link_new(r->loop, &options, &p->owner);
+	g_ptr_array_add(r->peers, p);
 }
 
 void re_peer_send_changes(struct re_relay *r)
 {
-	for (size_t i = 0; i < r->n_peers; i++) {
-		struct re_peer *p = &r->peers[i];
+	for (guint i = 0; i < r->peers->len; i++) {
+		struct re_peer *p = r->peers->pdata[i];
 		struct wi_session *s = ds_link_session(p->link);
 
 		if (!s)
@@ -49,8 +57,9 @@
 
 void re_peer_send_roots(struct re_relay *r)
 {
-	for (size_t i = 0; i < r->n_peers; i++) {
-		struct wi_session *s = ds_link_session(r->peers[i].link);
+	for (guint i = 0; i < r->peers->len; i++) {
+		struct re_peer *p = r->peers->pdata[i];
+		struct wi_session *s = ds_link_session(p->link);
 
 		if (s)
 			re_endpoint_send_roots(r, s);
@@ -59,10 +68,25 @@
 
 void re_peer_free_all(struct re_relay *r)
 {
-	for (size_t i = 0; i < r->n_peers; i++)
-		ds_link_free(r->peers[i].link);
-	g_free(r->peers);
-	r->n_peers = 0;
+	g_ptr_array_free(r->peers, TRUE);
+}
+
+static void peer_free(gpointer data)
+{
+	struct re_peer *p = data;
+
+	ds_link_free(p->link);
+	g_free(p->address);
+	g_free(p);
+}
+
+static bool is_dialled(const struct re_relay *r, const struct ba_address *a)
+{
+	for (guint i = 0; i < r->peers->len; i++)
+		if (!strcmp(((struct re_peer *)r->peers->pdata[i])->address,
+			    a->text))
+			return true;
+	return false;
 }
 
 /*
--- a/replica/rp_core.c
+++ b/replica/rp_core.c
@@ -22,6 +22,7 @@
 			ba_time now, struct rp_actions *out);
 static void on_stopping(struct rp_core *c, const struct rp_event *e,
 			ba_time now, struct rp_actions *out);
+static void meet_known(struct rp_core *c, const struct rp_recovered *r);
 static int find_name(const struct rp_core *c, const char *name);
 
 const struct rp_times rp_times_default = {
@@ -64,32 +65,23 @@
 			    const struct rp_members *members, ba_time now)
 {
 	struct rp_core *c = g_new0(struct rp_core, 1);
-	uint64_t last_term = 0;
 
 	c->o = *o;
 	c->self = o->self;
-	c->n_peers = (int)MIN(o->n_names, RP_MEMBERS_LIMIT);
-	for (int i = 0; i < c->n_peers; i++) {
-		c->names[i] = g_strdup(o->names[i]);
-		c->addresses[i] = g_strdup(o->addresses[i]);
-	}
+	for (size_t i = 0; i < o->n_names; i++)
+		rp_core_meet(c, o->names[i], o->addresses[i]);
 	c->rand.state = o->seed;
 	c->log = r->log;
 	memset(&r->log, 0, sizeof(r->log));
 	g_strlcpy(c->disk_id, r->disk_id, sizeof(c->disk_id));
 	c->damaged = r->damaged;
 	c->leader = RP_NOBODY;
-	c->vote = find_name(c, r->vote);
-	rp_log_term(&c->log, rp_log_last(&c->log), &last_term);
 	c->term = r->term;
-	if (last_term > c->term) {
-		c->term = last_term;
-		c->vote = RP_NOBODY;
-	}
 	c->commit = c->log.snapshot_index;
 	c->stored = rp_log_last(&c->log);
 	c->snapshot_members = *members;
 	rp_members_refresh(c);
+	meet_known(c, r);
 	c->role = rp_log_last(&c->log) ? RP_FOLLOWER : RP_UNFORMED;
 	c->heard_leader = now;
 	c->election_deadline = rp_later(c, now);
@@ -99,6 +91,46 @@
 	return c;
 }
 
+/*
+ * The vote stands by name: it is kept also for a replica that the settings do
+ * not name any more.
+ */
+static void meet_known(struct rp_core *c, const struct rp_recovered *r)
+{
+	uint64_t last_term = 0;
+
+	for (size_t i = 0; c->o.open && i < c->members.n; i++)
+		rp_core_meet(c, c->members.list[i].name,
+			     c->members.list[i].address);
+	if (c->o.open && *r->vote)
+		rp_core_meet(c, r->vote, r->vote);
+	c->vote = find_name(c, r->vote);
+	rp_log_term(&c->log, rp_log_last(&c->log), &last_term);
+	if (last_term <= c->term)
+		return;
+	c->term = last_term;
+	c->vote = RP_NOBODY;
+}
+
+int rp_core_meet(struct rp_core *c, const char *name, const char *address)
+{
+	int i = find_name(c, name);
+
+	if (i != RP_NOBODY)
+		return i;
+	if (c->n_peers == RP_PEERS_LIMIT)
+		return RP_NOBODY;
+	c->names[c->n_peers] = g_strdup(name);
+	c->addresses[c->n_peers] = g_strdup(address);
+	c->peers[c->n_peers].next = rp_log_last(&c->log) + 1;
+	return c->n_peers++;
+}
+
+int rp_core_n_peers(const struct rp_core *c)
+{
+	return c->n_peers;
+}
+
 void rp_core_free(struct rp_core *c)
 {
 	if (!c)
--- a/replica/rp_core.h
+++ b/replica/rp_core.h
@@ -178,6 +178,12 @@
  *	borrowed, with @addresses, for as long as the replica runs
  * @addresses: where operators reach them, in the same order
  * @self: own place in @names
+ * @open: the settings do not say who the members are: @names are only those
+ *	that are known at the start, rp_core_meet() adds others, and the leader
+ *	keeps @voters of them voting
+ * @founders: when @open, so many of the first names form the group when none
+ *	of them has a log; with 0 this replica only joins one
+ * @voters: when @open, voting members that are wanted
  * @seed: of the generator for election deadlines
  */
 struct rp_core_options {
@@ -185,6 +191,9 @@
 	const char *const *addresses;
 	size_t n_names;
 	int self;
+	bool open;
+	size_t founders;
+	size_t voters;
 	struct rp_times times;
 	uint64_t seed;
 };
@@ -216,6 +225,17 @@
 			    struct rp_recovered *r,
 			    const struct rp_members *members, ba_time now);
 
+/**
+ * rp_core_meet() - a replica is known from now on
+ *
+ * Return: its place, also when it was known, or %RP_NOBODY when there are
+ * too many.
+ */
+int rp_core_meet(struct rp_core *c, const char *name, const char *address);
+
+/** rp_core_n_peers() - replicas that are known, own included */
+int rp_core_n_peers(const struct rp_core *c);
+
 /** rp_core_free() - NULL is allowed */
 void rp_core_free(struct rp_core *c);
 
--- a/replica/rp_elect.c
+++ b/replica/rp_elect.c
@@ -12,6 +12,8 @@
 static bool has_leader(const struct rp_core *c, ba_time now);
 static bool may_vote_for(const struct rp_core *c, int from,
 			 const struct rp_message *m);
+static bool may_form(const struct rp_core *c);
+static int n_founders(const struct rp_core *c);
 static bool all_unformed(const struct rp_core *c, ba_time now);
 static void form(struct rp_core *c, ba_time now, struct rp_actions *out);
 
@@ -89,7 +91,7 @@
 	if (now < c->probe_deadline)
 		return;
 	c->probe_deadline = now + c->o.times.probe;
-	if (!c->self && !c->damaged && all_unformed(c, now)) {
+	if (!c->self && may_form(c) && all_unformed(c, now)) {
 		form(c, now, out);
 		return;
 	}
@@ -194,9 +196,20 @@
 	return rp_is_up_to_date(c, m->index, m->log_term);
 }
 
+static bool may_form(const struct rp_core *c)
+{
+	return !c->damaged && (!c->o.open || c->o.founders);
+}
+
+/* Whom the settings name, or in an open group those that may form it. */
+static int n_founders(const struct rp_core *c)
+{
+	return c->o.open ? (int)c->o.founders : c->n_peers;
+}
+
 static bool all_unformed(const struct rp_core *c, ba_time now)
 {
-	for (int i = 0; i < c->n_peers; i++) {
+	for (int i = 0; i < n_founders(c); i++) {
 		const struct rp_peer *p = &c->peers[i];
 
 		if (i == c->self)
@@ -214,7 +227,7 @@
 	struct rp_members members = {.n = 0};
 	struct ba_buf body = {0};
 
-	for (int i = 0; i < c->n_peers; i++)
+	for (int i = 0; i < n_founders(c); i++)
 		rp_members_add(&members, c->names[i], c->addresses[i],
 			       i == c->self ? c->disk_id : c->peers[i].disk_id,
 			       true);
--- a/replica/rp_file.h
+++ b/replica/rp_file.h
@@ -1,5 +1,5 @@
 /*
- * Private to replica/: writing files so that they outlive a crash.  All
+ * Writing files so that they outlive a crash.  All
  * return %BA_OK, %BA_DISK_FULL or %BA_FOLDER_UNWRITABLE.
  */
 #ifndef RP_FILE_H
--- a/replica/rp_internal.h
+++ b/replica/rp_internal.h
@@ -49,15 +49,16 @@
  * @informed: when a leader's message said nothing newer was committed
  * @stored: last own entry that is durable
  * @term_start: first entry of the own term as leader
+ * @led_since: when it became the leader
  * @lease_until: a leader accepts until then
  * @round_sent: when the newest rounds began
  * @store_deadline: the disk refused writes; no candidacy until then
  */
 struct rp_core {
 	struct rp_core_options o;
-	char *names[RP_MEMBERS_LIMIT];
-	char *addresses[RP_MEMBERS_LIMIT];
-	struct rp_peer peers[RP_MEMBERS_LIMIT];
+	char *names[RP_PEERS_LIMIT];
+	char *addresses[RP_PEERS_LIMIT];
+	struct rp_peer peers[RP_PEERS_LIMIT];
 	int n_peers;
 	int self;
 	struct ba_rand rand;
@@ -81,6 +82,7 @@
 	ba_time store_deadline;
 	uint64_t stored;
 	uint64_t term_start;
+	ba_time led_since;
 	ba_time lease_until;
 	uint64_t round;
 	ba_time round_sent[RP_ROUNDS];
--- a/replica/rp_lead.c
+++ b/replica/rp_lead.c
@@ -6,6 +6,9 @@
 #include "replica/rp_internal.h"
 #include "wire/rp.pb-c.h"
 
+/* A voter that is silent for longer gives its vote to another replica. */
+#define RP_REPLACE_AFTER (2 * BA_SECOND)
+
 static int successor(struct rp_core *c, ba_time now);
 static void begin_round(struct rp_core *c, ba_time now, struct rp_actions *out);
 static void renew_lease(struct rp_core *c);
@@ -25,6 +28,11 @@
 			   struct rp_actions *out);
 static bool repair_member(struct rp_core *c, int i, ba_time now,
 			  struct rp_members *m);
+static bool is_wanted(struct rp_core *c, int i, ba_time now);
+static size_t n_voting(const struct rp_core *c);
+static const char *silent_member(struct rp_core *c, bool voting, ba_time now);
+static bool remove_spare(struct rp_core *c, ba_time now, struct rp_members *m);
+static int place_of(const struct rp_core *c, const char *name);
 static bool remove_unknown(const struct rp_core *c, struct rp_members *m);
 
 /* An entry of the new term commits what earlier terms have left behind. */
@@ -50,6 +58,7 @@
 		p->live = i == c->self ? p->live : 0;
 	}
 	c->round = 0;
+	c->led_since = now;
 	c->lease_until = now;
 	c->term_start = rp_log_last(&c->log) + 1;
 	rp_append(c, RP_ENTRY_KIND__RP_ENTRY_NOOP, NULL, 0, out);
@@ -169,7 +178,7 @@
 /* The lease counts from when the round began, not from its answers. */
 static void renew_lease(struct rp_core *c)
 {
-	uint64_t rounds[RP_MEMBERS_LIMIT] = {0};
+	uint64_t rounds[RP_PEERS_LIMIT] = {0};
 	uint64_t round;
 	ba_time until;
 
@@ -186,7 +195,7 @@
 static void advance_commit(struct rp_core *c, ba_time now,
 			   struct rp_actions *out)
 {
-	uint64_t matches[RP_MEMBERS_LIMIT] = {0};
+	uint64_t matches[RP_PEERS_LIMIT] = {0};
 	uint64_t term = 0;
 	uint64_t index;
 
@@ -324,10 +333,11 @@
 	if (c->members_index > c->commit || c->commit < c->term_start)
 		return;
 	for (int i = 0; i < c->n_peers && !changed; i++)
-		if (i != c->self)
+		if (i != c->self && (!c->o.open || is_wanted(c, i, now)))
 			changed = repair_member(c, i, now, &m);
 	if (!changed)
-		changed = remove_unknown(c, &m);
+		changed = c->o.open ? remove_spare(c, now, &m)
+				    : remove_unknown(c, &m);
 	if (!changed)
 		return;
 	rp_members_encode(&m, &body);
@@ -361,6 +371,77 @@
 	return true;
 }
 
+/*
+ * In an open group a replica is taken in, or gets a vote, when votes are
+ * lacking or a voter is silent.  A member with another disk loses its vote in
+ * any case.
+ */
+static bool is_wanted(struct rp_core *c, int i, ba_time now)
+{
+	const struct rp_member *one = rp_member(c, i);
+
+	if (one && strcmp(one->disk_id, c->peers[i].disk_id))
+		return true;
+	if (one && one->voting)
+		return false;
+	if (c->peers[i].match < c->commit)
+		return false;
+	return n_voting(c) < c->o.voters ||
+	       (n_voting(c) == c->o.voters && silent_member(c, true, now));
+}
+
+static size_t n_voting(const struct rp_core *c)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < c->members.n; i++)
+		n += c->members.list[i].voting;
+	return n;
+}
+
+/* A member that this leader has not heard for long, or NULL. */
+static const char *silent_member(struct rp_core *c, bool voting, ba_time now)
+{
+	for (int i = 0; i < c->n_peers; i++) {
+		const struct rp_member *one = rp_member(c, i);
+		ba_time heard = MAX(c->peers[i].heard, c->led_since);
+
+		if (i != c->self && one && one->voting == voting &&
+		    now >= heard + RP_REPLACE_AFTER)
+			return c->names[i];
+	}
+	return NULL;
+}
+
+/*
+ * A voter too many goes once its successor votes: the silent one, or else the
+ * last.  What does not vote and is not heard is only in the way.
+ */
+static bool remove_spare(struct rp_core *c, ba_time now, struct rp_members *m)
+{
+	const char *name = silent_member(c, false, now);
+
+	if (!name && n_voting(c) > c->o.voters) {
+		name = silent_member(c, true, now);
+		for (size_t i = m->n; !name && i > 0; i--)
+			if (strcmp(m->list[i - 1].name, c->names[c->self]) != 0)
+				name = c->names[place_of(c,
+							 m->list[i - 1].name)];
+	}
+	if (!name)
+		return false;
+	rp_members_remove(m, name);
+	return true;
+}
+
+static int place_of(const struct rp_core *c, const char *name)
+{
+	for (int i = 0; i < c->n_peers; i++)
+		if (!strcmp(c->names[i], name))
+			return i;
+	return c->self;
+}
+
 /* The settings say which replicas there are; others are no longer wanted. */
 static bool remove_unknown(const struct rp_core *c, struct rp_members *m)
 {
--- a/replica/rp_members.h
+++ b/replica/rp_members.h
@@ -15,6 +15,7 @@
 
 enum {
 	RP_MEMBERS_LIMIT = 9,
+	RP_PEERS_LIMIT = 16, /* replicas that one knows, members or not */
 	RP_ADDRESS_BYTES = 64,
 };
 
--- a/replica/rp_node.c
+++ b/replica/rp_node.c
@@ -115,6 +115,11 @@
 	return BA_OK;
 }
 
+int rp_node_meet(struct rp_node *n, const char *name, const char *address)
+{
+	return rp_core_meet(n->core, name, address);
+}
+
 void rp_node_free(struct rp_node *n)
 {
 	if (!n)
@@ -292,7 +297,8 @@
 static int do_save_vote(struct rp_node *n, const struct rp_action *a,
 			ba_time now)
 {
-	const char *vote = a->to == RP_NOBODY ? "" : n->o.core.names[a->to];
+	const char *vote =
+		a->to == RP_NOBODY ? "" : rp_core_peer(n->core, a->to).name;
 
 	(void)now;
 	return n->o.store->ops->save_vote(n->o.store, a->term, vote);
@@ -454,7 +460,7 @@
 
 	full.current = rp_machine_current(n->machine)->version;
 	if (leader != RP_NOBODY)
-		full.leader = (char *)n->o.core.addresses[leader];
+		full.leader = (char *)rp_core_peer(n->core, leader).address;
 	n->o.owner->outcome(n->o.owner, token, &full);
 }
 
--- a/replica/rp_node.h
+++ b/replica/rp_node.h
@@ -78,6 +78,9 @@
 int rp_node_new(const struct rp_node_options *o, ba_time now,
 		struct rp_recovery *found, struct rp_node **out);
 
+/** rp_node_meet() - as rp_core_meet() */
+int rp_node_meet(struct rp_node *n, const char *name, const char *address);
+
 /** rp_node_free() - stop at once; NULL is allowed */
 void rp_node_free(struct rp_node *n);
 
--- a/source/so.h
+++ b/source/so.h
@@ -33,7 +33,13 @@
 	SO_TEXT_LIMIT_BYTES = 4 * 1024 * 1024,
 };
 
-/** struct so_settings - the settings file */
+/**
+ * struct so_settings - the settings file
+ * @open: others may join; a replica is then named by the address where
+ *	operators reach it, and all listen on the same port
+ * @founders: so many of the first names form the group when there is none
+ * @voters: voting members that are wanted
+ */
 struct so_settings {
 	struct pr_common common;
 	struct ba_address address;
@@ -42,6 +48,9 @@
 	char *operators_folder;
 	struct ba_strings names;
 	struct ba_addresses addresses;
+	bool open;
+	size_t founders;
+	size_t voters;
 };
 
 /**
@@ -66,7 +75,10 @@
 	struct so_waiter waiter;
 };
 
-/** struct so_peer - the session dialled to another replica */
+/**
+ * struct so_peer - the session dialled to another replica
+ * @failures: times it ended since it was last open
+ */
 struct so_peer {
 	struct wi_handler handler;
 	struct ba_timer timer;
@@ -74,6 +86,8 @@
 	struct wi_session *session;
 	bool open;
 	int index;
+	struct ba_address address;
+	unsigned int failures;
 };
 
 /**
@@ -109,6 +123,7 @@
  * @started: when it began, in time of ba_clock_now()
  * @check_deadline: when the state of the group is looked at again
  * @proposed_in_force: newest version for which an entry was proposed
+ * @met: a replica of an open group has been met; may be NULL
  * @apart: whether the last such entry lacked daemons that have a lease
  */
 struct so_source {
@@ -126,9 +141,11 @@
 	struct ba_timer end_timer;
 	uint64_t last_token;
 	GHashTable *waiting;
-	struct so_peer peers[RP_MEMBERS_LIMIT];
-	const char *names[RP_MEMBERS_LIMIT];
-	const char *addresses[RP_MEMBERS_LIMIT];
+	struct so_peer peers[RP_PEERS_LIMIT];
+	char *names[RP_PEERS_LIMIT];
+	char *addresses[RP_PEERS_LIMIT];
+	int n_peers;
+	void (*met)(struct so_source *s, const char *name);
 	int self;
 	ba_time heartbeat;
 	ba_time started;
@@ -201,6 +218,10 @@
 /** so_current_json() - append the answer to "current" */
 void so_current_json(struct so_source *s, struct ba_buf *out);
 
+/** so_peer_add() - a replica at @address; its place */
+int so_peer_add(struct so_source *s, const char *name,
+		const struct ba_address *address);
+
 /** so_peer_start() - dial every other replica */
 void so_peer_start(struct so_source *s);
 
@@ -217,6 +238,13 @@
 /** so_peer_frame() - a frame that another replica has sent */
 int so_peer_frame(struct so_conn *c, const struct wi_frame *f);
 
+/**
+ * so_peer_meet() - a replica of an open group is known from now on
+ *
+ * Return: its place, or %RP_NOBODY when it cannot be one.
+ */
+int so_peer_meet(struct so_source *s, const char *name);
+
 /** so_peer_find() - place of the replica named @name, or %RP_NOBODY */
 int so_peer_find(const struct so_source *s, const char *name);
 
--- a/source/so_feed.c
+++ b/source/so_feed.c
@@ -199,9 +199,9 @@
 
 	if (rp_core_accepting(core, now))
 		return;
-	for (size_t i = 0; i < s->settings->names.n; i++) {
-		struct rp_peer_state p = rp_core_peer(core, (int)i);
-		bool own = (int)i == s->self;
+	for (int i = 0; i < rp_core_n_peers(core); i++) {
+		struct rp_peer_state p = rp_core_peer(core, i);
+		bool own = i == s->self;
 
 		if (!own && now - p.heard > SUMMARY_AGE_LIMIT)
 			continue;
--- /dev/null
+++ b/source/so_group.c
@@ -0,0 +1,54 @@
+#include <fcntl.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "base/ba_buf.h"
+#include "base/ba_event.h"
+#include "base/ba_result.h"
+#include "replica/rp_file.h"
+#include "source/so_group.h"
+
+#define FILE_NAME "founders"
+
+enum { LIMIT_BYTES = 4096 };
+
+int so_group_found(const char *folder, const struct ba_addresses *founders)
+{
+	int dir = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+	struct ba_buf text = {0};
+	int ret;
+
+	if (dir < 0)
+		return rp_file_failure();
+	for (size_t i = 0; i < founders->n; i++)
+		ba_buf_addf(&text, "%s\n", founders->list[i].text);
+	ret = rp_file_replace(dir, FILE_NAME, &text);
+	ba_buf_free(&text);
+	close(dir);
+	return ret;
+}
+
+void so_group_read(const char *folder, struct ba_addresses *out)
+{
+	char *path = g_build_filename(folder, FILE_NAME, NULL);
+	struct ba_buf text = {0};
+	char **lines = NULL;
+
+	out->n = 0;
+	out->list = NULL;
+	if (!ba_file_read(path, LIMIT_BYTES, &text))
+		lines = g_strsplit(ba_buf_text(&text), "\n", -1);
+	for (char **l = lines; l && *l; l++) {
+		struct ba_address a;
+
+		if (ba_parse_address(*l, &a))
+			continue;
+		out->list = g_renew(struct ba_address, out->list, out->n + 1);
+		out->list[out->n++] = a;
+	}
+	g_strfreev(lines);
+	ba_buf_free(&text);
+	g_free(path);
+}
--- a/source/so_http.c
+++ b/source/so_http.c
@@ -20,7 +20,6 @@
 	struct so_http_options o;
 	struct ht_listener *listener;
 	struct ba_list calls;
-	unsigned int turn;
 };
 
 /* struct call - one connection of an operator */
@@ -162,24 +161,18 @@
 		answer_code(k, 503, code, NULL);
 }
 
-/* To the leader when it is known, else to a member of the group in turn. */
+/* To the leader, when it is known. */
 static void send_elsewhere(struct call *k)
 {
-	struct so_http *h = k->http;
-	struct so_source *s = h->o.source;
-	int leader = s ? rp_core_leader(rp_node_core(s->node)) : RP_NOBODY;
-	const char *to = NULL;
+	struct so_source *s = k->http->o.source;
+	int leader = rp_core_leader(rp_node_core(s->node));
 	char *extra;
 
-	if (s && leader != RP_NOBODY && leader != s->self)
-		to = s->names[leader];
-	else if (!s && h->o.others->n)
-		to = h->o.others->list[h->turn++ % h->o.others->n].text;
-	if (!to) {
+	if (leader == RP_NOBODY || leader == s->self) {
 		answer_code(k, 503, RP_NO_QUORUM, NULL);
 		return;
 	}
-	extra = g_strdup_printf("Location: http://%s%s\r\n", to,
+	extra = g_strdup_printf("Location: http://%s%s\r\n", s->names[leader],
 				ht_head_target(ht_conn_head(k->conn)));
 	answer(k, 307, extra, NULL, 0);
 	g_free(extra);
@@ -334,8 +327,7 @@
 
 static void forget(struct call *k)
 {
-	if (k->http->o.source)
-		so_submit_forget(k->http->o.source, &k->waiter);
+	so_submit_forget(k->http->o.source, &k->waiter);
 	ba_list_remove(&k->link);
 	ba_buf_free(&k->body);
 	g_free(k);
--- a/source/so_http.h
+++ b/source/so_http.h
@@ -46,13 +46,10 @@
 /**
  * struct so_http_options - how the API runs
  * @at: where operators connect
- * @others: where they reach a member of the group; used while this process
- *	is none
- * @source: the replica of this process, or NULL
+ * @source: the replica of this process
  */
 struct so_http_options {
 	const struct ba_address *at;
-	const struct ba_addresses *others;
 	struct so_source *source;
 	const struct so_dialect *dialect;
 };
--- a/source/so_peer.c
+++ b/source/so_peer.c
@@ -7,6 +7,9 @@
 #define REDIAL_LEAST (100 * BA_MS)
 #define REDIAL_SPREAD (200 * BA_MS)
 
+/* A replica that is gone for good is dialled ever less often. */
+enum { REDIAL_QUICK = 30, REDIAL_SLOWER = 10 };
+
 /* Shorter than those of other sessions: a leader is elected within seconds. */
 static const struct wi_limits limits = {
 	.heartbeat = 500 * BA_MS,
@@ -22,33 +25,69 @@
 		    const struct wi_frame *f);
 static void on_closed(struct wi_handler *h, struct wi_session *session,
 		      int code, ba_time retry_after);
+static void send_roster(struct so_peer *p);
+static int take_roster(struct so_source *s, const struct wi_frame *f);
 static int take_forward(struct so_source *s, const struct wi_frame *f);
 
 void so_peer_start(struct so_source *s)
 {
-	for (size_t i = 0; i < s->settings->names.n; i++) {
-		struct so_peer *p = &s->peers[i];
+	for (int i = 0; i < s->n_peers; i++)
+		if (i != s->self && !s->peers[i].session)
+			dial(&s->peers[i]);
+}
 
-		p->handler.opened = on_opened;
-		p->handler.frame = on_frame;
-		p->handler.closed = on_closed;
-		p->timer.fire = on_timer;
-		p->source = s;
-		p->index = (int)i;
-		if (p->index != s->self)
-			dial(p);
-	}
+int so_peer_add(struct so_source *s, const char *name,
+		const struct ba_address *address)
+{
+	struct so_peer *p = &s->peers[s->n_peers];
+
+	p->handler.opened = on_opened;
+	p->handler.frame = on_frame;
+	p->handler.closed = on_closed;
+	p->timer.fire = on_timer;
+	p->source = s;
+	p->index = s->n_peers;
+	p->address = *address;
+	s->names[s->n_peers] = g_strdup(name);
+	s->addresses[s->n_peers] = g_strdup(address->text);
+	return s->n_peers++;
+}
+
+int so_peer_meet(struct so_source *s, const char *name)
+{
+	struct ba_address address;
+	struct ba_addresses one = {&address, 1};
+	int i = so_peer_find(s, name);
+
+	if (i != RP_NOBODY || !s->settings->open)
+		return i;
+	if (ba_parse_address(name, &address))
+		return RP_NOBODY;
+	pr_set_port(&one, pr_port(&s->settings->address));
+	if (rp_node_meet(s->node, name, address.text) != s->n_peers)
+		return RP_NOBODY;
+	i = so_peer_add(s, name, &address);
+	if (s->listener)
+		dial(&s->peers[i]);
+	for (int j = 0; j < s->n_peers; j++)
+		if (s->peers[j].open)
+			send_roster(&s->peers[j]);
+	if (s->met)
+		s->met(s, name);
+	return i;
 }
 
 void so_peer_stop(struct so_source *s)
 {
-	for (size_t i = 0; i < s->settings->names.n; i++) {
+	for (int i = 0; i < s->n_peers; i++) {
 		struct so_peer *p = &s->peers[i];
 
 		ba_loop_disarm(s->loop, &p->timer);
 		if (p->session)
 			wi_detach(p->session);
 		p->session = NULL;
+		g_free(s->names[i]);
+		g_free(s->addresses[i]);
 	}
 }
 
@@ -72,6 +111,8 @@
 	int from = so_peer_find(s, wi_session_peer(c->session)->instance);
 	int ret;
 
+	if (f->type == RP_ROSTER)
+		return take_roster(s, f);
 	if (f->type == RP_FORWARD)
 		return take_forward(s, f);
 	if (f->type == RP_READ && from != RP_NOBODY)
@@ -88,9 +129,9 @@
 
 int so_peer_find(const struct so_source *s, const char *name)
 {
-	for (size_t i = 0; i < s->settings->names.n; i++)
+	for (int i = 0; i < s->n_peers; i++)
 		if (!strcmp(s->names[i], name))
-			return (int)i;
+			return i;
 	return RP_NOBODY;
 }
 
@@ -99,8 +140,8 @@
 	struct so_source *s = p->source;
 
 	p->open = false;
-	p->session = wi_dial(s->loop, &s->settings->addresses.list[p->index],
-			     s->identity, &limits, &p->handler);
+	p->session = wi_dial(s->loop, &p->address, s->identity, &limits,
+			     &p->handler);
 }
 
 static void on_timer(struct ba_timer *t, ba_time now)
@@ -111,8 +152,13 @@
 
 static void on_opened(struct wi_handler *h, struct wi_session *session)
 {
+	struct so_peer *p = (struct so_peer *)h;
+
 	(void)session;
-	((struct so_peer *)h)->open = true;
+	p->open = true;
+	p->failures = 0;
+	if (p->source->settings->open)
+		send_roster(p);
 }
 
 /* Replicas answer over the sessions that they have dialled themselves. */
@@ -133,6 +179,8 @@
 	ba_time wait =
 		REDIAL_LEAST + (ba_time)ba_rand_below(&s->rand, REDIAL_SPREAD);
 
+	if (p->failures++ > REDIAL_QUICK)
+		wait *= REDIAL_SLOWER;
 	(void)session;
 	(void)code;
 	p->session = NULL;
@@ -141,6 +189,28 @@
 		    ba_loop_now(s->loop) + MAX(wait, retry_after));
 }
 
+static void send_roster(struct so_peer *p)
+{
+	struct so_source *s = p->source;
+	RpRoster m = RP_ROSTER__INIT;
+
+	m.names = s->names;
+	m.n_names = (size_t)s->n_peers;
+	wi_send(p->session, RP_ROSTER, &m.base);
+}
+
+static int take_roster(struct so_source *s, const struct wi_frame *f)
+{
+	RpRoster *m = (RpRoster *)wi_frame_unpack(f, &rp_roster__descriptor);
+
+	if (!m)
+		return WI_FRAME_GARBAGE;
+	for (size_t i = 0; i < m->n_names; i++)
+		so_peer_meet(s, m->names[i]);
+	rp_roster__free_unpacked(m, NULL);
+	return BA_OK;
+}
+
 /* A leader that was replaced meanwhile drops it; figures are sent again. */
 static int take_forward(struct so_source *s, const struct wi_frame *f)
 {
--- a/source/so_source.c
+++ b/source/so_source.c
@@ -10,6 +10,7 @@
 #define HANDOVER_TIME (100 * BA_MS)
 
 static int start_node(struct so_source *s);
+static void meet_recovered(struct so_source *s);
 static void log_recovery(const struct rp_recovery *found);
 static void on_timer(struct ba_timer *t, ba_time now);
 static void on_end(struct ba_timer *t, ba_time now);
@@ -122,13 +123,14 @@
 	s->owner.published = on_published;
 	s->owner.outcome = on_outcome;
 	s->owner.role = on_role;
-	for (size_t i = 0; i < st->names.n; i++) {
-		s->names[i] = st->names.list[i];
-		s->addresses[i] = st->addresses.list[i].text;
-	}
+	for (size_t i = 0; i < st->names.n; i++)
+		so_peer_add(s, st->names.list[i], &st->addresses.list[i]);
 	s->self = so_peer_find(s, s->identity->instance);
-	o.core.names = s->names;
-	o.core.addresses = s->addresses;
+	o.core.names = (const char *const *)s->names;
+	o.core.addresses = (const char *const *)s->addresses;
+	o.core.open = st->open;
+	o.core.founders = st->founders;
+	o.core.voters = st->voters;
 	o.core.n_names = st->names.n;
 	o.core.self = s->self;
 	o.core.times = rp_times_default;
@@ -136,9 +138,20 @@
 	s->heartbeat = o.core.times.heartbeat;
 	ret = rp_node_new(&o, ba_loop_now(s->loop), &found, &s->node);
 	log_recovery(&found);
+	if (!ret)
+		meet_recovered(s);
 	return ret;
 }
 
+/* Members that stand in the log and not in the settings. */
+static void meet_recovered(struct so_source *s)
+{
+	const struct rp_core *core = rp_node_core(s->node);
+
+	for (int i = s->n_peers; i < rp_core_n_peers(core); i++)
+		so_peer_meet(s, rp_core_peer(core, i).name);
+}
+
 static void log_recovery(const struct rp_recovery *found)
 {
 	if (found->damaged)
--- a/source/so_status.c
+++ b/source/so_status.c
@@ -72,7 +72,7 @@
 	bool leads = rp_core_role(core) == RP_LEADER;
 	json_t *list = json_array();
 
-	for (size_t i = 0; i < s->settings->names.n; i++) {
+	for (int i = 0; i < s->n_peers; i++) {
 		struct rp_peer_state p = rp_core_peer(core, (int)i);
 		json_t *o = json_pack("{ss ss sb sb}", "name", p.name,
 				      "address", p.address, "member", p.member,
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &rp_submission__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rp_roster__init
+                     (RpRoster         *message)
+{
+  static const RpRoster init_value = RP_ROSTER__INIT;
+  *message = init_value;
+}
+size_t rp_roster__get_packed_size
+                     (const RpRoster *message)
+{
+  assert(message->base.descriptor == &rp_roster__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_roster__pack
+                     (const RpRoster *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_roster__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_roster__pack_to_buffer
+                     (const RpRoster *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_roster__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpRoster *
+       rp_roster__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpRoster *)
+     protobuf_c_message_unpack (&rp_roster__descriptor,
+                                allocator, len, data);
+}
+void   rp_roster__free_unpacked
+                     (RpRoster *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_roster__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rp_vote_request__init
                      (RpVoteRequest         *message)
 {
@@ -1144,6 +1189,44 @@
   (ProtobufCMessageInit) rp_submission__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rp_roster__field_descriptors[1] =
+{
+  {
+    "names",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(RpRoster, n_names),
+    offsetof(RpRoster, names),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_roster__field_indices_by_name[] = {
+  0,   /* field[0] = names */
+};
+static const ProtobufCIntRange rp_roster__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rp_roster__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpRoster",
+  "RpRoster",
+  "RpRoster",
+  "",
+  sizeof(RpRoster),
+  1,
+  rp_roster__field_descriptors,
+  rp_roster__field_indices_by_name,
+  1,  rp_roster__number_ranges,
+  (ProtobufCMessageInit) rp_roster__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rp_vote_request__field_descriptors[6] =
 {
   {
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct RpMember RpMember;
 typedef struct RpMembers RpMembers;
 typedef struct RpSubmission RpSubmission;
+typedef struct RpRoster RpRoster;
 typedef struct RpVoteRequest RpVoteRequest;
 typedef struct RpHandover RpHandover;
 typedef struct RpVoteReply RpVoteReply;
@@ -129,6 +130,20 @@
     , NULL, 0, {0,NULL}, 0, 0,NULL }
 
 
+/*
+ * Replicas of an open group that the sender knows, by name.
+ */
+struct  RpRoster
+{
+  ProtobufCMessage base;
+  size_t n_names;
+  char **names;
+};
+#define RP_ROSTER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp_roster__descriptor) \
+    , 0,NULL }
+
+
 struct  RpVoteRequest
 {
   ProtobufCMessage base;
@@ -485,6 +500,25 @@
 void   rp_submission__free_unpacked
                      (RpSubmission *message,
                       ProtobufCAllocator *allocator);
+/* RpRoster methods */
+void   rp_roster__init
+                     (RpRoster         *message);
+size_t rp_roster__get_packed_size
+                     (const RpRoster   *message);
+size_t rp_roster__pack
+                     (const RpRoster   *message,
+                      uint8_t             *out);
+size_t rp_roster__pack_to_buffer
+                     (const RpRoster   *message,
+                      ProtobufCBuffer     *buffer);
+RpRoster *
+       rp_roster__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp_roster__free_unpacked
+                     (RpRoster *message,
+                      ProtobufCAllocator *allocator);
 /* RpVoteRequest methods */
 void   rp_vote_request__init
                      (RpVoteRequest         *message);
@@ -784,6 +818,9 @@
 typedef void (*RpSubmission_Closure)
                  (const RpSubmission *message,
                   void *closure_data);
+typedef void (*RpRoster_Closure)
+                 (const RpRoster *message,
+                  void *closure_data);
 typedef void (*RpVoteRequest_Closure)
                  (const RpVoteRequest *message,
                   void *closure_data);
@@ -840,6 +877,7 @@
 extern const ProtobufCMessageDescriptor rp_member__descriptor;
 extern const ProtobufCMessageDescriptor rp_members__descriptor;
 extern const ProtobufCMessageDescriptor rp_submission__descriptor;
+extern const ProtobufCMessageDescriptor rp_roster__descriptor;
 extern const ProtobufCMessageDescriptor rp_vote_request__descriptor;
 extern const ProtobufCMessageDescriptor rp_handover__descriptor;
 extern const ProtobufCMessageDescriptor rp_vote_reply__descriptor;
--- a/wire/wi_type.h
+++ b/wire/wi_type.h
@@ -35,6 +35,7 @@
 	RP_FORWARD = 41,    /* RpForward */
 	RP_READ = 42,	    /* RpRead */
 	RP_READ_REPLY = 43, /* RpReadReply */
+	RP_ROSTER = 44,	    /* RpRoster */
 
 	DS_SUBSCRIBE = 60, /* DsSubscribe */
 	DS_UPDATE = 61,	   /* DsUpdate */
