proxy: refusals of the backend server cost budget; a 504 is no refusal; stops

"Not run" is told with 503 only. From 2.5 s after the signal on new requests are refused at once, and a second before the end of the grace time all that is in progress gets its final answer.

--- a/base/ba_result.c
+++ b/base/ba_result.c
@@ -253,6 +253,11 @@
 		{"key-reused",
 		 "The Idempotency-Key was used for another request; this one was not run.",
 		 "Use a new key for each request.", 422, EXIT_FAILED},
+	[CL_SHED_BY_BACKEND] =
+		{"shed-by-backend",
+		 "The backend server said that it did not run the call.",
+		 "Send it again after the time that Retry-After names.", 503,
+		 EXIT_FAILED},
 	[RT_DAY_UNKNOWN] = {"day-unknown", "No figures are kept for that day.",
 			    "Choose a day that status lists.", 0, EXIT_FAILED},
 	[RT_SOURCE_UNREACHABLE] =
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -12,11 +12,13 @@
 #define LEASE (3 * BA_SECOND)
 /* Others learn of the stop, and callers of readiness, within this time. */
 #define STOP_LEAST (2500 * BA_MS)
-#define STOP_LIMIT (5500 * BA_MS)
+/* Of the grace time, for the last answers to be taken and the process to end. */
+#define STOP_RESERVE BA_SECOND
 #define STOP_LOOK (20 * BA_MS)
 
 /**
  * struct settings - the settings file
+ * @grace: between the signal to stop and the end of the process by force
  * @relay_port: of relays whose addresses are given with another port, or 0
  */
 struct settings {
@@ -29,6 +31,7 @@
 	char *service;
 	struct ba_addresses relays;
 	int64_t relay_port;
+	ba_time grace;
 };
 
 #define KEY(t, n, k, req, m)                                           \
@@ -47,6 +50,8 @@
 	KEY("relays", "addresses", BA_KIND_ADDRESSES, true, relays),
 	{"relays", "port", BA_KIND_INTEGER, false,
 	 offsetof(struct settings, relay_port), NULL, 1, 65535},
+	{"proxy", "grace", BA_KIND_DURATION, false,
+	 offsetof(struct settings, grace), "6s", BA_SECOND, 0},
 	{.name = NULL},
 };
 
@@ -215,7 +220,7 @@
 		return;
 	ba_event(BA_EV_STOPPING, "instance=%s", g->identity.instance);
 	g->stop_least = now + STOP_LEAST;
-	g->stop_limit = now + STOP_LIMIT;
+	g->stop_limit = now + MAX(g->settings.grace - STOP_RESERVE, BA_SECOND);
 	px_stop(g->proxy);
 	ds_agent_drain(g->agent);
 	ba_loop_arm(g->loop, &g->stop_timer, now + STOP_LOOK);
@@ -226,10 +231,13 @@
 	struct program *g = ba_entry(t, struct program, stop_timer);
 	bool busy = px_in_progress(g->proxy);
 
-	if (now < g->stop_least || (busy && now < g->stop_limit)) {
+	if (now >= g->stop_least)
+		px_close(g->proxy);
+	if (now < g->stop_limit && (now < g->stop_least || busy)) {
 		ba_loop_arm(g->loop, t, now + STOP_LOOK);
 		return;
 	}
+	px_finish(g->proxy);
 	ds_agent_leave(g->agent);
 	ba_loop_stop(g->loop);
 }
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -70,6 +70,18 @@
 	p->stopping = true;
 }
 
+void px_close(struct px *p)
+{
+	p->closed = true;
+}
+
+void px_finish(struct px *p)
+{
+	while (!ba_list_empty(&p->exchanges))
+		px_exchange_give_up(
+			ba_entry(p->exchanges.next, struct px_exchange, link));
+}
+
 unsigned int px_in_progress(const struct px *p)
 {
 	return p->n_exchanges;
--- a/proxy/px.h
+++ b/proxy/px.h
@@ -79,9 +79,15 @@
 /** px_endpoints() - the endpoints are those of @v */
 void px_endpoints(struct px *p, const struct ep_view *v);
 
-/** px_stop() - no longer ready; what is in progress goes on */
+/** px_stop() - no longer ready; requests are taken in and go on */
 void px_stop(struct px *p);
 
+/** px_close() - new requests of callers are refused from now on */
+void px_close(struct px *p);
+
+/** px_finish() - whatever is in progress gets its final answer now */
+void px_finish(struct px *p);
+
 /** px_in_progress() - requests that have not ended */
 unsigned int px_in_progress(const struct px *p);
 
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -71,8 +71,10 @@
 			   code, info->name, info->text);
 
 	ba_buf_addf(out, "HTTP/1.1 %d %s\r\n", status, ht_reason(status));
+	if (x->front->from_peer && status == 503)
+		ba_buf_addf(out, PX_NOT_RUN ": %d\r\n", code);
 	if (x->front->from_peer)
-		ba_buf_addf(out, PX_NOT_RUN ": %d\r\n" PX_LOAD ": %u\r\n", code,
+		ba_buf_addf(out, PX_LOAD ": %u\r\n",
 			    x->p->gate.admit ? cl_admit_load(x->p->gate.admit)
 					     : 0);
 	else if (status == 503)
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -62,11 +62,12 @@
 		return;
 	}
 	ba_event(CL_EV_ROUTED,
-		 "call=%s service=%s endpoint=%s reason=%s in_flight=%u "
-		 "reported=%u left_us=%lld",
-		 x->id, x->service, x->endpoint->instance,
-		 cl_route_reason_name(reason), x->endpoint->in_flight,
-		 x->endpoint->reported, (long long)(x->deadline - now));
+		 "call=%s route=%s priority=%u service=%s endpoint=%s "
+		 "reason=%s in_flight=%u reported=%u left_us=%lld",
+		 x->id, x->route, x->priority, x->service,
+		 x->endpoint->instance, cl_route_reason_name(reason),
+		 x->endpoint->in_flight, x->endpoint->reported,
+		 (long long)(x->deadline - now));
 	x->tried[x->n_tried++] = x->endpoint->id;
 	x->sent_at = now;
 	if (x->endpoint->tier == CL_TIER_SELF)
@@ -79,11 +80,12 @@
 {
 	px_exchange_leave(x, seen_of(code));
 	x->last_code = code;
-	if (x->front->from_peer) {
+	if (x->front->from_peer)
 		refuse(x, 503, code);
-		return;
-	}
-	px_exchange_attempt(x);
+	else if (code == CL_SHED_BY_BACKEND && !may_repeat(x, code))
+		fail(x);
+	else
+		px_exchange_attempt(x);
 }
 
 void px_exchange_broken(struct px_exchange *x, int code)
@@ -114,6 +116,17 @@
 	return true;
 }
 
+void px_exchange_give_up(struct px_exchange *x)
+{
+	if (x->answering) {
+		px_exchange_broken(x, CL_CANCELLED);
+		return;
+	}
+	px_exchange_leave(x, CL_SEEN_CANCELLED);
+	x->last_code = CL_DRAINING;
+	fail(x);
+}
+
 void px_exchange_end(struct px_exchange *x)
 {
 	ba_loop_disarm(x->p->loop, &x->timer);
@@ -201,8 +214,8 @@
 	const struct cf_route *r;
 	struct px_request said;
 
-	if (!p->snapshot) {
-		refuse(x, 503, CL_NOT_CONFIGURED);
+	if (!p->snapshot || p->closed) {
+		refuse(x, 503, p->closed ? CL_DRAINING : CL_NOT_CONFIGURED);
 		return;
 	}
 	x->snapshot = cf_snapshot_ref(p->snapshot);
@@ -242,6 +255,7 @@
 	x->idempotent = r->idempotent || r->download;
 	x->most_runs = r->attempts ? r->attempts : PX_ATTEMPTS_DEFAULT;
 	x->priority = r->priority;
+	x->route = r->name;
 	x->latency_target = x->arrived + r->latency_target;
 	x->deadline =
 		x->arrived + (left >= 0 && left < timeout ? left : timeout);
@@ -386,6 +400,8 @@
 	case CL_OVERLOADED:
 	case CL_DEADLINE_PASSED:
 		return CL_SEEN_OVERLOADED;
+	case CL_SHED_BY_BACKEND:
+		return CL_SEEN_ERROR_ANSWER;
 	case CL_DRAINING:
 		return CL_SEEN_DRAINING;
 	case CL_NO_ENDPOINT:
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -96,6 +96,7 @@
 	struct cl_router *router;
 	bool routed;
 	bool stopping;
+	bool closed;
 	uint32_t n_endpoints;
 	GHashTable *retries;
 	GHashTable *splits;
@@ -129,6 +130,7 @@
 
 /**
  * struct px_exchange - one request from its last byte to its end
+ * @route: name of its route, in @snapshot
  * @deadline: when the caller stops waiting, or the route's timeout
  * @idempotent: may run more than once
  * @runs: backend servers that may have begun to work on it
@@ -146,6 +148,7 @@
 	struct ba_timer timer;
 	struct cf_snapshot *snapshot;
 	const char *service;
+	const char *route;
 	char *caller;
 	char *id;
 	ba_time arrived;
@@ -218,6 +221,9 @@
 /** px_exchange_answered() - it earns its service a part of a retry */
 void px_exchange_answered(struct px_exchange *x);
 
+/** px_exchange_give_up() - answer now with what is known of it */
+void px_exchange_give_up(struct px_exchange *x);
+
 /** px_exchange_end() - nothing more is to be done for it */
 void px_exchange_end(struct px_exchange *x);
 
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -164,7 +164,7 @@
 	}
 	if (h->status == 421)
 		return CL_NO_ENDPOINT;
-	return said->not_run ? CL_OVERLOADED : 0;
+	return said->not_run ? CL_SHED_BY_BACKEND : 0;
 }
 
 /* What it has besides the requests of this proxy. */
