test: an open group under every trouble, four that bear one loss, six two

Cause: the open group had no test of its own.

Change: the world of the replicas can be an open group. A property over random interleavings of loss, cuts, crashes, lost and full disks, and three cases: a spare takes the vote of one that is gone, whoever is no founder forms nothing, members are known from the log. A failure describes what each replica believes.

--- a/test/rp_test.cc
+++ b/test/rp_test.cc
@@ -95,6 +95,28 @@
 	w.submit(i, id, base, (int)w.below(50));
 }
 
+/* What each replica believes, for whoever reads a failure. */
+std::string describe(const world &w)
+{
+	std::ostringstream out;
+
+	for (int i = 0; i < w.n; i++) {
+		const struct rp_core *c = w.core(i);
+		const struct rp_members *m = rp_core_members(c);
+
+		out << "\n" << w.names[i] << " " << w.all[i]->store.disk_id
+		    << " role " << rp_core_role(c) << " term "
+		    << rp_core_term(c) << " last "
+		    << rp_log_last(rp_core_log(c)) << " commit "
+		    << rp_core_commit(c) << " members";
+		for (size_t j = 0; j < m->n; j++)
+			out << " " << m->list[j].name << "/"
+			    << m->list[j].disk_id
+			    << (m->list[j].voting ? "+" : "-");
+	}
+	return out.str();
+}
+
 /* After the trouble everything must be whole again. */
 void check_quiet(world &w)
 {
@@ -105,7 +127,7 @@
 	int l = w.leader();
 
 	if (l < 0) {
-		w.fail("no leader after the trouble");
+		w.fail("no leader after the trouble" + describe(w));
 		return;
 	}
 	std::set<uint64_t> kept;
@@ -125,11 +147,13 @@
 		w.fail("a replica did not get its vote back");
 }
 
-std::string run_world(uint64_t seed, int n, int kinds, enum fault fault)
+std::string run_world(uint64_t seed, int n, int kinds, enum fault fault,
+		      int founders = 0, size_t voters = 0)
 {
-	world w(seed, n, fault);
+	world w(seed, n, fault, founders, voters);
 
 	w.run(w.now + 2 * BA_SECOND);
+	w.formed = true;
 	if (kinds & LOSS)
 		w.lost_percent = 5;
 	for (int i = 0; i < 60 && w.violation.empty(); i++) {
@@ -156,6 +180,21 @@
 	}
 }
 
+/* Four instances that bear the loss of one, and six that bear two. */
+RC_GTEST_PROP(RpOpenGroup, HoldsUnderEveryTrouble, (uint64_t seed))
+{
+	struct ba_rand seeds = {seed};
+
+	for (int i = 0; i < RUNS; i++) {
+		uint64_t one = ba_rand_next(&seeds);
+		std::string violation =
+			i % 3 ? run_world(one, 4, EVERYTHING, NO_FAULT, 3, 3)
+			      : run_world(one, 6, EVERYTHING, NO_FAULT, 3, 5);
+
+		RC_ASSERT(violation == "");
+	}
+}
+
 bool contains(const std::string &text, const char *part)
 {
 	return *part && text.find(part) != std::string::npos;
@@ -329,6 +368,60 @@
 	EXPECT_EQ(w.violation, "");
 }
 
+TEST(RpOpenGroup, SpareTakesTheVoteOfOneThatIsGone)
+{
+	world w(19, 4, NO_FAULT, 3, 3);
+
+	ASSERT_GE(wait_leader(w), 0);
+	EXPECT_LT(w.leader(), 3);
+	w.formed = true;
+	w.submit(w.leader(), "kept", 0, 1);
+	w.run(w.now + BA_SECOND);
+	EXPECT_FALSE(rp_core_votes(w.core(3)));
+	EXPECT_GT(version(w, 3), 0u);
+	w.crash((w.leader() + 1) % 3);
+	w.run(w.now + 4 * BA_SECOND);
+	EXPECT_TRUE(rp_core_votes(w.core(3)));
+	EXPECT_TRUE(w.repaired());
+	/* So that the loss of another one is borne as well. */
+	w.crash(w.leader());
+	w.run(w.now + 4 * BA_SECOND);
+	ASSERT_GE(w.leader(), 0);
+	EXPECT_GT(version(w, w.leader()), 0u);
+	EXPECT_EQ(w.violation, "");
+}
+
+TEST(RpOpenGroup, WhoeverIsNoFounderFormsNothing)
+{
+	world w(23, 4, NO_FAULT, 3, 3);
+
+	w.formed = true;
+	for (int i = 0; i < 4; i++) {
+		w.crash(i);
+		w.new_disk(i);
+		w.start(i);
+	}
+	w.run(w.now + 10 * BA_SECOND);
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(rp_core_role(w.core(i)), RP_UNFORMED);
+}
+
+/* The settings name one voter and two strangers after all were stopped. */
+TEST(RpOpenGroup, MembersAreKnownFromTheLog)
+{
+	world w(29, 4, NO_FAULT, 3, 3);
+
+	ASSERT_GE(wait_leader(w), 0);
+	w.formed = true;
+	w.submit(w.leader(), "kept", 0, 1);
+	w.run(w.now + 2 * BA_SECOND);
+	for (int i = 0; i < 4; i++)
+		w.crash(i);
+	w.known = 1;
+	w.start(0);
+	EXPECT_EQ(rp_core_n_peers(w.core(0)), 3);
+}
+
 TEST(RpSubmission, OfEqualBasesExactlyOneWins)
 {
 	world w(7, 3);
--- a/test/rp_world.h
+++ b/test/rp_world.h
@@ -194,6 +194,9 @@
 	struct rp_times times = rp_times_default;
 	int n;
 	int known; /* how many the settings name */
+	int founders = 0; /* of an open group; 0 for one that settings name */
+	size_t voters = 0;
+	bool formed = false; /* whoever starts now only joins */
 	ba_time now = BA_SECOND;
 	uint64_t order = 0;
 	unsigned int lost_percent = 0;
@@ -216,11 +219,13 @@
 	std::map<uint64_t, std::pair<uint32_t, uint64_t>> codes; /* by token */
 	std::set<uint64_t> accepted; /* versions told to operators */
 
-	world(uint64_t seed, int n, enum fault f = NO_FAULT)
-	    : rand{seed}, fault(f), n(n), known(n)
+	world(uint64_t seed, int n, enum fault f = NO_FAULT, int founders = 0,
+	      size_t voters = 0)
+	    : rand{seed}, fault(f), n(n), known(n), founders(founders),
+	      voters(voters)
 	{
 		static const char *const list[] = {"s1", "s2", "s3", "s4",
-						   "s5"};
+						   "s5", "s6"};
 
 		names.assign(list, list + n);
 		addresses = names;
@@ -302,6 +307,28 @@
 		return -1;
 	}
 
+	/*
+	 * Whether all voters that an open group wants vote with their disks,
+	 * so that one more disk may be lost: while a vote is on its way to a
+	 * spare, the loss that it stands in for is not repaired.
+	 */
+	bool voters_whole(struct rp_members *m) const
+	{
+		size_t voting = 0;
+
+		for (int i = 0; i < n; i++) {
+			const struct rp_member *one =
+				rp_members_find(m, names[i]);
+
+			if (!one || !one->voting)
+				continue;
+			voting++;
+			if (all[i]->store.disk_id != one->disk_id)
+				return false;
+		}
+		return voting == std::min(voters, (size_t)n);
+	}
+
 	/* Whether every replica votes with the disk that it has. */
 	bool repaired() const
 	{
@@ -310,6 +337,10 @@
 		if (l < 0)
 			return false;
 		struct rp_members m = *rp_machine_members(machine(l));
+		struct rp_members newest = *rp_core_members(core(l));
+
+		if (founders)
+			return voters_whole(&m) && voters_whole(&newest);
 
 		for (int i = 0; i < n; i++) {
 			const struct rp_member *one =
@@ -424,6 +455,9 @@
 	o.core.addresses = addresses.data();
 	o.core.n_names = (size_t)known;
 	o.core.self = i;
+	o.core.open = founders != 0;
+	o.core.founders = formed ? 0 : (size_t)founders;
+	o.core.voters = voters;
 	o.core.times = times;
 	o.core.seed = seed;
 	if (i == traced)
@@ -579,6 +613,7 @@
 	for (int i = 0; i < n; i++) {
 		all[i]->store.full = false;
 		all[i]->store.crash_after = -1;
+		check(i); /* one that has crashed and was not noticed yet */
 		start(i);
 	}
 }
