--- a/proxy/px.c
+++ b/proxy/px.c
@@ -29,6 +29,7 @@
 	p->callers.accept = px_front_accept_caller;
 	p->peers.accept = px_front_accept_peer;
 	p->controls.accept = px_control_accept;
+	p->gate.turn.fire = px_gate_on_turn;
 	ba_list_init(&p->fronts);
 	ba_list_init(&p->controls_open);
 	ba_list_init(&p->exchanges);
@@ -99,6 +100,7 @@
 	ba_list_each_safe(pos, tmp, &p->fronts)
 		px_front_free(ba_entry(pos, struct px_front, link));
 	free_controls(p);
+	ba_loop_disarm(p->loop, &p->gate.turn);
 	g_hash_table_destroy(p->pools);
 	g_hash_table_destroy(p->splits);
 	g_hash_table_destroy(p->retries);
--- a/proxy/px_gate.c
+++ b/proxy/px_gate.c
@@ -46,14 +46,21 @@
 
 void px_gate_next(struct px *p)
 {
+	if (!p->gate.turn.slot)
+		ba_loop_arm(p->loop, &p->gate.turn, ba_loop_now(p->loop));
+}
+
+void px_gate_on_turn(struct ba_timer *t, ba_time now)
+{
+	struct px *p = ba_entry(t, struct px, gate.turn);
 	enum cl_admit_reason reason;
 	enum cl_admit_act act;
-	struct cl_ticket *t;
+	struct cl_ticket *ticket;
 
 	while (p->gate.admit &&
-	       (t = cl_admit_next(p->gate.admit, ba_loop_now(p->loop), &act,
-				  &reason))) {
-		struct px_exchange *x = ba_entry(t, struct px_exchange, ticket);
+	       (ticket = cl_admit_next(p->gate.admit, now, &act, &reason))) {
+		struct px_exchange *x =
+			ba_entry(ticket, struct px_exchange, ticket);
 
 		if (act == CL_ADMIT_START)
 			px_upstream_backend(x);
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -69,12 +69,14 @@
  * @beat: what it last said
  * @admit: who may pass
  * @pool: connections to it
+ * @turn: fires at the end of a turn of the loop in which a slot became free
  */
 struct px_gate {
 	bool known;
 	struct px_beat beat;
 	struct cl_admit *admit;
 	struct ht_pool *pool;
+	struct ba_timer turn;
 };
 
 /** struct px - one proxy */
@@ -239,9 +241,15 @@
 /** px_gate_arrive() - it is for the own backend server */
 void px_gate_arrive(struct px_exchange *x);
 
-/** px_gate_next() - let pass, or refuse, those that wait */
+/**
+ * px_gate_next() - let pass, or refuse, those that wait, at the end of this
+ * turn of the loop: then the connection of the last answer can be used again
+ */
 void px_gate_next(struct px *p);
 
+/** px_gate_on_turn() - that end */
+void px_gate_on_turn(struct ba_timer *t, ba_time now);
+
 /** px_gate_beat() - the backend server has announced itself */
 void px_gate_beat(struct px *p, const struct px_beat *b);
 
--- /dev/null
+++ b/test/proxy_world.h
@@ -0,0 +1,367 @@
+/*
+ * One proxy in a thread of its own, with a stand-in for its backend server
+ * and for callers: blocking sockets that say exactly what a case wants.
+ */
+#ifndef TEST_PROXY_WORLD_H
+#define TEST_PROXY_WORLD_H
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <future>
+#include <string>
+#include <thread>
+
+#include "base/ba_result.h"
+#include "endpoint/ep_table.h"
+#include "platform/pf.h"
+#include "proxy/px.h"
+
+namespace proxy_world
+{
+
+enum { WAIT_S = 5, CALLERS = 24101, PEERS, READY, BEATS, BACKEND, OTHER };
+
+static inline struct ba_address address(int port)
+{
+	struct ba_address a;
+
+	ba_parse_address(("127.0.0.1:" + std::to_string(port)).c_str(), &a);
+	return a;
+}
+
+/* A blocking socket; a read that takes longer than WAIT_S ends in "". */
+struct wire {
+	int fd = -1;
+	std::string unread;
+
+	explicit wire(int fd = -1) : fd(fd)
+	{
+		struct timeval t = {WAIT_S, 0};
+
+		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &t, sizeof(t));
+	}
+	wire(wire &&o) noexcept : fd(o.fd), unread(std::move(o.unread))
+	{
+		o.fd = -1;
+	}
+	~wire()
+	{
+		end();
+	}
+
+	static wire to(int port)
+	{
+		struct ba_address a = address(port);
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+		EXPECT_EQ(connect(fd, (struct sockaddr *)&a.sockaddr, a.len),
+			  0);
+		return wire(fd);
+	}
+
+	void say(const std::string &text)
+	{
+		EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
+			  (ssize_t)text.size());
+	}
+
+	bool more()
+	{
+		char buffer[65536];
+		ssize_t n = recv(fd, buffer, sizeof(buffer), 0);
+
+		if (n > 0)
+			unread.append(buffer, (size_t)n);
+		return n > 0;
+	}
+
+	/* Whether the other end closes without another byte. */
+	bool closes()
+	{
+		return unread.empty() && !more();
+	}
+
+	static size_t length(const std::string &head)
+	{
+		size_t at = head.find("\r\nContent-Length: ");
+
+		return at == std::string::npos
+			       ? 0
+			       : std::stoul(head.substr(at + 18));
+	}
+
+	/* One message with a length, or what came before the end. */
+	std::string message()
+	{
+		size_t end_of_head;
+		size_t size;
+
+		while ((end_of_head = unread.find("\r\n\r\n")) ==
+		       std::string::npos)
+			if (!more())
+				return std::exchange(unread, "");
+		size = end_of_head + 4 + length(unread.substr(0, end_of_head));
+		while (unread.size() < size)
+			if (!more())
+				return std::exchange(unread, "");
+		std::string one = unread.substr(0, size);
+
+		unread.erase(0, size);
+		return one;
+	}
+
+	std::string rest()
+	{
+		while (more())
+			;
+		return std::exchange(unread, "");
+	}
+
+	void reset()
+	{
+		struct linger l = {1, 0};
+
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &l, sizeof(l));
+		end();
+	}
+
+	void end()
+	{
+		if (fd >= 0)
+			close(fd);
+		fd = -1;
+	}
+};
+
+struct listener {
+	int fd;
+
+	explicit listener(int port)
+	    : fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+	{
+		struct ba_address a = address(port);
+		int on = 1;
+
+		setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+		EXPECT_EQ(bind(fd, (struct sockaddr *)&a.sockaddr, a.len), 0);
+		EXPECT_EQ(listen(fd, 16), 0);
+	}
+	~listener()
+	{
+		close(fd);
+	}
+
+	wire accept_one()
+	{
+		struct pollfd p = {fd, POLLIN, 0};
+
+		EXPECT_EQ(poll(&p, 1, WAIT_S * 1000), 1);
+		return wire(accept(fd, nullptr, nullptr));
+	}
+};
+
+static const char *const configuration =
+	"{\"version\":\"0000002a\",\"routes\":{\"columns\":[\"name\",\"host\","
+	"\"path_prefix\",\"kind\",\"timeout\",\"target_latency\",\"priority\","
+	"\"weighted_split\",\"attempts\",\"service\"],\"rows\":["
+	"[\"look\",\"a.example\",\"/look/\",\"idempotent\",\"9000ms\","
+	"\"300ms\",2,null,2,\"stock\"],"
+	"[\"book\",\"a.example\",\"/book/\",\"non_idempotent\",\"9s\","
+	"\"400ms\",1,null,2,\"stock\"],"
+	"[\"short\",\"a.example\",\"/short/\",\"idempotent\",\"200ms\","
+	"\"100ms\",1,null,2,\"stock\"],"
+	"[\"split\",\"b.example\",\"/\",\"idempotent\",\"9s\",\"400ms\",1,"
+	"[{\"service\":\"stock\",\"weight\":3},{\"service\":\"none\","
+	"\"weight\":1}],2,null]]},"
+	"\"services\":{\"columns\":[\"name\",\"health_path\","
+	"\"max_connections\",\"protocol\",\"tls\"],\"rows\":["
+	"[\"stock\",\"/health\",10,\"h1\",false],"
+	"[\"none\",\"/health\",10,\"h1\",false]]},"
+	"\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
+	"\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}";
+
+static inline struct cf_snapshot *snapshot()
+{
+	struct cf_snapshot *none = cf_snapshot_empty();
+	struct cf_snapshot *s = nullptr;
+	struct ba_problems problems = {};
+	struct ba_buf packed = {};
+
+	EXPECT_TRUE(pf_operators.read_configuration(
+		configuration, strlen(configuration), &packed, &problems));
+	EXPECT_EQ(cf_snapshot_adopt(packed.data, packed.len, none, 1, &s,
+				    &problems),
+		  BA_OK);
+	cf_snapshot_unref(none);
+	ba_problems_free(&problems);
+	ba_buf_free(&packed);
+	return s;
+}
+
+struct world {
+	struct px_owner owner = {};
+	struct ba_loop *loop = ba_loop_new();
+	struct px *proxy = nullptr;
+	std::thread thread;
+	listener backend{BACKEND};
+
+	explicit world(bool configured = true)
+	{
+		struct px_options o = {};
+		const struct ba_address *failed = nullptr;
+
+		o.callers = address(CALLERS);
+		o.peers = address(PEERS);
+		o.ready = address(READY);
+		o.beats = address(BEATS);
+		o.backend = address(BACKEND);
+		o.instance = "p1";
+		o.data_centre = "dc1";
+		o.region = "r1";
+		o.service = "stock";
+		o.dialect = &pf_proxy;
+		o.seed = 7;
+		owner.backend = [](struct px_owner *, const struct px_beat *,
+				   bool) {};
+		EXPECT_EQ(px_new(loop, &o, &owner, &failed, &proxy), BA_OK);
+		if (configured)
+			configure();
+		thread = std::thread([this] { ba_loop_run(loop); });
+	}
+
+	~world()
+	{
+		run([this] { px_free(proxy); });
+		ba_loop_stop(loop);
+		thread.join();
+		ba_loop_free(loop);
+	}
+
+	/* Run @f in the proxy's thread, and wait for it. */
+	void run(const std::function<void()> &f)
+	{
+		struct task {
+			const std::function<void()> &f;
+			std::promise<void> done;
+		} t{f, {}};
+
+		ba_loop_post(
+			loop,
+			[](void *arg) {
+				auto *one = (task *)arg;
+
+				one->f();
+				one->done.set_value();
+			},
+			&t);
+		t.done.get_future().wait();
+	}
+
+	void configure()
+	{
+		struct cf_snapshot *s = snapshot();
+
+		px_configure(proxy, s);
+		cf_snapshot_unref(s);
+		endpoints(false);
+	}
+
+	/* The own endpoint, and one beside the address OTHER if @both. */
+	void endpoints(bool both, uint64_t incarnation = 1)
+	{
+		struct ep_table *t = ep_table_new(16);
+		struct ep_view_options o = {"p1", "dc1", "r1", 0};
+		struct ep_view *v;
+
+		put(t, "p1", PEERS, incarnation);
+		if (both)
+			put(t, "p2", OTHER);
+		v = ep_table_view(t, nullptr, &o);
+		px_endpoints(proxy, v);
+		ep_view_unref(v);
+		ep_table_free(t);
+	}
+
+	static void put(struct ep_table *t, const char *instance, int port,
+			uint64_t incarnation = 1)
+	{
+		struct ba_address a = address(port);
+		struct ep_record r = {};
+
+		r.instance = (char *)instance;
+		r.service = (char *)"stock";
+		r.data_centre = (char *)"dc1";
+		r.region = (char *)"r1";
+		r.address = a.text;
+		r.slots = 2;
+		r.incarnation = incarnation;
+		r.sequence = 1;
+		ep_table_put(t, &r, EP_HELD_HERE, BA_NEVER, 0);
+	}
+
+	/* The backend server announces itself; its answer's status line. */
+	std::string beat(const std::string &id, const char *state, int sequence,
+			 long born = 5, int slots = 2)
+	{
+		std::string body =
+			"{\"service\":\"stock\",\"address\":\"x\",\"zone\":"
+			"\"dc1\",\"version\":\"v1\",\"slots\":" +
+			std::to_string(slots) + ",\"state\":\"" + state +
+			"\",\"cold_left\":\"0ms\",\"sequence\":" +
+			std::to_string(sequence) +
+			",\"born\":" + std::to_string(born) + "}";
+
+		return control("POST /v1/instances/" + id + "/heartbeat", body);
+	}
+
+	static std::string control(const std::string &call,
+				   const std::string &body)
+	{
+		wire w = wire::to(BEATS);
+
+		w.say(call + " HTTP/1.1\r\nHost: x\r\nContent-Length: " +
+		      std::to_string(body.size()) + "\r\n\r\n" + body);
+		return w.message();
+	}
+};
+
+static inline std::string request(const std::string &line,
+				  const std::string &fields = "",
+				  const std::string &body = "")
+{
+	return line + " HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: 1\r\n" +
+	       "X-Deadline-Ms: 8000\r\n" + fields +
+	       (body.empty() ? ""
+			     : "Content-Length: " +
+				       std::to_string(body.size()) + "\r\n") +
+	       "\r\n" + body;
+}
+
+static inline std::string answer(int status, const std::string &body,
+				 const std::string &fields = "")
+{
+	return "HTTP/1.1 " + std::to_string(status) +
+	       " X\r\nX-Attempt-Id: 1\r\nX-Response-Stamp: s\r\n" + fields +
+	       "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+	       body;
+}
+
+static inline int status(const std::string &message)
+{
+	return message.size() > 12 ? std::atoi(message.c_str() + 9) : 0;
+}
+
+static inline bool has(const std::string &text, const std::string &part)
+{
+	return text.find(part) != std::string::npos;
+}
+
+} // namespace proxy_world
+
+#endif
--- a/test/rp_test.cc
+++ b/test/rp_test.cc
@@ -104,10 +104,10 @@
 		const struct rp_core *c = w.core(i);
 		const struct rp_members *m = rp_core_members(c);
 
-		out << "\n" << w.names[i] << " " << w.all[i]->store.disk_id
-		    << " role " << rp_core_role(c) << " term "
-		    << rp_core_term(c) << " last "
-		    << rp_log_last(rp_core_log(c)) << " commit "
+		out << "\n"
+		    << w.names[i] << " " << w.all[i]->store.disk_id << " role "
+		    << rp_core_role(c) << " term " << rp_core_term(c)
+		    << " last " << rp_log_last(rp_core_log(c)) << " commit "
 		    << rp_core_commit(c) << " members";
 		for (size_t j = 0; j < m->n; j++)
 			out << " " << m->list[j].name << "/"
--- a/test/rp_world.h
+++ b/test/rp_world.h
@@ -193,7 +193,7 @@
 	enum fault fault;
 	struct rp_times times = rp_times_default;
 	int n;
-	int known; /* how many the settings name */
+	int known;	  /* how many the settings name */
 	int founders = 0; /* of an open group; 0 for one that settings name */
 	size_t voters = 0;
 	bool formed = false; /* whoever starts now only joins */
@@ -224,8 +224,8 @@
 	    : rand{seed}, fault(f), n(n), known(n), founders(founders),
 	      voters(voters)
 	{
-		static const char *const list[] = {"s1", "s2", "s3", "s4",
-						   "s5", "s6"};
+		static const char *const list[] = {"s1", "s2", "s3",
+						   "s4", "s5", "s6"};
 
 		names.assign(list, list + n);
 		addresses = names;
