proxy: the latency target counts from the first attempt of a caller

Ruled out: longer times to return; what comes back is as late, only later.

Change: callers of one route wait equally long, so that one that says a shorter time has been here before, for the difference. Late ones go behind.

--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -5,12 +5,18 @@
 #include "base/ba_result.h"
 #include "proxy/px_internal.h"
 
+#define PATIENCE_JITTER (20 * BA_MS)
+
+/* Of the difference, so much is forgotten with each shorter time. */
+enum { PATIENCE_SHARE = 1024 };
+
 static struct px_exchange *exchange_new(struct px_front *f);
 static void begin_from_peer(struct px_exchange *x);
 static void begin_from_caller(struct px_exchange *x);
 static const struct cf_route *find_route(const struct px_exchange *x);
 static void take_route(struct px_exchange *x, const struct cf_route *r,
 		       ba_time time_left);
+static ba_time spent(struct px *p, const struct cf_route *r, ba_time left);
 static const char *choose_service(struct px_exchange *x,
 				  const struct cf_route *r);
 static struct px_split *split_of(struct px *p, const struct cf_route *r);
@@ -266,7 +272,33 @@
 		x->deadline = x->arrived + left;
 	x->latency_target = x->deadline;
 	if (r->latency_target && r->latency_target < x->deadline - x->arrived)
-		x->latency_target = x->arrived + r->latency_target;
+		x->latency_target =
+			x->arrived + r->latency_target - spent(x->p, r, left);
+}
+
+/*
+ * Callers of one route wait equally long, so that one that waits for less has
+ * been here before: its latency target counts from its first attempt.  The
+ * longest time is forgotten slowly, as callers change.
+ */
+static ba_time spent(struct px *p, const struct cf_route *r, ba_time left)
+{
+	struct px_patience *known = g_hash_table_lookup(p->patience, r->name);
+	ba_time shorter;
+
+	if (left < 0)
+		return 0;
+	if (!known) {
+		known = g_new0(struct px_patience, 1);
+		g_hash_table_insert(p->patience, g_strdup(r->name), known);
+	}
+	if (left >= known->longest) {
+		known->longest = left;
+		return 0;
+	}
+	shorter = known->longest - left;
+	known->longest -= shorter / PATIENCE_SHARE;
+	return shorter > PATIENCE_JITTER ? shorter : 0;
 }
 
 /*
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -106,11 +106,20 @@
 	uint32_t n_endpoints;
 	GHashTable *retries;
 	GHashTable *splits;
+	GHashTable *patience;
 	GHashTable *pools;
 	struct px_gate gate;
 	struct ba_rand rand;
 };
 
+/**
+ * struct px_patience - how long callers of a route wait, as far as was seen
+ * @longest: the longest that a request has told
+ */
+struct px_patience {
+	ba_time longest;
+};
+
 /**
  * struct px_front - a connection of a caller or of another proxy
  * @exchange: the request that it is busy with, or NULL
