proxy, call: large answers take the paid link only as the last resort

Change: the size of a route's answers is learnt; above 32 KB no endpoint across the link is taken while one in the region is left. Downloads count as large until they are known.

--- a/call/cl_route.c
+++ b/call/cl_route.c
@@ -395,7 +395,8 @@
 		for (int t = 0; t < CL_TIERS; t++) {
 			struct cl_endpoint *e;
 
-			if (t == CL_TIER_LINK && !link)
+			if (t == CL_TIER_LINK &&
+			    (!link || (q->heavy && pass != PASS_EJECTED)))
 				continue;
 			if (t == CL_TIER_SELF && r->self_draining)
 				continue;
@@ -464,7 +465,9 @@
 
 		if (e->tier != tier || e->draining || tried(q, e))
 			continue;
-		if (e->ejected != (pass == PASS_EJECTED))
+		if (e->ejected != (pass == PASS_EJECTED) &&
+		    !(q->heavy && pass == PASS_EJECTED &&
+		      tier == CL_TIER_LINK))
 			continue;
 		if (pass == PASS_FREE && e->slots &&
 		    (tier == CL_TIER_SELF ? q->self_load : load(e, now)) >=
--- a/call/cl_route.h
+++ b/call/cl_route.h
@@ -135,6 +135,7 @@
  * @owner: instance that must take the call, or NULL
  * @self_load: calls that run or wait at the own backend server
  * @may_probe: the call may be spent on an ejected endpoint
+ * @heavy: its answer is large: the paid link is the last resort
  */
 struct cl_pick_request {
 	const char *service;
@@ -143,6 +144,7 @@
 	const uint64_t *tried;
 	size_t n_tried;
 	bool may_probe;
+	bool heavy;
 };
 
 struct cl_router;
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -38,7 +38,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->splits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					  split_free);
-	p->patience =
+	p->seen =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->gate.times =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -108,7 +108,7 @@
 	g_hash_table_destroy(p->pools);
 	g_hash_table_destroy(p->splits);
 	g_hash_table_destroy(p->gate.times);
-	g_hash_table_destroy(p->patience);
+	g_hash_table_destroy(p->seen);
 	g_hash_table_destroy(p->retries);
 	ht_pool_free(p->gate.pool);
 	cl_admit_free(p->gate.admit);
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -8,7 +8,7 @@
 #define PATIENCE_JITTER (20 * BA_MS)
 
 /* Of the difference, so much is forgotten with each shorter time. */
-enum { PATIENCE_SHARE = 1024 };
+enum { PATIENCE_SHARE = 1024, BYTES_SHARE = 16 };
 
 static struct px_exchange *exchange_new(struct px_front *f);
 static void begin_from_peer(struct px_exchange *x);
@@ -16,6 +16,7 @@
 static const struct cf_route *find_route(const struct px_exchange *x);
 static void take_route(struct px_exchange *x, const struct cf_route *r,
 		       ba_time time_left);
+static struct px_seen *route_seen(struct px *p, const char *route);
 static ba_time spent(struct px *p, const struct cf_route *r, ba_time left);
 static const char *choose_service(struct px_exchange *x,
 				  const struct cf_route *r);
@@ -54,6 +55,7 @@
 		.tried = x->tried,
 		.n_tried = x->n_tried,
 		.may_probe = x->idempotent,
+		.heavy = route_seen(p, x->route)->bytes > PX_HEAVY_BYTES,
 	};
 	enum cl_route_reason reason = CL_ROUTE_NONE_LEFT;
 
@@ -261,12 +263,14 @@
 {
 	ba_time timeout = r->timeout ? r->timeout : PX_TIMEOUT_DEFAULT;
 
+	x->route = r->name;
 	x->service = choose_service(x, r);
 	x->caller = g_strdup(x->p->o.service);
 	x->idempotent = r->idempotent || r->download;
+	if (r->download && !route_seen(x->p, r->name)->bytes)
+		route_seen(x->p, r->name)->bytes = 2 * PX_HEAVY_BYTES;
 	x->most_runs = r->attempts ? r->attempts : PX_ATTEMPTS_DEFAULT;
 	x->priority = r->priority;
-	x->route = r->name;
 	x->deadline = x->arrived + timeout;
 	if (left >= 0 && left < timeout)
 		x->deadline = x->arrived + left;
@@ -276,6 +280,17 @@
 			x->arrived + r->latency_target - spent(x->p, r, left);
 }
 
+static struct px_seen *route_seen(struct px *p, const char *route)
+{
+	struct px_seen *known = g_hash_table_lookup(p->seen, route);
+
+	if (known)
+		return known;
+	known = g_new0(struct px_seen, 1);
+	g_hash_table_insert(p->seen, g_strdup(route), known);
+	return known;
+}
+
 /*
  * Callers of one route wait equally long, so that one that waits for less has
  * been here before: its latency target counts from its first attempt.  The
@@ -283,15 +298,11 @@
  */
 static ba_time spent(struct px *p, const struct cf_route *r, ba_time left)
 {
-	struct px_patience *known = g_hash_table_lookup(p->patience, r->name);
+	struct px_seen *known = route_seen(p, r->name);
 	ba_time shorter;
 
 	if (left < 0)
 		return 0;
-	if (!known) {
-		known = g_new0(struct px_patience, 1);
-		g_hash_table_insert(p->patience, g_strdup(r->name), known);
-	}
 	if (left >= known->longest) {
 		known->longest = left;
 		return 0;
@@ -424,10 +435,13 @@
 {
 	struct px *p = x->p;
 	struct cl_retry *r;
+	struct px_seen *seen;
 	double most = p->n_endpoints ? PX_RETRY_FLEET / p->n_endpoints : 1;
 
 	if (x->front->from_peer)
 		return;
+	seen = route_seen(p, x->route);
+	seen->bytes += ((double)x->answer_bytes - seen->bytes) / BYTES_SHARE;
 	r = retry_of(p, x->service);
 	cl_retry_answered(r);
 	if (r->tokens > MAX(most, 1))
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -33,6 +33,8 @@
 	PX_FIELD_BYTES = 32,
 };
 
+/* Of answers this large the bytes cost more than the wait for a near slot. */
+#define PX_HEAVY_BYTES (32 * 1024)
 #define PX_HEADER_TIMEOUT (5 * BA_SECOND)
 #define PX_IDLE_TIMEOUT BA_MINUTE
 #define PX_TIMEOUT_DEFAULT (10 * BA_SECOND)
@@ -106,18 +108,20 @@
 	uint32_t n_endpoints;
 	GHashTable *retries;
 	GHashTable *splits;
-	GHashTable *patience;
+	GHashTable *seen;
 	GHashTable *pools;
 	struct px_gate gate;
 	struct ba_rand rand;
 };
 
 /**
- * struct px_patience - how long callers of a route wait, as far as was seen
+ * struct px_seen - what was seen of the requests of a route
  * @longest: the longest that a request has told
+ * @bytes: smoothed size of its answers
  */
-struct px_patience {
+struct px_seen {
 	ba_time longest;
+	double bytes;
 };
 
 /**
@@ -151,6 +155,7 @@
  * @runs: backend servers that may have begun to work on it
  * @most_runs: how many may
  * @tried: endpoints that did not take it, or failed
+ * @answer_bytes: of the body that has come
  * @not_run: the answer that is being read says so, with this code
  * @answering: the head has gone to the caller
  * @chunked: the body goes to the caller in chunks
@@ -185,6 +190,7 @@
 	struct cl_ticket ticket;
 	ba_time sent_at;
 	bool fresh;
+	uint64_t answer_bytes;
 	int status;
 	int not_run;
 	bool answering;
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -54,6 +54,7 @@
 	x->pool = pool;
 	x->not_run = 0;
 	x->status = 0;
+	x->answer_bytes = 0;
 	x->runs++;
 	x->conn = ht_pool_take(pool, &x->up, &x->fresh);
 	if (x->fresh)
@@ -108,6 +109,7 @@
 
 	if (x->not_run)
 		return;
+	x->answer_bytes += len;
 	ba_buf_add(&x->held, data, len);
 	if (!x->answering && x->held.len < PX_HOLD_BYTES &&
 	    !x->front->from_peer)
