proxy: short calls go first and wait; a stopping proxy stays the gate

Besides, a proxy that was stopped drained its endpoint at once, which stood idle for 2.5 s while callers were told.

Change: a call is short when a slot is held 2.5 times longer on average; it goes before others of its priority and waits until its caller gives up. A proxy announces its drain 1.2 s after the signal to stop.

--- a/call/cl_route.c
+++ b/call/cl_route.c
@@ -466,8 +466,7 @@
 		if (e->tier != tier || e->draining || tried(q, e))
 			continue;
 		if (e->ejected != (pass == PASS_EJECTED) &&
-		    !(q->heavy && pass == PASS_EJECTED &&
-		      tier == CL_TIER_LINK))
+		    !(q->heavy && pass == PASS_EJECTED && tier == CL_TIER_LINK))
 			continue;
 		if (pass == PASS_FREE && e->slots &&
 		    (tier == CL_TIER_SELF ? q->self_load : load(e, now)) >=
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -12,6 +12,8 @@
 #define LEASE (3 * BA_SECOND)
 /* Others learn of the stop, and callers of readiness, within this time. */
 #define STOP_LEAST (2500 * BA_MS)
+/* Until then others still send work for the backend server, which goes on. */
+#define DRAIN_AFTER (1200 * BA_MS)
 /* Of the grace time, for the last answers to be taken and the process to end. */
 #define STOP_RESERVE BA_SECOND
 #define STOP_LOOK (20 * BA_MS)
@@ -64,6 +66,7 @@
 	struct px *proxy;
 	struct ds_agent *agent;
 	struct ba_timer stop_timer;
+	ba_time drain_at;
 	ba_time stop_least;
 	ba_time stop_limit;
 };
@@ -219,10 +222,10 @@
 	if (g->stop_limit)
 		return;
 	ba_event(BA_EV_STOPPING, "instance=%s", g->identity.instance);
+	g->drain_at = now + DRAIN_AFTER;
 	g->stop_least = now + STOP_LEAST;
 	g->stop_limit = now + MAX(g->settings.grace - STOP_RESERVE, BA_SECOND);
 	px_stop(g->proxy);
-	ds_agent_drain(g->agent);
 	ba_loop_arm(g->loop, &g->stop_timer, now + STOP_LOOK);
 }
 
@@ -231,6 +234,10 @@
 	struct program *g = ba_entry(t, struct program, stop_timer);
 	bool busy = px_in_progress(g->proxy);
 
+	if (now >= g->drain_at) {
+		g->drain_at = BA_NEVER;
+		ds_agent_drain(g->agent);
+	}
 	if (now >= g->stop_least)
 		px_close(g->proxy);
 	if (now < g->stop_limit && (now < g->stop_least || busy)) {
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -132,8 +132,8 @@
 {
 	ba_time target = x->latency_target - ba_loop_now(x->p->loop);
 
-	ba_buf_addf(out, PX_SERVICE ": %s\r\n" PX_CALLER ": %s\r\n",
-		    x->service, x->caller);
+	ba_buf_addf(out, PX_SERVICE ": %s\r\n" PX_CALLER ": %s\r\n", x->service,
+		    x->caller);
 	ba_buf_addf(out, PX_ROUTE ": %s\r\n" PX_PRIORITY ": %u\r\n", x->route,
 		    x->priority);
 	ba_buf_addf(out, PX_TIME_LEFT ": %lld\r\n" PX_TARGET_LEFT ": %lld\r\n",
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -214,9 +214,9 @@
 	x->deadline = x->arrived + g_ascii_strtoll(left, NULL, 10);
 	x->priority = priority ? (uint32_t)strtoul(priority, NULL, 10) : 0;
 	x->route = ht_head_get(h, PX_ROUTE);
-	x->latency_target = target ? x->arrived +
-					     g_ascii_strtoll(target, NULL, 10)
-				   : x->deadline;
+	x->latency_target =
+		target ? x->arrived + g_ascii_strtoll(target, NULL, 10)
+		       : x->deadline;
 	ba_loop_arm(x->p->loop, &x->timer, x->deadline);
 	px_gate_arrive(x);
 }
--- a/proxy/px_gate.c
+++ b/proxy/px_gate.c
@@ -4,14 +4,20 @@
 #include "base/ba_result.h"
 #include "proxy/px_internal.h"
 
+/* A call is short when a slot is held this many times longer on average. */
+#define SHORT_SHARE 2.5
+
 enum {
 	WEIGHT_MOST = 3000,
-	TIME_SHARE = 8, /* of the newest in the smoothed time of a route */
+	RANKS = 3,	 /* short, others and late ones of a priority */
+	MEAN_SHARE = 64, /* of the newest in the mean of all routes */
+	TIME_SHARE = 8,	 /* of the newest in the smoothed time of a route */
 	ROUTES_LIMIT = 4096,
 	QUEUE_PER_SLOT = 16, /* the wait is bounded by the deadlines */
 };
 
 static void fill_ticket(struct px_exchange *x, ba_time now);
+static double slot_time(const struct px_gate *g);
 static int closed_code(const struct px *p, const char *service);
 static int code_of(enum cl_admit_reason reason);
 static bool is_renewed(const struct px_gate *g, const struct px_beat *b);
@@ -111,22 +117,36 @@
 /*
  * An answer is worth most within its latency target, so that a request waits
  * only for as long as it can still be met.  One that is late in any case goes
- * behind the others of its priority, and waits no longer than it takes.
+ * behind the others of its priority, and waits no longer than it takes.  One
+ * that is short beside the others here goes first and may wait until its
+ * caller gives up: it costs the others little, and most of them are calls of
+ * requests that are being worked on elsewhere.
  */
 static void fill_ticket(struct px_exchange *x, ba_time now)
 {
+	const struct px_gate *g = &x->p->gate;
 	const ba_time *known =
-		x->route ? g_hash_table_lookup(x->p->gate.times, x->route)
-			 : NULL;
+		x->route ? g_hash_table_lookup(g->times, x->route) : NULL;
+	uint32_t rank = MIN(x->priority, WEIGHT_MOST / RANKS - 1);
 	struct cl_ticket *t = &x->ticket;
+	bool is_short;
 	bool late;
 
 	t->expected = known ? *known : 0;
-	late = now + t->expected > x->latency_target;
-	t->deadline = late ? now + 2 * t->expected : x->latency_target;
-	t->deadline = MIN(t->deadline, x->deadline);
-	t->weight = WEIGHT_MOST - 2 * MIN(x->priority, WEIGHT_MOST / 2 - 1) -
-		    late;
+	is_short = known && (double)t->expected * SHORT_SHARE <= slot_time(g);
+	late = !is_short && now + t->expected > x->latency_target;
+	t->deadline = x->latency_target;
+	if (is_short)
+		t->deadline = x->deadline;
+	else if (late)
+		t->deadline = MIN(now + 2 * t->expected, x->deadline);
+	t->weight = WEIGHT_MOST - RANKS * rank + is_short - late;
+}
+
+/* The time of a call as a slot sees it: long calls hold it for longer. */
+static double slot_time(const struct px_gate *g)
+{
+	return g->mean > 0 ? g->square / g->mean : 0;
 }
 
 void px_gate_served(struct px_exchange *x)
@@ -135,6 +155,8 @@
 	ba_time took = ba_loop_now(x->p->loop) - x->ticket.started;
 	ba_time *known;
 
+	g->mean += ((double)took - g->mean) / MEAN_SHARE;
+	g->square += ((double)took * (double)took - g->square) / MEAN_SHARE;
 	if (!x->route)
 		return;
 	known = g_hash_table_lookup(g->times, x->route);
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -74,6 +74,8 @@
  * @admit: who may pass
  * @pool: connections to it
  * @times: smoothed time of the calls of each route, by its name
+ * @mean: smoothed time of all calls, in microseconds
+ * @square: smoothed square of it
  * @turn: fires at the end of a turn of the loop in which a slot became free
  */
 struct px_gate {
@@ -82,6 +84,8 @@
 	struct cl_admit *admit;
 	struct ht_pool *pool;
 	GHashTable *times;
+	double mean;
+	double square;
 	struct ba_timer turn;
 };
 
