call: where all are busy the wait decides; the paid link needs room

Cause: the nearest endpoint was taken while all were busy, however long its queue.

Change: the shortest wait over all distances, farther ones when the near wait is 1.25 times longer, across the paid link 2 times; a free slot there counts below 0.7 of the slots.

--- a/call/cl_route.c
+++ b/call/cl_route.c
@@ -9,6 +9,13 @@
 #define DAY (24 * BA_HOUR)
 #define RAMP_LEAST 0.1
 
+/* A wait farther away is taken when the near one is longer by this factor. */
+#define FARTHER_LEAST 1.25
+#define LINK_LEAST 2.0
+
+/* Of the slots across the paid link, so many are for calls from there. */
+#define LINK_FILL 0.7
+
 /** struct cl_service_routes - the endpoints of one service */
 struct cl_service_routes {
 	char *name;
@@ -97,6 +104,9 @@
 					const struct cl_pick_request *q,
 					ba_time now, struct ba_rand *rand,
 					enum cl_route_reason *reason);
+static bool waits_less(const struct cl_endpoint *far,
+		       const struct cl_endpoint *near,
+		       const struct cl_pick_request *q, ba_time now);
 static struct cl_endpoint *pick_owner(struct cl_service_routes *s,
 				      const struct cl_pick_request *q,
 				      enum cl_route_reason *reason);
@@ -392,6 +402,8 @@
 	bool link = link_allowed(r, now);
 
 	for (int pass = 0; pass < PASSES; pass++) {
+		struct cl_endpoint *best = NULL;
+
 		for (int t = 0; t < CL_TIERS; t++) {
 			struct cl_endpoint *e;
 
@@ -404,14 +416,37 @@
 				      now, rand);
 			*reason = pass == PASS_FREE ? (enum cl_route_reason)t
 						    : pass_reasons[pass];
-			if (e)
+			if (e && pass == PASS_FREE)
 				return e;
+			if (e && (!best || waits_less(e, best, q, now)))
+				best = e;
 		}
+		if (best)
+			return best;
 	}
 	*reason = link ? CL_ROUTE_NONE_LEFT : CL_ROUTE_BUDGET;
 	return NULL;
 }
 
+/*
+ * Where no slot is free the nearest is no better by itself: a call waits for
+ * what is before it, by the slots there are.
+ */
+static bool waits_less(const struct cl_endpoint *far,
+		       const struct cl_endpoint *near,
+		       const struct cl_pick_request *q, ba_time now)
+{
+	double factor = far->tier == CL_TIER_LINK ? LINK_LEAST : FARTHER_LEAST;
+	double near_load = near->tier == CL_TIER_SELF ? q->self_load
+						      : load(near, now);
+	double near_wait = (near_load + 1) * near->latency /
+			   (near->slots ? near->slots : 1);
+	double far_wait = (load(far, now) + 1) * far->latency /
+			  (far->slots ? far->slots : 1);
+
+	return far_wait * factor < near_wait;
+}
+
 static struct cl_endpoint *pick_owner(struct cl_service_routes *s,
 				      const struct cl_pick_request *q,
 				      enum cl_route_reason *reason)
@@ -470,7 +505,7 @@
 			continue;
 		if (pass == PASS_FREE && e->slots &&
 		    (tier == CL_TIER_SELF ? q->self_load : load(e, now)) >=
-			    e->slots)
+			    e->slots * (tier == CL_TIER_LINK ? LINK_FILL : 1))
 			continue;
 		offer(&d, e, rand);
 	}
