--- a/proxy/px_gate.c
+++ b/proxy/px_gate.c
@@ -116,7 +116,9 @@
 
 /*
  * An answer is worth most within its latency target, so that a request waits
- * only for as long as it can still be met.  One that is late in any case goes
+ * only for as long as it can still be met, also when it takes longer than
+ * others by half: else all that waits ends about at the target, and every
+ * second one behind it.  One that is late in any case goes
  * behind the others of its priority, and waits no longer than it takes.  One
  * that is short beside the others here goes first and may wait until its
  * caller gives up: it costs the others little, and most of them are calls of
@@ -135,7 +137,7 @@
 	t->expected = known ? *known : 0;
 	is_short = known && (double)t->expected * SHORT_SHARE <= slot_time(g);
 	late = !is_short && now + t->expected > x->latency_target;
-	t->deadline = x->latency_target;
+	t->deadline = x->latency_target - t->expected / 2;
 	if (is_short)
 		t->deadline = x->deadline;
 	else if (late)
