core: a leader that is gone is replaced within a second

Ruled out: giving restarted daemons what a follower holds; it could be older than what they held before.

Who is refused as nothing is configured yet is told to come back after a second.

--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -11,7 +11,7 @@
 static void add_stamp(const struct px_exchange *x, struct ba_buf *out);
 static void add_private(const struct px_exchange *x, struct ba_buf *out);
 static ba_time time_left(const struct px_exchange *x);
-static ba_time return_after(struct px_exchange *x);
+static ba_time return_after(struct px_exchange *x, int code);
 
 void px_compose_request(struct px_exchange *x, bool to_backend,
 			struct ba_buf *out)
@@ -79,7 +79,7 @@
 					     : 0);
 	else if (status == 503)
 		ba_buf_addf(out, "Retry-After: %.3f\r\n",
-			    (double)return_after(x) / (double)BA_SECOND);
+			    (double)return_after(x, code) / (double)BA_SECOND);
 	if (ht_conn_head(x->front->conn)->last ||
 	    (x->p->stopping && !x->front->from_peer))
 		ba_buf_addf(out, "Connection: close\r\n");
@@ -147,9 +147,15 @@
 	return left > BA_MS ? left : BA_MS;
 }
 
-/* Callers that were refused together do not come back together. */
-static ba_time return_after(struct px_exchange *x)
+/*
+ * Callers that were refused together do not come back together.  A proxy that
+ * has just started has its configuration once a leader is elected.
+ */
+static ba_time return_after(struct px_exchange *x, int code)
 {
-	return PX_RETURN_LEAST +
+	ba_time least = code == CL_NOT_CONFIGURED ? PX_RETURN_CONFIGURED
+						  : PX_RETURN_LEAST;
+
+	return least +
 	       (ba_time)ba_rand_below(&x->p->rand, PX_RETURN_SPREAD);
 }
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -46,6 +46,7 @@
 /* Retries that all proxies together may have saved up for one service. */
 #define PX_RETRY_FLEET 30.0
 #define PX_RETURN_LEAST (200 * BA_MS)
+#define PX_RETURN_CONFIGURED BA_SECOND
 #define PX_RETURN_SPREAD (300 * BA_MS)
 
 /* Fields between two proxies; they never reach a caller or backend server. */
--- a/replica/rp_core.c
+++ b/replica/rp_core.c
@@ -34,6 +34,15 @@
 	.resend = 400 * BA_MS,
 };
 
+const struct rp_times rp_times_near = {
+	.heartbeat = 100 * BA_MS,
+	.election_least = 500 * BA_MS,
+	.election_most = 900 * BA_MS,
+	.lease = 380 * BA_MS,
+	.probe = 150 * BA_MS,
+	.resend = 300 * BA_MS,
+};
+
 static void (*const event_handlers[])(struct rp_core *c,
 				      const struct rp_event *e, ba_time now,
 				      struct rp_actions *out) = {
--- a/replica/rp_core.h
+++ b/replica/rp_core.h
@@ -66,6 +66,12 @@
 /** rp_times_default - for replicas up to 50 ms apart */
 extern const struct rp_times rp_times_default;
 
+/**
+ * rp_times_near - for replicas up to 50 ms apart whose callers wait for less
+ * than a second: a leader that is gone is replaced within one
+ */
+extern const struct rp_times rp_times_near;
+
 enum rp_message_type {
 	RP_VOTE_REQUEST,
 	RP_VOTE_REPLY,
--- a/source/so.h
+++ b/source/so.h
@@ -39,6 +39,7 @@
  *	operators reach it, and all listen on the same port
  * @founders: so many of the first names form the group when there is none
  * @voters: voting members that are wanted
+ * @times: spans of the protocol, NULL for the default
  */
 struct so_settings {
 	struct pr_common common;
@@ -51,6 +52,7 @@
 	bool open;
 	size_t founders;
 	size_t voters;
+	const struct rp_times *times;
 };
 
 /**
--- a/source/so_source.c
+++ b/source/so_source.c
@@ -133,7 +133,7 @@
 	o.core.voters = st->voters;
 	o.core.n_names = st->names.n;
 	o.core.self = s->self;
-	o.core.times = rp_times_default;
+	o.core.times = st->times ? *st->times : rp_times_default;
 	o.core.seed = s->identity->incarnation;
 	s->heartbeat = o.core.times.heartbeat;
 	ret = rp_node_new(&o, ba_loop_now(s->loop), &found, &s->node);
