test: the open group runs with its own times; a trial that is not kept

Trial, not kept: late requests only while a quarter of the slots is free, so that new ones find room. Where load is at the limit and not above it, what is refused then could have been served late.

--- a/call/cl_route.c
+++ b/call/cl_route.c
@@ -437,8 +437,8 @@
 		       const struct cl_pick_request *q, ba_time now)
 {
 	double factor = far->tier == CL_TIER_LINK ? LINK_LEAST : FARTHER_LEAST;
-	double near_load = near->tier == CL_TIER_SELF ? q->self_load
-						      : load(near, now);
+	double near_load =
+		near->tier == CL_TIER_SELF ? q->self_load : load(near, now);
 	double near_wait = (near_load + 1) * near->latency /
 			   (near->slots ? near->slots : 1);
 	double far_wait = (load(far, now) + 1) * far->latency /
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -156,6 +156,5 @@
 	ba_time least = code == CL_NOT_CONFIGURED ? PX_RETURN_CONFIGURED
 						  : PX_RETURN_LEAST;
 
-	return least +
-	       (ba_time)ba_rand_below(&x->p->rand, PX_RETURN_SPREAD);
+	return least + (ba_time)ba_rand_below(&x->p->rand, PX_RETURN_SPREAD);
 }
--- a/test/rp_world.h
+++ b/test/rp_world.h
@@ -229,6 +229,8 @@
 
 		names.assign(list, list + n);
 		addresses = names;
+		if (founders)
+			times = rp_times_near;
 		if (f == LEASE_TOO_LONG)
 			times.lease = 4 * times.election_most;
 		for (int i = 0; i < n; i++) {
