--- /dev/null
+++ b/test/platform_test.cc
@@ -0,0 +1,223 @@
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <jansson.h>
+#include <string>
+
+#include "base/ba_result.h"
+#include "platform/pf.h"
+#include "test/proxy_world.h"
+
+namespace
+{
+
+/* @text of the configuration with @from replaced by @to. */
+std::string edited(const char *from, const char *to)
+{
+	std::string text = proxy_world::configuration;
+	size_t at = text.find(from);
+
+	EXPECT_NE(at, std::string::npos) << from;
+	return text.replace(at, strlen(from), to);
+}
+
+/* The code of the first problem, or BA_OK. */
+int submit(const std::string &text, std::string *key)
+{
+	struct cf_snapshot *none = cf_snapshot_empty();
+	struct cf_snapshot *s = nullptr;
+	struct ba_problems problems = {};
+	struct ba_buf packed = {};
+	int code = BA_OK;
+
+	if (!pf_operators.read_configuration(text.data(), text.size(), &packed,
+					     &problems))
+		code = problems.list[0].code;
+	else
+		code = cf_snapshot_adopt(packed.data, packed.len, none, 1, &s,
+					 &problems);
+	if (problems.n)
+		*key = problems.list[0].key;
+	cf_snapshot_unref(s);
+	cf_snapshot_unref(none);
+	ba_problems_free(&problems);
+	ba_buf_free(&packed);
+	return code;
+}
+
+TEST(PfConfiguration, IsReadBackAsItWasSent)
+{
+	struct cf_snapshot *s = proxy_world::snapshot();
+	struct ba_buf out = {};
+	json_error_t error;
+	json_t *sent =
+		json_loads(edited("\"9s\"", "\"9000ms\"").c_str(), 0, &error);
+	json_t *back;
+
+	pf_operators.write_configuration(s, &out);
+	back = json_loads(ba_buf_text(&out), 0, &error);
+	ASSERT_TRUE(sent && back);
+	EXPECT_STREQ(json_string_value(json_object_get(back, "version")),
+		     "0000002a");
+	EXPECT_TRUE(json_equal(json_object_get(sent, "limits"),
+			       json_object_get(back, "limits")));
+	json_t *rows = json_object_get(json_object_get(back, "routes"), "rows");
+
+	EXPECT_EQ(json_array_size(rows), 4u);
+	/* Rows come sorted by name; their values are those that were sent. */
+	for (size_t i = 0; i < json_array_size(rows); i++) {
+		json_t *row = json_array_get(rows, i);
+		json_t *before = json_object_get(
+			json_object_get(sent, "routes"), "rows");
+		bool found = false;
+
+		for (size_t j = 0; j < json_array_size(before); j++) {
+			json_t *one = json_array_get(before, j);
+
+			for (size_t k = 4; k < 6; k++) {
+				json_t *t = json_array_get(one, k);
+
+				if (!strcmp(json_string_value(t), "9s"))
+					json_array_set_new(
+						one, k, json_string("9000ms"));
+			}
+			found |= json_equal(one, row);
+		}
+		EXPECT_TRUE(found) << json_dumps(row, 0);
+	}
+	json_decref(sent);
+	json_decref(back);
+	ba_buf_free(&out);
+	cf_snapshot_unref(s);
+}
+
+/* Each way in which a configuration can be wrong, and where it is told. */
+TEST(PfConfiguration, WrongOnesAreRefusedWithTheirField)
+{
+	static const struct {
+		const char *name, *from, *to, *key;
+	} cases[] = {
+		{"cut short", "\"limits\"", "", "body"},
+		{"version", "\"0000002a\"", "\"xyz\"", "version"},
+		{"long version", "\"0000002a\"", "\"00000002a\"", "version"},
+		{"no routes", "\"routes\"", "\"roads\"", "routes"},
+		{"unknown service", "2,\"stock\"]", "2,\"gone\"]",
+		 "routes.service"},
+		{"unknown part", "{\"service\":\"none\"",
+		 "{\"service\":\"gone\"", "routes.split.service"},
+		{"no weight",
+		 "\"weight\":3},{\"service\":\"none\",\"weight\":1}",
+		 "\"weight\":0},{\"service\":\"none\",\"weight\":0}",
+		 "routes.split.weight"},
+		{"no timeout", "\"9000ms\"", "\"0ms\"", "routes.timeout"},
+		{"timeout without a unit", "\"9000ms\"", "9000", "routes"},
+		{"target far above the timeout", "\"9s\",\"400ms\"",
+		 "\"9s\",\"69s\"", "routes.latency_target"},
+		{"unknown kind", "\"non_idempotent\"", "\"maybe\"", "routes"},
+		{"two at one place", "/book/", "/look/", "routes.path"},
+		{"limits", "4096", "\"4096\"", "limits"},
+	};
+
+	for (const auto &c : cases) {
+		std::string key;
+		int code = submit(edited(c.from, c.to), &key);
+
+		EXPECT_NE(code, BA_OK) << c.name;
+		EXPECT_EQ(key, c.key) << c.name;
+	}
+}
+
+TEST(PfConfiguration, AlmostWrongOnesAreTaken)
+{
+	static const struct {
+		const char *name, *from, *to;
+	} cases[] = {
+		{"as it is", "\"version\"", "\"version\""},
+		{"target a little above the timeout", "\"9s\",\"400ms\"",
+		 "\"9s\",\"68s\""},
+		{"one part weighs nothing", "\"weight\":3", "\"weight\":0"},
+		{"unknown fields", "{\"version\"", "{\"new\":[1],\"version\""},
+		{"fractions", "\"9000ms\"", "\"0.5s\""},
+	};
+
+	for (const auto &c : cases) {
+		std::string key;
+
+		EXPECT_EQ(submit(edited(c.from, c.to), &key), BA_OK)
+			<< c.name << " " << key;
+	}
+}
+
+TEST(PfBeat, WhatCannotBeReadNamesNoEndpoint)
+{
+	static const char *const fine =
+		"{\"service\":\"s\",\"address\":\"a\",\"zone\":\"z\","
+		"\"version\":\"v1\",\"slots\":4,\"state\":\"ready\","
+		"\"cold_left\":\"1.5s\",\"sequence\":4,\"born\":17}";
+	static const struct {
+		const char *name, *from, *to;
+		bool ok;
+	} cases[] = {
+		{"as it is", "\"s\"", "\"s\"", true},
+		{"without a start", ",\"born\":17", "", true},
+		{"unknown field", "\"zone\"", "\"place\"", true},
+		{"no service", "\"service\"", "\"servant\"", false},
+		{"service of another type", "\"s\"", "5", false},
+		{"no slots", "\"slots\":4", "\"slots\":0", false},
+		{"slots of another type", "\"slots\":4", "\"slots\":\"4\"",
+		 false},
+		{"unknown state", "ready", "steady", false},
+		{"start as a fraction", ":17", ":17.5", false},
+		{"time without a unit", "1.5s", "15", false},
+		{"bytes", "{", "\xff\xfe", false},
+		{"NUL in a name", "\"s\"", "\"s\\u0000t\"", false},
+	};
+
+	for (const auto &c : cases) {
+		std::string text = fine;
+		struct px_beat b = {};
+
+		text.replace(text.find(c.from), strlen(c.from), c.to);
+		EXPECT_EQ(pf_proxy.read_beat(text.data(), text.size(), &b),
+			  c.ok)
+			<< c.name;
+	}
+	struct px_beat b = {};
+
+	EXPECT_FALSE(pf_proxy.read_beat(nullptr, 0, &b));
+	ASSERT_TRUE(pf_proxy.read_beat(fine, strlen(fine), &b));
+	EXPECT_EQ(b.cold, 1500 * BA_MS);
+	EXPECT_EQ(b.sequence, 4);
+	EXPECT_EQ(b.born, 17);
+	EXPECT_EQ(b.slots, 4u);
+}
+
+TEST(PfControl, CallsByMethodAndPath)
+{
+	static const struct {
+		const char *method, *target;
+		enum px_control call;
+	} cases[] = {
+		{"GET", "/v1/ready", PX_CONTROL_READY},
+		{"POST", "/v1/ready", PX_CONTROL_UNKNOWN},
+		{"POST", "/v1/instances/i-1/heartbeat", PX_CONTROL_BEAT},
+		{"POST", "/v1/instances/i-1/deregister", PX_CONTROL_LEAVE},
+		{"POST", "/v1/instances//heartbeat", PX_CONTROL_UNKNOWN},
+		{"POST", "/v1/instances/i-1", PX_CONTROL_UNKNOWN},
+		{"GET", "/v1/instances/i-1/heartbeat", PX_CONTROL_UNKNOWN},
+		{"POST", "/", PX_CONTROL_UNKNOWN},
+	};
+
+	for (const auto &c : cases) {
+		char backend[PX_ID_BYTES] = "";
+
+		EXPECT_EQ(pf_proxy.read_control(c.method, c.target, backend),
+			  c.call)
+			<< c.method << " " << c.target;
+		if (c.call == PX_CONTROL_BEAT) {
+			EXPECT_STREQ(backend, "i-1");
+		}
+	}
+}
+
+} // namespace
