--- a/test/cases/settings-docs.sh
+++ b/test/cases/settings-docs.sh
@@ -16,13 +16,14 @@
 		docs/SETTINGS.md
 }
 
-for program in caraway-source caraway-relay carawayd carawayctl
+for program in caraway-source caraway-relay carawayd carawayctl \
+	caraway-core caraway-proxy
 do
 	test -x "$build/$program" || { echo "no $program"; continue; }
 	"$build/$program" --keys | sort >"$dir/code"
 	{
 		test $program = carawayctl ||
-			section "All of caraway-source, caraway-relay and carawayd"
+			section "All of caraway-source, caraway-relay, carawayd, caraway-core and caraway-proxy"
 		section $program
 	} | sort >"$dir/docs"
 	diff "$dir/code" "$dir/docs" || { echo "$program differs"; exit 1; }
--- /dev/null
+++ b/test/platform.sh
@@ -0,0 +1,22 @@
+#!/bin/sh
+# No name of the users' platform stands outside platform/, deploy/ and test/,
+# and platform/ stays small.
+#
+# usage: test/platform.sh
+
+limit=1500
+names='X-Attempt-Id|X-Deadline-Ms|X-Target-Instance|X-Caller-Service|X-Not-Executed|X-Server-Load|X-Response-Stamp|X-Base-Version|X-Instance-Id|/v1/(ready|instances|config)|cold_left|weighted_split|path_prefix|target_latency|heartbeat_addr|non_idempotent'
+
+if git grep -nE "$names" -- '*.c' '*.h' '*.cc' '*.proto' \
+	':!platform' ':!deploy' ':!test'
+then
+	echo "names of the platform outside platform/"
+	exit 1
+fi
+if grep -rnE 'ba_(loop|rand)_|ba_clock_(now|wall)' platform
+then
+	echo "platform/ translates; it has no time, state or choice"
+	exit 1
+fi
+lines=$(cat platform/* | wc -l)
+test "$lines" -lt $limit || { echo "platform/ has $lines lines"; exit 1; }
