call: how long a call waits, apart from the proxy; metrics on the loop

Cause: the decision of who waits stood among the sockets of proxy/, without a test that replays its load. The two new programs read metrics.address and served nothing there; the other programs' page was served by libmicrohttpd, with a thread of its own and a malformed 400.

Change: cl_wait holds the decision; test/cl_wait_test.cc replays an overload of 1.2, 1.5 and 2 times with callers that come back, a load below the limit, and short calls in a crowd, with and without it. pr_metrics is served by http/ on the program's loop, for all programs, with the latency of calls as a summary. log.file "-" is standard output, as the templates ask.

--- a/base/ba_event.c
+++ b/base/ba_event.c
@@ -28,6 +28,8 @@
 	IDLE_PAUSES = 40,
 };
 
+#define STANDARD_OUTPUT "-"
+
 static const GLogLevelFlags glib_levels[] = {
 	[BA_DEBUG] = G_LOG_LEVEL_DEBUG,	   [BA_INFO] = G_LOG_LEVEL_INFO,
 	[BA_NOTICE] = G_LOG_LEVEL_MESSAGE, [BA_WARNING] = G_LOG_LEVEL_WARNING,
@@ -344,5 +346,7 @@
 
 static int open_file(const char *path)
 {
+	if (!strcmp(path, STANDARD_OUTPUT))
+		return dup(STDOUT_FILENO);
 	return open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
 }
--- a/base/ba_event.h
+++ b/base/ba_event.h
@@ -120,7 +120,8 @@
 /**
  * ba_event_open() - start the log thread
  * @program: name and instance, the first field of each line
- * @path: file to append to, or NULL for standard error
+ * @path: file to append to, "-" for standard output, or NULL for standard
+ *	error
  * @least: least severity that is logged
  *
  * Return: %BA_OK or %BA_FILE_UNREADABLE.
--- a/prog/caraway-core.c
+++ b/prog/caraway-core.c
@@ -5,6 +5,7 @@
 #include "base/ba_result.h"
 #include "platform/pf.h"
 #include "prog/pr.h"
+#include "prog/pr_metrics.h"
 #include "relay/re.h"
 #include "source/so.h"
 #include "source/so_group.h"
@@ -64,6 +65,7 @@
 	struct so_source source;
 	struct re_relay relay;
 	struct so_http *http;
+	struct pr_metrics *metrics;
 	bool started;
 };
 
@@ -103,6 +105,7 @@
 	if (!ret)
 		ba_loop_run(g->loop);
 	so_http_free(g->http);
+	pr_metrics_stop(g->metrics);
 	if (g->relay.listener)
 		re_relay_stop(&g->relay);
 	if (g->started)
@@ -209,6 +212,8 @@
 		return pr_listen_failed(&g->settings.relay_address);
 	if (so_http_new(g->loop, &http, &g->http))
 		return pr_listen_failed(&g->settings.operators);
+	if (pr_metrics_start(g->loop, &g->settings.common.metrics, &g->metrics))
+		return pr_listen_failed(&g->settings.common.metrics);
 	return 0;
 }
 
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -7,6 +7,7 @@
 #include "distrib/ds_agent.h"
 #include "platform/pf.h"
 #include "prog/pr.h"
+#include "prog/pr_metrics.h"
 #include "proxy/px.h"
 
 #define LEASE (3 * BA_SECOND)
@@ -63,6 +64,7 @@
 	struct settings settings;
 	struct wi_identity identity;
 	struct ba_loop *loop;
+	struct pr_metrics *metrics;
 	struct px *proxy;
 	struct ds_agent *agent;
 	struct ba_timer stop_timer;
@@ -103,6 +105,9 @@
 	ba_loop_signals(g->loop, on_signal, g);
 	g->stop_timer.fire = on_stop_timer;
 	ret = start_proxy(g);
+	if (!ret &&
+	    pr_metrics_start(g->loop, &g->settings.common.metrics, &g->metrics))
+		ret = pr_listen_failed(&g->settings.common.metrics);
 	if (!ret) {
 		start_agent(g);
 		ba_loop_run(g->loop);
@@ -110,6 +115,7 @@
 	ba_loop_disarm(g->loop, &g->stop_timer);
 	ds_agent_free(g->agent);
 	px_free(g->proxy);
+	pr_metrics_stop(g->metrics);
 	ba_loop_free(g->loop);
 	return ret;
 }
--- a/prog/caraway-source.c
+++ b/prog/caraway-source.c
@@ -104,7 +104,7 @@
 	struct pr_metrics *metrics = NULL;
 	int ret;
 
-	if (pr_metrics_start(&st->common.metrics, &metrics))
+	if (pr_metrics_start(s->loop, &st->common.metrics, &metrics))
 		return pr_listen_failed(&st->common.metrics);
 	ret = so_source_start(s);
 	if (ret) {
--- a/prog/carawayd.c
+++ b/prog/carawayd.c
@@ -136,7 +136,8 @@
 	d->call_identity.meter = NULL;
 	start_tables(d);
 	ret = start_workers(d);
-	if (!ret && pr_metrics_start(&d->settings.common.metrics, &d->metrics))
+	if (!ret &&
+	    pr_metrics_start(d->loop, &d->settings.common.metrics, &d->metrics))
 		ret = pr_listen_failed(&d->settings.common.metrics);
 	if (!ret)
 		ret = start_agent(d);
--- a/prog/pr_metrics.c
+++ b/prog/pr_metrics.c
@@ -1,30 +1,47 @@
 #include <string.h>
 
 #include <glib.h>
-#include <microhttpd.h>
 
-#include "base/ba_buf.h"
+#include "base/ba_list.h"
 #include "base/ba_result.h"
+#include "http/ht_conn.h"
 #include "prog/pr_metrics.h"
 #include "report/rt.h"
 
 enum {
 	CONNECTIONS_LIMIT = 16,
-	IDLE_TIMEOUT_S = 10,
+	HEAD_LIMIT_BYTES = 8192,
 };
 
+#define IDLE_TIMEOUT (10 * BA_SECOND)
+
 struct pr_metrics {
-	struct MHD_Daemon *http;
+	struct ht_acceptor acceptor;
+	struct ba_loop *loop;
+	struct ht_listener *listener;
+	struct ba_list conns;
+	unsigned int n_conns;
+};
+
+/* struct reader - a connection of whoever collects the counters */
+struct reader {
+	struct ht_owner owner;
+	struct ba_list link;
+	struct pr_metrics *metrics;
+	struct ht_conn *conn;
 };
 
-static enum MHD_Result answer(void *cls, struct MHD_Connection *c,
-			      const char *url, const char *method,
-			      const char *version, const char *body,
-			      size_t *body_len, void **state);
-static unsigned int fill(const char *url, const char *method,
-			 struct ba_buf *out);
+static void on_accept(struct ht_acceptor *a, int fd);
+static void on_head(struct ht_owner *o, struct ht_conn *c);
+static void on_body(struct ht_owner *o, struct ht_conn *c, const void *data,
+		    size_t len);
+static void on_whole(struct ht_owner *o, struct ht_conn *c);
+static void on_ended(struct ht_owner *o, struct ht_conn *c, enum ht_end why);
+static int fill(const char *url, const char *method, struct ba_buf *out);
+static void forget(struct reader *r);
 
-int pr_metrics_start(const struct ba_address *at, struct pr_metrics **out)
+int pr_metrics_start(struct ba_loop *loop, const struct ba_address *at,
+		     struct pr_metrics **out)
 {
 	struct pr_metrics *m;
 
@@ -32,12 +49,10 @@
 	if (!at->len)
 		return BA_OK;
 	m = g_new0(struct pr_metrics, 1);
-	m->http = MHD_start_daemon(
-		MHD_USE_EPOLL_INTERNAL_THREAD, 0, NULL, NULL, answer, NULL,
-		MHD_OPTION_SOCK_ADDR, (const struct sockaddr *)&at->sockaddr,
-		MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_LIMIT,
-		MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, MHD_OPTION_END);
-	if (!m->http) {
+	m->acceptor.accept = on_accept;
+	m->loop = loop;
+	ba_list_init(&m->conns);
+	if (ht_listen(loop, at, &m->acceptor, &m->listener)) {
 		g_free(m);
 		return BA_PORT_IN_USE;
 	}
@@ -49,51 +64,103 @@
 {
 	if (!m)
 		return;
-	MHD_stop_daemon(m->http);
+	ht_listener_close(m->listener);
+	while (!ba_list_empty(&m->conns)) {
+		struct reader *r = ba_entry(m->conns.next, struct reader, link);
+
+		ht_conn_abort(r->conn);
+		forget(r);
+	}
 	g_free(m);
 }
 
-static enum MHD_Result answer(void *cls, struct MHD_Connection *c,
-			      const char *url, const char *method,
-			      const char *version, const char *body,
-			      size_t *body_len, void **state)
+static void on_accept(struct ht_acceptor *a, int fd)
+{
+	struct pr_metrics *m = (struct pr_metrics *)a;
+	struct reader *r = g_new0(struct reader, 1);
+
+	r->owner.head = on_head;
+	r->owner.body = on_body;
+	r->owner.whole = on_whole;
+	r->owner.ended = on_ended;
+	r->metrics = m;
+	ba_list_append(&m->conns, &r->link);
+	r->conn = ht_conn_accepted(m->loop, fd, HEAD_LIMIT_BYTES, &r->owner);
+	ht_conn_expect(r->conn, ba_loop_now(m->loop) + IDLE_TIMEOUT);
+	if (m->n_conns++ < CONNECTIONS_LIMIT)
+		return;
+	ht_conn_abort(r->conn);
+	forget(r);
+}
+
+static void on_head(struct ht_owner *o, struct ht_conn *c)
+{
+	(void)o;
+	(void)c;
+}
+
+static void on_body(struct ht_owner *o, struct ht_conn *c, const void *data,
+		    size_t len)
 {
+	(void)o;
+	(void)c;
+	(void)data;
+	(void)len;
+}
+
+static void on_whole(struct ht_owner *o, struct ht_conn *c)
+{
+	const struct ht_head *h = ht_conn_head(c);
+	struct reader *r = (struct reader *)o;
 	struct ba_buf text = {0};
-	struct MHD_Response *r;
-	enum MHD_Result ret;
-	unsigned int status;
-
-	(void)cls;
-	(void)version;
-	(void)body;
-	(void)state;
-	*body_len = 0;
-	status = fill(url, method, &text);
-	r = MHD_create_response_from_buffer(text.len, text.data,
-					    MHD_RESPMEM_MUST_COPY);
-	MHD_add_response_header(r, MHD_HTTP_HEADER_CONTENT_TYPE,
-				"text/plain; version=0.0.4");
-	ret = MHD_queue_response(c, status, r);
-	MHD_destroy_response(r);
+	bool last = h->last;
+	int status = fill(ht_head_target(h), h->method, &text);
+
+	ba_buf_addf(ht_conn_out(c),
+		    "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n"
+		    "Content-Type: text/plain; version=0.0.4\r\n%s\r\n",
+		    status, ht_reason(status), text.len,
+		    last ? "Connection: close\r\n" : "");
+	ht_conn_write(c, text.data, text.len);
 	ba_buf_free(&text);
-	return ret;
+	if (last) {
+		forget(r);
+		ht_conn_finish(c);
+		return;
+	}
+	ht_conn_flush(c);
+	ht_conn_expect(c, ba_loop_now(r->metrics->loop) + IDLE_TIMEOUT);
+	ht_conn_next(c);
 }
 
-static unsigned int fill(const char *url, const char *method,
-			 struct ba_buf *out)
+static void on_ended(struct ht_owner *o, struct ht_conn *c, enum ht_end why)
 {
-	if (strcmp(method, MHD_HTTP_METHOD_GET)) {
+	(void)c;
+	(void)why;
+	forget((struct reader *)o);
+}
+
+static int fill(const char *url, const char *method, struct ba_buf *out)
+{
+	if (strcmp(method, "GET") != 0) {
 		ba_buf_addf(out, "only GET is served here\n");
-		return MHD_HTTP_METHOD_NOT_ALLOWED;
+		return 405;
 	}
 	if (!strcmp(url, "/metrics")) {
 		rt_expose(out);
-		return MHD_HTTP_OK;
+		return 200;
 	}
 	if (!strcmp(url, "/health")) {
 		ba_buf_addf(out, "ok\n");
-		return MHD_HTTP_OK;
+		return 200;
 	}
 	ba_buf_addf(out, "served here: /metrics and /health\n");
-	return MHD_HTTP_NOT_FOUND;
+	return 404;
+}
+
+static void forget(struct reader *r)
+{
+	ba_list_remove(&r->link);
+	r->metrics->n_conns--;
+	g_free(r);
 }
--- a/prog/pr_metrics.h
+++ b/prog/pr_metrics.h
@@ -5,17 +5,20 @@
 #ifndef PR_METRICS_H
 #define PR_METRICS_H
 
+#include "base/ba_loop.h"
 #include "base/ba_unit.h"
 
 struct pr_metrics;
 
 /**
  * pr_metrics_start() - serve the counters of this process at @at
+ * @loop: on whose thread they are served
  * @out: the server, or NULL when @at is empty
  *
  * Return: %BA_OK or %BA_PORT_IN_USE.
  */
-int pr_metrics_start(const struct ba_address *at, struct pr_metrics **out);
+int pr_metrics_start(struct ba_loop *loop, const struct ba_address *at,
+		     struct pr_metrics **out);
 
 /** pr_metrics_stop() - stop serving; NULL is allowed */
 void pr_metrics_stop(struct pr_metrics *m);
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -40,8 +40,7 @@
 					  split_free);
 	p->seen =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	p->gate.times =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	p->gate.wait = cl_wait_new();
 	p->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					 pool_free);
 	ret = listen_all(p, failed);
@@ -107,7 +106,7 @@
 	ba_loop_disarm(p->loop, &p->gate.turn);
 	g_hash_table_destroy(p->pools);
 	g_hash_table_destroy(p->splits);
-	g_hash_table_destroy(p->gate.times);
+	cl_wait_free(p->gate.wait);
 	g_hash_table_destroy(p->seen);
 	g_hash_table_destroy(p->retries);
 	ht_pool_free(p->gate.pool);
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -4,11 +4,9 @@
 #include "base/ba_event.h"
 #include "base/ba_result.h"
 #include "proxy/px_internal.h"
+#include "report/rt.h"
 
-#define PATIENCE_JITTER (20 * BA_MS)
-
-/* Of the difference, so much is forgotten with each shorter time. */
-enum { PATIENCE_SHARE = 1024, BYTES_SHARE = 16 };
+enum { BYTES_SHARE = 16 };
 
 static struct px_exchange *exchange_new(struct px_front *f);
 static void begin_from_peer(struct px_exchange *x);
@@ -17,7 +15,6 @@
 static void take_route(struct px_exchange *x, const struct cf_route *r,
 		       ba_time time_left);
 static struct px_seen *route_seen(struct px *p, const char *route);
-static ba_time spent(struct px *p, const struct cf_route *r, ba_time left);
 static const char *choose_service(struct px_exchange *x,
 				  const struct cf_route *r);
 static struct px_split *split_of(struct px *p, const struct cf_route *r);
@@ -192,6 +189,7 @@
 	ba_list_append(&f->p->exchanges, &x->link);
 	f->p->n_exchanges++;
 	f->exchange = x;
+	rt_count(RT_CALLS, 1);
 	return x;
 }
 
@@ -262,6 +260,7 @@
 		       ba_time left)
 {
 	ba_time timeout = r->timeout ? r->timeout : PX_TIMEOUT_DEFAULT;
+	ba_time spent;
 
 	x->route = r->name;
 	x->service = choose_service(x, r);
@@ -275,9 +274,11 @@
 	if (left >= 0 && left < timeout)
 		x->deadline = x->arrived + left;
 	x->latency_target = x->deadline;
+	spent = left < 0 ? 0
+			 : cl_patience_spent(
+				   &route_seen(x->p, r->name)->patience, left);
 	if (r->latency_target && r->latency_target < x->deadline - x->arrived)
-		x->latency_target =
-			x->arrived + r->latency_target - spent(x->p, r, left);
+		x->latency_target = x->arrived + r->latency_target - spent;
 }
 
 static struct px_seen *route_seen(struct px *p, const char *route)
@@ -291,27 +292,6 @@
 	return known;
 }
 
-/*
- * Callers of one route wait equally long, so that one that waits for less has
- * been here before: its latency target counts from its first attempt.  The
- * longest time is forgotten slowly, as callers change.
- */
-static ba_time spent(struct px *p, const struct cf_route *r, ba_time left)
-{
-	struct px_seen *known = route_seen(p, r->name);
-	ba_time shorter;
-
-	if (left < 0)
-		return 0;
-	if (left >= known->longest) {
-		known->longest = left;
-		return 0;
-	}
-	shorter = known->longest - left;
-	known->longest -= shorter / PATIENCE_SHARE;
-	return shorter > PATIENCE_JITTER ? shorter : 0;
-}
-
 /*
  * Parts take turns by their weights, so that the shares hold over a few
  * requests already; a coin would need hundreds.
@@ -380,6 +360,8 @@
 	ba_event(CL_EV_NOT_RUN,
 		 "call=%s service=%s code=%d status=%d tried=%zu", x->id,
 		 x->service ? x->service : "", code, status, x->n_tried);
+	rt_count(status == 502 || status == 504 ? RT_MAY_HAVE_RUN : RT_NOT_RUN,
+		 1);
 	px_compose_refusal(x, status, code, ht_conn_out(f->conn));
 	px_exchange_end(x);
 	px_front_done(f);
@@ -410,6 +392,7 @@
 		     cl_retry_decide(retry_of(x->p, x->service), &f,
 				     ba_loop_now(x->p->loop), &reason);
 
+	rt_count(RT_RETRIED, again);
 	ba_event(CL_EV_RETRIED, "call=%s service=%s code=%d again=%d reason=%s",
 		 x->id, x->service, code, (int)again,
 		 cl_retry_reason_name(reason));
--- a/proxy/px_gate.c
+++ b/proxy/px_gate.c
@@ -4,20 +4,10 @@
 #include "base/ba_result.h"
 #include "proxy/px_internal.h"
 
-/* A call is short when a slot is held this many times longer on average. */
-#define SHORT_SHARE 2.5
-
 enum {
-	WEIGHT_MOST = 3000,
-	RANKS = 3,	 /* short, others and late ones of a priority */
-	MEAN_SHARE = 64, /* of the newest in the mean of all routes */
-	TIME_SHARE = 8,	 /* of the newest in the smoothed time of a route */
-	ROUTES_LIMIT = 4096,
 	QUEUE_PER_SLOT = 16, /* the wait is bounded by the deadlines */
 };
 
-static void fill_ticket(struct px_exchange *x, ba_time now);
-static double slot_time(const struct px_gate *g);
 static int closed_code(const struct px *p, const char *service);
 static int code_of(enum cl_admit_reason reason);
 static bool is_renewed(const struct px_gate *g, const struct px_beat *b);
@@ -30,6 +20,12 @@
 {
 	struct px *p = x->p;
 	ba_time now = ba_loop_now(p->loop);
+	const struct cl_waiter waiter = {
+		.route = x->route,
+		.priority = x->priority,
+		.target = x->latency_target,
+		.deadline = x->deadline,
+	};
 	int code = closed_code(p, x->service);
 	enum cl_admit_reason reason;
 
@@ -37,7 +33,7 @@
 		px_exchange_not_run(x, code);
 		return;
 	}
-	fill_ticket(x, now);
+	cl_wait_ticket(p->gate.wait, &waiter, now, &x->ticket);
 	switch (cl_admit_arrive(p->gate.admit, &x->ticket, now, &reason)) {
 	case CL_ADMIT_START:
 		px_upstream_backend(x);
@@ -114,63 +110,6 @@
 	return !closed_code(p, service);
 }
 
-/*
- * An answer is worth most within its latency target, so that a request waits
- * only for as long as it can still be met, also when it takes longer than
- * others by half: else all that waits ends about at the target, and every
- * second one behind it.  One that is late in any case goes
- * behind the others of its priority, and waits no longer than it takes.  One
- * that is short beside the others here goes first and may wait until its
- * caller gives up: it costs the others little, and most of them are calls of
- * requests that are being worked on elsewhere.
- */
-static void fill_ticket(struct px_exchange *x, ba_time now)
-{
-	const struct px_gate *g = &x->p->gate;
-	const ba_time *known =
-		x->route ? g_hash_table_lookup(g->times, x->route) : NULL;
-	uint32_t rank = MIN(x->priority, WEIGHT_MOST / RANKS - 1);
-	struct cl_ticket *t = &x->ticket;
-	bool is_short;
-	bool late;
-
-	t->expected = known ? *known : 0;
-	is_short = known && (double)t->expected * SHORT_SHARE <= slot_time(g);
-	late = !is_short && now + t->expected > x->latency_target;
-	t->deadline = x->latency_target - t->expected / 2;
-	if (is_short)
-		t->deadline = x->deadline;
-	else if (late)
-		t->deadline = MIN(now + 2 * t->expected, x->deadline);
-	t->weight = WEIGHT_MOST - RANKS * rank + is_short - late;
-}
-
-/* The time of a call as a slot sees it: long calls hold it for longer. */
-static double slot_time(const struct px_gate *g)
-{
-	return g->mean > 0 ? g->square / g->mean : 0;
-}
-
-void px_gate_served(struct px_exchange *x)
-{
-	struct px_gate *g = &x->p->gate;
-	ba_time took = ba_loop_now(x->p->loop) - x->ticket.started;
-	ba_time *known;
-
-	g->mean += ((double)took - g->mean) / MEAN_SHARE;
-	g->square += ((double)took * (double)took - g->square) / MEAN_SHARE;
-	if (!x->route)
-		return;
-	known = g_hash_table_lookup(g->times, x->route);
-	if (known) {
-		*known += (took - *known) / TIME_SHARE;
-	} else if (g_hash_table_size(g->times) < ROUTES_LIMIT) {
-		known = g_new(ba_time, 1);
-		*known = took;
-		g_hash_table_insert(g->times, g_strdup(x->route), known);
-	}
-}
-
 static int closed_code(const struct px *p, const char *service)
 {
 	const struct px_gate *g = &p->gate;
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -19,6 +19,7 @@
 #include "call/cl_admit.h"
 #include "call/cl_retry.h"
 #include "call/cl_route.h"
+#include "call/cl_wait.h"
 #include "http/ht_conn.h"
 #include "http/ht_pool.h"
 #include "proxy/px.h"
@@ -74,9 +75,7 @@
  * @beat: what it last said
  * @admit: who may pass
  * @pool: connections to it
- * @times: smoothed time of the calls of each route, by its name
- * @mean: smoothed time of all calls, in microseconds
- * @square: smoothed square of it
+ * @wait: how long requests may wait, and behind whom
  * @turn: fires at the end of a turn of the loop in which a slot became free
  */
 struct px_gate {
@@ -84,9 +83,7 @@
 	struct px_beat beat;
 	struct cl_admit *admit;
 	struct ht_pool *pool;
-	GHashTable *times;
-	double mean;
-	double square;
+	struct cl_wait *wait;
 	struct ba_timer turn;
 };
 
@@ -121,11 +118,11 @@
 
 /**
  * struct px_seen - what was seen of the requests of a route
- * @longest: the longest that a request has told
+ * @patience: how long their callers wait
  * @bytes: smoothed size of its answers
  */
 struct px_seen {
-	ba_time longest;
+	struct cl_patience patience;
 	double bytes;
 };
 
@@ -271,9 +268,6 @@
  */
 void px_gate_next(struct px *p);
 
-/** px_gate_served() - it was answered; what its route takes is learnt */
-void px_gate_served(struct px_exchange *x);
-
 /** px_gate_on_turn() - that end */
 void px_gate_on_turn(struct ba_timer *t, ba_time now);
 
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -4,6 +4,7 @@
 #include "base/ba_event.h"
 #include "base/ba_result.h"
 #include "proxy/px_internal.h"
+#include "report/rt.h"
 
 static void send_over(struct px_exchange *x, struct ht_pool *pool,
 		      enum px_place place);
@@ -228,13 +229,16 @@
 	pass_held(x);
 	if (x->chunked)
 		ba_buf_addf(ht_conn_out(f->conn), "0\r\n\r\n");
+	rt_count(RT_ANSWERED, 1);
+	rt_latency(ba_loop_now(x->p->loop) - x->arrived);
 	framed = x->chunked || x->bodyless || x->length >= 0;
 	ba_event(CL_EV_ANSWERED, "call=%s service=%s status=%d took_us=%lld",
 		 x->id, x->service, x->status,
 		 (long long)(ba_loop_now(x->p->loop) - x->arrived));
 	release(x);
 	if (x->ticket.running)
-		px_gate_served(x);
+		cl_wait_served(x->p->gate.wait, x->route,
+			       ba_loop_now(x->p->loop) - x->ticket.started);
 	px_exchange_leave(x, x->status >= 500 ? CL_SEEN_ERROR_ANSWER
 					      : CL_SEEN_ANSWER);
 	px_exchange_answered(x);
--- a/report/rt.c
+++ b/report/rt.c
@@ -66,6 +66,9 @@
 
 static struct part *find_part(enum rt_counter id, const char *label);
 static void expose_parts(struct ba_buf *out, enum rt_counter id);
+static void expose_latency(struct ba_buf *out);
+
+static struct rt_hist latency;
 
 void rt_count(enum rt_counter id, uint64_t n)
 {
@@ -168,6 +171,11 @@
 	return rt_hist_upper(RT_HIST_BUCKETS - 1);
 }
 
+void rt_latency(ba_time us)
+{
+	rt_hist_add(&latency, us);
+}
+
 void rt_expose(struct ba_buf *out)
 {
 	for (unsigned int i = 0; i < RT_COUNTERS; i++) {
@@ -176,6 +184,22 @@
 			    (unsigned long long)rt_counter_value(i));
 		expose_parts(out, i);
 	}
+	expose_latency(out);
+}
+
+static void expose_latency(struct ba_buf *out)
+{
+	static const double quantiles[] = {0.5, 0.9, 0.99, 0.999};
+
+	ba_buf_addf(out, "# TYPE caraway_call_microseconds summary\n");
+	for (size_t i = 0; i < sizeof(quantiles) / sizeof(*quantiles); i++)
+		ba_buf_addf(
+			out,
+			"caraway_call_microseconds{quantile=\"%g\"} %lld\n",
+			quantiles[i],
+			(long long)rt_hist_quantile(&latency, quantiles[i]));
+	ba_buf_addf(out, "caraway_call_microseconds_count %llu\n",
+		    (unsigned long long)rt_hist_total(&latency));
 }
 
 /* The last row takes what finds no room; called with the lock held. */
--- a/report/rt.h
+++ b/report/rt.h
@@ -123,7 +123,10 @@
 /** rt_hist_quantile() - upper end of the bucket of quantile @q; 0 if empty */
 ba_time rt_hist_quantile(const struct rt_hist *h, double q);
 
-/** rt_expose() - append all counters in the text exposition format */
+/** rt_latency() - a call was answered after @us microseconds */
+void rt_latency(ba_time us);
+
+/** rt_expose() - append all counters and the latency of calls in the text exposition format */
 void rt_expose(struct ba_buf *out);
 
 #ifdef __cplusplus
--- /dev/null
+++ b/test/cl_wait_test.cc
@@ -0,0 +1,288 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include "base/ba_rand.h"
+#include "call/cl_wait.h"
+
+namespace
+{
+
+/* One kind of call that arrives at the gate. */
+struct kind {
+	const char *route;
+	double per_second;
+	ba_time takes;	/* on average; from half to three halves of it */
+	ba_time target; /* since the first attempt */
+	ba_time patience;
+	int retries;
+};
+
+struct call {
+	struct cl_ticket ticket;
+	const struct kind *kind;
+	ba_time first;
+	ba_time ends;
+	int retries;
+};
+
+struct event {
+	ba_time at;
+	uint64_t order;
+	enum { ARRIVES, ENDS } what;
+	call *c;
+	bool operator<(const event &o) const
+	{
+		return at != o.at ? at > o.at : order > o.order;
+	}
+};
+
+struct count {
+	int asked, in_time, late, lost;
+};
+
+/*
+ * A gate in virtual time.  Callers that are refused come back after 200 to
+ * 500 ms, as often as their kind says.  Without @wait a call waits until its
+ * caller gives up, in the order of arrival's deadlines.
+ */
+struct gate {
+	static const int slots = 12;
+	struct ba_rand rand = {7};
+	struct cl_admit *admit;
+	struct cl_wait *wait = cl_wait_new();
+	bool plain;
+	std::priority_queue<event> events;
+	std::map<std::string, struct cl_patience> patience;
+	std::map<std::string, count> counts;
+	uint64_t order = 0;
+
+	explicit gate(bool plain) : plain(plain)
+	{
+		struct cl_admit_options o = {};
+
+		o.slots = slots;
+		o.connections = 1000;
+		o.queue = slots * 16;
+		o.bounded = true;
+		admit = cl_admit_new(&o);
+	}
+	~gate()
+	{
+		cl_admit_free(admit);
+		cl_wait_free(wait);
+	}
+
+	ba_time between(ba_time least, ba_time most)
+	{
+		return least +
+		       (ba_time)ba_rand_below(&rand, (uint64_t)(most - least));
+	}
+
+	void push(ba_time at, call *c, decltype(event::what) what)
+	{
+		events.push({at, ++order, what, c});
+	}
+
+	void start(call *c, ba_time now)
+	{
+		ba_time half = c->kind->takes / 2;
+
+		push(now + half + between(0, 2 * half), c, event::ENDS);
+	}
+
+	void refuse(call *c, ba_time now)
+	{
+		ba_time back = now + between(200 * BA_MS, 500 * BA_MS);
+
+		if (c->retries-- > 0 && back < c->first + c->kind->patience)
+			push(back, c, event::ARRIVES);
+		else
+			counts[c->kind->route].lost++, delete c;
+	}
+
+	void arrive(call *c, ba_time now)
+	{
+		ba_time left = c->first + c->kind->patience - now;
+		enum cl_admit_reason reason;
+		struct cl_waiter w = {};
+
+		w.route = c->kind->route;
+		w.priority = 1;
+		w.deadline = now + left;
+		w.target = now + c->kind->target -
+			   cl_patience_spent(&patience[w.route], left);
+		c->ticket = {};
+		cl_wait_ticket(wait, &w, now, &c->ticket);
+		if (plain) {
+			c->ticket.weight = 1;
+			c->ticket.expected = 0;
+			c->ticket.deadline = w.deadline;
+		}
+		switch (cl_admit_arrive(admit, &c->ticket, now, &reason)) {
+		case CL_ADMIT_START:
+			start(c, now);
+			break;
+		case CL_ADMIT_REFUSE:
+			refuse(c, now);
+			break;
+		case CL_ADMIT_WAIT:
+			break;
+		}
+	}
+
+	void end(call *c, ba_time now)
+	{
+		count &n = counts[c->kind->route];
+
+		cl_wait_served(wait, c->kind->route, now - c->ticket.started);
+		cl_admit_done(admit, &c->ticket, CL_ADMIT_SERVED, now);
+		if (now <= c->first + c->kind->target)
+			n.in_time++;
+		else if (now <= c->first + c->kind->patience)
+			n.late++;
+		else
+			n.lost++;
+		delete c;
+	}
+
+	void next(ba_time now)
+	{
+		enum cl_admit_reason reason;
+		enum cl_admit_act act;
+		struct cl_ticket *t;
+
+		while ((t = cl_admit_next(admit, now, &act, &reason))) {
+			call *c = (call *)t;
+
+			if (act == CL_ADMIT_START)
+				start(c, now);
+			else
+				refuse(c, now);
+		}
+	}
+
+	void play(const std::vector<kind> &kinds, ba_time length)
+	{
+		for (const auto &k : kinds) {
+			ba_time gap =
+				(ba_time)((double)BA_SECOND / k.per_second);
+
+			for (ba_time at = between(0, gap); at < length;
+			     at += between(gap / 2, gap + gap / 2)) {
+				push(at, new call{{}, &k, at, 0, k.retries},
+				     event::ARRIVES);
+				counts[k.route].asked++;
+			}
+		}
+		while (!events.empty()) {
+			event e = events.top();
+
+			events.pop();
+			if (e.what == event::ARRIVES)
+				arrive(e.c, e.at);
+			else
+				end(e.c, e.at);
+			next(e.at);
+		}
+	}
+};
+
+/* Twelve slots for calls of 300 ms: 40 a second are what they can do. */
+std::vector<kind> lookups(double load)
+{
+	return {{"look", 40 * load, 300 * BA_MS, 800 * BA_MS, 5 * BA_SECOND,
+		 2}};
+}
+
+TEST(ClWait, OverloadLeavesWhatIsServedInTime)
+{
+	static const struct {
+		double load, in_time_of_capacity;
+	} cases[] = {{1.2, 0.75}, {1.5, 0.75}, {2.0, 0.75}};
+
+	for (const auto &c : cases) {
+		gate with(false), without(true);
+
+		with.play(lookups(c.load), 60 * BA_SECOND);
+		without.play(lookups(c.load), 60 * BA_SECOND);
+		EXPECT_GT(with.counts["look"].in_time,
+			  c.in_time_of_capacity * 40 * 60)
+			<< c.load;
+		EXPECT_GT(with.counts["look"].in_time,
+			  2 * without.counts["look"].in_time)
+			<< c.load;
+	}
+}
+
+TEST(ClWait, BelowTheLimitHardlyAnythingIsRefused)
+{
+	gate g(false);
+
+	g.play(lookups(0.8), 60 * BA_SECOND);
+	EXPECT_LT(g.counts["look"].lost, g.counts["look"].asked / 100);
+	EXPECT_GT(g.counts["look"].in_time, g.counts["look"].asked * 95 / 100);
+}
+
+/* Calls that others wait for, beside those that take long. */
+TEST(ClWait, ShortCallsGoThroughACrowd)
+{
+	gate g(false);
+
+	g.play({{"book", 40, 290 * BA_MS, BA_SECOND, 6 * BA_SECOND, 2},
+		{"check", 60, 55 * BA_MS, 200 * BA_MS, 600 * BA_MS, 0}},
+	       60 * BA_SECOND);
+	EXPECT_LT(g.counts["check"].lost, g.counts["check"].asked / 50);
+	EXPECT_GT(g.counts["check"].in_time, g.counts["check"].asked * 9 / 10);
+}
+
+TEST(ClWait, ClassesOfCalls)
+{
+	static const struct {
+		const char *name, *route;
+		ba_time target;
+		enum cl_wait_class class_;
+	} cases[] = {
+		{"long and in time", "long", 800 * BA_MS, CL_WAIT_IN_TIME},
+		{"long and late", "long", 200 * BA_MS, CL_WAIT_LATE},
+		{"target has passed", "long", -5 * BA_MS, CL_WAIT_LATE},
+		{"short", "short", 800 * BA_MS, CL_WAIT_SHORT},
+		{"short and late", "short", -5 * BA_MS, CL_WAIT_SHORT},
+		{"not known", "new", 100 * BA_MS, CL_WAIT_IN_TIME},
+		{"no route", nullptr, 100 * BA_MS, CL_WAIT_IN_TIME},
+	};
+	struct cl_wait *w = cl_wait_new();
+
+	for (int i = 0; i < 500; i++) {
+		cl_wait_served(w, "long", 300 * BA_MS);
+		cl_wait_served(w, "short", 30 * BA_MS);
+	}
+	for (const auto &c : cases) {
+		struct cl_waiter one = {c.route, 1, c.target, 900 * BA_MS};
+		struct cl_ticket t = {};
+
+		EXPECT_EQ(cl_wait_ticket(w, &one, 0, &t), c.class_) << c.name;
+		EXPECT_LE(t.deadline, 900 * BA_MS) << c.name;
+	}
+	cl_wait_free(w);
+}
+
+TEST(ClPatience, AShorterTimeIsALaterAttempt)
+{
+	struct cl_patience p = {};
+
+	EXPECT_EQ(cl_patience_spent(&p, 5 * BA_SECOND), 0);
+	EXPECT_EQ(cl_patience_spent(&p, 5 * BA_SECOND - 10 * BA_MS), 0);
+	EXPECT_NEAR(cl_patience_spent(&p, 4 * BA_SECOND), BA_SECOND, BA_MS);
+	EXPECT_EQ(cl_patience_spent(&p, 6 * BA_SECOND), 0);
+	EXPECT_NEAR(cl_patience_spent(&p, 5 * BA_SECOND), BA_SECOND, BA_MS);
+	/* Callers have changed, and wait for less from now on. */
+	for (int i = 0; i < 10000; i++)
+		cl_patience_spent(&p, BA_SECOND);
+	EXPECT_LT(cl_patience_spent(&p, BA_SECOND), 50 * BA_MS);
+}
+
+} // namespace
