docs: from a request's id to its cause; a 502 is logged as what may have run

The line of a final failure has event 6009 when it may have run, and the route, the version held and the time it took.

--- a/base/ba_result.c
+++ b/base/ba_result.c
@@ -137,8 +137,8 @@
 	[RP_LOG_DAMAGED] =
 		{"log-damaged",
 		 "The log on disk is damaged where records may have been acknowledged.",
-		 "Replace this replica with an empty one; see OPERATING.md.", 0,
-		 EXIT_FAILED},
+		 "Replace this replica with an empty one; see OPERATIONS.md.",
+		 0, EXIT_FAILED},
 	[RP_TERM_OLD] = {"term-old",
 			 "The message is from a leader that was replaced.",
 			 "None needed.", 0, EXIT_FAILED},
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -355,13 +355,17 @@
 
 static void refuse(struct px_exchange *x, int status, int code)
 {
+	bool may_have_run = status == 502 || status == 504;
 	struct px_front *f = x->front;
 
-	ba_event(CL_EV_NOT_RUN,
-		 "call=%s service=%s code=%d status=%d tried=%zu", x->id,
-		 x->service ? x->service : "", code, status, x->n_tried);
-	rt_count(status == 502 || status == 504 ? RT_MAY_HAVE_RUN : RT_NOT_RUN,
-		 1);
+	ba_event(may_have_run ? CL_EV_MAY_HAVE_RUN : CL_EV_NOT_RUN,
+		 "call=%s route=%s service=%s version=%llu code=%d status=%d "
+		 "tried=%zu took_us=%lld",
+		 x->id, x->route ? x->route : "", x->service ? x->service : "",
+		 (unsigned long long)(x->snapshot ? x->snapshot->version : 0),
+		 code, status, x->n_tried,
+		 (long long)(ba_loop_now(x->p->loop) - x->arrived));
+	rt_count(may_have_run ? RT_MAY_HAVE_RUN : RT_NOT_RUN, 1);
 	px_compose_refusal(x, status, code, ht_conn_out(f->conn));
 	px_exchange_end(x);
 	px_front_done(f);
--- a/test/cases/source-refusals.sh
+++ b/test/cases/source-refusals.sh
@@ -57,7 +57,7 @@
 stop s1 || fail "exit status $? after a graceful stop"
 
 printf x | dd of="$work/data/log" bs=1 seek=20 conv=notrunc 2>"$work/dd.err"
-refused 1 "$work/data" "404" "OPERATING.md"
+refused 1 "$work/data" "404" "OPERATIONS.md"
 ls "$work"/data/log.damaged-* >"$work/out" || fail "the log was not set aside"
 
 settings '["s1"]' "mesh.key/data"
--- a/test/docs_test.cc
+++ b/test/docs_test.cc
@@ -94,12 +94,12 @@
 	EXPECT_EQ(got, want) << "run: make docs";
 }
 
-/* Each alarm, a warning or an error, says in OPERATING.md what to do. */
+/* Each alarm, a warning or an error, says in OPERATIONS.md what to do. */
 TEST(BaDocs, EachAlarmHasAnAnswer)
 {
 	std::set<std::string> answered;
 
-	for (auto &row : rows("docs/OPERATING.md"))
+	for (auto &row : rows("docs/OPERATIONS.md"))
 		answered.insert(row[0]);
 	for (int id = ba_event_next(-1); id >= 0; id = ba_event_next(id)) {
 		const struct ba_event_info *i = ba_event_info(id);
