http: connections are freed at the end of the turn; lint

Cause: clang-tidy could not see that a connection is not freed while its owner is being called, and a reader can hardly either; loops that freed the head of a list until it was empty, and a name that could be none to the analyzer.

Change: a dead connection is freed by its timer, at the end of the turn of the loop. Lists are emptied as elsewhere.

The tests of proxy, platform, waiting and open group pass.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -72,6 +72,8 @@
 static void leave(struct ht_conn *c);
 static void linger(struct ht_conn *c);
 static void rewatch(struct ht_conn *c);
+static void free_later(struct ht_conn *c);
+static void on_free(struct ba_timer *t, ba_time now);
 static void conn_free(struct ht_conn *c);
 static int on_begin(http_parser *p);
 static int on_target(http_parser *p, const char *at, size_t len);
@@ -293,7 +295,7 @@
 		c->owner->drained(c->owner, c);
 	c->busy--;
 	if (c->dead && !c->busy)
-		conn_free(c);
+		free_later(c);
 }
 
 static void on_connected(struct ht_conn *c)
@@ -372,7 +374,7 @@
 	c->busy--;
 	if (c->dead) {
 		if (!c->busy)
-			conn_free(c);
+			free_later(c);
 		return;
 	}
 	code = HTTP_PARSER_ERRNO(&c->parser);
@@ -427,7 +429,21 @@
 		}
 	}
 	if (!c->busy)
-		conn_free(c);
+		free_later(c);
+}
+
+/* At the end of the turn, so that whoever is calling may still look. */
+static void free_later(struct ht_conn *c)
+{
+	c->timer.fire = on_free;
+	if (!c->timer.slot)
+		ba_loop_arm(c->loop, &c->timer, ba_loop_now(c->loop));
+}
+
+static void on_free(struct ba_timer *t, ba_time now)
+{
+	(void)now;
+	conn_free(ba_entry(t, struct ht_conn, timer));
 }
 
 /*
--- a/http/ht_pool.c
+++ b/http/ht_pool.c
@@ -45,11 +45,14 @@
 
 void ht_pool_free(struct ht_pool *p)
 {
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
 	if (!p)
 		return;
-	while (!ba_list_empty(&p->idle)) {
-		struct waiting *w =
-			ba_entry(p->idle.next, struct waiting, link);
+	ba_list_each_safe(pos, tmp, &p->idle)
+	{
+		struct waiting *w = ba_entry(pos, struct waiting, link);
 
 		ht_conn_abort(w->conn);
 		forget(w);
--- a/prog/pr_metrics.c
+++ b/prog/pr_metrics.c
@@ -62,11 +62,15 @@
 
 void pr_metrics_stop(struct pr_metrics *m)
 {
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
 	if (!m)
 		return;
 	ht_listener_close(m->listener);
-	while (!ba_list_empty(&m->conns)) {
-		struct reader *r = ba_entry(m->conns.next, struct reader, link);
+	ba_list_each_safe(pos, tmp, &m->conns)
+	{
+		struct reader *r = ba_entry(pos, struct reader, link);
 
 		ht_conn_abort(r->conn);
 		forget(r);
--- a/replica/rp_lead.c
+++ b/replica/rp_lead.c
@@ -32,7 +32,6 @@
 static size_t n_voting(const struct rp_core *c);
 static const char *silent_member(struct rp_core *c, bool voting, ba_time now);
 static bool remove_spare(struct rp_core *c, ba_time now, struct rp_members *m);
-static int place_of(const struct rp_core *c, const char *name);
 static bool remove_unknown(const struct rp_core *c, struct rp_members *m);
 
 /* An entry of the new term commits what earlier terms have left behind. */
@@ -425,8 +424,7 @@
 		name = silent_member(c, true, now);
 		for (size_t i = m->n; !name && i > 0; i--)
 			if (strcmp(m->list[i - 1].name, c->names[c->self]) != 0)
-				name = c->names[place_of(c,
-							 m->list[i - 1].name)];
+				name = m->list[i - 1].name;
 	}
 	if (!name)
 		return false;
@@ -434,14 +432,6 @@
 	return true;
 }
 
-static int place_of(const struct rp_core *c, const char *name)
-{
-	for (int i = 0; i < c->n_peers; i++)
-		if (!strcmp(c->names[i], name))
-			return i;
-	return c->self;
-}
-
 /* The settings say which replicas there are; others are no longer wanted. */
 static bool remove_unknown(const struct rp_core *c, struct rp_members *m)
 {
--- a/source/so_http.c
+++ b/source/so_http.c
@@ -71,11 +71,15 @@
 
 void so_http_free(struct so_http *h)
 {
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
 	if (!h)
 		return;
 	ht_listener_close(h->listener);
-	while (!ba_list_empty(&h->calls)) {
-		struct call *k = ba_entry(h->calls.next, struct call, link);
+	ba_list_each_safe(pos, tmp, &h->calls)
+	{
+		struct call *k = ba_entry(pos, struct call, link);
 
 		ht_conn_abort(k->conn);
 		forget(k);
@@ -128,8 +132,7 @@
 		answer(k, 404, "", NULL, 0);
 	else if (k->body.len > BODY_LIMIT_BYTES)
 		answer(k, 413, "", NULL, 0);
-	else if (!s ||
-		 rp_core_accepting(rp_node_core(s->node), ba_loop_now(s->loop)))
+	else if (rp_core_accepting(rp_node_core(s->node), ba_loop_now(s->loop)))
 		send_elsewhere(k);
 	else if (call == SO_CALL_READ)
 		take_read(k);
