call: large answers cross the paid link at a pace that it carries

One region had lost all endpoints of the service with answers of 90 KB; these crossed the link, 0.126 GB in 32 s on 35 Mbit/s, and the replication between regions waited behind them, as did calls between backend servers.

--- a/call/cl_route.c
+++ b/call/cl_route.c
@@ -408,7 +408,8 @@
 			struct cl_endpoint *e;
 
 			if (t == CL_TIER_LINK &&
-			    (!link || (q->heavy && pass != PASS_EJECTED)))
+			    (!link || q->no_link ||
+			     (q->heavy && pass != PASS_EJECTED)))
 				continue;
 			if (t == CL_TIER_SELF && r->self_draining)
 				continue;
--- a/call/cl_route.h
+++ b/call/cl_route.h
@@ -136,6 +136,7 @@
  * @self_load: calls that run or wait at the own backend server
  * @may_probe: the call may be spent on an ejected endpoint
  * @heavy: its answer is large: the paid link is the last resort
+ * @no_link: the paid link is not to be taken at all
  */
 struct cl_pick_request {
 	const char *service;
@@ -145,6 +146,7 @@
 	size_t n_tried;
 	bool may_probe;
 	bool heavy;
+	bool no_link;
 };
 
 struct cl_router;
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -46,13 +46,16 @@
 {
 	struct px *p = x->p;
 	ba_time now = ba_loop_now(p->loop);
+	double bytes = route_seen(p, x->route)->bytes;
+	bool heavy = bytes > PX_HEAVY_BYTES;
 	const struct cl_pick_request q = {
 		.service = x->service,
 		.self_load = p->gate.admit ? cl_admit_load(p->gate.admit) : 0,
 		.tried = x->tried,
 		.n_tried = x->n_tried,
 		.may_probe = x->idempotent,
-		.heavy = route_seen(p, x->route)->bytes > PX_HEAVY_BYTES,
+		.heavy = heavy,
+		.no_link = heavy && !cl_pace_open(&p->pace, now),
 	};
 	enum cl_route_reason reason = CL_ROUTE_NONE_LEFT;
 
@@ -75,6 +78,9 @@
 		 (long long)(x->deadline - now));
 	x->tried[x->n_tried++] = x->endpoint->id;
 	x->sent_at = now;
+	x->paced = heavy && x->endpoint->tier == CL_TIER_LINK;
+	if (x->paced)
+		cl_pace_take(&p->pace, bytes);
 	if (x->endpoint->tier == CL_TIER_SELF)
 		px_gate_arrive(x);
 	else
@@ -152,6 +158,8 @@
 	struct cl_endpoint *e = x->endpoint;
 	struct ht_conn *c = x->conn;
 	bool ran = x->ticket.running;
+	bool refused = seen == CL_SEEN_OVERLOADED || seen == CL_SEEN_DRAINING ||
+		       seen == CL_SEEN_CANCELLED;
 
 	x->conn = NULL;
 	x->endpoint = NULL;
@@ -165,6 +173,9 @@
 			 CL_ROUTE_UNCHANGED)
 		ba_event(CL_EV_EJECTED, "service=%s seen=%s", x->service,
 			 cl_seen_name(seen));
+	if (x->paced && !refused)
+		cl_pace_done(&p->pace, x->sent_at, seen == CL_SEEN_ANSWER, now);
+	x->paced = false;
 	cl_admit_leave(p->gate.admit, &x->ticket);
 	if (!ran)
 		return;
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -17,6 +17,7 @@
 #include "base/ba_list.h"
 #include "base/ba_rand.h"
 #include "call/cl_admit.h"
+#include "call/cl_pace.h"
 #include "call/cl_retry.h"
 #include "call/cl_route.h"
 #include "call/cl_wait.h"
@@ -111,6 +112,7 @@
 	GHashTable *retries;
 	GHashTable *splits;
 	GHashTable *seen;
+	struct cl_pace pace;
 	GHashTable *pools;
 	struct px_gate gate;
 	struct ba_rand rand;
@@ -158,6 +160,7 @@
  * @most_runs: how many may
  * @tried: endpoints that did not take it, or failed
  * @answer_bytes: of the body that has come
+ * @paced: a large answer over the paid link
  * @not_run: the answer that is being read says so, with this code
  * @answering: the head has gone to the caller
  * @chunked: the body goes to the caller in chunks
@@ -191,6 +194,7 @@
 	struct cl_endpoint *endpoint;
 	struct cl_ticket ticket;
 	ba_time sent_at;
+	bool paced;
 	bool fresh;
 	uint64_t answer_bytes;
 	int status;
