http: one server of whole requests, in place of three

Cause: heartbeats and readiness (proxy/px_control.c), the operators' API (source/so_http.c) and the counters (prog/pr_metrics.c) each had the same small server: accept, gather a body, answer, go on or close.

Ruled out: a server for callers too; those stream and are cancelled on their way, which a whole request is not.

Change: ht_service holds it, with answers at once or later. Callbacks of a connection that an owner does not need may be NULL, which drops seven empty ones. Behaviour stays as it is.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -216,11 +216,6 @@
 		ba_loop_disarm(c->loop, &c->timer);
 }
 
-bool ht_conn_idle(const struct ht_conn *c)
-{
-	return !c->started;
-}
-
 bool ht_conn_reusable(const struct ht_conn *c)
 {
 	return !c->dead && c->resting && c->keep && !c->held.len &&
@@ -560,7 +555,7 @@
 		h->method = http_method_str((enum http_method)p->method);
 	if (c->client && p->status_code / 100 == 1)
 		return 0;
-	if (c->owner)
+	if (c->owner && c->owner->head)
 		c->owner->head(c->owner, c);
 	if (c->dead || c->finishing)
 		return -1;
@@ -571,7 +566,7 @@
 {
 	struct ht_conn *c = p->data;
 
-	if (c->owner)
+	if (c->owner && c->owner->body)
 		c->owner->body(c->owner, c, at, len);
 	return c->dead || c->finishing;
 }
@@ -587,7 +582,7 @@
 	}
 	c->resting = true;
 	http_parser_pause(p, 1);
-	if (c->owner)
+	if (c->owner && c->owner->whole)
 		c->owner->whole(c->owner, c);
 	return 0;
 }
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -37,10 +37,10 @@
 /**
  * struct ht_owner - whoever uses a connection; embed it
  * @begun: the first byte of a message has come; may be NULL
- * @head: the head of a message is in ht_conn_head()
- * @body: a piece of its body
+ * @head: the head of a message is in ht_conn_head(); may be NULL
+ * @body: a piece of its body; may be NULL
  * @whole: the message has ended; the next one is not read before
- *	ht_conn_next()
+ *	ht_conn_next(); may be NULL
  * @drained: all that was written has been taken by the kernel; may be NULL
  * @ended: the connection has ended and is freed after the call; the server's
  *	side may still write and call ht_conn_finish(), unless it was closed
@@ -103,9 +103,6 @@
  */
 void ht_conn_expect(struct ht_conn *c, ba_time deadline);
 
-/** ht_conn_idle() - nothing of a message was read since ht_conn_next() */
-bool ht_conn_idle(const struct ht_conn *c);
-
 /** ht_conn_reusable() - whether a client may send its next request */
 bool ht_conn_reusable(const struct ht_conn *c);
 
--- a/http/ht_pool.c
+++ b/http/ht_pool.c
@@ -27,9 +27,6 @@
 static ba_time idle_time(const struct ht_pool *p, const struct ht_head *h);
 static void forget(struct waiting *w);
 static void on_head(struct ht_owner *o, struct ht_conn *c);
-static void on_body(struct ht_owner *o, struct ht_conn *c, const void *data,
-		    size_t len);
-static void on_whole(struct ht_owner *o, struct ht_conn *c);
 static void on_ended(struct ht_owner *o, struct ht_conn *c, enum ht_end why);
 
 struct ht_pool *ht_pool_new(struct ba_loop *loop,
@@ -107,8 +104,6 @@
 	}
 	w = g_new0(struct waiting, 1);
 	w->owner.head = on_head;
-	w->owner.body = on_body;
-	w->owner.whole = on_whole;
 	w->owner.ended = on_ended;
 	w->pool = p;
 	w->conn = c;
@@ -145,21 +140,6 @@
 	ht_conn_abort(c);
 }
 
-static void on_body(struct ht_owner *o, struct ht_conn *c, const void *data,
-		    size_t len)
-{
-	(void)o;
-	(void)c;
-	(void)data;
-	(void)len;
-}
-
-static void on_whole(struct ht_owner *o, struct ht_conn *c)
-{
-	(void)o;
-	(void)c;
-}
-
 static void on_ended(struct ht_owner *o, struct ht_conn *c, enum ht_end why)
 {
 	(void)c;
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -6,7 +6,8 @@
 static void pool_free(gpointer data);
 static void split_free(gpointer data);
 static int listen_all(struct px *p, const struct ba_address **failed);
-static void free_controls(struct px *p);
+static int serve(struct px *p, const struct ba_address *at,
+		 struct ht_service **out);
 
 int px_new(struct ba_loop *loop, const struct px_options *o,
 	   struct px_owner *owner, const struct ba_address **failed,
@@ -28,10 +29,9 @@
 	p->rand.state = o->seed;
 	p->callers.accept = px_front_accept_caller;
 	p->peers.accept = px_front_accept_peer;
-	p->controls.accept = px_control_accept;
+	p->controls.request = px_control_request;
 	p->gate.turn.fire = px_gate_on_turn;
 	ba_list_init(&p->fronts);
-	ba_list_init(&p->controls_open);
 	ba_list_init(&p->exchanges);
 	p->router = cl_router_new(&router);
 	p->retries =
@@ -98,11 +98,12 @@
 
 	if (!p)
 		return;
-	for (size_t i = 0; i < p->n_listeners; i++)
-		ht_listener_close(p->listeners[i]);
+	ht_listener_close(p->caller_listener);
+	ht_listener_close(p->peer_listener);
+	ht_service_free(p->ready);
+	ht_service_free(p->beats);
 	ba_list_each_safe(pos, tmp, &p->fronts)
 		px_front_free(ba_entry(pos, struct px_front, link));
-	free_controls(p);
 	ba_loop_disarm(p->loop, &p->gate.turn);
 	g_hash_table_destroy(p->pools);
 	g_hash_table_destroy(p->splits);
@@ -131,30 +132,29 @@
 
 static int listen_all(struct px *p, const struct ba_address **failed)
 {
-	const struct {
-		const struct ba_address *at;
-		struct ht_acceptor *acceptor;
-	} all[] = {
-		{&p->o.callers, &p->callers},
-		{&p->o.peers, &p->peers},
-		{&p->o.ready, &p->controls},
-		{&p->o.beats, &p->controls},
-	};
-
-	for (size_t i = 0; i < G_N_ELEMENTS(all); i++) {
-		*failed = all[i].at;
-		if (!all[i].at->len)
-			continue;
-		if (ht_listen(p->loop, all[i].at, all[i].acceptor,
-			      &p->listeners[p->n_listeners]))
-			return BA_PORT_IN_USE;
-		p->n_listeners++;
-	}
-	return BA_OK;
+	*failed = &p->o.callers;
+	if (ht_listen(p->loop, *failed, &p->callers, &p->caller_listener))
+		return BA_PORT_IN_USE;
+	*failed = &p->o.peers;
+	if (ht_listen(p->loop, *failed, &p->peers, &p->peer_listener))
+		return BA_PORT_IN_USE;
+	*failed = &p->o.ready;
+	if (serve(p, *failed, &p->ready))
+		return BA_PORT_IN_USE;
+	*failed = &p->o.beats;
+	return serve(p, *failed, &p->beats);
 }
 
-static void free_controls(struct px *p)
+/* Calls of the platform, where the settings ask for them. */
+static int serve(struct px *p, const struct ba_address *at,
+		 struct ht_service **out)
 {
-	while (!ba_list_empty(&p->controls_open))
-		px_control_free(p->controls_open.next);
+	const struct ht_service_options o = {
+		.at = at,
+		.head_limit = PX_HEAD_LIMIT_BYTES,
+		.body_limit = PX_CONTROL_BYTES,
+		.idle = PX_IDLE_TIMEOUT,
+	};
+
+	return at->len ? ht_service_new(p->loop, &o, &p->controls, out) : BA_OK;
 }
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -146,7 +146,6 @@
 	cf_snapshot_unref(x->snapshot);
 	g_free(x->caller);
 	g_free(x->id);
-	ba_buf_free(&x->head);
 	ba_buf_free(&x->held);
 	g_free(x);
 }
@@ -165,7 +164,6 @@
 	x->endpoint = NULL;
 	x->place = PX_NOWHERE;
 	x->not_run = 0;
-	x->head.len = 0;
 	x->held.len = 0;
 	if (c)
 		ht_conn_abort(c);
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -23,6 +23,7 @@
 #include "call/cl_wait.h"
 #include "http/ht_conn.h"
 #include "http/ht_pool.h"
+#include "http/ht_service.h"
 #include "proxy/px.h"
 
 enum {
@@ -32,7 +33,7 @@
 	PX_PEER_IDLE_MOST = 64,	      /* connections to one proxy that wait */
 	PX_TRIES_LIMIT = 3,	      /* proxies asked for one request */
 	PX_ATTEMPTS_DEFAULT = 2,
-	PX_FIELD_BYTES = 32,
+	PX_CONTROL_BYTES = 64 * 1024, /* of the body of a call to a proxy */
 };
 
 /* Of answers this large the bytes cost more than the wait for a near slot. */
@@ -96,11 +97,12 @@
 	struct px_owner *owner;
 	struct ht_acceptor callers;
 	struct ht_acceptor peers;
-	struct ht_acceptor controls;
-	struct ht_listener *listeners[4];
-	size_t n_listeners;
+	struct ht_service_owner controls;
+	struct ht_listener *caller_listener;
+	struct ht_listener *peer_listener;
+	struct ht_service *ready;
+	struct ht_service *beats;
 	struct ba_list fronts;
-	struct ba_list controls_open;
 	struct ba_list exchanges;
 	unsigned int n_exchanges;
 	struct cf_snapshot *snapshot;
@@ -183,7 +185,6 @@
 	bool idempotent;
 	unsigned int runs;
 	unsigned int most_runs;
-	unsigned int tries;
 	uint64_t tried[PX_TRIES_LIMIT];
 	size_t n_tried;
 
@@ -203,7 +204,6 @@
 	bool chunked;
 	bool bodyless;
 	int64_t length;
-	struct ba_buf head;
 	struct ba_buf held;
 	int last_code;
 };
@@ -284,11 +284,8 @@
 /** px_gate_open() - whether it takes new work for @service */
 bool px_gate_open(const struct px *p, const char *service);
 
-/** px_control_free() - end a connection by its link in @controls_open */
-void px_control_free(struct ba_list *link);
-
-/** px_control_accept() - the platform or the backend server has connected */
-void px_control_accept(struct ht_acceptor *a, int fd);
+/** px_control_request() - the platform or the backend server has called */
+void px_control_request(struct ht_service_owner *o, struct ht_request *r);
 
 /** px_compose_request() - the request as the next one on its way gets it */
 void px_compose_request(struct px_exchange *x, bool to_backend,
--- a/source/so_http.c
+++ b/source/so_http.c
@@ -3,65 +3,61 @@
 #include "base/ba_digest.h"
 #include "base/ba_event.h"
 #include "base/ba_result.h"
-#include "http/ht_conn.h"
+#include "http/ht_service.h"
 #include "source/so_http.h"
 
 enum {
 	HEAD_LIMIT_BYTES = 64 * 1024,
 	BODY_LIMIT_BYTES = 32 * 1024 * 1024,
+	ID_BYTES = RP_SUBMISSION_ID_BYTES + 1,
 };
 
 #define IDLE_TIMEOUT BA_MINUTE
 #define OPERATOR "platform"
 
 struct so_http {
-	struct ht_acceptor acceptor;
-	struct ba_loop *loop;
+	struct ht_service_owner owner;
 	struct so_http_options o;
-	struct ht_listener *listener;
-	struct ba_list calls;
+	struct ht_service *service;
 };
 
-/* struct call - one connection of an operator */
-struct call {
-	struct ht_owner owner;
+/* struct order - a submission that waits for its outcome */
+struct order {
 	struct so_waiter waiter;
-	struct ba_list link;
-	struct so_http *http;
-	struct ht_conn *conn;
-	struct ba_buf body;
+	struct so_source *source;
+	struct ht_request *request;
 };
 
-static void on_accept(struct ht_acceptor *a, int fd);
-static void on_head(struct ht_owner *o, struct ht_conn *c);
-static void on_body(struct ht_owner *o, struct ht_conn *c, const void *data,
-		    size_t len);
-static void on_whole(struct ht_owner *o, struct ht_conn *c);
-static void on_ended(struct ht_owner *o, struct ht_conn *c, enum ht_end why);
+static void on_request(struct ht_service_owner *o, struct ht_request *r);
+static void on_gone(struct ht_service_owner *o, struct ht_request *r);
 static void on_outcome(struct so_waiter *w, const CtOutcome *outcome);
-static void send_elsewhere(struct call *k);
-static void take_read(struct call *k);
-static void take_submit(struct call *k);
-static bool is_known(struct call *k, const CtSubmit *submit, uint64_t base);
-static int check(struct call *k, const struct ba_buf *packed, uint64_t base,
-		 struct ba_problems *problems);
-static void submit(struct call *k, const struct ba_buf *packed, char *id);
-static void answer(struct call *k, int status, const char *extra,
-		   const void *body, size_t len);
-static void answer_code(struct call *k, int status, int code,
+static void send_elsewhere(struct so_source *s, struct ht_request *r);
+static void take_read(struct so_http *h, struct ht_request *r);
+static void take_submit(struct so_http *h, struct ht_request *r);
+static bool is_accepted(const struct so_source *s, const char *id);
+static int check(const struct so_source *s, const struct ba_buf *packed,
+		 uint64_t base, struct ba_problems *problems);
+static void submit(struct so_source *s, struct ht_request *r,
+		   const struct ba_buf *packed, char *id);
+static void answer(struct ht_request *r, int status, const char *fields);
+static void answer_code(struct ht_request *r, int status, int code,
 			const struct ba_problems *problems);
-static void forget(struct call *k);
 
 int so_http_new(struct ba_loop *loop, const struct so_http_options *o,
 		struct so_http **out)
 {
+	const struct ht_service_options service = {
+		.at = o->at,
+		.head_limit = HEAD_LIMIT_BYTES,
+		.body_limit = BODY_LIMIT_BYTES,
+		.idle = IDLE_TIMEOUT,
+	};
 	struct so_http *h = g_new0(struct so_http, 1);
 
-	h->acceptor.accept = on_accept;
-	h->loop = loop;
+	h->owner.request = on_request;
+	h->owner.gone = on_gone;
 	h->o = *o;
-	ba_list_init(&h->calls);
-	if (ht_listen(loop, o->at, &h->acceptor, &h->listener)) {
+	if (ht_service_new(loop, &service, &h->owner, &h->service)) {
 		g_free(h);
 		return BA_PORT_IN_USE;
 	}
@@ -71,188 +67,146 @@
 
 void so_http_free(struct so_http *h)
 {
-	struct ba_list *pos;
-	struct ba_list *tmp;
-
 	if (!h)
 		return;
-	ht_listener_close(h->listener);
-	ba_list_each_safe(pos, tmp, &h->calls)
-	{
-		struct call *k = ba_entry(pos, struct call, link);
-
-		ht_conn_abort(k->conn);
-		forget(k);
-	}
+	ht_service_free(h->service);
 	g_free(h);
 }
 
-static void on_accept(struct ht_acceptor *a, int fd)
-{
-	struct so_http *h = (struct so_http *)a;
-	struct call *k = g_new0(struct call, 1);
-
-	k->http = h;
-	k->owner.head = on_head;
-	k->owner.body = on_body;
-	k->owner.whole = on_whole;
-	k->owner.ended = on_ended;
-	k->waiter.outcome = on_outcome;
-	ba_list_append(&h->calls, &k->link);
-	k->conn = ht_conn_accepted(h->loop, fd, HEAD_LIMIT_BYTES, &k->owner);
-	ht_conn_expect(k->conn, ba_loop_now(h->loop) + IDLE_TIMEOUT);
-}
-
-static void on_head(struct ht_owner *o, struct ht_conn *c)
-{
-	(void)o;
-	(void)c;
-}
-
-static void on_body(struct ht_owner *o, struct ht_conn *c, const void *data,
-		    size_t len)
-{
-	struct call *k = (struct call *)o;
-
-	(void)c;
-	if (k->body.len <= BODY_LIMIT_BYTES)
-		ba_buf_add(&k->body, data, len);
-}
-
-static void on_whole(struct ht_owner *o, struct ht_conn *c)
+static void on_request(struct ht_service_owner *o, struct ht_request *r)
 {
-	struct call *k = (struct call *)o;
-	struct so_source *s = k->http->o.source;
-	const struct ht_head *h = ht_conn_head(c);
-	enum so_call call =
-		k->http->o.dialect->read_call(h->method, ht_head_target(h));
+	struct so_http *h = (struct so_http *)o;
+	struct so_source *s = h->o.source;
+	enum so_call call = h->o.dialect->read_call(r->head->method,
+						    ht_head_target(r->head));
 
-	ht_conn_expect(c, BA_NEVER);
 	if (call == SO_CALL_UNKNOWN)
-		answer(k, 404, "", NULL, 0);
-	else if (k->body.len > BODY_LIMIT_BYTES)
-		answer(k, 413, "", NULL, 0);
+		answer(r, 404, "");
+	else if (r->cut)
+		answer(r, 413, "");
 	else if (rp_core_accepting(rp_node_core(s->node), ba_loop_now(s->loop)))
-		send_elsewhere(k);
+		send_elsewhere(s, r);
 	else if (call == SO_CALL_READ)
-		take_read(k);
+		take_read(h, r);
 	else
-		take_submit(k);
+		take_submit(h, r);
 }
 
-static void on_ended(struct ht_owner *o, struct ht_conn *c, enum ht_end why)
+/* The submission goes on; its outcome is there for whoever sends it again. */
+static void on_gone(struct ht_service_owner *o, struct ht_request *r)
 {
-	(void)c;
-	(void)why;
-	forget((struct call *)o);
+	struct order *order = r->context;
+
+	(void)o;
+	if (!order)
+		return;
+	so_submit_forget(order->source, &order->waiter);
+	g_free(order);
 }
 
 static void on_outcome(struct so_waiter *w, const CtOutcome *outcome)
 {
-	struct call *k = ba_entry(w, struct call, waiter);
+	struct order *order = ba_entry(w, struct order, waiter);
+	struct ht_request *r = order->request;
 	int code = (int)outcome->code;
 
 	ba_event(code ? RP_EV_SUBMISSION_REFUSED : RP_EV_ACCEPTED,
 		 "operator=" OPERATOR " code=%d version=%llu current=%llu",
 		 code, (unsigned long long)outcome->version,
 		 (unsigned long long)outcome->current);
+	r->context = NULL;
+	g_free(order);
 	if (!code)
-		answer(k, 200, "", NULL, 0);
-	else if (code == RP_BASE_STALE)
-		answer_code(k, 412, code, NULL);
+		answer(r, 200, "");
 	else
-		answer_code(k, 503, code, NULL);
+		answer_code(r, code == RP_BASE_STALE ? 412 : 503, code, NULL);
 }
 
 /* To the leader, when it is known. */
-static void send_elsewhere(struct call *k)
+static void send_elsewhere(struct so_source *s, struct ht_request *r)
 {
-	struct so_source *s = k->http->o.source;
 	int leader = rp_core_leader(rp_node_core(s->node));
-	char *extra;
+	char *location;
 
 	if (leader == RP_NOBODY || leader == s->self) {
-		answer_code(k, 503, RP_NO_QUORUM, NULL);
+		answer_code(r, 503, RP_NO_QUORUM, NULL);
 		return;
 	}
-	extra = g_strdup_printf("Location: http://%s%s\r\n", s->names[leader],
-				ht_head_target(ht_conn_head(k->conn)));
-	answer(k, 307, extra, NULL, 0);
-	g_free(extra);
+	location = g_strdup_printf("Location: http://%s%s\r\n",
+				   s->names[leader], ht_head_target(r->head));
+	answer(r, 307, location);
+	g_free(location);
 }
 
-static void take_read(struct call *k)
+static void take_read(struct so_http *h, struct ht_request *r)
 {
-	const struct rp_machine *m = rp_node_machine(k->http->o.source->node);
-	const struct cf_snapshot *current = rp_machine_current(m);
+	const struct cf_snapshot *current =
+		rp_machine_current(rp_node_machine(h->o.source->node));
 	struct ba_buf body = {0};
 
 	if (!current->revision) {
-		answer_code(k, 503, CL_NOT_CONFIGURED, NULL);
+		answer_code(r, 503, CL_NOT_CONFIGURED, NULL);
 		return;
 	}
-	k->http->o.dialect->write_configuration(current, &body);
-	answer(k, 200, "", body.data, body.len);
+	h->o.dialect->write_configuration(current, &body);
+	ht_request_answer(r, 200, "", "application/json", &body);
 	ba_buf_free(&body);
 }
 
-static void take_submit(struct call *k)
+static void take_submit(struct so_http *h, struct ht_request *r)
 {
-	const struct so_dialect *d = k->http->o.dialect;
+	const struct so_dialect *d = h->o.dialect;
+	struct so_source *s = h->o.source;
 	struct ba_problems problems = {0};
 	struct ba_buf packed = {0};
-	CtSubmit probe = CT_SUBMIT__INIT;
 	struct ba_digest digest;
-	char id[2 * BA_DIGEST_BYTES + 32];
-	char hex[2 * BA_DIGEST_BYTES + 1];
+	char hex[17];
+	char id[ID_BYTES];
 	uint64_t base = 0;
 	int code;
 
-	if (!d->read_base(ht_conn_head(k->conn), &base) ||
-	    !d->read_configuration(k->body.data, k->body.len, &packed,
+	if (!d->read_base(r->head, &base) ||
+	    !d->read_configuration(r->body.data, r->body.len, &packed,
 				   &problems)) {
-		answer_code(k, 400, CF_ENCODING_WRONG, &problems);
+		answer_code(r, 400, CF_ENCODING_WRONG, &problems);
 		goto out;
 	}
 	digest = ba_digest(packed.data, packed.len);
 	ba_digest_hex(&digest, hex);
 	g_snprintf(id, sizeof(id), "%llx-%s", (unsigned long long)base, hex);
-	probe.submission_id = id;
-	if (is_known(k, &probe, base))
+	if (is_accepted(s, id)) {
+		answer(r, 200, "");
 		goto out;
-	code = check(k, &packed, base, &problems);
+	}
+	code = check(s, &packed, base, &problems);
 	if (code == RP_BASE_STALE)
-		answer_code(k, 412, code, NULL);
+		answer_code(r, 412, code, NULL);
 	else if (code)
-		answer_code(k, 400, code, &problems);
+		answer_code(r, 400, code, &problems);
 	else
-		submit(k, &packed, id);
+		submit(s, r, &packed, id);
 out:
 	ba_problems_free(&problems);
 	ba_buf_free(&packed);
 }
 
 /* The first outcome of an order is its outcome for good. */
-static bool is_known(struct call *k, const CtSubmit *submit, uint64_t base)
+static bool is_accepted(const struct so_source *s, const char *id)
 {
-	const struct rp_machine *m = rp_node_machine(k->http->o.source->node);
-	CtOutcome *known = rp_machine_outcome(m, submit->submission_id);
+	CtOutcome *known = rp_machine_outcome(rp_node_machine(s->node), id);
 	bool accepted = known && !known->code;
 
-	(void)base;
 	if (known)
 		ct_outcome__free_unpacked(known, NULL);
-	if (accepted)
-		answer(k, 200, "", NULL, 0);
 	return accepted;
 }
 
 /* Whether it would be accepted now; what is wrong is told to nobody else. */
-static int check(struct call *k, const struct ba_buf *packed, uint64_t base,
-		 struct ba_problems *problems)
+static int check(const struct so_source *s, const struct ba_buf *packed,
+		 uint64_t base, struct ba_problems *problems)
 {
-	const struct rp_machine *m = rp_node_machine(k->http->o.source->node);
-	const struct cf_snapshot *current = rp_machine_current(m);
+	const struct cf_snapshot *current =
+		rp_machine_current(rp_node_machine(s->node));
 	struct cf_snapshot *next = NULL;
 	int code = cf_snapshot_adopt(packed->data, packed->len, current,
 				     current->version + 1, &next, problems);
@@ -269,44 +223,33 @@
 	return code;
 }
 
-static void submit(struct call *k, const struct ba_buf *packed, char *id)
+static void submit(struct so_source *s, struct ht_request *r,
+		   const struct ba_buf *packed, char *id)
 {
-	struct so_source *s = k->http->o.source;
+	struct order *order = g_new0(struct order, 1);
 	CtSubmit m = CT_SUBMIT__INIT;
 
+	order->waiter.outcome = on_outcome;
+	order->source = s;
+	order->request = r;
+	r->context = order;
 	m.submission_id = id;
 	m.base_version = rp_machine_current(rp_node_machine(s->node))->version;
 	m.kind = CT_KIND__CT_KIND_SNAPSHOT;
 	m.operator_ = OPERATOR;
 	m.text.data = packed->data;
 	m.text.len = packed->len;
-	so_submit(s, &k->waiter, &m);
+	so_submit(s, &order->waiter, &m);
 }
 
-static void answer(struct call *k, int status, const char *extra,
-		   const void *body, size_t len)
+static void answer(struct ht_request *r, int status, const char *fields)
 {
-	struct ht_conn *c = k->conn;
-	bool last = ht_conn_head(c)->last;
-
-	ba_buf_addf(ht_conn_out(c),
-		    "HTTP/1.1 %d %s\r\n%s%s%sContent-Length: %zu\r\n\r\n",
-		    status, ht_reason(status), extra,
-		    len ? "Content-Type: application/json\r\n" : "",
-		    last ? "Connection: close\r\n" : "", len);
-	ht_conn_write(c, body, len);
-	ba_buf_free(&k->body);
-	if (last) {
-		forget(k);
-		ht_conn_finish(c);
-		return;
-	}
-	ht_conn_flush(c);
-	ht_conn_expect(c, ba_loop_now(k->http->loop) + IDLE_TIMEOUT);
-	ht_conn_next(c);
+	const struct ba_buf none = {0};
+
+	ht_request_answer(r, status, fields, "", &none);
 }
 
-static void answer_code(struct call *k, int status, int code,
+static void answer_code(struct ht_request *r, int status, int code,
 			const struct ba_problems *problems)
 {
 	const struct ba_result_info *info = ba_result_info(code);
@@ -324,14 +267,6 @@
 		g_free(expected);
 	}
 	ba_buf_addf(&body, "%s}\n", problems && problems->n ? "]" : "");
-	answer(k, status, "", body.data, body.len);
+	ht_request_answer(r, status, "", "application/json", &body);
 	ba_buf_free(&body);
 }
-
-static void forget(struct call *k)
-{
-	so_submit_forget(k->http->o.source, &k->waiter);
-	ba_list_remove(&k->link);
-	ba_buf_free(&k->body);
-	g_free(k);
-}
