proxy: read a request's fields once; drop what nothing uses

Cause: each request of a caller was decoded twice, when its exchange was made and when its route was known. The load in a backend server's answer was parsed with each answer and looked at by nobody, as the gate knows it exactly; a check of the configuration took a draft that it cast away; the budget of a service and what was seen of a route were found or added by twin functions.

Behaviour stays as it is.

--- a/config/cf_check.c
+++ b/config/cf_check.c
@@ -9,8 +9,7 @@
 			  struct ba_problems *p);
 static void check_routes(const struct cf_draft *d, struct ba_problems *p);
 static void check_route(const struct cf_draft_route *r, struct ba_problems *p);
-static void check_hosted(const struct cf_draft *d,
-			 const struct cf_draft_route *r, struct ba_problems *p);
+static void check_hosted(const struct cf_draft_route *r, struct ba_problems *p);
 static void check_parts(const struct cf_draft *d,
 			const struct cf_draft_route *r, struct ba_problems *p);
 static void check_paths(const struct cf_draft *d, struct ba_problems *p);
@@ -88,7 +87,7 @@
 
 		if (r->line != CF_LINE_KEPT) {
 			check_route(r, p);
-			check_hosted(d, r, p);
+			check_hosted(r, p);
 		}
 		check_parts(d, r, p);
 		if (r->value.service == CF_NO_SERVICE)
@@ -118,12 +117,10 @@
 }
 
 /* A route of a host says itself how long its calls may take. */
-static void check_hosted(const struct cf_draft *d,
-			 const struct cf_draft_route *r, struct ba_problems *p)
+static void check_hosted(const struct cf_draft_route *r, struct ba_problems *p)
 {
 	const struct cf_route *v = &r->value;
 
-	(void)d;
 	if (!*v->host)
 		return;
 	if (!is_host(v->host))
--- a/proxy/px_dialect.h
+++ b/proxy/px_dialect.h
@@ -42,16 +42,10 @@
  * struct px_answer - what a backend server says with an answer
  * @id: of the attempt it answers; borrowed, NULL when it does not say
  * @not_run: it did not begin to work on the request
- * @has_load: it told its load
- * @running: requests that it works on
- * @waiting: requests that wait there
  */
 struct px_answer {
 	const char *id;
 	bool not_run;
-	bool has_load;
-	uint32_t running;
-	uint32_t waiting;
 };
 
 /** enum px_control - calls of the platform to a daemon */
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -8,13 +8,15 @@
 
 enum { BYTES_SHARE = 16 };
 
-static struct px_exchange *exchange_new(struct px_front *f);
+static struct px_exchange *exchange_new(struct px_front *f,
+					const struct px_request *said);
 static void begin_from_peer(struct px_exchange *x);
-static void begin_from_caller(struct px_exchange *x);
+static void begin_from_caller(struct px_exchange *x, ba_time time_left);
 static const struct cf_route *find_route(const struct px_exchange *x);
 static void take_route(struct px_exchange *x, const struct cf_route *r,
 		       ba_time time_left);
 static struct px_seen *route_seen(struct px *p, const char *route);
+static void *find_or_add(GHashTable *table, const char *name, size_t size);
 static const char *choose_service(struct px_exchange *x,
 				  const struct cf_route *r);
 static struct px_split *split_of(struct px *p, const struct cf_route *r);
@@ -27,12 +29,15 @@
 
 void px_exchange_begin(struct px_front *f)
 {
-	struct px_exchange *x = exchange_new(f);
+	struct px_request said;
+	struct px_exchange *x;
 
+	f->p->dialect->read_request(ht_conn_head(f->conn), &said);
+	x = exchange_new(f, &said);
 	if (f->from_peer)
 		begin_from_peer(x);
 	else
-		begin_from_caller(x);
+		begin_from_caller(x, said.time_left);
 }
 
 void px_exchange_gone(struct px_exchange *x)
@@ -183,16 +188,15 @@
 	px_gate_next(p);
 }
 
-static struct px_exchange *exchange_new(struct px_front *f)
+static struct px_exchange *exchange_new(struct px_front *f,
+					const struct px_request *said)
 {
 	struct px_exchange *x = g_new0(struct px_exchange, 1);
-	struct px_request said;
 
-	f->p->dialect->read_request(ht_conn_head(f->conn), &said);
 	x->p = f->p;
 	x->front = f;
 	x->arrived = ba_loop_now(f->p->loop);
-	x->id = g_strdup(said.id ? said.id : "");
+	x->id = g_strdup(said->id ? said->id : "");
 	x->timer.fire = on_deadline;
 	ba_list_init(&x->ticket.link);
 	ba_list_append(&f->p->exchanges, &x->link);
@@ -228,11 +232,10 @@
 	px_gate_arrive(x);
 }
 
-static void begin_from_caller(struct px_exchange *x)
+static void begin_from_caller(struct px_exchange *x, ba_time time_left)
 {
 	struct px *p = x->p;
 	const struct cf_route *r;
-	struct px_request said;
 
 	if (!p->snapshot || p->closed) {
 		refuse(x, 503, p->closed ? CL_DRAINING : CL_NOT_CONFIGURED);
@@ -244,8 +247,7 @@
 		refuse(x, 404, CL_NO_ROUTE);
 		return;
 	}
-	p->dialect->read_request(ht_conn_head(x->front->conn), &said);
-	take_route(x, r, said.time_left);
+	take_route(x, r, time_left);
 	ba_loop_arm(p->loop, &x->timer, x->deadline);
 	px_exchange_attempt(x);
 }
@@ -268,6 +270,7 @@
 static void take_route(struct px_exchange *x, const struct cf_route *r,
 		       ba_time left)
 {
+	struct px_seen *seen = route_seen(x->p, r->name);
 	ba_time timeout = r->timeout ? r->timeout : PX_TIMEOUT_DEFAULT;
 	ba_time spent;
 
@@ -275,29 +278,33 @@
 	x->service = choose_service(x, r);
 	x->caller = g_strdup(x->p->o.service);
 	x->idempotent = r->idempotent || r->download;
-	if (r->download && !route_seen(x->p, r->name)->bytes)
-		route_seen(x->p, r->name)->bytes = 2 * PX_HEAVY_BYTES;
+	if (r->download && !seen->bytes)
+		seen->bytes = 2 * PX_HEAVY_BYTES;
 	x->most_runs = r->attempts ? r->attempts : PX_ATTEMPTS_DEFAULT;
 	x->priority = r->priority;
 	x->deadline = x->arrived + timeout;
 	if (left >= 0 && left < timeout)
 		x->deadline = x->arrived + left;
 	x->latency_target = x->deadline;
-	spent = left < 0 ? 0
-			 : cl_patience_spent(
-				   &route_seen(x->p, r->name)->patience, left);
+	spent = left < 0 ? 0 : cl_patience_spent(&seen->patience, left);
 	if (r->latency_target && r->latency_target < x->deadline - x->arrived)
 		x->latency_target = x->arrived + r->latency_target - spent;
 }
 
 static struct px_seen *route_seen(struct px *p, const char *route)
 {
-	struct px_seen *known = g_hash_table_lookup(p->seen, route);
+	return find_or_add(p->seen, route, sizeof(struct px_seen));
+}
+
+/* What stands under @name in the table; zeroed when it is new. */
+static void *find_or_add(GHashTable *table, const char *name, size_t size)
+{
+	void *known = g_hash_table_lookup(table, name);
 
 	if (known)
 		return known;
-	known = g_new0(struct px_seen, 1);
-	g_hash_table_insert(p->seen, g_strdup(route), known);
+	known = g_malloc0(size);
+	g_hash_table_insert(table, g_strdup(name), known);
 	return known;
 }
 
@@ -418,13 +425,7 @@
  */
 static struct cl_retry *retry_of(struct px *p, const char *service)
 {
-	struct cl_retry *r = g_hash_table_lookup(p->retries, service);
-
-	if (r)
-		return r;
-	r = g_new0(struct cl_retry, 1);
-	g_hash_table_insert(p->retries, g_strdup(service), r);
-	return r;
+	return find_or_add(p->retries, service, sizeof(struct cl_retry));
 }
 
 void px_exchange_answered(struct px_exchange *x)
