call: a key keeps its owner through gaps; the bound is stored ahead

One that was paused read a request first and took a key issued while it was out of sight.

Ruled out: the window of forgotten keys (its floor held in all traces) and the owner check (both owners were owners by their own tables).

Change: an owner has a list of gaps and an end of its own. The daemon stores ahead until when its keys are its own, each time that it sees a relay, so that the decision needs no timer.

--- a/call/cl_key.c
+++ b/call/cl_key.c
@@ -9,9 +9,16 @@
 
 enum { MILLISECOND_DIGITS = 13 };
 
+/* Keys issued from @from on, up to @until, belong to other endpoints. */
+struct gap {
+	ba_time from;
+	ba_time until;
+};
+
 /*
  * One incarnation of an endpoint.  It can run keys issued from @open_from
- * on, but none issued from @closed_from up to @reopened_from.
+ * up to @ended_from, but none issued in one of its @gaps, oldest first.  The
+ * last gap has no end while the endpoint is out of sight.
  */
 struct owner {
 	struct ba_list link;
@@ -19,8 +26,8 @@
 	char *data_centre;
 	uint64_t incarnation;
 	ba_time open_from;
-	ba_time closed_from;
-	ba_time reopened_from;
+	ba_time ended_from;
+	GArray *gaps;
 	ba_time gone_at;
 	bool draining;
 	bool listed;
@@ -43,7 +50,10 @@
 			ba_time wall);
 static void close_earlier(struct owners_of *s, const struct ep_record *rec);
 static void close_lost(struct owners_of *s, ba_time wall);
+static void open_gap(struct owner *w, ba_time from);
 static void reopen(struct owner *w, ba_time wall);
+static void drop_old_gaps(struct owner *w, ba_time wall);
+static void owner_free(struct owner *w);
 static bool could_own(const struct owner *w, const struct cl_key *key);
 static uint64_t rank(const struct owner *w, const struct cl_key *key);
 
@@ -174,13 +184,7 @@
 	struct ba_list *tmp;
 
 	ba_list_each_safe(pos, tmp, &s->list)
-	{
-		struct owner *w = ba_entry(pos, struct owner, link);
-
-		g_free(w->instance);
-		g_free(w->data_centre);
-		g_free(w);
-	}
+		owner_free(ba_entry(pos, struct owner, link));
 	g_free(s->service);
 	g_free(s);
 }
@@ -219,13 +223,13 @@
 		w->data_centre = g_strdup(rec->data_centre);
 		w->incarnation = rec->incarnation;
 		w->open_from = (ba_time)rec->incarnation + CL_KEY_JOIN;
-		w->closed_from = BA_NEVER;
+		w->ended_from = BA_NEVER;
+		w->gaps = g_array_new(FALSE, FALSE, sizeof(struct gap));
 		ba_list_append(&s->list, &w->link);
 	}
 	if (rec->draining && !w->draining) {
 		w->draining = true;
-		w->reopened_from = 0;
-		w->closed_from = MIN(w->closed_from, wall + CL_KEY_SKEW);
+		w->ended_from = MIN(w->ended_from, wall + CL_KEY_SKEW);
 	}
 	w->listed = true;
 }
@@ -242,9 +246,8 @@
 		if (strcmp(w->instance, rec->instance) ||
 		    w->incarnation >= rec->incarnation)
 			continue;
-		w->reopened_from = 0;
-		w->closed_from = MIN(w->closed_from,
-				     (ba_time)rec->incarnation + CL_KEY_SKEW);
+		w->ended_from = MIN(w->ended_from,
+				    (ba_time)rec->incarnation + CL_KEY_SKEW);
 	}
 }
 
@@ -258,6 +261,7 @@
 	{
 		struct owner *w = ba_entry(pos, struct owner, link);
 
+		drop_old_gaps(w, wall);
 		if (w->listed) {
 			w->listed = false;
 			if (w->gone_at)
@@ -266,37 +270,65 @@
 		}
 		if (!w->gone_at) {
 			w->gone_at = wall;
-			w->closed_from =
-				MIN(w->closed_from, wall + CL_KEY_GRACE);
+			open_gap(w, wall + CL_KEY_GRACE);
 		}
 		if (wall <
 		    w->gone_at + CL_KEY_GRACE + CL_KEY_WINDOW + CL_KEY_SKEW)
 			continue;
 		ba_list_remove(&w->link);
-		g_free(w->instance);
-		g_free(w->data_centre);
-		g_free(w);
+		owner_free(w);
 	}
 }
 
-/* Back before it was closed, it has never stopped. */
+static void open_gap(struct owner *w, ba_time from)
+{
+	struct gap g = {from, BA_NEVER};
+
+	g_array_append_val(w->gaps, g);
+}
+
+/* Back before its gap began, it has never stopped. */
 static void reopen(struct owner *w, ba_time wall)
 {
+	struct gap *last =
+		&g_array_index(w->gaps, struct gap, w->gaps->len - 1);
+
 	w->gone_at = 0;
-	if (w->draining)
-		return;
-	if (wall < w->closed_from)
-		w->closed_from = BA_NEVER;
+	if (wall < last->from)
+		g_array_set_size(w->gaps, w->gaps->len - 1);
 	else
-		w->reopened_from = wall;
+		last->until = wall;
+}
+
+/* Keys that old are refused everywhere. */
+static void drop_old_gaps(struct owner *w, ba_time wall)
+{
+	while (w->gaps->len && g_array_index(w->gaps, struct gap, 0).until <
+				       wall - CL_KEY_WINDOW - CL_KEY_SKEW)
+		g_array_remove_index(w->gaps, 0);
+}
+
+static void owner_free(struct owner *w)
+{
+	g_array_free(w->gaps, TRUE);
+	g_free(w->instance);
+	g_free(w->data_centre);
+	g_free(w);
 }
 
 static bool could_own(const struct owner *w, const struct cl_key *key)
 {
-	return !strncmp(w->data_centre, key->home, key->home_len) &&
-	       !w->data_centre[key->home_len] && w->open_from <= key->issued &&
-	       (key->issued < w->closed_from ||
-		(w->reopened_from && key->issued >= w->reopened_from));
+	if (strncmp(w->data_centre, key->home, key->home_len) ||
+	    w->data_centre[key->home_len] || key->issued < w->open_from ||
+	    key->issued >= w->ended_from)
+		return false;
+	for (guint i = 0; i < w->gaps->len; i++) {
+		const struct gap *g = &g_array_index(w->gaps, struct gap, i);
+
+		if (g->from <= key->issued && key->issued < g->until)
+			return false;
+	}
+	return true;
 }
 
 static uint64_t rank(const struct owner *w, const struct cl_key *key)
--- a/call/cl_key.h
+++ b/call/cl_key.h
@@ -10,8 +10,8 @@
  * - An endpoint can own keys issued from its incarnation plus %CL_KEY_JOIN
  *   on, when all of its data centre know it, until it is closed.
  * - An endpoint that drains is closed to keys issued after that; one that
- *   was lost is closed %CL_KEY_GRACE later, by when it has itself noticed
- *   that it is cut off and has stopped: %CL_KEY_CUT_OFF without a relay.
+ *   was lost is closed %CL_KEY_GRACE later, by when it takes no new keys
+ *   itself: those issued %CL_KEY_CUT_OFF after it last had a relay.
  *   If it comes back it can own keys issued from then on.
  * - A key whose owner is gone is never given to another.
  * - The daemon that would run a call decides by itself whether it is the
--- a/call/cl_once.c
+++ b/call/cl_once.c
@@ -20,6 +20,7 @@
 /*
  * @floor: keys issued before it may have been forgotten.
  * @ceiling: keys issued from it on belong to another endpoint.
+ * @closed: @ceiling stays.
  */
 struct cl_once {
 	struct cl_once_options options;
@@ -27,6 +28,7 @@
 	GSequence *by_issue;
 	ba_time floor;
 	ba_time ceiling;
+	bool closed;
 	size_t bytes;
 };
 
@@ -66,15 +68,17 @@
 
 void cl_once_close(struct cl_once *t, ba_time wall)
 {
+	t->closed = true;
 	t->ceiling = MIN(t->ceiling, wall);
 }
 
-void cl_once_reopen(struct cl_once *t, ba_time wall)
+void cl_once_extend(struct cl_once *t, ba_time wall)
 {
-	if (t->ceiling == BA_NEVER)
+	if (t->closed)
 		return;
-	t->floor = MAX(t->floor, wall);
-	t->ceiling = BA_NEVER;
+	if (wall >= t->ceiling)
+		t->floor = MAX(t->floor, wall + CL_KEY_JOIN);
+	t->ceiling = wall + CL_KEY_CUT_OFF;
 }
 
 enum cl_once_act cl_once_begin(struct cl_once *t, const struct cl_key *key,
--- a/call/cl_once.h
+++ b/call/cl_once.h
@@ -51,11 +51,18 @@
 /** cl_once_free() - free it; NULL is allowed */
 void cl_once_free(struct cl_once *t);
 
-/** cl_once_close() - keys issued from @wall on are not for this endpoint */
+/** cl_once_close() - keys issued from @wall on are never for this endpoint */
 void cl_once_close(struct cl_once *t, ba_time wall);
 
-/** cl_once_reopen() - after a close, keys issued from @wall on are again */
-void cl_once_reopen(struct cl_once *t, ba_time wall);
+/**
+ * cl_once_extend() - others see this endpoint now
+ *
+ * Keys issued up to %CL_KEY_CUT_OFF after @wall may run here.  The bound is
+ * stored ahead, as a process that was paused may read a request before it
+ * notices that it is cut off.  After a lapse, those issued since are left out
+ * until %CL_KEY_JOIN has passed.
+ */
+void cl_once_extend(struct cl_once *t, ba_time wall);
 
 /**
  * cl_once_begin() - a call with @key has arrived
--- a/prog/carawayd.c
+++ b/prog/carawayd.c
@@ -73,8 +73,6 @@
 	struct da_worker *workers;
 	int64_t n_workers;
 	struct ep_view *view;
-	bool cut_off;
-	ba_time lost_at;
 	ba_time figures_deadline;
 	bool last_figures;
 	struct ba_timer watch_timer;
@@ -344,7 +342,6 @@
 	};
 
 	ba_random_bytes(&o.seed, sizeof(o.seed));
-	d->lost_at = BA_NEVER;
 	d->owner.on_snapshot = on_snapshot;
 	d->owner.on_view = on_view;
 	d->owner.figures = on_figures;
@@ -437,22 +434,12 @@
 static void on_watch_timer(struct ba_timer *t, ba_time now)
 {
 	struct daemon *d = ba_entry(t, struct daemon, watch_timer);
-	bool connected = ds_agent_connected(d->agent);
-	ba_time wall = ba_clock_wall();
 
-	pthread_mutex_lock(&d->tables.lock);
-	if (connected) {
-		if (d->cut_off && !d->tables.draining)
-			cl_once_reopen(d->tables.once, wall + CL_KEY_JOIN);
-		d->cut_off = false;
-		d->lost_at = BA_NEVER;
-	} else if (d->lost_at == BA_NEVER) {
-		d->lost_at = now;
-	} else if (!d->cut_off && now - d->lost_at >= CL_KEY_CUT_OFF) {
-		cl_once_close(d->tables.once, wall);
-		d->cut_off = true;
+	if (ds_agent_connected(d->agent)) {
+		pthread_mutex_lock(&d->tables.lock);
+		cl_once_extend(d->tables.once, ba_clock_wall());
+		pthread_mutex_unlock(&d->tables.lock);
 	}
-	pthread_mutex_unlock(&d->tables.lock);
 	ba_loop_arm(d->loop, t, now + WATCH_PERIOD);
 }
 
