http: short answers go before long ones on an instance's link

The endpoints of the service with long answers have links that their answers fill to 0.9 and more, and the kernel sends in the order of writing: a short answer waited behind all long ones that were written before it.

Change: connections of a proxy share a link of the rate in proxy.link_rate. Messages up to 16 KB are written at once; longer ones go one after the other in pieces.

--- a/base/ba_settings.c
+++ b/base/ba_settings.c
@@ -33,6 +33,7 @@
 static int set_boolean(const struct ba_toml *value, void *member);
 static int set_duration(const struct ba_toml *value, void *member);
 static int set_bytes(const struct ba_toml *value, void *member);
+static int set_rate(const struct ba_toml *value, void *member);
 static int set_address(const struct ba_toml *value, void *member);
 static int set_addresses(const struct ba_toml *value, void *member);
 static int text_string(const char *text, void *member);
@@ -40,6 +41,7 @@
 static int text_boolean(const char *text, void *member);
 static int text_duration(const char *text, void *member);
 static int text_bytes(const char *text, void *member);
+static int text_rate(const char *text, void *member);
 static int text_address(const char *text, void *member);
 
 static const struct kind_ops kinds[] = {
@@ -55,6 +57,8 @@
 			      set_duration, text_duration, true},
 	[BA_KIND_BYTES] = {"a size such as \"128MB\"", BA_TOML_STRING,
 			   set_bytes, text_bytes, true},
+	[BA_KIND_RATE] = {"a rate such as \"10.5Mbit\"", BA_TOML_STRING,
+			  set_rate, text_rate, true},
 	[BA_KIND_ADDRESS] = {"an address such as \"192.0.2.1:7000\"",
 			     BA_TOML_STRING, set_address, text_address, false},
 	[BA_KIND_ADDRESSES] = {"an array of addresses", BA_TOML_ARRAY,
@@ -62,10 +66,11 @@
 };
 
 static const char *const kind_names[] = {
-	[BA_KIND_STRING] = "string",	 [BA_KIND_STRINGS] = "strings",
-	[BA_KIND_INTEGER] = "integer",	 [BA_KIND_BOOLEAN] = "boolean",
-	[BA_KIND_DURATION] = "duration", [BA_KIND_BYTES] = "size",
-	[BA_KIND_ADDRESS] = "address",	 [BA_KIND_ADDRESSES] = "addresses",
+	[BA_KIND_STRING] = "string",	   [BA_KIND_STRINGS] = "strings",
+	[BA_KIND_INTEGER] = "integer",	   [BA_KIND_BOOLEAN] = "boolean",
+	[BA_KIND_DURATION] = "duration",   [BA_KIND_BYTES] = "size",
+	[BA_KIND_RATE] = "rate",	   [BA_KIND_ADDRESS] = "address",
+	[BA_KIND_ADDRESSES] = "addresses",
 };
 
 static void check_unknown(const struct ba_toml *table, const char *name,
@@ -350,6 +355,11 @@
 	return text_bytes(value->string, member);
 }
 
+static int set_rate(const struct ba_toml *value, void *member)
+{
+	return text_rate(value->string, member);
+}
+
 static int set_address(const struct ba_toml *value, void *member)
 {
 	return text_address(value->string, member);
@@ -401,6 +411,11 @@
 	return ba_parse_bytes(text, member);
 }
 
+static int text_rate(const char *text, void *member)
+{
+	return ba_parse_rate(text, member);
+}
+
 static int text_address(const char *text, void *member)
 {
 	return ba_parse_address(text, member);
--- a/base/ba_settings.h
+++ b/base/ba_settings.h
@@ -25,6 +25,7 @@
 	BA_KIND_BOOLEAN,  /* bool */
 	BA_KIND_DURATION, /* ba_time */
 	BA_KIND_BYTES,	  /* int64_t */
+	BA_KIND_RATE,	  /* int64_t, bytes a second */
 	BA_KIND_ADDRESS,  /* struct ba_address */
 	BA_KIND_ADDRESSES /* struct ba_addresses */
 };
--- a/base/ba_unit.c
+++ b/base/ba_unit.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
+
 #include "base/ba_result.h"
 #include "base/ba_unit.h"
 
@@ -19,6 +21,14 @@
 	{"B", 1}, {"KB", 1000}, {"MB", 1000000}, {"GB", 1000000000}, {NULL, 0},
 };
 
+/* Bytes a second. */
+static const struct unit rate_units[] = {
+	{"kbit", 125},
+	{"Mbit", 125000},
+	{"Gbit", 125000000},
+	{NULL, 0},
+};
+
 static int parse_with_unit(const char *s, const struct unit *units,
 			   int64_t *out);
 static int parse_port(const char *s, uint16_t *port);
@@ -33,6 +43,21 @@
 	return parse_with_unit(s, byte_units, out);
 }
 
+int ba_parse_rate(const char *s, int64_t *out)
+{
+	const struct unit *u = rate_units;
+	char *end;
+	double n = g_ascii_strtod(s, &end);
+
+	while (u->name && strcmp(u->name, end) != 0)
+		u++;
+	if (*s < '0' || *s > '9' || !u->name || n * (double)u->factor < 1 ||
+	    n > 1e6)
+		return BA_UNIT_WRONG;
+	*out = (int64_t)(n * (double)u->factor);
+	return BA_OK;
+}
+
 int ba_parse_address(const char *s, struct ba_address *out)
 {
 	const char *colon = strrchr(s, ':');
--- a/base/ba_unit.h
+++ b/base/ba_unit.h
@@ -38,6 +38,13 @@
  */
 int ba_parse_bytes(const char *s, int64_t *out);
 
+/**
+ * ba_parse_rate() - read "64kbit", "10.5Mbit" or "1Gbit" into bytes a second
+ *
+ * Return: %BA_OK or %BA_UNIT_WRONG.
+ */
+int ba_parse_rate(const char *s, int64_t *out);
+
 /**
  * ba_parse_address() - read "192.0.2.1:7000" or "[2001:db8::1]:7000"
  *
--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -25,6 +25,8 @@
 
 /*
  * @held: bytes behind the message that was read last
+ * @link: shared with other connections, or NULL
+ * @message_sent: bytes written since ht_conn_next()
  * @busy: depth of calls to the owner; the end waits for it to be 0
  * @resting: a whole message was read and ht_conn_next() not yet called
  * @started: a byte of the message was read
@@ -38,6 +40,9 @@
 	struct ht_head head;
 	struct ba_buf out;
 	struct ba_buf held;
+	struct ht_link *link;
+	struct ht_link_user on_link;
+	size_t message_sent;
 	size_t head_limit;
 	size_t head_bytes;
 	enum part part;
@@ -61,6 +66,8 @@
 				struct ht_owner *o);
 static void set_options(int fd);
 static void on_ready(struct ba_watch *w, unsigned int bits);
+static void on_link_turn(struct ht_link_user *u);
+static void tell_drained(struct ht_conn *c);
 static void on_connected(struct ht_conn *c);
 static void on_deadline(struct ba_timer *t, ba_time now);
 static void read_some(struct ht_conn *c);
@@ -126,6 +133,11 @@
 	return c;
 }
 
+void ht_conn_share(struct ht_conn *c, struct ht_link *l)
+{
+	c->link = l;
+}
+
 void ht_conn_own(struct ht_conn *c, struct ht_owner *o)
 {
 	c->owner = o;
@@ -149,14 +161,28 @@
 
 void ht_conn_flush(struct ht_conn *c)
 {
+	size_t len = c->out.len;
 	ssize_t n;
 
-	if (c->dead || c->connecting || !c->out.len)
+	if (c->dead || c->connecting || !len)
 		return;
-	n = send(c->watch.fd, c->out.data, c->out.len, MSG_NOSIGNAL);
+	if (c->link)
+		len = ht_link_ask(c->link, &c->on_link, c->message_sent, len,
+				  ba_loop_now(c->loop));
+	if (!len) {
+		ht_link_note(c->link, &c->on_link, true);
+		rewatch(c);
+		return;
+	}
+	n = send(c->watch.fd, c->out.data, len, MSG_NOSIGNAL);
+	if (c->link)
+		ht_link_wrote(c->link, &c->on_link, n > 0 ? (size_t)n : 0,
+			      n < (ssize_t)len);
 	if (n < 0 && errno != EAGAIN && errno != EINTR) {
 		/* What the other end has sent before is still to be read. */
 		c->out.len = 0;
+		if (c->link)
+			ht_link_leave(c->link, &c->on_link);
 		c->keep = false;
 		if (c->finishing)
 			leave(c);
@@ -164,10 +190,19 @@
 	}
 	if (n > 0) {
 		c->sent = true;
+		c->message_sent += (size_t)n;
 		ba_buf_consume(&c->out, (size_t)n);
+		if (c->finishing)
+			ba_loop_arm(c->loop, &c->timer,
+				    ba_loop_now(c->loop) +
+					    USER_TIMEOUT_MS * BA_MS);
 	}
 	if (!c->out.len && c->out.alloc > KEEP_OUT_BYTES)
 		ba_buf_free(&c->out);
+	if (c->link)
+		ht_link_note(c->link, &c->on_link, c->out.len > 0);
+	if (c->link && !c->out.len)
+		ht_link_leave(c->link, &c->on_link);
 	if (!c->out.len && c->finishing)
 		linger(c);
 	else
@@ -194,6 +229,7 @@
 	c->resting = false;
 	c->started = false;
 	c->sent = false;
+	c->message_sent = 0;
 	c->no_body = false;
 	c->paused = false;
 	memset(&c->held, 0, sizeof(c->held));
@@ -257,6 +293,8 @@
 	c->watch.fd = fd;
 	c->watch.ready = on_ready;
 	c->timer.fire = on_deadline;
+	c->on_link.go = on_link_turn;
+	ba_list_init(&c->on_link.link);
 	ht_head_clear(&c->head);
 	if (fd >= 0)
 		set_options(fd);
@@ -285,14 +323,31 @@
 		ht_conn_flush(c);
 	if (!c->dead && !c->connecting && bits & (BA_READABLE | BA_HANGUP))
 		read_some(c);
-	if (!c->dead && c->owner && c->owner->drained && bits & BA_WRITABLE &&
-	    !c->out.len)
-		c->owner->drained(c->owner, c);
+	if (bits & BA_WRITABLE)
+		tell_drained(c);
+	c->busy--;
+	if (c->dead && !c->busy)
+		free_later(c);
+}
+
+static void on_link_turn(struct ht_link_user *u)
+{
+	struct ht_conn *c = ba_entry(u, struct ht_conn, on_link);
+
+	c->busy++;
+	ht_conn_flush(c);
+	tell_drained(c);
 	c->busy--;
 	if (c->dead && !c->busy)
 		free_later(c);
 }
 
+static void tell_drained(struct ht_conn *c)
+{
+	if (!c->dead && c->owner && c->owner->drained && !c->out.len)
+		c->owner->drained(c->owner, c);
+}
+
 static void on_connected(struct ht_conn *c)
 {
 	socklen_t len = sizeof(int);
@@ -418,6 +473,10 @@
 	if (!c->dead) {
 		c->dead = true;
 		ba_loop_disarm(c->loop, &c->timer);
+		if (c->link) {
+			ht_link_leave(c->link, &c->on_link);
+			ht_link_note(c->link, &c->on_link, false);
+		}
 		if (c->watch.fd >= 0) {
 			ba_loop_unwatch(c->loop, &c->watch);
 			close(c->watch.fd);
@@ -463,7 +522,8 @@
 		return;
 	if (!c->paused && !c->connecting && c->held.len < HELD_LIMIT_BYTES)
 		bits |= BA_READABLE;
-	if (c->connecting || c->out.len)
+	if (c->connecting || (c->out.len && (ba_list_empty(&c->on_link.link) ||
+					     c->on_link.full)))
 		bits |= BA_WRITABLE;
 	if (bits == c->bits)
 		return;
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -17,6 +17,7 @@
 #include "base/ba_loop.h"
 #include "base/ba_unit.h"
 #include "http/ht_head.h"
+#include "http/ht_link.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -66,6 +67,9 @@
 struct ht_conn *ht_conn_dial(struct ba_loop *loop, const struct ba_address *to,
 			     size_t head_limit, struct ht_owner *o);
 
+/** ht_conn_share() - what is written goes over @l with that of others */
+void ht_conn_share(struct ht_conn *c, struct ht_link *l);
+
 /** ht_conn_own() - @o is told from now on */
 void ht_conn_own(struct ht_conn *c, struct ht_owner *o);
 
--- /dev/null
+++ b/http/ht_link.h
@@ -0,0 +1,96 @@
+/*
+ * The outgoing link of an instance, shared by its connections.  The kernel
+ * sends in the order of writing, so that a short answer would wait behind all
+ * that was written before it; here long messages wait instead, in user space.
+ *
+ * The load it answers: a backend server with long answers that nearly fill
+ * its link, and that also answers short calls with little time.
+ *
+ * Rules:
+ * - A short message is never held back; its bytes count all the same.
+ * - Long ones go one after the other in the order in which they came, a piece
+ *   at a time, at the rate of the link; one whose receiver does not take
+ *   more lets others by.
+ * - No more than a piece is written ahead of the rate.
+ */
+#ifndef HT_LINK_H
+#define HT_LINK_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+#include "base/ba_list.h"
+#include "base/ba_loop.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum {
+	HT_LINK_SHORT = 16 * 1024, /* bytes of a message that never waits */
+	HT_LINK_PIECE = 16 * 1024, /* bytes written at once of a longer one */
+	HT_LINK_AHEAD = 16 * 1024, /* what an idle link may make up for */
+};
+
+struct ht_link;
+
+/**
+ * struct ht_link_user - one connection; embed it
+ * @go: it may write; calls ht_link_ask() again
+ * @link: in the list of those that wait, or empty
+ * @full: its receiver takes no more now, which the next ask ends
+ * @unsent: has bytes that are not written
+ */
+struct ht_link_user {
+	void (*go)(struct ht_link_user *u);
+	struct ba_list link;
+	bool full;
+	bool unsent;
+};
+
+/**
+ * ht_link_new() - a link that is idle
+ * @loop: calls those that wait; NULL when the caller does by ht_link_run()
+ * @rate: bytes a second, or 0 when it is not known and nobody waits
+ */
+struct ht_link *ht_link_new(struct ba_loop *loop, int64_t rate, ba_time now);
+
+/** ht_link_free() - nobody waits any more; NULL is allowed */
+void ht_link_free(struct ht_link *l);
+
+/**
+ * ht_link_ask() - how much may be written now
+ * @sent: bytes of the message that were written before
+ * @left: bytes of it that are here to be written
+ *
+ * Return: bytes, at most @left; for what is left over @u is called later.
+ */
+size_t ht_link_ask(struct ht_link *l, struct ht_link_user *u, size_t sent,
+		   size_t left, ba_time now);
+
+/**
+ * ht_link_wrote() - @bytes were written
+ * @full: the receiver takes no more now
+ */
+void ht_link_wrote(struct ht_link *l, struct ht_link_user *u, size_t bytes,
+		   bool full);
+
+/** ht_link_leave() - @u has nothing to write, or cannot */
+void ht_link_leave(struct ht_link *l, struct ht_link_user *u);
+
+/** ht_link_note() - whether @u has bytes that are not written */
+void ht_link_note(struct ht_link *l, struct ht_link_user *u, bool unsent);
+
+/** ht_link_unsent() - users that have bytes that are not written */
+size_t ht_link_unsent(const struct ht_link *l);
+
+/** ht_link_next() - when ht_link_run() is due, or %BA_NEVER */
+ba_time ht_link_next(const struct ht_link *l);
+
+/** ht_link_run() - call those whose turn has come */
+void ht_link_run(struct ht_link *l, ba_time now);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -21,6 +21,7 @@
 
 /**
  * struct settings - the settings file
+ * @link_rate: bytes a second of the outgoing link, or 0
  * @grace: between the signal to stop and the end of the process by force
  * @relay_port: of relays whose addresses are given with another port, or 0
  */
@@ -31,6 +32,7 @@
 	struct ba_address ready;
 	struct ba_address beats;
 	struct ba_address backend;
+	int64_t link_rate;
 	char *service;
 	struct ba_addresses relays;
 	int64_t relay_port;
@@ -48,6 +50,7 @@
 	KEY("proxy", "peer_address", BA_KIND_ADDRESS, true, peers),
 	KEY("proxy", "ready_address", BA_KIND_ADDRESS, false, ready),
 	KEY("proxy", "beat_address", BA_KIND_ADDRESS, false, beats),
+	KEY("proxy", "link_rate", BA_KIND_RATE, false, link_rate),
 	KEY("backend", "address", BA_KIND_ADDRESS, true, backend),
 	KEY("backend", "service", BA_KIND_STRING, true, service),
 	KEY("relays", "addresses", BA_KIND_ADDRESSES, true, relays),
@@ -133,6 +136,7 @@
 		.instance = s->common.instance_name,
 		.data_centre = s->common.data_centre,
 		.region = s->common.region,
+		.link_rate = s->link_rate,
 		.service = s->service,
 		.dialect = &pf_proxy,
 	};
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -31,6 +31,7 @@
 	p->peers.accept = px_front_accept_peer;
 	p->controls.request = px_control_request;
 	p->gate.turn.fire = px_gate_on_turn;
+	p->link = ht_link_new(loop, o->link_rate, ba_loop_now(loop));
 	ba_list_init(&p->fronts);
 	ba_list_init(&p->exchanges);
 	p->router = cl_router_new(&router);
@@ -88,7 +89,7 @@
 
 unsigned int px_in_progress(const struct px *p)
 {
-	return p->n_exchanges;
+	return p->n_exchanges + (unsigned int)ht_link_unsent(p->link);
 }
 
 void px_free(struct px *p)
@@ -113,6 +114,7 @@
 	ht_pool_free(p->gate.pool);
 	cl_admit_free(p->gate.admit);
 	cl_router_free(p->router);
+	ht_link_free(p->link);
 	cf_snapshot_unref(p->snapshot);
 	g_free(p);
 }
--- a/proxy/px.h
+++ b/proxy/px.h
@@ -46,6 +46,7 @@
  * @ready: where the platform asks for readiness
  * @beats: where the backend server announces itself
  * @backend: where the backend server listens
+ * @link_rate: bytes a second of the outgoing link, or 0 if not known
  * @service: service on this instance, told to backend servers as the caller
  * @seed: of the generator for choices among equals
  */
@@ -58,6 +59,7 @@
 	const char *instance;
 	const char *data_centre;
 	const char *region;
+	int64_t link_rate;
 	const char *service;
 	const struct px_dialect *dialect;
 	uint64_t seed;
@@ -88,7 +90,7 @@
 /** px_finish() - whatever is in progress gets its final answer now */
 void px_finish(struct px *p);
 
-/** px_in_progress() - requests that have not ended */
+/** px_in_progress() - requests that have not ended, answers not yet sent */
 unsigned int px_in_progress(const struct px *p);
 
 /** px_free() - end everything; NULL is allowed */
--- a/proxy/px_front.c
+++ b/proxy/px_front.c
@@ -81,6 +81,7 @@
 	f->owner.ended = on_ended;
 	ba_list_append(&p->fronts, &f->link);
 	f->conn = ht_conn_accepted(p->loop, fd, head_limit(p), &f->owner);
+	ht_conn_share(f->conn, p->link);
 	ht_conn_expect(f->conn, ba_loop_now(p->loop) + idle_timeout(f));
 }
 
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -115,6 +115,7 @@
 	GHashTable *splits;
 	GHashTable *seen;
 	struct cl_pace pace;
+	struct ht_link *link;
 	GHashTable *pools;
 	struct px_gate gate;
 	struct ba_rand rand;
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -62,6 +62,8 @@
 		ht_conn_expect(x->conn, now + PX_CONNECT_TIMEOUT);
 	if (!strcmp(ht_conn_head(x->front->conn)->method, "HEAD"))
 		ht_conn_no_body(x->conn);
+	if (place == PX_AT_PEER)
+		ht_conn_share(x->conn, x->p->link);
 	px_compose_request(x, place == PX_AT_BACKEND, ht_conn_out(x->conn));
 	ht_conn_flush(x->conn);
 }
--- a/test/base_test.cc
+++ b/test/base_test.cc
@@ -45,6 +45,28 @@
 	}
 }
 
+TEST(BaUnit, Rates)
+{
+	static const struct {
+		const char *text;
+		int code;
+		int64_t value;
+	} cases[] = {
+		{"64kbit", BA_OK, 8000},      {"10.5Mbit", BA_OK, 1312500},
+		{"1Gbit", BA_OK, 125000000},  {"1000.0Mbit", BA_OK, 125000000},
+		{"0Mbit", BA_UNIT_WRONG, 0},  {"10", BA_UNIT_WRONG, 0},
+		{"-1Mbit", BA_UNIT_WRONG, 0}, {"1e30Mbit", BA_UNIT_WRONG, 0},
+		{"1 MB", BA_UNIT_WRONG, 0},   {"", BA_UNIT_WRONG, 0},
+	};
+
+	for (const auto &c : cases) {
+		int64_t got = 0;
+
+		EXPECT_EQ(ba_parse_rate(c.text, &got), c.code) << c.text;
+		EXPECT_EQ(got, c.value) << c.text;
+	}
+}
+
 TEST(BaUnit, Addresses)
 {
 	static const struct {
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -405,6 +405,32 @@
 	EXPECT_NEAR(taken, 30, 1);
 }
 
+/* The answer is read from the backend server long before it is sent. */
+TEST(PxStop, WaitsForAnswersThatAreNotSent)
+{
+	const std::string body(40000, 'b');
+	world w(true, 20000);
+	unsigned int left = 0;
+
+	w.beat("i-1", "ready", 1);
+	wire caller = wire::to(CALLERS);
+
+	caller.say(request("GET /look/a"));
+	wire backend = w.backend.accept_one();
+
+	backend.message();
+	backend.say(answer(200, body));
+	caller.more();
+	w.run([&] {
+		px_stop(w.proxy);
+		left = px_in_progress(w.proxy);
+	});
+	EXPECT_EQ(left, 1U);
+	EXPECT_TRUE(has(caller.message(), body));
+	w.run([&] { left = px_in_progress(w.proxy); });
+	EXPECT_EQ(left, 0U);
+}
+
 TEST(PxStop, LateRequestsAreRefusedAndOthersGetAFinalAnswer)
 {
 	world w;
--- a/test/proxy_world.h
+++ b/test/proxy_world.h
@@ -211,7 +211,7 @@
 	std::thread thread;
 	listener backend{BACKEND};
 
-	explicit world(bool configured = true)
+	explicit world(bool configured = true, int64_t link_rate = 0)
 	{
 		struct px_options o = {};
 		const struct ba_address *failed = nullptr;
@@ -225,6 +225,7 @@
 		o.data_centre = "dc1";
 		o.region = "r1";
 		o.service = "stock";
+		o.link_rate = link_rate;
 		o.dialect = &pf_proxy;
 		o.seed = 7;
 		owner.backend = [](struct px_owner *, const struct px_beat *,
