call: a long answer is promised only while the link carries it

A caller's nearest instance was taken as long as it had a free slot, so that links in one data centre were asked for 1.2 times what they carry while others stood at half, and where all are full everyone waited past the target.

Ruled out: slots (they are free), the order on the link (first come first served as before).

Change: the proxy beside an endpoint judges a call with a long answer by what waits to be sent and what running calls will send. One whose target cannot be met is not run and goes to another proxy; the last one asked takes it late, behind those in time, if its deadline can be met.

--- a/base/ba_result.c
+++ b/base/ba_result.c
@@ -253,6 +253,11 @@
 		{"key-reused",
 		 "The Idempotency-Key was used for another request; this one was not run.",
 		 "Use a new key for each request.", 422, EXIT_FAILED},
+	[CL_LINK_FULL] =
+		{"link-full",
+		 "The links of the endpoints are full of answers; the request was not run.",
+		 "Try again after the time in Retry-After.", 503,
+		 EXIT_UNAVAILABLE},
 	[CL_SHED_BY_BACKEND] =
 		{"shed-by-backend",
 		 "The call was not run: the backend server refused it.",
--- a/call/cl_wait.c
+++ b/call/cl_wait.c
@@ -27,7 +27,6 @@
 };
 
 static double slot_time(const struct cl_wait *w);
-static ba_time known_time(const struct cl_wait *w, const char *route);
 
 struct cl_wait *cl_wait_new(void)
 {
@@ -51,7 +50,7 @@
 				  struct cl_ticket *t)
 {
 	uint32_t rank = MIN(c->priority, WEIGHT_MOST / RANKS - 1);
-	ba_time known = known_time(w, c->route);
+	ba_time known = cl_wait_known(w, c->route);
 	enum cl_wait_class class = CL_WAIT_IN_TIME;
 
 	if (known && (double)known * SHORT_SHARE <= slot_time(w))
@@ -74,6 +73,14 @@
 	return class;
 }
 
+ba_time cl_wait_known(const struct cl_wait *w, const char *route)
+{
+	const ba_time *known =
+		route ? g_hash_table_lookup(w->times, route) : NULL;
+
+	return known ? *known : 0;
+}
+
 void cl_wait_served(struct cl_wait *w, const char *route, ba_time took)
 {
 	double t = (double)took;
@@ -110,11 +117,3 @@
 {
 	return w->mean > 0 ? w->square / w->mean : 0;
 }
-
-static ba_time known_time(const struct cl_wait *w, const char *route)
-{
-	const ba_time *known =
-		route ? g_hash_table_lookup(w->times, route) : NULL;
-
-	return known ? *known : 0;
-}
--- a/call/cl_wait.h
+++ b/call/cl_wait.h
@@ -59,6 +59,9 @@
 				  const struct cl_waiter *c, ba_time now,
 				  struct cl_ticket *t);
 
+/** cl_wait_known() - how long calls of @route take, 0 if not known */
+ba_time cl_wait_known(const struct cl_wait *w, const char *route);
+
 /** cl_wait_served() - a call of @route held a slot for @took */
 void cl_wait_served(struct cl_wait *w, const char *route, ba_time took);
 
--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -138,6 +138,12 @@
 	c->link = l;
 }
 
+void ht_conn_rank(struct ht_conn *c, unsigned int rank)
+{
+	if (c->link)
+		ht_link_rank(c->link, &c->on_link, rank);
+}
+
 void ht_conn_own(struct ht_conn *c, struct ht_owner *o)
 {
 	c->owner = o;
@@ -170,7 +176,7 @@
 		len = ht_link_ask(c->link, &c->on_link, c->message_sent, len,
 				  ba_loop_now(c->loop));
 	if (!len) {
-		ht_link_note(c->link, &c->on_link, true);
+		ht_link_note(c->link, &c->on_link, c->out.len);
 		rewatch(c);
 		return;
 	}
@@ -200,7 +206,7 @@
 	if (!c->out.len && c->out.alloc > KEEP_OUT_BYTES)
 		ba_buf_free(&c->out);
 	if (c->link)
-		ht_link_note(c->link, &c->on_link, c->out.len > 0);
+		ht_link_note(c->link, &c->on_link, c->out.len);
 	if (c->link && !c->out.len)
 		ht_link_leave(c->link, &c->on_link);
 	if (!c->out.len && c->finishing)
@@ -475,7 +481,7 @@
 		ba_loop_disarm(c->loop, &c->timer);
 		if (c->link) {
 			ht_link_leave(c->link, &c->on_link);
-			ht_link_note(c->link, &c->on_link, false);
+			ht_link_note(c->link, &c->on_link, 0);
 		}
 		if (c->watch.fd >= 0) {
 			ba_loop_unwatch(c->loop, &c->watch);
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -70,6 +70,9 @@
 /** ht_conn_share() - what is written goes over @l with that of others */
 void ht_conn_share(struct ht_conn *c, struct ht_link *l);
 
+/** ht_conn_rank() - of what is written from now on, on the shared link */
+void ht_conn_rank(struct ht_conn *c, unsigned int rank);
+
 /** ht_conn_own() - @o is told from now on */
 void ht_conn_own(struct ht_conn *c, struct ht_owner *o);
 
--- a/http/ht_link.c
+++ b/http/ht_link.c
@@ -9,7 +9,8 @@
  * @tokens: bytes that may be written ahead; negative when overdrawn
  * @at: when @tokens was true
  * @waiting: users with long messages, the next one first
- * @unsent: users that have bytes that are not written
+ * @unsent: bytes that are not written, by rank
+ * @busy: users that have some
  */
 struct ht_link {
 	struct ba_loop *loop;
@@ -18,10 +19,12 @@
 	double tokens;
 	ba_time at;
 	struct ba_list waiting;
-	size_t unsent;
+	size_t unsent[HT_LINK_RANKS];
+	unsigned int busy;
 };
 
 static void refill(struct ht_link *l, ba_time now);
+static void enqueue(struct ht_link *l, struct ht_link_user *u);
 static struct ht_link_user *first(const struct ht_link *l);
 static bool waits(const struct ht_link_user *u);
 static void arm(struct ht_link *l);
@@ -58,7 +61,7 @@
 	if (sent + left <= HT_LINK_SHORT || l->rate <= 0)
 		return left;
 	if (!waits(u))
-		ba_list_append(&l->waiting, &u->link);
+		enqueue(l, u);
 	u->full = false;
 	if (l->tokens > 0 && first(l) == u)
 		return MIN(left, HT_LINK_PIECE);
@@ -83,17 +86,38 @@
 	arm(l);
 }
 
-void ht_link_note(struct ht_link *l, struct ht_link_user *u, bool unsent)
+void ht_link_rank(struct ht_link *l, struct ht_link_user *u, unsigned int rank)
 {
-	if (unsent == u->unsent)
+	bool waited = waits(u);
+
+	if (rank == u->rank)
+		return;
+	l->unsent[u->rank] -= u->unsent;
+	l->unsent[rank] += u->unsent;
+	u->rank = rank;
+	if (!waited)
 		return;
+	ba_list_remove(&u->link);
+	enqueue(l, u);
+}
+
+void ht_link_note(struct ht_link *l, struct ht_link_user *u, size_t unsent)
+{
+	l->busy += !u->unsent && unsent;
+	l->busy -= u->unsent && !unsent;
+	l->unsent[u->rank] += unsent;
+	l->unsent[u->rank] -= u->unsent;
 	u->unsent = unsent;
-	l->unsent += unsent ? 1 : (size_t)-1;
 }
 
-size_t ht_link_unsent(const struct ht_link *l)
+size_t ht_link_unsent(const struct ht_link *l, unsigned int rank)
 {
-	return l->unsent;
+	return l->unsent[rank];
+}
+
+unsigned int ht_link_busy(const struct ht_link *l)
+{
+	return l->busy;
 }
 
 ba_time ht_link_next(const struct ht_link *l)
@@ -128,6 +152,16 @@
 	l->at = now;
 }
 
+static void enqueue(struct ht_link *l, struct ht_link_user *u)
+{
+	struct ba_list *pos = l->waiting.prev;
+
+	while (pos != &l->waiting &&
+	       ba_entry(pos, struct ht_link_user, link)->rank > u->rank)
+		pos = pos->prev;
+	ba_list_insert_before(pos->next, &u->link);
+}
+
 static struct ht_link_user *first(const struct ht_link *l)
 {
 	struct ba_list *pos;
--- a/http/ht_link.h
+++ b/http/ht_link.h
@@ -8,8 +8,8 @@
  *
  * Rules:
  * - A short message is never held back; its bytes count all the same.
- * - Long ones go one after the other in the order in which they came, a piece
- *   at a time, at the rate of the link; one whose receiver does not take
+ * - Long ones go one after the other by rank, then in the order in which they
+ *   came, a piece at a time, at the rate of the link; one whose receiver does not take
  *   more lets others by.
  * - No more than a piece is written ahead of the rate.
  */
@@ -30,6 +30,7 @@
 	HT_LINK_SHORT = 16 * 1024, /* bytes of a message that never waits */
 	HT_LINK_PIECE = 16 * 1024, /* bytes written at once of a longer one */
 	HT_LINK_AHEAD = 16 * 1024, /* what an idle link may make up for */
+	HT_LINK_RANKS = 2,
 };
 
 struct ht_link;
@@ -39,13 +40,15 @@
  * @go: it may write; calls ht_link_ask() again
  * @link: in the list of those that wait, or empty
  * @full: its receiver takes no more now, which the next ask ends
- * @unsent: has bytes that are not written
+ * @rank: the lowest goes first
+ * @unsent: bytes that are not written
  */
 struct ht_link_user {
 	void (*go)(struct ht_link_user *u);
 	struct ba_list link;
 	bool full;
-	bool unsent;
+	unsigned int rank;
+	size_t unsent;
 };
 
 /**
@@ -78,11 +81,17 @@
 /** ht_link_leave() - @u has nothing to write, or cannot */
 void ht_link_leave(struct ht_link *l, struct ht_link_user *u);
 
-/** ht_link_note() - whether @u has bytes that are not written */
-void ht_link_note(struct ht_link *l, struct ht_link_user *u, bool unsent);
+/** ht_link_rank() - the place of @u among those that wait, from now on */
+void ht_link_rank(struct ht_link *l, struct ht_link_user *u, unsigned int rank);
 
-/** ht_link_unsent() - users that have bytes that are not written */
-size_t ht_link_unsent(const struct ht_link *l);
+/** ht_link_note() - @u has @unsent bytes that are not written */
+void ht_link_note(struct ht_link *l, struct ht_link_user *u, size_t unsent);
+
+/** ht_link_unsent() - bytes that are not written, of users of @rank */
+size_t ht_link_unsent(const struct ht_link *l, unsigned int rank);
+
+/** ht_link_busy() - users that have bytes that are not written */
+unsigned int ht_link_busy(const struct ht_link *l);
 
 /** ht_link_next() - when ht_link_run() is due, or %BA_NEVER */
 ba_time ht_link_next(const struct ht_link *l);
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -32,6 +32,7 @@
 	p->controls.request = px_control_request;
 	p->gate.turn.fire = px_gate_on_turn;
 	p->link = ht_link_new(loop, o->link_rate, ba_loop_now(loop));
+	p->carry.rate = o->link_rate;
 	ba_list_init(&p->fronts);
 	ba_list_init(&p->exchanges);
 	p->router = cl_router_new(&router);
@@ -89,7 +90,7 @@
 
 unsigned int px_in_progress(const struct px *p)
 {
-	return p->n_exchanges + (unsigned int)ht_link_unsent(p->link);
+	return p->n_exchanges + ht_link_busy(p->link);
 }
 
 void px_free(struct px *p)
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -136,6 +136,8 @@
 		    x->caller);
 	ba_buf_addf(out, PX_ROUTE ": %s\r\n" PX_PRIORITY ": %u\r\n", x->route,
 		    x->priority);
+	if (x->last_try)
+		ba_buf_addf(out, PX_LAST_TRY ": 1\r\n");
 	ba_buf_addf(out, PX_TIME_LEFT ": %lld\r\n" PX_TARGET_LEFT ": %lld\r\n",
 		    (long long)time_left(x), (long long)target);
 }
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -51,7 +51,7 @@
 {
 	struct px *p = x->p;
 	ba_time now = ba_loop_now(p->loop);
-	double bytes = route_seen(p, x->route)->bytes;
+	double bytes = px_exchange_bytes(x);
 	bool heavy = bytes > PX_HEAVY_BYTES;
 	const struct cl_pick_request q = {
 		.service = x->service,
@@ -82,6 +82,7 @@
 		 x->endpoint->in_flight, x->endpoint->reported,
 		 (long long)(x->deadline - now));
 	x->tried[x->n_tried++] = x->endpoint->id;
+	x->last_try = x->n_tried == PX_TRIES_LIMIT;
 	x->sent_at = now;
 	x->paced = heavy && x->endpoint->tier == CL_TIER_LINK;
 	if (x->paced)
@@ -92,6 +93,11 @@
 		px_upstream_peer(x);
 }
 
+double px_exchange_bytes(struct px_exchange *x)
+{
+	return x->route ? route_seen(x->p, x->route)->bytes : 0;
+}
+
 void px_exchange_not_run(struct px_exchange *x, int code)
 {
 	px_exchange_leave(x, seen_of(code));
@@ -179,6 +185,7 @@
 	if (x->paced && !refused)
 		cl_pace_done(&p->pace, x->sent_at, seen == CL_SEEN_ANSWER, now);
 	x->paced = false;
+	cl_carry_end(&p->carry, &x->carried);
 	cl_admit_leave(p->gate.admit, &x->ticket);
 	if (!ran)
 		return;
@@ -225,6 +232,7 @@
 	x->deadline = x->arrived + g_ascii_strtoll(left, NULL, 10);
 	x->priority = priority ? (uint32_t)strtoul(priority, NULL, 10) : 0;
 	x->route = ht_head_get(h, PX_ROUTE);
+	x->last_try = ht_head_get(h, PX_LAST_TRY) != NULL;
 	x->latency_target =
 		target ? x->arrived + g_ascii_strtoll(target, NULL, 10)
 		       : x->deadline;
@@ -435,10 +443,12 @@
 	struct px_seen *seen;
 	double most = p->n_endpoints ? PX_RETRY_FLEET / p->n_endpoints : 1;
 
-	if (x->front->from_peer)
+	if (!x->route)
 		return;
 	seen = route_seen(p, x->route);
 	seen->bytes += ((double)x->answer_bytes - seen->bytes) / BYTES_SHARE;
+	if (x->front->from_peer)
+		return;
 	r = retry_of(p, x->service);
 	cl_retry_answered(r);
 	if (r->tokens > MAX(most, 1))
@@ -449,6 +459,7 @@
 {
 	switch (code) {
 	case CL_OVERLOADED:
+	case CL_LINK_FULL:
 	case CL_DEADLINE_PASSED:
 		return CL_SEEN_OVERLOADED;
 	case CL_SHED_BY_BACKEND:
--- a/proxy/px_gate.c
+++ b/proxy/px_gate.c
@@ -9,6 +9,7 @@
 };
 
 static int closed_code(const struct px *p, const char *service);
+static int carry(struct px_exchange *x);
 static int code_of(enum cl_admit_reason reason);
 static bool is_renewed(const struct px_gate *g, const struct px_beat *b);
 static bool is_late(const struct px_gate *g, const struct px_beat *b);
@@ -20,15 +21,18 @@
 {
 	struct px *p = x->p;
 	ba_time now = ba_loop_now(p->loop);
+	ba_time sending = cl_carry_time(&p->carry, px_exchange_bytes(x));
 	const struct cl_waiter waiter = {
 		.route = x->route,
 		.priority = x->priority,
-		.target = x->latency_target,
-		.deadline = x->deadline,
+		.target = x->latency_target - sending,
+		.deadline = x->deadline - sending,
 	};
 	int code = closed_code(p, x->service);
 	enum cl_admit_reason reason;
 
+	if (!code)
+		code = carry(x);
 	if (code) {
 		px_exchange_not_run(x, code);
 		return;
@@ -119,6 +123,32 @@
 	return g->beat.draining ? CL_DRAINING : 0;
 }
 
+/* Short answers do not wait for others on the link. */
+static int carry(struct px_exchange *x)
+{
+	struct px *p = x->p;
+	const struct cl_carry_call call = {
+		.bytes = px_exchange_bytes(x),
+		.work = cl_wait_known(p->gate.wait, x->route),
+		.target = x->latency_target,
+		.deadline = x->deadline,
+		.last = x->last_try,
+		.unsent = {[CL_CARRY_IN_TIME] = (double)ht_link_unsent(
+				   p->link, CL_CARRY_IN_TIME),
+			   [CL_CARRY_LATE] = (double)ht_link_unsent(
+				   p->link, CL_CARRY_LATE)},
+	};
+	enum cl_carry_rank rank;
+
+	if (call.bytes <= HT_LINK_SHORT)
+		return 0;
+	rank = cl_carry_judge(&p->carry, &call, ba_loop_now(p->loop));
+	if (rank == CL_CARRY_NEVER)
+		return CL_LINK_FULL;
+	cl_carry_begin(&p->carry, &x->carried, call.bytes, rank);
+	return 0;
+}
+
 static int code_of(enum cl_admit_reason reason)
 {
 	return reason == CL_ADMIT_TOO_LATE ? CL_DEADLINE_PASSED : CL_OVERLOADED;
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -17,6 +17,7 @@
 #include "base/ba_list.h"
 #include "base/ba_rand.h"
 #include "call/cl_admit.h"
+#include "call/cl_carry.h"
 #include "call/cl_pace.h"
 #include "call/cl_retry.h"
 #include "call/cl_route.h"
@@ -60,6 +61,7 @@
 #define PX_PRIORITY "caraway-priority"
 #define PX_ROUTE "caraway-route"
 #define PX_TARGET_LEFT "caraway-target-left-us"
+#define PX_LAST_TRY "caraway-last-try"
 #define PX_NOT_RUN "caraway-not-run"
 #define PX_LOAD "caraway-load"
 
@@ -116,6 +118,7 @@
 	GHashTable *seen;
 	struct cl_pace pace;
 	struct ht_link *link;
+	struct cl_carry carry;
 	GHashTable *pools;
 	struct px_gate gate;
 	struct ba_rand rand;
@@ -162,6 +165,7 @@
  * @runs: backend servers that may have begun to work on it
  * @most_runs: how many may
  * @tried: endpoints that did not take it, or failed
+ * @last_try: no other proxy is asked after this one
  * @answer_bytes: of the body that has come
  * @paced: a large answer over the paid link
  * @not_run: the answer that is being read says so, with this code
@@ -188,6 +192,7 @@
 	unsigned int most_runs;
 	uint64_t tried[PX_TRIES_LIMIT];
 	size_t n_tried;
+	bool last_try;
 
 	enum px_place place;
 	struct ht_owner up;
@@ -195,6 +200,7 @@
 	struct ht_pool *pool;
 	struct cl_endpoint *endpoint;
 	struct cl_ticket ticket;
+	struct cl_carried carried;
 	ba_time sent_at;
 	bool paced;
 	bool fresh;
@@ -227,6 +233,9 @@
 /** px_exchange_begin() - the request of @f is whole */
 void px_exchange_begin(struct px_front *f);
 
+/** px_exchange_bytes() - expected size of its answer */
+double px_exchange_bytes(struct px_exchange *x);
+
 /** px_exchange_gone() - the caller has left */
 void px_exchange_gone(struct px_exchange *x);
 
