--- a/call/cl_carry.c
+++ b/call/cl_carry.c
@@ -2,6 +2,8 @@
 
 /* Of the time to the target; sizes of answers of a route differ by half. */
 #define MARGIN_SHARE 0.15
+/* Those in time that come later go first too; they leave about a third. */
+#define LATE_WAIT 3
 
 static ba_time margin(const struct cl_carry *c,
 		      const struct cl_carry_call *call, ba_time now);
@@ -65,6 +67,8 @@
 	for (int i = 0; i <= (int)rank; i++)
 		before += call->unsent[i] + c->promised[i];
 	wait = cl_carry_time(c, before);
+	if (rank == CL_CARRY_LATE)
+		wait *= LATE_WAIT;
 	return now + (wait > call->work ? wait : call->work) +
 	       cl_carry_time(c, call->bytes);
 }
