http: late answers have a small share of the link; waiting for it is no silence

An answer that was taken as late waited behind all in time, and the connection of a caller that closes after its answer was ended after 3 s without a byte, as if the caller did not read: the time on the shared link counted. A stop ended others after 5 s.

Ruled out: the caller and the path (the link of the proxy beside the caller had bytes of others to send all the time), the change of configuration that the rule is told beside (it only makes the cut count).

Change: the timer runs only while the other end is expected to take bytes. Late answers get one byte for 16 of those in time, which the decision counts with. What a proxy passes on for others keeps its order.

The new tests fail without the change.

--- a/call/cl_carry.c
+++ b/call/cl_carry.c
@@ -1,12 +1,15 @@
+#include <glib.h>
+
 #include "call/cl_carry.h"
 
-/* Of the time to the target; sizes of answers of a route differ by half. */
+/* Of the time there is; sizes of answers of a route differ by half. */
 #define MARGIN_SHARE 0.15
-/* Those in time that come later go first too; they leave about a third. */
-#define LATE_WAIT 3
 
 static ba_time margin(const struct cl_carry *c,
-		      const struct cl_carry_call *call, ba_time now);
+		      const struct cl_carry_call *call, ba_time until,
+		      ba_time now);
+static double before(const struct cl_carry *c, const struct cl_carry_call *call,
+		     enum cl_carry_rank rank);
 static ba_time sent_at(const struct cl_carry *c,
 		       const struct cl_carry_call *call,
 		       enum cl_carry_rank rank, ba_time now);
@@ -14,11 +17,13 @@
 enum cl_carry_rank cl_carry_judge(const struct cl_carry *c,
 				  const struct cl_carry_call *call, ba_time now)
 {
-	if (c->rate <= 0 || sent_at(c, call, CL_CARRY_IN_TIME, now) <=
-				    call->target - margin(c, call, now))
+	if (c->rate <= 0 ||
+	    sent_at(c, call, CL_CARRY_IN_TIME, now) <=
+		    call->target - margin(c, call, call->target, now))
 		return CL_CARRY_IN_TIME;
 	if (call->last &&
-	    sent_at(c, call, CL_CARRY_LATE, now) <= call->deadline)
+	    sent_at(c, call, CL_CARRY_LATE, now) <=
+		    call->deadline - margin(c, call, call->deadline, now))
 		return CL_CARRY_LATE;
 	return CL_CARRY_NEVER;
 }
@@ -46,14 +51,34 @@
 
 /*
  * Sizes and times are expected ones, and the answer that is being sent goes
- * on, also when it is a late one: without room for these all answers end at
- * about the target, and every second one behind it.
+ * on: without room for these all answers end at about the target, and every
+ * second one behind it.
  */
 static ba_time margin(const struct cl_carry *c,
-		      const struct cl_carry_call *call, ba_time now)
+		      const struct cl_carry_call *call, ba_time until,
+		      ba_time now)
 {
 	return cl_carry_time(c, call->bytes) +
-	       (ba_time)((double)(call->target - now) * MARGIN_SHARE);
+	       (ba_time)((double)(until - now) * MARGIN_SHARE);
+}
+
+/*
+ * Bytes that are sent until the call's answer is, itself included.  Where
+ * answers in time wait, more of them come before a late one is through.
+ */
+static double before(const struct cl_carry *c, const struct cl_carry_call *call,
+		     enum cl_carry_rank rank)
+{
+	double in_time =
+		call->unsent[CL_CARRY_IN_TIME] + c->promised[CL_CARRY_IN_TIME];
+	double late = call->unsent[CL_CARRY_LATE] + c->promised[CL_CARRY_LATE];
+
+	if (rank == CL_CARRY_IN_TIME) {
+		in_time += call->bytes;
+		return in_time + MIN(late, in_time / CL_CARRY_WEIGHT);
+	}
+	late += call->bytes;
+	return late + CL_CARRY_WEIGHT * MIN(late, in_time);
 }
 
 /* The link goes on while the call is worked on. */
@@ -61,14 +86,8 @@
 		       const struct cl_carry_call *call,
 		       enum cl_carry_rank rank, ba_time now)
 {
-	double before = 0;
-	ba_time wait;
+	ba_time all = cl_carry_time(c, before(c, call, rank));
+	ba_time least = call->work + cl_carry_time(c, call->bytes);
 
-	for (int i = 0; i <= (int)rank; i++)
-		before += call->unsent[i] + c->promised[i];
-	wait = cl_carry_time(c, before);
-	if (rank == CL_CARRY_LATE)
-		wait *= LATE_WAIT;
-	return now + (wait > call->work ? wait : call->work) +
-	       cl_carry_time(c, call->bytes);
+	return now + (all > least ? all : least);
 }
--- a/call/cl_carry.h
+++ b/call/cl_carry.h
@@ -9,8 +9,9 @@
  * - A call is taken only while its answer is expected to be sent before its
  *   latency target; when the caller has nowhere else to go, before its
  *   deadline.
- * - Answers that will be late stand behind those in time, on the link too,
- *   so that too many calls do not make all of them late.
+ * - Answers that will be late get one byte for %CL_CARRY_WEIGHT of those in
+ *   time while both wait, on the link too: too many calls do not make all of
+ *   them late, and what was taken is answered.
  * - What a call will send is expected from the answers of its route.
  */
 #ifndef CL_CARRY_H
@@ -32,7 +33,7 @@
 	CL_CARRY_NEVER, /* the call is not to be run */
 };
 
-enum { CL_CARRY_RANKS = CL_CARRY_NEVER };
+enum { CL_CARRY_RANKS = CL_CARRY_NEVER, CL_CARRY_WEIGHT = 16 };
 
 /**
  * struct cl_carry - one link
--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -66,6 +66,7 @@
 				struct ht_owner *o);
 static void set_options(int fd);
 static void on_ready(struct ba_watch *w, unsigned int bits);
+static void expect_progress(struct ht_conn *c);
 static void on_link_turn(struct ht_link_user *u);
 static void tell_drained(struct ht_conn *c);
 static void on_connected(struct ht_conn *c);
@@ -177,6 +178,7 @@
 				  ba_loop_now(c->loop));
 	if (!len) {
 		ht_link_note(c->link, &c->on_link, c->out.len);
+		expect_progress(c);
 		rewatch(c);
 		return;
 	}
@@ -198,11 +200,8 @@
 		c->sent = true;
 		c->message_sent += (size_t)n;
 		ba_buf_consume(&c->out, (size_t)n);
-		if (c->finishing)
-			ba_loop_arm(c->loop, &c->timer,
-				    ba_loop_now(c->loop) +
-					    USER_TIMEOUT_MS * BA_MS);
 	}
+	expect_progress(c);
 	if (!c->out.len && c->out.alloc > KEEP_OUT_BYTES)
 		ba_buf_free(&c->out);
 	if (c->link)
@@ -277,8 +276,7 @@
 		linger(c);
 		return;
 	}
-	ba_loop_arm(c->loop, &c->timer,
-		    ba_loop_now(c->loop) + USER_TIMEOUT_MS * BA_MS);
+	expect_progress(c);
 	ht_conn_flush(c);
 }
 
@@ -336,6 +334,18 @@
 		free_later(c);
 }
 
+/* Of the other end; the time on the shared link does not count. */
+static void expect_progress(struct ht_conn *c)
+{
+	if (!c->finishing)
+		return;
+	if (!ba_list_empty(&c->on_link.link) && !c->on_link.full)
+		ba_loop_disarm(c->loop, &c->timer);
+	else
+		ba_loop_arm(c->loop, &c->timer,
+			    ba_loop_now(c->loop) + USER_TIMEOUT_MS * BA_MS);
+}
+
 static void on_link_turn(struct ht_link_user *u)
 {
 	struct ht_conn *c = ba_entry(u, struct ht_conn, on_link);
--- a/http/ht_link.c
+++ b/http/ht_link.c
@@ -8,7 +8,8 @@
 /*
  * @tokens: bytes that may be written ahead; negative when overdrawn
  * @at: when @tokens was true
- * @waiting: users with long messages, the next one first
+ * @waiting: users with long messages by rank, the next one first
+ * @credit: bytes that the second rank is owed while both wait
  * @unsent: bytes that are not written, by rank
  * @busy: users that have some
  */
@@ -18,14 +19,17 @@
 	double rate;
 	double tokens;
 	ba_time at;
-	struct ba_list waiting;
+	struct ba_list waiting[HT_LINK_RANKS];
+	double credit;
 	size_t unsent[HT_LINK_RANKS];
 	unsigned int busy;
 };
 
 static void refill(struct ht_link *l, ba_time now);
-static void enqueue(struct ht_link *l, struct ht_link_user *u);
+static void settle(struct ht_link *l, const struct ht_link_user *u,
+		   double bytes);
 static struct ht_link_user *first(const struct ht_link *l);
+static struct ht_link_user *first_of(const struct ba_list *waiting);
 static bool waits(const struct ht_link_user *u);
 static void arm(struct ht_link *l);
 static void on_timer(struct ba_timer *t, ba_time now);
@@ -39,7 +43,8 @@
 	l->rate = (double)rate * USABLE;
 	l->tokens = HT_LINK_AHEAD;
 	l->at = now;
-	ba_list_init(&l->waiting);
+	for (int i = 0; i < HT_LINK_RANKS; i++)
+		ba_list_init(&l->waiting[i]);
 	return l;
 }
 
@@ -47,8 +52,9 @@
 {
 	if (!l)
 		return;
-	while (!ba_list_empty(&l->waiting))
-		ba_list_remove(l->waiting.next);
+	for (int i = 0; i < HT_LINK_RANKS; i++)
+		while (!ba_list_empty(&l->waiting[i]))
+			ba_list_remove(l->waiting[i].next);
 	if (l->loop)
 		ba_loop_disarm(l->loop, &l->timer);
 	g_free(l);
@@ -61,7 +67,7 @@
 	if (sent + left <= HT_LINK_SHORT || l->rate <= 0)
 		return left;
 	if (!waits(u))
-		enqueue(l, u);
+		ba_list_append(&l->waiting[u->rank], &u->link);
 	u->full = false;
 	if (l->tokens > 0 && first(l) == u)
 		return MIN(left, HT_LINK_PIECE);
@@ -73,6 +79,7 @@
 		   bool full)
 {
 	l->tokens -= (double)bytes;
+	settle(l, u, (double)bytes);
 	u->full = full;
 	arm(l);
 }
@@ -98,7 +105,7 @@
 	if (!waited)
 		return;
 	ba_list_remove(&u->link);
-	enqueue(l, u);
+	ba_list_append(&l->waiting[rank], &u->link);
 }
 
 void ht_link_note(struct ht_link *l, struct ht_link_user *u, size_t unsent)
@@ -152,21 +159,31 @@
 	l->at = now;
 }
 
-static void enqueue(struct ht_link *l, struct ht_link_user *u)
+/* While only one rank waits nothing is owed. */
+static void settle(struct ht_link *l, const struct ht_link_user *u,
+		   double bytes)
 {
-	struct ba_list *pos = l->waiting.prev;
-
-	while (pos != &l->waiting &&
-	       ba_entry(pos, struct ht_link_user, link)->rank > u->rank)
-		pos = pos->prev;
-	ba_list_insert_before(pos->next, &u->link);
+	if (!waits(u))
+		return;
+	if (!first_of(&l->waiting[0]) || !first_of(&l->waiting[1]))
+		l->credit = 0;
+	else
+		l->credit += u->rank ? -bytes * HT_LINK_WEIGHT : bytes;
 }
 
 static struct ht_link_user *first(const struct ht_link *l)
+{
+	struct ht_link_user *one = first_of(&l->waiting[0]);
+	struct ht_link_user *two = first_of(&l->waiting[1]);
+
+	return two && (!one || l->credit > 0) ? two : one;
+}
+
+static struct ht_link_user *first_of(const struct ba_list *waiting)
 {
 	struct ba_list *pos;
 
-	ba_list_each(pos, &l->waiting)
+	ba_list_each(pos, waiting)
 	{
 		struct ht_link_user *u =
 			ba_entry(pos, struct ht_link_user, link);
--- a/http/ht_link.h
+++ b/http/ht_link.h
@@ -8,9 +8,11 @@
  *
  * Rules:
  * - A short message is never held back; its bytes count all the same.
- * - Long ones go one after the other by rank, then in the order in which they
- *   came, a piece at a time, at the rate of the link; one whose receiver does not take
+ * - Long ones go one after the other in the order in which they came, a piece
+ *   at a time, at the rate of the link; one whose receiver does not take
  *   more lets others by.
+ * - Those of the second rank get what the first leaves, and a small share in
+ *   any case, so that none stands still.
  * - No more than a piece is written ahead of the rate.
  */
 #ifndef HT_LINK_H
@@ -31,6 +33,7 @@
 	HT_LINK_PIECE = 16 * 1024, /* bytes written at once of a longer one */
 	HT_LINK_AHEAD = 16 * 1024, /* what an idle link may make up for */
 	HT_LINK_RANKS = 2,
+	HT_LINK_WEIGHT = 16, /* bytes of the first rank for one of the second */
 };
 
 struct ht_link;
@@ -40,7 +43,7 @@
  * @go: it may write; calls ht_link_ask() again
  * @link: in the list of those that wait, or empty
  * @full: its receiver takes no more now, which the next ask ends
- * @rank: the lowest goes first
+ * @rank: 0, or 1 for the lesser share
  * @unsent: bytes that are not written
  */
 struct ht_link_user {
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -200,9 +200,7 @@
 	if (x->answering)
 		return;
 	x->answering = true;
-	ht_conn_rank(x->front->conn, ba_loop_now(x->p->loop) > x->latency_target
-					     ? CL_CARRY_LATE
-					     : x->carried.rank);
+	ht_conn_rank(x->front->conn, x->carried.rank);
 	px_compose_answer(x, ht_conn_head(x->conn),
 			  ht_conn_out(x->front->conn));
 }
--- a/test/ht_link_test.cc
+++ b/test/ht_link_test.cc
@@ -137,6 +137,30 @@
 			<< load;
 }
 
+/* While the first rank has answers enough to fill the link. */
+TEST(HtLink, TheSecondRankHasItsShare)
+{
+	struct ht_link *l = ht_link_new(nullptr, RATE, 0);
+	kernel k;
+	message m[HT_LINK_WEIGHT + 2];
+
+	for (int i = 0; i < HT_LINK_WEIGHT + 2; i++) {
+		m[i].link = l;
+		m[i].k = &k;
+		m[i].left = LONG_BYTES;
+		ht_link_rank(l, &m[i].user, i < 2);
+		m[i].write(0);
+	}
+	while (m[HT_LINK_WEIGHT + 1].left)
+		ht_link_run(l, ht_link_next(l));
+	EXPECT_LT(m[0].left, (size_t)HT_LINK_PIECE);
+	EXPECT_GE(m[1].left, (size_t)LONG_BYTES - HT_LINK_PIECE);
+	while (ht_link_next(l) != BA_NEVER)
+		ht_link_run(l, ht_link_next(l));
+	EXPECT_EQ(m[1].left, 0U);
+	ht_link_free(l);
+}
+
 TEST(HtLink, AReceiverThatTakesNoMoreLetsOthersBy)
 {
 	struct ht_link *l = ht_link_new(nullptr, RATE, 0);
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -405,6 +405,23 @@
 	EXPECT_NEAR(taken, 30, 1);
 }
 
+/* Its turn on the link comes after the time that a silent caller has. */
+TEST(PxPath, AnAnswerIsSentToItsEndOverASlowLink)
+{
+	const std::string body(33000, 'b');
+	world w(true, 4000);
+
+	w.beat("i-1", "ready", 1);
+	wire caller = wire::to(CALLERS);
+
+	caller.say(request("GET /look/a", "Connection: close\r\n"));
+	wire backend = w.backend.accept_one();
+
+	backend.message();
+	backend.say(answer(200, body));
+	EXPECT_TRUE(has(caller.message(), body));
+}
+
 /* The answer is read from the backend server long before it is sent. */
 TEST(PxStop, WaitsForAnswersThatAreNotSent)
 {
