event: the log goes to standard output itself, not to a copy of it

Cause: with log.file "-" the log was written to a duplicate of the descriptor. Platforms that take over what a process writes to its standard output do not see the duplicate, so that on the users' platform no line of any process was kept: an incident could not be explained from its logs.

Ruled out: the level (info) and the writing thread; without log.file the same lines came on standard error.

The test fails with the duplicate.

--- a/base/ba_event.c
+++ b/base/ba_event.c
@@ -74,6 +74,7 @@
 static void pause_unlocked(void);
 static uint64_t take_queue(struct ba_buf *out);
 static void write_all(int fd, const uint8_t *data, size_t len);
+static void close_file(void);
 static int open_file(const char *path);
 static void handle_reopen(void);
 static void report_dropped(uint64_t dropped);
@@ -145,8 +146,7 @@
 	pthread_cond_signal(&lg.wake);
 	pthread_mutex_unlock(&lg.lock);
 	pthread_join(lg.thread, NULL);
-	if (lg.path)
-		close(lg.fd);
+	close_file();
 	lg.fd = STDERR_FILENO;
 	g_clear_pointer(&lg.program, g_free);
 	g_clear_pointer(&lg.path, g_free);
@@ -326,7 +326,7 @@
 	lg.reopen = false;
 	if (fd < 0)
 		return;
-	close(lg.fd);
+	close_file();
 	lg.fd = fd;
 }
 
@@ -344,9 +344,16 @@
 	}
 }
 
+/* Standard output and error belong to the process. */
+static void close_file(void)
+{
+	if (lg.fd > STDERR_FILENO)
+		close(lg.fd);
+}
+
 static int open_file(const char *path)
 {
 	if (!strcmp(path, STANDARD_OUTPUT))
-		return dup(STDOUT_FILENO);
+		return STDOUT_FILENO;
 	return open(path, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
 }
--- a/test/event_test.cc
+++ b/test/event_test.cc
@@ -1,4 +1,6 @@
+#include <fcntl.h>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <fstream>
@@ -82,6 +84,30 @@
 	EXPECT_EQ(read_lines(path).size(), 1u);
 }
 
+/* Whoever started the process reads that descriptor, and no other. */
+TEST(BaEvent, StandardOutputIsWrittenAndStaysOpen)
+{
+	std::string path = testing::TempDir() + "event_stdout.log";
+	int kept = dup(STDOUT_FILENO);
+	int file = open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+	int spare;
+
+	ASSERT_GE(dup2(file, STDOUT_FILENO), 0);
+	close(file);
+	spare = dup(STDOUT_FILENO);
+	close(spare);
+	ASSERT_EQ(ba_event_open("p/i", "-", BA_INFO), BA_OK);
+	EXPECT_EQ(fcntl(spare, F_GETFD), -1) << "another descriptor is open";
+	ba_event(EP_EV_JOINED, "before");
+	ba_event_reopen();
+	ba_event(EP_EV_JOINED, "after");
+	ba_event_close();
+	EXPECT_GE(fcntl(STDOUT_FILENO, F_GETFD), 0);
+	dup2(kept, STDOUT_FILENO);
+	close(kept);
+	EXPECT_EQ(read_lines(path).size(), 2u);
+}
+
 TEST(BaEvent, UnwritableLogIsRefused)
 {
 	EXPECT_EQ(ba_event_open("p/i", "/nonexistent/folder/log", BA_INFO),
