call: the link refuses a call only for what the link adds to its time

Their targets had passed before they came, as their callers had been refused before; the decision took any missed target for the link's.

Change: where the link adds nothing to the time of the call it refuses nothing; a target that an idle link would miss too does not send the call to other proxies.

Cases of the table fail without the change.

--- a/call/cl_carry.c
+++ b/call/cl_carry.c
@@ -5,9 +5,9 @@
 /* Of the time there is; sizes of answers of a route differ by half. */
 #define MARGIN_SHARE 0.15
 
-static ba_time margin(const struct cl_carry *c,
-		      const struct cl_carry_call *call, ba_time until,
-		      ba_time now);
+static bool sent_in_time(const struct cl_carry *c,
+			 const struct cl_carry_call *call,
+			 enum cl_carry_rank rank, ba_time until, ba_time now);
 static double before(const struct cl_carry *c, const struct cl_carry_call *call,
 		     enum cl_carry_rank rank);
 static ba_time sent_at(const struct cl_carry *c,
@@ -17,13 +17,13 @@
 enum cl_carry_rank cl_carry_judge(const struct cl_carry *c,
 				  const struct cl_carry_call *call, ba_time now)
 {
-	if (c->rate <= 0 ||
-	    sent_at(c, call, CL_CARRY_IN_TIME, now) <=
-		    call->target - margin(c, call, call->target, now))
+	ba_time on_idle_link = now + call->work + cl_carry_time(c, call->bytes);
+
+	if (sent_at(c, call, CL_CARRY_IN_TIME, now) <= on_idle_link ||
+	    sent_in_time(c, call, CL_CARRY_IN_TIME, call->target, now))
 		return CL_CARRY_IN_TIME;
-	if (call->last &&
-	    sent_at(c, call, CL_CARRY_LATE, now) <=
-		    call->deadline - margin(c, call, call->deadline, now))
+	if ((call->last || on_idle_link > call->target) &&
+	    sent_in_time(c, call, CL_CARRY_LATE, call->deadline, now))
 		return CL_CARRY_LATE;
 	return CL_CARRY_NEVER;
 }
@@ -54,12 +54,14 @@
  * on: without room for these all answers end at about the target, and every
  * second one behind it.
  */
-static ba_time margin(const struct cl_carry *c,
-		      const struct cl_carry_call *call, ba_time until,
-		      ba_time now)
+static bool sent_in_time(const struct cl_carry *c,
+			 const struct cl_carry_call *call,
+			 enum cl_carry_rank rank, ba_time until, ba_time now)
 {
-	return cl_carry_time(c, call->bytes) +
-	       (ba_time)((double)(until - now) * MARGIN_SHARE);
+	ba_time margin = cl_carry_time(c, call->bytes) +
+			 (ba_time)((double)(until - now) * MARGIN_SHARE);
+
+	return sent_at(c, call, rank, now) <= until - margin;
 }
 
 /*
--- a/call/cl_carry.h
+++ b/call/cl_carry.h
@@ -7,8 +7,9 @@
  *
  * Rules:
  * - A call is taken only while its answer is expected to be sent before its
- *   latency target; when the caller has nowhere else to go, before its
- *   deadline.
+ *   latency target; when the caller has nowhere else to go, or the target
+ *   could not be met on an idle link either, before its deadline.
+ * - Where the link adds nothing to the time of the call, it refuses nothing.
  * - Answers that will be late get one byte for %CL_CARRY_WEIGHT of those in
  *   time while both wait, on the link too: too many calls do not make all of
  *   them late, and what was taken is answered.
--- a/test/cl_carry_test.cc
+++ b/test/cl_carry_test.cc
@@ -213,6 +213,10 @@
 		 false, CL_CARRY_IN_TIME},
 		{"late, and nowhere else to go", 1000, 30, 0, 0, 200 * BA_MS,
 		 BA_SECOND, true, CL_CARRY_LATE},
+		{"late on any link", 1000, 10, 0, 0, 50 * BA_MS, BA_SECOND,
+		 false, CL_CARRY_LATE},
+		{"late, and the link is idle", 1000, 0, 0, 0, 50 * BA_MS,
+		 60 * BA_MS, false, CL_CARRY_IN_TIME},
 		{"too late for its caller", 1000, 100, 0, 0, 200 * BA_MS,
 		 BA_SECOND, true, CL_CARRY_NEVER},
 	};
