wire: a connection that is not there within 400 ms is dialled again

Ruled out: the time of the relays (they listened 0.4 s after the proxies started) and the back-off of the dialer (nothing had failed yet).

Change: connecting has a limit of its own beside that of proving.

The new test waits for ever without the change.

--- a/ctl/ct_client.c
+++ b/ctl/ct_client.c
@@ -17,6 +17,7 @@
 static const struct wi_limits limits = {
 	.heartbeat = 1 * BA_SECOND,
 	.silence = 3 * BA_SECOND,
+	.connecting = WI_CONNECTING_LIMIT,
 	.opening = 2 * BA_SECOND,
 	.queue_bytes = WI_FRAME_LIMIT_BYTES + 4096,
 };
--- a/distrib/ds_feed.c
+++ b/distrib/ds_feed.c
@@ -52,6 +52,7 @@
 const struct wi_limits ds_limits = {
 	.heartbeat = BA_SECOND,
 	.silence = 2500 * BA_MS,
+	.connecting = WI_CONNECTING_LIMIT,
 	.opening = 2 * BA_SECOND,
 	.queue_bytes = 64 * 1024 * 1024,
 };
--- a/source/so_peer.c
+++ b/source/so_peer.c
@@ -14,6 +14,7 @@
 static const struct wi_limits limits = {
 	.heartbeat = 500 * BA_MS,
 	.silence = 1500 * BA_MS,
+	.connecting = WI_CONNECTING_LIMIT,
 	.opening = 1 * BA_SECOND,
 	.queue_bytes = 64 * 1024 * 1024,
 };
--- a/test/wire_test.cc
+++ b/test/wire_test.cc
@@ -305,6 +305,40 @@
 	ba_loop_free(frozen);
 }
 
+/* The kernel would try for minutes. */
+TEST(WiSession, PacketsThatNobodyAnswers)
+{
+	struct ba_loop *loop = ba_loop_new();
+	struct end client = {
+		{on_opened, on_frame, on_closed}, loop, 0, 0, 0, false};
+	struct wi_identity id = identity("m", WI_DAEMON, "", 1);
+	struct wi_limits limits = wi_limits_default;
+	struct ba_address at;
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	std::vector<int> crowd;
+
+	limits.connecting = 50 * BA_MS;
+	limits.opening = BA_HOUR;
+	ASSERT_EQ(ba_parse_address(test_address(1, 22163).c_str(), &at), BA_OK);
+	ASSERT_EQ(bind(fd, (const struct sockaddr *)&at.sockaddr, at.len), 0);
+	ASSERT_EQ(listen(fd, 0), 0);
+	/* Once the queue is full, first packets are dropped. */
+	for (int i = 0; i < 4; i++) {
+		crowd.push_back(
+			socket(AF_INET,
+			       SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+		(void)connect(crowd.back(),
+			      (const struct sockaddr *)&at.sockaddr, at.len);
+	}
+	wi_dial(loop, &at, &id, &limits, &client.handler);
+	ba_loop_run(loop);
+	EXPECT_EQ(client.code, WI_CONNECT_FAILED);
+	for (int one : crowd)
+		close(one);
+	close(fd);
+	ba_loop_free(loop);
+}
+
 TEST(WiSession, NobodyThere)
 {
 	struct ba_loop *loop = ba_loop_new();
--- a/wire/wi_session.c
+++ b/wire/wi_session.c
@@ -67,6 +67,7 @@
 const struct wi_limits wi_limits_default = {
 	.heartbeat = 5 * BA_SECOND,
 	.silence = 12 * BA_SECOND,
+	.connecting = WI_CONNECTING_LIMIT,
 	.opening = 3 * BA_SECOND,
 	.queue_bytes = 64 * 1024 * 1024,
 };
@@ -118,6 +119,7 @@
 		wi_close(s, WI_CONNECT_FAILED);
 		return s;
 	}
+	s->opening_deadline = ba_clock_now() + limits->connecting;
 	ba_loop_watch(loop, &s->watch, BA_WRITABLE);
 	arm(s);
 	return s;
@@ -336,6 +338,8 @@
 		return BA_OK;
 	}
 	s->state = WI_PROVING;
+	s->opening_deadline = ba_loop_now(s->loop) + s->limits.opening;
+	arm(s);
 	send_hello(s);
 	return BA_OK;
 }
--- a/wire/wi_session.h
+++ b/wire/wi_session.h
@@ -86,16 +86,25 @@
  * struct wi_limits - times and sizes of a session
  * @heartbeat: a ping is sent after this much silence of our own
  * @silence: the peer is dead after this much silence
- * @opening: connecting and proving take this long at most
+ * @connecting: the kernel connects within this time, or never
+ * @opening: proving takes this long at most
  * @queue_bytes: bytes that may wait to be sent
  */
 struct wi_limits {
 	ba_time heartbeat;
 	ba_time silence;
+	ba_time connecting;
 	ba_time opening;
 	size_t queue_bytes;
 };
 
+/*
+ * More than a round trip between any two regions, and less than the second
+ * after which the kernel repeats its first packet: a host that was starting
+ * when it came is dialled again at once.
+ */
+#define WI_CONNECTING_LIMIT (400 * BA_MS)
+
 /** wi_limits_default - limits for sessions of the control plane */
 extern const struct wi_limits wi_limits_default;
 
