call: what cannot end in time is refused wherever it waits

Admission looked only at the first of the queue. At overload the light ones, those late already, never come to the front, and were refused only when the caller's time had passed.

Ruled out: the estimate of the wait on arrival (they were let in with twice their expected time), slots that hang (the queue moved meanwhile).

Change: after each event the whole queue is looked through for one that could not end in time if it started now.

The test replays heavier calls that keep coming and fails without the change.

--- a/call/cl_admit.c
+++ b/call/cl_admit.c
@@ -46,6 +46,7 @@
 };
 
 static bool take_token(struct cl_admit *a, ba_time now);
+static struct cl_ticket *find_too_late(struct cl_admit *a, ba_time now);
 static bool too_late(const struct cl_admit *a, const struct cl_ticket *t,
 		     double ahead, ba_time now);
 static double work_ahead(const struct cl_admit *a, const struct cl_ticket *t);
@@ -138,13 +139,14 @@
 		*reason = CL_ADMIT_OUTWEIGHED;
 		return t;
 	}
-	t = ba_entry(a->queue.next, struct cl_ticket, link);
-	if (too_late(a, t, 0, now)) {
+	t = find_too_late(a, now);
+	if (t) {
 		dequeue(a, t);
 		*act = CL_ADMIT_REFUSE;
 		*reason = CL_ADMIT_TOO_LATE;
 		return t;
 	}
+	t = ba_entry(a->queue.next, struct cl_ticket, link);
 	if (a->running >= cl_admit_limit(a))
 		return NULL;
 	dequeue(a, t);
@@ -226,6 +228,21 @@
 }
 
 /* With nothing running there is no evidence that a call would be late. */
+/* Light ones may never come to the front, and can still go elsewhere. */
+static struct cl_ticket *find_too_late(struct cl_admit *a, ba_time now)
+{
+	struct ba_list *pos;
+
+	ba_list_each(pos, &a->queue)
+	{
+		struct cl_ticket *t = ba_entry(pos, struct cl_ticket, link);
+
+		if (too_late(a, t, 0, now))
+			return t;
+	}
+	return NULL;
+}
+
 static bool too_late(const struct cl_admit *a, const struct cl_ticket *t,
 		     double ahead, ba_time now)
 {
--- a/test/cl_test.cc
+++ b/test/cl_test.cc
@@ -483,6 +483,22 @@
 	EXPECT_EQ(t.refused.size(), 1u);
 }
 
+/* Heavier calls keep coming, so that the light one is never the first. */
+TEST(ClAdmit, WhatCannotEndInTimeIsRefusedWhereverItWaits)
+{
+	Admission t(limits(1, 1, 100));
+
+	t.arrive(9, BA_SECOND);
+	EXPECT_EQ(t.arrive(9, BA_SECOND), CL_ADMIT_WAIT);
+	EXPECT_EQ(t.arrive(1, 100 * BA_MS), CL_ADMIT_WAIT);
+	for (int i = 0; i < 20; i++) {
+		t.arrive(9, BA_SECOND);
+		t.now += 10 * BA_MS;
+		t.finish(0);
+	}
+	EXPECT_EQ(t.refused.size(), 1u);
+}
+
 RC_GTEST_PROP(ClAdmit, BoundsHoldWhateverArrives, (uint64_t seed))
 {
 	Admission t(limits(4, 6, 10));
