--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -66,6 +66,8 @@
 				struct ht_owner *o);
 static void set_options(int fd);
 static void on_ready(struct ba_watch *w, unsigned int bits);
+static bool write_some(struct ht_conn *c, size_t len);
+static void tell_link(struct ht_conn *c);
 static void expect_progress(struct ht_conn *c);
 static void on_link_turn(struct ht_link_user *u);
 static void tell_drained(struct ht_conn *c);
@@ -169,45 +171,21 @@
 void ht_conn_flush(struct ht_conn *c)
 {
 	size_t len = c->out.len;
-	ssize_t n;
 
 	if (c->dead || c->connecting || !len)
 		return;
 	if (c->link)
 		len = ht_link_ask(c->link, &c->on_link, c->message_sent, len,
 				  ba_loop_now(c->loop));
-	if (!len) {
-		ht_link_note(c->link, &c->on_link, c->out.len);
-		expect_progress(c);
-		rewatch(c);
-		return;
-	}
-	n = send(c->watch.fd, c->out.data, len, MSG_NOSIGNAL);
-	if (c->link)
-		ht_link_wrote(c->link, &c->on_link, n > 0 ? (size_t)n : 0,
-			      n < (ssize_t)len);
-	if (n < 0 && errno != EAGAIN && errno != EINTR) {
+	if (len && !write_some(c, len)) {
 		/* What the other end has sent before is still to be read. */
 		c->out.len = 0;
-		if (c->link)
-			ht_link_leave(c->link, &c->on_link);
 		c->keep = false;
-		if (c->finishing)
-			leave(c);
-		return;
-	}
-	if (n > 0) {
-		c->sent = true;
-		c->message_sent += (size_t)n;
-		ba_buf_consume(&c->out, (size_t)n);
 	}
-	expect_progress(c);
 	if (!c->out.len && c->out.alloc > KEEP_OUT_BYTES)
 		ba_buf_free(&c->out);
-	if (c->link)
-		ht_link_note(c->link, &c->on_link, c->out.len);
-	if (c->link && !c->out.len)
-		ht_link_leave(c->link, &c->on_link);
+	tell_link(c);
+	expect_progress(c);
 	if (!c->out.len && c->finishing)
 		linger(c);
 	else
@@ -346,6 +324,32 @@
 			    ba_loop_now(c->loop) + USER_TIMEOUT_MS * BA_MS);
 }
 
+/* Return: whether the connection can still be written to. */
+static bool write_some(struct ht_conn *c, size_t len)
+{
+	ssize_t n = send(c->watch.fd, c->out.data, len, MSG_NOSIGNAL);
+	bool gone = n < 0 && errno != EAGAIN && errno != EINTR;
+
+	if (c->link)
+		ht_link_wrote(c->link, &c->on_link, n > 0 ? (size_t)n : 0,
+			      n < (ssize_t)len);
+	if (n < 0)
+		return !gone;
+	c->sent |= n > 0;
+	c->message_sent += (size_t)n;
+	ba_buf_consume(&c->out, (size_t)n);
+	return true;
+}
+
+static void tell_link(struct ht_conn *c)
+{
+	if (!c->link)
+		return;
+	ht_link_note(c->link, &c->on_link, c->out.len);
+	if (!c->out.len)
+		ht_link_leave(c->link, &c->on_link);
+}
+
 static void on_link_turn(struct ht_link_user *u)
 {
 	struct ht_conn *c = ba_entry(u, struct ht_conn, on_link);
