base: one place that listens and dials

The change had written the listening socket for http/ that wire/, the daemon's callers' side and the bench's link each had, and the dialling one that wire/ and the link had. base/ba_socket has both now.

Behaviour stays, but for one check: a socket that cannot be made to reuse its address is refused everywhere, as http/ did, where others went on.

--- a/bench/link_main.c
+++ b/bench/link_main.c
@@ -15,6 +15,7 @@
 #include "base/ba_list.h"
 #include "base/ba_loop.h"
 #include "base/ba_result.h"
+#include "base/ba_socket.h"
 #include "bench/bn.h"
 
 enum {
@@ -224,13 +225,9 @@
 
 static int listen_at(const struct ba_address *at)
 {
-	int fd = socket(at->sockaddr.ss_family,
-			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	int one = 1;
+	int fd = ba_socket_listen(at, BACKLOG);
 
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (const struct sockaddr *)&at->sockaddr, at->len) ||
-	    listen(fd, BACKLOG)) {
+	if (fd < 0) {
 		perror(at->text);
 		exit(ba_result_info(BA_PORT_IN_USE)->exit_code);
 	}
@@ -267,13 +264,10 @@
 
 static void dial_target(struct connection *c)
 {
-	const struct ba_address *to = &c->map->target;
 	struct ba_watch *w = &c->flow[BACK].watch;
 
-	w->fd = socket(to->sockaddr.ss_family,
-		       SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	if (connect(w->fd, (const struct sockaddr *)&to->sockaddr, to->len) &&
-	    errno != EINPROGRESS) {
+	w->fd = ba_socket_dial(&c->map->target);
+	if (w->fd < 0) {
 		close_connection(c);
 		return;
 	}
--- a/daemon/da_http.c
+++ b/daemon/da_http.c
@@ -12,7 +12,6 @@
 #include "daemon/da_http.h"
 
 enum {
-	BACKLOG = 1024,
 	CONNECTIONS_LIMIT = 8192,
 	CALLER_IDLE_SECONDS = 60,
 	STREAM_BLOCK_BYTES = 64 * 1024,
@@ -77,22 +76,6 @@
 
 static const struct da_front front = {.moved = on_moved, .gone = is_gone};
 
-int da_http_socket(const struct ba_address *at)
-{
-	int fd = socket(at->sockaddr.ss_family,
-			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	int one = 1;
-
-	if (fd < 0)
-		return -1;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (!bind(fd, (const struct sockaddr *)&at->sockaddr, at->len) &&
-	    !listen(fd, BACKLOG))
-		return fd;
-	close(fd);
-	return -1;
-}
-
 struct da_http *da_http_new(struct da_worker *w, int listen_fd)
 {
 	struct da_http *h = g_new0(struct da_http, 1);
--- a/daemon/da_http.h
+++ b/daemon/da_http.h
@@ -8,9 +8,6 @@
 
 struct da_http;
 
-/** da_http_socket() - listen on @at; -1 when it is in use */
-int da_http_socket(const struct ba_address *at);
-
 /** da_http_new() - serve callers at @listen_fd, which is duplicated */
 struct da_http *da_http_new(struct da_worker *w, int listen_fd);
 
--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -9,6 +9,7 @@
 #include <http_parser.h>
 
 #include "base/ba_result.h"
+#include "base/ba_socket.h"
 #include "http/ht_conn.h"
 
 enum {
@@ -119,17 +120,13 @@
 struct ht_conn *ht_conn_dial(struct ba_loop *loop, const struct ba_address *to,
 			     size_t head_limit, struct ht_owner *o)
 {
-	int fd = socket(to->sockaddr.ss_family,
-			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-	struct ht_conn *c = conn_new(loop, fd, head_limit, o);
+	struct ht_conn *c = conn_new(loop, ba_socket_dial(to), head_limit, o);
 
 	c->client = true;
 	c->connecting = true;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
-	if (fd >= 0 &&
-	    (!connect(fd, (const struct sockaddr *)&to->sockaddr, to->len) ||
-	     errno == EINPROGRESS))
+	if (c->watch.fd >= 0)
 		rewatch(c);
 	else
 		ba_loop_arm(loop, &c->timer, ba_loop_now(loop));
@@ -713,19 +710,11 @@
 int ht_listen(struct ba_loop *loop, const struct ba_address *at,
 	      struct ht_acceptor *a, struct ht_listener **out)
 {
-	const int on = 1;
-	int fd = socket(at->sockaddr.ss_family,
-			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int fd = ba_socket_listen(at, BACKLOG);
 	struct ht_listener *l;
 
-	if (fd < 0 ||
-	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on)) ||
-	    bind(fd, (const struct sockaddr *)&at->sockaddr, at->len) ||
-	    listen(fd, BACKLOG)) {
-		if (fd >= 0)
-			close(fd);
+	if (fd < 0)
 		return BA_PORT_IN_USE;
-	}
 	l = g_new0(struct ht_listener, 1);
 	l->watch.fd = fd;
 	l->watch.ready = on_incoming;
--- a/prog/carawayd.c
+++ b/prog/carawayd.c
@@ -9,6 +9,7 @@
 
 #include "base/ba_event.h"
 #include "base/ba_result.h"
+#include "base/ba_socket.h"
 #include "distrib/ds_agent.h"
 #include "daemon/da.h"
 #include "daemon/da_client.h"
@@ -20,7 +21,11 @@
 #include "report/rt_audit.h"
 #include "report/rt_figures.h"
 
-enum { WORKERS_MOST = 16, QUEUE_PER_SLOT = 4 };
+enum {
+	WORKERS_MOST = 16,
+	QUEUE_PER_SLOT = 4,
+	CALLERS_BACKLOG = 1024, /* callers that wait for a worker to accept */
+};
 
 #define LEASE (3 * BA_SECOND)
 #define DRAIN_SPREAD (2 * BA_SECOND)
@@ -217,7 +222,8 @@
 static int start_workers(struct daemon *d)
 {
 	int64_t n = MIN(d->settings.workers, d->settings.connections);
-	int callers = da_http_socket(&d->settings.caller_address);
+	int callers =
+		ba_socket_listen(&d->settings.caller_address, CALLERS_BACKLOG);
 	int ret = 0;
 
 	d->n_workers = n;
--- a/wire/wi_session.c
+++ b/wire/wi_session.c
@@ -10,6 +10,7 @@
 #include "base/ba_event.h"
 #include "base/ba_list.h"
 #include "base/ba_result.h"
+#include "base/ba_socket.h"
 #include "wire/wi.pb-c.h"
 #include "wire/wi_session.h"
 
@@ -103,8 +104,7 @@
 			   const struct wi_identity *id,
 			   const struct wi_limits *limits, struct wi_handler *h)
 {
-	int fd = socket(to->sockaddr.ss_family,
-			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int fd = ba_socket_dial(to);
 	struct wi_session *s = session_new(loop, fd, id, limits);
 
 	s->dialled = true;
@@ -114,11 +114,6 @@
 		wi_close(s, WI_CONNECT_FAILED);
 		return s;
 	}
-	if (connect(fd, (const struct sockaddr *)&to->sockaddr, to->len) &&
-	    errno != EINPROGRESS) {
-		wi_close(s, WI_CONNECT_FAILED);
-		return s;
-	}
 	s->opening_deadline = ba_clock_now() + limits->connecting;
 	ba_loop_watch(loop, &s->watch, BA_WRITABLE);
 	arm(s);
@@ -129,19 +124,11 @@
 	      const struct wi_identity *id, const struct wi_limits *limits,
 	      struct wi_acceptor *a, struct wi_listener **out)
 {
-	int fd = socket(at->sockaddr.ss_family,
-			SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int fd = ba_socket_listen(at, BACKLOG);
 	struct wi_listener *l;
-	int one = 1;
 
 	if (fd < 0)
 		return BA_PORT_IN_USE;
-	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
-	if (bind(fd, (const struct sockaddr *)&at->sockaddr, at->len) ||
-	    listen(fd, BACKLOG)) {
-		close(fd);
-		return BA_PORT_IN_USE;
-	}
 	l = g_new0(struct wi_listener, 1);
 	l->watch.fd = fd;
 	l->watch.ready = on_accept;
