http: the share of late answers is set once

The link and the decision that counts with it each had the weight of 16 and the number of ranks, and had to agree. The proxy now gives the link the weight of the decision, and the build checks the ranks. No change of behaviour.

--- a/http/ht_link.c
+++ b/http/ht_link.c
@@ -17,6 +17,7 @@
 	struct ba_loop *loop;
 	struct ba_timer timer;
 	double rate;
+	double weight;
 	double tokens;
 	ba_time at;
 	struct ba_list waiting[HT_LINK_RANKS];
@@ -34,13 +35,15 @@
 static void arm(struct ht_link *l);
 static void on_timer(struct ba_timer *t, ba_time now);
 
-struct ht_link *ht_link_new(struct ba_loop *loop, int64_t rate, ba_time now)
+struct ht_link *ht_link_new(struct ba_loop *loop, int64_t rate, double weight,
+			    ba_time now)
 {
 	struct ht_link *l = g_new0(struct ht_link, 1);
 
 	l->loop = loop;
 	l->timer.fire = on_timer;
 	l->rate = (double)rate * USABLE;
+	l->weight = weight;
 	l->tokens = HT_LINK_AHEAD;
 	l->at = now;
 	for (int i = 0; i < HT_LINK_RANKS; i++)
@@ -168,7 +171,7 @@
 	if (!first_of(&l->waiting[0]) || !first_of(&l->waiting[1]))
 		l->credit = 0;
 	else
-		l->credit += u->rank ? -bytes * HT_LINK_WEIGHT : bytes;
+		l->credit += u->rank ? -bytes * l->weight : bytes;
 }
 
 static struct ht_link_user *first(const struct ht_link *l)
--- a/http/ht_link.h
+++ b/http/ht_link.h
@@ -33,7 +33,6 @@
 	HT_LINK_PIECE = 16 * 1024, /* bytes written at once of a longer one */
 	HT_LINK_AHEAD = 16 * 1024, /* what an idle link may make up for */
 	HT_LINK_RANKS = 2,
-	HT_LINK_WEIGHT = 16, /* bytes of the first rank for one of the second */
 };
 
 struct ht_link;
@@ -58,8 +57,10 @@
  * ht_link_new() - a link that is idle
  * @loop: calls those that wait; NULL when the caller does by ht_link_run()
  * @rate: bytes a second, or 0 when it is not known and nobody waits
+ * @weight: bytes of the first rank for one of the second
  */
-struct ht_link *ht_link_new(struct ba_loop *loop, int64_t rate, ba_time now);
+struct ht_link *ht_link_new(struct ba_loop *loop, int64_t rate, double weight,
+			    ba_time now);
 
 /** ht_link_free() - nobody waits any more; NULL is allowed */
 void ht_link_free(struct ht_link *l);
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -3,6 +3,9 @@
 #include "base/ba_result.h"
 #include "proxy/px_internal.h"
 
+/* The rank of an answer on the link is what was decided for its call. */
+G_STATIC_ASSERT((int)HT_LINK_RANKS == (int)CL_CARRY_RANKS);
+
 static void pool_free(gpointer data);
 static void split_free(gpointer data);
 static int listen_all(struct px *p, const struct ba_address **failed);
@@ -31,7 +34,8 @@
 	p->peers.accept = px_front_accept_peer;
 	p->controls.request = px_control_request;
 	p->gate.turn.fire = px_gate_on_turn;
-	p->link = ht_link_new(loop, o->link_rate, ba_loop_now(loop));
+	p->link = ht_link_new(loop, o->link_rate, CL_CARRY_WEIGHT,
+			      ba_loop_now(loop));
 	p->carry.rate = o->link_rate;
 	ba_list_init(&p->fronts);
 	ba_list_init(&p->exchanges);
--- a/test/ht_link_test.cc
+++ b/test/ht_link_test.cc
@@ -14,7 +14,7 @@
 namespace
 {
 
-enum { RATE = 1300000, LONG_BYTES = 90000, SHORT_BYTES = 1500 };
+enum { RATE = 1300000, LONG_BYTES = 90000, SHORT_BYTES = 1500, WEIGHT = 16 };
 
 struct kernel {
 	ba_time free_at = 0;
@@ -75,7 +75,7 @@
 /* Long answers at @load times the rate and short ones, for ten seconds. */
 delays play(double load, bool shared)
 {
-	struct ht_link *l = ht_link_new(nullptr, shared ? RATE : 0, 0);
+	struct ht_link *l = ht_link_new(nullptr, shared ? RATE : 0, WEIGHT, 0);
 	std::vector<std::unique_ptr<message>> all;
 	struct ba_rand rand = {5};
 	ba_time next_long = 0, next_short = 0;
@@ -140,18 +140,18 @@
 /* While the first rank has answers enough to fill the link. */
 TEST(HtLink, TheSecondRankHasItsShare)
 {
-	struct ht_link *l = ht_link_new(nullptr, RATE, 0);
+	struct ht_link *l = ht_link_new(nullptr, RATE, WEIGHT, 0);
 	kernel k;
-	message m[HT_LINK_WEIGHT + 2];
+	message m[WEIGHT + 2];
 
-	for (int i = 0; i < HT_LINK_WEIGHT + 2; i++) {
+	for (int i = 0; i < WEIGHT + 2; i++) {
 		m[i].link = l;
 		m[i].k = &k;
 		m[i].left = LONG_BYTES;
 		ht_link_rank(l, &m[i].user, i < 2);
 		m[i].write(0);
 	}
-	while (m[HT_LINK_WEIGHT + 1].left)
+	while (m[WEIGHT + 1].left)
 		ht_link_run(l, ht_link_next(l));
 	EXPECT_LT(m[0].left, (size_t)HT_LINK_PIECE);
 	EXPECT_GE(m[1].left, (size_t)LONG_BYTES - HT_LINK_PIECE);
@@ -163,7 +163,7 @@
 
 TEST(HtLink, AReceiverThatTakesNoMoreLetsOthersBy)
 {
-	struct ht_link *l = ht_link_new(nullptr, RATE, 0);
+	struct ht_link *l = ht_link_new(nullptr, RATE, WEIGHT, 0);
 	kernel k;
 	message stuck, other;
 
