call: what a call's answer weighs is looked up once at the gate

px_gate_arrive() looked the expected size of an answer up twice for each call, and the time of a call on an idle link was worked out in two places. A comment of cl_admit.c stood above another function since one was put between. No change of behaviour.

--- a/call/cl_admit.c
+++ b/call/cl_admit.c
@@ -227,7 +227,6 @@
 	return true;
 }
 
-/* With nothing running there is no evidence that a call would be late. */
 /* Light ones may never come to the front, and can still go elsewhere. */
 static struct cl_ticket *find_too_late(struct cl_admit *a, ba_time now)
 {
@@ -243,6 +242,7 @@
 	return NULL;
 }
 
+/* With nothing running there is no evidence that a call would be late. */
 static bool too_late(const struct cl_admit *a, const struct cl_ticket *t,
 		     double ahead, ba_time now)
 {
--- a/call/cl_carry.c
+++ b/call/cl_carry.c
@@ -13,11 +13,13 @@
 static ba_time sent_at(const struct cl_carry *c,
 		       const struct cl_carry_call *call,
 		       enum cl_carry_rank rank, ba_time now);
+static ba_time least_time(const struct cl_carry *c,
+			  const struct cl_carry_call *call);
 
 enum cl_carry_rank cl_carry_judge(const struct cl_carry *c,
 				  const struct cl_carry_call *call, ba_time now)
 {
-	ba_time on_idle_link = now + call->work + cl_carry_time(c, call->bytes);
+	ba_time on_idle_link = now + least_time(c, call);
 
 	if (sent_at(c, call, CL_CARRY_IN_TIME, now) <= on_idle_link ||
 	    sent_in_time(c, call, CL_CARRY_IN_TIME, call->target, now))
@@ -88,8 +90,13 @@
 		       const struct cl_carry_call *call,
 		       enum cl_carry_rank rank, ba_time now)
 {
-	ba_time all = cl_carry_time(c, before(c, call, rank));
-	ba_time least = call->work + cl_carry_time(c, call->bytes);
+	return now + MAX(cl_carry_time(c, before(c, call, rank)),
+			 least_time(c, call));
+}
 
-	return now + (all > least ? all : least);
+/* Of a call whose answer has the link to itself. */
+static ba_time least_time(const struct cl_carry *c,
+			  const struct cl_carry_call *call)
+{
+	return call->work + cl_carry_time(c, call->bytes);
 }
--- a/proxy/px_gate.c
+++ b/proxy/px_gate.c
@@ -9,7 +9,7 @@
 };
 
 static int closed_code(const struct px *p, const char *service);
-static int carry(struct px_exchange *x);
+static int carry(struct px_exchange *x, double bytes);
 static int code_of(enum cl_admit_reason reason);
 static bool is_renewed(const struct px_gate *g, const struct px_beat *b);
 static bool is_late(const struct px_gate *g, const struct px_beat *b);
@@ -21,7 +21,8 @@
 {
 	struct px *p = x->p;
 	ba_time now = ba_loop_now(p->loop);
-	ba_time sending = cl_carry_time(&p->carry, px_exchange_bytes(x));
+	double bytes = px_exchange_bytes(x);
+	ba_time sending = cl_carry_time(&p->carry, bytes);
 	const struct cl_waiter waiter = {
 		.route = x->route,
 		.priority = x->priority,
@@ -32,7 +33,7 @@
 	enum cl_admit_reason reason;
 
 	if (!code)
-		code = carry(x);
+		code = carry(x, bytes);
 	if (code) {
 		px_exchange_not_run(x, code);
 		return;
@@ -124,11 +125,11 @@
 }
 
 /* Short answers do not wait for others on the link. */
-static int carry(struct px_exchange *x)
+static int carry(struct px_exchange *x, double bytes)
 {
 	struct px *p = x->p;
 	const struct cl_carry_call call = {
-		.bytes = px_exchange_bytes(x),
+		.bytes = bytes,
 		.work = cl_wait_known(p->gate.wait, x->route),
 		.target = x->latency_target,
 		.deadline = x->deadline,
@@ -140,12 +141,12 @@
 	};
 	enum cl_carry_rank rank;
 
-	if (call.bytes <= HT_LINK_SHORT)
+	if (bytes <= HT_LINK_SHORT)
 		return 0;
 	rank = cl_carry_judge(&p->carry, &call, ba_loop_now(p->loop));
 	if (rank == CL_CARRY_NEVER)
 		return CL_LINK_FULL;
-	cl_carry_begin(&p->carry, &x->carried, call.bytes, rank);
+	cl_carry_begin(&p->carry, &x->carried, bytes, rank);
 	return 0;
 }
 
