http: the end of a call into an owner stands in one place

Three places counted down the depth of calls and freed a connection that had ended meanwhile. A deadline of never armed the timer only to disarm it, and nobody looked at what ht_conn_write() returned. No change of behaviour.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -83,6 +83,7 @@
 static void leave(struct ht_conn *c);
 static void linger(struct ht_conn *c);
 static void rewatch(struct ht_conn *c);
+static void end_call(struct ht_conn *c);
 static void free_later(struct ht_conn *c);
 static void on_free(struct ba_timer *t, ba_time now);
 static void conn_free(struct ht_conn *c);
@@ -154,10 +155,9 @@
 	return &c->head;
 }
 
-size_t ht_conn_write(struct ht_conn *c, const void *data, size_t len)
+void ht_conn_write(struct ht_conn *c, const void *data, size_t len)
 {
 	ba_buf_add(&c->out, data, len);
-	return c->out.len;
 }
 
 struct ba_buf *ht_conn_out(struct ht_conn *c)
@@ -227,9 +227,10 @@
 
 void ht_conn_expect(struct ht_conn *c, ba_time deadline)
 {
-	ba_loop_arm(c->loop, &c->timer, deadline);
 	if (deadline == BA_NEVER)
 		ba_loop_disarm(c->loop, &c->timer);
+	else
+		ba_loop_arm(c->loop, &c->timer, deadline);
 }
 
 bool ht_conn_reusable(const struct ht_conn *c)
@@ -304,9 +305,7 @@
 		read_some(c);
 	if (bits & BA_WRITABLE)
 		tell_drained(c);
-	c->busy--;
-	if (c->dead && !c->busy)
-		free_later(c);
+	end_call(c);
 }
 
 /* Of the other end; the time on the shared link does not count. */
@@ -354,9 +353,7 @@
 	c->busy++;
 	ht_conn_flush(c);
 	tell_drained(c);
-	c->busy--;
-	if (c->dead && !c->busy)
-		free_later(c);
+	end_call(c);
 }
 
 static void tell_drained(struct ht_conn *c)
@@ -438,12 +435,9 @@
 
 	c->busy++;
 	used = http_parser_execute(&c->parser, &settings, data, len);
-	c->busy--;
-	if (c->dead) {
-		if (!c->busy)
-			free_later(c);
+	end_call(c);
+	if (c->dead)
 		return;
-	}
 	code = HTTP_PARSER_ERRNO(&c->parser);
 	if (c->finishing)
 		return;
@@ -503,6 +497,14 @@
 		free_later(c);
 }
 
+/* Whoever was called may have ended the connection. */
+static void end_call(struct ht_conn *c)
+{
+	c->busy--;
+	if (c->dead && !c->busy)
+		free_later(c);
+}
+
 /* At the end of the turn, so that whoever is calling may still look. */
 static void free_later(struct ht_conn *c)
 {
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -79,12 +79,8 @@
 /** ht_conn_head() - the head of the message that is being read */
 struct ht_head *ht_conn_head(struct ht_conn *c);
 
-/**
- * ht_conn_write() - queue bytes; nothing is sent before ht_conn_flush()
- *
- * Return: bytes that wait to be sent.
- */
-size_t ht_conn_write(struct ht_conn *c, const void *data, size_t len);
+/** ht_conn_write() - queue bytes; nothing is sent before ht_conn_flush() */
+void ht_conn_write(struct ht_conn *c, const void *data, size_t len);
 
 /** ht_conn_out() - the queue itself, to be formatted into */
 struct ba_buf *ht_conn_out(struct ht_conn *c);
