http: listening sockets in a file of their own

ht_conn.c had grown to 730 lines with a second struct behind the first; its twelve parser callbacks stay with the connection that they fill in.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -1,6 +1,5 @@
 #include <errno.h>
 #include <netinet/tcp.h>
-#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -8,7 +7,6 @@
 #include <glib.h>
 #include <http_parser.h>
 
-#include "base/ba_result.h"
 #include "base/ba_socket.h"
 #include "http/ht_conn.h"
 
@@ -16,8 +14,6 @@
 	READ_BYTES = 32 * 1024,
 	HELD_LIMIT_BYTES = 64 * 1024, /* requests that came early */
 	KEEP_OUT_BYTES = 4096,	      /* larger buffers are given back */
-	BACKLOG = 512,
-	ACCEPTS_PER_TURN = 64,
 	USER_TIMEOUT_MS = 3000, /* unacknowledged bytes: the path is dead */
 	LINGER_MS = 1000,	/* for the other end to read what was sent */
 };
@@ -686,52 +682,3 @@
 		c->head.fields[c->head.n_fields - 1].value =
 			(uint32_t)(c->head.text.len - 1);
 }
-
-/* struct ht_listener - a listening socket */
-struct ht_listener {
-	struct ba_watch watch;
-	struct ba_loop *loop;
-	struct ht_acceptor *acceptor;
-};
-
-static void on_incoming(struct ba_watch *w, unsigned int bits)
-{
-	struct ht_listener *l = ba_entry(w, struct ht_listener, watch);
-
-	(void)bits;
-	for (int i = 0; i < ACCEPTS_PER_TURN; i++) {
-		int fd = accept4(w->fd, NULL, NULL,
-				 SOCK_NONBLOCK | SOCK_CLOEXEC);
-
-		if (fd < 0)
-			return;
-		l->acceptor->accept(l->acceptor, fd);
-	}
-}
-
-int ht_listen(struct ba_loop *loop, const struct ba_address *at,
-	      struct ht_acceptor *a, struct ht_listener **out)
-{
-	int fd = ba_socket_listen(at, BACKLOG);
-	struct ht_listener *l;
-
-	if (fd < 0)
-		return BA_PORT_IN_USE;
-	l = g_new0(struct ht_listener, 1);
-	l->watch.fd = fd;
-	l->watch.ready = on_incoming;
-	l->loop = loop;
-	l->acceptor = a;
-	ba_loop_watch(loop, &l->watch, BA_READABLE);
-	*out = l;
-	return BA_OK;
-}
-
-void ht_listener_close(struct ht_listener *l)
-{
-	if (!l)
-		return;
-	ba_loop_unwatch(l->loop, &l->watch);
-	close(l->watch.fd);
-	g_free(l);
-}
