base: a result code as JSON is written in one place

The proxy's refusals and the operators' errors each formatted code, name and text. The proxy did so into 256 bytes and took the length that did not depend on them: a longer text would have been read past the end; none is that long. The bytes that callers and operators get stay.

--- a/base/ba_result.c
+++ b/base/ba_result.c
@@ -284,6 +284,14 @@
 	return &results[code];
 }
 
+void ba_result_json(int code, struct ba_buf *out)
+{
+	const struct ba_result_info *info = ba_result_info(code);
+
+	ba_buf_addf(out, "\"code\":%d,\"name\":\"%s\",\"text\":\"%s\"", code,
+		    info->name, info->text);
+}
+
 int ba_result_next(int code)
 {
 	for (code++; code < n_results; code++)
--- a/base/ba_result.h
+++ b/base/ba_result.h
@@ -10,6 +10,8 @@
 
 #include <stddef.h>
 
+#include "base/ba_buf.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -119,6 +121,9 @@
  */
 const struct ba_result_info *ba_result_info(int code);
 
+/** ba_result_json() - add code, name and text, as members of a JSON object */
+void ba_result_json(int code, struct ba_buf *out);
+
 /**
  * ba_result_next() - walk the table
  * @code: the last code seen, or -1 to start
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -1,4 +1,3 @@
-#include <stdio.h>
 #include <string.h>
 #include <strings.h>
 
@@ -64,12 +63,11 @@
 void px_compose_refusal(struct px_exchange *x, int status, int code,
 			struct ba_buf *out)
 {
-	const struct ba_result_info *info = ba_result_info(code);
-	char body[256];
-	int len = snprintf(body, sizeof(body),
-			   "{\"code\":%d,\"name\":\"%s\",\"text\":\"%s\"}\n",
-			   code, info->name, info->text);
+	struct ba_buf body = {0};
 
+	ba_buf_addf(&body, "{");
+	ba_result_json(code, &body);
+	ba_buf_addf(&body, "}\n");
 	ba_buf_addf(out, "HTTP/1.1 %d %s\r\n", status, ht_reason(status));
 	if (x->front->from_peer && status == 503)
 		ba_buf_addf(out, PX_NOT_RUN ": %d\r\n", code);
@@ -85,10 +83,11 @@
 		ba_buf_addf(out, "Connection: close\r\n");
 	ba_buf_addf(out,
 		    "Content-Type: application/json\r\n"
-		    "Content-Length: %d\r\n\r\n",
-		    len);
+		    "Content-Length: %zu\r\n\r\n",
+		    body.len);
 	if (strcmp(ht_conn_head(x->front->conn)->method, "HEAD") != 0)
-		ba_buf_add(out, body, (size_t)len);
+		ba_buf_add(out, body.data, body.len);
+	ba_buf_free(&body);
 }
 
 void px_compose_plain(int status, struct ba_buf *out)
--- a/source/so_http.c
+++ b/source/so_http.c
@@ -252,11 +252,10 @@
 static void answer_code(struct ht_request *r, int status, int code,
 			const struct ba_problems *problems)
 {
-	const struct ba_result_info *info = ba_result_info(code);
 	struct ba_buf body = {0};
 
-	ba_buf_addf(&body, "{\"code\":%d,\"name\":\"%s\",\"text\":\"%s\"", code,
-		    info->name, info->text);
+	ba_buf_addf(&body, "{");
+	ba_result_json(code, &body);
 	for (size_t i = 0; problems && i < problems->n; i++) {
 		char *expected = g_strescape(problems->list[i].expected, NULL);
 
