--- a/prog/pr.c
+++ b/prog/pr.c
@@ -1,5 +1,5 @@
-#include <stdio.h>
 #include <arpa/inet.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/resource.h>
 
--- a/test/lib.sh
+++ b/test/lib.sh
@@ -4,7 +4,7 @@
 build=$1
 net=${TEST_NET:-127.0.0}
 case_name=$(basename "$0" .sh)
-work=$build/test/work/$case_name
+work=$build/test/cases/$case_name
 
 rm -rf "$work"
 mkdir -p "$work"
--- a/test/wire_test.cc
+++ b/test/wire_test.cc
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "base/ba_result.h"
+#include "base/ba_socket.h"
 #include "wire/ct.pb-c.h"
 #include "test/net.h"
 #include "wire/wi_session.h"
@@ -178,6 +179,31 @@
 	return fd;
 }
 
+/* Dials a socket that listens and that no process reads from. */
+int dial_unread(int port, const struct wi_limits &limits, size_t crowd)
+{
+	struct ba_loop *loop = ba_loop_new();
+	struct end client = {
+		{on_opened, on_frame, on_closed}, loop, 0, 0, 0, false};
+	struct wi_identity id = identity("m", WI_DAEMON, "", 1);
+	std::vector<int> before;
+	struct ba_address at;
+	int fd;
+
+	EXPECT_EQ(ba_parse_address(test_address(1, port).c_str(), &at), BA_OK);
+	fd = ba_socket_listen(&at, 0);
+	EXPECT_GE(fd, 0);
+	while (before.size() < crowd)
+		before.push_back(ba_socket_dial(&at));
+	wi_dial(loop, &at, &id, &limits, &client.handler);
+	ba_loop_run(loop);
+	for (int one : before)
+		close(one);
+	close(fd);
+	ba_loop_free(loop);
+	return client.code;
+}
+
 TEST(WiSession, BytesOfAStrangerCloseOnlyThatSession)
 {
 	static const struct {
@@ -239,23 +265,10 @@
  */
 TEST(WiSession, SilentPeerIsDeadPastItsDeadline)
 {
-	struct ba_loop *loop = ba_loop_new();
-	struct end client = {
-		{on_opened, on_frame, on_closed}, loop, 0, 0, 0, false};
-	struct wi_identity id = identity("m", WI_DAEMON, "", 1);
 	struct wi_limits limits = wi_limits_default;
-	struct ba_address at;
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
 	limits.opening = 50 * BA_MS;
-	ASSERT_EQ(ba_parse_address(test_address(1, 22161).c_str(), &at), BA_OK);
-	ASSERT_EQ(bind(fd, (const struct sockaddr *)&at.sockaddr, at.len), 0);
-	ASSERT_EQ(listen(fd, 1), 0);
-	wi_dial(loop, &at, &id, &limits, &client.handler);
-	ba_loop_run(loop);
-	EXPECT_EQ(client.code, WI_PEER_SILENT);
-	close(fd);
-	ba_loop_free(loop);
+	EXPECT_EQ(dial_unread(22161, limits, 0), WI_PEER_SILENT);
 }
 
 void stop_when_opened(struct wi_handler *h, struct wi_session *)
@@ -308,35 +321,12 @@
 /* The kernel would try for minutes. */
 TEST(WiSession, PacketsThatNobodyAnswers)
 {
-	struct ba_loop *loop = ba_loop_new();
-	struct end client = {
-		{on_opened, on_frame, on_closed}, loop, 0, 0, 0, false};
-	struct wi_identity id = identity("m", WI_DAEMON, "", 1);
 	struct wi_limits limits = wi_limits_default;
-	struct ba_address at;
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-	std::vector<int> crowd;
 
 	limits.connecting = 50 * BA_MS;
 	limits.opening = BA_HOUR;
-	ASSERT_EQ(ba_parse_address(test_address(1, 22163).c_str(), &at), BA_OK);
-	ASSERT_EQ(bind(fd, (const struct sockaddr *)&at.sockaddr, at.len), 0);
-	ASSERT_EQ(listen(fd, 0), 0);
 	/* Once the queue is full, first packets are dropped. */
-	for (int i = 0; i < 4; i++) {
-		crowd.push_back(
-			socket(AF_INET,
-			       SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-		(void)connect(crowd.back(),
-			      (const struct sockaddr *)&at.sockaddr, at.len);
-	}
-	wi_dial(loop, &at, &id, &limits, &client.handler);
-	ba_loop_run(loop);
-	EXPECT_EQ(client.code, WI_CONNECT_FAILED);
-	for (int one : crowd)
-		close(one);
-	close(fd);
-	ba_loop_free(loop);
+	EXPECT_EQ(dial_unread(22163, limits, 4), WI_CONNECT_FAILED);
 }
 
 TEST(WiSession, NobodyThere)
