config: routes of uploads

A route now says that its requests are large; such calls never run twice, like those of non_idempotent routes, and a route may not be idempotent or a download as well. The field is encoded, compared in deltas and covered by the properties of both; the product's own file gains routes.download and routes.upload.

PfConfiguration failed first on the round trip with an upload route.

--- a/config/cf.h
+++ b/config/cf.h
@@ -84,6 +84,7 @@
  *	the first part when the route is split
  * @idempotent: whether calls may be retried without an idempotency key
  * @download: whether responses are large
+ * @upload: whether requests are large; its calls may run once only
  * @timeout: maximum duration of a call, 0 for the timeout of the service
  * @latency_target: target latency; an answer that takes longer is worth less; 0
  *	for no target
@@ -101,6 +102,7 @@
 	int service;
 	bool idempotent;
 	bool download;
+	bool upload;
 	ba_time timeout;
 	ba_time latency_target;
 	uint32_t priority;
--- a/config/cf_check.c
+++ b/config/cf_check.c
@@ -117,6 +117,9 @@
 	if (!is_method(r->value.method))
 		ba_problem_add(p, BA_RANGE_WRONG, r->line, "routes.method",
 			       "a method such as \"GET\", or none");
+	if (r->value.upload && (r->value.idempotent || r->value.download))
+		ba_problem_add(p, BA_RANGE_WRONG, r->line, "routes.upload",
+			       "no idempotent route and no download");
 }
 
 /* A route with a host must set its timeout; others use that of the service. */
--- a/config/cf_delta.c
+++ b/config/cf_delta.c
@@ -198,7 +198,7 @@
 		       const struct cf_snapshot *to, const struct cf_route *b)
 {
 	return a->idempotent == b->idempotent && a->download == b->download &&
-	       a->timeout == b->timeout &&
+	       a->upload == b->upload && a->timeout == b->timeout &&
 	       a->latency_target == b->latency_target &&
 	       a->priority == b->priority && a->attempts == b->attempts &&
 	       !strcmp(a->host, b->host) && !strcmp(a->path, b->path) &&
--- a/config/cf_encode.c
+++ b/config/cf_encode.c
@@ -124,6 +124,7 @@
 	m->priority = r->priority;
 	m->attempts = r->attempts;
 	m->download = r->download;
+	m->upload = r->upload;
 	if (!r->n_parts)
 		return;
 	m->parts = g_new(CfPart *, r->n_parts);
@@ -211,6 +212,7 @@
 		.idempotent = m->idempotent,
 		.host = m->host,
 		.download = m->download,
+		.upload = m->upload,
 		.timeout = from_ms(m->timeout_ms),
 		.latency_target = from_ms(m->latency_target_ms),
 		.priority = m->priority,
--- a/config/cf_parse.c
+++ b/config/cf_parse.c
@@ -21,6 +21,8 @@
 	char *method;
 	char *service;
 	bool idempotent;
+	bool download;
+	bool upload;
 };
 
 struct parsed_mesh {
@@ -61,6 +63,10 @@
 	KEY("routes", parsed_route, service, BA_KIND_STRING, true, NULL, 0, 0),
 	KEY("routes", parsed_route, idempotent, BA_KIND_BOOLEAN, false, "false",
 	    0, 0),
+	KEY("routes", parsed_route, download, BA_KIND_BOOLEAN, false, "false",
+	    0, 0),
+	KEY("routes", parsed_route, upload, BA_KIND_BOOLEAN, false, "false", 0,
+	    0),
 	{NULL, NULL, BA_KIND_STRING, false, 0, NULL, 0, 0},
 };
 
@@ -246,6 +252,8 @@
 			.path = v.path,
 			.method = v.method,
 			.idempotent = v.idempotent,
+			.download = v.download,
+			.upload = v.upload,
 		};
 
 		cf_draft_add_route(d, &r, cf_draft_strdup(d, v.service),
--- a/ctl/ct_check.c
+++ b/ctl/ct_check.c
@@ -107,11 +107,13 @@
 	for (size_t i = 0; i < s->n_routes; i++) {
 		const struct cf_route *r = &s->routes[i];
 
-		json_object_set_new(routes, r->name,
-				    json_pack("{ss ss ss sb}", "path", r->path,
-					      "method", r->method, "service",
-					      s->services[r->service].name,
-					      "idempotent", r->idempotent));
+		json_object_set_new(
+			routes, r->name,
+			json_pack("{ss ss ss sb sb sb}", "path", r->path,
+				  "method", r->method, "service",
+				  s->services[r->service].name, "idempotent",
+				  r->idempotent, "download", r->download,
+				  "upload", r->upload));
 	}
 	return json_pack("{so so so so}", "services", services, "routes",
 			 routes, "policy", policy_json(s), "rows",
--- a/daemon/da_ingress.c
+++ b/daemon/da_ingress.c
@@ -60,7 +60,7 @@
 	if (!route)
 		return CL_NO_ROUTE;
 	c->service = g_strdup(s->services[route->service].name);
-	c->idempotent = route->idempotent;
+	c->idempotent = route->idempotent || route->download;
 	c->weight = s->policy.rows ? s->policy.rows[route->service].weight : 1;
 	return da_ingress_set_deadline(c, time_limit(s, route->service));
 }
--- a/test/cf_test.cc
+++ b/test/cf_test.cc
@@ -73,6 +73,13 @@
 		 "[[routes]]\nname = \"x\"\npath = \"/p\"\nservice = \"a\"\n"
 		 "[[routes]]\nname = \"y\"\npath = \"/p\"\nservice = \"a\"\n",
 		 {{CF_DUPLICATE_NAME, 7}}},
+		{false,
+		 "[[services]]\nname = \"a\"\n"
+		 "[[routes]]\nname = \"x\"\npath = \"/p\"\nservice = \"a\"\n"
+		 "idempotent = true\nupload = true\n"
+		 "[[routes]]\nname = \"y\"\npath = \"/q\"\nservice = \"a\"\n"
+		 "upload = true\n",
+		 {{BA_RANGE_WRONG, 3}}},
 		{false, "services = 5\n", {{BA_TYPE_WRONG, 1}}},
 		{false, "[mesh]\ntime_zone = \"UTC\"\n", {{BA_KEY_UNKNOWN, 1}}},
 		{false,
@@ -212,12 +219,16 @@
 	}
 	for (int r = 0; r < 6 && !names.empty(); r++) {
 		auto to = *rc::gen::elementOf(names);
+		std::string method = *rc::gen::element("", "GET");
 
-		if (*rc::gen::inRange(0, 2))
-			text += route("r" + std::to_string(r),
-				      "/p" + std::to_string(r),
-				      "s" + std::to_string(to),
-				      *rc::gen::element("", "GET"));
+		if (!*rc::gen::inRange(0, 2))
+			continue;
+		text += route("r" + std::to_string(r), "/p" + std::to_string(r),
+			      "s" + std::to_string(to), method);
+		/* route() makes a GET idempotent, and uploads never are. */
+		text += *rc::gen::element("", "download = true\n",
+					  method.empty() ? "upload = true\n"
+							 : "");
 	}
 	struct cf_snapshot *plain = must_parse(text, empty, version);
 	struct cf_snapshot *s = must_parse(rows, plain, version, true);
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -66,7 +66,7 @@
 			       json_object_get(back, "limits")));
 	json_t *rows = json_object_get(json_object_get(back, "routes"), "rows");
 
-	EXPECT_EQ(json_array_size(rows), 4u);
+	EXPECT_EQ(json_array_size(rows), 5u);
 	/* Rows are returned sorted by name, with the values that were sent. */
 	for (size_t i = 0; i < json_array_size(rows); i++) {
 		json_t *row = json_array_get(rows, i);
--- a/test/proxy_world.h
+++ b/test/proxy_world.h
@@ -184,6 +184,8 @@
 	"\"300ms\",2,null,2,\"stock\"],"
 	"[\"book\",\"a.example\",\"/book/\",\"non_idempotent\",\"9s\","
 	"\"400ms\",1,null,2,\"stock\"],"
+	"[\"photos\",\"a.example\",\"/photos/\",\"upload\",\"9s\","
+	"\"400ms\",1,null,2,\"stock\"],"
 	"[\"short\",\"a.example\",\"/short/\",\"idempotent\",\"200ms\","
 	"\"100ms\",1,null,2,\"stock\"],"
 	"[\"split\",\"b.example\",\"/\",\"idempotent\",\"9s\",\"400ms\",1,"
--- a/wire/cf.pb-c.c
+++ b/wire/cf.pb-c.c
@@ -611,7 +611,7 @@
   (ProtobufCMessageInit) cf_limits__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_route__field_descriptors[12] =
+static const ProtobufCFieldDescriptor cf_route__field_descriptors[13] =
 {
   {
     "name",
@@ -757,6 +757,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "upload",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CfRoute, upload),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cf_route__field_indices_by_name[] = {
   9,   /* field[9] = attempts */
@@ -771,11 +783,12 @@
   8,   /* field[8] = priority */
   3,   /* field[3] = service */
   6,   /* field[6] = timeout_ms */
+  12,   /* field[12] = upload */
 };
 static const ProtobufCIntRange cf_route__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor cf_route__descriptor =
 {
@@ -785,7 +798,7 @@
   "CfRoute",
   "",
   sizeof(CfRoute),
-  12,
+  13,
   cf_route__field_descriptors,
   cf_route__field_indices_by_name,
   1,  cf_route__number_ranges,
--- a/wire/cf.pb-c.h
+++ b/wire/cf.pb-c.h
@@ -35,16 +35,16 @@
   ProtobufCMessage base;
   char *name;
   /*
-   * over all callers, 0 for no limit
+   * of all callers together, 0 for no limit
    */
   uint32_t max_in_flight;
   /*
-   * longest deadline a call may ask for
+   * longest deadline that a call may ask for
    */
   uint32_t timeout_ms;
   char *health_path;
   /*
-   * of one endpoint, 0 when not known
+   * of one endpoint, 0 if not known
    */
   uint32_t max_connections;
   char *protocol;
@@ -56,7 +56,7 @@
 
 
 /*
- * One of the services that a route is split over.
+ * One of the services between which a route splits its calls.
  */
 struct  CfPart
 {
@@ -70,7 +70,7 @@
 
 
 /*
- * What a caller may send, and how long it may take.
+ * Limits on the size and duration of callers' requests.
  */
 struct  CfLimits
 {
@@ -104,7 +104,7 @@
    */
   char *host;
   /*
-   * 0 for that of the service
+   * 0 for the timeout of the service
    */
   uint32_t timeout_ms;
   uint32_t latency_target_ms;
@@ -113,39 +113,46 @@
    */
   uint32_t priority;
   /*
-   * endpoints that one call may run on
+   * most endpoints that one call may run on
    */
   uint32_t attempts;
   /*
-   * in place of the service
+   * used instead of service
    */
   size_t n_parts;
   CfPart **parts;
+  /*
+   * its responses are large
+   */
   protobuf_c_boolean download;
+  /*
+   * its requests are large
+   */
+  protobuf_c_boolean upload;
 };
 #define CF_ROUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_route__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
- * One row of the operators' table.
+ * A row of the policy table.
  */
 struct  CfPolicyRow
 {
   ProtobufCMessage base;
   char *service;
   /*
-   * 1 to 1000, who is shed last
+   * 1 to 1000, highest is shed last
    */
   uint32_t weight;
   uint32_t convergence_limit_ms;
   /*
-   * calls per second over the mesh
+   * calls per second in the whole mesh
    */
   uint32_t calls_limit;
   /*
-   * when the caller names none
+   * if the caller sets none
    */
   uint32_t deadline_ms;
 };
@@ -160,7 +167,7 @@
   char *time_zone;
   uint64_t cross_region_bytes_per_day;
   /*
-   * against bytes_weight
+   * relative to bytes_weight
    */
   uint32_t convergence_weight;
   uint32_t bytes_weight;
@@ -189,7 +196,7 @@
   CfRoute **routes;
   CfPolicy *policy;
   /*
-   * the operators' own number
+   * number assigned by the operators
    */
   uint64_t revision;
   CfLimits *limits;
@@ -214,7 +221,7 @@
   size_t n_drop_routes;
   char **drop_routes;
   /*
-   * without rows, when it changed
+   * without rows; set if it changed
    */
   CfPolicy *policy;
   size_t n_put_rows;
