replica: the last leader returns at once after all processes were lost

Each voter waits 0.5 s after its start, since it may have renewed the lease of a leader just before, and a refused candidate tries again 0.5 to 0.9 s later. The 192 entries of the log were then applied and each old version published, for 0.7 s more.

Change: a replica stores the leader that it follows in a term. A leader that asks for votes has given up its lease, so those who know it as the last leader elect it without the wait; it asks as soon as it starts, and every 0.1 to 0.2 s until there is a leader.

RpLease.LastLeaderReturnsSoonAfterATotalCrash fails without the change; RpLease.RestartedVoterHonoursTheLastLeader catches a replica that takes the wrong one for the last leader.

--- a/replica/rp_core.c
+++ b/replica/rp_core.c
@@ -86,6 +86,7 @@
 	g_strlcpy(c->disk_id, r->disk_id, sizeof(c->disk_id));
 	c->damaged = r->damaged;
 	c->leader = RP_NO_PEER;
+	c->lease_holder = RP_NO_PEER;
 	c->term = r->term;
 	c->commit = c->log.snapshot_index;
 	c->stored = rp_log_last(&c->log);
@@ -95,16 +96,17 @@
 	c->role = rp_log_last(&c->log) ? RP_FOLLOWER : RP_UNFORMED;
 	c->leader_heard_at = now;
 	c->election_deadline = rp_next_election_deadline(c, now);
-	if (rp_members_quorum(&c->members) == 1 && rp_is_voter(c, c->self))
+	if (rp_is_voter(c, c->self) &&
+	    (rp_members_quorum(&c->members) == 1 || c->lease_holder == c->self))
 		c->election_deadline = now;
 	c->probe_deadline = now;
 	return c;
 }
 
 /*
- * In an open group the members in the log and the replica that got the vote
- * are peers too, as the settings need not list them: the vote is stored by
- * name, and it holds also for a replica that the settings no longer list.  The
+ * In an open group the members in the log, the replica that got the vote and
+ * the leader are peers too, as the settings need not list them: vote and leader
+ * are stored by name, also for a replica that the settings no longer list.  The
  * last entry may have a newer term than the saved one: form_group() stores its
  * entry before it saves the term.
  */
@@ -118,12 +120,17 @@
 				 c->members.list[i].address);
 	if (c->o.open_group && *r->vote)
 		rp_core_add_peer(c, r->vote, r->vote);
+	if (c->o.open_group && *r->leader)
+		rp_core_add_peer(c, r->leader, r->leader);
 	c->vote = find_peer(c, r->vote);
+	c->lease_holder = find_peer(c, r->leader);
+	c->lease_term = c->term;
 	rp_log_term(&c->log, rp_log_last(&c->log), &last_term);
 	if (last_term <= c->term)
 		return;
 	c->term = last_term;
 	c->vote = RP_NO_PEER;
+	c->lease_holder = RP_NO_PEER;
 }
 
 int rp_core_add_peer(struct rp_core *c, const char *name, const char *address)
@@ -319,6 +326,20 @@
 	a->to = c->vote;
 }
 
+void rp_set_lease_holder(struct rp_core *c, int leader, struct rp_actions *out)
+{
+	struct rp_action *a;
+
+	c->led = true;
+	if (c->lease_holder == leader && c->lease_term == c->term)
+		return;
+	c->lease_holder = leader;
+	c->lease_term = c->term;
+	a = rp_add_action(out, RP_DO_SAVE_LEADER);
+	a->to = leader;
+	a->term = c->term;
+}
+
 void rp_become_follower(struct rp_core *c, uint64_t term, int leader,
 			int reason, ba_time now, struct rp_actions *out)
 {
--- a/replica/rp_core.h
+++ b/replica/rp_core.h
@@ -11,7 +11,8 @@
  *   never lost, changed or reordered.
  * - A leader accepts proposals only within its lease, which a quorum renews
  *   by answering heartbeats.  Followers grant no other replica a vote for
- *   longer than the lease lasts.
+ *   longer than the lease lasts.  They may elect the same leader again at once,
+ *   as a replica that asks for votes does not lead.
  * - Membership changes one member at a time.  A replica with a new disk, or
  *   with one that lost its content, votes only after it has caught up.
  * - The caller executes actions in order.  When a store action fails, it
@@ -170,13 +171,14 @@
 };
 
 enum rp_action_type {
-	RP_DO_SAVE_VOTE, /* save @term and the vote for peer @to */
-	RP_DO_TRUNCATE,	 /* drop the stored entries from @index on */
-	RP_DO_APPEND,	 /* store the entries @index to @last, and sync */
-	RP_DO_SEND,	 /* send @message to peer @to */
-	RP_DO_COMMIT,	 /* entries up to @index are committed */
-	RP_DO_INSTALL,	 /* replace state and log by the received snapshot */
-	RP_DO_ROLE,	 /* role is @role and leader @to now, for @reason */
+	RP_DO_SAVE_VOTE,   /* save @term and the vote for peer @to */
+	RP_DO_SAVE_LEADER, /* save that peer @to leads the term; may fail */
+	RP_DO_TRUNCATE,	   /* drop the stored entries from @index on */
+	RP_DO_APPEND,	   /* store the entries @index to @last, and sync */
+	RP_DO_SEND,	   /* send @message to peer @to */
+	RP_DO_COMMIT,	   /* entries up to @index are committed */
+	RP_DO_INSTALL,	   /* replace state and log by the received snapshot */
+	RP_DO_ROLE,	   /* role is @role and leader @to now, for @reason */
 };
 
 /** struct rp_action - one action; its type says which fields it uses */
--- a/replica/rp_disk.c
+++ b/replica/rp_disk.c
@@ -49,6 +49,7 @@
 static int disk_sync(struct rp_store *s);
 static int disk_truncate(struct rp_store *s, uint64_t index);
 static int disk_save_vote(struct rp_store *s, uint64_t term, const char *vote);
+static int disk_save_leader(struct rp_store *s, const char *leader);
 static int disk_save_snapshot(struct rp_store *s, uint64_t index, uint64_t term,
 			      const struct ba_buf *state, uint64_t keep_from,
 			      bool reset);
@@ -60,6 +61,7 @@
 	.sync = disk_sync,
 	.truncate = disk_truncate,
 	.save_vote = disk_save_vote,
+	.save_leader = disk_save_leader,
 	.save_snapshot = disk_save_snapshot,
 	.close = disk_close,
 };
@@ -117,6 +119,7 @@
 	out->term = d->meta.term;
 	out->damaged = d->meta.damaged;
 	memcpy(out->vote, d->meta.vote, sizeof(out->vote));
+	memcpy(out->leader, d->meta.leader, sizeof(out->leader));
 	memcpy(out->disk_id, d->meta.disk_id, sizeof(out->disk_id));
 	return ret;
 }
@@ -191,6 +194,7 @@
 	d->meta.term = term;
 	memset(d->meta.vote, 0, sizeof(d->meta.vote));
 	g_strlcpy(d->meta.vote, vote, sizeof(d->meta.vote));
+	memset(d->meta.leader, 0, sizeof(d->meta.leader));
 	ret = save_meta(d);
 	if (!ret)
 		ret = save_meta(d);
@@ -199,6 +203,20 @@
 	return ret;
 }
 
+static int disk_save_leader(struct rp_store *s, const char *leader)
+{
+	struct rp_disk *d = (struct rp_disk *)s;
+	struct rp_meta before = d->meta;
+	int ret;
+
+	memset(d->meta.leader, 0, sizeof(d->meta.leader));
+	g_strlcpy(d->meta.leader, leader, sizeof(d->meta.leader));
+	ret = save_meta(d);
+	if (ret)
+		d->meta = before;
+	return ret;
+}
+
 static int disk_save_snapshot(struct rp_store *s, uint64_t index, uint64_t term,
 			      const struct ba_buf *state, uint64_t keep_from,
 			      bool reset)
--- a/replica/rp_elect.c
+++ b/replica/rp_elect.c
@@ -4,6 +4,7 @@
 #include "replica/rp_internal.h"
 #include "wire/rp.pb-c.h"
 
+static ba_time next_attempt(struct rp_core *c, ba_time now);
 static void request_votes(struct rp_core *c, bool pre, bool handover,
 			  struct rp_actions *out);
 static void count_votes(struct rp_core *c, ba_time now, struct rp_actions *out);
@@ -25,7 +26,7 @@
 {
 	if (now < c->election_deadline)
 		return;
-	c->election_deadline = rp_next_election_deadline(c, now);
+	c->election_deadline = next_attempt(c, now);
 	c->leader = RP_NO_PEER;
 	if (!rp_is_voter(c, c->self) || now < c->no_candidacy_until)
 		return;
@@ -37,7 +38,8 @@
 void rp_on_vote_request(struct rp_core *c, int from, const struct rp_message *m,
 			ba_time now, struct rp_actions *out)
 {
-	bool may_elect = m->handover || !has_leader(c, now);
+	bool may_elect =
+		m->handover || from == c->lease_holder || !has_leader(c, now);
 	bool grant = may_elect && may_vote_for(c, from, m);
 	struct rp_message *reply;
 
@@ -130,6 +132,20 @@
 	reply->damaged = c->damaged && c->role == RP_UNFORMED;
 }
 
+/*
+ * After the start of all replicas a quorum is reachable a moment after the
+ * first of them, so the pre-vote is tried again soon until there is a leader.
+ */
+static ba_time next_attempt(struct rp_core *c, ba_time now)
+{
+	const struct rp_times *t = &c->o.times;
+
+	if (c->led)
+		return rp_next_election_deadline(c, now);
+	return now + t->heartbeat +
+	       (ba_time)ba_rand_below(&c->rand, (uint64_t)t->heartbeat);
+}
+
 static void request_votes(struct rp_core *c, bool pre, bool handover,
 			  struct rp_actions *out)
 {
--- a/replica/rp_follow.c
+++ b/replica/rp_follow.c
@@ -91,6 +91,7 @@
 	if (m->term == c->term && c->role == RP_LEADER)
 		return false;
 	rp_become_follower(c, m->term, from, RP_TERM_OLD, now, out);
+	rp_set_lease_holder(c, from, out);
 	c->leader_heard_at = now;
 	c->election_deadline = rp_next_election_deadline(c, now);
 	return true;
--- a/replica/rp_internal.h
+++ b/replica/rp_internal.h
@@ -57,8 +57,13 @@
  * @members: members of the newest entry that changes them, committed or not
  * @members_index: index of that entry, or of the snapshot
  * @snapshot_members: members as of the snapshot
+ * @lease_holder: the leader whose lease this replica may have renewed last, also
+ *	before its start; itself once it leads; %RP_NO_PEER if it is not known
+ * @lease_term: term of that lease
+ * @led: whether a leader was heard, or this replica led, since the start
  * @leader_heard_at: when the leader was last heard, at first the time of the
- *	start; this replica votes for no other until @election_min later
+ *	start; this replica votes for none but @lease_holder until @election_min
+ *	later
  * @up_to_date_at: when a message of the leader last named no newer commit index
  *	than @commit
  * @no_candidacy_until: the store refused a write or the leadership was handed
@@ -95,6 +100,9 @@
 	struct rp_members members;
 	uint64_t members_index;
 	struct rp_members snapshot_members;
+	int lease_holder;
+	uint64_t lease_term;
+	bool led;
 	ba_time leader_heard_at;
 	ba_time up_to_date_at;
 	ba_time election_deadline;
@@ -124,6 +132,9 @@
 /** rp_save_vote() - add the action that saves the current term and vote */
 void rp_save_vote(struct rp_core *c, struct rp_actions *out);
 
+/** rp_set_lease_holder() - note and save that peer @leader leads the term */
+void rp_set_lease_holder(struct rp_core *c, int leader, struct rp_actions *out);
+
 /**
  * rp_become_follower() - follow @leader, or %RP_NO_PEER, in term @term
  * @reason: result code for %RP_DO_ROLE
--- a/replica/rp_lead.c
+++ b/replica/rp_lead.c
@@ -47,6 +47,7 @@
 	a->role = RP_LEADER;
 	a->to = c->self;
 	a->term = c->term;
+	rp_set_lease_holder(c, c->self, out);
 	for (int i = 0; i < c->n_peers; i++) {
 		struct rp_peer *p = &c->peers[i];
 
--- a/replica/rp_node.c
+++ b/replica/rp_node.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include "base/ba_event.h"
 #include "base/ba_result.h"
 #include "replica/rp_codec.h"
 #include "replica/rp_node.h"
@@ -10,6 +11,7 @@
 
 enum {
 	DEFAULT_SNAPSHOT_ENTRIES = 4096,
+	DEFAULT_SNAPSHOT_VERSIONS = 16,
 	DEFAULT_KEEP_ENTRIES = 1024,
 	DEFAULT_CHUNK_BYTES = 512 * 1024,
 	KEEP_LIMIT_BYTES = 8 * 1024 * 1024, /* bodies of the kept entries */
@@ -24,6 +26,8 @@
 /*
  * @state: packed snapshot that the log follows
  * @snapshot_at: applied index at which the next snapshot is due
+ * @n_versions: versions accepted since the last snapshot; a restart applies
+ *	each of them, which costs as much as a configuration is large
  * @executing: actions are being executed; a step then only appends to them
  */
 struct rp_node {
@@ -36,6 +40,7 @@
 	enum rp_role role;
 	int leader;
 	uint64_t snapshot_at;
+	size_t n_versions;
 	bool executing;
 };
 
@@ -44,6 +49,8 @@
 
 static int do_save_vote(struct rp_node *n, const struct rp_action *a,
 			ba_time now);
+static int do_save_leader(struct rp_node *n, const struct rp_action *a,
+			  ba_time now);
 static int do_truncate(struct rp_node *n, const struct rp_action *a,
 		       ba_time now);
 static int do_append(struct rp_node *n, const struct rp_action *a, ba_time now);
@@ -59,17 +66,17 @@
  * all actions, when no action can drop them any more.
  */
 static const action_handler action_handlers[] = {
-	[RP_DO_SAVE_VOTE] = do_save_vote, [RP_DO_TRUNCATE] = do_truncate,
-	[RP_DO_APPEND] = do_append,	  [RP_DO_SEND] = do_send,
-	[RP_DO_COMMIT] = do_nothing,	  [RP_DO_INSTALL] = do_install,
-	[RP_DO_ROLE] = do_role,
+	[RP_DO_SAVE_VOTE] = do_save_vote, [RP_DO_SAVE_LEADER] = do_save_leader,
+	[RP_DO_TRUNCATE] = do_truncate,	  [RP_DO_APPEND] = do_append,
+	[RP_DO_SEND] = do_send,		  [RP_DO_COMMIT] = do_nothing,
+	[RP_DO_INSTALL] = do_install,	  [RP_DO_ROLE] = do_role,
 };
 
 static int restore_machine(struct rp_node *n, struct rp_recovered *r);
 static int step(struct rp_node *n, const struct rp_event *e, ba_time now);
 static void execute_actions(struct rp_node *n, ba_time now);
 static void apply_committed(struct rp_node *n);
-static void apply_entry(struct rp_node *n, const struct rp_entry *e);
+static bool apply_entry(struct rp_node *n, const struct rp_entry *e);
 static void take_snapshot(struct rp_node *n, ba_time now);
 static int check_submission(const CtSubmit *submit);
 static void send_refusal(struct rp_node *n, uint64_t token, int code);
@@ -91,6 +98,8 @@
 	n->leader = RP_NO_PEER;
 	if (!n->o.snapshot_entries)
 		n->o.snapshot_entries = DEFAULT_SNAPSHOT_ENTRIES;
+	if (!n->o.snapshot_versions)
+		n->o.snapshot_versions = DEFAULT_SNAPSHOT_VERSIONS;
 	if (!n->o.keep_entries)
 		n->o.keep_entries = DEFAULT_KEEP_ENTRIES;
 	if (!n->o.chunk_bytes)
@@ -312,6 +321,23 @@
 	return n->o.store->ops->save_vote(n->o.store, a->term, vote);
 }
 
+/*
+ * Without the leader's name the next start only waits longer for an election,
+ * so a failure does not end the step.
+ */
+static int do_save_leader(struct rp_node *n, const struct rp_action *a,
+			  ba_time now)
+{
+	int ret = n->o.store->ops->save_leader(
+		n->o.store, rp_core_peer(n->core, a->to).name);
+
+	(void)now;
+	if (ret)
+		ba_event(RP_EV_DISK_FULL, "term=%llu code=%d leader_saved=no",
+			 (unsigned long long)a->term, ret);
+	return BA_OK;
+}
+
 static int do_truncate(struct rp_node *n, const struct rp_action *a,
 		       ba_time now)
 {
@@ -374,6 +400,7 @@
 	rp_machine_free(n->machine);
 	n->machine = m;
 	n->snapshot_at = a->index + n->o.snapshot_entries;
+	n->n_versions = 0;
 	e.members = rp_machine_members(m);
 	rp_core_step(n->core, &e, now, &n->actions);
 	n->o.owner->published(n->o.owner, rp_machine_current(m));
@@ -394,27 +421,32 @@
 	return BA_OK;
 }
 
+/* Of the versions that are committed together only the last is published. */
 static void apply_committed(struct rp_node *n)
 {
 	const struct rp_log *log = rp_core_log(n->core);
+	bool published = false;
 
 	while (rp_machine_applied(n->machine) < rp_core_commit(n->core))
-		apply_entry(
+		published |= apply_entry(
 			n, rp_log_get(log, rp_machine_applied(n->machine) + 1));
+	if (published)
+		n->o.owner->published(n->o.owner,
+				      rp_machine_current(n->machine));
 }
 
-static void apply_entry(struct rp_node *n, const struct rp_entry *e)
+/* Return: whether the entry has changed the configuration. */
+static bool apply_entry(struct rp_node *n, const struct rp_entry *e)
 {
 	struct rp_applied applied;
 
 	rp_machine_apply(n->machine, e, &applied);
 	if (n->o.owner->applied)
 		n->o.owner->applied(n->o.owner, e, &applied);
-	if (applied.published)
-		n->o.owner->published(n->o.owner,
-				      rp_machine_current(n->machine));
+	n->n_versions += applied.published;
 	if (applied.submission_id)
 		notify_waiters(n, applied.submission_id);
+	return applied.published;
 }
 
 /*
@@ -431,12 +463,13 @@
 	struct ba_buf state = {0};
 	uint64_t term = 0;
 
-	if (index < n->snapshot_at &&
+	if (index < n->snapshot_at && n->n_versions < n->o.snapshot_versions &&
 	    (index <= rp_core_log(n->core)->snapshot_index ||
 	     rp_core_log(n->core)->bytes < SNAPSHOT_LOG_BYTES))
 		return;
 	e.keep = entries_to_keep(n);
 	n->snapshot_at = index + n->o.snapshot_entries;
+	n->n_versions = 0;
 	rp_log_term(rp_core_log(n->core), index, &term);
 	rp_machine_encode(n->machine, &state);
 	if (n->o.store->ops->save_snapshot(n->o.store, index, term, &state,
--- a/replica/rp_node.h
+++ b/replica/rp_node.h
@@ -46,6 +46,8 @@
  * struct rp_node_options - options of a replica
  * @store: taken over, also on failure
  * @snapshot_entries: entries between two snapshots, 0 for the default
+ * @snapshot_versions: accepted versions between two snapshots at most, 0 for the
+ *	default
  * @keep_entries: most entries up to a snapshot to keep when it is taken, 0 for
  *	the default
  * @chunk_bytes: size of the chunks that a snapshot is sent in, 0 for the
@@ -56,6 +58,7 @@
 	struct rp_store *store;
 	struct rp_node_owner *owner;
 	size_t snapshot_entries;
+	size_t snapshot_versions;
 	size_t keep_entries;
 	size_t chunk_bytes;
 };
--- a/replica/rp_record.c
+++ b/replica/rp_record.c
@@ -17,6 +17,7 @@
 	META_DAMAGED_AT = 24,
 	META_VOTE_AT = 32,
 	META_DISK_AT = META_VOTE_AT + RP_NAME_BYTES,
+	META_LEADER_AT = META_DISK_AT + RP_DISK_ID_BYTES,
 };
 
 static void put_64(uint8_t *at, uint64_t v);
@@ -78,6 +79,7 @@
 	slot[META_DAMAGED_AT] = m->damaged;
 	memcpy(slot + META_VOTE_AT, m->vote, sizeof(m->vote));
 	memcpy(slot + META_DISK_AT, m->disk_id, sizeof(m->disk_id));
+	memcpy(slot + META_LEADER_AT, m->leader, sizeof(m->leader));
 	put_64(slot + META_CHECKSUM_AT,
 	       ba_hash(slot, META_CHECKSUM_AT, META_SEED));
 }
@@ -93,8 +95,10 @@
 	m->damaged = slot[META_DAMAGED_AT] != 0;
 	memcpy(m->vote, slot + META_VOTE_AT, sizeof(m->vote));
 	memcpy(m->disk_id, slot + META_DISK_AT, sizeof(m->disk_id));
+	memcpy(m->leader, slot + META_LEADER_AT, sizeof(m->leader));
 	m->vote[sizeof(m->vote) - 1] = '\0';
 	m->disk_id[sizeof(m->disk_id) - 1] = '\0';
+	m->leader[sizeof(m->leader) - 1] = '\0';
 	return true;
 }
 
--- a/replica/rp_record.h
+++ b/replica/rp_record.h
@@ -21,6 +21,7 @@
  * struct rp_meta - content of a meta slot
  * @sequence: the valid slot with the greater number is the current one
  * @synced_index: index of the last synced entry
+ * @leader: leader followed in @term, "" if not known
  * @damaged: damaged files were renamed, and no entry has been synced and no
  *	received snapshot stored since
  */
@@ -30,6 +31,7 @@
 	uint64_t synced_index;
 	bool damaged;
 	char vote[RP_NAME_BYTES];
+	char leader[RP_NAME_BYTES];
 	char disk_id[RP_DISK_ID_BYTES];
 };
 
--- a/replica/rp_store.h
+++ b/replica/rp_store.h
@@ -29,6 +29,7 @@
  * @disk_id: identity of the disk; new when there was none or it is damaged
  * @term: newest term seen
  * @vote: name of the replica that got the vote of this term, "" for none
+ * @leader: name of the leader that was followed in this term, "" if not known
  * @snapshot: packed state machine as of @log.snapshot_index, may be empty
  * @log: the entries
  * @damaged: synced entries are missing or changed, or were at an earlier start
@@ -40,6 +41,7 @@
 	char disk_id[RP_DISK_ID_BYTES];
 	uint64_t term;
 	char vote[RP_NAME_BYTES];
+	char leader[RP_NAME_BYTES];
 	struct ba_buf snapshot;
 	struct rp_log log;
 	bool damaged;
@@ -58,7 +60,8 @@
  * @append: append one entry, not yet durable
  * @sync: make the appended entries durable
  * @truncate: durably drop the entries from @index on
- * @save_vote: durably replace term and vote
+ * @save_vote: durably replace term and vote; no leader of the term is known
+ * @save_leader: durably store the leader of the term
  * @save_snapshot: durably replace the snapshot and drop the entries before
  *	@keep_from; with @reset drop all entries
  * @close: close and free the store
@@ -69,6 +72,7 @@
 	int (*sync)(struct rp_store *s);
 	int (*truncate)(struct rp_store *s, uint64_t index);
 	int (*save_vote)(struct rp_store *s, uint64_t term, const char *vote);
+	int (*save_leader)(struct rp_store *s, const char *leader);
 	int (*save_snapshot)(struct rp_store *s, uint64_t index, uint64_t term,
 			     const struct ba_buf *state, uint64_t keep_from,
 			     bool reset);
--- a/source/so_source.c
+++ b/source/so_source.c
@@ -201,6 +201,9 @@
 {
 	struct so_source *s = ba_entry(o, struct so_source, owner);
 
+	/* With the first entry of its term a leader is sure of its version. */
+	if (e->kind == RP_ENTRY_KIND__RP_ENTRY_NOOP)
+		s->check_deadline = 0;
 	if (e->kind == RP_ENTRY_KIND__RP_ENTRY_FIGURES && !a->code)
 		so_figures_ack_applied(s, e);
 	if (e->kind == RP_ENTRY_KIND__RP_ENTRY_MEMBERS)
@@ -234,6 +237,7 @@
 	unsigned long long term = rp_core_term(rp_node_core(s->node));
 
 	s->proposed_in_force = 0;
+	s->check_deadline = 0;
 	s->daemons_unreachable =
 		rt_days_has_outage(rp_machine_days(rp_node_machine(s->node)));
 	if (role == RP_LEADER)
--- a/test/rp_test.cc
+++ b/test/rp_test.cc
@@ -297,6 +297,80 @@
 	EXPECT_EQ(w.violation, "");
 }
 
+/*
+ * All replicas crash at once and start again within 400 ms, as after a loss of
+ * power.  The last leader asks for votes as soon as a quorum runs.
+ */
+TEST(RpLease, LastLeaderReturnsSoonAfterATotalCrash)
+{
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		world w(seed, 5);
+		int l = wait_for_leader(w);
+		std::vector<ba_time> starts;
+
+		ASSERT_GE(l, 0);
+		w.run(w.now + BA_SECOND);
+		l = w.leader();
+		for (int i = 0; i < 10; i++) {
+			w.submit(l, "id-" + std::to_string(i), version(w, l),
+				 1);
+			w.run(w.now + 300 * BA_MS);
+		}
+		EXPECT_EQ(w.accepted.size(), 10u);
+		for (int i = 0; i < 5; i++)
+			w.crash(i);
+		w.run(w.now + 300 * BA_MS);
+		for (int i = 0; i < 5; i++) {
+			w.start(i);
+			starts.push_back(w.now);
+			w.run(w.now + (ba_time)w.below(100) * BA_MS);
+		}
+		/* A retry, two rounds of votes and one that commits. */
+		w.run(std::max(starts[2], starts[(size_t)l]) +
+		      2 * w.times.heartbeat + 6 * w.delay_max);
+		EXPECT_EQ(w.leader(), l) << seed;
+		EXPECT_LE(w.all[(size_t)l]->n_published, 1) << seed;
+		w.run(w.now + 5 * BA_SECOND);
+		EXPECT_EQ(w.violation, "") << seed;
+	}
+}
+
+/*
+ * s1 cannot reach the leader and asks for votes; the third replica has just
+ * started again.  Returns whether two replicas led at once in one of the runs.
+ */
+bool restarted_voter_breaks_a_lease(enum fault fault)
+{
+	for (uint64_t seed = 1; seed <= 100; seed++) {
+		world w(seed, 3, fault);
+		int l = wait_for_leader(w);
+
+		w.crash(0);
+		w.run(w.now + 3 * BA_SECOND);
+		w.start(0);
+		w.run(w.now + BA_SECOND);
+		l = w.leader();
+		if (l <= 0)
+			continue;
+		w.cut[0][l] = w.cut[l][0] = true;
+		w.run(w.now + 2 * BA_SECOND);
+		for (int i = 0; i < 20; i++) {
+			w.crash(3 - l);
+			w.start(3 - l);
+			w.run(w.now + 300 * BA_MS);
+		}
+		if (!w.violation.empty())
+			return true;
+	}
+	return false;
+}
+
+TEST(RpLease, RestartedVoterHonoursTheLastLeader)
+{
+	EXPECT_FALSE(restarted_voter_breaks_a_lease(NO_FAULT));
+	EXPECT_TRUE(restarted_voter_breaks_a_lease(LEADER_WRONG));
+}
+
 TEST(RpRepair, SecondLossRightAfterARepairLosesNothing)
 {
 	world w(5, 3);
--- a/test/rp_world.h
+++ b/test/rp_world.h
@@ -32,6 +32,7 @@
 	LEASE_TOO_LONG,
 	NEW_ID_ON_RESEND,
 	LOG_REORDERED,
+	LEADER_WRONG, /* a restart takes s1 for the last leader */
 };
 
 struct mem_store {
@@ -39,6 +40,7 @@
 	std::string disk_id;
 	uint64_t term = 0;
 	std::string vote;
+	std::string leader;
 	uint64_t snapshot_index = 0, snapshot_term = 0;
 	std::string snapshot;
 	/* by index: term, kind and body */
@@ -71,6 +73,8 @@
 	out->term = m->term;
 	out->damaged = m->damaged;
 	strcpy(out->vote, m->vote.c_str());
+	strcpy(out->leader,
+	       m->fault == LEADER_WRONG ? "s1" : m->leader.c_str());
 	ba_buf_add(&out->snapshot, m->snapshot.data(), m->snapshot.size());
 	rp_log_init(&out->log, m->snapshot_index, m->snapshot_term);
 	for (const auto &[index, e] : m->log)
@@ -130,6 +134,17 @@
 		return BA_OK;
 	m->term = term;
 	m->vote = vote;
+	m->leader.clear();
+	return BA_OK;
+}
+
+static inline int mem_save_leader(struct rp_store *s, const char *leader)
+{
+	auto *m = (struct mem_store *)s;
+
+	if (m->crash_if_due() || m->full)
+		return BA_DISK_FULL;
+	m->leader = leader;
 	return BA_OK;
 }
 
@@ -157,8 +172,8 @@
 }
 
 inline const struct rp_store_ops mem_ops = {
-	mem_load,      mem_append,	  mem_sync,  mem_truncate,
-	mem_save_vote, mem_save_snapshot, mem_close,
+	mem_load,      mem_append,	mem_sync,	   mem_truncate,
+	mem_save_vote, mem_save_leader, mem_save_snapshot, mem_close,
 };
 
 struct world;
@@ -169,6 +184,7 @@
 	int index;
 	struct mem_store store;
 	struct rp_node *node = nullptr;
+	int n_published = 0; /* since the start */
 };
 
 struct packet {
@@ -406,8 +422,9 @@
 			   " differs");
 }
 
-static inline void on_published(struct rp_node_owner *, struct cf_snapshot *)
+static inline void on_published(struct rp_node_owner *o, struct cf_snapshot *)
 {
+	((struct replica *)o)->n_published++;
 }
 
 static inline void on_outcome(struct rp_node_owner *o, uint64_t token,
@@ -456,6 +473,7 @@
 	r.store.crashed = false;
 	r.store.crash_after = -1;
 	r.owner = {on_send, on_applied, on_published, on_outcome, on_role};
+	r.n_published = 0;
 	o.core.names = names.data();
 	o.core.addresses = addresses.data();
 	o.core.n_names = (size_t)n_listed;
