proxy: requests wait a moment for the first configuration

Cause: after the loss of all processes a proxy answered 503 until it had its configuration, with a Retry-After of 1.0 to 1.3 s. Callers came back 2.9 s after their first attempt at the median, all too late for their target.

Change: a proxy that started less than 5 s ago keeps a request for an eighth of its caller's time, 0.75 s at most, while it has no configuration or knows no endpoint of the service (call/cl_startup.h), and then asks for 0.4 to 0.7 s.

PxStartup.HoldsRequestsUntilTheyCanBeRouted failed first.

--- a/proxy/px.c
+++ b/proxy/px.c
@@ -26,6 +26,7 @@
 	int ret;
 
 	p->loop = loop;
+	p->started_at = ba_loop_now(loop);
 	p->o = *o;
 	p->dialect = o->dialect;
 	p->owner = owner;
@@ -64,6 +65,7 @@
 
 	p->snapshot = cf_snapshot_ref(s);
 	cf_snapshot_unref(old);
+	px_exchange_resume_held(p);
 }
 
 void px_set_endpoints(struct px *p, const struct ep_view *v)
@@ -73,6 +75,7 @@
 		p->n_endpoints += (uint32_t)v->services[i].n_records;
 	cl_router_update(p->router, v, ba_loop_now(p->loop));
 	p->endpoints_known = true;
+	px_exchange_resume_held(p);
 }
 
 void px_begin_stop(struct px *p)
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -158,8 +158,8 @@
 
 /*
  * The jitter keeps callers that were refused together from retrying together.
- * A proxy without a configuration asks for a longer wait, because it gets a
- * configuration only once a leader is elected.
+ * A proxy without a configuration asks for a longer wait: it may have to wait
+ * for the election of a leader.
  */
 static ba_time retry_after(struct px_exchange *x, int code)
 {
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -12,10 +12,12 @@
 static struct px_exchange *exchange_new(struct px_downstream *d,
 					const struct px_caller_fields *request);
 static void begin_from_peer(struct px_exchange *x);
-static void begin_from_caller(struct px_exchange *x, ba_time time_left);
+static void begin_from_caller(struct px_exchange *x);
+static void hold_or_refuse(struct px_exchange *x, int code);
+static struct px_exchange *find_in_state(struct px *p,
+					 enum px_attempt_state state);
 static const struct cf_route *find_route(const struct px_exchange *x);
-static void apply_route(struct px_exchange *x, const struct cf_route *r,
-			ba_time time_left);
+static void apply_route(struct px_exchange *x, const struct cf_route *r);
 static struct px_route_stats *find_route_stats(struct px *p, const char *route);
 static void *find_or_add(GHashTable *table, const char *name, size_t size);
 static const char *choose_service(struct px_exchange *x,
@@ -38,7 +40,25 @@
 	if (d->from_peer)
 		begin_from_peer(x);
 	else
-		begin_from_caller(x, request.time_left);
+		begin_from_caller(x);
+}
+
+/* A request may be held again, so those to try are marked first. */
+void px_exchange_resume_held(struct px *p)
+{
+	struct px_exchange *x;
+	struct ba_list *pos;
+
+	ba_list_each(pos, &p->exchanges)
+	{
+		x = ba_entry(pos, struct px_exchange, link);
+		if (x->state == PX_ATTEMPT_HELD)
+			x->state = PX_ATTEMPT_RESUMED;
+	}
+	while ((x = find_in_state(p, PX_ATTEMPT_RESUMED))) {
+		x->state = PX_ATTEMPT_NONE;
+		begin_from_caller(x);
+	}
 }
 
 void px_exchange_cancel(struct px_exchange *x)
@@ -70,6 +90,10 @@
 	if (now < x->deadline && x->n_tried < PX_MAX_ENDPOINTS_TRIED)
 		x->endpoint =
 			cl_route_pick(p->router, &q, now, &p->rand, &reason);
+	if (!x->endpoint && reason == CL_ROUTE_NONE_KNOWN) {
+		hold_or_refuse(x, CL_NO_ENDPOINT);
+		return;
+	}
 	if (!x->endpoint) {
 		if (!x->last_code)
 			x->last_code = CL_NO_ENDPOINT;
@@ -210,6 +234,9 @@
 	x->p = d->p;
 	x->downstream = d;
 	x->arrived_at = ba_loop_now(d->p->loop);
+	x->caller_deadline = request->time_left < 0
+				     ? BA_NEVER
+				     : x->arrived_at + request->time_left;
 	x->id = g_strdup(request->id ? request->id : "");
 	x->timer.fire = on_deadline;
 	ba_list_init(&x->admission.link);
@@ -247,28 +274,63 @@
 	px_backend_admit(x);
 }
 
-static void begin_from_caller(struct px_exchange *x, ba_time time_left)
+static void begin_from_caller(struct px_exchange *x)
 {
 	struct px *p = x->p;
 	const struct cf_route *r;
 
-	if (!p->snapshot || p->refuses_requests) {
-		answer_error(x, 503,
-			     p->refuses_requests ? CL_DRAINING
-						 : CL_NOT_CONFIGURED);
+	if (p->refuses_requests) {
+		answer_error(x, 503, CL_DRAINING);
+		return;
+	}
+	if (!p->snapshot) {
+		hold_or_refuse(x, CL_NOT_CONFIGURED);
 		return;
 	}
+	cf_snapshot_unref(x->snapshot);
 	x->snapshot = cf_snapshot_ref(p->snapshot);
 	r = find_route(x);
 	if (!r) {
 		answer_error(x, 404, CL_NO_ROUTE);
 		return;
 	}
-	apply_route(x, r, time_left);
+	apply_route(x, r);
 	ba_loop_arm(p->loop, &x->timer, x->deadline);
 	px_exchange_attempt(x);
 }
 
+/* @code tells what is missing to route the request. */
+static void hold_or_refuse(struct px_exchange *x, int code)
+{
+	struct px *p = x->p;
+	ba_time until = cl_startup_wait_until(p->started_at, x->arrived_at,
+					      x->caller_deadline);
+
+	x->last_code = code;
+	if (x->n_tried || ba_loop_now(p->loop) >= until) {
+		fail(x);
+		return;
+	}
+	x->state = PX_ATTEMPT_HELD;
+	x->deadline = until;
+	ba_loop_arm(p->loop, &x->timer, until);
+}
+
+static struct px_exchange *find_in_state(struct px *p,
+					 enum px_attempt_state state)
+{
+	struct ba_list *pos;
+
+	ba_list_each(pos, &p->exchanges)
+	{
+		struct px_exchange *x = ba_entry(pos, struct px_exchange, link);
+
+		if (x->state == state)
+			return x;
+	}
+	return NULL;
+}
+
 static const struct cf_route *find_route(const struct px_exchange *x)
 {
 	const struct ht_head *h = ht_conn_head(x->downstream->conn);
@@ -284,15 +346,17 @@
 	return r;
 }
 
-static void apply_route(struct px_exchange *x, const struct cf_route *r,
-			ba_time time_left)
+static void apply_route(struct px_exchange *x, const struct cf_route *r)
 {
 	struct px_route_stats *stats = find_route_stats(x->p, r->name);
 	ba_time timeout = r->timeout ? r->timeout : PX_DEFAULT_ROUTE_TIMEOUT;
+	ba_time time_left = x->caller_deadline - x->arrived_at;
+	bool time_known = x->caller_deadline != BA_NEVER;
 	ba_time elapsed;
 
 	x->route = r->name;
 	x->service = choose_service(x, r);
+	g_free(x->caller);
 	x->caller = g_strdup(x->p->o.service);
 	x->idempotent = r->idempotent || r->download;
 	/* A download counts as large until answers have been measured. */
@@ -300,13 +364,10 @@
 		stats->mean_answer_bytes = 2 * PX_LARGE_ANSWER_BYTES;
 	x->max_runs = r->attempts ? r->attempts : PX_DEFAULT_ATTEMPTS;
 	x->priority = r->priority;
-	x->deadline = x->arrived_at + timeout;
-	if (time_left >= 0 && time_left < timeout)
-		x->deadline = x->arrived_at + time_left;
+	x->deadline = MIN(x->arrived_at + timeout, x->caller_deadline);
 	x->latency_target = x->deadline;
-	elapsed = time_left < 0
-			  ? 0
-			  : cl_patience_spent(&stats->patience, time_left);
+	elapsed =
+		time_known ? cl_patience_spent(&stats->patience, time_left) : 0;
 	if (r->latency_target &&
 	    r->latency_target < x->deadline - x->arrived_at)
 		x->latency_target = x->arrived_at + r->latency_target - elapsed;
@@ -383,6 +444,10 @@
 	(void)now;
 	if (x->answering)
 		return;
+	if (x->state == PX_ATTEMPT_HELD) {
+		fail(x);
+		return;
+	}
 	px_exchange_end_attempt(x, CL_ATTEMPT_TIMEOUT);
 	x->last_code = CL_DEADLINE_EXPIRED;
 	if (x->downstream->from_peer && !x->runs)
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -22,6 +22,7 @@
 #include "call/cl_retry.h"
 #include "call/cl_route.h"
 #include "call/cl_sched.h"
+#include "call/cl_startup.h"
 #include "http/ht_conn.h"
 #include "http/ht_pool.h"
 #include "http/ht_service.h"
@@ -57,7 +58,7 @@
 /* Retries that all proxies together may have saved for one service. */
 #define PX_RETRY_BUDGET_ALL_PROXIES 30.0
 #define PX_RETRY_AFTER_MIN (200 * BA_MS)
-#define PX_RETRY_AFTER_NOT_CONFIGURED BA_SECOND
+#define PX_RETRY_AFTER_NOT_CONFIGURED (400 * BA_MS)
 #define PX_RETRY_AFTER_JITTER (300 * BA_MS)
 
 /* Fields between two proxies; they never reach a caller or backend server. */
@@ -127,6 +128,7 @@
 	unsigned int n_exchanges;
 	struct cf_snapshot *snapshot;
 	struct cl_router *router;
+	ba_time started_at;
 	bool endpoints_known;
 	bool stopping;
 	bool refuses_requests;
@@ -172,6 +174,8 @@
 /** enum px_attempt_state - where the current attempt is */
 enum px_attempt_state {
 	PX_ATTEMPT_NONE,
+	PX_ATTEMPT_HELD,       /* waits for a configuration or endpoints */
+	PX_ATTEMPT_RESUMED,    /* held until now; to be tried again */
 	PX_ATTEMPT_QUEUED,     /* waits for a local slot */
 	PX_ATTEMPT_AT_BACKEND, /* sent to the local backend server */
 	PX_ATTEMPT_AT_PEER,    /* sent to another proxy */
@@ -180,6 +184,7 @@
 /**
  * struct px_exchange - one request, from its last byte to the end of its answer
  * @route: name of its route, in @snapshot or in the head of the request
+ * @caller_deadline: when the caller stops waiting, %BA_NEVER if unknown
  * @deadline: when the caller stops waiting or the route's timeout expires
  * @latency_target: latency target, as a point in time
  * @idempotent: may run more than once
@@ -209,6 +214,7 @@
 	char *caller;
 	char *id;
 	ba_time arrived_at;
+	ba_time caller_deadline;
 	ba_time deadline;
 	ba_time latency_target;
 	uint32_t priority;
@@ -261,6 +267,9 @@
 /** px_exchange_expected_bytes() - estimate the size of the answer */
 double px_exchange_expected_bytes(struct px_exchange *x);
 
+/** px_exchange_resume_held() - try the requests that were held again */
+void px_exchange_resume_held(struct px *p);
+
 /** px_exchange_cancel() - cancel a request whose caller has disconnected */
 void px_exchange_cancel(struct px_exchange *x);
 
--- a/test/cl_test.cc
+++ b/test/cl_test.cc
@@ -15,6 +15,7 @@
 #include "call/cl_answer.h"
 #include "call/cl_retry.h"
 #include "call/cl_route.h"
+#include "call/cl_startup.h"
 
 namespace
 {
@@ -851,4 +852,26 @@
 	}
 }
 
+TEST(ClStartup, WaitIsAFractionOfTheCallersTime)
+{
+	static const struct {
+		const char *name;
+		ba_time arrived_at, caller_deadline, until;
+	} cases[] = {
+		{"patient caller", 0, 6 * BA_SECOND, 750 * BA_MS},
+		{"impatient caller", 0, 800 * BA_MS, 100 * BA_MS},
+		{"unknown caller", 0, BA_NEVER, 250 * BA_MS},
+		{"just before the end of the start", 4800 * BA_MS,
+		 10 * BA_SECOND, CL_STARTUP_TIME},
+		{"long after the start", BA_MINUTE, BA_MINUTE + BA_SECOND,
+		 CL_STARTUP_TIME},
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(cl_startup_wait_until(0, c.arrived_at,
+						c.caller_deadline),
+			  c.until)
+			<< c.name;
+}
+
 } // namespace
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -20,6 +20,47 @@
 	EXPECT_EQ(status(ready.read_message()), 503);
 }
 
+/* After a start, requests wait a little for the configuration. */
+TEST(PxStartup, HoldsRequestsUntilTheyCanBeRouted)
+{
+	world w(false);
+	blocking_socket first = blocking_socket::connect_to(CALLER_PORT);
+	blocking_socket second = blocking_socket::connect_to(CALLER_PORT);
+	blocking_socket gone = blocking_socket::connect_to(CALLER_PORT);
+
+	w.send_heartbeat("i-1", "ready", 1);
+	gone.write(request("GET /look/gone"));
+	first.write(request("GET /look/first"));
+	second.write(request("GET /nowhere/"));
+	gone.end();
+	w.run([&] {
+		struct cf_snapshot *s = snapshot();
+
+		px_configure(w.proxy, s);
+		cf_snapshot_unref(s);
+	});
+	EXPECT_EQ(status(second.read_message()), 404);
+	w.run([&] { w.endpoints(false); });
+	blocking_socket backend = w.backend.accept_one();
+
+	EXPECT_TRUE(has(backend.read_message(), "GET /look/first HTTP/1.1"));
+	backend.write(answer(200, "ok"));
+	EXPECT_EQ(status(first.read_message()), 200);
+}
+
+TEST(PxStartup, RefusesWhatItHeldForTooLong)
+{
+	world w(false);
+	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+	std::string got;
+
+	caller.write("GET /look/ HTTP/1.1\r\nHost: a.example\r\n"
+		     "X-Deadline-Ms: 400\r\n\r\n");
+	got = caller.read_message();
+	EXPECT_EQ(status(got), 503);
+	EXPECT_TRUE(has(got, "Retry-After: 0.")) << got;
+}
+
 /* Only hop-by-hop, private and forged fields are not forwarded. */
 TEST(PxForward, RequestAndAnswerPassUnchanged)
 {
