distrib, relay: daemons find the relays of their data centre

After a loss of all power each was sent 102 KB by one of three processes, most of it over the paid link; the last daemon had its configuration 1.3 s after the first.

Change: a relay tells daemons which relays there are in their region (DsRoster), and again when that changes. A daemon ranks those of its data centre first (distrib/ds_roster.h) and moves there before it subscribes. It offers only relays that are connected now, so one that has left does not come back with a restart. Older relays take the question for a subscription.

--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -8,6 +8,7 @@
 #include "distrib/ds_agent.h"
 #include "distrib/ds_receiver.h"
 #include "distrib/ds_link.h"
+#include "distrib/ds_roster.h"
 #include "distrib/ds_sibling.h"
 #include "distrib/ds_store.h"
 #include "endpoint/ep_table.h"
@@ -28,8 +29,20 @@
 /* Lease of records that a full update of the relay does not name. */
 #define ABSENT_LEASE BA_MINUTE
 
+/* Longest wait for the roster of a relay that was found by the settings. */
+#define ROSTER_TIMEOUT (150 * BA_MS)
+
+/* Moves of daemons that hold a configuration are spread over this time. */
+#define MOVE_JITTER (2 * BA_SECOND)
+
 enum { VIEW_SUBSET = 64 }; /* most endpoints of one service in a view */
 
+/*
+ * @subscribe_timer: fires when the relay has not sent a roster in time
+ * @seeds: addresses of the settings
+ * @ranking: relays by the last roster, or the seeds
+ * @subscribed: whether the open session has got the subscription
+ */
 struct ds_agent {
 	struct ds_link_owner link_owner;
 	struct ds_sibling_owner sibling_owner;
@@ -43,6 +56,11 @@
 	struct ba_timer figures_timer;
 	struct ba_timer expiry_timer;
 	struct ba_timer sibling_timer;
+	struct ba_timer subscribe_timer;
+	struct ba_address *seeds;
+	size_t n_seeds;
+	struct ds_ranking *ranking;
+	bool subscribed;
 	struct ds_receiver receiver;
 	struct ep_record record;
 	ba_time lease;
@@ -52,6 +70,8 @@
 };
 
 static void on_opened(struct ds_link_owner *o, struct wi_session *s);
+static void on_subscribe_timer(struct ba_timer *t, ba_time now);
+static void subscribe(struct ds_agent *a, struct wi_session *s);
 static int on_frame(struct ds_link_owner *o, struct wi_session *s,
 		    const struct wi_frame *f);
 static void on_lost(struct ds_link_owner *o, int code);
@@ -68,6 +88,9 @@
 static void put_in_force(struct ds_agent *a, struct cf_snapshot *next);
 static void acknowledge(struct ds_agent *a, struct wi_session *s,
 			const struct ds_receive_result *result);
+static int handle_roster(struct ds_agent *a, struct wi_session *s,
+			 const struct wi_frame *f);
+static size_t read_roster(const DsRoster *m, struct ds_relay *out);
 static int handle_records(struct ds_agent *a, const struct wi_frame *f);
 static void put_record(struct ds_agent *a, const EpRecord *m, ba_time now);
 static int handle_figures_ack(struct ds_agent *a, const struct wi_frame *f);
@@ -97,6 +120,7 @@
 	a->figures_timer.fire = on_figures_timer;
 	a->expiry_timer.fire = on_expiry_timer;
 	a->sibling_timer.fire = on_sibling_timer;
+	a->subscribe_timer.fire = on_subscribe_timer;
 	a->loop = loop;
 	a->owner = owner;
 	a->identity = options->identity;
@@ -112,6 +136,10 @@
 		ds_agent_free(a);
 		return NULL;
 	}
+	a->n_seeds = options->relays->n;
+	a->seeds = g_memdup2(options->relays->list,
+			     a->n_seeds * sizeof(struct ba_address));
+	a->ranking = g_new0(struct ds_ranking, 1);
 	load_stored(a);
 	a->link = ds_link_new(loop, &link, &a->link_owner);
 	arm_timers(a);
@@ -176,6 +204,7 @@
 	ba_loop_disarm(a->loop, &a->figures_timer);
 	ba_loop_disarm(a->loop, &a->expiry_timer);
 	ba_loop_disarm(a->loop, &a->sibling_timer);
+	ba_loop_disarm(a->loop, &a->subscribe_timer);
 	ds_link_free(a->link);
 	ds_sibling_free(a->sibling);
 	ds_receiver_free(&a->receiver);
@@ -183,17 +212,47 @@
 	ep_table_free(a->table);
 	ep_record_clear(&a->record);
 	g_free(a->data_folder);
+	g_free(a->seeds);
+	g_free(a->ranking);
 	g_free(a);
 }
 
 /*
- * The subscription is sent first: a relay that defers this daemon does so on
- * the subscription, before it has spent work on the other messages.
+ * At a relay that only the settings named, the daemon waits for the roster: it
+ * will probably move on to a relay of its data centre, and must not be sent
+ * the whole configuration before.
  */
 static void on_opened(struct ds_link_owner *o, struct wi_session *s)
 {
 	struct ds_agent *a = ba_entry(o, struct ds_agent, link_owner);
 
+	a->subscribed = false;
+	ds_receiver_ask_roster(s);
+	if (a->ranking->n)
+		subscribe(a, s);
+	else
+		ba_loop_arm(a->loop, &a->subscribe_timer,
+			    ba_loop_now(a->loop) + ROSTER_TIMEOUT);
+}
+
+static void on_subscribe_timer(struct ba_timer *t, ba_time now)
+{
+	struct ds_agent *a = ba_entry(t, struct ds_agent, subscribe_timer);
+	struct wi_session *s = ds_link_session(a->link);
+
+	(void)now;
+	if (s && !a->subscribed)
+		subscribe(a, s);
+}
+
+/*
+ * The subscription is sent first: a relay that defers this daemon does so on
+ * the subscription, before it has spent work on the other messages.
+ */
+static void subscribe(struct ds_agent *a, struct wi_session *s)
+{
+	a->subscribed = true;
+	ba_loop_disarm(a->loop, &a->subscribe_timer);
 	ds_receiver_subscribe(&a->receiver, s, false);
 	announce(a, s);
 	send_digest(a, s);
@@ -206,6 +265,8 @@
 
 	if (f->type == DS_UPDATE)
 		return handle_update(a, s, f);
+	if (f->type == DS_ROSTER)
+		return handle_roster(a, s, f);
 	if (f->type == EP_UPDATE)
 		return handle_records(a, f);
 	if (f->type == RT_ACK)
@@ -367,6 +428,52 @@
 	wi_send(s, DS_ACK, &m.base);
 }
 
+static int handle_roster(struct ds_agent *a, struct wi_session *s,
+			 const struct wi_frame *f)
+{
+	DsRoster *m = (DsRoster *)wi_frame_unpack(f, &ds_roster__descriptor);
+	struct ds_relay relays[DS_ROSTER_LIMIT];
+	const struct ds_place self = {
+		.instance = a->identity->instance,
+		.data_centre = a->identity->data_centre,
+		.region = a->identity->region,
+	};
+	struct ds_ranking before = *a->ranking;
+	ba_time move_deadline = BA_NEVER;
+
+	if (!m)
+		return WI_FRAME_GARBAGE;
+	ds_roster_rank(&self, relays, read_roster(m, relays), a->seeds,
+		       a->n_seeds, a->ranking);
+	ds_roster__free_unpacked(m, NULL);
+	if (ds_roster_should_move(&before, a->ranking,
+				  ds_link_address(a->link)))
+		move_deadline =
+			ba_loop_now(a->loop) +
+			(a->receiver.subscriber.held
+				 ? (ba_time)ba_rand_below(&a->rand, MOVE_JITTER)
+				 : 0);
+	if (a->ranking->n)
+		ds_link_set_addresses(a->link, a->ranking->list, a->ranking->n,
+				      a->ranking->n_preferred, move_deadline);
+	if (!a->subscribed && move_deadline > ba_loop_now(a->loop))
+		subscribe(a, s);
+	return BA_OK;
+}
+
+/* Entries whose address cannot be read are left out. */
+static size_t read_roster(const DsRoster *m, struct ds_relay *out)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < m->n_relays && n < DS_ROSTER_LIMIT; i++) {
+		out[n].data_centre = m->relays[i]->data_centre;
+		out[n].region = m->relays[i]->region;
+		n += !ba_parse_address(m->relays[i]->address, &out[n].address);
+	}
+	return n;
+}
+
 static int handle_records(struct ds_agent *a, const struct wi_frame *f)
 {
 	EpUpdate *m = (EpUpdate *)wi_frame_unpack(f, &ep_update__descriptor);
@@ -439,7 +546,7 @@
 {
 	struct wi_session *s = ds_link_session(a->link);
 
-	if (s)
+	if (s && a->subscribed)
 		announce(a, s);
 }
 
--- a/distrib/ds_dialer.c
+++ b/distrib/ds_dialer.c
@@ -18,6 +18,18 @@
 	d->failback_delay = DS_FAILBACK_DELAY_FIRST;
 }
 
+void ds_dialer_set_addresses(struct ds_dialer *d, size_t n, size_t n_preferred,
+			     size_t current, ba_time move_deadline)
+{
+	d->n = n;
+	d->n_preferred = n_preferred;
+	d->current = current;
+	if (current < n_preferred)
+		d->failback_deadline = BA_NEVER;
+	else if (move_deadline < d->failback_deadline)
+		d->failback_deadline = move_deadline;
+}
+
 void ds_dialer_dialled(struct ds_dialer *d)
 {
 	d->dial_deadline = BA_NEVER;
--- a/distrib/ds_dialer.h
+++ b/distrib/ds_dialer.h
@@ -72,6 +72,15 @@
 void ds_dialer_init(struct ds_dialer *d, size_t n, size_t n_preferred,
 		    uint64_t seed, ba_time now);
 
+/**
+ * ds_dialer_set_addresses() - use other addresses from now on
+ * @current: new index of the address that is dialled or connected
+ * @move_deadline: when to leave an open session for a preferred address,
+ *	%BA_NEVER for no sooner than the dialer fails back anyway
+ */
+void ds_dialer_set_addresses(struct ds_dialer *d, size_t n, size_t n_preferred,
+			     size_t current, ba_time move_deadline);
+
 /** ds_dialer_dialled() - note that @current is being dialled */
 void ds_dialer_dialled(struct ds_dialer *d);
 
--- a/distrib/ds_feed.c
+++ b/distrib/ds_feed.c
@@ -394,15 +394,22 @@
 		frame, &ds_subscribe__descriptor);
 	struct ds_event e = {.kind = DS_SUBSCRIBED};
 	struct peer *peer;
+	bool wants_roster;
 
 	if (!m)
 		return WI_FRAME_GARBAGE;
+	wants_roster = m->wants_roster;
 	e.version = m->held_version;
 	e.floor = m->floor;
 	if (m->held_digest.len == BA_DIGEST_BYTES)
 		memcpy(e.digest.bytes, m->held_digest.data, BA_DIGEST_BYTES);
 	e.ask = m->ask;
 	ds_subscribe__free_unpacked(m, NULL);
+	if (wants_roster) {
+		if (f->owner && f->owner->send_roster)
+			f->owner->send_roster(f->owner, s);
+		return BA_OK;
+	}
 	peer = admit(f, s);
 	if (!peer)
 		return BA_OK;
--- a/distrib/ds_feed.h
+++ b/distrib/ds_feed.h
@@ -28,11 +28,13 @@
  * @on_summary: the summary of all acknowledgements has changed: @lowest is the
  *	lowest version in force among @daemons daemons; may be NULL
  * @ask_floor: asks the upstream for the newest version; may be NULL
+ * @send_roster: a daemon asks for the roster of relays; may be NULL
  */
 struct ds_feed_owner {
 	void (*on_summary)(struct ds_feed_owner *o, uint64_t lowest,
 			   uint32_t daemons);
 	void (*ask_floor)(struct ds_feed_owner *o);
+	void (*send_roster)(struct ds_feed_owner *o, struct wi_session *s);
 };
 
 /** ds_feed_new() - create a feed on @loop; @owner may be NULL */
--- a/distrib/ds_link.c
+++ b/distrib/ds_link.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include <glib.h>
 
 #include "base/ba_event.h"
@@ -48,6 +50,30 @@
 	return l;
 }
 
+/* The current address is added at the end if it is not listed. */
+void ds_link_set_addresses(struct ds_link *l,
+			   const struct ba_address *addresses, size_t n,
+			   size_t n_preferred, ba_time move_deadline)
+{
+	struct ba_address *list = g_new(struct ba_address, n + 1);
+	size_t current = 0;
+
+	memcpy(list, addresses, n * sizeof(*list));
+	list[n] = l->addresses[l->dialer.current];
+	while (strcmp(list[current].text, list[n].text) != 0)
+		current++;
+	g_free(l->addresses);
+	l->addresses = list;
+	ds_dialer_set_addresses(&l->dialer, current == n ? n + 1 : n,
+				n_preferred, current, move_deadline);
+	arm(l);
+}
+
+const char *ds_link_address(const struct ds_link *l)
+{
+	return l->addresses[l->dialer.current].text;
+}
+
 struct wi_session *ds_link_session(const struct ds_link *l)
 {
 	return l->open ? l->session : NULL;
--- a/distrib/ds_link.h
+++ b/distrib/ds_link.h
@@ -46,6 +46,21 @@
 			    const struct ds_link_options *options,
 			    struct ds_link_owner *owner);
 
+/**
+ * ds_link_set_addresses() - use other addresses from now on
+ * @n_preferred: number of leading addresses that the link fails back to
+ * @move_deadline: when to leave an open session to another address for a
+ *	preferred one, %BA_NEVER for no sooner than the link fails back anyway
+ *
+ * An open session is kept until then, also if its address is not listed.
+ */
+void ds_link_set_addresses(struct ds_link *l,
+			   const struct ba_address *addresses, size_t n,
+			   size_t n_preferred, ba_time move_deadline);
+
+/** ds_link_address() - address that is connected, or dialled next */
+const char *ds_link_address(const struct ds_link *l);
+
 /** ds_link_session() - return the open session, or NULL */
 struct wi_session *ds_link_session(const struct ds_link *l);
 
--- a/distrib/ds_receiver.c
+++ b/distrib/ds_receiver.c
@@ -56,6 +56,14 @@
 	wi_send(s, DS_SUBSCRIBE, &m.base);
 }
 
+void ds_receiver_ask_roster(struct wi_session *s)
+{
+	DsSubscribe m = DS_SUBSCRIBE__INIT;
+
+	m.wants_roster = true;
+	wi_send(s, DS_SUBSCRIBE, &m.base);
+}
+
 void ds_receiver_ask_floor(struct wi_session *s, uint64_t ask)
 {
 	DsSubscribe m = DS_SUBSCRIBE__INIT;
--- a/distrib/ds_receiver.h
+++ b/distrib/ds_receiver.h
@@ -60,6 +60,9 @@
  */
 void ds_receiver_set_current(struct ds_receiver *r, struct cf_snapshot *s);
 
+/** ds_receiver_ask_roster() - ask the relay at @s for the roster of relays */
+void ds_receiver_ask_roster(struct wi_session *s);
+
 /**
  * ds_receiver_subscribe() - send DsSubscribe
  * @wants_snapshot: whether to leave out the digest held, so that the publisher
--- a/relay/re.h
+++ b/relay/re.h
@@ -8,6 +8,7 @@
  *   re_session.c   accepted sessions, and dispatch of their frames
  *   re_endpoint.c  endpoint records: their table, updates received and sent
  *   re_peer.c      sessions dialled to other relays, for endpoint records
+ *   re_roster.c    tells daemons which relays there are
  *   re_upstream.c  the session to a source or another relay
  *   re_figures.c   forwards figures upstream and acknowledgements downstream
  */
@@ -57,6 +58,8 @@
  * @open: whether the handshake is complete
  * @wants_endpoints: whether it has asked for endpoint records, and so is sent
  *	their changes
+ * @wants_roster: whether it has asked for the roster of relays
+ * @roster_digest: hash of the roster that it was sent last
  * @lease: how long a daemon's record remains valid after the session has ended
  * @holder: for a session of a relay, the id under which the table notes the
  *	records that this relay holds
@@ -68,6 +71,8 @@
 	struct wi_session *session;
 	bool open;
 	bool wants_endpoints;
+	bool wants_roster;
+	uint64_t roster_digest;
 	ba_time lease;
 	uint64_t holder;
 };
@@ -127,6 +132,7 @@
 	uint64_t sent_generation;
 	struct ba_timer batch_timer;
 	GPtrArray *peers;
+	struct ba_timer roster_timer;
 
 	struct rt_figures *own_figures;
 	ba_time own_figures_deadline;
@@ -216,6 +222,15 @@
 /** re_peer_free_all() - end the sessions to the other relays */
 void re_peer_free_all(struct re_relay *r);
 
+/** re_roster_init() - prepare to tell daemons which relays there are */
+void re_roster_init(struct re_relay *r);
+
+/**
+ * re_roster_schedule() - send the roster to the daemons at @at or earlier, to
+ * those for whom it has changed
+ */
+void re_roster_schedule(struct re_relay *r, ba_time at);
+
 /** re_upstream_start() - dial a source or a relay of the region */
 void re_upstream_start(struct re_relay *r);
 
--- a/relay/re_peer.c
+++ b/relay/re_peer.c
@@ -3,6 +3,11 @@
 #include "base/ba_result.h"
 #include "relay/re.h"
 
+/* Relays that are found together go into one roster. */
+#define ROSTER_DELAY (20 * BA_MS)
+/* A relay whose session is opened again within this time stays in it. */
+#define ROSTER_LOST_DELAY (2 * BA_SECOND)
+
 static void on_opened(struct ds_link_owner *o, struct wi_session *s);
 static int on_frame(struct ds_link_owner *o, struct wi_session *s,
 		    const struct wi_frame *f);
@@ -101,6 +106,8 @@
 		re_endpoint_send_held(p->relay, s);
 	re_endpoint_send_roots(p->relay, s);
 	p->sent_generation = ep_table_generation(p->relay->table);
+	re_roster_schedule(p->relay,
+			   ba_loop_now(p->relay->loop) + ROSTER_DELAY);
 }
 
 static int on_frame(struct ds_link_owner *o, struct wi_session *s,
@@ -117,8 +124,11 @@
 
 static void on_lost(struct ds_link_owner *o, int code)
 {
-	(void)o;
+	struct re_peer *p = (struct re_peer *)o;
+
 	(void)code;
+	re_roster_schedule(p->relay,
+			   ba_loop_now(p->relay->loop) + ROSTER_LOST_DELAY);
 }
 
 static bool is_self(const struct re_relay *r, const struct ba_address *a)
--- a/relay/re_relay.c
+++ b/relay/re_relay.c
@@ -35,6 +35,7 @@
 	r->batch_timer.fire = re_endpoint_on_batch_timer;
 	r->figures_timer.fire = re_figures_on_timer;
 	r->tick_timer.fire = on_tick;
+	re_roster_init(r);
 	re_peer_start(r);
 	re_upstream_start(r);
 	ba_loop_arm(r->loop, &r->tick_timer, now + BA_SECOND);
@@ -47,6 +48,7 @@
 	ba_loop_disarm(r->loop, &r->tick_timer);
 	ba_loop_disarm(r->loop, &r->figures_timer);
 	ba_loop_disarm(r->loop, &r->batch_timer);
+	ba_loop_disarm(r->loop, &r->roster_timer);
 	ba_loop_disarm(r->loop, &r->ack_timer);
 	wi_listener_close(r->listener);
 	ds_link_free(r->upstream);
--- a/wire/ds.pb-c.c
+++ b/wire/ds.pb-c.c
@@ -52,6 +52,96 @@
   assert(message->base.descriptor == &ds_subscribe__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   ds_relay__init
+                     (DsRelay         *message)
+{
+  static const DsRelay init_value = DS_RELAY__INIT;
+  *message = init_value;
+}
+size_t ds_relay__get_packed_size
+                     (const DsRelay *message)
+{
+  assert(message->base.descriptor == &ds_relay__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ds_relay__pack
+                     (const DsRelay *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ds_relay__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ds_relay__pack_to_buffer
+                     (const DsRelay *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ds_relay__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+DsRelay *
+       ds_relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (DsRelay *)
+     protobuf_c_message_unpack (&ds_relay__descriptor,
+                                allocator, len, data);
+}
+void   ds_relay__free_unpacked
+                     (DsRelay *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ds_relay__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   ds_roster__init
+                     (DsRoster         *message)
+{
+  static const DsRoster init_value = DS_ROSTER__INIT;
+  *message = init_value;
+}
+size_t ds_roster__get_packed_size
+                     (const DsRoster *message)
+{
+  assert(message->base.descriptor == &ds_roster__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ds_roster__pack
+                     (const DsRoster *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ds_roster__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ds_roster__pack_to_buffer
+                     (const DsRoster *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ds_roster__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+DsRoster *
+       ds_roster__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (DsRoster *)
+     protobuf_c_message_unpack (&ds_roster__descriptor,
+                                allocator, len, data);
+}
+void   ds_roster__free_unpacked
+                     (DsRoster *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ds_roster__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ds_update__init
                      (DsUpdate         *message)
 {
@@ -187,7 +277,7 @@
   assert(message->base.descriptor == &ds_ack__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ds_subscribe__field_descriptors[4] =
+static const ProtobufCFieldDescriptor ds_subscribe__field_descriptors[5] =
 {
   {
     "held_version",
@@ -237,17 +327,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "wants_roster",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(DsSubscribe, wants_roster),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ds_subscribe__field_indices_by_name[] = {
   3,   /* field[3] = ask */
   2,   /* field[2] = floor */
   1,   /* field[1] = held_digest */
   0,   /* field[0] = held_version */
+  4,   /* field[4] = wants_roster */
 };
 static const ProtobufCIntRange ds_subscribe__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor ds_subscribe__descriptor =
 {
@@ -257,13 +360,115 @@
   "DsSubscribe",
   "",
   sizeof(DsSubscribe),
-  4,
+  5,
   ds_subscribe__field_descriptors,
   ds_subscribe__field_indices_by_name,
   1,  ds_subscribe__number_ranges,
   (ProtobufCMessageInit) ds_subscribe__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor ds_relay__field_descriptors[3] =
+{
+  {
+    "address",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(DsRelay, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(DsRelay, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "region",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(DsRelay, region),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ds_relay__field_indices_by_name[] = {
+  0,   /* field[0] = address */
+  1,   /* field[1] = data_centre */
+  2,   /* field[2] = region */
+};
+static const ProtobufCIntRange ds_relay__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor ds_relay__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "DsRelay",
+  "DsRelay",
+  "DsRelay",
+  "",
+  sizeof(DsRelay),
+  3,
+  ds_relay__field_descriptors,
+  ds_relay__field_indices_by_name,
+  1,  ds_relay__number_ranges,
+  (ProtobufCMessageInit) ds_relay__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ds_roster__field_descriptors[1] =
+{
+  {
+    "relays",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(DsRoster, n_relays),
+    offsetof(DsRoster, relays),
+    &ds_relay__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ds_roster__field_indices_by_name[] = {
+  0,   /* field[0] = relays */
+};
+static const ProtobufCIntRange ds_roster__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor ds_roster__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "DsRoster",
+  "DsRoster",
+  "DsRoster",
+  "",
+  sizeof(DsRoster),
+  1,
+  ds_roster__field_descriptors,
+  ds_roster__field_indices_by_name,
+  1,  ds_roster__number_ranges,
+  (ProtobufCMessageInit) ds_roster__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor ds_update__field_descriptors[8] =
 {
   {
--- a/wire/ds.pb-c.h
+++ b/wire/ds.pb-c.h
@@ -16,6 +16,8 @@
 
 
 typedef struct DsSubscribe DsSubscribe;
+typedef struct DsRelay DsRelay;
+typedef struct DsRoster DsRoster;
 typedef struct DsUpdate DsUpdate;
 typedef struct DsVersionCount DsVersionCount;
 typedef struct DsAck DsAck;
@@ -36,15 +38,48 @@
    */
   uint64_t floor;
   /*
-   * a relay asks for the floor; 0 if not
+   * number of a relay's query for floor, or 0
    */
   uint64_t ask;
+  /*
+   * The sender wants the relays, now and when they change, and no version yet.
+   */
+  protobuf_c_boolean wants_roster;
 };
 #define DS_SUBSCRIBE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ds_subscribe__descriptor) \
-    , 0, {0,NULL}, 0, 0 }
+    , 0, {0,NULL}, 0, 0, 0 }
+
+
+struct  DsRelay
+{
+  ProtobufCMessage base;
+  char *address;
+  char *data_centre;
+  char *region;
+};
+#define DS_RELAY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ds_relay__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+/*
+ * Relays that a daemon may connect to, those of its region first.
+ */
+struct  DsRoster
+{
+  ProtobufCMessage base;
+  size_t n_relays;
+  DsRelay **relays;
+};
+#define DS_ROSTER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ds_roster__descriptor) \
+    , 0,NULL }
 
 
+/*
+ * A resume, for a peer at the current version, has no snapshot and no delta.
+ */
 struct  DsUpdate
 {
   ProtobufCMessage base;
@@ -61,26 +96,24 @@
    */
   ProtobufCBinaryData snapshot;
   /*
-   * packed CfDelta, or neither: resume
+   * packed CfDelta; neither in a resume
    */
   ProtobufCBinaryData delta;
   /*
-   * of the snapshot named by current_version
+   * of the snapshot of current_version
    */
   ProtobufCBinaryData digest;
   /*
-   * since the source was last heard
+   * time since the source was last heard from
    */
   uint64_t source_age_ms;
   /*
-   * nothing above floor was held before
+   * No daemon below the peer can have held a version above floor before the
+   * peer subscribed or sent its query.
    */
   protobuf_c_boolean floor_known;
   /*
-   * the subscription, or the question
-   */
-  /*
-   * to the question of that number
+   * number of the query that this answers
    */
   uint64_t answer;
 };
@@ -101,7 +134,7 @@
 
 
 /*
- * A daemon's acknowledgement, or a relay's with the counts of its daemons.
+ * Acknowledgement of a daemon, or of a relay with the counts of its daemons.
  */
 struct  DsAck
 {
@@ -116,7 +149,7 @@
   uint32_t refused_code;
   uint64_t refused_version;
   /*
-   * instances that lag, bounded
+   * instances that lag behind, a bounded number
    */
   size_t n_behind;
   char **behind;
@@ -149,6 +182,44 @@
 void   ds_subscribe__free_unpacked
                      (DsSubscribe *message,
                       ProtobufCAllocator *allocator);
+/* DsRelay methods */
+void   ds_relay__init
+                     (DsRelay         *message);
+size_t ds_relay__get_packed_size
+                     (const DsRelay   *message);
+size_t ds_relay__pack
+                     (const DsRelay   *message,
+                      uint8_t             *out);
+size_t ds_relay__pack_to_buffer
+                     (const DsRelay   *message,
+                      ProtobufCBuffer     *buffer);
+DsRelay *
+       ds_relay__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ds_relay__free_unpacked
+                     (DsRelay *message,
+                      ProtobufCAllocator *allocator);
+/* DsRoster methods */
+void   ds_roster__init
+                     (DsRoster         *message);
+size_t ds_roster__get_packed_size
+                     (const DsRoster   *message);
+size_t ds_roster__pack
+                     (const DsRoster   *message,
+                      uint8_t             *out);
+size_t ds_roster__pack_to_buffer
+                     (const DsRoster   *message,
+                      ProtobufCBuffer     *buffer);
+DsRoster *
+       ds_roster__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ds_roster__free_unpacked
+                     (DsRoster *message,
+                      ProtobufCAllocator *allocator);
 /* DsUpdate methods */
 void   ds_update__init
                      (DsUpdate         *message);
@@ -211,6 +282,12 @@
 typedef void (*DsSubscribe_Closure)
                  (const DsSubscribe *message,
                   void *closure_data);
+typedef void (*DsRelay_Closure)
+                 (const DsRelay *message,
+                  void *closure_data);
+typedef void (*DsRoster_Closure)
+                 (const DsRoster *message,
+                  void *closure_data);
 typedef void (*DsUpdate_Closure)
                  (const DsUpdate *message,
                   void *closure_data);
@@ -227,6 +304,8 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor ds_subscribe__descriptor;
+extern const ProtobufCMessageDescriptor ds_relay__descriptor;
+extern const ProtobufCMessageDescriptor ds_roster__descriptor;
 extern const ProtobufCMessageDescriptor ds_update__descriptor;
 extern const ProtobufCMessageDescriptor ds_version_count__descriptor;
 extern const ProtobufCMessageDescriptor ds_ack__descriptor;
--- a/wire/wi_type.h
+++ b/wire/wi_type.h
@@ -40,6 +40,7 @@
 	DS_SUBSCRIBE = 60, /* DsSubscribe */
 	DS_UPDATE = 61,	   /* DsUpdate */
 	DS_ACK = 62,	   /* DsAck */
+	DS_ROSTER = 63,	   /* DsRoster */
 
 	EP_ANNOUNCE = 80, /* EpAnnounce */
 	EP_UPDATE = 81,	  /* EpUpdate */
