source: a replica that has just started does not answer about the log

Change: until it has caught up with a leader once since its start, a replica refuses history, current and report with RP_NO_QUORUM; carawayctl goes on to another source then. status is answered as before.

--- a/source/so.h
+++ b/source/so.h
@@ -223,6 +223,15 @@
 /** so_operator_handle_frame() - process a frame of an operator's session */
 int so_operator_handle_frame(struct so_conn *c, const struct wi_frame *f);
 
+/**
+ * so_operator_answer() - answer the query @q with @json and @snapshot
+ *
+ * Return: %BA_OK, %BA_USAGE, %RP_NO_QUORUM if this replica has not caught up
+ * since its start, or a code of the command.
+ */
+int so_operator_answer(struct so_source *s, const CtQuery *q,
+		       struct ba_buf *json, struct ba_buf *snapshot);
+
 /** so_submit() - pass @submit to the replica; @w is called with its outcome */
 void so_submit(struct so_source *s, struct so_waiter *w,
 	       const CtSubmit *submit);
--- a/source/so_operator.c
+++ b/source/so_operator.c
@@ -10,9 +10,14 @@
 	DAY_BYTES = 10, /* YYYY-MM-DD */
 };
 
-/* A command of CtQuery; @answer fills in the JSON and snapshot of CtAnswer. */
+/*
+ * A command of CtQuery; @answer fills in the JSON and snapshot of CtAnswer.
+ * With @needs_log it is about the log, which a replica that has just started
+ * has not applied yet.
+ */
 struct command {
 	const char *name;
+	bool needs_log;
 	int (*answer)(struct so_source *s, const char *argument,
 		      struct ba_buf *json, struct ba_buf *snapshot);
 };
@@ -32,10 +37,10 @@
 static void log_outcome(const struct so_conn *c, const CtOutcome *outcome);
 
 static const struct command commands[] = {
-	{"status", answer_status},
-	{"current", answer_current},
-	{"history", answer_history},
-	{"report", answer_report},
+	{"status", false, answer_status},
+	{"current", true, answer_current},
+	{"history", true, answer_history},
+	{"report", true, answer_report},
 };
 
 int so_operator_handle_frame(struct so_conn *c, const struct wi_frame *f)
@@ -47,6 +52,25 @@
 	return WI_FRAME_UNKNOWN;
 }
 
+/* Until it has caught up with a leader once, the log may be known in part. */
+int so_operator_answer(struct so_source *s, const CtQuery *q,
+		       struct ba_buf *json, struct ba_buf *snapshot)
+{
+	const struct rp_core *core = rp_node_core(s->node);
+	bool caught_up = rp_core_up_to_date_at(core, ba_loop_now(s->loop));
+
+	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++) {
+		if (strcmp(commands[i].name, q->command) != 0)
+			continue;
+		if (commands[i].needs_log && !caught_up)
+			return RP_NO_QUORUM;
+		return commands[i].answer(s,
+					  q->n_arguments ? q->arguments[0] : "",
+					  json, snapshot);
+	}
+	return BA_USAGE;
+}
+
 void so_operator_closed(struct so_conn *c)
 {
 	so_submit_cancel(c->source, &c->waiter);
@@ -92,16 +116,11 @@
 	struct ba_buf json = {0};
 	struct ba_buf snapshot = {0};
 	int leader = rp_core_leader(rp_node_core(c->source->node));
-	int code = BA_USAGE;
+	int code;
 
 	if (!q)
 		return WI_FRAME_GARBAGE;
-	for (size_t i = 0; i < G_N_ELEMENTS(commands); i++)
-		if (!strcmp(commands[i].name, q->command))
-			code = commands[i].answer(
-				c->source,
-				q->n_arguments ? q->arguments[0] : "", &json,
-				&snapshot);
+	code = so_operator_answer(c->source, q, &json, &snapshot);
 	if (leader != RP_NO_PEER && leader != c->source->self)
 		answer.leader = (char *)c->source->addresses[leader];
 	answer.code = (uint32_t)code;
--- a/test/distrib_test.cc
+++ b/test/distrib_test.cc
@@ -4,6 +4,7 @@
 #include <cstring>
 
 #include "distrib/ds_pacing.h"
+#include "distrib/ds_roster.h"
 #include "test/ds_world.h"
 
 namespace
@@ -315,4 +316,103 @@
 	ds_publisher_free(p);
 }
 
+struct ds_relay relay_at(const std::string &address, const char *data_centre,
+			 const char *region)
+{
+	struct ds_relay r = {};
+
+	EXPECT_EQ(ba_parse_address(address.c_str(), &r.address), BA_OK);
+	r.data_centre = data_centre;
+	r.region = region;
+	return r;
+}
+
+/* 24 relays, three in each of 8 data centres of two regions; three seeds. */
+struct roster_world {
+	std::vector<struct ds_relay> relays;
+	std::vector<struct ba_address> seeds;
+	const char *const centres[8] = {"a1", "a2", "a3", "a4",
+					"b1", "b2", "b3", "b4"};
+
+	roster_world()
+	{
+		for (int i = 0; i < 24; i++)
+			relays.push_back(
+				relay_at("10.0.0." + std::to_string(i) + ":7",
+					 centres[i / 3], i < 12 ? "a" : "b"));
+		for (int i : {0, 4, 20})
+			seeds.push_back(relays[i].address);
+	}
+
+	struct ds_ranking rank(const std::string &name, int centre,
+			       size_t n_relays = 24) const
+	{
+		struct ds_place self = {name.c_str(), centres[centre],
+					centre < 4 ? "a" : "b"};
+		struct ds_ranking out = {};
+
+		ds_roster_rank(&self, relays.data(), n_relays, seeds.data(),
+			       seeds.size(), &out);
+		return out;
+	}
+};
+
+/* Every daemon goes to its data centre, and no relay gets far more than others. */
+TEST(DsRoster, DaemonsSpreadOverTheRelaysOfTheirDataCentre)
+{
+	roster_world w;
+	std::map<std::string, int> sessions;
+	int most = 0;
+
+	for (int i = 0; i < 800; i++) {
+		struct ds_ranking r = w.rank("d" + std::to_string(i), i % 8);
+
+		ASSERT_EQ(r.n_preferred, 3u);
+		EXPECT_EQ(r.n, 24u);
+		sessions[r.list[0].text]++;
+		for (size_t j = 0; j < 3; j++)
+			EXPECT_LT(ds_ranking_find(&r, r.list[j].text), 3u);
+	}
+	EXPECT_EQ(sessions.size(), 24u);
+	for (const auto &[address, n] : sessions)
+		most = std::max(most, n);
+	EXPECT_LT(most, 1.5 * 800 / 24);
+}
+
+TEST(DsRoster, MovesOnlyForARelayThatIsNew)
+{
+	roster_world w;
+	struct ds_ranking none = {};
+	struct ds_ranking empty = w.rank("d", 0, 0);
+	struct ds_ranking one = w.rank("d", 0, 1);
+	struct ds_ranking all = w.rank("d", 0);
+	struct ds_ranking region_only = w.rank("d", 3, 3);
+	struct ds_ranking with_centre = w.rank("d", 3);
+	const struct {
+		const char *name;
+		const struct ds_ranking *before, *after;
+		const char *current;
+		bool moves;
+	} cases[] = {
+		{"first roster, at a seed of another place", &none, &all,
+		 "10.0.0.20:7", true},
+		{"first roster, already there", &none, &all, "10.0.0.1:7",
+		 false},
+		{"no relays known", &none, &empty, "10.0.0.20:7", false},
+		{"more relays of the own data centre", &one, &all, "10.0.0.0:7",
+		 false},
+		{"same relays, which could not be reached", &all, &all,
+		 "10.0.0.20:7", false},
+		{"first relay of the own data centre", &region_only,
+		 &with_centre, "10.0.0.1:7", true},
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(ds_roster_should_move(c.before, c.after, c.current),
+			  c.moves)
+			<< c.name;
+	EXPECT_EQ(empty.n_preferred, 0u);
+	EXPECT_EQ(empty.n, 3u);
+}
+
 } // namespace
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -188,9 +188,11 @@
 
 void relay_start(struct relay *r, struct ba_loop *loop, const char *name,
 		 const char *data_centre, struct ba_address at,
-		 struct ba_addresses sources, struct ba_addresses peers)
+		 struct ba_addresses sources, struct ba_addresses peers,
+		 bool all_data_centres = false)
 {
 	*r = {};
+	r->settings.all_data_centres = all_data_centres;
 	r->settings.address = at;
 	r->settings.sources = sources;
 	r->settings.peers = peers;
@@ -367,4 +369,40 @@
 		EXPECT_EQ(d->versions, (std::vector<uint64_t>{5, 6}));
 }
 
+/*
+ * The daemons know one relay of another data centre only.  They move to that
+ * of their own before they are sent a configuration, and fall back when it is
+ * lost.
+ */
+TEST(DsRelay, DaemonsMoveToTheRelayOfTheirDataCentre)
+{
+	struct mesh m(23121);
+
+	for (auto &r : m.relays)
+		re_relay_stop(&r.r);
+	for (int i = 0; i < 2; i++)
+		relay_start(&m.relays[i], m.loop, i ? "y2" : "y1",
+			    i ? "d2" : "d1", m.at[i], {&m.source_at, 1},
+			    {m.at, 2}, true);
+	m.publish(5);
+	for (const char *name : {"a1", "a2", "a3"}) {
+		m.daemons.push_back(std::make_unique<struct daemon>());
+		daemon_start(m.daemons.back().get(), m.loop, name, "d2", m.at,
+			     1);
+	}
+	ASSERT_TRUE(wait_until(m.loop, [&] {
+		return m.all_at(5) && m.all_see(3) &&
+		       re_session_find(&m.relays[1].r, "a1") &&
+		       re_session_find(&m.relays[1].r, "a2") &&
+		       re_session_find(&m.relays[1].r, "a3");
+	}));
+	EXPECT_FALSE(re_session_find(&m.relays[0].r, "a1"));
+	re_relay_stop(&m.relays[1].r);
+	m.relays[1].r.loop = nullptr;
+	m.publish(6);
+	EXPECT_TRUE(wait_until(m.loop, [&] { return m.all_at(6); }));
+	for (auto &d : m.daemons)
+		EXPECT_EQ(d->versions, (std::vector<uint64_t>{5, 6}));
+}
+
 } // namespace
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -25,7 +25,8 @@
 		std::string folder;
 	};
 
-	group(int n, int port)
+	/* @started: replicas to start, 0 for all */
+	group(int n, int port, int started = 0)
 	{
 		for (int i = 0; i < n; i++) {
 			struct ba_address a = {};
@@ -39,7 +40,7 @@
 			name_list.push_back((char *)name.c_str());
 		operators_folder = testing::TempDir() + "source_test_operators";
 		std::filesystem::create_directories(operators_folder);
-		for (int i = 0; i < n; i++)
+		for (int i = 0; i < (started ? started : n); i++)
 			start(i);
 	}
 
@@ -138,6 +139,46 @@
 	}));
 }
 
+int query(struct group &g, const char *command)
+{
+	CtQuery q = CT_QUERY__INIT;
+	struct ba_buf json = {};
+	struct ba_buf snapshot = {};
+	int code;
+
+	q.command = (char *)command;
+	code = so_operator_answer(&g.replicas[0]->source, &q, &json, &snapshot);
+	ba_buf_free(&json);
+	ba_buf_free(&snapshot);
+	return code;
+}
+
+/* A replica that has just started must not pass part of the log for all. */
+TEST(RpSource, AnswersAboutTheLogOnlyOnceItHasCaughtUp)
+{
+	static const struct {
+		const char *command;
+		int alone, caught_up;
+	} cases[] = {
+		{"status", BA_OK, BA_OK},
+		{"history", RP_NO_QUORUM, BA_OK},
+		{"current", RP_NO_QUORUM, BA_OK},
+		{"no such command", BA_USAGE, BA_USAGE},
+	};
+	struct group alone(3, 23221, 1);
+	struct group whole(1, 23231);
+
+	ASSERT_TRUE(step_until(whole.loop, [&] {
+		return rp_core_up_to_date_at(
+			       rp_node_core(whole.replicas[0]->source.node),
+			       ba_loop_now(whole.loop)) > 0;
+	}));
+	for (const auto &c : cases) {
+		EXPECT_EQ(query(alone, c.command), c.alone) << c.command;
+		EXPECT_EQ(query(whole, c.command), c.caught_up) << c.command;
+	}
+}
+
 /*
  * A follower reads the newest version from the leader, so that it can tell a
  * daemon its floor.
