proxy: late copies and answers without end

A backend server may send a second copy of an answer when its connection serves the next request. At most four are skipped. Bytes on an idle connection end it with the first byte, not only once they are a whole head.

An answer whose body never ended was passed on until the caller closed, or for ever if it did not. It is cut off a second after the caller's time.

PxOutcome.LateSecondCopyOfAnAnswerReachesNobody, BytesOnAnIdleConnectionEndIt and AnswerWithoutEndIsCutOff failed first, the last for bodies only: heads, interim answers and answers that were not run were cut off before.

--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -119,6 +119,10 @@
 	[CL_EV_BREACH] =
 		{"breach", BA_ERROR,
 		 "The audit of a call found a promise of the report broken; the field counter names it."},
+	[CL_EV_FOREIGN_ANSWER] =
+		{"foreign-answer", BA_WARNING,
+		 "A backend server sent an answer to an earlier call; it was "
+		 "not delivered."},
 	[RT_EV_DAY_CLOSED] = {"day-closed", BA_NOTICE,
 			      "The figures of a day are complete."},
 	[RT_EV_FIGURES] = {"figures", BA_DEBUG,
--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -224,6 +224,13 @@
 	ba_buf_free(&held);
 }
 
+void ht_conn_skip_message(struct ht_conn *c)
+{
+	c->message_complete = false;
+	c->message_started = false;
+	http_parser_pause(&c->parser, 0);
+}
+
 void ht_conn_expect_no_body(struct ht_conn *c)
 {
 	c->no_body = true;
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -99,6 +99,14 @@
 /** ht_conn_read_next() - read the next message; may call the owner back */
 void ht_conn_read_next(struct ht_conn *c);
 
+/**
+ * ht_conn_skip_message() - read on as if the message just read had not come
+ *
+ * To be called in @complete, on the client's side, for an answer to an earlier
+ * request; the answer to this one is expected to follow.
+ */
+void ht_conn_skip_message(struct ht_conn *c);
+
 /** ht_conn_expect_no_body() - expect an answer to HEAD, without a body */
 void ht_conn_expect_no_body(struct ht_conn *c);
 
--- a/http/ht_pool.c
+++ b/http/ht_pool.c
@@ -30,7 +30,7 @@
 static ba_time find_idle_timeout(const struct ht_pool *p,
 				 const struct ht_head *h);
 static void remove_idle(struct idle_conn *ic);
-static void on_unexpected_head(struct ht_conn_owner *o, struct ht_conn *c);
+static void on_unexpected(struct ht_conn_owner *o, struct ht_conn *c);
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *c,
 		     enum ht_end why);
 
@@ -112,7 +112,7 @@
 		return;
 	}
 	ic = g_new0(struct idle_conn, 1);
-	ic->owner.head = on_unexpected_head;
+	ic->owner.begun = on_unexpected;
 	ic->owner.ended = on_ended;
 	ic->pool = p;
 	ic->conn = c;
@@ -146,8 +146,8 @@
 	g_free(ic);
 }
 
-/* No request is pending, so a message is not an answer. */
-static void on_unexpected_head(struct ht_conn_owner *o, struct ht_conn *c)
+/* No request is pending, so what begins here is not an answer. */
+static void on_unexpected(struct ht_conn_owner *o, struct ht_conn *c)
 {
 	remove_idle((struct idle_conn *)o);
 	ht_conn_abort(c);
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -436,14 +436,27 @@
 	return s;
 }
 
-/* An answer that has begun may continue for as long as the caller waits. */
+/*
+ * An answer that has begun may continue for as long as the caller waits.  One
+ * without an end is cut off soon after that; of a request that came from
+ * another proxy, that proxy does so.
+ */
 static void on_deadline(struct ba_timer *t, ba_time now)
 {
 	struct px_exchange *x = ba_entry(t, struct px_exchange, timer);
 
-	(void)now;
-	if (x->answering)
+	if (x->answering &&
+	    (x->downstream->from_peer || x->caller_deadline == BA_NEVER))
 		return;
+	if (x->answering && now < x->caller_deadline + PX_LATE_ANSWER_TIME) {
+		ba_loop_arm(x->p->loop, t,
+			    x->caller_deadline + PX_LATE_ANSWER_TIME);
+		return;
+	}
+	if (x->answering) {
+		px_exchange_on_broken(x, CL_DEADLINE_EXPIRED);
+		return;
+	}
 	if (x->state == PX_ATTEMPT_HELD) {
 		fail(x);
 		return;
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -36,6 +36,7 @@
 	PX_PEER_POOL_MAX_IDLE = 64,	      /* idle connections to a proxy */
 	PX_MAX_ENDPOINTS_TRIED = 3,	      /* for one request */
 	PX_DEFAULT_ATTEMPTS = 2,
+	PX_FOREIGN_ANSWERS_LIMIT = 4,		 /* skipped before the answer */
 	PX_CONTROL_BODY_LIMIT_BYTES = 64 * 1024, /* of control calls */
 };
 
@@ -57,6 +58,8 @@
 #define PX_CONNECT_TIMEOUT BA_SECOND
 /* Retries that all proxies together may have saved for one service. */
 #define PX_RETRY_BUDGET_ALL_PROXIES 30.0
+/* How long an answer may go on after its caller has stopped waiting. */
+#define PX_LATE_ANSWER_TIME BA_SECOND
 #define PX_RETRY_AFTER_MIN (200 * BA_MS)
 #define PX_RETRY_AFTER_NOT_CONFIGURED (400 * BA_MS)
 #define PX_RETRY_AFTER_JITTER (300 * BA_MS)
@@ -194,6 +197,8 @@
  * @last_try: no further proxy is tried if this attempt fails
  * @fresh: the upstream connection was opened for this attempt
  * @paced: a large answer is expected over the paid link
+ * @foreign: the answer that is being read belongs to an earlier request
+ * @n_foreign: number of such answers in this attempt
  * @answer_bytes: length of the body received so far
  * @not_run_code: code of an answer that reports "not run", or 0
  * @answering: the head of the answer has been written to the caller
@@ -235,6 +240,8 @@
 	ba_time sent_at;
 	bool paced;
 	bool fresh;
+	bool foreign;
+	unsigned int n_foreign;
 	uint64_t answer_bytes;
 	int status;
 	int not_run_code;
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -56,6 +56,8 @@
 	x->state = state;
 	x->pool = pool;
 	x->not_run_code = 0;
+	x->foreign = false;
+	x->n_foreign = 0;
 	x->status = 0;
 	x->answer_bytes = 0;
 	x->runs++;
@@ -89,7 +91,11 @@
 	return pool;
 }
 
-/* An answer that names another attempt is not an answer to this request. */
+/*
+ * An answer that names another attempt is not an answer to this request.  On a
+ * connection that served others before, it is a late copy of an answer to one
+ * of them, and the answer to this request follows.
+ */
 static void on_head(struct ht_conn_owner *o, struct ht_conn *c)
 {
 	struct px_exchange *x = ba_entry(o, struct px_exchange, upstream);
@@ -97,8 +103,12 @@
 	struct px_answer_fields ans;
 
 	x->p->dialect->read_answer(h, &ans);
-	if (ans.id && *x->id && strcmp(ans.id, x->id) != 0) {
-		px_exchange_on_broken(x, CL_ANSWER_BROKEN);
+	x->foreign = ans.id && strcmp(ans.id, x->id) != 0;
+	if (x->foreign) {
+		ba_event(CL_EV_FOREIGN_ANSWER, "call=%s answer=%s fresh=%d",
+			 x->id, ans.id, (int)x->fresh);
+		if (x->fresh || ++x->n_foreign > PX_FOREIGN_ANSWERS_LIMIT)
+			px_exchange_on_broken(x, CL_ANSWER_BROKEN);
 		return;
 	}
 	if (x->state == PX_ATTEMPT_AT_PEER)
@@ -113,7 +123,7 @@
 {
 	struct px_exchange *x = ba_entry(o, struct px_exchange, upstream);
 
-	if (x->not_run_code)
+	if (x->not_run_code || x->foreign)
 		return;
 	x->answer_bytes += len;
 	ba_buf_add(&x->buffered, data, len);
@@ -131,7 +141,10 @@
 	struct px_exchange *x = ba_entry(o, struct px_exchange, upstream);
 	int code = x->not_run_code;
 
-	(void)c;
+	if (x->foreign) {
+		ht_conn_skip_message(c);
+		return;
+	}
 	if (code) {
 		x->runs--;
 		release_conn(x);
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -265,6 +265,133 @@
 	}
 }
 
+/*
+ * A backend server sends a second copy of its answer, late, when the connection
+ * serves the next request.  That caller gets its own answer.
+ */
+TEST(PxOutcome, LateSecondCopyOfAnAnswerReachesNobody)
+{
+	static const struct {
+		const char *name;
+		bool together; /* with the first bytes of the next answer */
+		int copies;
+		int status;
+	} cases[] = {
+		{"before the answer", false, 1, 200},
+		{"in one piece with it", true, 1, 200},
+		{"three times", true, 3, 200},
+		{"without end", true, 50, 502},
+	};
+	world w;
+
+	w.send_heartbeat("i-1", "ready", 1);
+	for (const auto &c : cases) {
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
+		std::string copies;
+
+		caller.write(request("GET /book/1"));
+		blocking_socket backend = w.backend.accept_one();
+
+		EXPECT_TRUE(has(backend.read_message(), "/book/1"));
+		backend.write(answer(200, "first"));
+		EXPECT_TRUE(has(caller.read_message(), "first")) << c.name;
+		caller.write("GET /book/2 HTTP/1.1\r\nHost: a.example\r\n"
+			     "X-Attempt-Id: 2\r\n\r\n");
+		EXPECT_TRUE(has(backend.read_message(), "/book/2")) << c.name;
+		for (int i = 0; i < c.copies; i++)
+			copies += answer(200, "first");
+		std::string own = answer(200, "second");
+
+		own.replace(own.find("Id: 1"), 5, "Id: 2");
+		backend.write(c.together ? copies + own : copies);
+		if (!c.together)
+			backend.write(own);
+		std::string got = caller.read_message();
+
+		EXPECT_EQ(status(got), c.status) << c.name;
+		EXPECT_EQ(has(got, "second"), c.status == 200) << c.name;
+		EXPECT_FALSE(has(got, "first")) << c.name;
+		backend.end();
+	}
+}
+
+/* Bytes that come while no request waits end the connection at once. */
+TEST(PxOutcome, BytesOnAnIdleConnectionEndIt)
+{
+	world w;
+	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+
+	w.send_heartbeat("i-1", "ready", 1);
+	caller.write(request("GET /book/1"));
+	blocking_socket backend = w.backend.accept_one();
+
+	backend.read_message();
+	backend.write(answer(200, "first"));
+	caller.read_message();
+	backend.write("HTTP/1.1 2");
+	EXPECT_TRUE(backend.is_closed_by_peer());
+}
+
+/* Sends @piece again and again until the proxy closes; false after WAIT_S. */
+bool is_cut_off(blocking_socket &backend, const std::string &piece)
+{
+	ba_time end = ba_clock_now() + WAIT_S * BA_SECOND;
+
+	while (ba_clock_now() < end)
+		if (send(backend.fd, piece.data(), piece.size(), MSG_NOSIGNAL) <
+		    0)
+			return true;
+	return false;
+}
+
+/* A faulty backend server sends bytes without end. */
+TEST(PxOutcome, AnswerWithoutEndIsCutOff)
+{
+	static const struct {
+		const char *name, *start, *piece;
+		int status;
+	} cases[] = {
+		{"garbage", "", "garbage without end ", 502},
+		{"head", "HTTP/1.1 200 OK\r\n", "X-More: abcdefgh\r\n", 502},
+		{"field", "HTTP/1.1 200 OK\r\nX-Long: ", "abcdefghijkl", 502},
+		{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", 504},
+		{"body with no length", "HTTP/1.1 200 OK\r\n\r\n", "body", 200},
+		{"chunks",
+		 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		 "4\r\nbody\r\n", 200},
+		{"answer that says that it did not run",
+		 "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n\r\n", "body", 504},
+	};
+	world w;
+
+	w.send_heartbeat("i-1", "ready", 1);
+	for (const auto &c : cases) {
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
+
+		caller.write("GET /book/1 HTTP/1.1\r\nHost: a.example\r\n"
+			     "X-Attempt-Id: 1\r\nX-Deadline-Ms: 300\r\n\r\n");
+		blocking_socket backend = w.backend.accept_one();
+		std::string piece;
+
+		for (int i = 0; i < 100; i++)
+			piece += c.piece;
+		backend.read_message();
+		backend.write(c.start);
+		std::string got;
+		std::thread reader([&] {
+			got = c.status == 200 ? caller.read_rest()
+					      : caller.read_message();
+		});
+
+		EXPECT_TRUE(is_cut_off(backend, piece)) << c.name;
+		reader.join();
+		EXPECT_EQ(status(got), c.status) << c.name;
+		EXPECT_FALSE(has(got, "\r\n0\r\n\r\n")) << c.name;
+	}
+}
+
 /* Answers fill the budget; then a failed idempotent request is retried. */
 TEST(PxRetry, GoesElsewhereWithinTheBudget)
 {
