http, proxy: long answers are sent by deadline

Cause: on a full link long answers were sent in the order in which they became ready.

Change: the link sends by deadline, which is the latency target, and moves an answer that cannot meet it behind all that can. A long answer is passed on as it comes instead of after its first 64 KB, and the other proxy's target is earlier by the piece that is still to be sent here.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -143,10 +143,12 @@
 	c->link = l;
 }
 
-void ht_conn_set_rank(struct ht_conn *c, unsigned int rank)
+void ht_conn_set_rank(struct ht_conn *c, unsigned int rank, ba_time due)
 {
-	if (c->link)
-		ht_link_set_rank(c->link, &c->link_user, rank);
+	if (!c->link)
+		return;
+	ht_link_set_rank(c->link, &c->link_user, rank);
+	c->link_user.deadline = due;
 }
 
 void ht_conn_set_owner(struct ht_conn *c, struct ht_conn_owner *o)
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -72,8 +72,11 @@
 /** ht_conn_set_link() - schedule further writes on the shared link @l */
 void ht_conn_set_link(struct ht_conn *c, struct ht_link *l);
 
-/** ht_conn_set_rank() - set the rank of further writes on the shared link */
-void ht_conn_set_rank(struct ht_conn *c, unsigned int rank);
+/**
+ * ht_conn_set_rank() - set rank and deadline of a message on the shared link
+ * @due: when the message is to be complete, 0 for no such time
+ */
+void ht_conn_set_rank(struct ht_conn *c, unsigned int rank, ba_time due);
 
 /** ht_conn_set_owner() - send callbacks to @o from now on */
 void ht_conn_set_owner(struct ht_conn *c, struct ht_conn_owner *o);
--- a/http/ht_link.c
+++ b/http/ht_link.c
@@ -33,6 +33,9 @@
 			  double bytes);
 static struct ht_link_user *next_user(const struct ht_link *l);
 static struct ht_link_user *first_unblocked(const struct ba_list *waiting);
+static void demote_late(struct ht_link *l, ba_time now);
+static bool precedes(const struct ht_link_user *a,
+		     const struct ht_link_user *b);
 static bool is_waiting(const struct ht_link_user *u);
 static void arm_timer(struct ht_link *l);
 static void on_timer(struct ba_timer *t, ba_time now);
@@ -74,6 +77,9 @@
 	if (!is_waiting(u))
 		ba_list_append(&l->waiting[u->rank], &u->link);
 	u->blocked = false;
+	if (!u->unsent)
+		ht_link_set_unsent(l, u, left);
+	demote_late(l, now);
 	if (l->tokens > 0 && next_user(l) == u)
 		return MIN(left, HT_LINK_PIECE_BYTES);
 	arm_timer(l);
@@ -150,6 +156,7 @@
 	struct ht_link_user *u;
 
 	refill(l, now);
+	demote_late(l, now);
 	while (l->tokens > 0 && (u = next_user(l))) {
 		double before = l->tokens;
 
@@ -191,6 +198,7 @@
 
 static struct ht_link_user *first_unblocked(const struct ba_list *waiting)
 {
+	struct ht_link_user *first = NULL;
 	struct ba_list *pos;
 
 	ba_list_each(pos, waiting)
@@ -198,10 +206,32 @@
 		struct ht_link_user *u =
 			ba_entry(pos, struct ht_link_user, link);
 
-		if (!u->blocked)
-			return u;
+		if (!u->blocked && (!first || precedes(u, first)))
+			first = u;
+	}
+	return first;
+}
+
+/* Of equals, the one that was queued first is met first. */
+static bool precedes(const struct ht_link_user *a, const struct ht_link_user *b)
+{
+	return a->deadline && (!b->deadline || a->deadline < b->deadline);
+}
+
+static void demote_late(struct ht_link *l, ba_time now)
+{
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	ba_list_each_safe(pos, tmp, &l->waiting[0])
+	{
+		struct ht_link_user *u =
+			ba_entry(pos, struct ht_link_user, link);
+		double time = (double)u->unsent * (double)BA_SECOND / l->rate;
+
+		if (u->deadline && (double)now + time > (double)u->deadline)
+			ht_link_set_rank(l, u, 1);
 	}
-	return NULL;
 }
 
 static bool is_waiting(const struct ht_link_user *u)
--- a/http/ht_link.h
+++ b/http/ht_link.h
@@ -9,8 +9,11 @@
  *
  * Rules:
  * - A short message is never delayed, but it takes tokens too.
- * - Long messages are sent in order of arrival, a piece at a time, at the rate
- *   of the link.  One whose receiver accepts no more is passed over.
+ * - Long messages are sent by deadline, then in order of arrival, a piece at a
+ *   time, at the rate of the link.  One whose receiver accepts no more is passed
+ *   over.
+ * - A message that cannot be complete by its deadline moves to the second rank,
+ *   so that it delays none that can.
  * - The second rank gets the rate that the first leaves unused, and a small
  *   share in any case, so that it does not starve.
  * - At most one piece is written ahead of the rate.
@@ -43,6 +46,7 @@
  * @link: entry in the queue of its rank; empty when not queued
  * @blocked: its receiver accepts no more, until the next ht_link_request()
  * @rank: 0, or 1 for the smaller share
+ * @deadline: when its message is to be complete, 0 for none
  * @unsent: bytes that are not written yet
  */
 struct ht_link_user {
@@ -50,6 +54,7 @@
 	struct ba_list link;
 	bool blocked;
 	unsigned int rank;
+	ba_time deadline;
 	size_t unsent;
 };
 
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -8,7 +8,7 @@
 static void add_fields(const struct px_exchange *x, const struct ht_head *h,
 		       struct ba_buf *out);
 static void add_backend_fields(const struct px_exchange *x, struct ba_buf *out);
-static void add_proxy_fields(const struct px_exchange *x, struct ba_buf *out);
+static void add_proxy_fields(struct px_exchange *x, struct ba_buf *out);
 static ba_time time_left(const struct px_exchange *x);
 static ba_time retry_after(struct px_exchange *x, int code);
 
@@ -133,9 +133,14 @@
 	x->p->dialect->write_backend_fields(&fields, out);
 }
 
-static void add_proxy_fields(const struct px_exchange *x, struct ba_buf *out)
+static void add_proxy_fields(struct px_exchange *x, struct ba_buf *out)
 {
-	ba_time target = x->latency_target - ba_loop_now(x->p->loop);
+	/* This proxy sends the last piece on when it has come. */
+	ba_time target =
+		x->latency_target - ba_loop_now(x->p->loop) -
+		cl_egress_transmit_time(&x->p->egress,
+					MIN(px_exchange_expected_bytes(x),
+					    (double)HT_LINK_PIECE_BYTES));
 
 	ba_buf_addf(out, PX_FIELD_SERVICE ": %s\r\n" PX_FIELD_CALLER ": %s\r\n",
 		    x->service, x->caller);
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -103,7 +103,8 @@
 	struct px_answer_fields ans;
 
 	x->p->dialect->read_answer(h, &ans);
-	x->foreign = ans.id && strcmp(ans.id, x->id) != 0;
+	x->foreign =
+		ans.id && strcmp(ans.id, x->id) != 0 && (*x->id || !x->fresh);
 	if (x->foreign) {
 		ba_event(CL_EV_FOREIGN_ANSWER, "call=%s answer=%s fresh=%d",
 			 x->id, ans.id, (int)x->fresh);
@@ -127,8 +128,9 @@
 		return;
 	x->answer_bytes += len;
 	ba_buf_add(&x->buffered, data, len);
-	if (!x->answering && x->buffered.len < PX_ANSWER_BUFFER_BYTES &&
-	    !x->downstream->from_peer)
+	if (!x->answering && !x->downstream->from_peer &&
+	    x->buffered.len < PX_ANSWER_BUFFER_BYTES &&
+	    x->length <= PX_ANSWER_BUFFER_BYTES)
 		return;
 	begin_answer(x);
 	forward_buffered(x);
@@ -223,7 +225,10 @@
 	if (x->answering)
 		return;
 	x->answering = true;
-	ht_conn_set_rank(x->downstream->conn, x->reservation.rank);
+	ht_conn_set_rank(x->downstream->conn, x->reservation.rank,
+			 x->reservation.rank == CL_EGRESS_IN_TIME
+				 ? x->latency_target
+				 : 0);
 	px_compose_answer_head(x, ht_conn_head(x->conn),
 			       ht_conn_out(x->downstream->conn));
 }
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -276,11 +276,13 @@
 		bool together; /* with the first bytes of the next answer */
 		int copies;
 		int status;
+		bool named; /* the second request has an id */
 	} cases[] = {
-		{"before the answer", false, 1, 200},
-		{"in one piece with it", true, 1, 200},
-		{"three times", true, 3, 200},
-		{"without end", true, 50, 502},
+		{"before the answer", false, 1, 200, true},
+		{"in one piece with it", true, 1, 200, true},
+		{"three times", true, 3, 200, true},
+		{"without end", true, 50, 502, true},
+		{"to a request without an id", false, 1, 200, false},
 	};
 	world w;
 
@@ -296,14 +298,18 @@
 		EXPECT_TRUE(has(backend.read_message(), "/book/1"));
 		backend.write(answer(200, "first"));
 		EXPECT_TRUE(has(caller.read_message(), "first")) << c.name;
-		caller.write("GET /book/2 HTTP/1.1\r\nHost: a.example\r\n"
-			     "X-Attempt-Id: 2\r\n\r\n");
+		caller.write(std::string("GET /book/2 HTTP/1.1\r\n"
+					 "Host: a.example\r\n") +
+			     (c.named ? "X-Attempt-Id: 2\r\n\r\n" : "\r\n"));
 		EXPECT_TRUE(has(backend.read_message(), "/book/2")) << c.name;
 		for (int i = 0; i < c.copies; i++)
 			copies += answer(200, "first");
 		std::string own = answer(200, "second");
 
-		own.replace(own.find("Id: 1"), 5, "Id: 2");
+		if (c.named)
+			own.replace(own.find("Id: 1"), 5, "Id: 2");
+		else
+			own.erase(own.find("X-Attempt-Id"), 17);
 		backend.write(c.together ? copies + own : copies);
 		if (!c.together)
 			backend.write(own);
