call, proxy: refusals at random, and who gets the retries

Three rejections in a row ejected an endpoint, so half of them got all the load; a retry cost a tenth of an answer, one saved at most.

Change: a rejection counts towards an ejection only while the service rejects less than a quarter of its calls. Each request adds 0.15 of a retry, 0.05 of one that may have run; a proxy saves two, the last for calls whose callers cannot come back in time after a refusal, such as calls of runs in progress.

--- a/call/cl_retry.c
+++ b/call/cl_retry.c
@@ -21,11 +21,16 @@
 	r->tokens = CL_RETRY_BUDGET_MAX;
 }
 
+void cl_retry_earn(struct cl_retry *r, double tokens, double max)
+{
+	r->tokens += tokens;
+	if (r->tokens > max)
+		r->tokens = max;
+}
+
 void cl_retry_answered(struct cl_retry *r)
 {
-	r->tokens += CL_RETRY_BUDGET_RATIO;
-	if (r->tokens > CL_RETRY_BUDGET_MAX)
-		r->tokens = CL_RETRY_BUDGET_MAX;
+	cl_retry_earn(r, CL_RETRY_BUDGET_RATIO, CL_RETRY_BUDGET_MAX);
 }
 
 /*
@@ -40,7 +45,7 @@
 		return true;
 	if (*reason > CL_RETRY_DRAINING)
 		return false;
-	if (r->tokens < 1) {
+	if (r->tokens < 1 + f->reserve) {
 		*reason = CL_RETRY_REFUSED_BUDGET;
 		return false;
 	}
--- a/call/cl_retry.h
+++ b/call/cl_retry.h
@@ -6,7 +6,11 @@
  * - A call is retried only before its deadline, and makes at most
  *   %CL_ATTEMPTS_LIMIT attempts.
  * - Each answered call adds a fraction of a retry to the retry budget; once
- *   no calls are answered, the budget runs out and retries stop.
+ *   no calls are answered, the budget runs out and retries stop.  An owner may
+ *   let each call add to it instead.
+ * - The last tokens of a budget are for calls whose caller cannot come back in
+ *   time after a refusal, such as calls of runs in progress.  When the endpoints
+ *   of a service refuse calls at random, the budget does not suffice for all.
  * - Within a chain of calls, only the outermost call is retried if it may have
  *   run; an inner call is retried only if it was not run.
  * - A retry after the refusal of a draining endpoint needs no budget.
@@ -59,6 +63,7 @@
  * @inner: the call was made by a backend server while it served another call
  * @attempts: number of attempts made so far
  * @deadline: deadline of the call
+ * @reserve: tokens that a retry must leave in the budget
  */
 struct cl_failure {
 	int code;
@@ -66,11 +71,15 @@
 	bool inner;
 	unsigned int attempts;
 	ba_time deadline;
+	double reserve;
 };
 
 /** cl_retry_init() - fill the budget */
 void cl_retry_init(struct cl_retry *r);
 
+/** cl_retry_earn() - add @tokens to the budget, up to @max */
+void cl_retry_earn(struct cl_retry *r, double tokens, double max);
+
 /** cl_retry_answered() - add to the budget after an answered call */
 void cl_retry_answered(struct cl_retry *r);
 
--- a/call/cl_route.c
+++ b/call/cl_route.c
@@ -4,7 +4,7 @@
 
 #include "call/cl_route.h"
 
-enum { LATENCY_SAMPLES = 8 };
+enum { LATENCY_SAMPLES = 8, SHED_SAMPLES = 32 };
 
 #define DAY (24 * BA_HOUR)
 
@@ -24,9 +24,16 @@
  */
 #define LINK_SLOT_FRACTION 0.7
 
-/** struct cl_service_endpoints - the endpoints of one service */
+/* Share of a service's calls that are rejected above which none is ejected. */
+#define SHED_SHARE_LIMIT 0.25
+
+/**
+ * struct cl_service_endpoints - the endpoints of one service
+ * @shed_share: moving average of the share of calls that were rejected
+ */
 struct cl_service_endpoints {
 	char *name;
+	double shed_share;
 	struct ba_list endpoints;
 	unsigned int n_endpoints;
 	unsigned int n_ejected;
@@ -91,13 +98,14 @@
 	[CL_ATTEMPT_TIMEOUT] = "timeout",
 	[CL_ATTEMPT_DRAINING] = "draining",
 	[CL_ATTEMPT_CANCELLED] = "cancelled",
+	[CL_ATTEMPT_SHED] = "shed",
 };
 
 /* How much each result counts towards an ejection. */
 static const uint32_t failure_weight[CL_ATTEMPT_RESULTS] = {
 	[CL_ATTEMPT_ERROR_ANSWER] = 1, [CL_ATTEMPT_UNREACHABLE] = 2,
 	[CL_ATTEMPT_SILENT] = 3,       [CL_ATTEMPT_BROKEN] = 1,
-	[CL_ATTEMPT_TIMEOUT] = 1,
+	[CL_ATTEMPT_TIMEOUT] = 1,      [CL_ATTEMPT_SHED] = 1,
 };
 
 static void service_free(gpointer p);
@@ -144,6 +152,8 @@
 static void record_latency(struct cl_endpoint *e, ba_time latency, ba_time now);
 static enum cl_route_change record_failure(struct cl_endpoint *e,
 					   uint32_t weight, ba_time now);
+static bool counts_as_failure(struct cl_endpoint *e,
+			      enum cl_attempt_result result);
 static enum cl_route_change record_success(struct cl_endpoint *e, ba_time now);
 static bool may_eject(const struct cl_service_endpoints *s);
 
@@ -257,7 +267,7 @@
 		e->draining = true;
 	if (result == CL_ATTEMPT_ANSWERED || result == CL_ATTEMPT_TIMEOUT)
 		record_latency(e, latency, now);
-	if (failure_weight[result])
+	if (counts_as_failure(e, result))
 		change = record_failure(e, failure_weight[result], now);
 	else if (result == CL_ATTEMPT_ANSWERED)
 		change = record_success(e, now);
@@ -675,6 +685,18 @@
 	return CL_ROUTE_EJECTED;
 }
 
+static bool counts_as_failure(struct cl_endpoint *e,
+			      enum cl_attempt_result result)
+{
+	struct cl_service_endpoints *s = e->service;
+	bool shed = result == CL_ATTEMPT_SHED;
+
+	if (shed || result == CL_ATTEMPT_ANSWERED)
+		s->shed_share += (shed - s->shed_share) / SHED_SAMPLES;
+	return failure_weight[result] &&
+	       !(shed && s->shed_share > SHED_SHARE_LIMIT);
+}
+
 static enum cl_route_change record_success(struct cl_endpoint *e, ba_time now)
 {
 	e->failures = 0;
--- a/call/cl_route.h
+++ b/call/cl_route.h
@@ -8,6 +8,9 @@
  * - Of two endpoints drawn at random, the one with less load and latency is
  *   chosen.  The daemon relies on its own calls and measurements; a load report
  *   only adds to them and loses weight with age.
+ * - An endpoint that rejects calls is ejected only while the service as a whole
+ *   rejects few.  If all endpoints reject calls, whatever their load, each
+ *   ejection would only concentrate the load on the others.
  * - An ejected endpoint gets a single probe once its ejection time is over.  At
  *   most half of the endpoints of a service are ejected, and an ejected one is
  *   still used if no other is left.
@@ -86,6 +89,7 @@
 
 /**
  * enum cl_attempt_result - result of an attempt, as it counts for its endpoint
+ * @CL_ATTEMPT_SHED: the backend server rejected the call without running it
  * @CL_ATTEMPT_ERROR_ANSWER: the answer has a status of 500 or more
  * @CL_ATTEMPT_SILENT: nothing arrived on the connection for too long
  * @CL_ATTEMPT_BROKEN: the connection was lost, or the answer is incomplete
@@ -101,6 +105,7 @@
 	CL_ATTEMPT_TIMEOUT,
 	CL_ATTEMPT_DRAINING,
 	CL_ATTEMPT_CANCELLED,
+	CL_ATTEMPT_SHED,
 	CL_ATTEMPT_RESULTS,
 };
 
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -70,9 +70,6 @@
 
 void px_set_endpoints(struct px *p, const struct ep_view *v)
 {
-	p->n_endpoints = 0;
-	for (size_t i = 0; i < v->n_services; i++)
-		p->n_endpoints += (uint32_t)v->services[i].n_records;
 	cl_router_update(p->router, v, ba_loop_now(p->loop));
 	p->endpoints_known = true;
 	px_exchange_resume_held(p);
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -18,6 +18,7 @@
 					 enum px_attempt_state state);
 static const struct cf_route *find_route(const struct px_exchange *x);
 static void apply_route(struct px_exchange *x, const struct cf_route *r);
+static void earn_retries(struct px_retry_budget *b);
 static struct px_route_stats *find_route_stats(struct px *p, const char *route);
 static void *find_or_add(GHashTable *table, const char *name, size_t size);
 static const char *choose_service(struct px_exchange *x,
@@ -27,7 +28,9 @@
 static void answer_error(struct px_exchange *x, int status, int code);
 static void fail(struct px_exchange *x);
 static bool may_retry(struct px_exchange *x, int code);
-static struct cl_retry *find_retry_budget(struct px *p, const char *service);
+static bool caller_can_return(const struct px_exchange *x, ba_time now);
+static struct px_retry_budget *find_retry_budget(struct px *p,
+						 const char *service);
 static enum cl_attempt_result result_from_code(int code);
 
 void px_exchange_begin(struct px_downstream *d)
@@ -356,6 +359,7 @@
 
 	x->route = r->name;
 	x->service = choose_service(x, r);
+	earn_retries(find_retry_budget(x->p, x->service));
 	g_free(x->caller);
 	x->caller = g_strdup(x->p->o.service);
 	x->idempotent = r->idempotent || r->download;
@@ -373,6 +377,13 @@
 		x->latency_target = x->arrived_at + r->latency_target - elapsed;
 }
 
+/* All proxies together stay within a share of the requests for a service. */
+static void earn_retries(struct px_retry_budget *b)
+{
+	cl_retry_earn(&b->all, PX_RETRY_RATIO, PX_RETRY_BUDGET_MAX);
+	cl_retry_earn(&b->reruns, PX_RERUN_RATIO, 1);
+}
+
 static struct px_route_stats *find_route_stats(struct px *p, const char *route)
 {
 	return find_or_add(p->route_stats, route,
@@ -501,17 +512,26 @@
 
 static bool may_retry(struct px_exchange *x, int code)
 {
+	struct px_retry_budget *b = find_retry_budget(x->p, x->service);
+	ba_time now = ba_loop_now(x->p->loop);
 	const struct cl_failure f = {
 		.code = code,
 		.idempotent = x->idempotent,
 		.attempts = x->runs,
 		.deadline = x->deadline,
+		.reserve = caller_can_return(x, now) ? PX_RETRY_RESERVE : 0,
 	};
 	enum cl_retry_reason reason = CL_RETRY_REFUSED_ATTEMPTS;
-	bool again = x->runs < x->max_runs &&
-		     cl_retry_decide(find_retry_budget(x->p, x->service), &f,
-				     ba_loop_now(x->p->loop), &reason);
+	bool rerun = cl_outcome_of(code) != CL_OUT_NOT_RUN;
+	bool again = x->runs < x->max_runs;
 
+	if (again && rerun && b->reruns.tokens < 1) {
+		reason = CL_RETRY_REFUSED_BUDGET;
+		again = false;
+	}
+	again = again && cl_retry_decide(&b->all, &f, now, &reason);
+	if (again && rerun)
+		b->reruns.tokens -= 1;
 	rt_count(RT_RETRIED, again);
 	ba_event(CL_EV_RETRIED, "call=%s service=%s code=%d again=%d reason=%s",
 		 x->id, x->service, code, (int)again,
@@ -519,37 +539,31 @@
 	return again;
 }
 
-/*
- * A budget starts empty, and px_exchange_record_answer() caps it at the
- * proxy's share of PX_RETRY_BUDGET_ALL_PROXIES, so that all proxies together
- * stay within it.
- */
-static struct cl_retry *find_retry_budget(struct px *p, const char *service)
+/* Whether a caller that is refused now can be back before its target. */
+static bool caller_can_return(const struct px_exchange *x, ba_time now)
 {
-	return find_or_add(p->retry_budgets, service, sizeof(struct cl_retry));
+	return now + PX_RETRY_AFTER_MIN + PX_RETRY_AFTER_JITTER <
+	       x->latency_target;
+}
+
+/* A budget starts empty, so that a restart adds nothing to it. */
+static struct px_retry_budget *find_retry_budget(struct px *p,
+						 const char *service)
+{
+	return find_or_add(p->retry_budgets, service,
+			   sizeof(struct px_retry_budget));
 }
 
 void px_exchange_record_answer(struct px_exchange *x)
 {
-	struct px *p = x->p;
-	struct cl_retry *r;
 	struct px_route_stats *stats;
-	double max = p->n_endpoints
-			     ? PX_RETRY_BUDGET_ALL_PROXIES / p->n_endpoints
-			     : 1;
 
 	if (!x->route)
 		return;
-	stats = find_route_stats(p, x->route);
+	stats = find_route_stats(x->p, x->route);
 	stats->mean_answer_bytes +=
 		((double)x->answer_bytes - stats->mean_answer_bytes) /
 		SIZE_SMOOTHING;
-	if (x->downstream->from_peer)
-		return;
-	r = find_retry_budget(p, x->service);
-	cl_retry_answered(r);
-	if (r->tokens > MAX(max, 1))
-		r->tokens = MAX(max, 1);
 }
 
 static enum cl_attempt_result result_from_code(int code)
@@ -560,7 +574,7 @@
 	case CL_DEADLINE_PASSED:
 		return CL_ATTEMPT_OVERLOADED;
 	case CL_SHED_BY_BACKEND:
-		return CL_ATTEMPT_ERROR_ANSWER;
+		return CL_ATTEMPT_SHED;
 	case CL_DRAINING:
 		return CL_ATTEMPT_DRAINING;
 	case CL_NO_ENDPOINT:
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -56,8 +56,14 @@
 #define PX_PEER_IDLE_TIMEOUT (BA_MINUTE)
 #define PX_BACKEND_POOL_IDLE_TIMEOUT (4 * BA_SECOND)
 #define PX_CONNECT_TIMEOUT BA_SECOND
-/* Retries that all proxies together may have saved for one service. */
-#define PX_RETRY_BUDGET_ALL_PROXIES 30.0
+/* Retries of a service that each request for it adds to the budget. */
+#define PX_RETRY_RATIO 0.15
+/* Of these, retries of requests that may have run. */
+#define PX_RERUN_RATIO 0.05
+/* Retries that one proxy may have saved for a service. */
+#define PX_RETRY_BUDGET_MAX 2.0
+/* Tokens left to requests whose callers cannot come back in time. */
+#define PX_RETRY_RESERVE 1.0
 /* How long an answer may go on after its caller has stopped waiting. */
 #define PX_LATE_ANSWER_TIME BA_SECOND
 #define PX_RETRY_AFTER_MIN (200 * BA_MS)
@@ -88,6 +94,17 @@
 	size_t n;
 };
 
+/**
+ * struct px_retry_budget - retry budget of a service
+ * @all: for all retries
+ * @reruns: for retries of requests that may have run, which are counted in @all
+ *	too
+ */
+struct px_retry_budget {
+	struct cl_retry all;
+	struct cl_retry reruns;
+};
+
 /**
  * struct px_backend - the local backend server
  * @registered: a heartbeat has arrived, and it has not deregistered since
@@ -109,7 +126,7 @@
 
 /**
  * struct px - one proxy
- * @retry_budgets: struct cl_retry by service
+ * @retry_budgets: struct px_retry_budget by service
  * @splits: struct px_split by route
  * @route_stats: struct px_route_stats by route
  * @peer_pools: struct ht_pool by address of the other proxy
@@ -135,7 +152,6 @@
 	bool endpoints_known;
 	bool stopping;
 	bool refuses_requests;
-	uint32_t n_endpoints;
 	GHashTable *retry_budgets;
 	GHashTable *splits;
 	GHashTable *route_stats;
