replica, deploy: every core instance gets the log

Cause: a replica knew 16 others at most.

Change: 64 replicas are known; the leader looks at voters only when it counts. A last leader that comes back with another disk says that it does not lead, so that its successor is elected without a wait.

RpLease.LeaderThatLostItsDiskIsReplacedSoon fails without the change.

--- a/replica/rp_elect.c
+++ b/replica/rp_elect.c
@@ -5,6 +5,9 @@
 #include "wire/rp.pb-c.h"
 
 static ba_time next_attempt(struct rp_core *c, ba_time now);
+static bool lost_its_disk(struct rp_core *c, int from,
+			  const struct rp_message *m);
+static void end_lease(struct rp_core *c, ba_time now);
 static void request_votes(struct rp_core *c, bool pre, bool handover,
 			  struct rp_actions *out);
 static void count_votes(struct rp_core *c, ba_time now, struct rp_actions *out);
@@ -116,6 +119,8 @@
 	struct rp_peer *p = &c->peers[from];
 	struct rp_message *reply;
 
+	if (!m->is_reply && lost_its_disk(c, from, m))
+		end_lease(c, now);
 	p->unformed_at = m->formed ? 0 : now;
 	p->damaged = m->damaged;
 	if (strcmp(p->disk_id, m->disk_id)) {
@@ -146,6 +151,29 @@
 	       (ba_time)ba_rand_below(&c->rand, (uint64_t)t->heartbeat);
 }
 
+/*
+ * Whether the last leader asks for a group with another disk than the one that
+ * it led with.  It has been started anew then, and does not lead.
+ */
+static bool lost_its_disk(struct rp_core *c, int from,
+			  const struct rp_message *m)
+{
+	const struct rp_member *member = rp_member(c, from);
+
+	return from == c->lease_holder && c->role == RP_FOLLOWER && member &&
+	       strcmp(member->disk_id, m->disk_id) != 0;
+}
+
+static void end_lease(struct rp_core *c, ba_time now)
+{
+	ba_time next = next_attempt(c, now);
+
+	c->lease_holder = RP_NO_PEER;
+	c->leader_heard_at = now - c->o.times.election_min;
+	if (next < c->election_deadline)
+		c->election_deadline = next;
+}
+
 static void request_votes(struct rp_core *c, bool pre, bool handover,
 			  struct rp_actions *out)
 {
--- a/replica/rp_lead.c
+++ b/replica/rp_lead.c
@@ -215,19 +215,27 @@
 			send_append(c, i, 0, now, out);
 }
 
-/* The greatest value that a quorum of voters has reached. */
+/*
+ * The greatest value that a quorum of voters has reached; it is the value of
+ * one of them.
+ */
 static uint64_t quorum_value(struct rp_core *c, const uint64_t *values)
 {
 	size_t quorum = rp_members_quorum(&c->members);
 	uint64_t best = 0;
+	uint64_t reached[RP_PEERS_LIMIT];
+	size_t n_voters = 0;
 
-	for (int i = 0; i < c->n_peers; i++) {
+	for (int i = 0; i < c->n_peers; i++)
+		if (rp_is_voter(c, i))
+			reached[n_voters++] = values[i];
+	for (size_t i = 0; i < n_voters; i++) {
 		size_t n = 0;
 
-		for (int j = 0; j < c->n_peers; j++)
-			n += rp_is_voter(c, j) && values[j] >= values[i];
+		for (size_t j = 0; j < n_voters; j++)
+			n += reached[j] >= reached[i];
 		if (n >= quorum)
-			best = MAX(best, values[i]);
+			best = MAX(best, reached[i]);
 	}
 	return best;
 }
--- a/replica/rp_members.h
+++ b/replica/rp_members.h
@@ -15,7 +15,7 @@
 
 enum {
 	RP_MEMBERS_LIMIT = 9,
-	RP_PEERS_LIMIT = 16, /* known replicas, members or not */
+	RP_PEERS_LIMIT = 64, /* known replicas, members or not */
 	RP_ADDRESS_BYTES = 64,
 };
 
--- a/test/rp_test.cc
+++ b/test/rp_test.cc
@@ -335,6 +335,35 @@
 	}
 }
 
+/* The last leader has lost its disk: it says so, and another is elected. */
+TEST(RpLease, LeaderThatLostItsDiskIsReplacedSoon)
+{
+	int soon = 0;
+
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		world w(seed, 5);
+		int l = wait_for_leader(w);
+
+		ASSERT_GE(l, 0);
+		w.run(w.now + BA_SECOND);
+		l = w.leader();
+		for (int i = 0; i < 5; i++)
+			w.crash(i);
+		w.new_disk(l);
+		w.run(w.now + 300 * BA_MS);
+		for (int i = 0; i < 5; i++)
+			w.start(i);
+		w.run(w.now + w.times.probe + 3 * w.times.heartbeat +
+		      8 * w.delay_max);
+		soon += w.leader() >= 0;
+		w.run(w.now + 5 * BA_SECOND);
+		EXPECT_GE(w.leader(), 0) << seed;
+		EXPECT_EQ(w.violation, "") << seed;
+	}
+	/* Two candidates may split the votes. */
+	EXPECT_GT(soon, 40);
+}
+
 /*
  * s1 cannot reach the leader and asks for votes; the third replica has just
  * started again.  Returns whether two replicas led at once in one of the runs.
