source: a lease is judged by the clock, not by the loop's time

Cause, by reading: the loop's time is that of the start of its iteration. A process that is held up within one judges its lease by a time before that: a leader answers a read with what was the newest then, and a voter that renews a lease late in an iteration counts its own wait from the start of it, so that it may elect another before the lease ends.

Change: the clock is read where a lease decides: before an answer to the operator, to a follower's read and to a daemon, and for each message of another replica. A read is checked again after its body was written.

RpSource.LeaseIsNotJudgedByTheTimeOfTheLoop shows the difference.

--- a/source/so.h
+++ b/source/so.h
@@ -199,6 +199,17 @@
 /** so_source_shut_down() - hand over leadership, then stop the loop */
 void so_source_shut_down(struct so_source *s);
 
+/**
+ * so_lease_error() - whether this replica leads and its lease lasts
+ *
+ * Reads the clock: the time of the loop is that of the start of its iteration,
+ * and the process may have been suspended or slow since.  To be called right
+ * before an answer that only the leader may give.
+ *
+ * Return: %BA_OK, or the code that a proposal is refused with.
+ */
+int so_lease_error(const struct so_source *s);
+
 /** so_source_rearm() - set the timer to the replica's current deadline */
 void so_source_rearm(struct so_source *s);
 
--- a/source/so_feed.c
+++ b/source/so_feed.c
@@ -12,7 +12,7 @@
 static void on_summary(struct ds_feed_owner *o, uint64_t lowest,
 		       uint32_t daemons);
 static void on_ask_floor(struct ds_feed_owner *o);
-static void update_authority(struct so_source *s, ba_time now);
+static void update_authority(struct so_source *s);
 static void update_subscriber(struct so_conn *c, const struct wi_frame *f);
 static void set_behind(struct so_subscriber *r, const DsAck *m);
 static struct so_subscriber *get_subscriber(struct so_source *s,
@@ -50,7 +50,7 @@
 	if (f->type == DS_ACK)
 		update_subscriber(c, f);
 	if (f->type == DS_SUBSCRIBE)
-		update_authority(c->source, ba_loop_now(c->source->loop));
+		update_authority(c->source);
 	return ds_feed_handle_frame(c->source->feed, c->session, f);
 }
 
@@ -67,7 +67,7 @@
 
 	ds_feed_set_stale(s->feed,
 			  fresh ? BA_NEVER : MAX(up_to_date_at, s->started_at));
-	update_authority(s, now);
+	update_authority(s);
 	so_read_check(s, now);
 	g_hash_table_foreach_remove(s->subscribers, is_expired, &now);
 	check_in_force(s, now);
@@ -77,11 +77,9 @@
  * The lease is checked again for each DS_SUBSCRIBE: the lease of a leader
  * whose process was suspended runs out before its timers fire.
  */
-static void update_authority(struct so_source *s, ba_time now)
+static void update_authority(struct so_source *s)
 {
-	const struct rp_core *core = rp_node_core(s->node);
-
-	ds_feed_set_authority(s->feed, !rp_core_proposal_error(core, now));
+	ds_feed_set_authority(s->feed, !so_lease_error(s));
 }
 
 static void on_summary(struct ds_feed_owner *o, uint64_t lowest,
--- a/source/so_http.c
+++ b/source/so_http.c
@@ -87,8 +87,7 @@
 		answer(r, 404, "");
 	else if (r->body_truncated)
 		answer(r, 413, "");
-	else if (rp_core_proposal_error(rp_node_core(s->node),
-					ba_loop_now(s->loop)))
+	else if (so_lease_error(s))
 		redirect_to_leader(s, r);
 	else if (call == SO_CALL_READ)
 		handle_read(h, r);
@@ -155,7 +154,11 @@
 		return;
 	}
 	h->o.dialect->write_configuration(current, &body);
-	ht_request_answer(r, 200, "", "application/json", &body);
+	/* A large configuration takes a while to write. */
+	if (so_lease_error(h->o.source))
+		answer_code(r, 503, RP_NO_QUORUM, NULL);
+	else
+		ht_request_answer(r, 200, "", "application/json", &body);
 	ba_buf_free(&body);
 }
 
--- a/source/so_peer.c
+++ b/source/so_peer.c
@@ -125,8 +125,11 @@
 		return so_read_handle_reply(s, from, f);
 	if (f->type != RP_MESSAGE || from == RP_NO_PEER)
 		return WI_FRAME_UNKNOWN;
-	ret = rp_node_receive(s->node, from, f->data, f->len,
-			      ba_loop_now(s->loop));
+	/*
+	 * The time of the loop may be older than this message.  A voter that
+	 * noted it would vote for another before the lease that it renews ends.
+	 */
+	ret = rp_node_receive(s->node, from, f->data, f->len, ba_clock_now());
 	so_source_rearm(s);
 	return ret;
 }
--- a/source/so_read.c
+++ b/source/so_read.c
@@ -56,8 +56,7 @@
 
 	if (!m)
 		return WI_FRAME_GARBAGE;
-	if (!rp_core_proposal_error(rp_node_core(s->node),
-				    ba_loop_now(s->loop))) {
+	if (!so_lease_error(s)) {
 		reply.number = m->number;
 		reply.version =
 			rp_machine_current(rp_node_machine(s->node))->version;
--- a/source/so_source.c
+++ b/source/so_source.c
@@ -79,6 +79,11 @@
 	ba_loop_arm(s->loop, &s->shutdown_timer, now + SHUTDOWN_DELAY);
 }
 
+int so_lease_error(const struct so_source *s)
+{
+	return rp_core_proposal_error(rp_node_core(s->node), ba_clock_now());
+}
+
 void so_source_rearm(struct so_source *s)
 {
 	ba_time deadline = rp_node_deadline(s->node);
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -139,6 +139,32 @@
 	}));
 }
 
+/*
+ * The process is held up in the middle of a loop iteration.  The time of the
+ * loop says that the lease lasts; it has run out.
+ */
+TEST(RpSource, LeaseIsNotJudgedByTheTimeOfTheLoop)
+{
+	struct group g(1, 23241);
+	struct so_source *s = &g.replicas[0]->source;
+	bool checked = false;
+
+	ASSERT_TRUE(step_until(g.loop, [&] {
+		if (so_lease_error(s))
+			return false;
+		g_usleep((gulong)rp_times_default.lease + 100 * BA_MS);
+		EXPECT_EQ(rp_core_proposal_error(rp_node_core(s->node),
+						 ba_loop_now(g.loop)),
+			  BA_OK);
+		EXPECT_EQ(so_lease_error(s), RP_NO_QUORUM);
+		checked = true;
+		return true;
+	}));
+	EXPECT_TRUE(checked);
+	/* The lease is renewed once the loop runs again. */
+	EXPECT_TRUE(step_until(g.loop, [&] { return !so_lease_error(s); }));
+}
+
 int query(struct group &g, const char *command)
 {
 	CtQuery q = CT_QUERY__INIT;
