--- a/http/ht_link.c
+++ b/http/ht_link.c
@@ -212,9 +212,15 @@
 	return first;
 }
 
-/* Of equals, the one that was queued first is met first. */
+/*
+ * Of equals, the one that was queued first is met first.  In the second rank,
+ * where the rate does not suffice for all, the shortest rest is sent first, so
+ * that most of them end while their receivers still wait.
+ */
 static bool precedes(const struct ht_link_user *a, const struct ht_link_user *b)
 {
+	if (a->rank)
+		return a->unsent < b->unsent;
 	return a->deadline && (!b->deadline || a->deadline < b->deadline);
 }
 
--- a/replica/rp_internal.h
+++ b/replica/rp_internal.h
@@ -21,6 +21,8 @@
  * @match: last entry that it is known to have stored
  * @round: newest heartbeat round that it has answered
  * @inflight_deadline: when an unanswered append or chunk is sent again
+ * @inflight_round: heartbeat round in which it was sent; messages arrive in
+ *	order, so once a later round is answered it is lost
  * @inflight_index: last entry that this append or snapshot covers
  * @offset: byte offset of the snapshot chunk that it needs next
  * @granted: whether it granted its vote in the current election
@@ -36,6 +38,7 @@
 	uint64_t match;
 	uint64_t round;
 	ba_time inflight_deadline;
+	uint64_t inflight_round;
 	uint64_t inflight_index;
 	uint64_t offset;
 	bool granted;
--- a/replica/rp_lead.c
+++ b/replica/rp_lead.c
@@ -6,6 +6,12 @@
 #include "replica/rp_internal.h"
 #include "wire/rp.pb-c.h"
 
+/*
+ * An append or chunk may take long over a full link.  It is sent again after a
+ * multiple of the resend time only, unless it is known to be lost.
+ */
+#define RP_INFLIGHT_RESENDS 10
+
 /* In an open group, a member that is not heard for longer is replaced. */
 #define RP_MEMBER_SILENCE_LIMIT (2 * BA_SECOND)
 
@@ -24,6 +30,8 @@
 			struct rp_actions *out);
 static void send_chunk(struct rp_core *c, int to, ba_time now,
 		       struct rp_actions *out);
+static void set_inflight(const struct rp_core *c, struct rp_peer *p,
+			 ba_time now);
 static size_t count_batch(const struct rp_core *c, uint64_t next);
 static void reconcile_members(struct rp_core *c, ba_time now,
 			      struct rp_actions *out);
@@ -101,7 +109,8 @@
 		p->match = MAX(p->match, m->index);
 		p->next = MAX(p->next, p->match + 1);
 		p->offset = 0;
-		if (p->match >= p->inflight_index)
+		if (p->match >= p->inflight_index ||
+		    m->round > p->inflight_round)
 			p->inflight_deadline = 0;
 		advance_commit(c, now, out);
 		replicate(c, from, now, out);
@@ -306,7 +315,7 @@
 		return;
 	m->n_entries = n;
 	p->inflight_index = m->index + n;
-	p->inflight_deadline = now + c->o.times.resend;
+	set_inflight(c, p, now);
 }
 
 static void send_chunk(struct rp_core *c, int to, ba_time now,
@@ -320,7 +329,14 @@
 	m->offset = p->offset;
 	m->round = c->round;
 	p->inflight_index = m->index;
-	p->inflight_deadline = now + c->o.times.resend;
+	set_inflight(c, p, now);
+}
+
+static void set_inflight(const struct rp_core *c, struct rp_peer *p,
+			 ba_time now)
+{
+	p->inflight_round = c->round;
+	p->inflight_deadline = now + RP_INFLIGHT_RESENDS * c->o.times.resend;
 }
 
 static size_t count_batch(const struct rp_core *c, uint64_t next)
