--- a/bench/cl_bench_main.c
+++ b/bench/cl_bench_main.c
@@ -317,8 +317,8 @@
 
 	cl_retry_init(&r);
 	for (int i = 0; i < FAILING_CALLS; i++) {
-		struct cl_failure f = {CL_BACKEND_UNREACHABLE, true, false, 0,
-				       BA_SECOND, 0};
+		struct cl_failure f = {
+			CL_BACKEND_UNREACHABLE, true, false, 0, BA_SECOND, 0};
 		enum cl_retry_reason reason;
 
 		do {
--- a/distrib/ds_roster.c
+++ b/distrib/ds_roster.c
@@ -37,12 +37,12 @@
 		sorted[at] = c;
 	}
 	out->n = 0;
-	for (size_t i = 0; i < n; i++)
-		add_address(out, &sorted[i].relay->address);
 	out->n_preferred = 0;
-	while (out->n_preferred < out->n &&
-	       sorted[out->n_preferred].distance == sorted[0].distance)
-		out->n_preferred++;
+	for (size_t i = 0; i < n; i++) {
+		add_address(out, &sorted[i].relay->address);
+		if (sorted[i].distance == sorted[0].distance)
+			out->n_preferred = out->n;
+	}
 	for (size_t i = 0; i < n_seeds; i++)
 		add_address(out, &seeds[i]);
 }
--- a/test/cl_test.cc
+++ b/test/cl_test.cc
@@ -729,8 +729,8 @@
 	for (auto &b : budgets)
 		cl_retry_init(&b);
 	for (int i = 0; i < calls; i++) {
-		cl_failure f = {CL_BACKEND_UNREACHABLE, true, depth > 1, 0,
-				100, 0};
+		cl_failure f = {
+			CL_BACKEND_UNREACHABLE, true, depth > 1, 0, 100, 0};
 		cl_retry_reason reason;
 
 		do {
