--- a/proxy/px_backend.c
+++ b/proxy/px_backend.c
@@ -17,7 +17,6 @@
 		     const struct px_heartbeat *hb);
 static void apply_heartbeat(struct px *p, const struct px_heartbeat *hb);
 static void refuse_queued(struct px *p, int code);
-static struct px_exchange *find_queued(struct px *p);
 
 void px_backend_admit(struct px_exchange *x)
 {
@@ -216,21 +215,6 @@
 {
 	struct px_exchange *x;
 
-	while ((x = find_queued(p)))
+	while ((x = px_exchange_find(p, PX_ATTEMPT_QUEUED)))
 		px_exchange_on_not_run(x, code);
 }
-
-/* Searches from the start: ending one request may end others in the list. */
-static struct px_exchange *find_queued(struct px *p)
-{
-	struct ba_list *pos;
-
-	ba_list_each(pos, &p->exchanges)
-	{
-		struct px_exchange *x = ba_entry(pos, struct px_exchange, link);
-
-		if (x->state == PX_ATTEMPT_QUEUED)
-			return x;
-	}
-	return NULL;
-}
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -14,8 +14,6 @@
 static void begin_from_peer(struct px_exchange *x);
 static void begin_from_caller(struct px_exchange *x);
 static void hold_or_refuse(struct px_exchange *x, int code);
-static struct px_exchange *find_in_state(struct px *p,
-					 enum px_attempt_state state);
 static const struct cf_route *find_route(const struct px_exchange *x);
 static void apply_route(struct px_exchange *x, const struct cf_route *r);
 static void earn_retries(struct px_retry_budget *b);
@@ -58,12 +56,26 @@
 		if (x->state == PX_ATTEMPT_HELD)
 			x->state = PX_ATTEMPT_RESUMED;
 	}
-	while ((x = find_in_state(p, PX_ATTEMPT_RESUMED))) {
+	while ((x = px_exchange_find(p, PX_ATTEMPT_RESUMED))) {
 		x->state = PX_ATTEMPT_NONE;
 		begin_from_caller(x);
 	}
 }
 
+struct px_exchange *px_exchange_find(struct px *p, enum px_attempt_state state)
+{
+	struct ba_list *pos;
+
+	ba_list_each(pos, &p->exchanges)
+	{
+		struct px_exchange *x = ba_entry(pos, struct px_exchange, link);
+
+		if (x->state == state)
+			return x;
+	}
+	return NULL;
+}
+
 void px_exchange_cancel(struct px_exchange *x)
 {
 	x->downstream = NULL;
@@ -319,21 +331,6 @@
 	ba_loop_arm(p->loop, &x->timer, until);
 }
 
-static struct px_exchange *find_in_state(struct px *p,
-					 enum px_attempt_state state)
-{
-	struct ba_list *pos;
-
-	ba_list_each(pos, &p->exchanges)
-	{
-		struct px_exchange *x = ba_entry(pos, struct px_exchange, link);
-
-		if (x->state == state)
-			return x;
-	}
-	return NULL;
-}
-
 static const struct cf_route *find_route(const struct px_exchange *x)
 {
 	const struct ht_head *h = ht_conn_head(x->downstream->conn);
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -290,6 +290,13 @@
 /** px_exchange_expected_bytes() - estimate the size of the answer */
 double px_exchange_expected_bytes(struct px_exchange *x);
 
+/**
+ * px_exchange_find() - find a request whose current attempt is in @state
+ *
+ * Searches from the start: ending one request may end others in the list.
+ */
+struct px_exchange *px_exchange_find(struct px *p, enum px_attempt_state state);
+
 /** px_exchange_resume_held() - try the requests that were held again */
 void px_exchange_resume_held(struct px *p);
 
