--- a/bench/capacity.sh
+++ b/bench/capacity.sh
@@ -1,5 +1,6 @@
 #!/bin/sh
-# Generates docs/CAPACITY.md from measurements, docs/capacity.bench.
+# Generates docs/CAPACITY.md from measurements: docs/capacity.bench, and
+# docs/capacity.sweep, the output of a sweep on the users' platform.
 #
 # usage: bench/capacity.sh BUILD            measure and write both files
 #        bench/capacity.sh --page FILE      print the page for the lines of FILE
@@ -10,6 +11,26 @@
 
 page() {
 	awk -f "$top/bench/capacity.awk" "$1"
+	sweep=${1%.bench}.sweep
+	test -f "$sweep" || return 0
+	cat <<EOF
+
+## On the users' platform
+
+One day at 30, 100 and 300 instances, as the sweep of the platform's bench
+prints it; the last column of its slopes is where they lead.
+
+EOF
+	sed 's/^/    /; s/ *$//' "$sweep"
+	cat <<EOF
+
+Sessions of a core instance grow with the daemons of its data centre, which the
+roster spreads over its relays, and with the core instances, as each holds one
+to every other. Bytes grow with what changes: a change goes to a relay once and
+from it to its daemons. Neither the time until all serve again after all were
+killed nor that until the next change is acknowledged after the loss of a
+leader is within a second; the first grows with the instances.
+EOF
 }
 
 if test "$1" = --page
