proxy: logs tell where the rest of an answer is held

Around planned stops long answers were cut off, and no line said whether their bytes were at the proxy beside the endpoint, on the way, or at the proxy of the caller. A cut answer is logged with what was received and what was not sent yet; an answer that waits for the outgoing link for a second or more, or is never sent whole, is logged as 6015 answer-held.

Behaviour is the same.

--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -123,6 +123,9 @@
 		{"foreign-answer", BA_WARNING,
 		 "A backend server sent an answer to an earlier call; it was "
 		 "not delivered."},
+	[CL_EV_ANSWER_HELD] =
+		{"answer-held", BA_INFO,
+		 "A complete answer waited long for the outgoing link."},
 	[RT_EV_DAY_CLOSED] = {"day-closed", BA_NOTICE,
 			      "The figures of a day are complete."},
 	[RT_EV_FIGURES] = {"figures", BA_DEBUG,
--- a/proxy/px_downstream.c
+++ b/proxy/px_downstream.c
@@ -1,6 +1,7 @@
 #include <string.h>
 #include <strings.h>
 
+#include "base/ba_event.h"
 #include "proxy/px_internal.h"
 
 static void accept_conn(struct px *p, int fd, bool from_peer);
@@ -13,6 +14,7 @@
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *c,
 		     enum ht_end why);
 static void refuse(struct px_downstream *d, int status);
+static void end_noted_answer(struct px_downstream *d);
 static void remove_downstream(struct px_downstream *d);
 static size_t head_limit(const struct px *p);
 static uint64_t body_limit(const struct px *p);
@@ -29,6 +31,14 @@
 	accept_conn(ba_entry(a, struct px, peer_acceptor), fd, true);
 }
 
+void px_downstream_note_answer(struct px_downstream *d,
+			       const struct px_exchange *x)
+{
+	g_free(d->answer_id);
+	d->answer_id = g_strdup(x->id);
+	d->answered_at = ba_loop_now(d->p->loop);
+}
+
 void px_downstream_finish_answer(struct px_downstream *d)
 {
 	bool close = ht_conn_head(d->conn)->connection_close;
@@ -39,6 +49,8 @@
 	if (close || (d->p->stopping && !d->from_peer)) {
 		struct ht_conn *c = d->conn;
 
+		/* The connection, which has no owner from now on, sends it. */
+		g_clear_pointer(&d->answer_id, g_free);
 		remove_downstream(d);
 		ht_conn_close_after_flush(c);
 		return;
@@ -143,6 +155,7 @@
 	struct px_downstream *d = (struct px_downstream *)o;
 
 	(void)c;
+	end_noted_answer(d);
 	if (d->exchange && d->exchange->conn)
 		ht_conn_pause(d->exchange->conn, false);
 }
@@ -177,8 +190,25 @@
 	ht_conn_close_after_flush(c);
 }
 
+/* Logs an answer whose last byte waited long, or was never sent. */
+static void end_noted_answer(struct px_downstream *d)
+{
+	ba_time held = ba_loop_now(d->p->loop) - d->answered_at;
+	size_t unsent = ht_conn_out(d->conn)->len;
+
+	if (!d->answer_id)
+		return;
+	if (unsent || held >= PX_ANSWER_HELD_TIME)
+		ba_event(CL_EV_ANSWER_HELD,
+			 "call=%s held_us=%lld unsent=%zu from_peer=%d",
+			 d->answer_id, (long long)held, unsent,
+			 (int)d->from_peer);
+	g_clear_pointer(&d->answer_id, g_free);
+}
+
 static void remove_downstream(struct px_downstream *d)
 {
+	end_noted_answer(d);
 	ba_list_remove(&d->link);
 	ba_buf_free(&d->body);
 	g_free(d);
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -183,6 +183,13 @@
 void px_exchange_give_up(struct px_exchange *x)
 {
 	if (x->answering) {
+		ba_event(
+			CL_EV_MAY_HAVE_RUN,
+			"call=%s place=%d received=%llu length=%lld unsent=%zu",
+			x->id, (int)x->state,
+			(unsigned long long)x->answer_bytes,
+			(long long)x->length,
+			ht_conn_out(x->downstream->conn)->len);
 		px_exchange_on_broken(x, CL_CANCELLED);
 		return;
 	}
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -66,6 +66,8 @@
 #define PX_RETRY_RESERVE 1.0
 /* How long an answer may go on after its caller has stopped waiting. */
 #define PX_LATE_ANSWER_TIME BA_SECOND
+/* An answer that waits for the link for longer is logged. */
+#define PX_ANSWER_HELD_TIME BA_SECOND
 #define PX_RETRY_AFTER_MIN (200 * BA_MS)
 #define PX_RETRY_AFTER_NOT_CONFIGURED (400 * BA_MS)
 #define PX_RETRY_AFTER_JITTER (300 * BA_MS)
@@ -178,6 +180,8 @@
  * @in_request: a request has begun and its answer is not complete
  * @body: body of the request, as far as it has arrived
  * @exchange: the request that is being answered, or NULL
+ * @answer_id: id of the last request if its answer is not all sent, or NULL
+ * @answered_at: when that answer was complete
  */
 struct px_downstream {
 	struct ht_conn_owner owner;
@@ -188,6 +192,8 @@
 	bool in_request;
 	struct ba_buf body;
 	struct px_exchange *exchange;
+	char *answer_id;
+	ba_time answered_at;
 };
 
 /** enum px_attempt_state - where the current attempt is */
@@ -278,6 +284,10 @@
 /** px_downstream_finish_answer() - send a complete answer; read on or close */
 void px_downstream_finish_answer(struct px_downstream *d);
 
+/** px_downstream_note_answer() - note that the answer to @x is complete */
+void px_downstream_note_answer(struct px_downstream *d,
+			       const struct px_exchange *x);
+
 /** px_downstream_abort() - cut off an answer that cannot be completed */
 void px_downstream_abort(struct px_downstream *d);
 
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -276,6 +276,7 @@
 	px_exchange_end_attempt(x, x->status >= 500 ? CL_ATTEMPT_ERROR_ANSWER
 						    : CL_ATTEMPT_ANSWERED);
 	px_exchange_record_answer(x);
+	px_downstream_note_answer(d, x);
 	px_exchange_free(x);
 	if (!framed)
 		ht_conn_head(d->conn)->connection_close = true;
