--- a/proxy/px_downstream.c
+++ b/proxy/px_downstream.c
@@ -56,6 +56,8 @@
 		return;
 	}
 	ht_conn_flush(d->conn);
+	if (!ht_conn_out(d->conn)->len)
+		g_clear_pointer(&d->answer_id, g_free);
 	ht_conn_set_deadline(d->conn,
 			     ba_loop_now(d->p->loop) + idle_timeout(d));
 	ht_conn_read_next(d->conn);
--- a/test/full_link_test.cc
+++ b/test/full_link_test.cc
@@ -28,6 +28,10 @@
 const ba_time MEAN_SERVICE = 210 * BA_MS;
 const ba_time TARGET = BA_SECOND;
 const ba_time PATIENCE = 6 * BA_SECOND;
+
+/* A proxy that is stopped takes requests for a while and ends later. */
+const ba_time STOP_ACCEPTS = 2500 * BA_MS;
+const ba_time STOP_TIME = 5 * BA_SECOND;
 const double SPEEDS[] = {0.7, 0.7, 1.6};
 
 struct result {
@@ -36,6 +40,7 @@
 	int late = 0;
 	int too_late = 0; /* the caller had left */
 	int refused = 0;
+	int cut = 0; /* the proxy of the caller ended before the answer did */
 	double bytes_in_time = 0;
 	ba_time max_short_delay = 0;
 };
@@ -56,6 +61,7 @@
 		instance *at = nullptr;
 		struct cl_egress_reservation reservation = {};
 		ba_time first_attempt;
+		ba_time stops_at = BA_NEVER; /* when its proxy is stopped */
 		int attempts = 0;
 		size_t left = 0;
 		size_t sent = 0;
@@ -75,6 +81,7 @@
 
 	bool by_deadline;
 	double load;
+	double stopping = 0; /* share of callers whose proxies are stopped */
 	struct ba_rand rand = {11};
 	std::vector<std::unique_ptr<instance>> instances;
 	std::vector<std::unique_ptr<call>> calls;
@@ -145,6 +152,11 @@
 
 		c->r = this;
 		c->first_attempt = now;
+		if (stopping > 0 && uniform() < stopping)
+			c->stops_at =
+				now - STOP_ACCEPTS +
+				(ba_time)(uniform() *
+					  (double)(STOP_ACCEPTS + PATIENCE));
 		out.total++;
 		attempt(c);
 		if (now < end)
@@ -182,6 +194,16 @@
 			   [this, c] { attempt(c); });
 	}
 
+	/* When the proxy of the caller ends, or the caller leaves. */
+	static ba_time leaves_at(const call *c)
+	{
+		ba_time patience = c->first_attempt + PATIENCE;
+
+		return c->stops_at == BA_NEVER
+			       ? patience
+			       : std::min(patience, c->stops_at + STOP_TIME);
+	}
+
 	bool admit(call *c, instance &i, bool last)
 	{
 		struct cl_egress_call d = {};
@@ -280,8 +302,10 @@
 		if (done <= c->first_attempt + TARGET) {
 			out.in_time++;
 			out.bytes_in_time += (double)c->sent;
-		} else if (done <= c->first_attempt + PATIENCE) {
+		} else if (done <= leaves_at(c)) {
 			out.late++;
+		} else if (leaves_at(c) < c->first_attempt + PATIENCE) {
+			out.cut++;
 		} else {
 			out.too_late++;
 		}
@@ -345,4 +369,26 @@
 	}
 }
 
+/*
+ * Seven of ten callers are at proxies that are stopped in turn.  An answer that
+ * was made must arrive before the proxy ends.
+ */
+TEST(FullLink, NoAnswerIsCutOffByThePlannedStopOfItsCallersProxy)
+{
+	for (double load : {0.7, 1.0, 1.4, 1.8}) {
+		replay r(true, load, 40 * BA_SECOND);
+
+		r.stopping = 0.7;
+		result out = r.run();
+
+		printf("load %.2f: in time %.3f, late %.3f, refused %.3f, "
+		       "too late %d, cut %d of %d\n",
+		       load, (double)out.in_time / out.total,
+		       (double)out.late / out.total,
+		       (double)out.refused / out.total, out.too_late, out.cut,
+		       out.total);
+		EXPECT_EQ(out.cut, 0) << load;
+	}
+}
+
 } // namespace
