http, proxy: a link knows when the receiver of an answer leaves

Around planned stops callers got a part of a long answer and then the end of the connection, though the run had ended well and their time was not over.

Cause: the answer waited at the proxy beside the endpoint, in the second rank of its outgoing link. That rank has a seventeenth of the rate while answers in time wait, and sends the shortest rest first, so nothing bounds how long a long answer waits; the caller's proxy ended meanwhile. The class: work is admitted with no bound on the end of its delivery.

A proxy that stops says when it leaves: in each request that it passes on and, for those on their way, in a notice to the proxy that has them. The link sends an answer of the second rank before all others once it could not be complete by then otherwise; if that fails for some, the largest are given up first. Admission and the queue count that time as the deadline. The proxy's own stop bounds its link in the same way.

Older proxies take the notice for a request without a service and refuse it; nothing else depends on it.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -151,6 +151,11 @@
 	c->link_user.deadline = due;
 }
 
+void ht_conn_set_expiry(struct ht_conn *c, ba_time expiry)
+{
+	c->link_user.expiry = expiry;
+}
+
 void ht_conn_set_owner(struct ht_conn *c, struct ht_conn_owner *o)
 {
 	c->owner = o;
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -78,6 +78,12 @@
  */
 void ht_conn_set_rank(struct ht_conn *c, unsigned int rank, ba_time due);
 
+/**
+ * ht_conn_set_expiry() - tell when the other end is about to leave
+ * @expiry: 0 if not known; for the message being sent and those that follow
+ */
+void ht_conn_set_expiry(struct ht_conn *c, ba_time expiry);
+
 /** ht_conn_set_owner() - send callbacks to @o from now on */
 void ht_conn_set_owner(struct ht_conn *c, struct ht_conn_owner *o);
 
--- a/http/ht_link.c
+++ b/http/ht_link.c
@@ -1,9 +1,15 @@
+#include <string.h>
+
 #include <glib.h>
 
 #include "http/ht_link.h"
 
 /* The rest of the rate is left for the headers of lower layers. */
 #define USABLE_RATE_SHARE 0.95
+/* Messages with an expiry count on this share; short ones take of the rate. */
+#define EXPIRY_RATE_SHARE 0.75
+/* How much earlier than necessary a message with an expiry is sent. */
+#define EXPIRY_SLACK (200 * BA_MS)
 
 /*
  * @tokens: token bucket, in bytes; negative when overdrawn
@@ -14,6 +20,8 @@
  *	is next
  * @unsent: bytes that are not written yet, by rank
  * @n_unsent_users: number of users with such bytes
+ * @end: when the sender is about to leave, 0 if not known
+ * @expiring: users with an expiry; used only during a call of expiring_user()
  */
 struct ht_link {
 	struct ba_loop *loop;
@@ -26,12 +34,21 @@
 	double credit;
 	size_t unsent[HT_LINK_RANKS];
 	unsigned int n_unsent_users;
+	ba_time end;
+	GPtrArray *expiring;
 };
 
 static void refill(struct ht_link *l, ba_time now);
 static void update_credit(struct ht_link *l, const struct ht_link_user *u,
 			  double bytes);
 static struct ht_link_user *next_user(const struct ht_link *l);
+static struct ht_link_user *expiring_user(const struct ht_link *l);
+static void collect_expiring(const struct ht_link *l);
+static gint compare_expiry(gconstpointer a, gconstpointer b, gpointer link);
+static guint find_largest(const GPtrArray *users, guint n);
+static ba_time expiry(const struct ht_link *l, const struct ht_link_user *u);
+static ba_time expiry_send_time(const struct ht_link *l, size_t bytes);
+static bool is_any_unblocked(const struct ht_link *l);
 static struct ht_link_user *first_unblocked(const struct ba_list *waiting);
 static void demote_late(struct ht_link *l, ba_time now);
 static bool precedes(const struct ht_link_user *a,
@@ -46,6 +63,7 @@
 	struct ht_link *l = g_new0(struct ht_link, 1);
 
 	l->loop = loop;
+	l->expiring = g_ptr_array_new();
 	l->timer.fire = on_timer;
 	l->rate = (double)rate * USABLE_RATE_SHARE;
 	l->weight = weight;
@@ -65,6 +83,7 @@
 			ba_list_remove(l->waiting[i].next);
 	if (l->loop)
 		ba_loop_disarm(l->loop, &l->timer);
+	g_ptr_array_free(l->expiring, TRUE);
 	g_free(l);
 }
 
@@ -95,6 +114,12 @@
 	arm_timer(l);
 }
 
+void ht_link_set_end(struct ht_link *l, ba_time end)
+{
+	l->end = end;
+	arm_timer(l);
+}
+
 void ht_link_dequeue(struct ht_link *l, struct ht_link_user *u)
 {
 	if (!is_waiting(u))
@@ -142,7 +167,7 @@
 
 ba_time ht_link_next_run(const struct ht_link *l)
 {
-	if (!next_user(l))
+	if (!is_any_unblocked(l))
 		return BA_NEVER;
 	if (l->tokens > 0)
 		return l->refilled_at;
@@ -192,10 +217,111 @@
 {
 	struct ht_link_user *high = first_unblocked(&l->waiting[0]);
 	struct ht_link_user *low = first_unblocked(&l->waiting[1]);
+	struct ht_link_user *expiring = low ? expiring_user(l) : NULL;
 
+	if (expiring)
+		return expiring;
 	return low && (!high || l->credit > 0) ? low : high;
 }
 
+/*
+ * Returns the message of the second rank that expires first, if one of those
+ * that can be complete in time could not be if it waited any longer.
+ */
+static struct ht_link_user *expiring_user(const struct ht_link *l)
+{
+	ba_time now = l->refilled_at;
+	ba_time slack = BA_NEVER;
+	GPtrArray *users = l->expiring;
+	size_t bytes = 0;
+	guint n = 0;
+
+	collect_expiring(l);
+	for (guint i = 0; i < users->len; i++) {
+		struct ht_link_user *u = users->pdata[i];
+
+		users->pdata[n++] = u;
+		bytes += u->unsent;
+		if (now + expiry_send_time(l, bytes) >
+		    expiry(l, u) + HT_LINK_EXPIRY_TAIL) {
+			guint largest = find_largest(users, n);
+
+			u = users->pdata[largest];
+			bytes -= u->unsent;
+			memmove(&users->pdata[largest],
+				&users->pdata[largest + 1],
+				(--n - largest) * sizeof(gpointer));
+		}
+	}
+	bytes = 0;
+	for (guint i = 0; i < n; i++) {
+		const struct ht_link_user *u = users->pdata[i];
+
+		bytes += u->unsent;
+		slack = MIN(slack,
+			    expiry(l, u) - now - expiry_send_time(l, bytes));
+	}
+	return n && slack <= EXPIRY_SLACK ? users->pdata[0] : NULL;
+}
+
+static void collect_expiring(const struct ht_link *l)
+{
+	struct ba_list *pos;
+
+	g_ptr_array_set_size(l->expiring, 0);
+	ba_list_each(pos, &l->waiting[1])
+	{
+		struct ht_link_user *u =
+			ba_entry(pos, struct ht_link_user, link);
+
+		if (expiry(l, u) && !u->blocked)
+			g_ptr_array_add(l->expiring, u);
+	}
+	g_ptr_array_sort_with_data(l->expiring, compare_expiry, (gpointer)l);
+}
+
+static gint compare_expiry(gconstpointer a, gconstpointer b, gpointer link)
+{
+	ba_time ta = expiry(link, *(struct ht_link_user *const *)a);
+	ba_time tb = expiry(link, *(struct ht_link_user *const *)b);
+
+	return (ta > tb) - (ta < tb);
+}
+
+/* Returns the index of the largest of the first @n users. */
+static guint find_largest(const GPtrArray *users, guint n)
+{
+	guint largest = 0;
+
+	for (guint i = 1; i < n; i++) {
+		const struct ht_link_user *u = users->pdata[i];
+		const struct ht_link_user *v = users->pdata[largest];
+
+		if (u->unsent > v->unsent)
+			largest = i;
+	}
+	return largest;
+}
+
+static ba_time expiry(const struct ht_link *l, const struct ht_link_user *u)
+{
+	if (!l->end || !u->expiry)
+		return MAX(l->end, u->expiry);
+	return MIN(l->end, u->expiry);
+}
+
+static ba_time expiry_send_time(const struct ht_link *l, size_t bytes)
+{
+	return (ba_time)((double)bytes * (double)BA_SECOND /
+			 (l->rate * EXPIRY_RATE_SHARE));
+}
+
+static bool is_any_unblocked(const struct ht_link *l)
+{
+	return first_unblocked(&l->waiting[0]) ||
+	       first_unblocked(&l->waiting[1]);
+}
+
 static struct ht_link_user *first_unblocked(const struct ba_list *waiting)
 {
 	struct ht_link_user *first = NULL;
--- a/http/ht_link.h
+++ b/http/ht_link.h
@@ -16,6 +16,9 @@
  *   so that it delays none that can.
  * - The second rank gets the rate that the first leaves unused, and a small
  *   share in any case, so that it does not starve.
+ * - A message of the second rank whose receiver leaves soon goes before all
+ *   others, as late as it can be complete by then.  If the rate does not suffice
+ *   for all of these, the largest are given up first.
  * - At most one piece is written ahead of the rate.
  */
 #ifndef HT_LINK_H
@@ -38,6 +41,9 @@
 	HT_LINK_RANKS = 2,
 };
 
+/* How long after its expiry a message may still be of use. */
+#define HT_LINK_EXPIRY_TAIL (500 * BA_MS)
+
 struct ht_link;
 
 /**
@@ -47,6 +53,8 @@
  * @blocked: its receiver accepts no more, until the next ht_link_request()
  * @rank: 0, or 1 for the smaller share
  * @deadline: when its message is to be complete, 0 for none
+ * @expiry: when its receiver is about to leave, 0 if not known; a message that
+ *	cannot be complete %HT_LINK_EXPIRY_TAIL later is given up first
  * @unsent: bytes that are not written yet
  */
 struct ht_link_user {
@@ -55,6 +63,7 @@
 	bool blocked;
 	unsigned int rank;
 	ba_time deadline;
+	ba_time expiry;
 	size_t unsent;
 };
 
@@ -87,6 +96,13 @@
 void ht_link_account_write(struct ht_link *l, struct ht_link_user *u,
 			   size_t bytes, bool blocked);
 
+/**
+ * ht_link_set_end() - tell when the sender itself is about to leave
+ *
+ * No user has a later expiry from now on.
+ */
+void ht_link_set_end(struct ht_link *l, ba_time end);
+
 /** ht_link_dequeue() - remove @u, which has nothing to write or cannot */
 void ht_link_dequeue(struct ht_link *l, struct ht_link_user *u);
 
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -255,7 +255,7 @@
 	g->refuse_at = now + REFUSE_DELAY;
 	g->stop_deadline =
 		now + MAX(g->settings.grace_time - STOP_RESERVE, BA_SECOND);
-	px_begin_stop(g->proxy);
+	px_begin_stop(g->proxy, g->stop_deadline);
 	ba_loop_arm(g->loop, &g->stop_timer, now + STOP_POLL_PERIOD);
 }
 
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -6,6 +6,7 @@
 /* px_upstream.c passes the rank of call/ to the link unconverted. */
 G_STATIC_ASSERT((int)HT_LINK_RANKS == (int)CL_EGRESS_RANKS);
 
+static void announce_leaving(struct px *p);
 static void pool_free(gpointer data);
 static void split_free(gpointer data);
 static int listen_all(struct px *p, const struct ba_address **failed);
@@ -40,6 +41,7 @@
 	p->egress.rate = o->link_rate;
 	ba_list_init(&p->downstreams);
 	ba_list_init(&p->exchanges);
+	ba_list_init(&p->notices);
 	p->router = cl_router_new(&router);
 	p->retry_budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -75,14 +77,21 @@
 	px_exchange_resume_held(p);
 }
 
-void px_begin_stop(struct px *p)
+void px_begin_stop(struct px *p, ba_time leaves_at)
 {
 	p->stopping = true;
+	p->leaves_at = leaves_at;
+	ht_link_set_end(p->link, leaves_at);
+	announce_leaving(p);
 }
 
+/* The second notice reaches those that the first one has overtaken. */
 void px_refuse_requests(struct px *p)
 {
+	if (p->refuses_requests)
+		return;
 	p->refuses_requests = true;
+	announce_leaving(p);
 }
 
 void px_end_requests(struct px *p)
@@ -110,6 +119,7 @@
 	ht_service_free(p->heartbeat_service);
 	ba_list_each_safe(pos, tmp, &p->downstreams)
 		px_downstream_free(ba_entry(pos, struct px_downstream, link));
+	px_upstream_end_notices(p);
 	ba_loop_disarm(p->loop, &p->backend.dispatch_timer);
 	g_hash_table_destroy(p->peer_pools);
 	g_hash_table_destroy(p->splits);
@@ -124,6 +134,19 @@
 	g_free(p);
 }
 
+static void announce_leaving(struct px *p)
+{
+	struct ba_list *pos;
+
+	ba_list_each(pos, &p->exchanges)
+	{
+		struct px_exchange *x = ba_entry(pos, struct px_exchange, link);
+
+		if (x->state == PX_ATTEMPT_AT_PEER)
+			px_upstream_announce_leaving(x);
+	}
+}
+
 static void pool_free(gpointer data)
 {
 	ht_pool_free(data);
--- a/proxy/px.h
+++ b/proxy/px.h
@@ -89,8 +89,9 @@
 
 /**
  * px_begin_stop() - report not ready; requests are still accepted and answered
+ * @leaves_at: when px_end_requests() will be called; links are scheduled for it
  */
-void px_begin_stop(struct px *p);
+void px_begin_stop(struct px *p, ba_time leaves_at);
 
 /** px_refuse_requests() - refuse new requests of callers from now on */
 void px_refuse_requests(struct px *p);
--- a/proxy/px_backend.c
+++ b/proxy/px_backend.c
@@ -24,11 +24,12 @@
 	ba_time now = ba_loop_now(p->loop);
 	double bytes = px_exchange_expected_bytes(x);
 	ba_time sending = cl_egress_transmit_time(&p->egress, bytes);
+	ba_time leaves_at = px_exchange_leaves_at(x);
 	const struct cl_sched_call waiter = {
 		.route = x->route,
 		.priority = x->priority,
-		.target = x->latency_target - sending,
-		.deadline = x->deadline - sending,
+		.target = MIN(x->latency_target, leaves_at) - sending,
+		.deadline = MIN(x->deadline, leaves_at) - sending,
 	};
 	int code = refusal_code(p, x->service);
 	enum cl_admit_reason reason;
@@ -138,12 +139,13 @@
 static int reserve_link(struct px_exchange *x, double bytes)
 {
 	struct px *p = x->p;
+	ba_time leaves_at = px_exchange_leaves_at(x);
 	const struct cl_egress_call call = {
 		.bytes = bytes,
 		.service_time =
 			cl_sched_service_time(p->backend.sched, x->route),
-		.target = x->latency_target,
-		.deadline = x->deadline,
+		.target = MIN(x->latency_target, leaves_at),
+		.deadline = MIN(x->deadline, leaves_at),
 		.no_alternative = x->last_try,
 		.unsent = {[CL_EGRESS_IN_TIME] = (double)ht_link_unsent(
 				   p->link, CL_EGRESS_IN_TIME),
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -9,6 +9,7 @@
 		       struct ba_buf *out);
 static void add_backend_fields(const struct px_exchange *x, struct ba_buf *out);
 static void add_proxy_fields(struct px_exchange *x, struct ba_buf *out);
+static void add_leaves_field(const struct px_exchange *x, struct ba_buf *out);
 static ba_time time_left(const struct px_exchange *x);
 static ba_time retry_after(struct px_exchange *x, int code);
 
@@ -30,6 +31,16 @@
 	ba_buf_add(out, body->data, body->len);
 }
 
+void px_compose_notice(const struct px_exchange *x, struct ba_buf *out)
+{
+	ba_buf_addf(out,
+		    "POST / HTTP/1.1\r\nHost: -\r\n" PX_FIELD_LEAVING
+		    ": %s\r\n",
+		    x->id);
+	add_leaves_field(x, out);
+	ba_buf_addf(out, "Content-Length: 0\r\n\r\n");
+}
+
 /*
  * Writes Content-Length if the length is known.  Otherwise the answer is sent
  * in chunks, so that the caller can tell a truncated answer from a complete
@@ -152,6 +163,16 @@
 		    PX_FIELD_TIME_LEFT ": %lld\r\n" PX_FIELD_TARGET_LEFT
 				       ": %lld\r\n",
 		    (long long)time_left(x), (long long)target);
+	add_leaves_field(x, out);
+}
+
+static void add_leaves_field(const struct px_exchange *x, struct ba_buf *out)
+{
+	ba_time now = ba_loop_now(x->p->loop);
+
+	if (x->p->leaves_at)
+		ba_buf_addf(out, PX_FIELD_LEAVES_LEFT ": %lld\r\n",
+			    (long long)MAX(x->p->leaves_at - now, 0));
 }
 
 static ba_time time_left(const struct px_exchange *x)
--- a/proxy/px_downstream.c
+++ b/proxy/px_downstream.c
@@ -14,6 +14,8 @@
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *c,
 		     enum ht_end why);
 static void refuse(struct px_downstream *d, int status);
+static bool is_answering(const struct px_downstream *d, const char *id);
+static void set_expiry(struct px_downstream *d, ba_time expiry);
 static void end_noted_answer(struct px_downstream *d);
 static void remove_downstream(struct px_downstream *d);
 static size_t head_limit(const struct px *p);
@@ -63,6 +65,28 @@
 	ht_conn_read_next(d->conn);
 }
 
+void px_downstream_on_leaving(struct px_downstream *d)
+{
+	static const char done[] = "HTTP/1.1 204 No Content\r\n\r\n";
+	const struct ht_head *h = ht_conn_head(d->conn);
+	const char *id = ht_head_get(h, PX_FIELD_LEAVING);
+	const char *left = ht_head_get(h, PX_FIELD_LEAVES_LEFT);
+	ba_time now = ba_loop_now(d->p->loop);
+	struct ba_list *pos;
+
+	ba_list_each(pos, &d->p->downstreams)
+	{
+		struct px_downstream *other =
+			ba_entry(pos, struct px_downstream, link);
+
+		if (left && other->from_peer && is_answering(other, id))
+			set_expiry(other,
+				   now + g_ascii_strtoll(left, NULL, 10));
+	}
+	ht_conn_write(d->conn, done, sizeof(done) - 1);
+	px_downstream_finish_answer(d);
+}
+
 void px_downstream_abort(struct px_downstream *d)
 {
 	struct ht_conn *c = d->conn;
@@ -192,6 +216,21 @@
 	ht_conn_close_after_flush(c);
 }
 
+/* Whether @id is in progress on @d, or its answer is not all sent. */
+static bool is_answering(const struct px_downstream *d, const char *id)
+{
+	if (d->exchange)
+		return !strcmp(d->exchange->id, id);
+	return d->answer_id && !strcmp(d->answer_id, id);
+}
+
+static void set_expiry(struct px_downstream *d, ba_time expiry)
+{
+	if (d->exchange)
+		d->exchange->leaves_at = expiry;
+	ht_conn_set_expiry(d->conn, expiry);
+}
+
 /* Logs an answer whose last byte waited long, or was never sent. */
 static void end_noted_answer(struct px_downstream *d)
 {
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -36,6 +36,11 @@
 	struct px_caller_fields request;
 	struct px_exchange *x;
 
+	if (d->from_peer &&
+	    ht_head_get(ht_conn_head(d->conn), PX_FIELD_LEAVING)) {
+		px_downstream_on_leaving(d);
+		return;
+	}
 	d->p->dialect->read_request(ht_conn_head(d->conn), &request);
 	x = exchange_new(d, &request);
 	if (d->from_peer)
@@ -198,6 +203,13 @@
 	fail(x);
 }
 
+ba_time px_exchange_leaves_at(const struct px_exchange *x)
+{
+	ba_time own = x->p->leaves_at ? x->p->leaves_at : BA_NEVER;
+
+	return x->leaves_at ? MIN(x->leaves_at, own) : own;
+}
+
 void px_exchange_free(struct px_exchange *x)
 {
 	ba_loop_disarm(x->p->loop, &x->timer);
@@ -278,6 +290,7 @@
 	const char *left = ht_head_get(h, PX_FIELD_TIME_LEFT);
 	const char *priority = ht_head_get(h, PX_FIELD_PRIORITY);
 	const char *target = ht_head_get(h, PX_FIELD_TARGET_LEFT);
+	const char *leaves = ht_head_get(h, PX_FIELD_LEAVES_LEFT);
 
 	if (!service || !caller || !left) {
 		answer_error(x, 400, CL_REQUEST_MALFORMED);
@@ -292,6 +305,9 @@
 	x->latency_target =
 		target ? x->arrived_at + g_ascii_strtoll(target, NULL, 10)
 		       : x->deadline;
+	if (leaves)
+		x->leaves_at =
+			x->arrived_at + g_ascii_strtoll(leaves, NULL, 10);
 	ba_loop_arm(x->p->loop, &x->timer, x->deadline);
 	px_backend_admit(x);
 }
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -80,6 +80,9 @@
 #define PX_FIELD_PRIORITY "caraway-priority"
 #define PX_FIELD_ROUTE "caraway-route"
 #define PX_FIELD_TARGET_LEFT "caraway-target-left-us"
+#define PX_FIELD_LEAVES_LEFT "caraway-leaves-left-us"
+/* Names a request whose sender is about to leave; no request itself. */
+#define PX_FIELD_LEAVING "caraway-leaving"
 #define PX_FIELD_LAST_TRY "caraway-last-try"
 #define PX_FIELD_NOT_RUN "caraway-not-run"
 #define PX_FIELD_LOAD "caraway-load"
@@ -131,6 +134,8 @@
  * @retry_budgets: struct px_retry_budget by service
  * @splits: struct px_split by route
  * @route_stats: struct px_route_stats by route
+ * @leaves_at: when this proxy is about to leave, 0 while it is not stopping
+ * @notices: calls to other proxies that tell them so
  * @peer_pools: struct ht_pool by address of the other proxy
  */
 struct px {
@@ -153,6 +158,8 @@
 	ba_time started_at;
 	bool endpoints_known;
 	bool stopping;
+	ba_time leaves_at;
+	struct ba_list notices;
 	bool refuses_requests;
 	GHashTable *retry_budgets;
 	GHashTable *splits;
@@ -212,6 +219,7 @@
  * @caller_deadline: when the caller stops waiting, %BA_NEVER if unknown
  * @deadline: when the caller stops waiting or the route's timeout expires
  * @latency_target: latency target, as a point in time
+ * @leaves_at: when the proxy that it came from is about to leave, 0 if not known
  * @idempotent: may run more than once
  * @runs: number of backend servers that may have begun to work on it
  * @max_runs: limit of @runs
@@ -244,6 +252,7 @@
 	ba_time caller_deadline;
 	ba_time deadline;
 	ba_time latency_target;
+	ba_time leaves_at;
 	uint32_t priority;
 	bool idempotent;
 	unsigned int runs;
@@ -291,6 +300,13 @@
 /** px_downstream_abort() - cut off an answer that cannot be completed */
 void px_downstream_abort(struct px_downstream *d);
 
+/**
+ * px_downstream_on_leaving() - process the notice that has arrived on @d
+ *
+ * The notice names a request by its id.
+ */
+void px_downstream_on_leaving(struct px_downstream *d);
+
 /** px_downstream_free() - cancel the request and close the connection */
 void px_downstream_free(struct px_downstream *d);
 
@@ -329,6 +345,9 @@
  */
 bool px_exchange_retry_error(struct px_exchange *x);
 
+/** px_exchange_leaves_at() - when a proxy of the request leaves, or %BA_NEVER */
+ba_time px_exchange_leaves_at(const struct px_exchange *x);
+
 /** px_exchange_record_answer() - update answer size and retry budget */
 void px_exchange_record_answer(struct px_exchange *x);
 
@@ -342,6 +361,12 @@
 void px_exchange_end_attempt(struct px_exchange *x,
 			     enum cl_attempt_result result);
 
+/** px_upstream_announce_leaving() - tell the other proxy of @x when we leave */
+void px_upstream_announce_leaving(struct px_exchange *x);
+
+/** px_upstream_end_notices() - close the calls that tell of our leaving */
+void px_upstream_end_notices(struct px *p);
+
 /** px_upstream_send_backend() - send the request to the local backend server */
 void px_upstream_send_backend(struct px_exchange *x);
 
@@ -376,6 +401,9 @@
 void px_compose_request(struct px_exchange *x, bool to_backend,
 			struct ba_buf *out);
 
+/** px_compose_notice() - write the notice that this proxy leaves, about @x */
+void px_compose_notice(const struct px_exchange *x, struct ba_buf *out);
+
 /** px_compose_answer_head() - write the head of the answer to the caller */
 void px_compose_answer_head(struct px_exchange *x, const struct ht_head *h,
 			    struct ba_buf *out);
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -6,8 +6,20 @@
 #include "proxy/px_internal.h"
 #include "report/rt.h"
 
+/* A call that tells another proxy when this one leaves. */
+struct notice {
+	struct ht_conn_owner owner;
+	struct ba_list link;
+	struct ht_pool *pool;
+	struct ht_conn *conn;
+};
+
 static void send_request(struct px_exchange *x, struct ht_pool *pool,
 			 enum px_attempt_state state);
+static void on_notice_complete(struct ht_conn_owner *o, struct ht_conn *c);
+static void on_notice_ended(struct ht_conn_owner *o, struct ht_conn *c,
+			    enum ht_end why);
+static void notice_free(struct notice *n);
 static struct ht_pool *find_peer_pool(struct px *p, const char *address);
 static void on_head(struct ht_conn_owner *o, struct ht_conn *c);
 static void on_body(struct ht_conn_owner *o, struct ht_conn *c,
@@ -44,6 +56,58 @@
 	send_request(x, pool, PX_ATTEMPT_AT_PEER);
 }
 
+/* The answer is of no interest: the notice is a hint. */
+void px_upstream_announce_leaving(struct px_exchange *x)
+{
+	struct px *p = x->p;
+	ba_time now = ba_loop_now(p->loop);
+	struct notice *n = g_new0(struct notice, 1);
+	bool fresh;
+
+	n->owner.complete = on_notice_complete;
+	n->owner.ended = on_notice_ended;
+	n->pool = x->pool;
+	ba_list_append(&p->notices, &n->link);
+	n->conn = ht_pool_take(n->pool, &n->owner, &fresh);
+	ht_conn_set_deadline(n->conn, now + PX_CONNECT_TIMEOUT);
+	px_compose_notice(x, ht_conn_out(n->conn));
+	ht_conn_flush(n->conn);
+}
+
+void px_upstream_end_notices(struct px *p)
+{
+	while (!ba_list_empty(&p->notices)) {
+		struct notice *n =
+			ba_entry(p->notices.next, struct notice, link);
+
+		ht_conn_abort(n->conn);
+		notice_free(n);
+	}
+}
+
+static void on_notice_complete(struct ht_conn_owner *o, struct ht_conn *c)
+{
+	struct notice *n = (struct notice *)o;
+	struct ht_pool *pool = n->pool;
+
+	notice_free(n);
+	ht_pool_give(pool, c);
+}
+
+static void on_notice_ended(struct ht_conn_owner *o, struct ht_conn *c,
+			    enum ht_end why)
+{
+	(void)c;
+	(void)why;
+	notice_free((struct notice *)o);
+}
+
+static void notice_free(struct notice *n)
+{
+	ba_list_remove(&n->link);
+	g_free(n);
+}
+
 static void send_request(struct px_exchange *x, struct ht_pool *pool,
 			 enum px_attempt_state state)
 {
@@ -229,6 +293,7 @@
 			 x->reservation.rank == CL_EGRESS_IN_TIME
 				 ? x->latency_target
 				 : 0);
+	ht_conn_set_expiry(x->downstream->conn, x->leaves_at);
 	px_compose_answer_head(x, ht_conn_head(x->conn),
 			       ht_conn_out(x->downstream->conn));
 }
--- a/test/proxy_world.h
+++ b/test/proxy_world.h
@@ -277,6 +277,12 @@
 		t.done.get_future().wait();
 	}
 
+	/* Begins a planned stop that has @time until it ends. */
+	void begin_stop(ba_time time = BA_MINUTE)
+	{
+		run([&] { px_begin_stop(proxy, ba_loop_now(loop) + time); });
+	}
+
 	void configure()
 	{
 		struct cf_snapshot *s = snapshot();
