proxy: a planned stop lets an arriving answer end

Callers of a proxy that stops got the beginning of an answer and then the end of the connection, or 502 for an answer of which a part had come.

Cause: one second before the end of the grace time every request in progress was given up, those whose answer was arriving too, and the process ended at once. The class: the end of a stop is taken for the end of all work, though time to deliver is left.

Requests without an answer still get their final answer then; those whose answer is arriving, and answers that wait for the link, have until 0.2 s before the end. What is cut off after all is logged with the place of its rest.

PxStop.AnswerThatIsArrivingIsDeliveredWhole fails without the change (the caller gets 502).

--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -24,10 +24,11 @@
  */
 #define DRAIN_DELAY (1200 * BA_MS)
 /*
- * The last part of the grace time, in which callers receive the last answers
- * and the process ends.
+ * The last part of the grace time, in which callers receive the last answers.
+ * The process ends in the last part of that.
  */
 #define STOP_RESERVE BA_SECOND
+#define END_RESERVE (200 * BA_MS)
 #define STOP_POLL_PERIOD (20 * BA_MS)
 
 /**
@@ -78,6 +79,7 @@
  * @refuse_at: when new requests are refused; the stop ends no earlier
  * @stop_deadline: when requests in progress get their final answer; 0 while the
  *	program is not stopping
+ * @end_deadline: when the program ends, even if answers are not all sent
  */
 struct program {
 	struct px_owner proxy_owner;
@@ -92,6 +94,7 @@
 	ba_time drain_at;
 	ba_time refuse_at;
 	ba_time stop_deadline;
+	ba_time end_deadline;
 };
 
 static int run(struct program *g);
@@ -255,6 +258,8 @@
 	g->refuse_at = now + REFUSE_DELAY;
 	g->stop_deadline =
 		now + MAX(g->settings.grace_time - STOP_RESERVE, BA_SECOND);
+	g->end_deadline =
+		now + MAX(g->settings.grace_time - END_RESERVE, BA_SECOND);
 	px_begin_stop(g->proxy, g->stop_deadline);
 	ba_loop_arm(g->loop, &g->stop_timer, now + STOP_POLL_PERIOD);
 }
@@ -262,19 +267,19 @@
 static void on_stop_timer(struct ba_timer *t, ba_time now)
 {
 	struct program *g = ba_entry(t, struct program, stop_timer);
-	bool busy = px_count_in_progress(g->proxy);
-
 	if (now >= g->drain_at) {
 		g->drain_at = BA_NEVER;
 		ds_agent_drain(g->agent);
 	}
 	if (now >= g->refuse_at)
 		px_refuse_requests(g->proxy);
-	if (now < g->stop_deadline && (now < g->refuse_at || busy)) {
+	if (now >= g->stop_deadline)
+		px_end_requests(g->proxy);
+	if (now < g->end_deadline &&
+	    (now < g->refuse_at || px_count_in_progress(g->proxy))) {
 		ba_loop_arm(g->loop, t, now + STOP_POLL_PERIOD);
 		return;
 	}
-	px_end_requests(g->proxy);
 	ds_agent_leave(g->agent);
 	ba_loop_stop(g->loop);
 }
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -7,6 +7,7 @@
 G_STATIC_ASSERT((int)HT_LINK_RANKS == (int)CL_EGRESS_RANKS);
 
 static void announce_leaving(struct px *p);
+static struct px_exchange *find_unanswered(struct px *p);
 static void pool_free(gpointer data);
 static void split_free(gpointer data);
 static int listen_all(struct px *p, const struct ba_address **failed);
@@ -96,9 +97,10 @@
 
 void px_end_requests(struct px *p)
 {
-	while (!ba_list_empty(&p->exchanges))
-		px_exchange_give_up(
-			ba_entry(p->exchanges.next, struct px_exchange, link));
+	struct px_exchange *x;
+
+	while ((x = find_unanswered(p)))
+		px_exchange_give_up(x);
 }
 
 unsigned int px_count_in_progress(const struct px *p)
@@ -147,6 +149,21 @@
 	}
 }
 
+/* Searches from the start: ending one request may end others in the list. */
+static struct px_exchange *find_unanswered(struct px *p)
+{
+	struct ba_list *pos;
+
+	ba_list_each(pos, &p->exchanges)
+	{
+		struct px_exchange *x = ba_entry(pos, struct px_exchange, link);
+
+		if (!px_exchange_is_answered(x))
+			return x;
+	}
+	return NULL;
+}
+
 static void pool_free(gpointer data)
 {
 	ht_pool_free(data);
--- a/proxy/px.h
+++ b/proxy/px.h
@@ -96,7 +96,11 @@
 /** px_refuse_requests() - refuse new requests of callers from now on */
 void px_refuse_requests(struct px *p);
 
-/** px_end_requests() - give every request in progress its final answer now */
+/**
+ * px_end_requests() - give requests in progress their final answer now
+ *
+ * Those whose answer is arriving go on.
+ */
 void px_end_requests(struct px *p);
 
 /** px_count_in_progress() - count unfinished requests and unsent answers */
--- a/proxy/px_downstream.c
+++ b/proxy/px_downstream.c
@@ -14,6 +14,8 @@
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *c,
 		     enum ht_end why);
 static void refuse(struct px_downstream *d, int status);
+static void log_cut_off(const struct px_downstream *d,
+			const struct px_exchange *x);
 static bool is_answering(const struct px_downstream *d, const char *id);
 static void set_expiry(struct px_downstream *d, ba_time expiry);
 static void end_noted_answer(struct px_downstream *d);
@@ -101,8 +103,10 @@
 	struct px_exchange *x = d->exchange;
 
 	d->exchange = NULL;
-	if (x)
+	if (x) {
+		log_cut_off(d, x);
 		px_exchange_cancel(x);
+	}
 	ht_conn_abort(d->conn);
 	remove_downstream(d);
 }
@@ -216,6 +220,17 @@
 	ht_conn_close_after_flush(c);
 }
 
+static void log_cut_off(const struct px_downstream *d,
+			const struct px_exchange *x)
+{
+	ba_event(CL_EV_MAY_HAVE_RUN,
+		 "call=%s place=%d answering=%d received=%llu length=%lld "
+		 "unsent=%zu",
+		 x->id, (int)x->state, (int)x->answering,
+		 (unsigned long long)x->answer_bytes, (long long)x->length,
+		 ht_conn_out(d->conn)->len);
+}
+
 /* Whether @id is in progress on @d, or its answer is not all sent. */
 static bool is_answering(const struct px_downstream *d, const char *id)
 {
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -187,22 +187,16 @@
 
 void px_exchange_give_up(struct px_exchange *x)
 {
-	if (x->answering) {
-		ba_event(
-			CL_EV_MAY_HAVE_RUN,
-			"call=%s place=%d received=%llu length=%lld unsent=%zu",
-			x->id, (int)x->state,
-			(unsigned long long)x->answer_bytes,
-			(long long)x->length,
-			ht_conn_out(x->downstream->conn)->len);
-		px_exchange_on_broken(x, CL_CANCELLED);
-		return;
-	}
 	px_exchange_end_attempt(x, CL_ATTEMPT_CANCELLED);
 	x->last_code = CL_DRAINING;
 	fail(x);
 }
 
+bool px_exchange_is_answered(const struct px_exchange *x)
+{
+	return x->answering || (x->conn && x->status && !x->not_run_code);
+}
+
 ba_time px_exchange_leaves_at(const struct px_exchange *x)
 {
 	ba_time own = x->p->leaves_at ? x->p->leaves_at : BA_NEVER;
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -345,13 +345,20 @@
  */
 bool px_exchange_retry_error(struct px_exchange *x);
 
+/** px_exchange_is_answered() - whether an answer to it is arriving */
+bool px_exchange_is_answered(const struct px_exchange *x);
+
 /** px_exchange_leaves_at() - when a proxy of the request leaves, or %BA_NEVER */
 ba_time px_exchange_leaves_at(const struct px_exchange *x);
 
 /** px_exchange_record_answer() - update answer size and retry budget */
 void px_exchange_record_answer(struct px_exchange *x);
 
-/** px_exchange_give_up() - end the attempt and give the final answer now */
+/**
+ * px_exchange_give_up() - end the attempt and give the final answer now
+ *
+ * No answer to the request may have begun.
+ */
 void px_exchange_give_up(struct px_exchange *x);
 
 /** px_exchange_free() - unlink and free the request */
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -664,6 +664,28 @@
 	EXPECT_EQ(status(early.read_message()), 502);
 }
 
+/* The answer was made, so the stop must not turn it into a failure. */
+TEST(PxStop, AnswerThatIsArrivingIsDeliveredWhole)
+{
+	const std::string body(40000, 'b');
+	const std::string whole = answer(200, body);
+	world w;
+
+	w.send_heartbeat("i-1", "ready", 1);
+	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+
+	caller.write(request("GET /look/a"));
+	blocking_socket backend = w.backend.accept_one();
+
+	backend.read_message();
+	backend.write(whole.substr(0, 20000));
+	usleep(50000);
+	w.begin_stop();
+	w.run([&] { px_end_requests(w.proxy); });
+	backend.write(whole.substr(20000));
+	EXPECT_TRUE(has(caller.read_message(), body));
+}
+
 /* Another proxy can be late with an answer only if it knows of the stop. */
 TEST(PxStop, OtherProxiesLearnWhenTheirAnswersMustArrive)
 {
