--- /dev/null
+++ b/bench/soak.h
@@ -0,0 +1,210 @@
+/*
+ * Stand-ins of callers, backend servers and the operator for a deployment of
+ * caraway-core and caraway-proxy, all in one process, and the schedule of its
+ * planned stops.
+ *
+ * Rules:
+ * - The stand-ins use the published protocols only.
+ * - Callers use their open connections until the proxy's process is gone.
+ * - A request is CUT if it was sent in full and its connection ended without a
+ *   complete answer before the caller's budget was over, unless no endpoint got
+ *   it and it had been sent no longer than %SOAK_LOSS_SLACK before.
+ * - A failure that a stopping proxy gives in place of an answer at which the
+ *   backend server is at work counts as CUT.
+ */
+#ifndef SOAK_H
+#define SOAK_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <sys/types.h>
+
+#include <glib.h>
+
+#include "base/ba_list.h"
+#include "base/ba_loop.h"
+#include "base/ba_rand.h"
+#include "base/ba_unit.h"
+#include "http/ht_conn.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+enum { SOAK_HEAD_LIMIT_BYTES = 16 * 1024, SOAK_ID_BYTES = 32 };
+
+#define SOAK_LOSS_SLACK (250 * BA_MS)
+/* A request sent sooner after a crash is not judged. */
+#define SOAK_CALM_TIME (3 * BA_SECOND)
+
+/** enum soak_outcome - outcome of a request as its caller saw it */
+enum soak_outcome {
+	SOAK_WHOLE,	  /* complete answer of an endpoint */
+	SOAK_REFUSED,	  /* 408, 421, 429 or 503 */
+	SOAK_FAILED,	  /* another failure, of the proxy or the endpoint */
+	SOAK_REPLACED,	  /* a failure of a stopping proxy, for a made answer */
+	SOAK_WRONG,	  /* the answer is not the endpoint's */
+	SOAK_NOT_SENT,	  /* no connection */
+	SOAK_UNREAD,	  /* the close crossed the request */
+	SOAK_LATE,	  /* the caller's budget was over */
+	SOAK_CUT,	  /* by the planned stop of the caller's proxy */
+	SOAK_CUT_ALLOWED, /* the same, with the endpoint at work to the end */
+	SOAK_CUT_OTHER,	  /* no stop of the caller's proxy */
+	SOAK_CUT_UNCALM,  /* with a crash shortly before */
+	SOAK_OUTCOMES,
+};
+
+/**
+ * struct soak_process - a process of the system
+ * @at: it listens there
+ * @terminated_at: time of its last SIGTERM, 0 for none
+ * @restart_at: when to start it again, 0 while it runs
+ * @stopping: it has got SIGTERM and has not ended yet
+ * @crashed: it has been killed and has not ended yet
+ */
+struct soak_process {
+	char *program;
+	char *settings;
+	char *output;
+	struct ba_address at;
+	pid_t pid;
+	ba_time terminated_at;
+	ba_time restart_at;
+	bool stopping;
+	bool crashed;
+};
+
+/**
+ * struct soak_machine - an instance with a proxy, a backend server and callers
+ * @conns: open connections of its callers
+ * @arrival: timer of the next request of its callers
+ * @in_flight: requests at its backend server
+ */
+struct soak_machine {
+	struct soak *soak;
+	struct soak_process process;
+	char name[SOAK_ID_BYTES];
+	const char *service;
+	const char *data_centre;
+	struct ba_address ready;
+	struct ba_address registration;
+	struct ba_address backend;
+	struct ht_acceptor backend_acceptor;
+	struct ht_listener *backend_listener;
+	struct ba_list conns;
+	struct ba_timer arrival;
+	struct ba_timer heartbeat;
+	uint64_t sequence;
+	int64_t start_wall_ms;
+	bool was_ready;
+	int in_flight;
+};
+
+/**
+ * struct soak_request - a request, from its sending to its end
+ * @bytes: length of its answer's body
+ * @worked_until: when its endpoint had ended its work, 0 if none got it,
+ *	%BA_NEVER while one is at work
+ */
+struct soak_request {
+	char id[SOAK_ID_BYTES];
+	struct soak_machine *machine;
+	const char *endpoint;
+	size_t bytes;
+	size_t read;
+	ba_time sent_at;
+	ba_time budget_end;
+	ba_time worked_until;
+	bool right;
+};
+
+/**
+ * struct soak - one run
+ * @requests: unfinished requests by id
+ * @crashed_at: time of the last crash
+ * @grace: time from SIGTERM to SIGKILL
+ * @rate: requests a second of one machine's callers
+ * @budget: how long a caller waits
+ * @work_time: mean time that a backend server works
+ * @outcomes: number of requests by outcome
+ * @heartbeats_cut: heartbeats that a stopping proxy left unanswered
+ * @heartbeats_crossed: heartbeats that crossed its close
+ * @orders_cut: orders that a stopping core left unanswered
+ * @calling: callers send requests
+ */
+struct soak {
+	struct ba_loop *loop;
+	struct ba_rand rand;
+	struct soak_machine *machines;
+	int n_machines;
+	struct soak_process *cores;
+	int n_cores;
+	GHashTable *requests;
+	ba_time started_at;
+	ba_time crashed_at;
+	ba_time grace;
+	double rate;
+	ba_time budget;
+	ba_time work_time;
+	int mean_bytes;
+	int slots;
+	uint64_t n_requests;
+	uint64_t outcomes[SOAK_OUTCOMES];
+	uint64_t heartbeats_cut;
+	uint64_t heartbeats_crossed;
+	uint64_t orders_cut;
+	bool calling;
+};
+
+/**
+ * struct soak_call - a control call; the owner embeds it
+ * @done: called once; @status is 0 without a complete answer
+ * @cut: it was sent longer than %SOAK_LOSS_SLACK ago, and the other end closed
+ *	without a complete answer
+ * @crossed: the same, sent no longer ago
+ * @location: host and port that it is redirected to, or ""
+ */
+struct soak_call {
+	struct ht_conn_owner owner;
+	struct ht_conn *conn;
+	void (*done)(struct soak_call *c);
+	struct ba_loop *loop;
+	ba_time sent_at;
+	int status;
+	bool cut;
+	bool crossed;
+	char location[SOAK_ID_BYTES];
+};
+
+/** soak_fill() - write bytes @from to @from + @len of the answer to @id */
+void soak_fill(const char *id, size_t from, uint8_t *out, size_t len);
+
+/** soak_callers_start() - start the callers of @m */
+void soak_callers_start(struct soak_machine *m);
+
+/** soak_backend_start() - start the backend server of @m, with heartbeats */
+int soak_backend_start(struct soak_machine *m);
+
+/** soak_call_send() - send a control call on a connection of its own */
+void soak_call_send(struct ba_loop *loop, struct soak_call *c,
+		    const struct ba_address *to, const char *head,
+		    const char *body);
+
+/** soak_process_start() - start the process @p */
+void soak_process_start(struct soak_process *p);
+
+/** soak_process_poll() - whether a started process has ended since */
+bool soak_process_poll(struct soak_process *p);
+
+/** soak_exponential() - draw from the exponential distribution */
+ba_time soak_exponential(struct ba_rand *r, double per_second);
+
+/** soak_log() - write a line with the time since the start */
+void soak_log(struct soak *s, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/bench/soak.sh
@@ -0,0 +1,50 @@
+#!/bin/sh
+# A soak of planned stops over many seeds, two at a time.  Each seed prints its
+# results; the last line names the seeds with a request that was cut, and the
+# exit status is 1 if there is one.  The seed chooses the kind of run, too.
+#
+# usage: bench/soak.sh BUILD [FIRST-SEED [LAST-SEED]]
+
+top=$(cd "$(dirname "$0")/.." && pwd)
+build=$(cd "$1" && pwd)
+first=${2:-1}
+last=${3:-50}
+net=${TEST_NET:-127.0}
+work=$build/bench-run/soak
+
+# kind_of SEED: print the options of its kind of run
+kind_of() {
+	case $(($1 % 5)) in
+	0) echo "--load 1.0 --stops 1" ;;
+	1) echo "--load 1.4 --stops 2 --target 500ms" ;;
+	2) echo "--load 1.2 --stops 2 --crashes" ;;
+	3) echo "--load 1.2 --stops 6 --front 60 --long 20" ;;
+	4) echo "--load 0.7 --stops 2 --service-time 2500ms --target 4s" ;;
+	esac
+}
+
+# run_seed SEED NET: run one seed in a network of its own
+run_seed() {
+	mkdir -p "$work/$1"
+	"$build/soak" --work "$work/$1" --programs "$build" \
+		--key "$top/deploy/mesh.key" --net "$2" --seed "$1" \
+		$(kind_of "$1") >"$work/$1.json" 2>"$work/$1.err" ||
+		echo "{\"seed\":$1,\"not_played\":1}" >"$work/$1.json"
+	cat "$work/$1.json"
+}
+
+rm -rf "$work"
+mkdir -p "$work"
+seed=$first
+while test "$seed" -le "$last"
+do
+	run_seed "$seed" "$net.61" &
+	other=$((seed + 1))
+	test $other -gt "$last" || run_seed $other "$net.62" &
+	wait
+	seed=$((seed + 2))
+done
+cut=$(cd "$work" && grep -lE '"(cut|not_played)":[1-9]' -- *.json |
+	sed 's/\.json//' | sort -n | tr '\n' ' ')
+echo "cut: ${cut:-none}"
+test -z "$cut"
--- /dev/null
+++ b/test/cases/planned-stops.sh
@@ -0,0 +1,35 @@
+#!/bin/sh
+# Proxies and instances of the core are stopped and restarted in overlapping
+# series, with changes of configuration, while long answers nearly fill the
+# links: no request that a stopping proxy has read ends without an answer.
+#
+# usage: test/cases/planned-stops.sh BUILD
+
+. "$(dirname "$0")/../lib.sh"
+top=$(cd "$(dirname "$0")/../.." && pwd)
+
+# soak NAME OPTIONS...: run a soak, with its results in $work/NAME.json
+soak() {
+	local name=$1
+	shift
+	mkdir "$work/$name"
+	"$build/soak" --work "$work/$name" --programs "$build" \
+		--key "$top/deploy/mesh.key" --net "$net" --front 24 --long 8 \
+		--load 1.4 --stops 4 --target 500ms "$@" \
+		>"$work/$name.json" 2>"$work/$name.err" ||
+		fail "$name: $(tail -n 3 "$work/$name.err")"
+	cat "$work/$name.json"
+}
+
+# A process that is killed in the middle of its stop cuts requests.
+soak broken --seed 1 --length 4s --kill-after 500ms
+test "$(field broken cut)" -gt 0 || fail "cut requests were not detected"
+
+soak stops --seed 3 --length 30s
+test "$(field stops stops)" -gt 10 || fail "too few stops"
+test "$(field stops whole)" -gt 1000 || fail "too few answers"
+grep CUT "$work/stops.err"
+for kind in cut wrong killed ended heartbeats_cut orders_cut
+do
+	expect_field stops $kind 0
+done
