http, proxy: the rest of a long answer counts for its expiry

Answers above 128 KB could still be cut off by the planned stop of the caller's proxy: the link saw only the part that had been read from the backend server, so it began too late, and gave the rest up after the first part.

The link is told what is to come: the length of the answer less what has arrived, or the mean of the route where it states no length.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -156,6 +156,11 @@
 	c->link_user.expiry = expiry;
 }
 
+void ht_conn_set_to_come(struct ht_conn *c, size_t bytes)
+{
+	c->link_user.to_come = bytes;
+}
+
 void ht_conn_set_owner(struct ht_conn *c, struct ht_conn_owner *o)
 {
 	c->owner = o;
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -84,6 +84,9 @@
  */
 void ht_conn_set_expiry(struct ht_conn *c, ba_time expiry);
 
+/** ht_conn_set_to_come() - tell how much of the message is not written yet */
+void ht_conn_set_to_come(struct ht_conn *c, size_t bytes);
+
 /** ht_conn_set_owner() - send callbacks to @o from now on */
 void ht_conn_set_owner(struct ht_conn *c, struct ht_conn_owner *o);
 
--- a/http/ht_link.c
+++ b/http/ht_link.c
@@ -48,6 +48,7 @@
 static guint find_largest(const GPtrArray *users, guint n);
 static ba_time expiry(const struct ht_link *l, const struct ht_link_user *u);
 static ba_time expiry_send_time(const struct ht_link *l, size_t bytes);
+static size_t rest(const struct ht_link_user *u);
 static bool is_any_unblocked(const struct ht_link *l);
 static struct ht_link_user *first_unblocked(const struct ba_list *waiting);
 static void demote_late(struct ht_link *l, ba_time now);
@@ -241,13 +242,13 @@
 		struct ht_link_user *u = users->pdata[i];
 
 		users->pdata[n++] = u;
-		bytes += u->unsent;
+		bytes += rest(u);
 		if (now + expiry_send_time(l, bytes) >
 		    expiry(l, u) + HT_LINK_EXPIRY_TAIL) {
 			guint largest = find_largest(users, n);
 
 			u = users->pdata[largest];
-			bytes -= u->unsent;
+			bytes -= rest(u);
 			memmove(&users->pdata[largest],
 				&users->pdata[largest + 1],
 				(--n - largest) * sizeof(gpointer));
@@ -257,7 +258,7 @@
 	for (guint i = 0; i < n; i++) {
 		const struct ht_link_user *u = users->pdata[i];
 
-		bytes += u->unsent;
+		bytes += rest(u);
 		slack = MIN(slack,
 			    expiry(l, u) - now - expiry_send_time(l, bytes));
 	}
@@ -297,7 +298,7 @@
 		const struct ht_link_user *u = users->pdata[i];
 		const struct ht_link_user *v = users->pdata[largest];
 
-		if (u->unsent > v->unsent)
+		if (rest(u) > rest(v))
 			largest = i;
 	}
 	return largest;
@@ -316,6 +317,11 @@
 			 (l->rate * EXPIRY_RATE_SHARE));
 }
 
+static size_t rest(const struct ht_link_user *u)
+{
+	return u->unsent + u->to_come;
+}
+
 static bool is_any_unblocked(const struct ht_link *l)
 {
 	return first_unblocked(&l->waiting[0]) ||
--- a/http/ht_link.h
+++ b/http/ht_link.h
@@ -56,6 +56,7 @@
  * @expiry: when its receiver is about to leave, 0 if not known; a message that
  *	cannot be complete %HT_LINK_EXPIRY_TAIL later is given up first
  * @unsent: bytes that are not written yet
+ * @to_come: bytes that will follow these
  */
 struct ht_link_user {
 	void (*may_write)(struct ht_link_user *u);
@@ -65,6 +66,7 @@
 	ba_time deadline;
 	ba_time expiry;
 	size_t unsent;
+	size_t to_come;
 };
 
 /**
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -301,6 +301,9 @@
 static void forward_buffered(struct px_exchange *x)
 {
 	struct ba_buf *out = ht_conn_out(x->downstream->conn);
+	double bytes = x->length >= 0 ? (double)x->length
+				      : px_exchange_expected_bytes(x);
+	double to_come = bytes - (double)x->answer_bytes;
 
 	if (!x->buffered.len)
 		return;
@@ -310,6 +313,8 @@
 	if (x->chunked)
 		ba_buf_addf(out, "\r\n");
 	x->buffered.len = 0;
+	ht_conn_set_to_come(x->downstream->conn,
+			    to_come > 0 ? (size_t)to_come : 0);
 	ht_conn_flush(x->downstream->conn);
 }
 
@@ -326,6 +331,7 @@
 		x->length = (int64_t)x->buffered.len;
 	begin_answer(x);
 	forward_buffered(x);
+	ht_conn_set_to_come(d->conn, 0);
 	if (x->chunked)
 		ba_buf_addf(ht_conn_out(d->conn), "0\r\n\r\n");
 	rt_count(RT_ANSWERED, 1);
--- a/test/full_link_test.cc
+++ b/test/full_link_test.cc
@@ -258,6 +258,7 @@
 		if (high_water && c->left > high_water) {
 			c->held = c->left - high_water;
 			c->left = high_water;
+			c->user.to_come = c->held;
 		}
 		c->user.rank = rank;
 		if (by_deadline && rank == CL_EGRESS_IN_TIME)
@@ -313,6 +314,7 @@
 	{
 		c->left = std::min(c->held, high_water);
 		c->held -= c->left;
+		c->user.to_come = c->held;
 		ht_link_set_unsent(c->at->link, &c->user, c->left);
 		write(c);
 	}
