proxy: nothing begins after the final answers of a planned stop

A request that arrived in the last second of a stop was run and broken off with 502 within 20 ms, while an answer to another one kept the process alive: its caller cannot know whether it ran.

Cause: the stop gives final answers again and again until its end, and other proxies were never refused, callers only from 2.5 s on, which is after that with a short grace time.

After the final answers nothing is begun; what arrives is refused with 503 (611), also from other proxies, and a lost attempt is not retried. PxStop.NoRequestBeginsAfterTheFinalAnswers failed before, with 502.

--- a/proxy/px.c
+++ b/proxy/px.c
@@ -99,6 +99,7 @@
 {
 	struct px_exchange *x;
 
+	p->begins_nothing = true;
 	while ((x = find_unanswered(p)))
 		px_exchange_give_up(x);
 }
--- a/proxy/px.h
+++ b/proxy/px.h
@@ -99,7 +99,8 @@
 /**
  * px_end_requests() - give requests in progress their final answer now
  *
- * Those whose answer is arriving go on.
+ * Those whose answer is arriving go on.  Requests that arrive later, also from
+ * other proxies, are refused.
  */
 void px_end_requests(struct px *p);
 
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -107,7 +107,8 @@
 	enum cl_route_reason reason = CL_ROUTE_NONE_LEFT;
 
 	x->endpoint = NULL;
-	if (now < x->deadline && x->n_tried < PX_MAX_ENDPOINTS_TRIED)
+	if (now < x->deadline && x->n_tried < PX_MAX_ENDPOINTS_TRIED &&
+	    !p->begins_nothing)
 		x->endpoint =
 			cl_route_pick(p->router, &q, now, &p->rand, &reason);
 	if (!x->endpoint && reason == CL_ROUTE_NONE_KNOWN) {
@@ -290,6 +291,10 @@
 		answer_error(x, 400, CL_REQUEST_MALFORMED);
 		return;
 	}
+	if (x->p->begins_nothing) {
+		answer_error(x, 503, CL_DRAINING);
+		return;
+	}
 	x->service = service;
 	x->caller = g_strdup(caller);
 	x->deadline = x->arrived_at + g_ascii_strtoll(left, NULL, 10);
@@ -311,7 +316,7 @@
 	struct px *p = x->p;
 	const struct cf_route *r;
 
-	if (p->refuses_requests) {
+	if (p->refuses_requests || p->begins_nothing) {
 		answer_error(x, 503, CL_DRAINING);
 		return;
 	}
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -134,6 +134,7 @@
  * @retry_budgets: struct px_retry_budget by service
  * @splits: struct px_split by route
  * @route_stats: struct px_route_stats by route
+ * @begins_nothing: final answers have been given; no attempt begins any more
  * @leaves_at: when this proxy is about to leave, 0 while it is not stopping
  * @notices: calls to other proxies that tell them so
  * @peer_pools: struct ht_pool by address of the other proxy
@@ -161,6 +162,7 @@
 	ba_time leaves_at;
 	struct ba_list notices;
 	bool refuses_requests;
+	bool begins_nothing;
 	GHashTable *retry_budgets;
 	GHashTable *splits;
 	GHashTable *route_stats;
