http: an expiring answer costs the others of its rank nothing

After one late answer was hurried, as its receiver left, the second rank of a link got nothing for long: the bytes were charged sixteenfold against its share.

Bytes that jump the queue are not counted in the proportion of the ranks. HtLink.SecondRankKeepsItsShareAfterAnExpiringAnswer failed before.

--- a/http/ht_link.c
+++ b/http/ht_link.c
@@ -15,6 +15,7 @@
  * @tokens: token bucket, in bytes; negative when overdrawn
  * @refilled_at: time at which @tokens was last updated
  * @waiting: queue of users with long messages, by rank
+ * @hurried: user whose writes are not counted in @credit, or NULL
  * @credit: bytes that the first rank has sent while both ranks wait, less
  *	@weight times those of the second rank; when positive, the second
  *	is next
@@ -31,6 +32,7 @@
 	double tokens;
 	ba_time refilled_at;
 	struct ba_list waiting[HT_LINK_RANKS];
+	const struct ht_link_user *hurried;
 	double credit;
 	size_t unsent[HT_LINK_RANKS];
 	unsigned int n_unsent_users;
@@ -41,7 +43,7 @@
 static void refill(struct ht_link *l, ba_time now);
 static void update_credit(struct ht_link *l, const struct ht_link_user *u,
 			  double bytes);
-static struct ht_link_user *next_user(const struct ht_link *l);
+static struct ht_link_user *next_user(struct ht_link *l);
 static struct ht_link_user *expiring_user(const struct ht_link *l);
 static void collect_expiring(const struct ht_link *l);
 static gint compare_expiry(gconstpointer a, gconstpointer b, gpointer link);
@@ -201,11 +203,14 @@
 	l->refilled_at = now;
 }
 
-/* Nothing is owed while only one rank waits. */
+/*
+ * Nothing is owed while only one rank waits, nor for a message that goes first
+ * as its receiver leaves: the rest of its rank keeps its share.
+ */
 static void update_credit(struct ht_link *l, const struct ht_link_user *u,
 			  double bytes)
 {
-	if (!is_waiting(u))
+	if (!is_waiting(u) || u == l->hurried)
 		return;
 	if (!first_unblocked(&l->waiting[0]) ||
 	    !first_unblocked(&l->waiting[1]))
@@ -214,12 +219,13 @@
 		l->credit += u->rank ? -bytes * l->weight : bytes;
 }
 
-static struct ht_link_user *next_user(const struct ht_link *l)
+static struct ht_link_user *next_user(struct ht_link *l)
 {
 	struct ht_link_user *high = first_unblocked(&l->waiting[0]);
 	struct ht_link_user *low = first_unblocked(&l->waiting[1]);
 	struct ht_link_user *expiring = low ? expiring_user(l) : NULL;
 
+	l->hurried = expiring;
 	if (expiring)
 		return expiring;
 	return low && (!high || l->credit > 0) ? low : high;
