http: a target after the receiver has left bounds nothing

An answer that could still be in time was sent by its latency target even where its receiver leaves before that, as with targets above 2.5 s and a grace time of 6 s: 1.52 s for a receiver that left at 0.8 s.

The earlier of the two counts in the first rank. HtLink.AnswerInTimeIsSentBeforeItsReceiverLeaves failed before.

--- a/http/ht_link.c
+++ b/http/ht_link.c
@@ -52,10 +52,12 @@
 static ba_time expiry_send_time(const struct ht_link *l, size_t bytes);
 static size_t rest(const struct ht_link_user *u);
 static bool is_any_unblocked(const struct ht_link *l);
-static struct ht_link_user *first_unblocked(const struct ba_list *waiting);
+static struct ht_link_user *first_unblocked(const struct ht_link *l,
+					    unsigned int rank);
 static void demote_late(struct ht_link *l, ba_time now);
-static bool precedes(const struct ht_link_user *a,
+static bool precedes(const struct ht_link *l, const struct ht_link_user *a,
 		     const struct ht_link_user *b);
+static ba_time due(const struct ht_link *l, const struct ht_link_user *u);
 static bool is_waiting(const struct ht_link_user *u);
 static void arm_timer(struct ht_link *l);
 static void on_timer(struct ba_timer *t, ba_time now);
@@ -212,8 +214,7 @@
 {
 	if (!is_waiting(u) || u == l->hurried)
 		return;
-	if (!first_unblocked(&l->waiting[0]) ||
-	    !first_unblocked(&l->waiting[1]))
+	if (!first_unblocked(l, 0) || !first_unblocked(l, 1))
 		l->credit = 0;
 	else
 		l->credit += u->rank ? -bytes * l->weight : bytes;
@@ -221,8 +222,8 @@
 
 static struct ht_link_user *next_user(struct ht_link *l)
 {
-	struct ht_link_user *high = first_unblocked(&l->waiting[0]);
-	struct ht_link_user *low = first_unblocked(&l->waiting[1]);
+	struct ht_link_user *high = first_unblocked(l, 0);
+	struct ht_link_user *low = first_unblocked(l, 1);
 	struct ht_link_user *expiring = low ? expiring_user(l) : NULL;
 
 	l->hurried = expiring;
@@ -330,21 +331,21 @@
 
 static bool is_any_unblocked(const struct ht_link *l)
 {
-	return first_unblocked(&l->waiting[0]) ||
-	       first_unblocked(&l->waiting[1]);
+	return first_unblocked(l, 0) || first_unblocked(l, 1);
 }
 
-static struct ht_link_user *first_unblocked(const struct ba_list *waiting)
+static struct ht_link_user *first_unblocked(const struct ht_link *l,
+					    unsigned int rank)
 {
 	struct ht_link_user *first = NULL;
 	struct ba_list *pos;
 
-	ba_list_each(pos, waiting)
+	ba_list_each(pos, &l->waiting[rank])
 	{
 		struct ht_link_user *u =
 			ba_entry(pos, struct ht_link_user, link);
 
-		if (!u->blocked && (!first || precedes(u, first)))
+		if (!u->blocked && (!first || precedes(l, u, first)))
 			first = u;
 	}
 	return first;
@@ -355,11 +356,22 @@
  * where the rate does not suffice for all, the shortest rest is sent first, so
  * that most of them end while their receivers still wait.
  */
-static bool precedes(const struct ht_link_user *a, const struct ht_link_user *b)
+static bool precedes(const struct ht_link *l, const struct ht_link_user *a,
+		     const struct ht_link_user *b)
 {
 	if (a->rank)
 		return a->unsent < b->unsent;
-	return a->deadline && (!b->deadline || a->deadline < b->deadline);
+	return due(l, a) && (!due(l, b) || due(l, a) < due(l, b));
+}
+
+/* When the message is to be complete, 0 for no such time. */
+static ba_time due(const struct ht_link *l, const struct ht_link_user *u)
+{
+	ba_time leaves_at = expiry(l, u);
+
+	if (!u->deadline || !leaves_at)
+		return u->deadline;
+	return MIN(u->deadline, leaves_at);
 }
 
 static void demote_late(struct ht_link *l, ba_time now)
@@ -373,7 +385,7 @@
 			ba_entry(pos, struct ht_link_user, link);
 		double time = (double)u->unsent * (double)BA_SECOND / l->rate;
 
-		if (u->deadline && (double)now + time > (double)u->deadline)
+		if (due(l, u) && (double)now + time > (double)due(l, u))
 			ht_link_set_rank(l, u, 1);
 	}
 }
