--- a/proxy/px_downstream.c
+++ b/proxy/px_downstream.c
@@ -201,6 +201,8 @@
 						    : 0;
 
 	d->exchange = NULL;
+	if (x && x->answering && d->from_peer)
+		log_cut_off(d, x);
 	if (x)
 		px_exchange_cancel(x);
 	else if (status && d->in_request) {
