--- a/endpoint/ep.h
+++ b/endpoint/ep.h
@@ -24,6 +24,23 @@
 extern "C" {
 #endif
 
+/* Marks that a record may carry. */
+enum { EP_MARKS_MAX = 32 };
+
+/**
+ * struct ep_mark - what an instance reports of one request; see cl_poison.h
+ * @request: digest of the request
+ * @crashes: crashes of its backend server that the request explains
+ * @acquittals: number of times that it was acquitted by an answer there
+ * @convicted: the instance knows it to be convicted
+ */
+struct ep_mark {
+	uint64_t request;
+	uint32_t crashes;
+	uint32_t acquittals;
+	bool convicted;
+};
+
 /**
  * struct ep_record - one endpoint
  * @address: address to which daemons of its region forward calls
@@ -40,6 +57,9 @@
  *	tombstone, so that an older record cannot revive it
  * @slots: calls that the backend server runs at once
  * @connections: connections that the backend server accepts
+ * @marks: requests that crash backend servers, as this instance reports them
+ * @marks_epoch: wall time of the start of the proxy that counts in @marks, in
+ *	microseconds
  * @lease_deadline: time at which the record expires unless it is held by then,
  *	%BA_NEVER while it is held (see ep_table.h); for a tombstone, time at
  *	which it is removed
@@ -60,6 +80,9 @@
 	bool left;
 	uint32_t slots;
 	uint32_t connections;
+	struct ep_mark *marks;
+	size_t n_marks;
+	uint64_t marks_epoch;
 	ba_time lease_deadline;
 };
 
