call: find requests that crash backend servers

A request that crashes each backend server that runs it is retried, by callers and proxies, until it has gone round the mesh.

Counts of a reporter only grow within its epoch, so a report that comes again or late changes nothing. In the header: a convicted request that still comes renews its conviction, and 'crashes' counts such renewals too, as a mark that does not change cannot show them.

--- a/call/cl_poison.h
+++ b/call/cl_poison.h
@@ -17,6 +17,8 @@
  * - A request that was answered shortly before is acquitted as soon as some
  *   proxy that saw the answer learns of the suspicion; one answer acquits once.
  * - A conviction outlives the proxies that reported the crashes.
+ * - A convicted request that comes again renews its conviction, and the proxy
+ *   that refuses it reports the conviction if no other report holds it.
  * - State is bounded; the entry with the oldest evidence is dropped first, and
  *   convictions last.
  */
@@ -78,7 +80,8 @@
  * @marks: its whole report; marks that are missing are no evidence any more,
  *	but what was learned from them stays
  *
- * A report that was processed before changes nothing.
+ * A report that was processed before, or is older, changes nothing.  The own
+ * one, with @instance as in cl_poison_new(), is ignored.
  */
 void cl_poison_learn(struct cl_poison *p, const char *instance, uint64_t epoch,
 		     const struct ep_mark *marks, size_t n, ba_time now);
@@ -91,7 +94,12 @@
 void cl_poison_learn_refusal(struct cl_poison *p, uint64_t request,
 			     ba_time now);
 
-/** cl_poison_verdict() - look up what is known of @request */
+/**
+ * cl_poison_verdict() - look up what is known of @request
+ *
+ * To be called for each request that is about to run, since it also renews a
+ * conviction.
+ */
 enum cl_poison_verdict cl_poison_verdict(struct cl_poison *p, uint64_t request,
 					 ba_time now);
 
--- a/endpoint/ep.h
+++ b/endpoint/ep.h
@@ -30,7 +30,8 @@
 /**
  * struct ep_mark - what an instance reports of one request; see cl_poison.h
  * @request: digest of the request
- * @crashes: crashes of its backend server that the request explains
+ * @crashes: crashes of its backend server that the request explains, and
+ *	renewals of its conviction
  * @acquittals: number of times that it was acquitted by an answer there
  * @convicted: the instance knows it to be convicted
  */
