--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -29,6 +29,7 @@
  * @watched_bits: events that the loop watches for
  * @callback_depth: depth of callbacks; the connection is freed only at 0
  * @has_sent: a byte was written since ht_conn_read_next()
+ * @refused: the other end has refused the connection
  * @message_complete: a message was read, and ht_conn_read_next() not called yet
  * @message_started: a byte of the message was read
  * @keep_alive: the connection may be reused after the message
@@ -55,6 +56,7 @@
 	bool client;
 	bool connecting;
 	bool has_sent;
+	bool refused;
 	bool paused;
 	bool message_complete;
 	bool message_started;
@@ -124,11 +126,13 @@
 struct ht_conn *ht_conn_dial(struct ba_loop *loop, const struct ba_address *to,
 			     size_t head_limit, struct ht_conn_owner *o)
 {
-	struct ht_conn *c =
-		conn_new(loop, ba_socket_connect(to), head_limit, o);
+	int fd = ba_socket_connect(to);
+	bool refused = fd < 0 && errno == ECONNREFUSED;
+	struct ht_conn *c = conn_new(loop, fd, head_limit, o);
 
 	c->client = true;
 	c->connecting = true;
+	c->refused = refused;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	c->parser.data = c;
 	if (c->watch.fd >= 0)
@@ -200,6 +204,11 @@
 	return c->has_sent;
 }
 
+bool ht_conn_was_refused(const struct ht_conn *c)
+{
+	return c->refused;
+}
+
 void ht_conn_pause(struct ht_conn *c, bool paused)
 {
 	if (c->paused == paused)
@@ -385,6 +394,7 @@
 
 	if (getsockopt(c->watch.fd, SOL_SOCKET, SO_ERROR, &error, &len) ||
 	    error) {
+		c->refused = error == ECONNREFUSED;
 		end_conn(c, HT_END_CONNECT_FAILED);
 		return;
 	}
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -96,6 +96,9 @@
 /** ht_conn_has_sent() - whether a byte was sent since ht_conn_read_next() */
 bool ht_conn_has_sent(const struct ht_conn *c);
 
+/** ht_conn_was_refused() - whether nobody listens at the address dialled */
+bool ht_conn_was_refused(const struct ht_conn *c);
+
 /** ht_conn_pause() - stop or resume reading */
 void ht_conn_pause(struct ht_conn *c, bool paused);
 
