endpoint, wire: records carry marks of requests that crash endpoints

The proxies are to tell each other which requests crash their backend servers. The marks go with the endpoint record, as relays spread it already and keep it through cuts.

A change of marks alone is a new sequence, as any other. Marks of a record that has left count in the digests, since a table that starts later would not get them otherwise; so that relays that differ by a moment do not hand the tombstone to and fro for ever, its age is sent along, and one that is due is not taken anew. EpTable.TheCheckerDetectsTombstonesThatStay shows that both are needed.

A record with more than EP_MARKS_MAX marks is cut, not refused, as the endpoint is needed without them. Fields are only appended; a program from before reads the rest (EpWire.AnOlderProgramIgnoresMarks).

--- a/bench/cl_bench_main.c
+++ b/bench/cl_bench_main.c
@@ -252,7 +252,12 @@
 	static char names[ENDPOINTS][4];
 	struct ep_record records[ENDPOINTS];
 	struct ep_service_view service = {SERVICE, records, n};
-	struct ep_view view = {&service, 1, 1, 1};
+	struct ep_view view = {
+		.services = &service,
+		.n_services = 1,
+		.generation = 1,
+		.refs = 1,
+	};
 
 	memset(records, 0, sizeof(records));
 	for (unsigned int i = 0; i < n; i++) {
--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -502,9 +502,10 @@
  */
 static void put_record(struct ds_agent *a, const EpRecord *m, ba_time now)
 {
+	struct ep_mark marks[EP_MARKS_MAX];
 	struct ep_record r;
 
-	ep_record_from_message(m, &r);
+	ep_record_from_message(m, now, marks, &r);
 	if (ep_record_check(&r))
 		return;
 	ep_table_put(a->table, &r, EP_HELD_BY_PEER, BA_NEVER, now);
@@ -536,10 +537,11 @@
 	EpRecord r;
 
 	a->record.sequence++;
-	ep_record_to_message(&a->record, &r);
+	ep_record_to_message(&a->record, ba_loop_now(a->loop), &r);
 	m.record = &r;
 	m.lease_ms = (uint32_t)(a->lease / BA_MS);
 	wi_send(s, EP_ANNOUNCE, &m.base);
+	ep_message_clear(&r);
 }
 
 static void announce_if_connected(struct ds_agent *a)
--- a/endpoint/ep.h
+++ b/endpoint/ep.h
@@ -62,7 +62,7 @@
  *	microseconds
  * @lease_deadline: time at which the record expires unless it is held by then,
  *	%BA_NEVER while it is held (see ep_table.h); for a tombstone, time at
- *	which it is removed
+ *	which it is removed, 0 if that is not yet known
  */
 struct ep_record {
 	char *instance;
@@ -93,17 +93,32 @@
 	size_t n_records;
 };
 
+/** struct ep_report - the marks of one instance; see struct ep_record */
+struct ep_report {
+	char *instance;
+	struct ep_mark *marks;
+	size_t n_marks;
+	uint64_t epoch;
+};
+
 /**
  * struct ep_view - immutable view of all endpoints that a daemon may route to
  * @services: the services with endpoints, sorted by name
  * @generation: generation of the table from which the view was made
  * @refs: reference count, changed atomically
+ * @reports: the reports of all instances with marks, also of those that drain,
+ *	have left or are not among the records of @services
+ * @reports_generation: generation of the last change of a report; views in
+ *	which it is equal share @reports
  */
 struct ep_view {
 	struct ep_service_view *services;
 	size_t n_services;
 	uint64_t generation;
 	int refs;
+	const struct ep_report *reports;
+	size_t n_reports;
+	uint64_t reports_generation;
 };
 
 struct ep_table;
@@ -118,10 +133,10 @@
 const struct ep_service_view *ep_view_find(const struct ep_view *v,
 					   const char *service);
 
-/** ep_record_copy() - copy a record with its strings */
+/** ep_record_copy() - copy a record with its strings and marks */
 void ep_record_copy(struct ep_record *to, const struct ep_record *from);
 
-/** ep_record_clear() - free the strings of a record and zero it */
+/** ep_record_clear() - free the strings and marks of a record and zero it */
 void ep_record_clear(struct ep_record *r);
 
 #ifdef __cplusplus
--- a/endpoint/ep_internal.h
+++ b/endpoint/ep_internal.h
@@ -16,7 +16,7 @@
  * @n_expiring: live records that nobody holds
  * @hold_back_deadline: time until which expiry is held back, %BA_NEVER if it is
  *	not
- * @buckets: digest of the live records of each bucket
+ * @buckets: digest of each bucket, of live records and tombstones with marks
  */
 struct ep_centre {
 	char *name;
@@ -47,6 +47,8 @@
  * @by_centre: link in the list of its data centre
  * @by_state: link in the table's list of expiring records or of tombstones;
  *	empty while the record is held
+ * @by_report: link in the table's list of entries with marks, empty if it has
+ *	none
  * @generation: generation of its last change
  * @holder: see enum ep_holder
  * @last_full_update: number of the last full update that named the record
@@ -60,6 +62,7 @@
 	struct ba_list by_service;
 	struct ba_list by_centre;
 	struct ba_list by_state;
+	struct ba_list by_report;
 	uint64_t generation;
 	uint64_t holder;
 	uint64_t last_full_update;
@@ -75,8 +78,10 @@
  * @by_change: all entries, in order of their last change
  * @expiring: live entries that nobody holds, which have a lease deadline
  * @tombstones: entries that have left, in order of their lease deadline
+ * @reporting: entries with marks, live ones and tombstones
  * @n_live: records that have not left
  * @generation: generation of the last change
+ * @reports_generation: generation of the last change of an entry with marks
  * @n_full_updates: number of full updates begun
  */
 struct ep_table {
@@ -87,8 +92,10 @@
 	struct ba_list by_change;
 	struct ba_list expiring;
 	struct ba_list tombstones;
+	struct ba_list reporting;
 	size_t n_live;
 	uint64_t generation;
+	uint64_t reports_generation;
 	uint64_t n_full_updates;
 };
 
--- a/endpoint/ep_record.c
+++ b/endpoint/ep_record.c
@@ -7,6 +7,9 @@
 #include "endpoint/ep_wire.h"
 
 static bool has_valid_length(const char *s, bool required);
+static void marks_to_message(const struct ep_record *r, EpRecord *m);
+static void marks_from_message(const EpRecord *m, struct ep_mark *marks,
+			       struct ep_record *r);
 
 void ep_record_copy(struct ep_record *to, const struct ep_record *from)
 {
@@ -19,6 +22,8 @@
 	to->external_address = g_strdup(from->external_address);
 	to->control_address = g_strdup(from->control_address);
 	to->backend = g_strdup(from->backend);
+	to->marks =
+		g_memdup2(from->marks, from->n_marks * sizeof(struct ep_mark));
 }
 
 void ep_record_clear(struct ep_record *r)
@@ -31,6 +36,7 @@
 	g_free(r->external_address);
 	g_free(r->control_address);
 	g_free(r->backend);
+	g_free(r->marks);
 	memset(r, 0, sizeof(*r));
 }
 
@@ -43,12 +49,12 @@
 	    !has_valid_length(r->address, !r->left) ||
 	    !has_valid_length(r->external_address, false) ||
 	    !has_valid_length(r->control_address, false) ||
-	    !has_valid_length(r->backend, false))
+	    !has_valid_length(r->backend, false) || r->n_marks > EP_MARKS_MAX)
 		return WI_FRAME_GARBAGE;
 	return BA_OK;
 }
 
-void ep_record_to_message(const struct ep_record *r, EpRecord *m)
+void ep_record_to_message(const struct ep_record *r, ba_time now, EpRecord *m)
 {
 	ep_record__init(m);
 	m->instance = r->instance;
@@ -69,9 +75,24 @@
 	m->left = r->left;
 	m->slots = r->slots;
 	m->connections = r->connections;
+	if (r->left && r->lease_deadline)
+		m->left_ms = (uint32_t)(CLAMP(now + EP_TOMBSTONE_TIME -
+						      r->lease_deadline,
+					      0, EP_TOMBSTONE_TIME) /
+					BA_MS);
+	if (r->n_marks)
+		marks_to_message(r, m);
 }
 
-void ep_record_from_message(const EpRecord *m, struct ep_record *r)
+void ep_message_clear(EpRecord *m)
+{
+	g_free(m->marks);
+	m->marks = NULL;
+	m->n_marks = 0;
+}
+
+void ep_record_from_message(const EpRecord *m, ba_time now,
+			    struct ep_mark *marks, struct ep_record *r)
 {
 	memset(r, 0, sizeof(*r));
 	r->instance = m->instance;
@@ -89,6 +110,45 @@
 	r->left = m->left;
 	r->slots = m->slots;
 	r->connections = m->connections;
+	if (r->left)
+		r->lease_deadline = now + EP_TOMBSTONE_TIME -
+				    MIN(m->left_ms * BA_MS, EP_TOMBSTONE_TIME);
+	if (m->n_marks)
+		marks_from_message(m, marks, r);
+}
+
+/* The marks and the pointers to them are one allocation. */
+static void marks_to_message(const struct ep_record *r, EpRecord *m)
+{
+	size_t n = r->n_marks;
+	EpMark *list;
+
+	m->marks = g_malloc(n * (sizeof(EpMark *) + sizeof(EpMark)));
+	m->n_marks = n;
+	m->marks_epoch = r->marks_epoch;
+	list = (EpMark *)(m->marks + n);
+	for (size_t i = 0; i < n; i++) {
+		ep_mark__init(&list[i]);
+		list[i].request = r->marks[i].request;
+		list[i].crashes = r->marks[i].crashes;
+		list[i].acquittals = r->marks[i].acquittals;
+		list[i].convicted = r->marks[i].convicted;
+		m->marks[i] = &list[i];
+	}
+}
+
+static void marks_from_message(const EpRecord *m, struct ep_mark *marks,
+			       struct ep_record *r)
+{
+	r->marks = marks;
+	r->n_marks = MIN(m->n_marks, (size_t)EP_MARKS_MAX);
+	r->marks_epoch = m->marks_epoch;
+	for (size_t i = 0; i < r->n_marks; i++) {
+		marks[i].request = m->marks[i]->request;
+		marks[i].crashes = m->marks[i]->crashes;
+		marks[i].acquittals = m->marks[i]->acquittals;
+		marks[i].convicted = m->marks[i]->convicted;
+	}
 }
 
 static bool has_valid_length(const char *s, bool required)
--- a/endpoint/ep_table.c
+++ b/endpoint/ep_table.c
@@ -23,6 +23,9 @@
 static void start_lease(struct ep_table *t, struct ep_entry *e,
 			ba_time lease_deadline);
 static void end_lease(struct ep_entry *e);
+static void add_tombstone(struct ep_table *t, struct ep_entry *e, ba_time now);
+static void add_report(struct ep_table *t, struct ep_entry *e);
+static void remove_report(struct ep_table *t, struct ep_entry *e);
 static void mark_changed(struct ep_table *t, struct ep_entry *e);
 static void toggle_digest(struct ep_entry *e);
 static void mark_left(struct ep_table *t, struct ep_entry *e, ba_time now);
@@ -47,6 +50,7 @@
 	ba_list_init(&t->by_change);
 	ba_list_init(&t->expiring);
 	ba_list_init(&t->tombstones);
+	ba_list_init(&t->reporting);
 	return t;
 }
 
@@ -266,12 +270,15 @@
 	g_free(s);
 }
 
+/* A tombstone that is due for removal would go to and fro between tables. */
 static enum ep_outcome put_new(struct ep_table *t, const struct ep_record *r,
 			       uint64_t holder, ba_time lease_deadline,
 			       ba_time now)
 {
 	struct ep_entry *e;
 
+	if (r->left && r->lease_deadline && r->lease_deadline <= now)
+		return EP_UNCHANGED;
 	if (g_hash_table_size(t->entries) >= t->limit)
 		return EP_NO_ROOM;
 	e = g_new0(struct ep_entry, 1);
@@ -282,6 +289,7 @@
 	ba_list_init(&e->by_change);
 	ba_list_init(&e->by_service);
 	ba_list_init(&e->by_state);
+	ba_list_init(&e->by_report);
 	g_hash_table_insert(t->entries, e->record.instance, e);
 	link_entry(t, e, lease_deadline, now);
 	return r->left ? EP_UNCHANGED : EP_JOINED;
@@ -360,16 +368,16 @@
 	ba_list_append(&e->service->entries, &e->by_service);
 	ba_list_append(&e->centre->entries, &e->by_centre);
 	mark_changed(t, e);
+	add_report(t, e);
+	toggle_digest(e);
 	if (r->left) {
-		r->lease_deadline = now + EP_TOMBSTONE_TIME;
-		ba_list_append(&t->tombstones, &e->by_state);
+		add_tombstone(t, e, now);
 		return;
 	}
 	r->lease_deadline = BA_NEVER;
 	e->centre->n_live++;
 	e->service->n_live++;
 	t->n_live++;
-	toggle_digest(e);
 	if (e->holder == EP_HELD_BY_NONE)
 		start_lease(t, e, lease_deadline);
 }
@@ -377,9 +385,10 @@
 /* Undo link_entry(), and mark the service of a live record as changed. */
 static void unlink_entry(struct ep_table *t, struct ep_entry *e)
 {
+	toggle_digest(e);
+	remove_report(t, e);
 	if (!e->record.left) {
 		end_lease(e);
-		toggle_digest(e);
 		e->centre->n_live--;
 		e->service->n_live--;
 		t->n_live--;
@@ -411,6 +420,37 @@
 	ba_list_remove(&e->by_state);
 }
 
+/* Tombstones that come from other tables are not new; the order is kept. */
+static void add_tombstone(struct ep_table *t, struct ep_entry *e, ba_time now)
+{
+	struct ep_record *r = &e->record;
+	struct ba_list *pos = t->tombstones.prev;
+
+	if (!r->lease_deadline || r->lease_deadline > now + EP_TOMBSTONE_TIME)
+		r->lease_deadline = now + EP_TOMBSTONE_TIME;
+	while (pos != &t->tombstones &&
+	       ba_entry(pos, struct ep_entry, by_state)->record.lease_deadline >
+		       r->lease_deadline)
+		pos = pos->prev;
+	ba_list_insert_before(pos->next, &e->by_state);
+}
+
+static void add_report(struct ep_table *t, struct ep_entry *e)
+{
+	if (!e->record.n_marks)
+		return;
+	ba_list_append(&t->reporting, &e->by_report);
+	t->reports_generation = t->generation;
+}
+
+static void remove_report(struct ep_table *t, struct ep_entry *e)
+{
+	if (ba_list_empty(&e->by_report))
+		return;
+	ba_list_remove(&e->by_report);
+	t->reports_generation = ++t->generation;
+}
+
 static void mark_changed(struct ep_table *t, struct ep_entry *e)
 {
 	e->generation = ++t->generation;
@@ -419,19 +459,24 @@
 	ba_list_append(&t->by_change, &e->by_change);
 }
 
+/* A tombstone with marks has another digest than the live record. */
 static void toggle_digest(struct ep_entry *e)
 {
 	const struct ep_record *r = &e->record;
-	uint64_t key[2] = {r->incarnation, r->sequence};
+	uint64_t key[3] = {r->incarnation, r->sequence, 1};
+	size_t bytes = sizeof(key) - (r->left ? 0 : sizeof(key[0]));
 
+	if (r->left && !r->n_marks)
+		return;
 	e->centre->buckets[e->bucket] ^= ba_hash(
-		key, sizeof(key), ba_hash(r->instance, strlen(r->instance), 0));
+		key, bytes, ba_hash(r->instance, strlen(r->instance), 0));
 }
 
 static void mark_left(struct ep_table *t, struct ep_entry *e, ba_time now)
 {
 	unlink_entry(t, e);
 	e->record.left = true;
+	e->record.lease_deadline = 0;
 	e->holder = EP_HELD_BY_NONE;
 	link_entry(t, e, 0, now);
 }
--- a/endpoint/ep_table.h
+++ b/endpoint/ep_table.h
@@ -7,7 +7,10 @@
  * - While more than half of the records of a data centre are not held, their
  *   expiry is held back for up to %EP_HOLD_BACK_LIMIT, as the observer itself
  *   may be cut off.
- * - A record that has left is kept as a tombstone for %EP_TOMBSTONE_TIME.
+ * - A record that has left is kept as a tombstone for %EP_TOMBSTONE_TIME after
+ *   it has left, also if it is learned late.
+ * - The marks of a tombstone count like those of a live record: they reach the
+ *   tables that do not know it.
  * - Each change has a generation number, so that a reader can get the changes
  *   since the generation it has seen.
  * - The records of a data centre are spread over %EP_BUCKETS by a hash of the
@@ -80,7 +83,7 @@
 void ep_table_free(struct ep_table *t);
 
 /**
- * ep_record_check() - check the lengths and presence of the strings
+ * ep_record_check() - check the strings and the number of marks
  *
  * Return: %BA_OK or %WI_FRAME_GARBAGE.
  */
@@ -146,7 +149,8 @@
 			      void *arg);
 
 /**
- * struct ep_centre_digest - digest of the live records of a data centre
+ * struct ep_centre_digest - digest of the live records of a data centre, and of
+ * its tombstones with marks
  * @root: hash of all buckets
  * @buckets: digest of each bucket
  */
--- a/endpoint/ep_view.c
+++ b/endpoint/ep_view.c
@@ -21,6 +21,18 @@
 	struct ep_record records[];
 };
 
+/**
+ * struct shared_reports - the reports, shared by all views since their last
+ * change
+ * @refs: reference count, changed atomically
+ * @list: where ep_view.reports points
+ */
+struct shared_reports {
+	int refs;
+	size_t n;
+	struct ep_report list[];
+};
+
 /**
  * struct rank - rank of one endpoint in the choice of a subset
  * @distance: 0 in the own data centre, 1 in the own region, else 2; lower is
@@ -47,6 +59,11 @@
 static void add_service(struct ep_view *v, const struct ep_view *old,
 			const struct ep_service *s,
 			const struct ep_view_options *o);
+static void set_reports(struct ep_view *v, const struct ep_view *old,
+			const struct ep_table *t);
+static struct shared_reports *reports_of(const struct ep_view *v);
+static struct shared_reports *reports_new(const struct ep_table *t);
+static void reports_unref(struct shared_reports *sr);
 
 struct ep_view *ep_view_ref(struct ep_view *v)
 {
@@ -63,6 +80,7 @@
 		shared_unref(shared_of(&v->services[i]));
 	}
 	g_free(v->services);
+	reports_unref(reports_of(v));
 	g_free(v);
 }
 
@@ -102,6 +120,7 @@
 	v->services = g_new0(struct ep_service_view, n);
 	for (size_t i = 0; i < n; i++)
 		add_service(v, old, list[i], options);
+	set_reports(v, old, t);
 	g_free(list);
 	return v;
 }
@@ -245,3 +264,59 @@
 
 	return strcmp((*x)->name, (*y)->name);
 }
+
+static void set_reports(struct ep_view *v, const struct ep_view *old,
+			const struct ep_table *t)
+{
+	struct shared_reports *sr;
+
+	if (old && old->reports_generation == t->reports_generation) {
+		sr = reports_of(old);
+		__atomic_add_fetch(&sr->refs, 1, __ATOMIC_RELAXED);
+	} else {
+		sr = reports_new(t);
+	}
+	v->reports = sr->list;
+	v->n_reports = sr->n;
+	v->reports_generation = t->reports_generation;
+}
+
+static struct shared_reports *reports_of(const struct ep_view *v)
+{
+	return ba_entry(v->reports, struct shared_reports, list);
+}
+
+static struct shared_reports *reports_new(const struct ep_table *t)
+{
+	const struct ba_list *pos;
+	struct shared_reports *sr;
+	size_t n = 0;
+
+	ba_list_each(pos, &t->reporting) n++;
+	sr = g_malloc0(sizeof(*sr) + n * sizeof(struct ep_report));
+	sr->refs = 1;
+	ba_list_each(pos, &t->reporting)
+	{
+		const struct ep_record *r =
+			&ba_entry(pos, struct ep_entry, by_report)->record;
+		struct ep_report *to = &sr->list[sr->n++];
+
+		to->instance = g_strdup(r->instance);
+		to->marks = g_memdup2(r->marks,
+				      r->n_marks * sizeof(struct ep_mark));
+		to->n_marks = r->n_marks;
+		to->epoch = r->marks_epoch;
+	}
+	return sr;
+}
+
+static void reports_unref(struct shared_reports *sr)
+{
+	if (__atomic_sub_fetch(&sr->refs, 1, __ATOMIC_ACQ_REL))
+		return;
+	for (size_t i = 0; i < sr->n; i++) {
+		g_free(sr->list[i].instance);
+		g_free(sr->list[i].marks);
+	}
+	g_free(sr);
+}
--- a/relay/re_endpoint.c
+++ b/relay/re_endpoint.c
@@ -47,6 +47,7 @@
 		(EpAnnounce *)wi_frame_unpack(f, &ep_announce__descriptor);
 	const struct wi_peer *peer = wi_session_peer(c->session);
 	ba_time now = ba_loop_now(c->relay->loop);
+	struct ep_mark marks[EP_MARKS_MAX];
 	enum ep_outcome outcome;
 	struct ep_record r;
 	int ret = BA_OK;
@@ -55,7 +56,7 @@
 		ret = WI_FRAME_GARBAGE;
 		goto out;
 	}
-	ep_record_from_message(m->record, &r);
+	ep_record_from_message(m->record, now, marks, &r);
 	ret = ep_record_check(&r);
 	if (ret || strcmp(r.instance, peer->instance) != 0 ||
 	    strcmp(r.data_centre, peer->data_centre) != 0) {
@@ -94,10 +95,11 @@
 		return WI_FRAME_GARBAGE;
 	for (size_t i = 0; i < m->n_records; i++) {
 		uint64_t by = m->held ? holder : EP_HELD_BY_NONE;
+		struct ep_mark marks[EP_MARKS_MAX];
 		enum ep_outcome outcome;
 		struct ep_record rec;
 
-		ep_record_from_message(m->records[i], &rec);
+		ep_record_from_message(m->records[i], now, marks, &rec);
 		if (ep_record_check(&rec))
 			continue;
 		if (!re_relay_serves(r, rec.data_centre))
@@ -266,11 +268,12 @@
 
 	if (!rec || !c)
 		return;
-	ep_record_to_message(rec, &record);
+	ep_record_to_message(rec, ba_loop_now(r->loop), &record);
 	record.left = true;
 	m.records = &list;
 	m.n_records = 1;
 	wi_send(c->session, EP_UPDATE, &m.base);
+	ep_message_clear(&record);
 }
 
 static void schedule_batch(struct re_relay *r)
@@ -305,7 +308,7 @@
 	if (p->held_only && !rec->left &&
 	    !ep_table_is_held_here(p->relay->table, rec->instance))
 		return;
-	ep_record_to_message(rec, &m);
+	ep_record_to_message(rec, ba_loop_now(p->relay->loop), &m);
 	g_array_append_val(p->records, m);
 }
 
@@ -320,6 +323,8 @@
 
 static void pack_free(struct packer *p)
 {
+	for (guint i = 0; i < p->records->len; i++)
+		ep_message_clear(&g_array_index(p->records, EpRecord, i));
 	g_array_free(p->records, TRUE);
 	g_ptr_array_free(p->pointers, TRUE);
 }
--- a/test/endpoint_test.cc
+++ b/test/endpoint_test.cc
@@ -1,13 +1,17 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "base/ba_rand.h"
+#include "base/ba_result.h"
 #include "endpoint/ep_table.h"
+#include "endpoint/ep_wire.h"
+#include "wire/wi_type.h"
 
 namespace
 {
@@ -354,4 +358,402 @@
 	}
 }
 
+std::vector<struct ep_mark> some_marks(size_t n, uint64_t seed = 1)
+{
+	std::vector<struct ep_mark> marks(n);
+	struct ba_rand r = {seed};
+
+	for (auto &m : marks) {
+		m.request = ba_rand_next(&r);
+		m.crashes = (uint32_t)ba_rand_below(&r, 4);
+		m.acquittals = (uint32_t)ba_rand_below(&r, 3);
+		m.convicted = ba_rand_below(&r, 2);
+	}
+	return marks;
+}
+
+void set_marks(struct ep_record *r, std::vector<struct ep_mark> &marks,
+	       uint64_t epoch)
+{
+	r->marks = marks.data();
+	r->n_marks = marks.size();
+	r->marks_epoch = epoch;
+}
+
+bool same_marks(const struct ep_mark *a, size_t n,
+		const std::vector<struct ep_mark> &b)
+{
+	if (n != b.size())
+		return false;
+	for (size_t i = 0; i < n; i++)
+		if (a[i].request != b[i].request ||
+		    a[i].crashes != b[i].crashes ||
+		    a[i].acquittals != b[i].acquittals ||
+		    a[i].convicted != b[i].convicted)
+			return false;
+	return true;
+}
+
+/* Packs @r at @sent and unpacks it at @received, as the loop times say. */
+struct transfer {
+	std::vector<uint8_t> bytes;
+	EpRecord *message = nullptr;
+	struct ep_mark marks[EP_MARKS_MAX];
+	struct ep_record record;
+
+	transfer(const struct ep_record &r, ba_time sent, ba_time received,
+		 const ProtobufCMessageDescriptor *d = &ep_record__descriptor)
+	{
+		EpRecord m;
+
+		ep_record_to_message(&r, sent, &m);
+		bytes.resize(ep_record__get_packed_size(&m));
+		ep_record__pack(&m, bytes.data());
+		ep_message_clear(&m);
+		message = (EpRecord *)protobuf_c_message_unpack(
+			d, nullptr, bytes.size(), bytes.data());
+		if (message)
+			ep_record_from_message(message, received, marks,
+					       &record);
+	}
+
+	~transfer()
+	{
+		protobuf_c_message_free_unpacked((ProtobufCMessage *)message,
+						 nullptr);
+	}
+};
+
+RC_GTEST_PROP(EpWire, MarksAreSentWhole, (uint64_t seed))
+{
+	struct ba_rand rand = {seed};
+	auto marks = some_marks(ba_rand_below(&rand, EP_MARKS_MAX + 1), seed);
+	struct ep_record r = record("a", 1, 1);
+
+	set_marks(&r, marks, seed);
+	struct transfer t(r, 0, 0);
+
+	RC_ASSERT(t.message != nullptr);
+	RC_ASSERT(ep_record_check(&t.record) == BA_OK);
+	RC_ASSERT(same_marks(t.record.marks, t.record.n_marks, marks));
+	RC_ASSERT(t.record.marks_epoch == (marks.empty() ? 0 : seed));
+}
+
+TEST(EpWire, MoreMarksThanARecordMayCarry)
+{
+	auto marks = some_marks(EP_MARKS_MAX + 1);
+	struct ep_record r = record("a", 1, 1);
+
+	set_marks(&r, marks, 1);
+	EXPECT_EQ(ep_record_check(&r), WI_FRAME_GARBAGE);
+
+	struct transfer t(r, 0, 0);
+
+	marks.pop_back();
+	EXPECT_EQ(ep_record_check(&t.record), BA_OK);
+	EXPECT_STREQ(t.record.instance, "a");
+	EXPECT_TRUE(same_marks(t.record.marks, t.record.n_marks, marks));
+}
+
+/* A program from before the marks reads the rest of the record. */
+TEST(EpWire, AnOlderProgramIgnoresMarks)
+{
+	static const ProtobufCIntRange ranges[] = {{1, 0}, {0, 15}};
+	ProtobufCMessageDescriptor older = ep_record__descriptor;
+	auto marks = some_marks(12);
+	struct ep_record r = record("a", 3, 4);
+
+	older.n_fields = 15;
+	older.field_ranges = ranges;
+	set_marks(&r, marks, 1);
+	struct transfer t(r, 0, 0, &older);
+
+	ASSERT_NE(t.message, nullptr);
+	EXPECT_EQ(ep_record_check(&t.record), BA_OK);
+	EXPECT_STREQ(t.record.instance, "a");
+	EXPECT_EQ(t.record.incarnation, 3u);
+	EXPECT_EQ(t.record.sequence, 4u);
+	EXPECT_EQ(t.record.n_marks, 0u);
+}
+
+TEST(EpWire, TheAgeOfATombstoneIsSentAlong)
+{
+	static const struct {
+		bool left;
+		ba_time removal; /* 0 if not known */
+		ba_time sent;
+		ba_time received;
+		ba_time want;
+	} cases[] = {
+		{false, BA_NEVER, BA_MINUTE, BA_HOUR, 0},
+		{true, 0, BA_MINUTE, BA_HOUR, BA_HOUR + EP_TOMBSTONE_TIME},
+		{true, EP_TOMBSTONE_TIME, 0, BA_HOUR,
+		 BA_HOUR + EP_TOMBSTONE_TIME},
+		{true, EP_TOMBSTONE_TIME, BA_MINUTE, BA_HOUR,
+		 BA_HOUR + EP_TOMBSTONE_TIME - BA_MINUTE},
+		{true, EP_TOMBSTONE_TIME, 2 * EP_TOMBSTONE_TIME, BA_HOUR,
+		 BA_HOUR},
+	};
+
+	for (const auto &c : cases) {
+		struct ep_record r = record("a", 1, 1);
+
+		r.left = c.left;
+		r.lease_deadline = c.removal;
+		struct transfer t(r, c.sent, c.received);
+
+		EXPECT_EQ(t.record.lease_deadline, c.want)
+			<< c.removal << " " << c.sent;
+	}
+}
+
+TEST(EpTable, AChangeOfMarksIsAChangeOfTheRecord)
+{
+	struct ep_table *t = ep_table_new(10);
+	auto marks = some_marks(2);
+	struct ep_record r = record("a", 1, 1);
+	struct ep_centre_digest before;
+	struct ep_centre_digest after;
+	uint64_t generation;
+
+	ep_table_put(t, &r, EP_HELD_HERE, BA_NEVER, 0);
+	ep_table_digest(t, "d1", &before);
+	generation = ep_table_generation(t);
+	set_marks(&r, marks, 7);
+	r.sequence = 2;
+	EXPECT_EQ(ep_table_put(t, &r, EP_HELD_HERE, BA_NEVER, 0), EP_CHANGED);
+	ep_table_digest(t, "d1", &after);
+	EXPECT_GT(ep_table_generation(t), generation);
+	EXPECT_NE(before.root, after.root);
+
+	struct ep_record older = record("a", 1, 1);
+
+	EXPECT_EQ(ep_table_put(t, &older, EP_HELD_BY_PEER, BA_NEVER, 0),
+		  EP_OLDER);
+	const struct ep_record *got = ep_table_get(t, "a");
+
+	EXPECT_TRUE(same_marks(got->marks, got->n_marks, marks));
+	EXPECT_EQ(got->marks_epoch, 7u);
+	ep_table_free(t);
+}
+
+/** Get the reports that a daemon of @t uses, by instance. */
+std::map<std::string, std::vector<struct ep_mark>> reports_of(
+	struct ep_table *t)
+{
+	struct ep_view_options o = {"me", "d1", "r1", 1};
+	struct ep_view *v = ep_table_view(t, nullptr, &o);
+	std::map<std::string, std::vector<struct ep_mark>> reports;
+
+	for (size_t i = 0; i < v->n_reports; i++)
+		reports[v->reports[i].instance].assign(
+			v->reports[i].marks,
+			v->reports[i].marks + v->reports[i].n_marks);
+	ep_view_unref(v);
+	return reports;
+}
+
+bool same_reports(struct ep_table *a, struct ep_table *b)
+{
+	auto x = reports_of(a);
+	auto y = reports_of(b);
+
+	if (x.size() != y.size())
+		return false;
+	for (auto &i : x)
+		if (!same_marks(i.second.data(), i.second.size(), y[i.first]))
+			return false;
+	return true;
+}
+
+/*
+ * Whatever two tables have missed of each other's records, they know the same
+ * reports after exchanging buckets, also those of endpoints that have left.
+ */
+RC_GTEST_PROP(EpTable, DigestsFindEveryReport, (uint64_t seed))
+{
+	history h = make_history(seed);
+	struct ba_rand r = {seed};
+	struct ep_table *t[2] = {ep_table_new(100), ep_table_new(100)};
+	std::vector<std::vector<struct ep_mark>> marks;
+
+	marks.reserve(h.announced.size());
+	for (auto &rec : h.announced) {
+		marks.push_back(some_marks(ba_rand_below(&r, 3), marks.size()));
+		set_marks(&rec, marks.back(), 1);
+		for (auto *table : t)
+			if (ba_rand_below(&r, 2))
+				ep_table_put(table, &rec, EP_HELD_BY_PEER,
+					     BA_NEVER, 0);
+	}
+	exchange(t[0], t[1]);
+	exchange(t[1], t[0]);
+	RC_ASSERT(same_reports(t[0], t[1]));
+	ep_table_free(t[0]);
+	ep_table_free(t[1]);
+}
+
+/* How long an EpUpdate is under way. */
+const ba_time TRANSIT = 20 * BA_MS;
+
+/* Faults of the checked code that the checker must detect. */
+enum tombstone_fault {
+	NO_FAULT,
+	RENEWED_BY_TRANSFER,
+	TAKEN_WHEN_DUE,
+};
+
+/* Relays that exchange a tombstone with marks; see time_until_forgotten(). */
+struct tombstone_world {
+	struct ba_rand rand;
+	enum tombstone_fault fault;
+	std::vector<struct ep_table *> tables;
+	std::vector<ba_time> starts;
+	std::vector<ba_time> ticks;
+	ba_time now = 0;
+
+	tombstone_world(uint64_t seed, enum tombstone_fault f) : fault(f)
+	{
+		rand.state = seed;
+		for (int i = 0; i < 8; i++) {
+			tables.push_back(ep_table_new(10));
+			starts.push_back((ba_time)ba_rand_below(
+				&rand, i ? EP_TOMBSTONE_TIME : 1));
+			ticks.push_back(
+				(ba_time)ba_rand_below(&rand, BA_SECOND));
+		}
+	}
+
+	~tombstone_world()
+	{
+		for (auto *t : tables)
+			ep_table_free(t);
+	}
+
+	/* Each relay looks once a second for what is due. */
+	size_t tick()
+	{
+		size_t known = 0;
+
+		for (size_t i = 0; i < tables.size(); i++) {
+			if (now >= ticks[i]) {
+				ticks[i] += BA_SECOND;
+				ep_table_expire(tables[i], now);
+			}
+			known += ep_table_get(tables[i], "a") != nullptr;
+		}
+		return known;
+	}
+
+	void exchange_one()
+	{
+		size_t to = ba_rand_below(&rand, tables.size());
+		size_t from = ba_rand_below(&rand, tables.size());
+		const struct ep_record *got = ep_table_get(tables[from], "a");
+		ba_time arrival = now + TRANSIT;
+
+		if (!got || now < starts[to] || ep_table_get(tables[to], "a"))
+			return;
+		struct transfer t(*got, now, arrival);
+
+		if (fault == RENEWED_BY_TRANSFER)
+			t.record.lease_deadline = 0;
+		if (fault == TAKEN_WHEN_DUE)
+			t.record.lease_deadline =
+				std::max(t.record.lease_deadline, arrival + 1);
+		ep_table_put(tables[to], &t.record, EP_HELD_BY_PEER, BA_NEVER,
+			     arrival);
+	}
+};
+
+/*
+ * Relays that start one after the other exchange a tombstone with marks until
+ * all have forgotten it.
+ *
+ * Return: time at which the last table forgot it, BA_HOUR at the latest.
+ */
+ba_time time_until_forgotten(uint64_t seed, enum tombstone_fault fault)
+{
+	struct tombstone_world w(seed, fault);
+	auto marks = some_marks(1);
+	struct ep_record r = record("a", 1, 1);
+
+	r.left = true;
+	set_marks(&r, marks, 1);
+	ep_table_put(w.tables[0], &r, EP_HELD_HERE, BA_NEVER, 0);
+	while (w.tick() && w.now < BA_HOUR) {
+		for (int i = 0; i < 6; i++)
+			w.exchange_one();
+		w.now += 100 * BA_MS;
+	}
+	return w.now;
+}
+
+RC_GTEST_PROP(EpTable, ATombstoneIsForgottenInTime, (uint64_t seed))
+{
+	RC_ASSERT(time_until_forgotten(seed, NO_FAULT) <
+		  EP_TOMBSTONE_TIME + 5 * BA_SECOND);
+}
+
+TEST(EpTable, TheCheckerDetectsTombstonesThatStay)
+{
+	for (auto fault : {RENEWED_BY_TRANSFER, TAKEN_WHEN_DUE}) {
+		bool caught = false;
+
+		for (uint64_t seed = 1; seed < 20; seed++)
+			caught |= time_until_forgotten(seed, fault) >=
+				  EP_TOMBSTONE_TIME + 5 * BA_SECOND;
+		EXPECT_TRUE(caught) << fault;
+	}
+}
+
+TEST(EpView, HasTheReportsOfAllRecords)
+{
+	struct ep_table *t = ep_table_new(100);
+	struct ep_view_options o = {"me", "d1", "r1", 2};
+	auto marks = some_marks(3);
+	struct ep_view *first;
+	struct ep_view *second;
+	struct ep_view *third;
+
+	for (int i = 0; i < 20; i++) {
+		struct ep_record r = record("e" + std::to_string(i), 1, 1,
+					    i % 3 ? "d1" : "d2");
+
+		r.service = (char *)(i % 2 ? "orders" : "stock");
+		r.draining = i % 5 == 1;
+		r.left = i % 5 == 2;
+		if (i != 7)
+			set_marks(&r, marks, 9);
+		ep_table_put(t, &r, EP_HELD_BY_PEER, BA_NEVER, 0);
+	}
+	first = ep_table_view(t, nullptr, &o);
+	EXPECT_EQ(first->n_reports, 19u);
+	for (size_t i = 0; i < first->n_reports; i++) {
+		EXPECT_STRNE(first->reports[i].instance, "e7");
+		EXPECT_EQ(first->reports[i].epoch, 9u);
+		EXPECT_TRUE(same_marks(first->reports[i].marks,
+				       first->reports[i].n_marks, marks));
+	}
+
+	struct ep_record change = record("e7", 1, 2);
+
+	ep_table_put(t, &change, EP_HELD_BY_PEER, BA_NEVER, 0);
+	second = ep_table_view(t, first, &o);
+	EXPECT_NE(first, second);
+	EXPECT_EQ(second->reports, first->reports);
+	EXPECT_EQ(second->reports_generation, first->reports_generation);
+	ep_view_unref(first);
+
+	change = record("e3", 1, 2);
+	ep_table_put(t, &change, EP_HELD_BY_PEER, BA_NEVER, 0);
+	third = ep_table_view(t, second, &o);
+	EXPECT_EQ(third->n_reports, 18u);
+	EXPECT_NE(third->reports_generation, second->reports_generation);
+	EXPECT_EQ(second->n_reports, 19u);
+	ep_view_unref(second);
+	ep_view_unref(third);
+	ep_table_free(t);
+}
+
 } // namespace
--- a/wire/ep.pb-c.c
+++ b/wire/ep.pb-c.c
@@ -7,6 +7,51 @@
 #endif
 
 #include "ep.pb-c.h"
+void   ep_mark__init
+                     (EpMark         *message)
+{
+  static const EpMark init_value = EP_MARK__INIT;
+  *message = init_value;
+}
+size_t ep_mark__get_packed_size
+                     (const EpMark *message)
+{
+  assert(message->base.descriptor == &ep_mark__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t ep_mark__pack
+                     (const EpMark *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &ep_mark__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t ep_mark__pack_to_buffer
+                     (const EpMark *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &ep_mark__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+EpMark *
+       ep_mark__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (EpMark *)
+     protobuf_c_message_unpack (&ep_mark__descriptor,
+                                allocator, len, data);
+}
+void   ep_mark__free_unpacked
+                     (EpMark *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &ep_mark__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   ep_record__init
                      (EpRecord         *message)
 {
@@ -232,7 +277,84 @@
   assert(message->base.descriptor == &ep_digest__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor ep_record__field_descriptors[15] =
+static const ProtobufCFieldDescriptor ep_mark__field_descriptors[4] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(EpMark, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(EpMark, crashes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acquittals",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(EpMark, acquittals),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "convicted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(EpMark, convicted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned ep_mark__field_indices_by_name[] = {
+  2,   /* field[2] = acquittals */
+  3,   /* field[3] = convicted */
+  1,   /* field[1] = crashes */
+  0,   /* field[0] = request */
+};
+static const ProtobufCIntRange ep_mark__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor ep_mark__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "EpMark",
+  "EpMark",
+  "EpMark",
+  "",
+  sizeof(EpMark),
+  4,
+  ep_mark__field_descriptors,
+  ep_mark__field_indices_by_name,
+  1,  ep_mark__number_ranges,
+  (ProtobufCMessageInit) ep_mark__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor ep_record__field_descriptors[18] =
 {
   {
     "instance",
@@ -414,6 +536,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "marks",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(EpRecord, n_marks),
+    offsetof(EpRecord, marks),
+    &ep_mark__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "marks_epoch",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(EpRecord, marks_epoch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_ms",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(EpRecord, left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ep_record__field_indices_by_name[] = {
   4,   /* field[4] = address */
@@ -427,6 +585,9 @@
   6,   /* field[6] = incarnation */
   0,   /* field[0] = instance */
   11,   /* field[11] = left */
+  17,   /* field[17] = left_ms */
+  15,   /* field[15] = marks */
+  16,   /* field[16] = marks_epoch */
   3,   /* field[3] = region */
   7,   /* field[7] = sequence */
   1,   /* field[1] = service */
@@ -435,7 +596,7 @@
 static const ProtobufCIntRange ep_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor ep_record__descriptor =
 {
@@ -445,7 +606,7 @@
   "EpRecord",
   "",
   sizeof(EpRecord),
-  15,
+  18,
   ep_record__field_descriptors,
   ep_record__field_indices_by_name,
   1,  ep_record__number_ranges,
--- a/wire/ep.pb-c.h
+++ b/wire/ep.pb-c.h
@@ -15,6 +15,7 @@
 #endif
 
 
+typedef struct EpMark EpMark;
 typedef struct EpRecord EpRecord;
 typedef struct EpAnnounce EpAnnounce;
 typedef struct EpUpdate EpUpdate;
@@ -27,6 +28,34 @@
 
 /* --- messages --- */
 
+/*
+ * What an instance reports of one request that crashes backend servers.
+ */
+struct  EpMark
+{
+  ProtobufCMessage base;
+  /*
+   * digest of the request
+   */
+  uint64_t request;
+  /*
+   * of its backend server that it explains
+   */
+  uint32_t crashes;
+  /*
+   * by answers that it saw
+   */
+  uint32_t acquittals;
+  /*
+   * known there to be convicted
+   */
+  protobuf_c_boolean convicted;
+};
+#define EP_MARK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&ep_mark__descriptor) \
+    , 0, 0, 0, 0 }
+
+
 struct  EpRecord
 {
   ProtobufCMessage base;
@@ -63,10 +92,23 @@
    * it stays slow for so long
    */
   uint32_t cold_ms;
+  /*
+   * its report of requests
+   */
+  size_t n_marks;
+  EpMark **marks;
+  /*
+   * wall time of the start of the counts in marks
+   */
+  uint64_t marks_epoch;
+  /*
+   * time since it left, of a tombstone
+   */
+  uint32_t left_ms;
 };
 #define EP_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ep_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0 }
 
 
 struct  EpAnnounce
@@ -110,7 +152,7 @@
   ProtobufCMessage base;
   char *data_centre;
   /*
-   * of all live records
+   * of all live records and all with marks
    */
   uint64_t root;
   /*
@@ -138,6 +180,25 @@
     , 0,NULL }
 
 
+/* EpMark methods */
+void   ep_mark__init
+                     (EpMark         *message);
+size_t ep_mark__get_packed_size
+                     (const EpMark   *message);
+size_t ep_mark__pack
+                     (const EpMark   *message,
+                      uint8_t             *out);
+size_t ep_mark__pack_to_buffer
+                     (const EpMark   *message,
+                      ProtobufCBuffer     *buffer);
+EpMark *
+       ep_mark__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   ep_mark__free_unpacked
+                     (EpMark *message,
+                      ProtobufCAllocator *allocator);
 /* EpRecord methods */
 void   ep_record__init
                      (EpRecord         *message);
@@ -235,6 +296,9 @@
                       ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
+typedef void (*EpMark_Closure)
+                 (const EpMark *message,
+                  void *closure_data);
 typedef void (*EpRecord_Closure)
                  (const EpRecord *message,
                   void *closure_data);
@@ -256,6 +320,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCMessageDescriptor ep_mark__descriptor;
 extern const ProtobufCMessageDescriptor ep_record__descriptor;
 extern const ProtobufCMessageDescriptor ep_announce__descriptor;
 extern const ProtobufCMessageDescriptor ep_update__descriptor;
