distrib, prog: the agent announces the marks of its proxy

ds_agent_report_marks() announces the record with other marks, at most five times a second. The marks stay in the record of the agent, so a drain, a leave, a new start of the backend server and a new session keep them.

--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -19,6 +19,9 @@
 /* Changes of endpoints that arrive within this time are put into one view. */
 #define VIEW_DELAY (20 * BA_MS)
 
+/* Least time between two announcements of marks. */
+#define MARKS_INTERVAL (200 * BA_MS)
+
 #define FIGURES_PERIOD (5 * BA_SECOND)
 
 /* Period per live daemon: together they send at most 50 times a second. */
@@ -42,6 +45,8 @@
  * @seeds: addresses of the settings
  * @ranking: relays by the last roster, or the seeds
  * @subscribed: whether the open session has got the subscription
+ * @marks_timer: armed while the marks have changed since the last announcement
+ * @marks_not_before: earliest time at which marks are announced again
  */
 struct ds_agent {
 	struct ds_link_owner link_owner;
@@ -57,6 +62,8 @@
 	struct ba_timer expiry_timer;
 	struct ba_timer sibling_timer;
 	struct ba_timer subscribe_timer;
+	struct ba_timer marks_timer;
+	ba_time marks_not_before;
 	struct ba_address *seeds;
 	size_t n_seeds;
 	struct ds_ranking *ranking;
@@ -82,6 +89,9 @@
 static ba_time figures_period(const struct ds_agent *a);
 static void on_expiry_timer(struct ba_timer *t, ba_time now);
 static void on_sibling_timer(struct ba_timer *t, ba_time now);
+static void on_marks_timer(struct ba_timer *t, ba_time now);
+static bool has_marks(const struct ep_record *r, const struct ep_mark *marks,
+		      size_t n, uint64_t epoch);
 static void load_stored(struct ds_agent *a);
 static int handle_update(struct ds_agent *a, struct wi_session *s,
 			 const struct wi_frame *f);
@@ -121,6 +131,7 @@
 	a->expiry_timer.fire = on_expiry_timer;
 	a->sibling_timer.fire = on_sibling_timer;
 	a->subscribe_timer.fire = on_subscribe_timer;
+	a->marks_timer.fire = on_marks_timer;
 	a->loop = loop;
 	a->owner = owner;
 	a->identity = options->identity;
@@ -156,11 +167,32 @@
 	next.instance = g_strdup(a->record.instance);
 	next.incarnation = a->record.incarnation + renewed;
 	next.sequence = renewed ? 0 : a->record.sequence;
+	g_free(next.marks);
+	next.marks = g_steal_pointer(&a->record.marks);
+	next.n_marks = a->record.n_marks;
+	next.marks_epoch = a->record.marks_epoch;
 	ep_record_clear(&a->record);
 	a->record = next;
 	announce_if_connected(a);
 }
 
+void ds_agent_report_marks(struct ds_agent *a, const struct ep_mark *marks,
+			   size_t n, uint64_t epoch)
+{
+	struct ep_record *r = &a->record;
+
+	n = MIN(n, (size_t)EP_MARKS_MAX);
+	if (has_marks(r, marks, n, epoch))
+		return;
+	g_free(r->marks);
+	r->marks = g_memdup2(marks, n * sizeof(*marks));
+	r->n_marks = n;
+	r->marks_epoch = epoch;
+	if (!a->marks_timer.slot)
+		ba_loop_arm(a->loop, &a->marks_timer,
+			    MAX(ba_loop_now(a->loop), a->marks_not_before));
+}
+
 void ds_agent_drain(struct ds_agent *a)
 {
 	a->record.draining = true;
@@ -205,6 +237,7 @@
 	ba_loop_disarm(a->loop, &a->expiry_timer);
 	ba_loop_disarm(a->loop, &a->sibling_timer);
 	ba_loop_disarm(a->loop, &a->subscribe_timer);
+	ba_loop_disarm(a->loop, &a->marks_timer);
 	ds_link_free(a->link);
 	ds_sibling_free(a->sibling);
 	ds_receiver_free(&a->receiver);
@@ -352,6 +385,29 @@
 	ds_sibling_connect(a->sibling, a->table, &a->rand);
 }
 
+/* Without a session the marks wait for the announcement that opens the next. */
+static void on_marks_timer(struct ba_timer *t, ba_time now)
+{
+	struct ds_agent *a = ba_entry(t, struct ds_agent, marks_timer);
+
+	a->marks_not_before = now + MARKS_INTERVAL;
+	announce_if_connected(a);
+}
+
+static bool has_marks(const struct ep_record *r, const struct ep_mark *marks,
+		      size_t n, uint64_t epoch)
+{
+	if (r->n_marks != n || r->marks_epoch != epoch)
+		return false;
+	for (size_t i = 0; i < n; i++)
+		if (r->marks[i].request != marks[i].request ||
+		    r->marks[i].crashes != marks[i].crashes ||
+		    r->marks[i].acquittals != marks[i].acquittals ||
+		    r->marks[i].convicted != marks[i].convicted)
+			return false;
+	return true;
+}
+
 static void load_stored(struct ds_agent *a)
 {
 	struct cf_snapshot *s =
@@ -536,6 +592,7 @@
 	EpAnnounce m = EP_ANNOUNCE__INIT;
 	EpRecord r;
 
+	ba_loop_disarm(a->loop, &a->marks_timer);
 	a->record.sequence++;
 	ep_record_to_message(&a->record, ba_loop_now(a->loop), &r);
 	m.record = &r;
--- a/distrib/ds_agent.h
+++ b/distrib/ds_agent.h
@@ -74,13 +74,24 @@
 /**
  * ds_agent_announce() - announce a change of the endpoint
  * @record: new state of the endpoint; copied, except for the instance,
- *	incarnation and sequence
+ *	incarnation, sequence and marks
  * @renewed: whether the backend server was restarted, so that a new
  *	incarnation begins and observations of the old one are void
  */
 void ds_agent_announce(struct ds_agent *a, const struct ep_record *record,
 		       bool renewed);
 
+/**
+ * ds_agent_report_marks() - announce the endpoint with other marks
+ * @marks: all marks; copied, at most %EP_MARKS_MAX
+ * @epoch: wall time of the start of the counts in @marks
+ *
+ * Changes that follow each other closely are announced together.  The marks
+ * stay part of all later announcements, also over later sessions.
+ */
+void ds_agent_report_marks(struct ds_agent *a, const struct ep_mark *marks,
+			   size_t n, uint64_t epoch);
+
 /** ds_agent_drain() - announce that the endpoint takes no new work */
 void ds_agent_drain(struct ds_agent *a);
 
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -99,6 +99,8 @@
 static void start_agent(struct program *g);
 static void on_backend_changed(struct px_owner *o, const struct px_heartbeat *b,
 			       bool renewed);
+static void on_marks_changed(struct px_owner *o, const struct ep_mark *marks,
+			     size_t n);
 static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s);
 static void on_view(struct ds_agent_owner *o, struct ep_view *v);
 static void on_signal(int signo, void *arg);
@@ -162,6 +164,7 @@
 
 	ba_random_bytes(&o.seed, sizeof(o.seed));
 	g->proxy_owner.backend_changed = on_backend_changed;
+	g->proxy_owner.marks_changed = on_marks_changed;
 	if (px_new(g->loop, &o, &g->proxy_owner, &failed, &g->proxy))
 		return pr_listen_failed(failed);
 	return 0;
@@ -220,6 +223,14 @@
 	ds_agent_announce(g->agent, &record, renewed);
 }
 
+static void on_marks_changed(struct px_owner *o, const struct ep_mark *marks,
+			     size_t n)
+{
+	struct program *g = ba_entry(o, struct program, proxy_owner);
+
+	ds_agent_report_marks(g->agent, marks, n, g->identity.incarnation);
+}
+
 static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s)
 {
 	struct program *g = ba_entry(o, struct program, agent_owner);
--- a/proxy/px.h
+++ b/proxy/px.h
@@ -35,10 +35,14 @@
  * @backend_changed: the backend server has started, changed its state or left;
  *	@b is its last heartbeat, NULL after it has left; @renewed is set when
  *	@b is the first heartbeat of another start
+ * @marks_changed: the own report of requests that crash backend servers has
+ *	changed; @marks is all of it
  */
 struct px_owner {
 	void (*backend_changed)(struct px_owner *o,
 				const struct px_heartbeat *b, bool renewed);
+	void (*marks_changed)(struct px_owner *o, const struct ep_mark *marks,
+			      size_t n);
 };
 
 /**
