test: marks reach daemons of all regions

Over relays that serve one data centre and such that serve all: to a daemon that starts later, while the backend server is gone, to a relay that started after the departure, and after a time without a session. Leaving tombstones out of the digests fails ReachARelayThatMissedThem and ReachDaemonsWhileTheBackendServerIsGone; announcing without an interval fails CloseChangesAreAnnouncedTogether; dropping the marks in ds_agent_announce() fails StayInLaterAnnouncements (all tried on a scratch change).

--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -126,6 +127,12 @@
 		  BA_OK);
 }
 
+/** A report as a daemon has got it: digests and crashes. */
+struct report {
+	std::vector<std::pair<uint64_t, uint32_t>> marks;
+	uint64_t epoch;
+};
+
 struct daemon {
 	struct ds_agent_owner owner;
 	std::string name;
@@ -135,6 +142,7 @@
 	std::vector<uint64_t> versions;
 	size_t endpoints;
 	size_t draining;
+	std::map<std::string, struct report> reports;
 };
 
 void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s)
@@ -152,11 +160,22 @@
 	d->draining = 0;
 	for (size_t i = 0; sv && i < sv->n_records; i++)
 		d->draining += sv->records[i].draining;
+	d->reports.clear();
+	for (size_t i = 0; i < v->n_reports; i++) {
+		const struct ep_report &from = v->reports[i];
+		struct report &to = d->reports[from.instance];
+
+		to.epoch = from.epoch;
+		for (size_t k = 0; k < from.n_marks; k++)
+			to.marks.emplace_back(from.marks[k].request,
+					      from.marks[k].crashes);
+	}
 	ep_view_unref(v);
 }
 
 void daemon_start(struct daemon *d, struct ba_loop *loop, const char *name,
-		  const char *data_centre, struct ba_address *relays, size_t n)
+		  const char *data_centre, struct ba_address *relays, size_t n,
+		  const char *region = "r1")
 {
 	struct ep_record r = {};
 	struct ds_agent_options options = {};
@@ -164,12 +183,12 @@
 	d->owner.on_snapshot = on_snapshot;
 	d->owner.on_view = on_view;
 	d->name = name;
-	d->id = identity(d->name.c_str(), WI_DAEMON, data_centre, "r1");
+	d->id = identity(d->name.c_str(), WI_DAEMON, data_centre, region);
 	d->relays = {relays, n};
 	r.instance = (char *)d->name.c_str();
 	r.service = (char *)"orders";
 	r.data_centre = (char *)data_centre;
-	r.region = (char *)"r1";
+	r.region = (char *)region;
 	r.address = (char *)"127.0.0.1:1";
 	r.incarnation = d->id.incarnation;
 	options.identity = &d->id;
@@ -189,14 +208,14 @@
 void relay_start(struct relay *r, struct ba_loop *loop, const char *name,
 		 const char *data_centre, struct ba_address at,
 		 struct ba_addresses sources, struct ba_addresses peers,
-		 bool all_data_centres = false)
+		 bool all_data_centres = false, const char *region = "r1")
 {
 	*r = {};
 	r->settings.all_data_centres = all_data_centres;
 	r->settings.address = at;
 	r->settings.sources = sources;
 	r->settings.peers = peers;
-	r->id = identity(name, WI_RELAY, data_centre, "r1");
+	r->id = identity(name, WI_RELAY, data_centre, region);
 	r->r.loop = loop;
 	r->r.settings = &r->settings;
 	r->r.identity = &r->id;
@@ -405,4 +424,219 @@
 		EXPECT_EQ(d->versions, (std::vector<uint64_t>{5, 6}));
 }
 
+/* Two relays of different regions, each with a daemon of its region. */
+struct far_mesh : mesh {
+	bool all_data_centres;
+	struct ba_addresses all_relays = {at, 2};
+
+	far_mesh(int port, bool all) : mesh(port), all_data_centres(all)
+	{
+		for (int i = 0; i < 2; i++) {
+			stop(i);
+			start_far(i);
+		}
+		publish(1);
+		add_far("a1", 0);
+		add_far("a2", 1);
+	}
+
+	void stop(int i)
+	{
+		re_relay_stop(&relays[i].r);
+		relays[i].r.loop = nullptr;
+	}
+
+	void start_far(int i)
+	{
+		relay_start(&relays[i], loop, i ? "y2" : "y1", i ? "d2" : "d1",
+			    at[i], {&source_at, 1}, all_relays,
+			    all_data_centres, i ? "r2" : "r1");
+	}
+
+	void add_far(const char *name, int i)
+	{
+		daemons.push_back(std::make_unique<struct daemon>());
+		daemon_start(daemons.back().get(), loop, name, i ? "d2" : "d1",
+			     at + i, 1, i ? "r2" : "r1");
+	}
+
+	/* Have a1 report @n requests in @crashes crashes each. */
+	void report_marks(size_t n, uint32_t crashes, uint64_t epoch = 5)
+	{
+		std::vector<struct ep_mark> marks(n);
+
+		for (size_t i = 0; i < n; i++) {
+			marks[i].request = 100 + i;
+			marks[i].crashes = crashes;
+		}
+		ds_agent_report_marks(daemons[0]->agent, marks.data(), n,
+				      epoch);
+	}
+
+	bool all_know(size_t n, uint32_t crashes)
+	{
+		for (auto &d : daemons) {
+			auto &got = d->reports["a1"].marks;
+
+			if (got.size() != n)
+				return false;
+			for (size_t i = 0; i < n; i++)
+				if (got[i].first != 100 + i ||
+				    got[i].second != crashes)
+					return false;
+		}
+		return true;
+	}
+
+	bool wait_for(size_t n, uint32_t crashes)
+	{
+		return wait_until(loop, [=] { return all_know(n, crashes); });
+	}
+
+	bool wait_for_endpoints(size_t n)
+	{
+		return wait_until(loop, [=] { return all_see(n); });
+	}
+};
+
+/* The value says whether relays serve all data centres. */
+struct DsMarks : testing::TestWithParam<bool> {
+	int port() const
+	{
+		return GetParam() ? 23141 : 23142;
+	}
+};
+
+INSTANTIATE_TEST_SUITE_P(WhatRelaysServe, DsMarks, testing::Bool());
+
+TEST_P(DsMarks, ReachDaemonsOfAllRegions)
+{
+	struct far_mesh m(port(), GetParam());
+	ba_time start;
+
+	ASSERT_TRUE(m.wait_for_endpoints(2));
+	start = ba_clock_now();
+	m.report_marks(3, 1);
+	EXPECT_TRUE(m.wait_for(3, 1));
+	RecordProperty("spread_us", std::to_string(ba_clock_now() - start));
+	EXPECT_EQ(m.daemons[1]->reports["a1"].epoch, 5u);
+	m.add_far("a3", 1);
+	m.add_far("a4", 0);
+	EXPECT_TRUE(m.wait_for(3, 1));
+	m.report_marks(0, 0);
+	EXPECT_TRUE(m.wait_for(0, 0));
+}
+
+/* No endpoint is left, but its daemon goes on reporting. */
+TEST_P(DsMarks, ReachDaemonsWhileTheBackendServerIsGone)
+{
+	struct far_mesh m(port(), GetParam());
+
+	m.report_marks(2, 1);
+	ASSERT_TRUE(m.wait_for(2, 1));
+	ds_agent_leave(m.daemons[0]->agent);
+	EXPECT_TRUE(m.wait_for_endpoints(1));
+	EXPECT_TRUE(m.all_know(2, 1));
+	m.report_marks(2, 2);
+	EXPECT_TRUE(m.wait_for(2, 2));
+	m.add_far("a3", 1);
+	EXPECT_TRUE(m.wait_for(2, 2));
+}
+
+/*
+ * The relay of the other region starts anew, and so has missed the departure
+ * and the report.
+ */
+TEST_P(DsMarks, ReachARelayThatMissedThem)
+{
+	struct far_mesh m(port(), GetParam());
+
+	ASSERT_TRUE(m.wait_for_endpoints(2));
+	m.stop(1);
+	ds_agent_leave(m.daemons[0]->agent);
+	m.report_marks(2, 3);
+	ASSERT_TRUE(wait_until(m.loop, [&] {
+		return m.daemons[0]->reports["a1"].marks.size() == 2;
+	}));
+	m.start_far(1);
+	EXPECT_TRUE(m.wait_for(2, 3));
+	m.add_far("a3", 1);
+	EXPECT_TRUE(m.wait_for(2, 3));
+}
+
+/* The marks are reported while the daemon has no session. */
+TEST_P(DsMarks, WaitForTheNextSession)
+{
+	struct far_mesh m(port(), GetParam());
+
+	ASSERT_TRUE(m.wait_for_endpoints(2));
+	m.stop(0);
+	ASSERT_TRUE(wait_until(m.loop, [&] {
+		return !ds_agent_connected(m.daemons[0]->agent);
+	}));
+	m.report_marks(1, 1);
+	m.report_marks(4, 2);
+	m.start_far(0);
+	EXPECT_TRUE(m.wait_for(4, 2));
+}
+
+TEST_P(DsMarks, StayInLaterAnnouncements)
+{
+	struct far_mesh m(port(), GetParam());
+	struct daemon *d;
+	struct ep_record next = {};
+
+	m.report_marks(2, 1);
+	ASSERT_TRUE(m.wait_for(2, 1));
+	d = m.daemons[0].get();
+	next.service = (char *)"orders";
+	next.data_centre = (char *)"d1";
+	next.region = (char *)"r1";
+	next.address = (char *)"127.0.0.1:1";
+	next.draining = true;
+	ds_agent_announce(d->agent, &next, false);
+	EXPECT_TRUE(wait_until(m.loop,
+			       [&] { return m.daemons[1]->draining == 1; }));
+	EXPECT_TRUE(m.all_know(2, 1));
+	next.draining = false;
+	ds_agent_announce(d->agent, &next, true);
+	EXPECT_TRUE(wait_until(m.loop,
+			       [&] { return m.daemons[1]->draining == 0; }));
+	EXPECT_TRUE(m.all_know(2, 1));
+	ds_agent_drain(d->agent);
+	EXPECT_TRUE(wait_until(m.loop,
+			       [&] { return m.daemons[1]->draining == 1; }));
+	EXPECT_TRUE(m.all_know(2, 1));
+	ds_agent_leave(d->agent);
+	EXPECT_TRUE(wait_until(m.loop,
+			       [&] { return m.daemons[1]->endpoints == 1; }));
+	EXPECT_TRUE(m.all_know(2, 1));
+}
+
+/* Changes are announced together, and no earlier than 200 ms after others. */
+TEST_P(DsMarks, CloseChangesAreAnnouncedTogether)
+{
+	struct far_mesh m(port(), GetParam());
+	struct ep_table *t = m.relays[0].r.table;
+	uint64_t sequence;
+	ba_time start;
+
+	ASSERT_TRUE(m.wait_for_endpoints(2));
+	sequence = ep_table_get(t, "a1")->sequence;
+	start = ba_clock_now();
+	for (uint32_t i = 1; i <= 10; i++)
+		m.report_marks(1, i);
+	ASSERT_TRUE(m.wait_for(1, 10));
+	EXPECT_EQ(ep_table_get(t, "a1")->sequence, sequence + 1);
+	for (uint32_t i = 11; i <= 20; i++)
+		m.report_marks(1, i);
+	ASSERT_TRUE(m.wait_for(1, 20));
+	EXPECT_EQ(ep_table_get(t, "a1")->sequence, sequence + 2);
+	EXPECT_GE(ba_clock_now() - start, 200 * BA_MS);
+	m.report_marks(1, 20);
+	ASSERT_TRUE(wait_until(
+		m.loop, [&] { return ba_clock_now() - start > 600 * BA_MS; }));
+	EXPECT_EQ(ep_table_get(t, "a1")->sequence, sequence + 2);
+}
+
 } // namespace
