--- a/call/cl_poison.c
+++ b/call/cl_poison.c
@@ -39,6 +39,7 @@
  * @link: in the list of suspects or of convicts, oldest evidence first
  * @own_link: in the list of own marks, if it is reported
  * @crashes: of all instances, since the last acquittal
+ * @told: the conviction was returned by cl_poison_next_convicted()
  * @settles: other instances' evidence that arrives before this time is void
  * @search_at: next search for a report of the conviction
  */
@@ -48,6 +49,7 @@
 	uint64_t request;
 	uint32_t crashes;
 	bool convicted;
+	bool told;
 	ba_time expires;
 	ba_time settles;
 	ba_time search_at;
@@ -79,6 +81,7 @@
 };
 
 /*
+ * @untold: there may be convictions that were not told
  * @reporters_by_age: the one whose report changed last is at the end
  */
 struct cl_poison {
@@ -89,6 +92,7 @@
 	struct ba_list own;
 	size_t n_own;
 	unsigned int n_convicts;
+	bool untold;
 	uint64_t generation;
 	GHashTable *reporters;
 	struct ba_list reporters_by_age;
@@ -243,6 +247,28 @@
 						   : CL_POISON_CLEAR;
 }
 
+bool cl_poison_next_convicted(struct cl_poison *p, uint64_t *request,
+			      uint32_t *crashes)
+{
+	struct ba_list *pos;
+
+	if (!p->untold)
+		return false;
+	ba_list_each(pos, &p->convicts)
+	{
+		struct entry *e = ba_entry(pos, struct entry, link);
+
+		if (e->told)
+			continue;
+		e->told = true;
+		*request = e->request;
+		*crashes = e->crashes;
+		return true;
+	}
+	p->untold = false;
+	return false;
+}
+
 size_t cl_poison_report(struct cl_poison *p, struct ep_mark *marks, ba_time now)
 {
 	struct ba_list *pos;
@@ -372,6 +398,8 @@
 	if (e->convicted)
 		return;
 	e->convicted = true;
+	e->told = false;
+	p->untold = true;
 	p->n_convicts++;
 	p->generation += is_witness(e);
 	ba_list_remove(&e->link);
--- a/call/cl_poison.h
+++ b/call/cl_poison.h
@@ -103,6 +103,15 @@
 enum cl_poison_verdict cl_poison_verdict(struct cl_poison *p, uint64_t request,
 					 ba_time now);
 
+/**
+ * cl_poison_next_convicted() - get a conviction that was not told before
+ * @crashes: number that is known here, 0 if only the conviction is known
+ *
+ * Return: false if there is none.
+ */
+bool cl_poison_next_convicted(struct cl_poison *p, uint64_t *request,
+			      uint32_t *crashes);
+
 /**
  * cl_poison_report() - get the own report
  * @marks: room for %EP_MARKS_MAX marks, sorted by digest
