--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -249,6 +249,9 @@
 
 void ht_conn_set_deadline(struct ht_conn *c, ba_time deadline)
 {
+	/* A dial that has failed is reported in any case, at once. */
+	if (c->watch.fd < 0)
+		return;
 	if (deadline == BA_NEVER)
 		ba_loop_disarm(c->loop, &c->timer);
 	else
