call: a crash right after the first heartbeat of a start counts

Requests that were sent after the heartbeat were taken for those of an earlier crash for 50 ms, though none was to be reported. The new case of ClCrash.IsToldFromTheEndOfAConnection failed before.

--- a/call/cl_crash.c
+++ b/call/cl_crash.c
@@ -24,10 +24,14 @@
 	/* It belongs to the crash that was reported. */
 	if (c->down_at != BA_NEVER && c->report_at == BA_NEVER)
 		return;
-	/* It was sent after the crash that is to be reported. */
 	if (c->report_at != BA_NEVER &&
-	    sent_at >= c->report_at - CL_CRASH_SETTLE_TIME)
-		return;
+	    sent_at >= c->report_at - CL_CRASH_SETTLE_TIME) {
+		/* It was sent after the crash that is to be reported. */
+		if (c->n || c->down_at != BA_NEVER)
+			return;
+		/* Nothing was running at the start that was announced. */
+		c->report_at = BA_NEVER;
+	}
 	if (c->n == CL_CRASH_RUNNING_MAX)
 		return;
 	c->runs[c->n++] = (struct cl_crash_run){request, now, false};
