--- a/report/rt.c
+++ b/report/rt.c
@@ -56,9 +56,17 @@
 	[RT_STOPS_ENDED] = "stops_ended",
 	[RT_PARTITIONS_HEALED] = "partitions_healed",
 	[RT_SESSIONS_REOPENED] = "sessions_reopened",
+	[RT_BACKEND_CRASHES] = "backend_crashes",
+	[RT_REQUESTS_CONVICTED] = "requests_convicted",
+	[RT_CONVICTED_REFUSED] = "convicted_refused",
+};
+
+static const char *const gauge_names[] = {
+	[RT_CONVICTED] = "convicted_requests",
 };
 
 static uint64_t counters[RT_COUNTERS];
+static uint64_t gauges[RT_GAUGES];
 
 static pthread_mutex_t parts_lock = PTHREAD_MUTEX_INITIALIZER;
 static struct part parts[RT_PARTS_LIMIT];
@@ -104,6 +112,16 @@
 	return ba_load_64(&counters[id]);
 }
 
+void rt_set_gauge(enum rt_gauge id, uint64_t value)
+{
+	ba_store_64(&gauges[id], value);
+}
+
+uint64_t rt_gauge_value(enum rt_gauge id)
+{
+	return ba_load_64(&gauges[id]);
+}
+
 const char *rt_counter_name(enum rt_counter id)
 {
 	return (unsigned int)id < RT_COUNTERS ? counter_names[id] : NULL;
@@ -185,6 +203,10 @@
 			    (unsigned long long)rt_counter_value(i));
 		expose_parts(out, i);
 	}
+	for (unsigned int i = 0; i < RT_GAUGES; i++)
+		ba_buf_addf(out, "# TYPE caraway_%s gauge\ncaraway_%s %llu\n",
+			    gauge_names[i], gauge_names[i],
+			    (unsigned long long)rt_gauge_value(i));
 	expose_latency(out);
 }
 
--- a/report/rt.h
+++ b/report/rt.h
@@ -67,9 +67,24 @@
 	RT_STOPS_ENDED,
 	RT_PARTITIONS_HEALED,
 	RT_SESSIONS_REOPENED,
+	RT_BACKEND_CRASHES,
+	RT_REQUESTS_CONVICTED,
+	RT_CONVICTED_REFUSED,
 	RT_COUNTERS,
 };
 
+/** enum rt_gauge - values of a process that are no part of its figures */
+enum rt_gauge {
+	RT_CONVICTED, /* requests that it refuses now */
+	RT_GAUGES,
+};
+
+/** rt_set_gauge() - set a gauge of this process, from any thread */
+void rt_set_gauge(enum rt_gauge id, uint64_t value);
+
+/** rt_gauge_value() - get the value of a gauge of this process */
+uint64_t rt_gauge_value(enum rt_gauge id);
+
 /** rt_count() - add @n to a counter of this process, from any thread */
 void rt_count(enum rt_counter id, uint64_t n);
 
