--- a/call/cl_poison.c
+++ b/call/cl_poison.c
@@ -7,14 +7,14 @@
 #include "call/cl_poison.h"
 
 enum {
-	ANSWER_SETS = 2048,
+	ANSWER_SETS = 1024,
 	ANSWER_WAYS = 4,
 	REPORTERS_MAX = 2048,
 	/* Marks of one reporter, with those that its report has lost. */
 	STORED_MAX = 2 * EP_MARKS_MAX,
 };
 
-#define ANSWER_MEMORY CL_POISON_MEMORY
+#define ANSWER_MEMORY (10 * BA_SECOND)
 #define REPORTER_MEMORY BA_HOUR
 
 /* Reports of crashes that an acquittal voids may arrive this much after it. */
@@ -26,7 +26,9 @@
 
 /*
  * What this instance reports of a request.
- * @voided: number of @crashes at the last acquittal
+ * @voided: number of @crashes that are void
+ * @expires: end of the report; once it is not reported, time at which the
+ *	counts are forgotten
  */
 struct own_mark {
 	uint32_t crashes;
@@ -98,6 +100,7 @@
 static void blame(struct cl_poison *p, uint64_t request, ba_time now);
 static void learn_mark(struct cl_poison *p, struct reporter *r,
 		       const struct ep_mark *mark, ba_time now);
+static struct stored *add_stored(struct reporter *r, uint64_t request);
 static void apply(struct cl_poison *p, const struct ep_mark *old,
 		  const struct ep_mark *mark, ba_time now);
 static void drop_missing(struct reporter *r, const struct ep_mark *marks,
@@ -112,7 +115,8 @@
 static bool is_reported(const struct cl_poison *p, uint64_t request);
 static void touch(struct cl_poison *p, struct entry *e, ba_time now);
 static void touch_own(struct cl_poison *p, struct entry *e, ba_time now);
-static void drop_own(struct cl_poison *p, struct entry *e);
+static void hide_own(struct cl_poison *p, struct entry *e, ba_time now);
+static struct own_mark *get_own(struct entry *e, ba_time now);
 static struct entry *find_least_own(const struct cl_poison *p);
 static struct entry *find_entry(const struct cl_poison *p, uint64_t request);
 static struct entry *get_entry(struct cl_poison *p, uint64_t request,
@@ -125,6 +129,8 @@
 static void remember_answer(struct cl_poison *p, uint64_t request, ba_time now);
 static bool take_answer(struct cl_poison *p, uint64_t request, ba_time now);
 static void expire(struct cl_poison *p, ba_time now);
+static void expire_entries(struct cl_poison *p, struct ba_list *oldest_first,
+			   ba_time now);
 static uint64_t instance_id(const char *instance);
 static int compare_marks(const void *a, const void *b);
 
@@ -211,6 +217,7 @@
 	if (epoch > r->epoch)
 		g_array_set_size(r->stored, 0);
 	r->epoch = epoch;
+	n = MIN(n, EP_MARKS_MAX);
 	drop_missing(r, marks, n, now);
 	for (i = 0; i < n; i++)
 		learn_mark(p, r, &marks[i], now);
@@ -277,7 +284,7 @@
 {
 	struct entry *e = get_entry(p, request, now);
 
-	e->own.crashes++;
+	get_own(e, now)->crashes++;
 	add_evidence(p, e, 1, false, now);
 	touch_own(p, e, now);
 }
@@ -287,19 +294,14 @@
 {
 	struct stored *s = find_stored(r, mark->request);
 	struct ep_mark old = {.request = mark->request};
-	struct stored added = {old, BA_NEVER};
 
 	if (s)
 		old = s->mark;
 	/* Counts only grow, so this report is an older one. */
 	if (mark->crashes < old.crashes || mark->acquittals < old.acquittals)
 		return;
-	if (!s) {
-		if (r->stored->len == STORED_MAX)
-			g_array_remove_index(r->stored, 0);
-		g_array_append_val(r->stored, added);
-		s = find_stored(r, mark->request);
-	}
+	if (!s)
+		s = add_stored(r, mark->request);
 	s->forgotten_at = BA_NEVER;
 	s->mark = *mark;
 	if (mark->crashes == old.crashes && mark->acquittals == old.acquittals)
@@ -314,6 +316,23 @@
 	apply(p, &old, &s->mark, now);
 }
 
+/* Of more marks than there is room for, one that the report lost goes. */
+static struct stored *add_stored(struct reporter *r, uint64_t request)
+{
+	struct stored s = {.mark.request = request, .forgotten_at = BA_NEVER};
+	guint i = 0;
+
+	if (r->stored->len == STORED_MAX) {
+		while (i < STORED_MAX - 1 &&
+		       g_array_index(r->stored, struct stored, i)
+				       .forgotten_at == BA_NEVER)
+			i++;
+		g_array_remove_index(r->stored, i);
+	}
+	g_array_append_val(r->stored, s);
+	return &g_array_index(r->stored, struct stored, r->stored->len - 1);
+}
+
 /* Within one mark, the acquittal came after the crashes. */
 static void apply(struct cl_poison *p, const struct ep_mark *old,
 		  const struct ep_mark *mark, ba_time now)
@@ -323,10 +342,9 @@
 	bool convicted = mark->convicted && !old->convicted;
 
 	if (mark->acquittals > old->acquittals) {
+		void_crashes(p, e, now);
 		if (is_witness(e))
-			acquit(p, e, now);
-		else
-			void_crashes(p, e, now);
+			hide_own(p, e, now);
 		crashes = 0;
 		convicted = mark->convicted;
 	} else if (now < e->settles) {
@@ -361,6 +379,9 @@
 {
 	e->crashes += MIN(crashes, UINT32_MAX - e->crashes);
 	touch(p, e, now);
+	/* A proxy that starts must not take an acquittal for newer than it. */
+	if (!is_witness(e))
+		hide_own(p, e, now);
 	if (convicted || e->crashes >= CL_POISON_CRASHES)
 		convict(p, e);
 	if (take_answer(p, e->request, now))
@@ -380,7 +401,7 @@
 
 static void acquit(struct cl_poison *p, struct entry *e, ba_time now)
 {
-	e->own.acquittals++;
+	get_own(e, now)->acquittals++;
 	e->own.voided = e->own.crashes;
 	touch_own(p, e, now);
 	void_crashes(p, e, now);
@@ -416,7 +437,7 @@
 		if (is_reported(p, e->request))
 			return;
 	}
-	e->own.crashes++;
+	get_own(e, now)->crashes++;
 	touch_own(p, e, now);
 	touch(p, e, now);
 }
@@ -453,19 +474,30 @@
 	ba_list_append(&p->own, &e->own_link);
 	p->generation++;
 	if (p->n_own > EP_MARKS_MAX)
-		drop_own(p, find_least_own(p));
+		hide_own(p, find_least_own(p), now);
 }
 
-static void drop_own(struct cl_poison *p, struct entry *e)
+/* Ends the report of a mark, whose counts go on if it comes back soon. */
+static void hide_own(struct cl_poison *p, struct entry *e, ba_time now)
 {
 	if (ba_list_empty(&e->own_link))
 		return;
 	ba_list_remove(&e->own_link);
-	memset(&e->own, 0, sizeof(e->own));
+	e->own.voided = e->own.crashes;
+	e->own.expires = now + DISORDER_TIME;
 	p->n_own--;
 	p->generation++;
 }
 
+static struct own_mark *get_own(struct entry *e, ba_time now)
+{
+	if (ba_list_empty(&e->own_link) && e->own.expires <= now) {
+		memset(&e->own, 0, sizeof(e->own));
+		e->own.expires = now + DISORDER_TIME;
+	}
+	return &e->own;
+}
+
 /* The own mark that others need least: in fewest crashes, then oldest. */
 static struct entry *find_least_own(const struct cl_poison *p)
 {
@@ -513,7 +545,7 @@
 
 static void remove_entry(struct cl_poison *p, struct entry *e)
 {
-	drop_own(p, e);
+	hide_own(p, e, 0);
 	ba_list_remove(&e->link);
 	p->n_convicts -= e->convicted;
 	g_hash_table_remove(p->entries, &e->request);
@@ -596,29 +628,21 @@
 
 static void expire(struct cl_poison *p, ba_time now)
 {
-	struct ba_list *lists[] = {&p->suspects, &p->convicts};
-	size_t i;
+	struct ba_list *pos, *next;
 
-	for (i = 0; i < G_N_ELEMENTS(lists); i++) {
-		while (!ba_list_empty(lists[i])) {
-			struct entry *e =
-				ba_entry(lists[i]->next, struct entry, link);
-
-			if (e->expires > now)
-				break;
-			remove_entry(p, e);
-		}
-	}
-	while (!ba_list_empty(&p->own)) {
-		struct entry *e = ba_entry(p->own.next, struct entry, own_link);
+	expire_entries(p, &p->suspects, now);
+	expire_entries(p, &p->convicts, now);
+	ba_list_each_safe(pos, next, &p->own)
+	{
+		struct entry *e = ba_entry(pos, struct entry, own_link);
 
 		if (e->own.expires > now)
 			break;
-		drop_own(p, e);
+		hide_own(p, e, now);
 	}
-	while (!ba_list_empty(&p->reporters_by_age)) {
-		struct reporter *r = ba_entry(p->reporters_by_age.next,
-					      struct reporter, link);
+	ba_list_each_safe(pos, next, &p->reporters_by_age)
+	{
+		struct reporter *r = ba_entry(pos, struct reporter, link);
 
 		if (r->expires > now)
 			break;
@@ -626,6 +650,21 @@
 	}
 }
 
+static void expire_entries(struct cl_poison *p, struct ba_list *oldest_first,
+			   ba_time now)
+{
+	struct ba_list *pos, *next;
+
+	ba_list_each_safe(pos, next, oldest_first)
+	{
+		struct entry *e = ba_entry(pos, struct entry, link);
+
+		if (e->expires > now)
+			break;
+		remove_entry(p, e);
+	}
+}
+
 static uint64_t instance_id(const char *instance)
 {
 	return ba_hash(instance, strlen(instance), 0);
