--- a/bench/ds_bench_main.c
+++ b/bench/ds_bench_main.c
@@ -25,6 +25,8 @@
 	DATA_CENTRES = 14,
 	CHANGES = 30,
 	ENDPOINT_EVENTS = 30,
+	REPORTS = 100, /* instances that report at once */
+	MARKS = 12,
 	STORM_DAEMONS = 300,
 	MAX_DAEMONS = 400,
 	OPEN_FILES = 8192,
@@ -116,6 +118,7 @@
 static void bench_bytes(size_t n);
 static void bench_storm(void);
 static void bench_table(size_t n);
+static void bench_reports(struct ep_table *t, size_t n, size_t n_records);
 static void bench_memory(void);
 static void bench_encoding(void);
 static void fill_table(struct ep_table *t, size_t n);
@@ -594,9 +597,45 @@
 	g_snprintf(name, sizeof(name), "endpoint_view_change_us_at_%zu", n);
 	print_result(name, (now_s() - began) * 1e6 / ENDPOINT_EVENTS, "us");
 	ep_view_unref(view);
+	bench_reports(t, REPORTS, n);
+	bench_reports(t, n, n);
 	ep_table_free(t);
 }
 
+/* Time for one change of a report when @n instances report. */
+static void bench_reports(struct ep_table *t, size_t n, size_t n_records)
+{
+	struct ep_view_options o = {"instance-1", "centre-1", "region-1", 64};
+	struct ep_mark marks[MARKS] = {{.request = 1, .crashes = 1}};
+	struct ep_view *view = NULL;
+	char name[64];
+	double began = 0;
+
+	for (size_t i = 0; i < n + ENDPOINT_EVENTS; i++) {
+		struct ep_view *next;
+		struct ep_record r;
+
+		g_snprintf(name, sizeof(name), "instance-%zu", i % n);
+		r = *ep_table_get(t, name);
+		r.sequence++;
+		r.marks = marks;
+		r.n_marks = MARKS;
+		marks[0].crashes++;
+		if (i == n)
+			began = now_s();
+		ep_table_put(t, &r, EP_HELD_BY_PEER, BA_NEVER, 0);
+		if (i + 1 < n)
+			continue;
+		next = ep_table_view(t, view, &o);
+		ep_view_unref(view);
+		view = next;
+	}
+	g_snprintf(name, sizeof(name), "endpoint_view_report_us_%zu_at_%zu", n,
+		   n_records);
+	print_result(name, (now_s() - began) * 1e6 / ENDPOINT_EVENTS, "us");
+	ep_view_unref(view);
+}
+
 /*
  * Memory of the endpoint table, view and configuration that a daemon holds.  No
  * other thread runs yet.
