--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -507,7 +507,7 @@
 	}
 };
 
-INSTANTIATE_TEST_SUITE_P(WhatRelaysServe, DsMarks, testing::Bool());
+INSTANTIATE_TEST_SUITE_P(DsRelays, DsMarks, testing::Bool());
 
 TEST_P(DsMarks, ReachDaemonsOfAllRegions)
 {
