--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -123,6 +123,14 @@
 		{"foreign-answer", BA_WARNING,
 		 "A backend server sent an answer to an earlier call; it was "
 		 "not delivered."},
+	[CL_EV_CRASH_SUSPECTED] =
+		{"crash-suspected", BA_WARNING,
+		 "The backend server has crashed; one of the requests that it "
+		 "was running may be the cause."},
+	[CL_EV_REQUEST_CONVICTED] =
+		{"request-convicted", BA_WARNING,
+		 "A request has crashed several backend servers and is refused "
+		 "from now on."},
 	[CL_EV_ANSWER_HELD] =
 		{"answer-held", BA_INFO,
 		 "A complete answer waited long for the outgoing link."},
