--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -460,6 +460,26 @@
 			     at + i, 1, i ? "r2" : "r1");
 	}
 
+	/* Cut the relays off from each other; sessions of daemons stay open. */
+	void cut()
+	{
+		set_peers({});
+	}
+
+	void heal()
+	{
+		set_peers(all_relays);
+	}
+
+	void set_peers(struct ba_addresses peers)
+	{
+		for (auto &y : relays) {
+			y.settings.peers = peers;
+			re_peer_free_all(&y.r);
+			re_peer_start(&y.r);
+		}
+	}
+
 	/* Have a1 report @n requests in @crashes crashes each. */
 	void report_marks(size_t n, uint32_t crashes, uint64_t epoch = 5)
 	{
@@ -564,6 +584,30 @@
 	EXPECT_TRUE(m.wait_for(2, 3));
 }
 
+/* Both relays keep their tables over the cut. */
+TEST_P(DsMarks, ReachTheOtherSideOfACutAfterIt)
+{
+	struct far_mesh m(port(), GetParam());
+
+	m.report_marks(1, 1);
+	ASSERT_TRUE(m.wait_for_endpoints(2));
+	ASSERT_TRUE(m.wait_for(1, 1));
+	m.cut();
+	m.report_marks(2, 1);
+	ASSERT_TRUE(wait_until(m.loop, [&] {
+		return m.daemons[0]->reports["a1"].marks.size() == 2;
+	}));
+	ds_agent_leave(m.daemons[0]->agent);
+	m.report_marks(3, 2);
+	ASSERT_TRUE(wait_until(m.loop, [&] {
+		return m.daemons[0]->reports["a1"].marks.size() == 3;
+	}));
+	EXPECT_EQ(m.daemons[1]->reports["a1"].marks.size(), 1u);
+	m.heal();
+	EXPECT_TRUE(m.wait_for(3, 2));
+	EXPECT_TRUE(m.wait_for_endpoints(1));
+}
+
 /* The marks are reported while the daemon has no session. */
 TEST_P(DsMarks, WaitForTheNextSession)
 {
