--- a/call/cl_poison.h
+++ b/call/cl_poison.h
@@ -16,7 +16,10 @@
  *   crashes each backend server is never answered.
  * - A request that was answered shortly before is acquitted as soon as some
  *   proxy that saw the answer learns of the suspicion; one answer acquits once.
+ * - An acquittal voids the crashes known so far, by all reporters; a witness,
+ *   which reports crashes of its own backend server, then withdraws its mark.
  * - A conviction outlives the proxies that reported the crashes.
+ * - A witness reports the conviction too, so that one report suffices.
  * - A convicted request that comes again renews its conviction, and the proxy
  *   that refuses it reports the conviction if no other report holds it.
  * - State is bounded; the entry with the oldest evidence is dropped first, and
