--- a/proxy/px.h
+++ b/proxy/px.h
@@ -12,6 +12,8 @@
  * - 503 is answered only for a request that was not run and will not be.
  * - An answer is delivered to the request that it belongs to, and is either
  *   complete or cut off by the end of the connection.
+ * - A request that crashes backend servers is refused, where it enters and beside
+ *   the backend server (call/cl_poison.h).
  * - A request whose caller disconnects is cancelled on every hop.
  * - A proxy is used only from the thread of its loop.
  */
