--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -78,9 +78,12 @@
 
 void px_upstream_end_notices(struct px *p)
 {
-	while (!ba_list_empty(&p->notices)) {
-		struct notice *n =
-			ba_entry(p->notices.next, struct notice, link);
+	struct ba_list *pos;
+	struct ba_list *tmp;
+
+	ba_list_each_safe(pos, tmp, &p->notices)
+	{
+		struct notice *n = ba_entry(pos, struct notice, link);
 
 		ht_conn_abort(n->conn);
 		notice_free(n);
