base, wire: a session can end after its peer has read everything

Cause: wi_close() drops what is queued, and closing a socket with unread bytes resets the connection, so a planned stop had no way to deliver first.

New event 1009 undelivered.

WiSession.FinishDeliversWhatIsQueued: 32 frames of 1 MiB arrive at a peer that writes meanwhile; BaDrain in virtual time.

--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -19,6 +19,9 @@
 		 "Log lines were dropped because the log could not keep up."},
 	[BA_EV_LOG_REOPENED] = {"log-reopened", BA_INFO,
 				"The log file was reopened."},
+	[BA_EV_UNDELIVERED] =
+		{"undelivered", BA_WARNING,
+		 "A planned stop ended a connection whose other end had not taken all that was written."},
 	[WI_EV_SESSION_OPEN] = {"session-open", BA_INFO,
 				"A session with a peer is open."},
 	[WI_EV_SESSION_CLOSED] = {"session-closed", BA_INFO,
--- a/base/ba_socket.c
+++ b/base/ba_socket.c
@@ -1,4 +1,6 @@
 #include <errno.h>
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -31,6 +33,13 @@
 	return fd;
 }
 
+size_t ba_socket_unacknowledged(int fd)
+{
+	int n = 0;
+
+	return ioctl(fd, SIOCOUTQ, &n) || n < 0 ? 0 : (size_t)n;
+}
+
 static int open_socket(const struct ba_address *a)
 {
 	return socket(a->sockaddr.ss_family,
--- a/base/ba_socket.h
+++ b/base/ba_socket.h
@@ -27,6 +27,14 @@
  */
 int ba_socket_connect(const struct ba_address *to);
 
+/**
+ * ba_socket_unacknowledged() - count the bytes written to the socket that the
+ * other end's kernel has not acknowledged
+ *
+ * Return: the count, 0 if it is not known.
+ */
+size_t ba_socket_unacknowledged(int fd);
+
 #ifdef __cplusplus
 }
 #endif
--- a/test/base_test.cc
+++ b/test/base_test.cc
@@ -7,6 +7,7 @@
 
 #include "base/ba_buf.h"
 #include "base/ba_digest.h"
+#include "base/ba_drain.h"
 #include "base/ba_list.h"
 #include "base/ba_loop.h"
 #include "base/ba_pool.h"
@@ -239,6 +240,37 @@
 	EXPECT_EQ(count, 100);
 }
 
+TEST(BaDrain, EndsWhenNothingIsLeftOrMoves)
+{
+	const ba_time stall = BA_DRAIN_STALL_LIMIT;
+	const ba_time deadline = 10 * stall;
+	static const struct {
+		const char *name;
+		ba_time period; /* between two signs of progress, 0 for none */
+		ba_time empty_at;
+		ba_time end;
+	} cases[] = {
+		{"nothing left", 0, 0, 0},
+		{"all taken", stall / 4, 3 * stall, 3 * stall},
+		{"nobody reads", 0, BA_NEVER, stall},
+		{"reads without end", stall / 4, BA_NEVER, deadline},
+		{"too slow", 2 * stall, BA_NEVER, stall},
+	};
+	const ba_time step = stall / 20;
+
+	for (const auto &c : cases) {
+		struct ba_drain d;
+		ba_time now = 0;
+
+		ba_drain_begin(&d, deadline, now);
+		while (ba_drain_continues(
+			&d, now < c.empty_at,
+			c.period ? (uint64_t)(now / c.period) : 0, now))
+			now += step;
+		EXPECT_EQ(now, c.end) << c.name;
+	}
+}
+
 TEST(BaDigest, IsDeterministicAndDependsOnKey)
 {
 	uint8_t key[BA_KEY_BYTES] = {1};
--- a/test/wire_test.cc
+++ b/test/wire_test.cc
@@ -347,4 +347,66 @@
 	ba_loop_free(loop);
 }
 
+enum { LONG_FRAMES = 32, LONG_FRAME_BYTES = 1024 * 1024 };
+
+/* One end that sends more than the kernel holds, then finishes. */
+void send_and_finish(struct wi_handler *h, struct wi_session *s)
+{
+	auto *e = (struct end *)h;
+	std::string text(LONG_FRAME_BYTES, 'x');
+
+	e->opened++;
+	for (int i = 0; i < LONG_FRAMES; i++)
+		wi_send_packed(s, CT_QUERY, text.data(), text.size());
+	wi_finish(s);
+	EXPECT_EQ(wi_send_packed(s, CT_QUERY, "", 0), BA_OK);
+	EXPECT_GT(wi_session_unacknowledged(s), 0u);
+}
+
+int ignore_frame(struct wi_handler *, struct wi_session *,
+		 const struct wi_frame *)
+{
+	return BA_OK;
+}
+
+int count_frame(struct wi_handler *h, struct wi_session *s,
+		const struct wi_frame *)
+{
+	((struct end *)h)->frames++;
+	wi_send(s, CT_QUERY, nullptr);
+	return BA_OK;
+}
+
+/* The peer writes while it reads, which must not reset the connection. */
+TEST(WiSession, FinishDeliversWhatIsQueued)
+{
+	struct ba_loop *loop = ba_loop_new();
+	struct end server = {{send_and_finish, ignore_frame, on_closed},
+			     loop,
+			     0,
+			     0,
+			     0,
+			     false};
+	struct end client = {
+		{nullptr, count_frame, on_closed}, loop, 0, 0, 0, false};
+	struct test_acceptor t = {{accept_end}, &server};
+	struct wi_identity id = identity("m", WI_SOURCE, "", 1);
+	struct wi_listener *l = nullptr;
+	struct ba_address at;
+
+	ASSERT_EQ(ba_parse_address(test_address(1, 22165).c_str(), &at), BA_OK);
+	ASSERT_EQ(
+		wi_listen(loop, &at, &id, &wi_limits_default, &t.acceptor, &l),
+		BA_OK);
+	wi_dial(loop, &at, &id, &wi_limits_default, &client.handler);
+	ba_loop_run(loop);
+	EXPECT_EQ(client.frames, LONG_FRAMES + 1);
+	EXPECT_EQ(client.code, WI_PEER_CLOSED);
+	while (!server.code)
+		ba_loop_run(loop);
+	EXPECT_EQ(server.code, WI_PEER_CLOSED);
+	wi_listener_close(l);
+	ba_loop_free(loop);
+}
+
 } // namespace
--- a/wire/wi_session.c
+++ b/wire/wi_session.c
@@ -26,6 +26,10 @@
 	WI_CLOSING,
 };
 
+/*
+ * @finishing: to be half-closed once all that is queued is sent
+ * @half_closed: nothing more can be sent, and what is received is dropped
+ */
 struct wi_session {
 	struct ba_watch watch;
 	struct ba_timer timer;
@@ -53,6 +57,8 @@
 	uint64_t reported_sent;
 	uint64_t reported_received;
 	bool opened;
+	bool finishing;
+	bool half_closed;
 	int close_code;
 	ba_time retry_after;
 };
@@ -154,7 +160,7 @@
 
 int wi_send(struct wi_session *s, int type, const ProtobufCMessage *message)
 {
-	if (s->state == WI_CLOSING)
+	if (s->state == WI_CLOSING || s->half_closed)
 		return WI_PEER_CLOSED;
 	queue_frame(s, type, message);
 	if (s->out.len <= s->limits.max_queue_bytes)
@@ -170,7 +176,7 @@
 		(uint8_t)len,	      (uint8_t)(type >> 8), (uint8_t)type,
 	};
 
-	if (s->state == WI_CLOSING)
+	if (s->state == WI_CLOSING || s->half_closed)
 		return WI_PEER_CLOSED;
 	ba_buf_add(&s->out, header, sizeof(header));
 	ba_buf_add(&s->out, data, len);
@@ -194,6 +200,18 @@
 	ba_loop_arm(s->loop, &s->close_timer, 0);
 }
 
+void wi_finish(struct wi_session *s)
+{
+	if (s->state == WI_CLOSING || s->finishing)
+		return;
+	if (s->state != WI_OPEN) {
+		wi_close(s, WI_PEER_CLOSED);
+		return;
+	}
+	s->finishing = true;
+	flush(s);
+}
+
 void wi_detach(struct wi_session *s)
 {
 	s->handler = NULL;
@@ -206,6 +224,10 @@
 
 	if (s->state == WI_CLOSING)
 		return;
+	if (s->half_closed) {
+		wi_close(s, code);
+		return;
+	}
 	refusal.code = (uint32_t)code;
 	refusal.text = (char *)ba_result_info(code)->text;
 	refusal.retry_after_ms = (uint32_t)(retry_after / BA_MS);
@@ -234,6 +256,13 @@
 	return s->out.len;
 }
 
+size_t wi_session_unacknowledged(const struct wi_session *s)
+{
+	if (s->state == WI_CLOSING)
+		return 0;
+	return s->out.len + ba_socket_unacknowledged(s->watch.fd);
+}
+
 static struct wi_session *session_new(struct ba_loop *loop, int fd,
 				      const struct wi_identity *id,
 				      const struct wi_limits *limits)
@@ -375,6 +404,8 @@
 	s->received += (uint64_t)n;
 	report_traffic(s);
 	s->silence_deadline = ba_loop_now(s->loop) + s->limits.silence_timeout;
+	if (s->half_closed)
+		s->in.len = 0;
 	while (s->state != WI_CLOSING) {
 		size_t limit = s->state == WI_OPEN ? WI_FRAME_LIMIT_BYTES
 						   : WI_HANDSHAKE_LIMIT_BYTES;
@@ -570,6 +601,10 @@
 		ba_buf_free(&s->out);
 	else
 		ba_buf_consume(&s->out, done);
+	if (s->finishing && !s->out.len && !s->half_closed) {
+		s->half_closed = true;
+		shutdown(s->watch.fd, SHUT_WR);
+	}
 	update_watch(s);
 	return BA_OK;
 }
@@ -674,6 +709,8 @@
 static void queue_frame(struct wi_session *s, int type,
 			const ProtobufCMessage *message)
 {
+	if (s->half_closed)
+		return;
 	wi_frame_add(&s->out, type, message);
 	flush_soon(s);
 }
--- a/wire/wi_session.h
+++ b/wire/wi_session.h
@@ -179,6 +179,14 @@
 /** wi_close() - end the session; @closed is called later, from the loop */
 void wi_close(struct wi_session *s, int code);
 
+/**
+ * wi_finish() - send what is queued, then end the session when the peer ends it
+ *
+ * The peer sees the end of the connection after it has read everything, and
+ * closes its side.  The caller bounds the wait and calls wi_close() at its end.
+ */
+void wi_finish(struct wi_session *s);
+
 /** wi_detach() - end the session without calling its handler again */
 void wi_detach(struct wi_session *s);
 
@@ -197,6 +205,12 @@
 /** wi_session_queued() - return the size of the send queue in bytes */
 size_t wi_session_queued(const struct wi_session *s);
 
+/**
+ * wi_session_unacknowledged() - return the number of bytes that are queued or
+ * not yet acknowledged by the peer's kernel
+ */
+size_t wi_session_unacknowledged(const struct wi_session *s);
+
 #ifdef __cplusplus
 }
 #endif
