daemon: a planned stop delivers answers to other daemons

Cause: a call of another daemon leaves da_shared.in_progress when its last frame is queued; end_workers() then closed the session with what was queued.

--- a/daemon/da.h
+++ b/daemon/da.h
@@ -14,6 +14,7 @@
 
 #include <glib.h>
 
+#include "base/ba_drain.h"
 #include "base/ba_list.h"
 #include "base/ba_loop.h"
 #include "base/ba_rand.h"
@@ -95,6 +96,8 @@
  * @ready_calls: calls whose answer changed in this iteration of the loop
  * @ready_timer: runs da_call_notify_ready() at the end of a loop iteration
  * @sweep_timer: runs da_call_sweep() periodically while there are calls
+ * @stop_deadline: when a stop no longer waits for other daemons
+ * @drain: the wait for other daemons to read their answers during a stop
  */
 struct da_worker {
 	struct da_shared *shared;
@@ -109,6 +112,9 @@
 	struct ba_list ready_calls;
 	struct ba_timer ready_timer;
 	struct ba_timer sweep_timer;
+	struct ba_timer drain_timer;
+	ba_time stop_deadline;
+	struct ba_drain drain;
 };
 
 #endif
--- a/daemon/da_peer_server.c
+++ b/daemon/da_peer_server.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include "base/ba_event.h"
 #include "base/ba_result.h"
 #include "daemon/da_peer.h"
 #include "daemon/da_peer_server.h"
@@ -70,15 +71,48 @@
 	return NULL;
 }
 
-void da_peer_server_close(struct da_peer_server *s)
+void da_peer_server_finish(struct da_peer_server *s)
 {
 	struct ba_list *pos;
 
 	wi_listener_close(s->listener);
 	s->listener = NULL;
 	ba_list_each(pos, &s->sessions)
-		wi_close(ba_entry(pos, struct peer_session, link)->session,
-			 WI_PEER_CLOSED);
+		wi_finish(ba_entry(pos, struct peer_session, link)->session);
+}
+
+bool da_peer_server_is_unfinished(const struct da_peer_server *s,
+				  uint64_t *progress)
+{
+	struct ba_list *pos;
+
+	*progress = s->n_sessions;
+	ba_list_each(pos, &s->sessions)
+	{
+		const struct wi_session *ws =
+			ba_entry(pos, struct peer_session, link)->session;
+
+		*progress +=
+			wi_session_unacknowledged(ws) + wi_session_received(ws);
+	}
+	return s->n_sessions;
+}
+
+void da_peer_server_close(struct da_peer_server *s)
+{
+	struct ba_list *pos;
+
+	ba_list_each(pos, &s->sessions)
+	{
+		struct wi_session *ws =
+			ba_entry(pos, struct peer_session, link)->session;
+		size_t bytes = wi_session_unacknowledged(ws);
+
+		if (bytes)
+			ba_event(BA_EV_UNDELIVERED, "peer=%s bytes=%zu",
+				 wi_session_peer(ws)->instance, bytes);
+		wi_close(ws, WI_PEER_CLOSED);
+	}
 }
 
 void da_peer_server_free(struct da_peer_server *s)
--- a/daemon/da_peer_server.h
+++ b/daemon/da_peer_server.h
@@ -14,6 +14,19 @@
 struct da_peer_server *da_peer_server_new(struct da_worker *w,
 					  const struct ba_address *at);
 
+/**
+ * da_peer_server_finish() - stop listening, and end each session once the other
+ * daemon has read its answers
+ */
+void da_peer_server_finish(struct da_peer_server *s);
+
+/**
+ * da_peer_server_is_unfinished() - whether a session has not ended
+ * @progress: set to a number that changes when another daemon takes something
+ */
+bool da_peer_server_is_unfinished(const struct da_peer_server *s,
+				  uint64_t *progress);
+
 /** da_peer_server_close() - close all sessions; called before the loop stops */
 void da_peer_server_close(struct da_peer_server *s);
 
--- a/prog/carawayd.c
+++ b/prog/carawayd.c
@@ -108,6 +108,7 @@
 static void create_shared(struct daemon *d);
 static void free_shared(struct da_shared *t);
 static void stop_worker(void *arg);
+static void on_drain_timer(struct ba_timer *t, ba_time now);
 static void divide_limits(struct daemon *d);
 static uint64_t count_endpoints_in_region(const struct daemon *d);
 static void on_lease_timer(struct ba_timer *t, ba_time now);
@@ -264,6 +265,7 @@
 	w->rand.state = seed;
 	w->ready_timer.fire = on_ready_timer;
 	w->sweep_timer.fire = on_sweep_timer;
+	w->drain_timer.fire = on_drain_timer;
 	ba_list_init(&w->calls);
 	ba_list_init(&w->ready_calls);
 	w->loop = ba_loop_new();
@@ -289,16 +291,35 @@
 	return NULL;
 }
 
-/* The closed sessions end in this turn of the loop, before it stops. */
+/* Answers to other daemons that are queued are still delivered. */
 static void stop_worker(void *arg)
 {
 	struct da_worker *w = arg;
+	ba_time now = ba_clock_now();
 
 	da_http_free(w->http_server);
 	w->http_server = NULL;
+	da_peers_close(w->peers);
+	if (w->peer_server)
+		da_peer_server_finish(w->peer_server);
+	ba_drain_begin(&w->drain, w->stop_deadline, now);
+	ba_loop_arm(w->loop, &w->drain_timer, now);
+}
+
+/* The closed sessions end in this turn of the loop, before it stops. */
+static void on_drain_timer(struct ba_timer *t, ba_time now)
+{
+	struct da_worker *w = ba_entry(t, struct da_worker, drain_timer);
+	uint64_t progress = 0;
+	bool left = w->peer_server &&
+		    da_peer_server_is_unfinished(w->peer_server, &progress);
+
+	if (ba_drain_continues(&w->drain, left, progress, now)) {
+		ba_loop_arm(w->loop, t, now + STOP_POLL_PERIOD);
+		return;
+	}
 	if (w->peer_server)
 		da_peer_server_close(w->peer_server);
-	da_peers_close(w->peers);
 	ba_loop_stop(w->loop);
 }
 
@@ -310,6 +331,7 @@
 		if (!w->loop)
 			continue;
 		if (w->thread) {
+			w->stop_deadline = d->stop_deadline;
 			ba_loop_post(w->loop, stop_worker, w);
 			pthread_join(w->thread, NULL);
 		}
