test: a read of the configuration during a planned stop, which fails

Cause: so_source_shut_down() stops the loop 100 ms after SIGTERM, and so_http_free() aborts what is being sent.

An operator who reads nothing doesn't hold up the stop: the test of that passes before and has to pass after.

--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -1,8 +1,13 @@
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <filesystem>
 #include <memory>
 #include <string>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <thread>
+#include <unistd.h>
 #include <vector>
 
 #include "base/ba_result.h"
@@ -10,8 +15,11 @@
 
 extern "C" {
 #include "source/so.h"
+#include "source/so_http.h"
 }
 
+#include "test/proxy_world.h"
+
 namespace
 {
 
@@ -238,4 +246,174 @@
 	}));
 }
 
+/* More than the kernel holds of an answer that is read slowly. */
+enum { LONG_ANSWER_BYTES = 24 * 1024 * 1024, SLOW_READ_BYTES = 256 * 1024 };
+
+void write_long_answer(const struct cf_snapshot *, struct ba_buf *out)
+{
+	std::string text(LONG_ANSWER_BYTES, 'x');
+
+	ba_buf_add(out, text.data(), text.size());
+}
+
+/* An operator's blocking connection; a read fails after 5 seconds. */
+struct operator_conn {
+	explicit operator_conn(const struct ba_address &at)
+	{
+		const struct timeval limit = {5, 0};
+
+		EXPECT_EQ(connect(fd, (const struct sockaddr *)&at.sockaddr,
+				  at.len),
+			  0);
+		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+	}
+
+	~operator_conn()
+	{
+		close(fd);
+	}
+
+	void send_request(const std::string &head, const std::string &body)
+	{
+		std::string text = head + "Host: h\r\nContent-Length: " +
+				   std::to_string(body.size()) + "\r\n\r\n" +
+				   body;
+
+		EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
+			  (ssize_t)text.size());
+	}
+
+	/* Return: the bytes received, up to @n, or fewer at the end. */
+	size_t receive(size_t n)
+	{
+		std::string piece(SLOW_READ_BYTES, 0);
+		size_t got = 0;
+
+		while (got < n) {
+			ssize_t r = recv(fd, &piece[0],
+					 std::min(n - got, piece.size()), 0);
+
+			if (r <= 0)
+				break;
+			if (!got)
+				start = piece.substr(0, (size_t)r);
+			got += (size_t)r;
+		}
+		return got;
+	}
+
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	std::string start;
+};
+
+/* A replica that operators reach over HTTP, stopped while one is served. */
+struct stopped_source {
+	explicit stopped_source(int port) : g(1, port)
+	{
+		struct so_http_options o = {};
+
+		dialect = pf_operators;
+		dialect.write_configuration = write_long_answer;
+		EXPECT_EQ(ba_parse_address(test_address(21, port + 1).c_str(),
+					   &at),
+			  BA_OK);
+		o.address = &at;
+		o.source = &g.replicas[0]->source;
+		o.dialect = &dialect;
+		EXPECT_EQ(so_http_new(g.loop, &o, &http), BA_OK);
+		EXPECT_TRUE(step_until(
+			g.loop, [&] { return !so_lease_error(o.source); }));
+	}
+
+	/* Runs @operate beside the loop, until both have ended. */
+	template <typename F> void run(F operate)
+	{
+		std::thread t(operate);
+
+		ba_loop_run(g.loop);
+		stopped_at = ba_clock_now();
+		so_http_free(http);
+		t.join();
+	}
+
+	void stop()
+	{
+		stopping_at = ba_clock_now();
+		ba_loop_post(
+			g.loop,
+			[](void *arg) {
+				so_source_shut_down((struct so_source *)arg);
+			},
+			&g.replicas[0]->source);
+	}
+
+	struct group g;
+	struct so_dialect dialect;
+	struct ba_address at = {};
+	struct so_http *http = nullptr;
+	ba_time stopping_at = 0;
+	std::atomic<ba_time> stopped_at{0};
+};
+
+const char *const submission =
+	"POST /v1/config/replace HTTP/1.1\r\nX-Base-Version: 0\r\n";
+const char *const reads[] = {
+	"GET /v1/config/read HTTP/1.1\r\n",
+	"GET /v1/config/read HTTP/1.1\r\nConnection: close\r\n",
+};
+
+TEST(RpSource, StopDeliversAReadThatIsTakenSlowly)
+{
+	int port = 23251;
+
+	for (const char *read : reads) {
+		struct stopped_source s(port);
+		size_t got = 0;
+
+		port += 10;
+		s.run([&] {
+			struct operator_conn c(s.at);
+
+			c.send_request(submission, proxy_world::configuration);
+			EXPECT_GT(c.receive(1), 0u);
+			struct operator_conn r(s.at);
+
+			r.send_request(read, "");
+			got = r.receive(SLOW_READ_BYTES);
+			EXPECT_EQ(r.start.substr(0, 12), "HTTP/1.1 200");
+			s.stop();
+			while (got <= LONG_ANSWER_BYTES) {
+				size_t n = r.receive(SLOW_READ_BYTES);
+
+				if (!n)
+					break;
+				got += n;
+				g_usleep(5 * 1000);
+			}
+		});
+		EXPECT_GT(got, (size_t)LONG_ANSWER_BYTES) << read;
+	}
+}
+
+/* An operator who reads nothing any more doesn't hold up the stop. */
+TEST(RpSource, StopDoesNotWaitForAnOperatorWhoReadsNothing)
+{
+	struct stopped_source s(23271);
+
+	s.run([&] {
+		struct operator_conn c(s.at);
+
+		c.send_request(submission, proxy_world::configuration);
+		EXPECT_GT(c.receive(1), 0u);
+		struct operator_conn r(s.at);
+
+		r.send_request(reads[0], "");
+		EXPECT_GT(r.receive(1), 0u);
+		s.stop();
+		while (!s.stopped_at)
+			g_usleep(5 * 1000);
+	});
+	EXPECT_LT(s.stopped_at - s.stopping_at, 6 * BA_SECOND);
+}
+
 } // namespace
