source, http: a planned stop lets operators take their answers

Cause: the loop was stopped 100 ms after SIGTERM, whatever operators waited for; what was being sent was aborted.

After the 100 ms, in which leadership is handed over, the source now waits until no operator waits for an outcome and all answers are acknowledged, over HTTP and over sessions: 4 s at most, and 2 s without progress; then 1009 is logged. It accepts no new HTTP connections meanwhile. A second SIGTERM changes nothing. ht_service keeps a connection that closes after its answer in view until all is sent.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -181,6 +181,13 @@
 	return &c->out;
 }
 
+size_t ht_conn_unacknowledged(const struct ht_conn *c)
+{
+	if (c->closed || c->connecting)
+		return 0;
+	return c->out.len + ba_socket_unacknowledged(c->watch.fd);
+}
+
 void ht_conn_flush(struct ht_conn *c)
 {
 	size_t len = c->out.len;
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -99,6 +99,12 @@
 /** ht_conn_out() - get the buffer of queued bytes, to format into it */
 struct ba_buf *ht_conn_out(struct ht_conn *c);
 
+/**
+ * ht_conn_unacknowledged() - count the bytes that are queued or that the other
+ * end's kernel has not acknowledged
+ */
+size_t ht_conn_unacknowledged(const struct ht_conn *c);
+
 /** ht_conn_flush() - send the queued bytes */
 void ht_conn_flush(struct ht_conn *c);
 
--- a/http/ht_service.c
+++ b/http/ht_service.c
@@ -32,6 +32,7 @@
 static void on_complete(struct ht_conn_owner *o, struct ht_conn *c);
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *c,
 		     enum ht_end why);
+static void on_last_drained(struct ht_conn_owner *o, struct ht_conn *c);
 static void set_idle_deadline(struct service_conn *sc);
 static void clear_request(struct ht_request *r);
 static void remove_conn(struct service_conn *sc);
@@ -100,6 +101,56 @@
 	ht_conn_read_next(c);
 }
 
+void ht_request_answer_whole(struct ht_request *r, int status,
+			     const char *fields, const char *type,
+			     const struct ba_buf *body)
+{
+	struct service_conn *sc = ba_entry(r, struct service_conn, request);
+	struct ht_conn *c = sc->conn;
+
+	if (!r->head->connection_close) {
+		ht_request_answer(r, status, fields, type, body);
+		return;
+	}
+	ba_buf_addf(ht_conn_out(c),
+		    "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n%s"
+		    "Connection: close\r\n",
+		    status, ht_reason_phrase(status), body->len, fields);
+	if (body->len)
+		ba_buf_addf(ht_conn_out(c), "Content-Type: %s\r\n", type);
+	ba_buf_addf(ht_conn_out(c), "\r\n");
+	ht_conn_write(c, body->data, body->len);
+	sc->in_request = false;
+	clear_request(r);
+	sc->owner.drained = on_last_drained;
+	set_idle_deadline(sc);
+	ht_conn_flush(c);
+	if (!ht_conn_out(c)->len)
+		on_last_drained(&sc->owner, c);
+}
+
+void ht_service_stop_listening(struct ht_service *s)
+{
+	ht_listener_close(s->listener);
+	s->listener = NULL;
+}
+
+bool ht_service_is_unfinished(const struct ht_service *s, uint64_t *progress)
+{
+	struct ba_list *pos;
+	size_t left = 0;
+
+	ba_list_each(pos, &s->conns)
+	{
+		const struct service_conn *sc =
+			ba_entry(pos, struct service_conn, link);
+
+		left += sc->in_request + ht_conn_unacknowledged(sc->conn);
+	}
+	*progress = left;
+	return left;
+}
+
 static void on_accept(struct ht_acceptor *a, int fd)
 {
 	struct ht_service *s = (struct ht_service *)a;
@@ -150,6 +201,13 @@
 	remove_conn((struct service_conn *)o);
 }
 
+/* The last answer of the connection is in the kernel. */
+static void on_last_drained(struct ht_conn_owner *o, struct ht_conn *c)
+{
+	remove_conn((struct service_conn *)o);
+	ht_conn_close_after_flush(c);
+}
+
 static void set_idle_deadline(struct service_conn *sc)
 {
 	struct ht_service *s = sc->service;
--- a/http/ht_service.h
+++ b/http/ht_service.h
@@ -77,6 +77,24 @@
 void ht_request_answer(struct ht_request *r, int status, const char *fields,
 		       const char *type, const struct ba_buf *body);
 
+/**
+ * ht_request_answer_whole() - answer a request whose connection counts in
+ * ht_service_is_unfinished() until all is sent, also if it is its last one
+ */
+void ht_request_answer_whole(struct ht_request *r, int status,
+			     const char *fields, const char *type,
+			     const struct ba_buf *body);
+
+/** ht_service_stop_listening() - accept no more; open connections continue */
+void ht_service_stop_listening(struct ht_service *s);
+
+/**
+ * ht_service_is_unfinished() - whether a request has not been answered, or
+ * part of an answer has not reached the other end
+ * @progress: set to a number that changes when another end takes something
+ */
+bool ht_service_is_unfinished(const struct ht_service *s, uint64_t *progress);
+
 #ifdef __cplusplus
 }
 #endif
--- a/source/so.h
+++ b/source/so.h
@@ -20,6 +20,7 @@
 
 #include <glib.h>
 
+#include "base/ba_drain.h"
 #include "base/ba_list.h"
 #include "base/ba_rand.h"
 #include "distrib/ds_feed.h"
@@ -135,8 +136,12 @@
 	ba_time deadline;
 };
 
+struct so_http;
+
 /**
  * struct so_source - the state of the program
+ * @http: the operators' API over HTTP, or NULL
+ * @drain: the wait for operators to take their answers during a stop
  * @waiters: token of a submission to its &struct so_waiter
  * @peer_discovered: called when a replica of an open group is discovered; may
  *	be NULL
@@ -163,6 +168,8 @@
 	struct rp_node *node;
 	struct ba_timer timer;
 	struct ba_timer shutdown_timer;
+	struct ba_drain drain;
+	struct so_http *http;
 	uint64_t last_token;
 	GHashTable *waiters;
 	struct so_peer peers[RP_PEERS_LIMIT];
@@ -196,7 +203,10 @@
 /** so_source_stop() - release everything that so_source_start() set up */
 void so_source_stop(struct so_source *s);
 
-/** so_source_shut_down() - hand over leadership, then stop the loop */
+/**
+ * so_source_shut_down() - hand over leadership, let operators take their
+ * answers, then stop the loop
+ */
 void so_source_shut_down(struct so_source *s);
 
 /**
@@ -228,6 +238,13 @@
 /** so_session_find() - find the newest open session of an instance, or NULL */
 struct so_conn *so_session_find(struct so_source *s, const char *instance);
 
+/**
+ * so_session_is_unfinished() - whether an operator waits for an outcome or for
+ * the rest of an answer
+ * @progress: set to a number that changes when an operator takes something
+ */
+bool so_session_is_unfinished(const struct so_source *s, uint64_t *progress);
+
 /** so_session_free_all() - detach from all accepted sessions and free them */
 void so_session_free_all(struct so_source *s);
 
--- a/source/so_http.c
+++ b/source/so_http.c
@@ -64,6 +64,7 @@
 		g_free(h);
 		return BA_PORT_IN_USE;
 	}
+	o->source->http = h;
 	*out = h;
 	return BA_OK;
 }
@@ -72,10 +73,21 @@
 {
 	if (!h)
 		return;
+	h->o.source->http = NULL;
 	ht_service_free(h->service);
 	g_free(h);
 }
 
+void so_http_stop_listening(struct so_http *h)
+{
+	ht_service_stop_listening(h->service);
+}
+
+bool so_http_is_unfinished(const struct so_http *h, uint64_t *progress)
+{
+	return ht_service_is_unfinished(h->service, progress);
+}
+
 static void on_request(struct ht_service_owner *o, struct ht_request *r)
 {
 	struct so_http *h = (struct so_http *)o;
@@ -158,7 +170,7 @@
 	if (so_lease_error(h->o.source))
 		answer_code(r, 503, RP_NO_QUORUM, NULL);
 	else
-		ht_request_answer(r, 200, "", "application/json", &body);
+		ht_request_answer_whole(r, 200, "", "application/json", &body);
 	ba_buf_free(&body);
 }
 
@@ -261,7 +273,7 @@
 {
 	const struct ba_buf none = {0};
 
-	ht_request_answer(r, status, fields, "", &none);
+	ht_request_answer_whole(r, status, fields, "", &none);
 }
 
 static void answer_code(struct ht_request *r, int status, int code,
@@ -281,6 +293,6 @@
 		g_free(expected);
 	}
 	ba_buf_addf(&body, "%s}\n", problems && problems->n ? "]" : "");
-	ht_request_answer(r, status, "", "application/json", &body);
+	ht_request_answer_whole(r, status, "", "application/json", &body);
 	ba_buf_free(&body);
 }
--- a/source/so_http.h
+++ b/source/so_http.h
@@ -60,6 +60,16 @@
 
 struct so_http;
 
+/** so_http_stop_listening() - accept no more; open connections continue */
+void so_http_stop_listening(struct so_http *h);
+
+/**
+ * so_http_is_unfinished() - whether an operator waits for an answer or for the
+ * rest of one
+ * @progress: set to a number that changes when an operator takes something
+ */
+bool so_http_is_unfinished(const struct so_http *h, uint64_t *progress);
+
 /**
  * so_http_new() - listen for operators
  *
--- a/source/so_session.c
+++ b/source/so_session.c
@@ -60,6 +60,24 @@
 	s->n_conns = 0;
 }
 
+bool so_session_is_unfinished(const struct so_source *s, uint64_t *progress)
+{
+	struct ba_list *pos;
+
+	*progress = 0;
+	ba_list_each(pos, &s->conns)
+	{
+		const struct so_conn *c = ba_entry(pos, struct so_conn, link);
+
+		if (!c->open ||
+		    wi_session_peer(c->session)->role != WI_OPERATOR)
+			continue;
+		*progress += (c->waiter.token != 0) +
+			     wi_session_unacknowledged(c->session);
+	}
+	return *progress;
+}
+
 /* Moves the session to the front: so_session_find() returns the newest one. */
 static void on_opened(struct wi_handler *h, struct wi_session *session)
 {
--- a/source/so_source.c
+++ b/source/so_source.c
@@ -3,11 +3,15 @@
 #include "base/ba_event.h"
 #include "base/ba_result.h"
 #include "source/so.h"
+#include "source/so_http.h"
 #include "replica/rp_disk.h"
 #include "wire/rp.pb-c.h"
 
 #define CHECK_INTERVAL (200 * BA_MS)
 #define SHUTDOWN_DELAY (100 * BA_MS)
+/* Longest wait for operators, from the beginning of a stop. */
+#define SHUTDOWN_TIMEOUT (4 * BA_SECOND)
+#define SHUTDOWN_POLL_PERIOD (20 * BA_MS)
 
 static int start_node(struct so_source *s);
 static void discover_recovered(struct so_source *s);
@@ -73,8 +77,13 @@
 {
 	ba_time now = ba_loop_now(s->loop);
 
+	if (s->shutdown_timer.slot)
+		return;
 	rp_node_prepare_stop(s->node, now);
 	so_source_rearm(s);
+	if (s->http)
+		so_http_stop_listening(s->http);
+	ba_drain_begin(&s->drain, now + SHUTDOWN_TIMEOUT, now);
 	s->shutdown_timer.fire = on_shutdown_timer;
 	ba_loop_arm(s->loop, &s->shutdown_timer, now + SHUTDOWN_DELAY);
 }
@@ -189,8 +198,21 @@
 
 static void on_shutdown_timer(struct ba_timer *t, ba_time now)
 {
-	(void)now;
-	ba_loop_stop(ba_entry(t, struct so_source, shutdown_timer)->loop);
+	struct so_source *s = ba_entry(t, struct so_source, shutdown_timer);
+	uint64_t progress = 0;
+	uint64_t http_progress = 0;
+	bool left = so_session_is_unfinished(s, &progress);
+
+	if (s->http)
+		left |= so_http_is_unfinished(s->http, &http_progress);
+	if (ba_drain_continues(&s->drain, left, progress + http_progress,
+			       now)) {
+		ba_loop_arm(s->loop, t, now + SHUTDOWN_POLL_PERIOD);
+		return;
+	}
+	if (left)
+		ba_event(BA_EV_UNDELIVERED, "operators=true");
+	ba_loop_stop(s->loop);
 }
 
 static void on_send(struct rp_node_owner *o, int to, const void *data,
