--- a/bench/soak_main.c
+++ b/bench/soak_main.c
@@ -8,6 +8,7 @@
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 
 #include "base/ba_result.h"
 #include "bench/bn.h"
@@ -87,6 +88,7 @@
 	bool failed;
 };
 
+static void end_process(struct soak_process *p);
 static void read_options(struct run *g, int argc, char **argv);
 static void set_rate(struct run *g, const char *link_rate);
 static void prepare_cores(struct run *g);
@@ -126,17 +128,24 @@
 	ba_loop_arm(s->loop, &g.tick, ba_clock_now());
 	ba_loop_run(s->loop);
 	for (int i = 0; i < s->n_machines; i++)
-		if (s->machines[i].process.pid > 0)
-			kill(s->machines[i].process.pid, SIGKILL);
+		end_process(&s->machines[i].process);
 	for (int i = 0; i < s->n_cores; i++)
-		if (s->cores[i].pid > 0)
-			kill(s->cores[i].pid, SIGKILL);
+		end_process(&s->cores[i]);
 	if (g.failed)
 		return 1;
 	print_results(&g);
 	return 0;
 }
 
+/* Waits for the end, as the next run may use the same ports. */
+static void end_process(struct soak_process *p)
+{
+	if (p->pid <= 0)
+		return;
+	kill(p->pid, SIGKILL);
+	waitpid(p->pid, NULL, 0);
+}
+
 static void read_options(struct run *g, int argc, char **argv)
 {
 	struct soak *s = &g->soak;
