call, proxy: a crash counts what the proxy gave up, and no report twice

- A request whose caller left, or whose time ran out, was missing from the crash that it caused, and a sound one beside it was blamed.
- With more than 2,048 reporters the one that changed longest ago was forgotten, and its report counted anew with the next view.
Reports of more instances are now left out.
- Copies of one request took up all 64 places of a crash.

ClCrash.CopiesOfARequestTakeOnePlace, ClPoison.ReportsOfManyAreCountedOnce, PxCrash.CountsWhatCallersGaveUp and PxCrash.CountsWhatRanOutOfTime.

--- a/call/cl_crash.c
+++ b/call/cl_crash.c
@@ -2,6 +2,9 @@
 
 #include "call/cl_crash.h"
 
+static bool may_explain(struct cl_crash *c, ba_time sent_at);
+static void add_run(struct cl_crash *c, uint64_t request, bool abandoned,
+		    ba_time now);
 static void confirm(struct cl_crash *c, ba_time now);
 static void forget(struct cl_crash *c, ba_time now);
 static void forget_survived(struct cl_crash *c);
@@ -21,23 +24,20 @@
 	forget(c, now);
 	if (fresh && sent_at > c->down_at)
 		cl_crash_opened(c, sent_at, now);
-	/* It belongs to the crash that was reported. */
-	if (c->down_at != BA_NEVER && c->report_at == BA_NEVER)
+	if (!may_explain(c, sent_at))
 		return;
-	if (c->report_at != BA_NEVER &&
-	    sent_at >= c->report_at - CL_CRASH_SETTLE_TIME) {
-		/* It was sent after the crash that is to be reported. */
-		if (c->n || c->down_at != BA_NEVER)
-			return;
-		/* Nothing was running at the start that was announced. */
-		c->report_at = BA_NEVER;
-	}
-	if (c->n == CL_CRASH_RUNNING_MAX)
-		return;
-	c->runs[c->n++] = (struct cl_crash_run){request, now, false};
+	add_run(c, request, false, now);
 	update(c, now);
 }
 
+void cl_crash_abandoned(struct cl_crash *c, uint64_t request, ba_time sent_at,
+			ba_time now)
+{
+	forget(c, now);
+	if (may_explain(c, sent_at))
+		add_run(c, request, true, now);
+}
+
 bool cl_crash_wants_check(struct cl_crash *c, ba_time now)
 {
 	forget(c, now);
@@ -127,6 +127,36 @@
 	return c->checking ? BA_NEVER : c->check_at;
 }
 
+/* Whether a request that was sent at @sent_at may be part of a crash to come. */
+static bool may_explain(struct cl_crash *c, ba_time sent_at)
+{
+	/* It belongs to the crash that was reported. */
+	if (c->down_at != BA_NEVER && c->report_at == BA_NEVER)
+		return false;
+	if (c->report_at != BA_NEVER &&
+	    sent_at >= c->report_at - CL_CRASH_SETTLE_TIME) {
+		/* It was sent after the crash that is to be reported. */
+		if (c->n || c->down_at != BA_NEVER)
+			return false;
+		/* Nothing was running at the start that was announced. */
+		c->report_at = BA_NEVER;
+	}
+	return true;
+}
+
+/* Copies of a request take one place. */
+static void add_run(struct cl_crash *c, uint64_t request, bool abandoned,
+		    ba_time now)
+{
+	for (size_t i = 0; i < c->n; i++)
+		if (c->runs[i].request == request && !c->runs[i].survived &&
+		    c->runs[i].abandoned == abandoned)
+			return;
+	if (c->n < CL_CRASH_RUNNING_MAX)
+		c->runs[c->n++] =
+			(struct cl_crash_run){request, now, false, abandoned};
+}
+
 /* The ends of connections may become known after the confirmation. */
 static void confirm(struct cl_crash *c, ba_time now)
 {
@@ -166,7 +196,8 @@
 {
 	size_t first = 0;
 
-	while (first < c->n && c->runs[first].survived)
+	while (first < c->n &&
+	       (c->runs[first].survived || c->runs[first].abandoned))
 		first++;
 	if (first == c->n)
 		c->check_at = BA_NEVER;
--- a/call/cl_crash.h
+++ b/call/cl_crash.h
@@ -48,11 +48,13 @@
 /**
  * struct cl_crash_run - a request whose connection was lost
  * @survived: a connection was opened after that
+ * @abandoned: the proxy itself ended the connection
  */
 struct cl_crash_run {
 	uint64_t request;
 	ba_time lost_at;
 	bool survived;
+	bool abandoned;
 };
 
 /**
@@ -87,6 +89,16 @@
 void cl_crash_lost(struct cl_crash *c, uint64_t request, bool fresh,
 		   ba_time sent_at, ba_time now);
 
+/**
+ * cl_crash_abandoned() - the proxy has ended the connection of a running request
+ * @sent_at: when the request was sent
+ *
+ * The backend server may go on with it, so it belongs to a crash that follows
+ * within %CL_CRASH_MEMORY; it is no reason to test the backend server.
+ */
+void cl_crash_abandoned(struct cl_crash *c, uint64_t request, ba_time sent_at,
+			ba_time now);
+
 /**
  * cl_crash_wants_check() - whether to open a test connection now
  *
--- a/call/cl_poison.c
+++ b/call/cl_poison.c
@@ -214,6 +214,9 @@
 	r = find_reporter(p, id);
 	if (!r && !n)
 		return;
+	/* One that was forgotten would be counted anew with the next report. */
+	if (!r && g_hash_table_size(p->reporters) >= REPORTERS_MAX)
+		return;
 	if (!r)
 		r = add_reporter(p, id);
 	if (epoch < r->epoch)
@@ -589,9 +592,6 @@
 {
 	struct reporter *r;
 
-	if (g_hash_table_size(p->reporters) >= REPORTERS_MAX)
-		remove_reporter(p, ba_entry(p->reporters_by_age.next,
-					    struct reporter, link));
 	r = g_new0(struct reporter, 1);
 	r->id = id;
 	r->stored = g_array_new(FALSE, FALSE, sizeof(struct stored));
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -231,6 +231,10 @@
 	struct cl_endpoint *e = x->endpoint;
 	struct ht_conn *c = x->conn;
 	bool had_slot = x->admission.running;
+	bool abandoned = c && x->state == PX_ATTEMPT_AT_BACKEND &&
+			 ht_conn_has_sent(c) && !x->not_run_code &&
+			 (result == CL_ATTEMPT_CANCELLED ||
+			  result == CL_ATTEMPT_TIMEOUT);
 	bool refused_or_cancelled = result == CL_ATTEMPT_OVERLOADED ||
 				    result == CL_ATTEMPT_DRAINING ||
 				    result == CL_ATTEMPT_CANCELLED;
@@ -240,6 +244,8 @@
 	x->state = PX_ATTEMPT_NONE;
 	x->not_run_code = 0;
 	x->buffered.len = 0;
+	if (abandoned)
+		px_poison_on_abandoned(x);
 	if (c)
 		ht_conn_abort(c);
 	if (e && cl_route_done(p->router, e, result, now - x->sent_at, now) !=
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -454,6 +454,9 @@
 /** px_poison_suspects() - whether the request may have crashed others */
 bool px_poison_suspects(const struct px_exchange *x);
 
+/** px_poison_on_abandoned() - handle an attempt that the proxy itself ended */
+void px_poison_on_abandoned(struct px_exchange *x);
+
 /** px_poison_on_lost() - handle the end of a connection at the backend server */
 void px_poison_on_lost(struct px_exchange *x);
 
--- a/proxy/px_poison.c
+++ b/proxy/px_poison.c
@@ -99,6 +99,15 @@
 	advance(p);
 }
 
+void px_poison_on_abandoned(struct px_exchange *x)
+{
+	struct px *p = x->p;
+
+	if (p->backend.registered && !p->backend.heartbeat.draining)
+		cl_crash_abandoned(&p->poison.crash, x->digest,
+				   x->admission.started, ba_loop_now(p->loop));
+}
+
 void px_poison_on_refused(struct px *p)
 {
 	cl_crash_refused(&p->poison.crash, ba_loop_now(p->loop));
--- a/test/cl_crash_test.cc
+++ b/test/cl_crash_test.cc
@@ -73,6 +73,21 @@
 	}
 }
 
+/* Many copies of a popular request leave room for the others. */
+TEST(ClCrash, CopiesOfARequestTakeOnePlace)
+{
+	const ba_time now = BA_SECOND;
+	uint64_t running[CL_CRASH_RUNNING_MAX];
+	struct cl_crash c;
+
+	cl_crash_reset(&c);
+	for (int i = 0; i < CL_CRASH_RUNNING_MAX; i++)
+		cl_crash_lost(&c, 1, false, now - BA_MS, now);
+	cl_crash_lost(&c, 2, false, now - BA_MS, now);
+	cl_crash_refused(&c, now);
+	EXPECT_EQ(cl_crash_take(&c, running, now + BA_SECOND), (size_t)2);
+}
+
 TEST(ClCrash, IsToldFromTheEndOfAConnection)
 {
 	static const struct {
--- a/test/poison_test.cc
+++ b/test/poison_test.cc
@@ -1076,6 +1076,25 @@
 	cl_poison_free(p);
 }
 
+/*
+ * One crash of one instance, and acquittals by more instances than are
+ * remembered.  Each view brings all reports again.
+ */
+TEST(ClPoison, ReportsOfManyAreCountedOnce)
+{
+	const ep_mark crash = {1, 1, 0, false};
+	const ep_mark acquittal = {2, 0, 1, false};
+	cl_poison *p = cl_poison_new("self");
+
+	for (int view = 0; view < 3; view++)
+		for (int i = 0; i < 3000; i++)
+			cl_poison_learn(p, std::to_string(i).c_str(), 1,
+					i ? &acquittal : &crash, 1,
+					START + view * BA_SECOND);
+	EXPECT_EQ(cl_poison_verdict(p, 1, START + 3 * BA_SECOND), CLEAR);
+	cl_poison_free(p);
+}
+
 RC_GTEST_PROP(ClPoison, StateIsBounded, (uint64_t seed))
 {
 	ba_rand rand = {seed};
--- a/test/px_crash_test.cc
+++ b/test/px_crash_test.cc
@@ -256,6 +256,52 @@
 		EXPECT_EQ(k.crashes, 1u);
 }
 
+/* The backend server goes on with what its caller has given up. */
+TEST(PxCrash, CountsWhatCallersGaveUp)
+{
+	crash_world w;
+	blocking_socket other = blocking_socket::connect_to(CALLER_PORT);
+	std::vector<struct ep_mark> m;
+
+	other.write(get("/look/good"));
+	blocking_socket b1 = w.backend.accept_one();
+
+	EXPECT_FALSE(b1.read_message().empty());
+	blocking_socket s = blocking_socket::connect_to(CALLER_PORT);
+
+	s.write(get("/look/bad"));
+	blocking_socket b2 = w.backend.accept_one();
+
+	EXPECT_FALSE(b2.read_message().empty());
+	s.end();
+	/* The proxy ends its connection too. */
+	EXPECT_TRUE(b2.read_message().empty());
+	w.backend.stop();
+	b1.end();
+	EXPECT_EQ(status(other.read_message()), 502);
+	m = w.wait_for_report(1);
+	EXPECT_EQ(m.size(), (size_t)2);
+}
+
+/* So does it with what has run out of time. */
+TEST(PxCrash, CountsWhatRanOutOfTime)
+{
+	crash_world w;
+	std::vector<struct ep_mark> m;
+	blocking_socket s = blocking_socket::connect_to(CALLER_PORT);
+
+	s.write(get("/short/bad"));
+	blocking_socket b = w.backend.accept_one();
+
+	EXPECT_FALSE(b.read_message().empty());
+	EXPECT_EQ(status(s.read_message()), 504);
+	w.backend.stop();
+	b.end();
+	w.start_backend();
+	m = w.wait_for_report(1);
+	EXPECT_EQ(m.size(), (size_t)1);
+}
+
 /* A planned end with requests in progress is no crash. */
 TEST(PxCrash, EndOfADrainingBackendServerIsNone)
 {
