http: a link stays in memory while connections use it

The address sanitizer found a use after free in PxStop.AnswerThatIsArrivingIsDeliveredWhole, once: a connection that lingers after its last answer reported to a link that px_free() had freed. In the programs the loop has ended by then; in a test it goes on.

Connections hold a reference of their link, and its end leaves no user in a queue. Three runs of the suites Ht, Px, Cl and FullLink under the sanitizer pass, 119 tests each.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -144,7 +144,10 @@
 
 void ht_conn_set_link(struct ht_conn *c, struct ht_link *l)
 {
-	c->link = l;
+	if (c->link == l)
+		return;
+	ht_link_unref(c->link);
+	c->link = ht_link_ref(l);
 }
 
 void ht_conn_set_rank(struct ht_conn *c, unsigned int rank, ba_time due)
@@ -608,6 +611,7 @@
 
 static void conn_free(struct ht_conn *c)
 {
+	ht_link_unref(c->link);
 	ht_head_free(&c->head);
 	ba_buf_free(&c->out);
 	ba_buf_free(&c->read_ahead);
--- a/http/ht_link.c
+++ b/http/ht_link.c
@@ -12,6 +12,7 @@
 #define EXPIRY_SLACK (200 * BA_MS)
 
 /*
+ * @refs: references; ht_link_new() gives the first
  * @tokens: token bucket, in bytes; negative when overdrawn
  * @refilled_at: time at which @tokens was last updated
  * @waiting: queue of users with long messages, by rank
@@ -25,6 +26,7 @@
  * @expiring: users with an expiry; used only during a call of expiring_user()
  */
 struct ht_link {
+	unsigned int refs;
 	struct ba_loop *loop;
 	struct ba_timer timer;
 	double rate;
@@ -58,6 +60,7 @@
 static bool precedes(const struct ht_link *l, const struct ht_link_user *a,
 		     const struct ht_link_user *b);
 static ba_time due(const struct ht_link *l, const struct ht_link_user *u);
+static void dequeue(struct ba_list *pos);
 static bool is_waiting(const struct ht_link_user *u);
 static void arm_timer(struct ht_link *l);
 static void on_timer(struct ba_timer *t, ba_time now);
@@ -67,6 +70,7 @@
 {
 	struct ht_link *l = g_new0(struct ht_link, 1);
 
+	l->refs = 1;
 	l->loop = loop;
 	l->expiring = g_ptr_array_new();
 	l->timer.fire = on_timer;
@@ -85,9 +89,23 @@
 		return;
 	for (int i = 0; i < HT_LINK_RANKS; i++)
 		while (!ba_list_empty(&l->waiting[i]))
-			ba_list_remove(l->waiting[i].next);
+			dequeue(l->waiting[i].next);
 	if (l->loop)
 		ba_loop_disarm(l->loop, &l->timer);
+	l->loop = NULL;
+	ht_link_unref(l);
+}
+
+struct ht_link *ht_link_ref(struct ht_link *l)
+{
+	l->refs++;
+	return l;
+}
+
+void ht_link_unref(struct ht_link *l)
+{
+	if (!l || --l->refs)
+		return;
 	g_ptr_array_free(l->expiring, TRUE);
 	g_free(l);
 }
@@ -129,8 +147,7 @@
 {
 	if (!is_waiting(u))
 		return;
-	ba_list_remove(&u->link);
-	ba_list_init(&u->link);
+	dequeue(&u->link);
 	arm_timer(l);
 }
 
@@ -390,6 +407,12 @@
 	}
 }
 
+static void dequeue(struct ba_list *pos)
+{
+	ba_list_remove(pos);
+	ba_list_init(pos);
+}
+
 static bool is_waiting(const struct ht_link_user *u)
 {
 	return !ba_list_empty(&u->link);
--- a/http/ht_link.h
+++ b/http/ht_link.h
@@ -78,9 +78,19 @@
 struct ht_link *ht_link_new(struct ba_loop *loop, int64_t rate, double weight,
 			    ba_time now);
 
-/** ht_link_free() - empty the queues and free @l; NULL is allowed */
+/**
+ * ht_link_free() - empty the queues and end @l; NULL is allowed
+ *
+ * No user is called any more.
+ */
 void ht_link_free(struct ht_link *l);
 
+/** ht_link_ref() - keep @l in memory, also after ht_link_free() */
+struct ht_link *ht_link_ref(struct ht_link *l);
+
+/** ht_link_unref() - drop a reference of ht_link_ref(); NULL is allowed */
+void ht_link_unref(struct ht_link *l);
+
 /**
  * ht_link_request() - ask how much may be written now
  * @sent: bytes of the message that were written before
