--- a/http/ht_service.c
+++ b/http/ht_service.c
@@ -32,6 +32,9 @@
 static void on_complete(struct ht_conn_owner *o, struct ht_conn *c);
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *c,
 		     enum ht_end why);
+static void write_answer(struct service_conn *sc, int status,
+			 const char *fields, const char *type,
+			 const struct ba_buf *body);
 static void on_last_drained(struct ht_conn_owner *o, struct ht_conn *c);
 static void set_idle_deadline(struct service_conn *sc);
 static void clear_request(struct ht_request *r);
@@ -81,16 +84,7 @@
 	struct ht_conn *c = sc->conn;
 	bool last = r->head->connection_close;
 
-	ba_buf_addf(ht_conn_out(c),
-		    "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n%s%s", status,
-		    ht_reason_phrase(status), body->len, fields,
-		    last ? "Connection: close\r\n" : "");
-	if (body->len)
-		ba_buf_addf(ht_conn_out(c), "Content-Type: %s\r\n", type);
-	ba_buf_addf(ht_conn_out(c), "\r\n");
-	ht_conn_write(c, body->data, body->len);
-	sc->in_request = false;
-	clear_request(r);
+	write_answer(sc, status, fields, type, body);
 	if (last) {
 		remove_conn(sc);
 		ht_conn_close_after_flush(c);
@@ -112,16 +106,7 @@
 		ht_request_answer(r, status, fields, type, body);
 		return;
 	}
-	ba_buf_addf(ht_conn_out(c),
-		    "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n%s"
-		    "Connection: close\r\n",
-		    status, ht_reason_phrase(status), body->len, fields);
-	if (body->len)
-		ba_buf_addf(ht_conn_out(c), "Content-Type: %s\r\n", type);
-	ba_buf_addf(ht_conn_out(c), "\r\n");
-	ht_conn_write(c, body->data, body->len);
-	sc->in_request = false;
-	clear_request(r);
+	write_answer(sc, status, fields, type, body);
 	sc->owner.drained = on_last_drained;
 	set_idle_deadline(sc);
 	ht_conn_flush(c);
@@ -201,6 +186,25 @@
 	remove_conn((struct service_conn *)o);
 }
 
+/* Writes the answer, which ends the request; nothing is sent yet. */
+static void write_answer(struct service_conn *sc, int status,
+			 const char *fields, const char *type,
+			 const struct ba_buf *body)
+{
+	struct ba_buf *out = ht_conn_out(sc->conn);
+	bool last = sc->request.head->connection_close;
+
+	ba_buf_addf(out, "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n%s%s",
+		    status, ht_reason_phrase(status), body->len, fields,
+		    last ? "Connection: close\r\n" : "");
+	if (body->len)
+		ba_buf_addf(out, "Content-Type: %s\r\n", type);
+	ba_buf_addf(out, "\r\n");
+	ba_buf_add(out, body->data, body->len);
+	sc->in_request = false;
+	clear_request(&sc->request);
+}
+
 /* The last answer of the connection is in the kernel. */
 static void on_last_drained(struct ht_conn_owner *o, struct ht_conn *c)
 {
