build: flags of the compiler that this machine has

Cause: -fcf-protection exists for x86 only, so nothing was built on an arm64 machine ("not supported for this target").

Change: make asks the compiler which control-flow protection it has.

Result: the tree builds on arm64 with -mbranch-protection=standard.

--- a/Makefile
+++ b/Makefile
@@ -18,11 +18,16 @@
 PROGRAMS := $(patsubst prog/%.c,%,$(wildcard prog/caraway*.c))
 TOOLS := $(patsubst bench/%_main.c,%,$(wildcard bench/*_main.c))
 
+# The flags of $(1) that the compiler has for this machine.
+supported = $(foreach f,$(1),$(shell $(CC) $(f) -E -x c /dev/null >/dev/null 2>&1 && echo $(f)))
+
 PKGS = glib-2.0 libmicrohttpd libcurl libxxhash libsodium jansson
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
 PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lprotobuf-c -lhttp_parser -lck -lpthread -lm
 
-HARDEN = -fstack-protector-strong -fPIE -fcf-protection
+# Protection of the control flow has another flag on each architecture.
+CONTROL_FLOW = -fcf-protection -mbranch-protection=standard
+HARDEN := -fstack-protector-strong -fPIE $(call supported,$(CONTROL_FLOW))
 ifeq ($(SAN),)
 HARDEN += -D_FORTIFY_SOURCE=2
 else
