proxy, platform, call: log what backend servers state of themselves

Cause: no line of any log said that an endpoint had named a limit or its departure, so the hypotheses on the broken limits could not be told apart.

Change: the adapter reads both fields; the proxy beside the backend server records them (cl_limit), logs 6016 and 6017 where one is learned, changed or dropped, with the number of requests sent since, and counts them. Nothing acts on them yet.

--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -137,6 +137,14 @@
 	[CL_EV_ANSWER_HELD] =
 		{"answer-held", BA_INFO,
 		 "A complete answer waited long for the outgoing link."},
+	[CL_EV_BACKEND_LIMIT] =
+		{"backend-limit", BA_NOTICE,
+		 "The limit that a backend server states was learned, changed, "
+		 "dropped or is malformed."},
+	[CL_EV_BACKEND_LEAVING] =
+		{"backend-leaving", BA_NOTICE,
+		 "That a backend server states its departure was learned or "
+		 "dropped."},
 	[RT_EV_DAY_CLOSED] = {"day-closed", BA_NOTICE,
 			      "The figures of a day are complete."},
 	[RT_EV_FIGURES] = {"figures", BA_DEBUG,
--- a/proxy/px_backend.c
+++ b/proxy/px_backend.c
@@ -95,8 +95,10 @@
 	if (is_stale(be, hb))
 		return;
 	apply_heartbeat(p, hb);
-	if (renewed)
+	if (renewed) {
 		px_poison_on_start(p);
+		px_limit_on_start(p);
+	}
 	if (!changed)
 		return;
 	ba_event(hb->draining ? EP_EV_DRAINING : EP_EV_JOINED,
--- a/proxy/px_dialect.h
+++ b/proxy/px_dialect.h
@@ -9,6 +9,7 @@
 
 #include "base/ba_buf.h"
 #include "base/ba_clock.h"
+#include "call/cl_limit.h"
 #include "http/ht_head.h"
 
 #ifdef __cplusplus
@@ -43,10 +44,12 @@
  * struct px_answer_fields - what a backend server states in an answer
  * @id: id of the attempt that it answers; borrowed, NULL if not stated
  * @not_run: the backend server did not begin to work on the request
+ * @statement: its limit, and whether it leaves
  */
 struct px_answer_fields {
 	const char *id;
 	bool not_run;
+	struct cl_statement statement;
 };
 
 /** enum px_control - calls of the platform to a daemon */
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -7,6 +7,7 @@
  *   px_upstream.c    upstream connection of an attempt, and its answer
  *   px_backend.c     local backend server: admission, queueing, heartbeats
  *   px_poison.c      requests that crash backend servers
+ *   px_limit.c       limit and departure that the backend server states
  *   px_control.c     readiness checks and calls of the backend server
  *   px_compose.c     messages that the proxy writes
  */
@@ -20,6 +21,7 @@
 #include "call/cl_admit.h"
 #include "call/cl_crash.h"
 #include "call/cl_egress.h"
+#include "call/cl_limit.h"
 #include "call/cl_pace.h"
 #include "call/cl_poison.h"
 #include "call/cl_retry.h"
@@ -124,6 +126,10 @@
  * @sched: order of waiting requests and how long they may wait
  * @dispatch_timer: fires at the end of a loop iteration in which a slot became
  *	free or a request was queued
+ * @start: digest of its id and its start
+ * @limit: what it states
+ * @n_sent: requests sent to it since the last line of the log about @limit
+ * @logged_at: time of that line
  */
 struct px_backend {
 	bool registered;
@@ -132,6 +138,10 @@
 	struct ht_pool *pool;
 	struct cl_sched *sched;
 	struct ba_timer dispatch_timer;
+	uint64_t start;
+	struct cl_limit limit;
+	uint64_t n_sent;
+	ba_time logged_at;
 };
 
 /**
@@ -257,6 +267,7 @@
  * @last_try: no further proxy is tried if this attempt fails
  * @fresh: the upstream connection was opened for this attempt
  * @paced: a large answer is expected over the paid link
+ * @backend_start: start of the local backend server that it was sent to
  * @foreign: the answer that is being read belongs to an earlier request
  * @from_backend: the answer that is being read was made by a backend server
  * @n_foreign: number of such answers in this attempt
@@ -301,6 +312,7 @@
 	struct cl_admit_call admission;
 	struct cl_egress_reservation reservation;
 	ba_time sent_at;
+	uint64_t backend_start;
 	bool paced;
 	bool fresh;
 	bool foreign;
@@ -481,6 +493,12 @@
 /** px_poison_learn() - process the reports of the other proxies */
 void px_poison_learn(struct px *p, const struct ep_view *v);
 
+/** px_limit_on_start() - forget what an earlier start of the backend server said */
+void px_limit_on_start(struct px *p);
+
+/** px_limit_on_answer() - process what an answer of the backend server states */
+void px_limit_on_answer(struct px_exchange *x, const struct cl_statement *s);
+
 /** px_control_on_request() - answer a call of the platform or backend server */
 void px_control_on_request(struct ht_service_owner *o, struct ht_request *r);
 
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -131,6 +131,10 @@
 	x->status = 0;
 	x->answer_bytes = 0;
 	x->runs++;
+	if (state == PX_ATTEMPT_AT_BACKEND) {
+		x->backend_start = x->p->backend.start;
+		x->p->backend.n_sent++;
+	}
 	x->conn = ht_pool_take(pool, &x->upstream, &x->fresh);
 	if (x->fresh)
 		ht_conn_set_deadline(x->conn, now + PX_CONNECT_TIMEOUT);
@@ -186,6 +190,8 @@
 		record_load(x, h);
 	else if (x->fresh)
 		px_poison_on_opened(x);
+	if (x->state == PX_ATTEMPT_AT_BACKEND)
+		px_limit_on_answer(x, &ans.statement);
 	x->status = h->status;
 	x->length = h->length;
 	x->not_run_code = read_not_run_code(x, h, &ans);
--- a/report/rt.c
+++ b/report/rt.c
@@ -59,10 +59,14 @@
 	[RT_BACKEND_CRASHES] = "backend_crashes",
 	[RT_REQUESTS_CONVICTED] = "requests_convicted",
 	[RT_CONVICTED_REFUSED] = "convicted_refused",
+	[RT_BACKEND_LIMITS] = "backend_limits_learned",
+	[RT_BACKEND_DEPARTURES] = "backend_departures_learned",
+	[RT_RATE_REFUSED] = "rate_refused",
 };
 
 static const char *const gauge_names[] = {
 	[RT_CONVICTED] = "convicted_requests",
+	[RT_BACKEND_LIMIT] = "backend_limit_per_1000_s",
 };
 
 static uint64_t counters[RT_COUNTERS];
--- a/report/rt.h
+++ b/report/rt.h
@@ -70,12 +70,16 @@
 	RT_BACKEND_CRASHES,
 	RT_REQUESTS_CONVICTED,
 	RT_CONVICTED_REFUSED,
+	RT_BACKEND_LIMITS,
+	RT_BACKEND_DEPARTURES,
+	RT_RATE_REFUSED,
 	RT_COUNTERS,
 };
 
 /** enum rt_gauge - values of a process that are no part of its figures */
 enum rt_gauge {
-	RT_CONVICTED, /* requests that it refuses now */
+	RT_CONVICTED,	  /* requests that it refuses now */
+	RT_BACKEND_LIMIT, /* 1,000 times the stated limit, 0 for none */
 	RT_GAUGES,
 };
 
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -225,4 +225,87 @@
 	}
 }
 
+/* Reads an answer with @fields, each "name: value" ended by CR LF. */
+struct px_answer_fields read_answer(const std::string &fields)
+{
+	struct px_answer_fields out = {};
+	struct ht_field list[4] = {};
+	struct ht_head h = {};
+	std::string text;
+
+	h.fields = list;
+	for (size_t at = 0, end; at < fields.size(); at = end + 2) {
+		size_t colon = fields.find(": ", at);
+
+		end = fields.find("\r\n", at);
+		list[h.n_fields].name = (uint32_t)text.size();
+		text += fields.substr(at, colon - at) + '\0';
+		list[h.n_fields++].value = (uint32_t)text.size();
+		text += fields.substr(colon + 2, end - colon - 2) + '\0';
+	}
+	h.text.data = (uint8_t *)text.data();
+	h.text.len = text.size();
+	pf_proxy.read_answer(&h, &out);
+	return out;
+}
+
+TEST(PfAnswer, LimitAndDepartureOfEachCase)
+{
+	static const struct {
+		const char *name, *fields;
+		enum cl_limit_field limit;
+		double per_second;
+		bool leaving;
+	} cases[] = {
+		{"none", "", CL_LIMIT_ABSENT, 0, false},
+		{"fraction", "Server-Limit: 19.9\r\n", CL_LIMIT_STATED, 19.9,
+		 false},
+		{"other case of letters", "server-limit: 7\r\n",
+		 CL_LIMIT_STATED, 7, false},
+		{"zero", "Server-Limit: 0\r\n", CL_LIMIT_STATED, 0, false},
+		{"zero with a fraction", "Server-Limit: 0.0\r\n",
+		 CL_LIMIT_STATED, 0, false},
+		{"huge", "Server-Limit: 99999999999999999999\r\n",
+		 CL_LIMIT_STATED, 1e20, false},
+		{"point first", "Server-Limit: .5\r\n", CL_LIMIT_STATED, .5,
+		 false},
+		{"empty", "Server-Limit: \r\n", CL_LIMIT_MALFORMED, 0, false},
+		{"word", "Server-Limit: many\r\n", CL_LIMIT_MALFORMED, 0,
+		 false},
+		{"negative", "Server-Limit: -3\r\n", CL_LIMIT_MALFORMED, 0,
+		 false},
+		{"exponent", "Server-Limit: 1e3\r\n", CL_LIMIT_MALFORMED, 0,
+		 false},
+		{"infinite", "Server-Limit: inf\r\n", CL_LIMIT_MALFORMED, 0,
+		 false},
+		{"not a number", "Server-Limit: nan\r\n", CL_LIMIT_MALFORMED, 0,
+		 false},
+		{"hexadecimal", "Server-Limit: 0x10\r\n", CL_LIMIT_MALFORMED, 0,
+		 false},
+		{"two points", "Server-Limit: 1.2.3\r\n", CL_LIMIT_MALFORMED, 0,
+		 false},
+		{"a point alone", "Server-Limit: .\r\n", CL_LIMIT_MALFORMED, 0,
+		 false},
+		{"unit", "Server-Limit: 5/s\r\n", CL_LIMIT_MALFORMED, 0, false},
+		{"two fields", "Server-Limit: 5\r\nServer-Limit: 6\r\n",
+		 CL_LIMIT_MALFORMED, 0, false},
+		{"leaving", "Server-Leaving: 1\r\n", CL_LIMIT_ABSENT, 0, true},
+		{"both", "Server-Leaving: 1\r\nServer-Limit: 2.5\r\n",
+		 CL_LIMIT_STATED, 2.5, true},
+		{"not leaving", "Server-Leaving: 0\r\n", CL_LIMIT_ABSENT, 0,
+		 false},
+		{"malformed departure", "Server-Leaving: soon\r\n",
+		 CL_LIMIT_ABSENT, 0, false},
+	};
+
+	for (const auto &c : cases) {
+		struct px_answer_fields got = read_answer(c.fields);
+
+		EXPECT_EQ(got.statement.limit, c.limit) << c.name;
+		EXPECT_DOUBLE_EQ(got.statement.per_second, c.per_second)
+			<< c.name;
+		EXPECT_EQ(got.statement.leaving, c.leaving) << c.name;
+	}
+}
+
 } // namespace
