proxy, call: pace the requests to a backend server by the limit it states

Cause: nobody read the field.

Change: that proxy, through which all requests pass, paces them by a token bucket (docs/design/56). A call waits in the queue as long as the start for its place comes in time, else it is refused at once, not run, and tries another endpoint, which costs no retry budget. Answers between proxies tell the limit and when there is room, so that senders prefer endpoints with room; the time until the first has room goes into Retry-After. Senders repeat what they were told to a proxy that has restarted.

--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -145,6 +145,10 @@
 		{"backend-leaving", BA_NOTICE,
 		 "That a backend server states its departure was learned or "
 		 "dropped."},
+	[CL_EV_STATED_DROPPED] =
+		{"stated-dropped", BA_NOTICE,
+		 "The table of what backend servers state was full; what was "
+		 "told first was dropped."},
 	[RT_EV_DAY_CLOSED] = {"day-closed", BA_NOTICE,
 			      "The figures of a day are complete."},
 	[RT_EV_FIGURES] = {"figures", BA_DEBUG,
--- a/call/cl_admit.c
+++ b/call/cl_admit.c
@@ -30,6 +30,7 @@
  *	in the previous one, 0 if there is none
  * @cooldown_until: the limit is not adapted before this time
  * @rate: calls per second, 0 for no limit
+ * @pace: stated limit, or NULL
  */
 struct cl_admit {
 	struct cl_admit_options options;
@@ -48,6 +49,17 @@
 	double rate;
 	double tokens;
 	ba_time tokens_at;
+	struct cl_limit *pace;
+};
+
+/*
+ * What goes before a call in the queue.
+ * @time: service time of these calls, until a slot becomes free included
+ * @calls: their number
+ */
+struct ahead {
+	double time;
+	uint32_t calls;
 };
 
 static const char *const reason_names[] = {
@@ -58,15 +70,21 @@
 	[CL_ADMIT_TOO_LATE] = "too-late",
 	[CL_ADMIT_RATE] = "rate-limit",
 	[CL_ADMIT_SHARE] = "share-limit",
+	[CL_ADMIT_PACED] = "stated-limit",
 };
 
 static bool take_token(struct cl_admit *a, ba_time now);
-static struct cl_admit_call *find_late(struct cl_admit *a, ba_time now);
+static bool is_paced(const struct cl_admit *a);
+static ba_time paced_start(const struct cl_admit *a, uint32_t n_ahead,
+			   ba_time now);
+static struct cl_admit_call *find_late(struct cl_admit *a, ba_time now,
+				       enum cl_admit_reason *reason);
 static bool misses_deadline(const struct cl_admit *a,
-			    const struct cl_admit_call *call, double ahead,
-			    ba_time now);
-static double time_ahead(const struct cl_admit *a,
-			 const struct cl_admit_call *call);
+			    const struct cl_admit_call *call,
+			    const struct ahead *ahead, ba_time now,
+			    enum cl_admit_reason *reason);
+static struct ahead find_ahead(const struct cl_admit *a,
+			       const struct cl_admit_call *call);
 static double expected_time(const struct cl_admit *a,
 			    const struct cl_admit_call *call);
 static bool precedes(const struct cl_admit_call *a,
@@ -116,10 +134,17 @@
 	a->limit = max_limit(a);
 }
 
+void cl_admit_set_pace(struct cl_admit *a, struct cl_limit *l)
+{
+	a->pace = l;
+}
+
 enum cl_admit_action cl_admit_arrive(struct cl_admit *a,
 				     struct cl_admit_call *call, ba_time now,
 				     enum cl_admit_reason *reason)
 {
+	struct ahead ahead;
+
 	ba_list_init(&call->link);
 	call->waiting = false;
 	call->running = false;
@@ -128,13 +153,14 @@
 		return CL_ADMIT_REFUSE;
 	}
 	if (!a->options.bounded ||
-	    (!a->waiting && a->running < cl_admit_limit(a))) {
+	    (!a->waiting && a->running < cl_admit_limit(a) &&
+	     (!a->pace || cl_limit_take(a->pace, now)))) {
 		*reason = CL_ADMIT_FREE_SLOT;
 		start(a, call, now);
 		return CL_ADMIT_START;
 	}
-	*reason = CL_ADMIT_TOO_LATE;
-	if (misses_deadline(a, call, time_ahead(a, call), now))
+	ahead = find_ahead(a, call);
+	if (misses_deadline(a, call, &ahead, now, reason))
 		return CL_ADMIT_REFUSE;
 	*reason = CL_ADMIT_QUEUE_FULL;
 	if (a->waiting >= a->options.queue &&
@@ -160,15 +186,15 @@
 		*reason = CL_ADMIT_OUTWEIGHED;
 		return call;
 	}
-	call = find_late(a, now);
+	call = find_late(a, now, reason);
 	if (call) {
 		dequeue(a, call);
 		*act = CL_ADMIT_REFUSE;
-		*reason = CL_ADMIT_TOO_LATE;
 		return call;
 	}
 	call = ba_entry(a->queue.next, struct cl_admit_call, link);
-	if (a->running >= cl_admit_limit(a))
+	if (a->running >= cl_admit_limit(a) ||
+	    (a->pace && !cl_limit_take(a->pace, now)))
 		return NULL;
 	dequeue(a, call);
 	start(a, call, now);
@@ -177,6 +203,18 @@
 	return call;
 }
 
+ba_time cl_admit_next_at(const struct cl_admit *a, ba_time now)
+{
+	if (!is_paced(a) || !a->waiting || a->running >= cl_admit_limit(a))
+		return BA_NEVER;
+	return cl_limit_start_at(a->pace, 1, now);
+}
+
+ba_time cl_admit_room_at(const struct cl_admit *a, ba_time now)
+{
+	return paced_start(a, a->waiting, now);
+}
+
 bool cl_admit_done(struct cl_admit *a, struct cl_admit_call *call,
 		   enum cl_admit_result result, ba_time now)
 {
@@ -248,12 +286,26 @@
 	return true;
 }
 
+static bool is_paced(const struct cl_admit *a)
+{
+	return a->pace && a->pace->limited;
+}
+
+/* When the stated limit lets a call start that has @n_ahead before it. */
+static ba_time paced_start(const struct cl_admit *a, uint32_t n_ahead,
+			   ba_time now)
+{
+	return a->pace ? cl_limit_start_at(a->pace, n_ahead + 1, now) : now;
+}
+
 /*
  * Searches the whole queue: a call of low weight may never reach the front,
  * and if it is refused in time, it can still be sent to another endpoint.
  */
-static struct cl_admit_call *find_late(struct cl_admit *a, ba_time now)
+static struct cl_admit_call *find_late(struct cl_admit *a, ba_time now,
+				       enum cl_admit_reason *reason)
 {
+	struct ahead ahead = {0};
 	struct ba_list *pos;
 
 	ba_list_each(pos, &a->queue)
@@ -261,38 +313,46 @@
 		struct cl_admit_call *call =
 			ba_entry(pos, struct cl_admit_call, link);
 
-		if (misses_deadline(a, call, 0, now))
+		if (misses_deadline(a, call, &ahead, now, reason))
 			return call;
+		ahead.calls++;
 	}
 	return NULL;
 }
 
 /*
  * While nothing runs, there is no evidence that a call would be late, so only
- * its deadline counts.
+ * its deadline and the stated limit count.
  */
 static bool misses_deadline(const struct cl_admit *a,
-			    const struct cl_admit_call *call, double ahead,
-			    ba_time now)
+			    const struct cl_admit_call *call,
+			    const struct ahead *ahead, ba_time now,
+			    enum cl_admit_reason *reason)
 {
-	double wait = ahead / a->limit;
+	ba_time start = paced_start(a, ahead->calls, now);
+	bool has_slot =
+		is_paced(a) && a->running + ahead->calls < cl_admit_limit(a);
+	double wait = has_slot ? 0 : ahead->time / a->limit;
 
+	*reason = CL_ADMIT_TOO_LATE;
 	if (now >= call->deadline)
 		return true;
+	if (start > now &&
+	    (double)start + expected_time(a, call) > (double)call->deadline) {
+		*reason = CL_ADMIT_PACED;
+		return true;
+	}
 	if (!a->running)
 		return false;
 	return (double)now + wait + expected_time(a, call) >
 	       (double)call->deadline;
 }
 
-/*
- * Service time of the calls that start before @call, plus the time until a slot
- * becomes free.
- */
-static double time_ahead(const struct cl_admit *a,
-			 const struct cl_admit_call *call)
+/* The calls that start before @call. */
+static struct ahead find_ahead(const struct cl_admit *a,
+			       const struct cl_admit_call *call)
 {
-	double time = a->fast_mean;
+	struct ahead ahead = {.time = a->fast_mean};
 	struct ba_list *pos;
 
 	ba_list_each(pos, &a->queue)
@@ -302,9 +362,10 @@
 
 		if (precedes(call, q))
 			break;
-		time += expected_time(a, q);
+		ahead.time += expected_time(a, q);
+		ahead.calls++;
 	}
-	return time;
+	return ahead;
 }
 
 static double expected_time(const struct cl_admit *a,
--- a/call/cl_admit.h
+++ b/call/cl_admit.h
@@ -10,6 +10,9 @@
  *   deadline, earliest first.
  * - A call that is not expected to end before its deadline is refused before
  *   it runs.
+ * - Calls start no faster than the limit that the backend server states.  The
+ *   n-th in the queue is refused if the n-th start that the limit allows is too
+ *   late for it.
  * - When the queue is full, the call with the lowest weight is refused.
  */
 #ifndef CL_ADMIT_H
@@ -20,6 +23,7 @@
 
 #include "base/ba_list.h"
 #include "call/cl.h"
+#include "call/cl_limit.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -31,6 +35,7 @@
  * @CL_ADMIT_OUTWEIGHED: it was queued, and a call that goes before it arrived
  *	at the full queue
  * @CL_ADMIT_TOO_LATE: it was expected to end after its deadline
+ * @CL_ADMIT_PACED: the same, as the stated limit lets it start too late
  */
 enum cl_admit_reason {
 	CL_ADMIT_FREE_SLOT,
@@ -40,6 +45,7 @@
 	CL_ADMIT_TOO_LATE,
 	CL_ADMIT_RATE,
 	CL_ADMIT_SHARE,
+	CL_ADMIT_PACED,
 	CL_ADMIT_REASONS,
 };
 
@@ -116,6 +122,12 @@
 /** cl_admit_set_slots() - set the announced number of @slots */
 void cl_admit_set_slots(struct cl_admit *a, uint32_t slots);
 
+/**
+ * cl_admit_set_pace() - start calls no faster than @l allows
+ * @l: read and changed until @a is freed; NULL for no limit
+ */
+void cl_admit_set_pace(struct cl_admit *a, struct cl_limit *l);
+
 /** cl_admit_arrive() - start, queue or refuse an arriving call */
 enum cl_admit_action cl_admit_arrive(struct cl_admit *a,
 				     struct cl_admit_call *call, ba_time now,
@@ -133,6 +145,21 @@
 				    enum cl_admit_action *act,
 				    enum cl_admit_reason *reason);
 
+/**
+ * cl_admit_next_at() - when to call cl_admit_next() even without an event
+ *
+ * Return: a time, %BA_NEVER if no call waits for the stated limit.
+ */
+ba_time cl_admit_next_at(const struct cl_admit *a, ba_time now);
+
+/**
+ * cl_admit_room_at() - when the stated limit would let a call start that arrives
+ * now and precedes none
+ *
+ * Return: a time, @now if the limit does not delay it.
+ */
+ba_time cl_admit_room_at(const struct cl_admit *a, ba_time now);
+
 /**
  * cl_admit_done() - release the slot of a call that has ended
  *
--- a/call/cl_route.c
+++ b/call/cl_route.c
@@ -128,6 +128,8 @@
 static bool has_shorter_wait(const struct cl_endpoint *far,
 			     const struct cl_endpoint *near,
 			     const struct cl_pick_request *q, ba_time now);
+static double busy_time(const struct cl_endpoint *e, double load,
+			const struct cl_pick_request *q, ba_time now);
 static struct cl_endpoint *pick_owner(struct cl_service_endpoints *s,
 				      const struct cl_pick_request *q,
 				      enum cl_route_reason *reason);
@@ -144,8 +146,11 @@
 static void add_candidate(struct sample *d, struct cl_endpoint *e,
 			  struct ba_rand *rand);
 static double load(const struct cl_endpoint *e, ba_time now);
+static double room_wait(const struct cl_endpoint *e,
+			const struct cl_pick_request *q, ba_time now);
 static double cost(const struct cl_service_endpoints *s,
-		   const struct cl_endpoint *e, ba_time now);
+		   const struct cl_endpoint *e, const struct cl_pick_request *q,
+		   ba_time now);
 static double lowest_latency(const struct cl_service_endpoints *s);
 static double slow_start_factor(const struct cl_endpoint *e, ba_time now);
 static bool link_allowed(struct cl_router *r, ba_time now);
@@ -246,6 +251,9 @@
 		return NULL;
 	e->in_flight++;
 	e->probing = e->ejected;
+	if (e->stated_rate > 0)
+		e->room_at = MAX(e->room_at, now) +
+			     (ba_time)((double)BA_SECOND / e->stated_rate);
 	return e;
 }
 
@@ -256,6 +264,36 @@
 	e->reported_at = now;
 }
 
+void cl_route_record_limit(struct cl_endpoint *e, double per_second,
+			   ba_time room_at)
+{
+	e->stated_rate = per_second;
+	e->room_at = room_at;
+}
+
+ba_time cl_route_room_at(const struct cl_router *r, const char *service,
+			 ba_time self_room_at, ba_time now)
+{
+	const struct cl_service_endpoints *s =
+		g_hash_table_lookup(r->services, service);
+	const struct cl_pick_request q = {.self_room_at = self_room_at};
+	double least = -1;
+	struct ba_list *pos;
+
+	if (!s)
+		return now;
+	ba_list_each(pos, &s->endpoints)
+	{
+		const struct cl_endpoint *e =
+			ba_entry(pos, struct cl_endpoint, link);
+		double wait = room_wait(e, &q, now);
+
+		if (!e->draining && (least < 0 || wait < least))
+			least = wait;
+	}
+	return least > 0 ? now + (ba_time)least : now;
+}
+
 enum cl_route_change cl_route_done(struct cl_router *r, struct cl_endpoint *e,
 				   enum cl_attempt_result result,
 				   ba_time latency, ba_time now)
@@ -472,12 +510,25 @@
 						  : FARTHER_WAIT_RATIO;
 	double near_load =
 		near->tier == CL_TIER_SELF ? q->self_load : load(near, now);
-	double near_wait = (near_load + 1) * near->latency /
-			   (near->slots ? near->slots : 1);
-	double far_wait = (load(far, now) + 1) * far->latency /
-			  (far->slots ? far->slots : 1);
+	double near_time = busy_time(near, near_load, q, now);
+	double far_time = busy_time(far, load(far, now), q, now);
+
+	return far_time * factor < near_time;
+}
+
+/*
+ * Time until a call would be answered that waits for a slot or for the stated
+ * limit.  At its limit an endpoint is full, whatever slots it has left.
+ */
+static double busy_time(const struct cl_endpoint *e, double load,
+			const struct cl_pick_request *q, ba_time now)
+{
+	double slots = e->slots ? e->slots : 1;
+	double wait = room_wait(e, q, now);
 
-	return far_wait * factor < near_wait;
+	if (wait > 0 && load + 1 < slots)
+		load = slots - 1;
+	return (load + 1) * e->latency / slots + wait;
 }
 
 static struct cl_endpoint *pick_owner(struct cl_service_endpoints *s,
@@ -541,6 +592,8 @@
 		    !(q->large_answer && pass == PASS_EJECTED &&
 		      tier == CL_TIER_LINK))
 			continue;
+		if (pass == PASS_FREE && room_wait(e, q, now) > 0)
+			continue;
 		if (pass == PASS_FREE && e->slots &&
 		    (tier == CL_TIER_SELF ? q->self_load : load(e, now)) >=
 			    e->slots * (tier == CL_TIER_LINK
@@ -551,7 +604,8 @@
 	}
 	if (d.n < 2 || !r->load_aware)
 		return d.candidates[0];
-	return cost(s, d.candidates[1], now) < cost(s, d.candidates[0], now)
+	return cost(s, d.candidates[1], q, now) <
+			       cost(s, d.candidates[0], q, now)
 		       ? d.candidates[1]
 		       : d.candidates[0];
 }
@@ -602,17 +656,34 @@
 				      ((double)CL_REPORT_HALF_WEIGHT_AGE + age);
 }
 
+/* How long the stated limit delays a further call, in microseconds. */
+static double room_wait(const struct cl_endpoint *e,
+			const struct cl_pick_request *q, ba_time now)
+{
+	ba_time room_at =
+		e->tier == CL_TIER_SELF ? q->self_room_at : e->room_at;
+
+	return room_at > now ? (double)(room_at - now) : 0;
+}
+
 static double cost(const struct cl_service_endpoints *s,
-		   const struct cl_endpoint *e, ba_time now)
+		   const struct cl_endpoint *e, const struct cl_pick_request *q,
+		   ba_time now)
 {
 	double least = lowest_latency(s);
 	double age = (double)(now - e->latency_at);
 	double over = e->latency > least ? e->latency - least : 0;
+	double slots = e->slots ? e->slots : 1;
+	double calls = load(e, now) + 1;
+	double wait = room_wait(e, q, now);
 	double latency =
 		least + over * (double)CL_LATENCY_HALF_WEIGHT_AGE /
 				((double)CL_LATENCY_HALF_WEIGHT_AGE + age);
 
-	return (load(e, now) + 1) * latency / slow_start_factor(e, now);
+	if (wait > 0)
+		return (MAX(calls, slots) * latency + wait * slots) /
+		       slow_start_factor(e, now);
+	return calls * latency / slow_start_factor(e, now);
 }
 
 static double lowest_latency(const struct cl_service_endpoints *s)
--- a/call/cl_route.h
+++ b/call/cl_route.h
@@ -15,6 +15,8 @@
  *   most half of the endpoints of a service are ejected, and an ejected one is
  *   still used if no other is left.
  * - A draining endpoint gets no new calls.
+ * - An endpoint at the limit that it states counts as full until it has room
+ *   again, and its wait for the limit adds to that for a slot.
  * - A router has no lock; its owner holds one around each function call.
  */
 #ifndef CL_ROUTE_H
@@ -122,6 +124,8 @@
  * @address: address to forward calls to from this daemon
  * @in_flight: calls of this daemon in progress at the endpoint
  * @reported_load: last reported load, without the calls of this daemon
+ * @room_at: when the limit that it states lets a further call start
+ * @stated_rate: that limit, calls a second of all daemons, 0 for none
  * @latency: moving average of its answer time, in microseconds
  * @slow_start_end: when it gets its full share of calls
  * @failures: weighted failures since the last answer
@@ -145,6 +149,8 @@
 	uint32_t in_flight;
 	uint32_t reported_load;
 	ba_time reported_at;
+	ba_time room_at;
+	double stated_rate;
 	double latency;
 	ba_time latency_at;
 	ba_time slow_start_end;
@@ -175,6 +181,7 @@
  * struct cl_pick_request - description of a call that needs an endpoint
  * @owner: instance that must run the call, or NULL for any
  * @self_load: calls running or queued at the own backend server
+ * @self_room_at: when the limit that it states lets a further call start
  * @tried: ids of endpoints that the call has already been sent to
  * @may_probe: the call may be used to probe an ejected endpoint
  * @large_answer: the answer is large, so the paid link is the last resort
@@ -184,6 +191,7 @@
 	const char *service;
 	const char *owner;
 	uint32_t self_load;
+	ba_time self_room_at;
 	const uint64_t *tried;
 	size_t n_tried;
 	bool may_probe;
@@ -234,6 +242,24 @@
 void cl_route_record_load(struct cl_endpoint *e, uint32_t reported_load,
 			  ba_time now);
 
+/**
+ * cl_route_record_limit() - record the limit that an endpoint states
+ * @per_second: calls a second of all daemons, 0 for no limit
+ * @room_at: when it lets a further call start
+ */
+void cl_route_record_limit(struct cl_endpoint *e, double per_second,
+			   ba_time room_at);
+
+/**
+ * cl_route_room_at() - when the stated limits let a further call start
+ * @self_room_at: as in struct cl_pick_request
+ *
+ * Return: for the endpoint of @service that has room first, @now if that is not
+ * delayed by a limit or no endpoint is known.
+ */
+ba_time cl_route_room_at(const struct cl_router *r, const char *service,
+			 ba_time self_room_at, ba_time now);
+
 /**
  * cl_route_done() - record the result of an attempt and release its endpoint
  * @latency: duration of the attempt
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -51,6 +51,7 @@
 	p->route_stats =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->backend.sched = cl_sched_new();
+	p->stated = cl_stated_new();
 	px_poison_init(p);
 	p->peer_pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      pool_free);
@@ -130,6 +131,7 @@
 	g_hash_table_destroy(p->peer_pools);
 	g_hash_table_destroy(p->splits);
 	cl_sched_free(p->backend.sched);
+	cl_stated_free(p->stated);
 	g_hash_table_destroy(p->route_stats);
 	g_hash_table_destroy(p->retry_budgets);
 	ht_pool_free(p->backend.pool);
--- a/proxy/px_backend.c
+++ b/proxy/px_backend.c
@@ -3,6 +3,7 @@
 #include "base/ba_event.h"
 #include "base/ba_result.h"
 #include "proxy/px_internal.h"
+#include "report/rt.h"
 
 enum {
 	QUEUE_PER_SLOT = 16, /* deadlines bound the time in the queue */
@@ -58,9 +59,11 @@
 
 void px_backend_schedule_dispatch(struct px *p)
 {
-	if (!p->backend.dispatch_timer.slot)
-		ba_loop_arm(p->loop, &p->backend.dispatch_timer,
-			    ba_loop_now(p->loop));
+	struct ba_timer *t = &p->backend.dispatch_timer;
+	ba_time now = ba_loop_now(p->loop);
+
+	if (!t->slot || t->deadline > now)
+		ba_loop_arm(p->loop, t, now);
 }
 
 void px_backend_on_dispatch(struct ba_timer *t, ba_time now)
@@ -83,6 +86,9 @@
 		else
 			px_exchange_on_not_run(x, code_from_reason(reason));
 	}
+	if (p->backend.admit && !t->slot)
+		ba_loop_arm(p->loop, t,
+			    cl_admit_next_at(p->backend.admit, now));
 }
 
 void px_backend_on_heartbeat(struct px *p, const struct px_heartbeat *hb)
@@ -123,6 +129,13 @@
 	refuse_queued(p, CL_DRAINING);
 }
 
+ba_time px_backend_room_at(const struct px *p)
+{
+	ba_time now = ba_loop_now(p->loop);
+
+	return p->backend.admit ? cl_admit_room_at(p->backend.admit, now) : now;
+}
+
 bool px_backend_accepts(const struct px *p, const char *service)
 {
 	return !refusal_code(p, service);
@@ -172,6 +185,8 @@
 
 static int code_from_reason(enum cl_admit_reason reason)
 {
+	if (reason == CL_ADMIT_PACED)
+		rt_count(RT_RATE_REFUSED, 1);
 	return reason == CL_ADMIT_TOO_LATE ? CL_DEADLINE_PASSED : CL_OVERLOADED;
 }
 
@@ -211,8 +226,10 @@
 		.head_limit = PX_HEAD_LIMIT_BYTES,
 	};
 
-	if (!be->admit)
+	if (!be->admit) {
 		be->admit = cl_admit_new(&admit);
+		cl_admit_set_pace(be->admit, &be->limit);
+	}
 	if (!be->pool)
 		be->pool = ht_pool_new(p->loop, &pool);
 	cl_admit_set_slots(be->admit, hb->slots);
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -12,6 +12,7 @@
 static void add_leaves_field(const struct px_exchange *x, struct ba_buf *out);
 static ba_time time_left(const struct px_exchange *x);
 static ba_time retry_after(struct px_exchange *x, int code);
+static ba_time room_wait(const struct px_exchange *x);
 
 void px_compose_request(struct px_exchange *x, bool to_backend,
 			struct ba_buf *out)
@@ -58,9 +59,11 @@
 		    !is_proxy_field(ht_head_name(h, i)))
 			ba_buf_addf(out, "%s: %s\r\n", ht_head_name(h, i),
 				    ht_head_value(h, i));
-	if (x->downstream->from_peer)
+	if (x->downstream->from_peer) {
 		ba_buf_addf(out, PX_FIELD_LOAD ": %u\r\n",
 			    cl_admit_load(x->p->backend.admit));
+		px_limit_write_stated(x, out);
+	}
 	x->no_body = !strcmp(request->method, "HEAD") || h->status == 204 ||
 		     h->status == 304;
 	x->chunked = !x->no_body && x->length < 0 && request->minor >= 1;
@@ -87,12 +90,13 @@
 		    ht_reason_phrase(status));
 	if (x->downstream->from_peer && status == 503)
 		ba_buf_addf(out, PX_FIELD_NOT_RUN ": %d\r\n", code);
-	if (x->downstream->from_peer)
+	if (x->downstream->from_peer) {
 		ba_buf_addf(out, PX_FIELD_LOAD ": %u\r\n",
 			    x->p->backend.admit
 				    ? cl_admit_load(x->p->backend.admit)
 				    : 0);
-	else if (status == 503)
+		px_limit_write_stated(x, out);
+	} else if (status == 503)
 		ba_buf_addf(out, "Retry-After: %.3f\r\n",
 			    (double)retry_after(x, code) / (double)BA_SECOND);
 	if (ht_conn_head(x->downstream->conn)->connection_close ||
@@ -164,6 +168,7 @@
 				       ": %lld\r\n",
 		    (long long)time_left(x), (long long)target);
 	add_leaves_field(x, out);
+	px_limit_write_told(x, out);
 }
 
 /* The caller may leave before this proxy does. */
@@ -188,7 +193,8 @@
  * The jitter keeps callers that were refused together from retrying together.
  * A proxy without a configuration asks for a longer wait: it may have to wait
  * for the election of a leader.  A request that crashes backend servers is not
- * wanted back.
+ * wanted back.  Where all endpoints are at the limits that they state, none has
+ * room before the time that they tell.
  */
 static ba_time retry_after(struct px_exchange *x, int code)
 {
@@ -196,5 +202,16 @@
 		      : code == CL_REQUEST_CRASHES ? PX_RETRY_AFTER_CONVICTED
 						   : PX_RETRY_AFTER_MIN;
 
+	if (x->service)
+		min = MAX(min, room_wait(x));
 	return min + (ba_time)ba_rand_below(&x->p->rand, PX_RETRY_AFTER_JITTER);
 }
+
+static ba_time room_wait(const struct px_exchange *x)
+{
+	ba_time now = ba_loop_now(x->p->loop);
+
+	return cl_route_room_at(x->p->router, x->service,
+				px_backend_room_at(x->p), now) -
+	       now;
+}
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -98,6 +98,7 @@
 		.service = x->service,
 		.self_load =
 			p->backend.admit ? cl_admit_load(p->backend.admit) : 0,
+		.self_room_at = px_backend_room_at(p),
 		.tried = x->tried,
 		.n_tried = x->n_tried,
 		.may_probe = x->idempotent,
@@ -321,6 +322,7 @@
 		x->leaves_at =
 			x->arrived_at + g_ascii_strtoll(leaves, NULL, 10);
 	ba_loop_arm(x->p->loop, &x->timer, x->deadline);
+	px_limit_on_told(x);
 	if (px_poison_refuses(x))
 		answer_error(x, 503, CL_REQUEST_CRASHES);
 	else
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -28,6 +28,7 @@
 #include "call/cl_route.h"
 #include "call/cl_sched.h"
 #include "call/cl_startup.h"
+#include "call/cl_stated.h"
 #include "http/ht_conn.h"
 #include "http/ht_pool.h"
 #include "http/ht_service.h"
@@ -93,6 +94,11 @@
 #define PX_FIELD_LAST_TRY "caraway-last-try"
 #define PX_FIELD_NOT_RUN "caraway-not-run"
 #define PX_FIELD_LOAD "caraway-load"
+/* What the backend server states, and when its limit has room again. */
+#define PX_FIELD_STATED "caraway-stated"
+#define PX_FIELD_ROOM "caraway-room-us"
+/* In a request: what the sender was told of the backend server, and its age. */
+#define PX_FIELD_TOLD "caraway-told"
 
 struct px_downstream;
 
@@ -174,6 +180,7 @@
  * @leaves_at: when this proxy is about to leave, 0 while it is not stopping
  * @notices: calls to other proxies that tell them so
  * @peer_pools: struct ht_pool by address of the other proxy
+ * @stated: what their backend servers state
  */
 struct px {
 	struct ba_loop *loop;
@@ -206,6 +213,7 @@
 	struct ht_link *link;
 	struct cl_egress egress;
 	GHashTable *peer_pools;
+	struct cl_stated_table *stated;
 	struct px_backend backend;
 	struct px_poison poison;
 	struct ba_rand rand;
@@ -260,6 +268,7 @@
  * @deadline: when the caller stops waiting or the route's timeout expires
  * @latency_target: latency target, as a point in time
  * @leaves_at: when the proxy that it came from is about to leave, 0 if not known
+ * @is_told: the proxy that it came from told what the backend server states
  * @idempotent: may run more than once
  * @runs: number of backend servers that may have begun to work on it
  * @max_runs: limit of @runs
@@ -297,6 +306,7 @@
 	ba_time latency_target;
 	ba_time leaves_at;
 	uint32_t priority;
+	bool is_told;
 	bool idempotent;
 	unsigned int runs;
 	unsigned int max_runs;
@@ -443,6 +453,9 @@
 /** px_backend_deregister() - stop using the backend server @backend */
 void px_backend_deregister(struct px *p, const char *backend);
 
+/** px_backend_room_at() - when the stated limit has room for one more request */
+ba_time px_backend_room_at(const struct px *p);
+
 /** px_backend_accepts() - whether it accepts new requests for @service */
 bool px_backend_accepts(const struct px *p, const char *service);
 
@@ -499,6 +512,18 @@
 /** px_limit_on_answer() - process what an answer of the backend server states */
 void px_limit_on_answer(struct px_exchange *x, const struct cl_statement *s);
 
+/** px_limit_on_told() - process what another proxy was told, from its request */
+void px_limit_on_told(struct px_exchange *x);
+
+/** px_limit_on_stated() - process what another proxy tells with an answer */
+void px_limit_on_stated(struct px_exchange *x, const struct ht_head *h);
+
+/** px_limit_write_stated() - write what the own backend server states */
+void px_limit_write_stated(const struct px_exchange *x, struct ba_buf *out);
+
+/** px_limit_write_told() - write what is known of the endpoint of @x */
+void px_limit_write_told(const struct px_exchange *x, struct ba_buf *out);
+
 /** px_control_on_request() - answer a call of the platform or backend server */
 void px_control_on_request(struct ht_service_owner *o, struct ht_request *r);
 
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -186,12 +186,14 @@
 			px_exchange_on_broken(x, CL_ANSWER_BROKEN);
 		return;
 	}
-	if (x->state == PX_ATTEMPT_AT_PEER)
+	if (x->state == PX_ATTEMPT_AT_PEER) {
 		record_load(x, h);
-	else if (x->fresh)
-		px_poison_on_opened(x);
-	if (x->state == PX_ATTEMPT_AT_BACKEND)
+		px_limit_on_stated(x, h);
+	} else {
+		if (x->fresh)
+			px_poison_on_opened(x);
 		px_limit_on_answer(x, &ans.statement);
+	}
 	x->status = h->status;
 	x->length = h->length;
 	x->not_run_code = read_not_run_code(x, h, &ans);
--- a/test/cl_test.cc
+++ b/test/cl_test.cc
@@ -384,6 +384,118 @@
 		t.done(e, CL_ATTEMPT_ANSWERED, 10 * BA_MS);
 }
 
+/* Endpoints at the limit that they state count as full, whatever slots. */
+TEST(ClRoute, EndpointsWithRoomGoBeforeThoseAtTheirLimit)
+{
+	static const struct {
+		const char *name;
+		std::vector<Row> rows;
+		std::map<std::string, ba_time> room_in;
+		ba_time self_room_in;
+		const char *chosen;
+	} cases[] = {
+		{"room everywhere", {NEAR, REGION}, {}, 0, "near"},
+		{"limit that binds nothing",
+		 {NEAR, REGION},
+		 {{"near", 0}},
+		 0,
+		 "near"},
+		{"nearer one is full",
+		 {NEAR, REGION},
+		 {{"near", 5 * BA_MS}},
+		 0,
+		 "region"},
+		{"own backend server is full", {SELF, NEAR}, {}, BA_MS, "near"},
+		{"both full, the same wait",
+		 {NEAR, REGION},
+		 {{"near", 90 * BA_MS}, {"region", 90 * BA_MS}},
+		 0,
+		 "near"},
+		{"both full, much longer wait nearby",
+		 {NEAR, REGION},
+		 {{"near", 400 * BA_MS}, {"region", 90 * BA_MS}},
+		 0,
+		 "region"},
+		{"own one full, the same wait",
+		 {SELF, NEAR},
+		 {{"near", 90 * BA_MS}},
+		 90 * BA_MS,
+		 "self"},
+		{"a paid link only for a much shorter wait",
+		 {NEAR, FAR},
+		 {{"near", 90 * BA_MS}, {"far", 60 * BA_MS}},
+		 0,
+		 "near"},
+	};
+
+	for (const auto &c : cases) {
+		cl_pick_request q = {};
+		Router r;
+
+		update(r.r, c.rows, r.now);
+		q.service = SERVICE;
+		/* One pick of each, so that the answer can be recorded. */
+		for (size_t i = 0; i < c.rows.size(); i++) {
+			cl_pick_request of = q;
+
+			of.owner = c.rows[i].instance;
+			cl_endpoint *e = cl_route_pick(r.r, &of, r.now, &r.rand,
+						       &r.reason);
+			auto room = c.room_in.find(c.rows[i].instance);
+
+			ASSERT_NE(e, nullptr) << c.name;
+			if (room != c.room_in.end())
+				cl_route_record_limit(e, 10,
+						      r.now + room->second);
+			r.done(e, CL_ATTEMPT_ANSWERED);
+		}
+		q.self_room_at = r.now + c.self_room_in;
+		EXPECT_STREQ(cl_route_pick(r.r, &q, r.now, &r.rand, &r.reason)
+				     ->instance,
+			     c.chosen)
+			<< c.name;
+	}
+}
+
+TEST(ClRoute, OwnCallsUseUpTheRoom)
+{
+	Router r;
+	cl_endpoint *e;
+
+	update(r.r, {NEAR, REGION}, r.now);
+	e = r.pick();
+	EXPECT_STREQ(e->instance, "near");
+	cl_route_record_limit(e, 10, r.now);
+	r.done(e, CL_ATTEMPT_ANSWERED);
+	EXPECT_EQ(cl_route_room_at(r.r, SERVICE, 0, r.now), r.now);
+	r.done(r.pick(), CL_ATTEMPT_ANSWERED);
+	EXPECT_EQ(e->room_at, r.now + 100 * BA_MS);
+	EXPECT_STREQ(r.pick()->instance, "region");
+	r.now += 100 * BA_MS;
+	EXPECT_STREQ(r.pick()->instance, "near");
+	cl_route_record_limit(e, 0, 0);
+	EXPECT_STREQ(r.pick()->instance, "near");
+}
+
+TEST(ClRoute, EarliestRoomIsThatOfTheService)
+{
+	Router r;
+	cl_endpoint *near, *region;
+
+	EXPECT_EQ(cl_route_room_at(r.r, SERVICE, 0, r.now), r.now);
+	update(r.r, {NEAR, REGION}, r.now);
+	near = r.pick();
+	cl_route_record_limit(near, 10, r.now + 300 * BA_MS);
+	region = r.pick();
+	ASSERT_STREQ(region->instance, "region");
+	EXPECT_EQ(cl_route_room_at(r.r, SERVICE, 0, r.now), r.now);
+	cl_route_record_limit(region, 5, r.now + 700 * BA_MS);
+	EXPECT_EQ(cl_route_room_at(r.r, SERVICE, 0, r.now),
+		  r.now + 300 * BA_MS);
+	r.done(near, CL_ATTEMPT_ANSWERED);
+	r.done(region, CL_ATTEMPT_ANSWERED);
+}
+
 TEST(ClRoute, NewEndpointStartsSlowly)
 {
 	Router t;
@@ -604,6 +716,64 @@
 	EXPECT_GE(started, 5 * 100);
 }
 
+/* Ten calls a second are allowed; one token is there. */
+struct PacedAdmission : Admission {
+	PacedAdmission() : Admission(limits(12, 120, 100))
+	{
+		struct cl_statement s = {CL_LIMIT_STATED, 10, false};
+		bool leaves;
+
+		cl_limit_record(&limit, &s, now, now, &leaves);
+		cl_admit_set_pace(a, &limit);
+	}
+
+	cl_limit limit = {};
+};
+
+TEST(ClAdmit, CallsStartNoFasterThanTheStatedLimit)
+{
+	PacedAdmission t;
+
+	EXPECT_EQ(t.arrive(1, BA_SECOND), CL_ADMIT_START);
+	EXPECT_EQ(t.arrive(1, BA_SECOND), CL_ADMIT_WAIT);
+	EXPECT_EQ(t.arrive(1, BA_SECOND), CL_ADMIT_WAIT);
+	EXPECT_EQ(t.arrive(9, BA_SECOND), CL_ADMIT_WAIT);
+	EXPECT_EQ(cl_admit_room_at(t.a, t.now), t.now + 400 * BA_MS);
+	EXPECT_EQ(cl_admit_next_at(t.a, t.now), t.now + 100 * BA_MS);
+	t.now += 99 * BA_MS;
+	t.process_queue();
+	EXPECT_EQ(t.running.size(), 1u);
+	t.now += BA_MS;
+	t.process_queue();
+	ASSERT_EQ(t.running.size(), 2u);
+	EXPECT_EQ(t.running[1]->weight, 9u) << "the most urgent goes first";
+	t.now += 100 * BA_MS;
+	t.process_queue();
+	EXPECT_EQ(t.running.size(), 3u);
+	t.limit.limited = false;
+	t.process_queue();
+	EXPECT_EQ(t.running.size(), 4u);
+	EXPECT_EQ(cl_admit_next_at(t.a, t.now), BA_NEVER);
+}
+
+TEST(ClAdmit, PlaceWhoseStartIsTooLateIsRefusedAtOnce)
+{
+	PacedAdmission t;
+
+	t.arrive(5, BA_SECOND);
+	EXPECT_EQ(t.arrive(5, 99 * BA_MS), CL_ADMIT_REFUSE);
+	EXPECT_EQ(t.reason, CL_ADMIT_PACED);
+	EXPECT_EQ(t.arrive(5, 101 * BA_MS), CL_ADMIT_WAIT);
+	EXPECT_EQ(t.arrive(5, 199 * BA_MS), CL_ADMIT_REFUSE);
+	EXPECT_EQ(t.arrive(5, 201 * BA_MS), CL_ADMIT_WAIT);
+	EXPECT_TRUE(t.refused.empty());
+	/* A more urgent call takes the first place; the second has none left. */
+	EXPECT_EQ(t.arrive(9, BA_SECOND), CL_ADMIT_WAIT);
+	EXPECT_EQ(t.refused.size(), 1u);
+	EXPECT_EQ(t.refused_reason, CL_ADMIT_PACED);
+	EXPECT_EQ(cl_admit_load(t.a), 3u);
+}
+
 struct CapacityCase {
 	uint32_t in_progress;
 	uint32_t weight;
