proxy, call: a departure that answers state ends new requests

Seen: an endpoint that stated Server-Leaving got the next request, of a caller or of another proxy (PxLimit.LeavingBackendGetsNoNewRequest).

Cause: departures were learned from heartbeats alone.

Change: the proxy beside the endpoint takes no new request from the answer on, refuses what is queued, announces the record as draining and tells the senders, who choose it no more. It holds until the backend server starts anew, so that a late heartbeat does not undo it; senders repeat it to a proxy that has restarted.

--- a/call/cl_route.c
+++ b/call/cl_route.c
@@ -271,6 +271,11 @@
 	e->room_at = room_at;
 }
 
+void cl_route_record_leaving(struct cl_endpoint *e)
+{
+	e->draining = true;
+}
+
 ba_time cl_route_room_at(const struct cl_router *r, const char *service,
 			 ba_time self_room_at, ba_time now)
 {
--- a/call/cl_route.h
+++ b/call/cl_route.h
@@ -250,6 +250,9 @@
 void cl_route_record_limit(struct cl_endpoint *e, double per_second,
 			   ba_time room_at);
 
+/** cl_route_record_leaving() - send no new calls to an endpoint */
+void cl_route_record_leaving(struct cl_endpoint *e);
+
 /**
  * cl_route_room_at() - when the stated limits let a further call start
  * @self_room_at: as in struct cl_pick_request
--- a/proxy/px_backend.c
+++ b/proxy/px_backend.c
@@ -9,6 +9,7 @@
 	QUEUE_PER_SLOT = 16, /* deadlines bound the time in the queue */
 };
 
+static void announce(struct px *p, bool renewed);
 static int refusal_code(const struct px *p, const char *service);
 static int reserve_link(struct px_exchange *x, double bytes);
 static int code_from_reason(enum cl_admit_reason reason);
@@ -110,7 +111,7 @@
 	ba_event(hb->draining ? EP_EV_DRAINING : EP_EV_JOINED,
 		 "backend=%s service=%s slots=%u renewed=%d", hb->backend,
 		 hb->service, hb->slots, (int)renewed);
-	p->owner->backend_changed(p->owner, &be->heartbeat, renewed);
+	announce(p, renewed);
 	if (hb->draining)
 		refuse_queued(p, CL_DRAINING);
 }
@@ -129,6 +130,19 @@
 	refuse_queued(p, CL_DRAINING);
 }
 
+void px_backend_on_departure(struct px *p)
+{
+	if (!p->backend.registered)
+		return;
+	announce(p, false);
+	refuse_queued(p, CL_DRAINING);
+}
+
+bool px_backend_is_leaving(const struct px_backend *be)
+{
+	return be->heartbeat.draining || be->limit.leaving;
+}
+
 ba_time px_backend_room_at(const struct px *p)
 {
 	ba_time now = ba_loop_now(p->loop);
@@ -141,13 +155,22 @@
 	return !refusal_code(p, service);
 }
 
+/* A departure that answers state is announced like one of a heartbeat. */
+static void announce(struct px *p, bool renewed)
+{
+	struct px_heartbeat hb = p->backend.heartbeat;
+
+	hb.draining = px_backend_is_leaving(&p->backend);
+	p->owner->backend_changed(p->owner, &hb, renewed);
+}
+
 static int refusal_code(const struct px *p, const char *service)
 {
 	const struct px_backend *be = &p->backend;
 
 	if (!be->registered || strcmp(be->heartbeat.service, service) != 0)
 		return CL_NO_ENDPOINT;
-	return be->heartbeat.draining ? CL_DRAINING : 0;
+	return px_backend_is_leaving(be) ? CL_DRAINING : 0;
 }
 
 /*
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -453,6 +453,12 @@
 /** px_backend_deregister() - stop using the backend server @backend */
 void px_backend_deregister(struct px *p, const char *backend);
 
+/** px_backend_on_departure() - announce that the backend server leaves */
+void px_backend_on_departure(struct px *p);
+
+/** px_backend_is_leaving() - whether it is draining, as it told in any way */
+bool px_backend_is_leaving(const struct px_backend *be);
+
 /** px_backend_room_at() - when the stated limit has room for one more request */
 ba_time px_backend_room_at(const struct px *p);
 
--- a/proxy/px_limit.c
+++ b/proxy/px_limit.c
@@ -99,6 +99,8 @@
 	cl_route_record_limit(
 		x->endpoint, s.statement.per_second,
 		room ? now + MAX(g_ascii_strtoll(room, NULL, 10), 0) : 0);
+	if (s.statement.leaving)
+		cl_route_record_leaving(x->endpoint);
 }
 
 /* A sender that was told of something is told that it holds no more, too. */
@@ -181,8 +183,10 @@
 {
 	if (change != CL_LIMIT_UNCHANGED)
 		on_change(p, change, source, was);
-	if (leaves)
-		log_leaving(p, "learned", source);
+	if (!leaves)
+		return;
+	log_leaving(p, "learned", source);
+	px_backend_on_departure(p);
 }
 
 static void on_change(struct px *p, enum cl_limit_change change,
--- a/test/cl_test.cc
+++ b/test/cl_test.cc
@@ -492,6 +492,9 @@
 	cl_route_record_limit(region, 5, r.now + 700 * BA_MS);
 	EXPECT_EQ(cl_route_room_at(r.r, SERVICE, 0, r.now),
 		  r.now + 300 * BA_MS);
+	cl_route_record_leaving(near);
+	EXPECT_EQ(cl_route_room_at(r.r, SERVICE, 0, r.now),
+		  r.now + 700 * BA_MS);
 	r.done(near, CL_ATTEMPT_ANSWERED);
 	r.done(region, CL_ATTEMPT_ANSWERED);
 }
--- a/test/proxy_world.h
+++ b/test/proxy_world.h
@@ -254,6 +254,7 @@
 	std::condition_variable reported;
 	std::vector<struct ep_mark> marks; /* last report of the proxy */
 	int n_reports = 0;
+	bool announced_draining = false;
 	/* Reports of other proxies, for endpoints(). */
 	std::map<std::string, std::vector<struct ep_mark>> others;
 	struct ba_loop *loop = ba_loop_new();
@@ -278,9 +279,7 @@
 		o.link_rate = link_rate;
 		o.dialect = &pf_proxy;
 		o.seed = 7;
-		owner.backend_changed = [](struct px_owner *,
-					   const struct px_heartbeat *,
-					   bool) {};
+		owner.backend_changed = record_backend;
 		owner.marks_changed = record_marks;
 		owner.w = this;
 		EXPECT_EQ(px_new(loop, &o, &owner, &failed, &proxy), BA_OK);
@@ -297,6 +296,15 @@
 		ba_loop_free(loop);
 	}
 
+	static void record_backend(struct px_owner *o,
+				   const struct px_heartbeat *b, bool)
+	{
+		world *w = static_cast<owner_of *>(o)->w;
+		std::lock_guard<std::mutex> g(w->lock);
+
+		w->announced_draining = b && b->draining;
+	}
+
 	static void record_marks(struct px_owner *o, const struct ep_mark *m,
 				 size_t n)
 	{
@@ -354,7 +362,8 @@
 	}
 
 	/* Sets the local endpoint, and one at OTHER_PROXY_PORT if @both. */
-	void endpoints(bool both, uint64_t incarnation = 1)
+	void endpoints(bool both, uint64_t incarnation = 1,
+		       uint64_t other_incarnation = 1)
 	{
 		struct ep_table *t = ep_table_new(16);
 		struct ep_view_options o = {"p1", "dc1", "r1", 0};
@@ -362,7 +371,7 @@
 
 		put(t, "p1", PEER_PORT, incarnation);
 		if (both)
-			put(t, "p2", OTHER_PROXY_PORT);
+			put(t, "p2", OTHER_PROXY_PORT, other_incarnation);
 		for (auto &r : others)
 			put_report(t, r.first, r.second);
 		v = ep_table_view(t, nullptr, &o);
--- a/test/px_limit_test.cc
+++ b/test/px_limit_test.cc
@@ -290,6 +290,29 @@
 	}
 }
 
+TEST(PxLimit, DepartureIsAnnouncedAndHoldsUntilTheNextStart)
+{
+	world w;
+	busy_backend b(w.backend, "Server-Leaving: 1\r\n");
+
+	w.send_heartbeat("i-1", "ready", 1, 1, 4);
+	EXPECT_EQ(ask(), 200);
+	{
+		std::lock_guard<std::mutex> g(w.lock);
+
+		EXPECT_TRUE(w.announced_draining);
+	}
+	b.state("");
+	w.send_heartbeat("i-1", "ready", 2, 1, 4);
+	EXPECT_EQ(ask(PEER_PORT, of_peer), 503) << "a late heartbeat";
+	w.send_heartbeat("i-1", "ready", 1, 2, 4);
+	EXPECT_EQ(ask(PEER_PORT, of_peer), 200) << "the same id, started anew";
+	EXPECT_EQ(b.count(), 2u);
+	std::lock_guard<std::mutex> g(w.lock);
+
+	EXPECT_FALSE(w.announced_draining);
+}
+
 /* An answer of an earlier start says nothing of the one that runs now. */
 TEST(PxLimit, AnswerOfAnEarlierStartIsIgnored)
 {
@@ -322,6 +345,7 @@
 	} cases[] = {
 		{"nothing", nullptr, true, 200, 200},
 		{"limit", " 0.5 0 900000", true, 200, 503},
+		{"departure", " - 1 900000", true, 503, 503},
 		{"limit of another start", " 0.5 0 900000", false, 200, 200},
 		{"departure of another start", " - 1 900000", false, 200, 200},
 		{"malformed", " much 0 900000", true, 200, 200},
@@ -361,8 +385,8 @@
 	world w;
 	listener other(OTHER_PROXY_PORT);
 	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
-	const char *refusal = "HTTP/1.1 503 X\r\ncaraway-not-run: 603\r\n"
-			      "caraway-stated: 00000000000000ab 12.5 0\r\n"
+	const char *refusal = "HTTP/1.1 503 X\r\ncaraway-not-run: 611\r\n"
+			      "caraway-stated: 00000000000000ab 12.5 1\r\n"
 			      "Content-Length: 0\r\n\r\n";
 
 	w.run([&] { w.endpoints(true); });
@@ -373,9 +397,12 @@
 	peer.write(refusal);
 	EXPECT_EQ(status(caller.read_message()), 503);
 	caller.write(request("GET /look/a"));
+	EXPECT_EQ(status(caller.read_message()), 503) << "not asked again";
+	w.run([&] { w.endpoints(true, 1, 2); });
+	caller.write(request("GET /look/a"));
 	std::string sent = peer.read_message();
 
-	EXPECT_TRUE(has(sent, "caraway-told: 00000000000000ab 12.5 0 "))
+	EXPECT_TRUE(has(sent, "caraway-told: 00000000000000ab 12.5 1 "))
 		<< sent;
 	peer.write("HTTP/1.1 200 X\r\nX-Attempt-Id: 1\r\n"
 		   "caraway-stated: 00000000000000ac - 0\r\n"
