call: a call that can just meet its target may wait for it

Cause: a call is queued only while it could take half as long again as expected. One that arrives with less than that, and still in time, got a deadline that had passed, and was refused as soon as anything ran, or it was queued as if it were late.

Change: such calls are a class of their own, behind those that have the reserve, and wait until their target would be missed.

--- a/call/cl_sched.c
+++ b/call/cl_sched.c
@@ -4,7 +4,7 @@
 
 enum {
 	MAX_WEIGHT = 3000,
-	CLASSES = 3,	   /* weights per priority: short, in time, late */
+	CLASSES = 4,	   /* weights per priority, see cl_sched.h */
 	MEAN_SAMPLES = 64, /* in the moving average over all routes */
 	ROUTE_SAMPLES = 8, /* in the moving average of one route */
 	ROUTES_LIMIT = 4096,
@@ -65,6 +65,8 @@
 		class = CL_SCHED_SHORT;
 	else if (now + expected > c->target)
 		class = CL_SCHED_LATE;
+	else if (now + expected + expected / 2 > c->target)
+		class = CL_SCHED_TIGHT;
 	admit->expected = expected;
 	admit->weight = MAX_WEIGHT - CLASSES * (priority + 1) + class;
 	switch (class) {
@@ -74,6 +76,9 @@
 	case CL_SCHED_LATE:
 		admit->deadline = MIN(now + 2 * expected, c->deadline);
 		break;
+	case CL_SCHED_TIGHT:
+		admit->deadline = c->target;
+		break;
 	case CL_SCHED_IN_TIME:
 		admit->deadline = c->target - expected / 2;
 		break;
--- a/call/cl_sched.h
+++ b/call/cl_sched.h
@@ -9,6 +9,8 @@
  * - A call is queued only while it can meet its latency target even if it takes
  *   half as long again as expected.  Otherwise all queued calls would end close
  *   to the target, and every second one after it.
+ * - A call that arrives without time for that, but not too late, is queued
+ *   behind those while it is expected to meet its target.
  * - A call that misses its target in any case is queued behind the other calls
  *   of its priority.
  * - A call that is short compared with the others is queued before them and may
@@ -33,11 +35,13 @@
  * enum cl_sched_class - classes of calls of one priority, in ascending order of
  * weight
  * @CL_SCHED_LATE: it is expected to miss its target
+ * @CL_SCHED_TIGHT: it meets its target only if it takes no longer than expected
  * @CL_SCHED_IN_TIME: it can still meet its target
  * @CL_SCHED_SHORT: it is short compared with the other calls
  */
 enum cl_sched_class {
 	CL_SCHED_LATE,
+	CL_SCHED_TIGHT,
 	CL_SCHED_IN_TIME,
 	CL_SCHED_SHORT,
 };
--- a/test/cl_sched_test.cc
+++ b/test/cl_sched_test.cc
@@ -244,6 +244,19 @@
 	EXPECT_GT(g.counts["check"].in_time, g.counts["check"].total * 9 / 10);
 }
 
+/* A target little above the service time: most calls were served late. */
+TEST(ClSched, CallsThatCanJustMeetTheirTargetDo)
+{
+	for (double load : {1.1, 1.2, 1.5}) {
+		simulation g(false);
+		std::vector<kind> kinds = lookups(load);
+
+		kinds[0].target = 500 * BA_MS;
+		g.run(kinds, 60 * BA_SECOND);
+		EXPECT_GT(g.counts["look"].in_time, 0.6 * 40 * 60) << load;
+	}
+}
+
 TEST(ClSched, ClassOfEachCase)
 {
 	static const struct {
@@ -253,6 +266,9 @@
 	} cases[] = {
 		{"long and in time", "long", 800 * BA_MS, CL_SCHED_IN_TIME},
 		{"long and late", "long", 200 * BA_MS, CL_SCHED_LATE},
+		{"long and in time without delay", "long", 320 * BA_MS,
+		 CL_SCHED_TIGHT},
+		{"just not tight", "long", 450 * BA_MS, CL_SCHED_IN_TIME},
 		{"target passed", "long", -5 * BA_MS, CL_SCHED_LATE},
 		{"short", "short", 800 * BA_MS, CL_SCHED_SHORT},
 		{"short and late", "short", -5 * BA_MS, CL_SCHED_SHORT},
