--- a/bench/soak.h
+++ b/bench/soak.h
@@ -11,6 +11,8 @@
  *   it and it had been sent no longer than %SOAK_LOSS_SLACK before.
  * - A failure that a stopping proxy gives in place of an answer at which the
  *   backend server is at work counts as CUT.
+ * - A backend server in need states a limit, one that leaves its departure, in
+ *   all answers.  LIMIT and DRAIN count requests that reach it nevertheless.
  */
 #ifndef SOAK_H
 #define SOAK_H
@@ -59,9 +61,11 @@
  * struct soak_process - a process of the system
  * @at: it listens there
  * @terminated_at: time of its last SIGTERM, 0 for none
+ * @disturbed_at: when it last started or was thawed
  * @restart_at: when to start it again, 0 while it runs
  * @stopping: it has got SIGTERM and has not ended yet
  * @crashed: it has been killed and has not ended yet
+ * @frozen: it has got SIGSTOP and no SIGCONT yet
  */
 struct soak_process {
 	char *program;
@@ -70,16 +74,21 @@
 	struct ba_address at;
 	pid_t pid;
 	ba_time terminated_at;
+	ba_time disturbed_at;
 	ba_time restart_at;
 	bool stopping;
 	bool crashed;
+	bool frozen;
 };
 
+struct soak_statement;
+
 /**
  * struct soak_machine - an instance with a proxy, a backend server and callers
  * @conns: open connections of its callers
  * @arrival: timer of the next request of its callers
  * @in_flight: requests at its backend server
+ * @statement: what its backend server states, NULL if it never does
  */
 struct soak_machine {
 	struct soak *soak;
@@ -99,6 +108,7 @@
 	int64_t start_wall_ms;
 	bool was_ready;
 	int in_flight;
+	struct soak_statement *statement;
 };
 
 /**
@@ -131,6 +141,12 @@
  * @heartbeats_cut: heartbeats that a stopping proxy left unanswered
  * @heartbeats_crossed: heartbeats that crossed its close
  * @orders_cut: orders that a stopping core left unanswered
+ * @n_callers: machines with callers
+ * @n_called: machines whose backend servers they call
+ * @judged_share: of the stated limits, by which LIMIT is judged
+ * @n_limited: requests that reached a backend server with a limit
+ * @n_limit_broken: requests beyond what LIMIT allows
+ * @n_drain_broken: requests beyond what DRAIN allows
  * @calling: callers send requests
  */
 struct soak {
@@ -154,6 +170,14 @@
 	uint64_t heartbeats_cut;
 	uint64_t heartbeats_crossed;
 	uint64_t orders_cut;
+	int n_callers;
+	int n_called;
+	double judged_share;
+	uint64_t n_limits;
+	uint64_t n_departures;
+	uint64_t n_limited;
+	uint64_t n_limit_broken;
+	uint64_t n_drain_broken;
 	bool calling;
 };
 
@@ -186,6 +210,17 @@
 /** soak_backend_start() - start the backend server of @m, with heartbeats */
 int soak_backend_start(struct soak_machine *m);
 
+/** soak_limit_start() - let the backend server of @m state limits and leave */
+void soak_limit_start(struct soak_machine *m);
+
+/** soak_limit_on_arrival() - judge a request that reaches a backend server */
+void soak_limit_on_arrival(struct soak_machine *m,
+			   const struct soak_request *r);
+
+/** soak_limit_write() - write what an answer to @r states */
+void soak_limit_write(struct soak_machine *m, const struct soak_request *r,
+		      struct ba_buf *out);
+
 /** soak_call_send() - send a control call on a connection of its own */
 void soak_call_send(struct ba_loop *loop, struct soak_call *c,
 		    const struct ba_address *to, const char *head,
--- a/bench/soak.sh
+++ b/bench/soak.sh
@@ -1,7 +1,8 @@
 #!/bin/sh
 # A soak of planned stops over many seeds, two at a time.  Each seed prints its
-# results; the last line names the seeds with a request that was cut, and the
-# exit status is 1 if there is one.  The seed chooses the kind of run, too.
+# results; the last line names the seeds with a request that was cut, or that
+# reached a backend server against what it states, and the exit status is 1 if
+# there is one.  The seed chooses the kind of run, too.
 #
 # usage: bench/soak.sh BUILD [FIRST-SEED [LAST-SEED]]
 
@@ -11,15 +12,18 @@
 last=${3:-50}
 net=${TEST_NET:-127.0}
 work=$build/bench-run/soak
+limits="--limits --answer-bytes 9000 --target 800ms --budget 4s"
 
 # kind_of SEED: print the options of its kind of run
 kind_of() {
-	case $(($1 % 5)) in
+	case $(($1 % 7)) in
 	0) echo "--load 1.0 --stops 1" ;;
 	1) echo "--load 1.4 --stops 2 --target 500ms" ;;
 	2) echo "--load 1.2 --stops 2 --crashes" ;;
 	3) echo "--load 1.2 --stops 6 --front 60 --long 20" ;;
 	4) echo "--load 0.7 --stops 2 --service-time 2500ms --target 4s" ;;
+	5) echo "$limits --load 0.5 --stops 2 --freezes" ;;
+	6) echo "$limits --load 0.8 --stops 2 --freezes --crashes --long 8" ;;
 	esac
 }
 
@@ -44,7 +48,7 @@
 	wait
 	seed=$((seed + 2))
 done
-cut=$(cd "$work" && grep -lE '"(cut|not_played)":[1-9]' -- *.json |
+broken=$(cd "$work" && grep -lE '"(cut|not_played|limit_broken|drain_broken)":[1-9]' -- *.json |
 	sed 's/\.json//' | sort -n | tr '\n' ' ')
-echo "cut: ${cut:-none}"
-test -z "$cut"
+echo "broken: ${broken:-none}"
+test -z "$broken"
--- a/bench/soak_backend.c
+++ b/bench/soak_backend.c
@@ -72,10 +72,13 @@
 		id ? g_hash_table_lookup(s->requests, id) : NULL;
 	ba_time now = ba_loop_now(s->loop);
 
+	soak_limit_on_arrival(m, r);
 	if (m->in_flight >= s->slots) {
 		ba_buf_addf(ht_conn_out(conn),
 			    "HTTP/1.1 503 Full\r\n" PN_NOT_EXECUTED
-			    ": full\r\nContent-Length: 0\r\n\r\n");
+			    ": full\r\nContent-Length: 0\r\n");
+		soak_limit_write(m, r, ht_conn_out(conn));
+		ba_buf_addf(ht_conn_out(conn), "\r\n");
 		ht_conn_flush(conn);
 		ht_conn_read_next(conn);
 		return;
@@ -113,14 +116,18 @@
 	const char *slash = strrchr(target, '/');
 	size_t bytes = slash ? strtoul(slash + 1, NULL, 10) : 0;
 	struct ba_buf *out = ht_conn_out(c->conn);
+	struct soak_request *r;
 
 	(void)now;
 	end_work(c);
+	r = g_hash_table_lookup(c->machine->soak->requests, c->id);
 	ba_buf_addf(out,
 		    "HTTP/1.1 200 OK\r\n" PN_ATTEMPT_ID
 		    ": %s\r\n" PN_RESPONSE_STAMP ": soak.%s\r\n"
-		    "Content-Length: %zu\r\n\r\n",
+		    "Content-Length: %zu\r\n",
 		    c->id, c->id, bytes);
+	soak_limit_write(c->machine, r, out);
+	ba_buf_addf(out, "\r\n");
 	ba_buf_reserve(out, bytes);
 	soak_fill(c->id, 0, out->data + out->len, bytes);
 	out->len += bytes;
--- a/bench/soak_control.c
+++ b/bench/soak_control.c
@@ -73,6 +73,8 @@
 {
 	p->restart_at = 0;
 	p->stopping = false;
+	p->frozen = false;
+	p->disturbed_at = ba_clock_now();
 	p->pid = fork();
 	if (!p->pid)
 		run_program(p);
--- a/bench/soak_main.c
+++ b/bench/soak_main.c
@@ -1,7 +1,8 @@
 /*
  * A soak of planned stops: overlapping series of SIGTERM and restarts of
  * proxies and of the core, changes of configuration and, on request, crashes,
- * while the outgoing links of the instances with long answers are nearly full.
+ * freezes, limits and departures of backend servers, while the outgoing links of
+ * the instances with long answers are nearly full.
  * It prints how requests ended as JSON; --seed repeats the schedule.
  */
 #include <inttypes.h>
@@ -36,6 +37,8 @@
 #define CORE_STOP_PERIOD (9 * BA_SECOND)
 #define CRASH_PERIOD (8 * BA_SECOND)
 #define RESTART_DELAY_MAX (1500 * BA_MS)
+#define FREEZE_PERIOD (4 * BA_SECOND)
+#define FREEZE_TIME_MAX (4 * BA_SECOND)
 
 struct ready_call {
 	struct soak_call call;
@@ -71,6 +74,8 @@
 	int n_front;
 	int n_long;
 	gboolean crashes;
+	gboolean freezes;
+	gboolean limits;
 	ba_time target;
 	ba_time kill_after; /* time from SIGTERM to SIGKILL */
 	ba_time length;
@@ -78,10 +83,14 @@
 	ba_time stop_at;
 	ba_time core_stop_at;
 	ba_time crash_at;
+	ba_time freeze_at;
+	ba_time thaw_at;
+	struct soak_process *frozen;
 	ba_time calls_end;
 	uint64_t n_stops;
 	uint64_t n_core_stops;
 	uint64_t n_crashes;
+	uint64_t n_freezes;
 	uint64_t n_orders;
 	uint64_t n_killed; /* outlived the grace time */
 	uint64_t n_ended;  /* neither stopped nor crashed */
@@ -107,6 +116,8 @@
 static bool may_stop(const struct soak_process *p);
 static void terminate(struct soak_process *p, ba_time now);
 static void crash_one(struct run *g, ba_time now);
+static void freeze_one(struct run *g, ba_time now);
+static void thaw(struct run *g, ba_time now);
 static void send_order(struct run *g);
 static void on_order(struct soak_call *call);
 static void print_results(const struct run *g);
@@ -194,6 +205,12 @@
 		 "Time from SIGTERM to SIGKILL, if not the grace time", "TIME"},
 		{"crashes", 0, 0, G_OPTION_ARG_NONE, &g->crashes,
 		 "Kill processes, too", NULL},
+		{"freezes", 0, 0, G_OPTION_ARG_NONE, &g->freezes,
+		 "Freeze proxies, too", NULL},
+		{"limits", 0, 0, G_OPTION_ARG_NONE, &g->limits,
+		 "Backend servers state limits and leave", NULL},
+		{"judged-share", 0, 0, G_OPTION_ARG_DOUBLE, &s->judged_share,
+		 "Share of the stated limits that is judged by", "SHARE"},
 		G_OPTION_ENTRY_NULL,
 	};
 
@@ -203,6 +220,7 @@
 	g->load = 0.95;
 	g->stops = 1.0;
 	s->n_cores = 3;
+	s->judged_share = 1;
 	s->mean_bytes = 90000;
 	s->slots = 12;
 	bn_parse_options(&argc, &argv, entries);
@@ -223,6 +241,8 @@
 	g->kill_after = kill_after ? bn_parse_duration("kill-after", kill_after)
 				   : s->grace;
 	s->rand.state = (uint64_t)g->seed;
+	s->n_callers = g->n_front;
+	s->n_called = g->n_long;
 	set_rate(g, g->link_rate ? g->link_rate : "8.4Mbit");
 	g_free(length);
 	g_free(budget);
@@ -372,6 +392,8 @@
 		care_for(g, &s->machines[i].process, now);
 	for (int i = 0; i < s->n_cores; i++)
 		care_for(g, &s->cores[i], now);
+	if (g->frozen && now >= g->thaw_at)
+		thaw(g, now);
 	if (!g->operator.sending && now >= g->operator.send_at)
 		send_order(g);
 	if (!g->calls_end) {
@@ -390,6 +412,8 @@
 			stop_core(g, now);
 		if (g->crashes && now >= g->crash_at)
 			crash_one(g, now);
+		if (g->freezes && now >= g->freeze_at)
+			freeze_one(g, now);
 	} else {
 		s->calling = false;
 		if (!g_hash_table_size(s->requests))
@@ -408,8 +432,11 @@
 	g->stop_at = now + WARM_UP_TIME;
 	g->core_stop_at = now + WARM_UP_TIME + CORE_STOP_PERIOD / 2;
 	g->crash_at = now + WARM_UP_TIME + CRASH_PERIOD;
+	g->freeze_at = now + WARM_UP_TIME;
 	for (int i = 0; i < g->n_front; i++)
 		soak_callers_start(&s->machines[i]);
+	for (int i = g->n_front; g->limits && i < s->n_machines; i++)
+		soak_limit_start(&s->machines[i]);
 }
 
 static void poll_ready(struct run *g, ba_time now)
@@ -509,7 +536,7 @@
 
 static bool may_stop(const struct soak_process *p)
 {
-	return p->pid > 0 && !p->stopping;
+	return p->pid > 0 && !p->stopping && !p->crashed && !p->frozen;
 }
 
 static void terminate(struct soak_process *p, ba_time now)
@@ -536,6 +563,40 @@
 	kill(p->pid, SIGKILL);
 }
 
+static void freeze_one(struct run *g, ba_time now)
+{
+	struct soak *s = &g->soak;
+	uint64_t pick = ba_rand_below(&s->rand, (uint64_t)s->n_machines);
+	struct soak_process *p = &s->machines[pick].process;
+
+	g->freeze_at = now + FREEZE_PERIOD;
+	if (g->frozen || !may_stop(p))
+		return;
+	soak_log(s, "SIGSTOP %s", s->machines[pick].name);
+	g->n_freezes++;
+	g->frozen = p;
+	g->thaw_at = now + (ba_time)ba_rand_below(&s->rand, FREEZE_TIME_MAX);
+	s->crashed_at = now;
+	p->frozen = true;
+	kill(p->pid, SIGSTOP);
+}
+
+static void thaw(struct run *g, ba_time now)
+{
+	struct soak *s = &g->soak;
+	struct soak_process *p = g->frozen;
+
+	g->frozen = NULL;
+	s->crashed_at = now;
+	/* It may have been killed, and started again. */
+	if (!p->frozen)
+		return;
+	p->frozen = false;
+	p->disturbed_at = now;
+	if (p->pid > 0)
+		kill(p->pid, SIGCONT);
+}
+
 static void send_order(struct run *g)
 {
 	struct operator* o = & g->operator;
@@ -610,10 +671,15 @@
 	       ",\"orders\":%" PRIu64 ",\"killed\":%" PRIu64
 	       ",\"ended\":%" PRIu64 ",\"heartbeats_cut\":%" PRIu64
 	       ",\"heartbeats_crossed\":%" PRIu64 ",\"orders_cut\":%" PRIu64
+	       ",\"freezes\":%" PRIu64 ",\"limits\":%" PRIu64
+	       ",\"departures\":%" PRIu64 ",\"limited\":%" PRIu64
+	       ",\"limit_broken\":%" PRIu64 ",\"drain_broken\":%" PRIu64
 	       ",\"requests\":%" PRIu64,
 	       g->seed, g->n_stops, g->n_core_stops, g->n_crashes, g->n_orders,
 	       g->n_killed, g->n_ended, s->heartbeats_cut,
-	       s->heartbeats_crossed, s->orders_cut, s->n_requests);
+	       s->heartbeats_crossed, s->orders_cut, g->n_freezes, s->n_limits,
+	       s->n_departures, s->n_limited, s->n_limit_broken,
+	       s->n_drain_broken, s->n_requests);
 	for (int i = 0; i < SOAK_OUTCOMES; i++)
 		printf(",\"%s\":%" PRIu64, names[i], s->outcomes[i]);
 	printf("}\n");
--- a/test/cases/carawayctl-offline.sh
+++ b/test/cases/carawayctl-offline.sh
@@ -81,3 +81,18 @@
 expect 0 "4003 accepted" "$ctl" -l "$dir/a.log" -l "$dir/b.log" \
 	explain version=12
 test "$(cut -d' ' -f3 "$dir/out" | tr '\n' ' ')" = "4003 3001 "
+
+# What one backend server stated, by the proxies beside it and after a restart.
+cat >"$dir/a.log" <<EOF
+2026-12-04T10:00:01.000000Z caraway-proxy/p1 6016 backend-limit backend=i-1 change=learned source=answer per_second=9.8 was=0 sent=117
+2026-12-04T10:00:01.500000Z caraway-proxy/p1 6016 backend-limit backend=i-12 change=learned source=answer per_second=5 was=0 sent=1
+2026-12-04T10:00:04.000000Z caraway-proxy/p1 6017 backend-leaving backend=i-1 change=learned source=answer
+EOF
+cat >"$dir/b.log" <<EOF
+2026-12-04T10:00:03.000000Z caraway-proxy/p1 6016 backend-limit backend=i-1 change=learned source=proxy per_second=9.8 was=0 sent=0
+EOF
+expect 0 "source=proxy" "$ctl" -l "$dir/a.log" -l "$dir/b.log" \
+	explain backend=i-1
+test "$(cut -d' ' -f3,6 "$dir/out" | tr '\n' ' ')" = \
+	"6016 change=learned 6016 change=learned 6017 change=learned "
+expect 0 "states its departure" "$ctl" explain backend-leaving
--- a/test/platform_names.h
+++ b/test/platform_names.h
@@ -9,6 +9,8 @@
 #define PN_NOT_EXECUTED "X-Not-Executed"
 #define PN_RESPONSE_STAMP "X-Response-Stamp"
 #define PN_BASE_VERSION "X-Base-Version"
+#define PN_LIMIT "Server-Limit"
+#define PN_LEAVING "Server-Leaving"
 
 #define PN_READY_PATH "/v1/ready"
 #define PN_HEARTBEAT_PATH "/v1/instances/%s/heartbeat"
