distrib: a relay that fell silent is not the one dialled next

Cause: a core instance was frozen. After 2.5 s of silence the daemon went back to its first preferred address, which was that instance: the kernel of a frozen process accepts connections, and the daemon waited 2 s for the handshake. Class: a peer that is alive to the kernel and dead to us is taken for reachable. Relays dial through the same code.

Change: after silence the next address is dialled, and a dial that opens no session within 0.5 s is given up while there is another address, with twice the time in each round in vain, up to 2 s.

--- a/distrib/ds_dialer.c
+++ b/distrib/ds_dialer.c
@@ -2,6 +2,9 @@
 
 #include "distrib/ds_dialer.h"
 
+static size_t next_address(const struct ds_dialer *d, bool was_open,
+			   bool silent);
+static ba_time setup_time(const struct ds_dialer *d);
 static ba_time backoff_delay(struct ds_dialer *d);
 static ba_time jitter(struct ds_dialer *d, ba_time limit);
 
@@ -13,6 +16,7 @@
 	d->n_preferred = n_preferred;
 	d->rand.state = seed;
 	d->dial_deadline = n ? now : BA_NEVER;
+	d->setup_deadline = BA_NEVER;
 	d->failback_deadline = BA_NEVER;
 	d->leave_pause = DS_LEAVE_PAUSE_FIRST;
 	d->failback_delay = DS_FAILBACK_DELAY_FIRST;
@@ -30,14 +34,16 @@
 		d->failback_deadline = move_deadline;
 }
 
-void ds_dialer_dialled(struct ds_dialer *d)
+void ds_dialer_dialled(struct ds_dialer *d, ba_time now)
 {
 	d->dial_deadline = BA_NEVER;
+	d->setup_deadline = d->n > 1 ? now + setup_time(d) : BA_NEVER;
 }
 
 void ds_dialer_opened(struct ds_dialer *d, ba_time now)
 {
 	d->open = true;
+	d->setup_deadline = BA_NEVER;
 	d->stale = false;
 	d->attempts = 0;
 	if (d->leave_deadline < now + DS_LEAVE_DELAY)
@@ -50,25 +56,22 @@
 /*
  * A peer that named a retry delay is dialled again after it.  In any other
  * case another address is dialled almost at once, and after a round of all
- * addresses without success the back-off delay applies.  That address is the
- * first one if some addresses are preferred and an open session has ended for
- * another reason than a stale peer; otherwise it is the next one.
+ * addresses without success the back-off delay applies.
  */
-void ds_dialer_closed(struct ds_dialer *d, ba_time retry_after, ba_time now)
+void ds_dialer_closed(struct ds_dialer *d, bool silent, ba_time retry_after,
+		      ba_time now)
 {
 	bool was_open = d->open;
 
 	d->open = false;
+	d->setup_deadline = BA_NEVER;
 	d->failback_deadline = BA_NEVER;
 	d->attempts++;
 	if (retry_after) {
 		d->dial_deadline = now + retry_after;
 		return;
 	}
-	if (was_open && d->n_preferred && !d->leaving)
-		d->current = 0;
-	else
-		d->current = (d->current + 1) % d->n;
+	d->current = next_address(d, was_open, silent);
 	d->leaving = false;
 	if (d->attempts % d->n)
 		d->dial_deadline = now + jitter(d, DS_NEXT_ADDRESS_JITTER);
@@ -76,6 +79,11 @@
 		d->dial_deadline = now + backoff_delay(d);
 }
 
+bool ds_dialer_should_give_up(const struct ds_dialer *d, ba_time now)
+{
+	return now >= d->setup_deadline;
+}
+
 /* A peer with fresh data resets the pauses of the search for one. */
 void ds_dialer_set_stale(struct ds_dialer *d, bool stale, ba_time now)
 {
@@ -123,6 +131,8 @@
 {
 	ba_time deadline = d->dial_deadline;
 
+	if (d->setup_deadline < deadline)
+		deadline = d->setup_deadline;
 	if (d->failback_deadline < deadline)
 		deadline = d->failback_deadline;
 	if (d->open && d->stale && d->n > 1 && d->leave_deadline < deadline)
@@ -130,6 +140,30 @@
 	return deadline;
 }
 
+/*
+ * The first one if some addresses are preferred and an open session has ended
+ * for another reason than a stale peer; otherwise the one after the current.
+ */
+static size_t next_address(const struct ds_dialer *d, bool was_open,
+			   bool silent)
+{
+	bool is_back_to_first = was_open && d->n_preferred && !d->leaving;
+
+	if (is_back_to_first && !(silent && !d->current))
+		return 0;
+	return (d->current + 1) % d->n;
+}
+
+static ba_time setup_time(const struct ds_dialer *d)
+{
+	unsigned int rounds = d->attempts / (unsigned int)d->n;
+	ba_time time = DS_SETUP_TIME_FIRST;
+
+	while (rounds-- && time < DS_SETUP_TIME_LIMIT)
+		time *= 2;
+	return time;
+}
+
 static ba_time backoff_delay(struct ds_dialer *d)
 {
 	unsigned int rounds = d->attempts / (unsigned int)d->n;
--- a/distrib/ds_dialer.h
+++ b/distrib/ds_dialer.h
@@ -5,6 +5,10 @@
  * Rules:
  * - After a failure the next address is dialled almost at once; when all have
  *   failed, a jittered exponential back-off with a limit follows.
+ * - An address that opens no session within a time is given up for the next
+ *   one.  That time is short, as a frozen process accepts connections, and grows
+ *   with each round in vain.
+ * - An address whose session fell silent is not the one that is dialled next.
  * - A peer whose data are stale is left for the next address.  When all peers
  *   were stale, the current one is kept for a pause that doubles each round.
  * - While a session to a less preferred address is open, the dialer fails
@@ -27,6 +31,8 @@
 #define DS_BACK_OFF_FIRST (100 * BA_MS)
 #define DS_BACK_OFF_LIMIT BA_SECOND
 #define DS_NEXT_ADDRESS_JITTER (50 * BA_MS)
+#define DS_SETUP_TIME_FIRST (500 * BA_MS)
+#define DS_SETUP_TIME_LIMIT (2 * BA_SECOND)
 #define DS_FAILBACK_DELAY_FIRST (30 * BA_SECOND)
 #define DS_FAILBACK_DELAY_LIMIT (10 * BA_MINUTE)
 #define DS_LEAVE_DELAY (500 * BA_MS)
@@ -44,6 +50,8 @@
  * @stale: whether the peer's data are stale
  * @leaving: whether the session is being closed because its peer is stale
  * @dial_deadline: when to dial @current, %BA_NEVER while dialling or open
+ * @setup_deadline: when to give up dialling @current, %BA_NEVER unless dialling
+ *	with another address to go to
  * @failback_deadline: when to fail back to the first address
  * @failback_delay: delay before that, doubled each time a preferred peer was
  *	stale
@@ -60,6 +68,7 @@
 	bool stale;
 	bool leaving;
 	ba_time dial_deadline;
+	ba_time setup_deadline;
 	ba_time failback_deadline;
 	ba_time failback_delay;
 	ba_time leave_deadline;
@@ -82,16 +91,21 @@
 			     size_t current, ba_time move_deadline);
 
 /** ds_dialer_dialled() - note that @current is being dialled */
-void ds_dialer_dialled(struct ds_dialer *d);
+void ds_dialer_dialled(struct ds_dialer *d, ba_time now);
 
 /** ds_dialer_opened() - note that the session is open */
 void ds_dialer_opened(struct ds_dialer *d, ba_time now);
 
 /**
  * ds_dialer_closed() - note that the session has ended or was not opened
+ * @silent: whether that was since the peer said nothing any more
  * @retry_after: delay that the peer asked for, or 0
  */
-void ds_dialer_closed(struct ds_dialer *d, ba_time retry_after, ba_time now);
+void ds_dialer_closed(struct ds_dialer *d, bool silent, ba_time retry_after,
+		      ba_time now);
+
+/** ds_dialer_should_give_up() - whether to stop dialling @current */
+bool ds_dialer_should_give_up(const struct ds_dialer *d, ba_time now);
 
 /** ds_dialer_set_stale() - note whether the peer's data are stale */
 void ds_dialer_set_stale(struct ds_dialer *d, bool stale, ba_time now);
--- a/distrib/ds_link.c
+++ b/distrib/ds_link.c
@@ -126,7 +126,8 @@
 	(void)s;
 	l->session = NULL;
 	l->open = false;
-	ds_dialer_closed(&l->dialer, retry_after, ba_loop_now(l->loop));
+	ds_dialer_closed(&l->dialer, code == WI_PEER_SILENT, retry_after,
+			 ba_loop_now(l->loop));
 	arm(l);
 	if (!was_open)
 		return;
@@ -147,11 +148,15 @@
 		arm(l);
 		return;
 	}
-	if (l->session)
+	if (l->session) {
+		if (ds_dialer_should_give_up(&l->dialer, now))
+			wi_close(l->session, WI_PEER_SILENT);
 		return;
-	ds_dialer_dialled(&l->dialer);
+	}
+	ds_dialer_dialled(&l->dialer, now);
 	l->session = wi_dial(l->loop, &l->addresses[l->dialer.current],
 			     l->identity, &ds_session_limits, &l->handler);
+	arm(l);
 }
 
 static void arm(struct ds_link *l)
--- a/test/ds_world.h
+++ b/test/ds_world.h
@@ -312,7 +312,7 @@
 	int to = n.upstreams[n.dialer.current];
 	uint64_t sid = ++last_session;
 
-	ds_dialer_dialled(&n.dialer);
+	ds_dialer_dialled(&n.dialer, now);
 	n.upstream = sid;
 	sessions[sid] = {id,   to,	  n.incarnation, nodes[to].incarnation,
 			 true, {now, now}};
@@ -351,7 +351,7 @@
 		child.upstream = 0;
 		child.upstream_open = false;
 		child.ask_deadline = BA_NEVER;
-		ds_dialer_closed(&child.dialer, 0, now);
+		ds_dialer_closed(&child.dialer, false, 0, now);
 		if (was_open && child.publisher) {
 			step(child.id, event(DS_UPSTREAM_LOST));
 			set_stale(child.id, true);
