--- a/proxy/px_limit.c
+++ b/proxy/px_limit.c
@@ -13,8 +13,8 @@
 			const char **rest);
 static void write_stated(uint64_t start, const struct cl_statement *s,
 			 struct ba_buf *out);
-static void on_news(struct px *p, enum cl_limit_change change, bool leaves,
-		    const char *source, const struct cl_limit *was);
+static void on_recorded(struct px *p, enum cl_limit_change change, bool leaves,
+			const char *source, const struct cl_limit *was);
 static void on_change(struct px *p, enum cl_limit_change change,
 		      const char *source, const struct cl_limit *was);
 static void log_limit(struct px *p, enum cl_limit_change change,
@@ -52,7 +52,7 @@
 		return;
 	change = cl_limit_record(&be->limit, s, x->admission.started,
 				 ba_loop_now(x->p->loop), &leaves);
-	on_news(x->p, change, leaves, "answer", &was);
+	on_recorded(x->p, change, leaves, "answer", &was);
 }
 
 void px_limit_on_told(struct px_exchange *x)
@@ -75,7 +75,7 @@
 	change = cl_limit_adopt(&be->limit, &told.statement,
 				now - MAX(g_ascii_strtoll(age, NULL, 10), 0),
 				now, &leaves);
-	on_news(x->p, change, leaves, "proxy", &was);
+	on_recorded(x->p, change, leaves, "proxy", &was);
 }
 
 void px_limit_on_stated(struct px_exchange *x, const struct ht_head *h)
@@ -178,8 +178,8 @@
 		    (int)s->leaving);
 }
 
-static void on_news(struct px *p, enum cl_limit_change change, bool leaves,
-		    const char *source, const struct cl_limit *was)
+static void on_recorded(struct px *p, enum cl_limit_change change, bool leaves,
+			const char *source, const struct cl_limit *was)
 {
 	if (change != CL_LIMIT_UNCHANGED)
 		on_change(p, change, source, was);
