call: calls that are late do not make an endpoint look full

Cause: the load that a proxy reports counts all calls in its queue. A call in time goes before the late ones, but the senders took such an endpoint for full and sent their calls to those at their limit.

Change: queued calls that are late are part neither of the load nor of the time until a stated limit has room.

Tried and dropped: refusing a newcomer that would make a queued call late (worth the same), and leaving the time in the queue out of the latency that senders learn (worth the same).

--- a/call/cl_admit.c
+++ b/call/cl_admit.c
@@ -31,11 +31,13 @@
  * @cooldown_until: the limit is not adapted before this time
  * @rate: calls per second, 0 for no limit
  * @pace: stated limit, or NULL
+ * @waiting_late: those of @waiting that are late
  */
 struct cl_admit {
 	struct cl_admit_options options;
 	struct ba_list queue;
 	uint32_t waiting;
+	uint32_t waiting_late;
 	uint32_t running;
 	uint32_t share;
 	double limit;
@@ -212,7 +214,7 @@
 
 ba_time cl_admit_room_at(const struct cl_admit *a, ba_time now)
 {
-	return paced_start(a, a->waiting, now);
+	return paced_start(a, a->waiting - a->waiting_late, now);
 }
 
 bool cl_admit_done(struct cl_admit *a, struct cl_admit_call *call,
@@ -249,7 +251,7 @@
 
 uint32_t cl_admit_load(const struct cl_admit *a)
 {
-	return a->running + a->waiting;
+	return a->running + a->waiting - a->waiting_late;
 }
 
 uint32_t cl_admit_limit(const struct cl_admit *a)
@@ -392,6 +394,7 @@
 	ba_list_insert_before(pos->next, &call->link);
 	call->waiting = true;
 	a->waiting++;
+	a->waiting_late += call->late;
 }
 
 static void dequeue(struct cl_admit *a, struct cl_admit_call *call)
@@ -399,6 +402,7 @@
 	ba_list_remove(&call->link);
 	call->waiting = false;
 	a->waiting--;
+	a->waiting_late -= call->late;
 }
 
 static struct cl_admit_call *queue_tail(const struct cl_admit *a)
--- a/call/cl_admit.h
+++ b/call/cl_admit.h
@@ -75,6 +75,7 @@
  * @deadline: when the caller gives up, or an earlier time after which the
  *	answer has little value
  * @expected: expected service time, 0 if unknown
+ * @late: it misses its target in any case, so calls in time precede it
  */
 struct cl_admit_call {
 	struct ba_list link;
@@ -82,6 +83,7 @@
 	ba_time deadline;
 	ba_time expected;
 	ba_time started;
+	bool late;
 	bool waiting;
 	bool running;
 };
@@ -154,7 +156,7 @@
 
 /**
  * cl_admit_room_at() - when the stated limit would let a call start that arrives
- * now and precedes none
+ * now and precedes none but late ones
  *
  * Return: a time, @now if the limit does not delay it.
  */
@@ -171,7 +173,12 @@
 /** cl_admit_cancel() - remove a call from the queue, if it is queued */
 void cl_admit_cancel(struct cl_admit *a, struct cl_admit_call *call);
 
-/** cl_admit_load() - return the number of running and queued calls */
+/**
+ * cl_admit_load() - return the number of running and queued calls
+ *
+ * Queued calls that are late are left out: a call in time precedes those of its
+ * priority.
+ */
 uint32_t cl_admit_load(const struct cl_admit *a);
 
 /** cl_admit_limit() - return the current concurrency limit */
--- a/call/cl_sched.c
+++ b/call/cl_sched.c
@@ -68,6 +68,7 @@
 	else if (now + expected + expected / 2 > c->target)
 		class = CL_SCHED_TIGHT;
 	admit->expected = expected;
+	admit->late = class == CL_SCHED_LATE;
 	admit->weight = MAX_WEIGHT - CLASSES * (priority + 1) + class;
 	switch (class) {
 	case CL_SCHED_SHORT:
