proxy, distrib: an unknown route is certain only while the configuration is current

Cause: a proxy took its configuration for the newest whatever it heard.

Change: the agent tells whether a relay that hears the source has confirmed the version in the open session and was heard within 1.5 s. Without that an unknown route is refused with 503, 622 not-current, and Retry-After.

--- a/base/ba_result.c
+++ b/base/ba_result.c
@@ -268,6 +268,11 @@
 		 "The request has crashed several backend servers; it was not run.",
 		 "Correct the request or the backend server.", 503,
 		 EXIT_FAILED},
+	[CL_NOT_CURRENT] =
+		{"not-current",
+		 "No route is known that matches the request, and the configuration may be out of date; it was not run.",
+		 "Try again after the time in Retry-After.", 503,
+		 EXIT_UNAVAILABLE},
 	[RT_DAY_UNKNOWN] = {"day-unknown", "No figures are kept for that day.",
 			    "Choose a day that status lists.", 0, EXIT_FAILED},
 	[RT_SOURCE_UNREACHABLE] =
--- a/call/cl_retry.c
+++ b/call/cl_retry.c
@@ -87,6 +87,7 @@
 {
 	switch (code) {
 	case CL_NO_ROUTE:
+	case CL_NOT_CURRENT:
 	case CL_KEY_REQUIRED:
 	case CL_KEY_STALE:
 	case CL_KEY_MALFORMED:
--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -45,6 +45,8 @@
  * @seeds: addresses of the settings
  * @ranking: relays by the last roster, or the seeds
  * @subscribed: whether the open session has got the subscription
+ * @confirmed: whether the last update of the open session said that the version
+ *	held is the newest
  * @marks_timer: armed while the marks have changed since the last announcement
  * @marks_not_before: earliest time at which marks are announced again
  */
@@ -68,6 +70,7 @@
 	size_t n_seeds;
 	struct ds_ranking *ranking;
 	bool subscribed;
+	bool confirmed;
 	struct ds_receiver receiver;
 	struct ep_record record;
 	ba_time lease;
@@ -228,6 +231,15 @@
 	return ds_link_session(a->link);
 }
 
+bool ds_agent_is_current(const struct ds_agent *a)
+{
+	const struct wi_session *s = ds_link_session(a->link);
+
+	return s && a->confirmed &&
+	       ba_loop_now(a->loop) <
+		       wi_session_heard_at(s) + DS_CURRENT_SILENCE;
+}
+
 void ds_agent_free(struct ds_agent *a)
 {
 	if (!a)
@@ -260,6 +272,7 @@
 	struct ds_agent *a = ba_entry(o, struct ds_agent, link_owner);
 
 	a->subscribed = false;
+	a->confirmed = false;
 	ds_receiver_ask_roster(s);
 	if (a->ranking->n)
 		subscribe(a, s);
@@ -447,11 +460,15 @@
 		ds_receiver_subscribe(&a->receiver, s, true);
 	else if (result.verdict == DS_APPLY || result.verdict == DS_UP_TO_DATE)
 		acknowledge(a, s, &result);
-	if (s == ds_link_session(a->link))
+	if (s == ds_link_session(a->link)) {
 		ds_link_set_stale(a->link,
 				  result.verdict == DS_PUBLISHER_BEHIND ||
 					  result.verdict == DS_REFUSE_OLDER ||
 					  result.source_age > 0);
+		a->confirmed = (result.verdict == DS_APPLY ||
+				result.verdict == DS_UP_TO_DATE) &&
+			       !result.source_age;
+	}
 	return BA_OK;
 }
 
--- a/distrib/ds_agent.h
+++ b/distrib/ds_agent.h
@@ -22,6 +22,9 @@
 extern "C" {
 #endif
 
+/* A relay sends something each second. */
+#define DS_CURRENT_SILENCE (1500 * BA_MS)
+
 struct ds_agent;
 
 /**
@@ -107,6 +110,14 @@
 /** ds_agent_connected() - whether a relay session is open */
 bool ds_agent_connected(const struct ds_agent *a);
 
+/**
+ * ds_agent_is_current() - whether the version held is known to be the newest
+ *
+ * It is while a relay that hears the source has confirmed it in the open session
+ * and was heard within %DS_CURRENT_SILENCE.
+ */
+bool ds_agent_is_current(const struct ds_agent *a);
+
 /** ds_agent_free() - end the session and free the agent */
 void ds_agent_free(struct ds_agent *a);
 
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -106,6 +106,7 @@
 			       bool renewed);
 static void on_marks_changed(struct px_owner *o, const struct ep_mark *marks,
 			     size_t n);
+static bool is_current(struct px_owner *o);
 static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s);
 static void on_view(struct ds_agent_owner *o, struct ep_view *v);
 static void on_signal(int signo, void *arg);
@@ -171,6 +172,7 @@
 	ba_random_bytes(&o.seed, sizeof(o.seed));
 	g->proxy_owner.backend_changed = on_backend_changed;
 	g->proxy_owner.marks_changed = on_marks_changed;
+	g->proxy_owner.is_current = is_current;
 	if (px_new(g->loop, &o, &g->proxy_owner, &failed, &g->proxy))
 		return pr_listen_failed(failed);
 	return 0;
@@ -237,6 +239,13 @@
 	ds_agent_report_marks(g->agent, marks, n, g->identity.incarnation);
 }
 
+static bool is_current(struct px_owner *o)
+{
+	struct program *g = ba_entry(o, struct program, proxy_owner);
+
+	return ds_agent_is_current(g->agent);
+}
+
 static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s)
 {
 	struct program *g = ba_entry(o, struct program, agent_owner);
--- a/proxy/px.h
+++ b/proxy/px.h
@@ -39,12 +39,15 @@
  *	@b is the first heartbeat of another start
  * @marks_changed: the own report of requests that crash backend servers has
  *	changed; @marks is all of it
+ * @is_current: whether the configuration is known to be the newest, or was so a
+ *	moment ago; without that, an unknown route may be a new one
  */
 struct px_owner {
 	void (*backend_changed)(struct px_owner *o,
 				const struct px_heartbeat *b, bool renewed);
 	void (*marks_changed)(struct px_owner *o, const struct ep_mark *marks,
 			      size_t n);
+	bool (*is_current)(struct px_owner *o);
 };
 
 /**
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -345,10 +345,14 @@
 	cf_snapshot_unref(x->snapshot);
 	x->snapshot = cf_snapshot_ref(p->snapshot);
 	r = find_route(x);
-	if (!r) {
+	if (!r && p->owner->is_current(p->owner)) {
 		answer_error(x, 404, CL_NO_ROUTE);
 		return;
 	}
+	if (!r) {
+		answer_error(x, 503, CL_NOT_CURRENT);
+		return;
+	}
 	apply_route(x, r);
 	x->digest = px_poison_digest(ht_conn_head(x->downstream->conn),
 				     x->caller, &x->downstream->body);
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -127,6 +127,32 @@
 	EXPECT_TRUE(has(caller.read_message(), "\r\n\r\nuntil the end"));
 }
 
+/* A route that is not known may be one that was added since. */
+TEST(PxRefusal, UnknownRouteIsCertainOnlyWhileTheConfigurationIsCurrent)
+{
+	static const struct {
+		bool current;
+		int status, code;
+	} cases[] = {{true, 404, 601}, {false, 503, 622}, {true, 404, 601}};
+	struct world w;
+
+	for (const auto &c : cases) {
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
+
+		w.current = c.current;
+		caller.write("GET /nowhere/ HTTP/1.1\r\nHost: a.example\r\n"
+			     "X-Attempt-Id: 1\r\n\r\n");
+		std::string got = caller.read_message();
+
+		EXPECT_EQ(status(got), c.status) << got;
+		EXPECT_TRUE(
+			has(got, "\"code\":" + std::to_string(c.code) + ","))
+			<< got;
+		EXPECT_EQ(has(got, "Retry-After: "), !c.current) << got;
+	}
+}
+
 /* These requests are refused without a backend server. */
 TEST(PxRefusal, NeedsNoBackendServer)
 {
--- a/test/proxy_world.h
+++ b/test/proxy_world.h
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <functional>
@@ -255,6 +256,7 @@
 	std::vector<struct ep_mark> marks; /* last report of the proxy */
 	int n_reports = 0;
 	bool announced_draining = false;
+	std::atomic<bool> current{true};
 	/* Reports of other proxies, for endpoints(). */
 	std::map<std::string, std::vector<struct ep_mark>> others;
 	struct ba_loop *loop = ba_loop_new();
@@ -281,6 +283,7 @@
 		o.seed = 7;
 		owner.backend_changed = record_backend;
 		owner.marks_changed = record_marks;
+		owner.is_current = is_current;
 		owner.w = this;
 		EXPECT_EQ(px_new(loop, &o, &owner, &failed, &proxy), BA_OK);
 		if (configured)
@@ -305,6 +308,11 @@
 		w->announced_draining = b && b->draining;
 	}
 
+	static bool is_current(struct px_owner *o)
+	{
+		return static_cast<owner_of *>(o)->w->current;
+	}
+
 	static void record_marks(struct px_owner *o, const struct ep_mark *m,
 				 size_t n)
 	{
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -3,6 +3,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "base/ba_result.h"
@@ -332,6 +333,61 @@
 	}
 };
 
+/*
+ * A daemon whose relay was frozen held its session for another 2.5 s, and took
+ * routes that had been added meanwhile for unknown ones.
+ */
+TEST(DsAgent, IsCurrentOnlyWhileItsRelayIsHeard)
+{
+	struct mesh m(23141);
+	struct ba_loop *own = ba_loop_new();
+	struct daemon d = {};
+	ba_time frozen_at;
+
+	m.publish(1);
+	std::thread others([&] { ba_loop_run(m.loop); });
+	daemon_start(&d, own, "a1", "d1", m.at, 1);
+	EXPECT_FALSE(ds_agent_is_current(d.agent));
+	EXPECT_TRUE(
+		wait_until(own, [&] { return ds_agent_is_current(d.agent); }));
+	EXPECT_EQ(ds_agent_version(d.agent), 1u);
+
+	ba_loop_post(
+		m.loop,
+		[](void *) {
+			std::this_thread::sleep_for(std::chrono::seconds(4));
+		},
+		nullptr);
+	frozen_at = ba_clock_now();
+	EXPECT_TRUE(
+		wait_until(own, [&] { return !ds_agent_is_current(d.agent); }));
+	EXPECT_TRUE(ds_agent_connected(d.agent));
+	EXPECT_LT(ba_clock_now(), frozen_at + 2500 * BA_MS);
+	EXPECT_TRUE(
+		wait_until(own, [&] { return ds_agent_is_current(d.agent); }));
+
+	ds_agent_free(d.agent);
+	ba_loop_free(own);
+	ba_loop_stop(m.loop);
+	others.join();
+}
+
+/* A relay that does not hear the source confirms nothing. */
+TEST(DsAgent, IsNotCurrentAtARelayThatLostTheSource)
+{
+	struct mesh m(23151);
+
+	m.publish(1);
+	m.add("a1", false);
+	ASSERT_TRUE(wait_until(m.loop, [&] {
+		return ds_agent_is_current(m.daemons[0]->agent);
+	}));
+	ds_feed_set_stale(m.src.feed, ba_clock_now() - BA_SECOND);
+	EXPECT_TRUE(wait_until(m.loop, [&] {
+		return !ds_agent_is_current(m.daemons[0]->agent);
+	}));
+}
+
 /*
  * At the first start of a mesh, relays of another region than the source's
  * subscribe before any configuration is accepted.
--- a/wire/wi_session.c
+++ b/wire/wi_session.c
@@ -187,6 +187,11 @@
 	return WI_QUEUE_FULL;
 }
 
+ba_time wi_session_heard_at(const struct wi_session *s)
+{
+	return s->silence_deadline - s->limits.silence_timeout;
+}
+
 void wi_close(struct wi_session *s, int code)
 {
 	if (s->state == WI_CLOSING)
--- a/wire/wi_session.h
+++ b/wire/wi_session.h
@@ -176,6 +176,9 @@
 int wi_send_packed(struct wi_session *s, int type, const void *data,
 		   size_t len);
 
+/** wi_session_heard_at() - when something was received last */
+ba_time wi_session_heard_at(const struct wi_session *s);
+
 /** wi_close() - end the session; @closed is called later, from the loop */
 void wi_close(struct wi_session *s, int code);
 
