--- a/test/cases/planned-stops.sh
+++ b/test/cases/planned-stops.sh
@@ -6,30 +6,19 @@
 # usage: test/cases/planned-stops.sh BUILD
 
 . "$(dirname "$0")/../lib.sh"
-top=$(cd "$(dirname "$0")/../.." && pwd)
+. "$(dirname "$0")/../soak.sh"
 
-# soak NAME OPTIONS...: run a soak, with its results in $work/NAME.json
-soak() {
-	local name=$1
-	shift
-	mkdir "$work/$name"
-	"$build/soak" --work "$work/$name" --programs "$build" \
-		--key "$top/deploy/mesh.key" --net "$net" --front 24 --long 8 \
-		--load 1.4 --stops 4 --target 500ms "$@" \
-		>"$work/$name.json" 2>"$work/$name.err" ||
-		fail "$name: $(tail -n 3 "$work/$name.err")"
-	cat "$work/$name.json"
-}
+options="--front 24 --long 8 --load 1.4 --stops 4 --target 500ms"
 
 # A process that is killed in the middle of its stop cuts requests.
-soak broken --seed 1 --length 4s --kill-after 500ms
+soak broken $options --seed 1 --length 4s --kill-after 500ms
 test "$(field broken cut)" -gt 0 || fail "cut requests were not detected"
 
 for run in stops short
 do
 	case $run in
-	stops) least=1000; soak stops --seed 3 --length 30s ;;
-	short) least=300; soak short --seed 5 --length 8s --grace 2s --load 1.0 ;;
+	stops) least=1000; soak stops $options --seed 3 --length 30s ;;
+	short) least=300; soak short $options --seed 5 --length 8s --grace 2s --load 1.0 ;;
 	esac
 	test "$(field $run stops)" -gt 10 || fail "$run: too few stops"
 	test "$(field $run whole)" -gt "$least" || fail "$run: too few answers"
--- a/test/cases/stated-limits.sh
+++ b/test/cases/stated-limits.sh
@@ -6,28 +6,17 @@
 # usage: test/cases/stated-limits.sh BUILD
 
 . "$(dirname "$0")/../lib.sh"
-top=$(cd "$(dirname "$0")/../.." && pwd)
+. "$(dirname "$0")/../soak.sh"
 
-# soak NAME OPTIONS...: run a soak, with its results in $work/NAME.json
-soak() {
-	local name=$1
-	shift
-	mkdir "$work/$name"
-	"$build/soak" --work "$work/$name" --programs "$build" \
-		--key "$top/deploy/mesh.key" --net "$net" --front 8 --long 6 \
-		--limits --answer-bytes 9000 --load 0.5 --target 800ms \
-		--budget 4s --stops 2 "$@" \
-		>"$work/$name.json" 2>"$work/$name.err" ||
-		fail "$name: $(tail -n 3 "$work/$name.err")"
-	cat "$work/$name.json"
-}
+options="--front 8 --long 6 --limits --answer-bytes 9000 --load 0.5
+	--target 800ms --budget 4s --stops 2"
 
 # By a third of what is stated, too many requests come.
-soak broken --seed 2 --length 18s --judged-share 0.3
+soak broken $options --seed 2 --length 18s --judged-share 0.3
 test "$(field broken limit_broken)" -gt 0 || fail "the excess was not detected"
 
-soak calm --seed 1 --length 24s
-soak troubled --seed 12 --length 24s --freezes --crashes
+soak calm $options --seed 1 --length 24s
+soak troubled $options --seed 12 --length 24s --freezes --crashes
 for run in calm troubled
 do
 	test "$(field $run limited)" -gt 300 || fail "$run: limits were not used"
