--- a/bench/soak.h
+++ b/bench/soak.h
@@ -11,7 +11,7 @@
  *   it and it had been sent no longer than %SOAK_LOSS_SLACK before.
  * - A failure that a stopping proxy gives in place of an answer at which the
  *   backend server is at work counts as CUT.
- * - A backend server in need states a limit, one that leaves its departure, in
+ * - An overloaded backend server states a limit, one that leaves its departure, in
  *   all answers.  LIMIT and DRAIN count requests that reach it nevertheless.
  */
 #ifndef SOAK_H
--- a/bench/soak_limit.c
+++ b/bench/soak_limit.c
@@ -9,7 +9,7 @@
 #define LIMIT_FACTOR 1.5
 #define LIMIT_SLACK 5
 
-/* How long a backend server is in need, leaves or is well. */
+/* How long a backend server states a limit, leaves or neither. */
 #define STATE_TIME_MIN (3 * BA_SECOND)
 #define STATE_TIME_MAX (14 * BA_SECOND)
 
--- a/test/cl_limit_test.cc
+++ b/test/cl_limit_test.cc
@@ -561,7 +561,7 @@
 		});
 	}
 
-	/* An overtaken answer was made before the backend server was in need. */
+	/* An overtaken answer was made before the limit was stated. */
 	void end(call *c, struct cl_statement s)
 	{
 		bool leaves;
@@ -619,14 +619,14 @@
 	{
 		ba_time end = LENGTH - 5 * BA_SECOND;
 		size_t counted = 0, first = 0;
-		double in_need = 0;
+		double while_limited = 0;
 
 		for (size_t i = 0; i < arrivals.size(); i++) {
 			const arrival &a = arrivals[i];
 
 			if (a.at > end)
 				break;
-			in_need += a.at >= NAMED + LEARN_TIME;
+			while_limited += a.at >= NAMED + LEARN_TIME;
 			if (a.at < NAMED + LEARN_TIME)
 				continue;
 			counted += a.counts;
@@ -637,9 +637,9 @@
 			out.over += (double)counted >
 				    allowed(highest_rate(a.at - SPAN, a.at));
 		}
-		out.used = in_need / (rates[0].second *
-				      (double)(end - NAMED - LEARN_TIME) /
-				      (double)BA_SECOND);
+		out.used = while_limited / (rates[0].second *
+					    (double)(end - NAMED - LEARN_TIME) /
+					    (double)BA_SECOND);
 	}
 };
 
