test: leaks fail the sanitized run; tests end what they opened

Cause: the stand-in source of relay_test passed frames on to its feed after the test had freed it: sessions of a listener that was closed still read what their peers had sent. Looking for it showed that the sanitized run passed although the address sanitizer had reported 33,581,248 bytes in 271 allocations and exit status 1: run.sh read the lines of the tests only. All of them were connections of tests whose loop was freed before its next iteration; none is of the product.

Change: the stand-in drops frames once it has no feed. run.sh counts an exit status other than 0 without a failed test as a failure. Tests close their sessions and free a loop after it has settled (test/loop.h). Proxies of tests listen in TEST_NET like all others.

--- a/test/proxy_world.h
+++ b/test/proxy_world.h
@@ -27,11 +27,13 @@
 #include "endpoint/ep_table.h"
 #include "platform/pf.h"
 #include "proxy/px.h"
+#include "test/loop.h"
+#include "test/net.h"
 
 namespace proxy_world
 {
 
-enum { WAIT_S = 5 };
+enum { WAIT_S = 5, ROUTE_S = 9 /* timeout of most routes */ };
 
 enum {
 	CALLER_PORT = 24101,
@@ -46,20 +48,21 @@
 {
 	struct ba_address a;
 
-	ba_parse_address(("127.0.0.1:" + std::to_string(port)).c_str(), &a);
+	ba_parse_address(test_address(1, port).c_str(), &a);
 	return a;
 }
 
-/* A blocking socket; reads time out after WAIT_S seconds and yield "". */
+/*
+ * A blocking socket; reads time out after WAIT_S seconds, or the patience that
+ * was set, and yield "".
+ */
 struct blocking_socket {
 	int fd = -1;
 	std::string unread;
 
 	explicit blocking_socket(int fd = -1) : fd(fd)
 	{
-		struct timeval t = {WAIT_S, 0};
-
-		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &t, sizeof(t));
+		set_patience(WAIT_S);
 	}
 	blocking_socket(blocking_socket &&o) noexcept
 	    : fd(o.fd), unread(std::move(o.unread))
@@ -81,6 +84,13 @@
 		return blocking_socket(fd);
 	}
 
+	void set_patience(int seconds)
+	{
+		struct timeval t = {seconds, 0};
+
+		setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &t, sizeof(t));
+	}
+
 	void write(const std::string &text)
 	{
 		EXPECT_EQ(send(fd, text.data(), text.size(), MSG_NOSIGNAL),
@@ -296,7 +306,7 @@
 		run([this] { px_free(proxy); });
 		ba_loop_stop(loop);
 		thread.join();
-		ba_loop_free(loop);
+		settle_and_free(loop);
 	}
 
 	static void record_backend(struct px_owner *o,
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -9,6 +9,7 @@
 #include "base/ba_result.h"
 #include "distrib/ds_agent.h"
 #include "distrib/ds_feed.h"
+#include "test/loop.h"
 #include "test/net.h"
 
 extern "C" {
@@ -89,7 +90,8 @@
 int source_frame(struct wi_handler *h, struct wi_session *s,
 		 const struct wi_frame *f)
 {
-	if (f->type == RT_BATCH)
+	/* Sessions outlive the feed until their peers have closed. */
+	if (f->type == RT_BATCH || !source_of(h)->feed)
 		return BA_OK;
 	source_of(h)->subscriptions += f->type == DS_SUBSCRIBE;
 	return ds_feed_handle_frame(source_of(h)->feed, s, f);
@@ -321,15 +323,10 @@
 		for (auto &r : relays)
 			if (r.r.loop)
 				re_relay_stop(&r.r);
-		struct ds_feed *feed = src.feed;
-
-		src.feed = nullptr;
 		wi_listener_close(src.listener);
-		ba_time end = ba_clock_now() + 50 * BA_MS;
-
-		wait_until(loop, [&] { return ba_clock_now() > end; });
-		ds_feed_free(feed);
-		ba_loop_free(loop);
+		ds_feed_free(src.feed);
+		src.feed = nullptr;
+		settle_and_free(loop);
 	}
 };
 
@@ -367,7 +364,7 @@
 		wait_until(own, [&] { return ds_agent_is_current(d.agent); }));
 
 	ds_agent_free(d.agent);
-	ba_loop_free(own);
+	settle_and_free(own);
 	ba_loop_stop(m.loop);
 	others.join();
 }
--- a/test/run.sh
+++ b/test/run.sh
@@ -25,6 +25,10 @@
 then
 	last=$(sed -n 's/^\[ RUN      \] //p' "$out" | tail -n 1)
 	echo "fail ${last:-test-binary} (exit status $status)" >>"$names"
+elif test "$status" -ne 0 && ! grep -q '^fail' "$names"
+then
+	# A sanitizer reports what leaked after the last test.
+	echo "fail test-binary (exit status $status)" >>"$names"
 fi
 grep -q '^fail' "$names" && cat "$out"
 
--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/ba_result.h"
+#include "test/loop.h"
 #include "test/net.h"
 
 extern "C" {
@@ -85,7 +86,7 @@
 	{
 		for (auto &r : replicas)
 			so_source_stop(&r->source);
-		ba_loop_free(loop);
+		settle_and_free(loop);
 	}
 
 	struct ba_loop *loop = ba_loop_new();
--- a/test/wire_test.cc
+++ b/test/wire_test.cc
@@ -10,6 +10,7 @@
 #include "base/ba_result.h"
 #include "base/ba_socket.h"
 #include "wire/ct.pb-c.h"
+#include "test/loop.h"
 #include "test/net.h"
 #include "wire/wi_session.h"
 
@@ -56,10 +57,11 @@
 struct end {
 	struct wi_handler handler;
 	struct ba_loop *loop;
-	int opened;
-	int frames;
-	int code;
-	bool send_on_open;
+	int opened = 0;
+	int frames = 0;
+	int code = 0;
+	bool send_on_open = false;
+	struct wi_session *session = nullptr;
 };
 
 struct test_acceptor {
@@ -72,6 +74,7 @@
 	auto *e = (struct end *)h;
 
 	e->opened++;
+	e->session = s;
 	if (e->send_on_open)
 		wi_send(s, CT_QUERY, nullptr);
 }
@@ -90,9 +93,16 @@
 	auto *e = (struct end *)h;
 
 	e->code = code;
+	e->session = nullptr;
 	ba_loop_stop(e->loop);
 }
 
+void close_end(const struct end &e)
+{
+	if (e.session)
+		wi_close(e.session, WI_PEER_CLOSED);
+}
+
 struct wi_handler *accept_end(struct wi_acceptor *a, struct wi_session *)
 {
 	return &((struct test_acceptor *)a)->end->handler;
@@ -136,8 +146,7 @@
 
 	for (const auto &c : cases) {
 		struct ba_loop *loop = ba_loop_new();
-		struct end server = {
-			{on_opened, on_frame, on_closed}, loop, 0, 0, 0, false};
+		struct end server = {{on_opened, on_frame, on_closed}, loop};
 		struct end client = server;
 		struct test_acceptor t = {{accept_end}, &server};
 		struct wi_identity sid = identity("m", WI_SOURCE, "", 1);
@@ -165,7 +174,9 @@
 				<< c.mesh << c.key_id;
 		}
 		wi_listener_close(l);
-		ba_loop_free(loop);
+		close_end(client);
+		close_end(server);
+		settle_and_free(loop);
 	}
 }
 
@@ -186,8 +197,7 @@
 int dial_unread(int port, const struct wi_limits &limits, size_t n_queued)
 {
 	struct ba_loop *loop = ba_loop_new();
-	struct end client = {
-		{on_opened, on_frame, on_closed}, loop, 0, 0, 0, false};
+	struct end client = {{on_opened, on_frame, on_closed}, loop};
 	struct wi_identity id = identity("m", WI_DAEMON, "", 1);
 	std::vector<int> queued;
 	struct ba_address at;
@@ -203,7 +213,7 @@
 	for (int queued_fd : queued)
 		close(queued_fd);
 	close(fd);
-	ba_loop_free(loop);
+	settle_and_free(loop);
 	return client.code;
 }
 
@@ -231,8 +241,7 @@
 	limits.handshake_timeout = 50 * BA_MS;
 	for (const auto &c : cases) {
 		struct ba_loop *loop = ba_loop_new();
-		struct end server = {
-			{on_opened, on_frame, on_closed}, loop, 0, 0, 0, false};
+		struct end server = {{on_opened, on_frame, on_closed}, loop};
 		struct end client = server;
 		struct test_acceptor t = {{accept_end}, &server};
 		struct wi_identity id = identity("m", WI_SOURCE, "", 1);
@@ -258,7 +267,9 @@
 		ba_loop_run(loop);
 		EXPECT_EQ(server.frames, 1) << c.name;
 		wi_listener_close(l);
-		ba_loop_free(loop);
+		close_end(client);
+		close_end(server);
+		settle_and_free(loop);
 	}
 }
 
@@ -287,14 +298,8 @@
 {
 	struct ba_loop *loop = ba_loop_new();
 	struct ba_loop *frozen = ba_loop_new();
-	struct end server = {
-		{nullptr, on_frame, on_closed}, loop, 0, 0, 0, false};
-	struct end client = {{stop_when_opened, on_frame, on_closed},
-			     frozen,
-			     0,
-			     0,
-			     0,
-			     false};
+	struct end server = {{nullptr, on_frame, on_closed}, loop};
+	struct end client = {{stop_when_opened, on_frame, on_closed}, frozen};
 	struct test_acceptor t = {{accept_end}, &server};
 	struct wi_identity id = identity("m", WI_SOURCE, "", 1);
 	struct wi_limits limits = wi_limits_default;
@@ -317,8 +322,8 @@
 	client.handler.frame = on_frame;
 	ba_loop_run(frozen);
 	EXPECT_NE(client.code, BA_OK);
-	ba_loop_free(loop);
-	ba_loop_free(frozen);
+	settle_and_free(loop);
+	settle_and_free(frozen);
 }
 
 /* No SYN is answered; the kernel alone would retry for minutes. */
@@ -335,8 +340,7 @@
 TEST(WiSession, ConnectionRefused)
 {
 	struct ba_loop *loop = ba_loop_new();
-	struct end client = {
-		{on_opened, on_frame, on_closed}, loop, 0, 0, 0, false};
+	struct end client = {{on_opened, on_frame, on_closed}, loop};
 	struct wi_identity id = identity("m", WI_DAEMON, "", 1);
 	struct ba_address at;
 
@@ -344,7 +348,7 @@
 	wi_dial(loop, &at, &id, &wi_limits_default, &client.handler);
 	ba_loop_run(loop);
 	EXPECT_EQ(client.code, WI_CONNECT_FAILED);
-	ba_loop_free(loop);
+	settle_and_free(loop);
 }
 
 enum { LONG_FRAMES = 32, LONG_FRAME_BYTES = 1024 * 1024 };
@@ -381,14 +385,8 @@
 TEST(WiSession, FinishDeliversWhatIsQueued)
 {
 	struct ba_loop *loop = ba_loop_new();
-	struct end server = {{send_and_finish, ignore_frame, on_closed},
-			     loop,
-			     0,
-			     0,
-			     0,
-			     false};
-	struct end client = {
-		{nullptr, count_frame, on_closed}, loop, 0, 0, 0, false};
+	struct end server = {{send_and_finish, ignore_frame, on_closed}, loop};
+	struct end client = {{nullptr, count_frame, on_closed}, loop};
 	struct test_acceptor t = {{accept_end}, &server};
 	struct wi_identity id = identity("m", WI_SOURCE, "", 1);
 	struct wi_listener *l = nullptr;
@@ -406,7 +404,7 @@
 		ba_loop_run(loop);
 	EXPECT_EQ(server.code, WI_PEER_CLOSED);
 	wi_listener_close(l);
-	ba_loop_free(loop);
+	settle_and_free(loop);
 }
 
 } // namespace
