distrib: a silent relay is left after 1.05 s, and a newer version is heard of

Nothing was said of relays that were tried in vain, of the time without word, nor by an instance that others were ahead of.

--- a/Makefile
+++ b/Makefile
@@ -58,7 +58,7 @@
 BINARIES := $(PROGRAMS:%=$(BUILD)/%) $(TOOLS:%=$(BUILD)/%)
 
 .PHONY: all programs demo check tests run-tests bench bench-converge bench-calls \
-	bench-scale install clean deps lint-deps format lint tidy proto docs
+	bench-scale bench-silence install clean deps lint-deps format lint tidy proto docs
 
 all: $(BINARIES)
 
@@ -90,9 +90,9 @@
 
 tests: $(BUILD)/test/all
 
-bench: bench-converge bench-calls bench-scale
+bench: bench-converge bench-calls bench-scale bench-silence
 
-bench-converge bench-calls bench-scale: deps
+bench-converge bench-calls bench-scale bench-silence: deps
 	@$(MAKE) --no-print-directory -s -j$$(nproc) all
 	@bench/$@.sh $(BUILD)
 
--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -84,6 +84,11 @@
 	[DS_EV_OLDER_REFUSED] =
 		{"older-refused", BA_WARNING,
 		 "A version older than the one held was refused."},
+	[DS_EV_PASSED_OVER] =
+		{"passed-over", BA_NOTICE,
+		 "An upstream opened no session; the next one is dialled."},
+	[DS_EV_BEHIND] = {"behind", BA_WARNING,
+			  "A newer version than the one in force is known."},
 	[EP_EV_JOINED] = {"endpoint-joined", BA_INFO,
 			  "An endpoint has announced itself."},
 	[EP_EV_LEFT] = {"endpoint-left", BA_INFO, "An endpoint has left."},
--- a/bench/ds_bench_main.c
+++ b/bench/ds_bench_main.c
@@ -289,7 +289,7 @@
 	s->feed = ds_feed_new(bench.source_thread.loop, NULL);
 	ds_feed_set_authority(s->feed, true);
 	if (wi_listen(bench.source_thread.loop, &bench.source_at, &s->identity,
-		      &ds_session_limits, &s->acceptor, &s->listener))
+		      &ds_listen_limits, &s->acceptor, &s->listener))
 		abort();
 	ba_add_64(&bench.calls_done, 1);
 }
--- a/daemon/da.h
+++ b/daemon/da.h
@@ -62,6 +62,8 @@
  * @closing: all new calls are refused, from callers and from other daemons
  * @work_deadline: while draining, a call that arrives after this time must
  *	not reach the backend server
+ * @current_until: until when @snapshot counts as the newest; without that, a
+ *	route that is not in it may be a new one
  * @in_progress: number of calls that have not ended
  */
 struct da_shared {
@@ -80,6 +82,7 @@
 	bool draining;
 	bool closing;
 	ba_time work_deadline;
+	ba_time current_until;
 	unsigned int in_progress;
 };
 
--- a/daemon/da_ingress.c
+++ b/daemon/da_ingress.c
@@ -19,6 +19,8 @@
 		return CL_NOT_CONFIGURED;
 	c->snapshot = cf_snapshot_ref(shared->snapshot);
 	code = find_route(c);
+	if (code == CL_NO_ROUTE && ba_clock_now() >= shared->current_until)
+		return CL_NOT_CURRENT;
 	if (code)
 		return code;
 	if (!cl_admit_has_capacity(shared->in_progress,
--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -13,6 +13,7 @@
 #include "distrib/ds_store.h"
 #include "endpoint/ep_table.h"
 #include "endpoint/ep_wire.h"
+#include "report/rt.h"
 #include "wire/ds.pb-c.h"
 #include "wire/rt.pb-c.h"
 
@@ -38,6 +39,15 @@
 /* Moves of daemons that hold a configuration are spread over this time. */
 #define MOVE_JITTER (2 * BA_SECOND)
 
+/* Changes reach no two instances at the same time. */
+#define BEHIND_DELAY BA_SECOND
+
+/*
+ * Nothing confirms what another instance was heard of: if it is wrong, it must
+ * not hold for ever.
+ */
+#define NOTED_TIME (10 * BA_SECOND)
+
 enum { VIEW_SUBSET = 64 }; /* most endpoints of one service in a view */
 
 /*
@@ -47,6 +57,10 @@
  * @subscribed: whether the open session has got the subscription
  * @confirmed: whether the last update of the open session said that the version
  *	held is the newest
+ * @noted: newest version that another instance was heard of
+ * @noted_until: when @noted is forgotten
+ * @behind_timer: armed while @noted is newer than the version held, and that is
+ *	not yet logged
  * @marks_timer: armed while the marks have changed since the last announcement
  * @marks_not_before: earliest time at which marks are announced again
  */
@@ -65,12 +79,15 @@
 	struct ba_timer sibling_timer;
 	struct ba_timer subscribe_timer;
 	struct ba_timer marks_timer;
+	struct ba_timer behind_timer;
 	ba_time marks_not_before;
 	struct ba_address *seeds;
 	size_t n_seeds;
 	struct ds_ranking *ranking;
 	bool subscribed;
 	bool confirmed;
+	uint64_t noted;
+	ba_time noted_until;
 	struct ds_receiver receiver;
 	struct ep_record record;
 	ba_time lease;
@@ -93,6 +110,29 @@
 static void on_expiry_timer(struct ba_timer *t, ba_time now);
 static void on_sibling_timer(struct ba_timer *t, ba_time now);
 static void on_marks_timer(struct ba_timer *t, ba_time now);
+static void on_behind_timer(struct ba_timer *t, ba_time now);
+static uint64_t versions_behind(const struct ds_agent *a, ba_time now);
+static void on_behind_timer(struct ba_timer *t, ba_time now)
+{
+	struct ds_agent *a = ba_entry(t, struct ds_agent, behind_timer);
+	const struct wi_session *s = ds_link_session(a->link);
+	uint64_t behind = versions_behind(a, now);
+
+	rt_set_gauge(RT_BEHIND, behind);
+	if (behind)
+		ba_event(DS_EV_BEHIND, "held=%llu known=%llu relay=%s",
+			 (unsigned long long)a->receiver.subscriber.held,
+			 (unsigned long long)a->noted,
+			 s ? wi_session_peer(s)->instance : "none");
+}
+
+static uint64_t versions_behind(const struct ds_agent *a, ba_time now)
+{
+	uint64_t held = a->receiver.subscriber.held;
+
+	return now < a->noted_until && a->noted > held ? a->noted - held : 0;
+}
+
 static bool has_marks(const struct ep_record *r, const struct ep_mark *marks,
 		      size_t n, uint64_t epoch);
 static void load_stored(struct ds_agent *a);
@@ -135,6 +175,7 @@
 	a->sibling_timer.fire = on_sibling_timer;
 	a->subscribe_timer.fire = on_subscribe_timer;
 	a->marks_timer.fire = on_marks_timer;
+	a->behind_timer.fire = on_behind_timer;
 	a->loop = loop;
 	a->owner = owner;
 	a->identity = options->identity;
@@ -231,13 +272,31 @@
 	return ds_link_session(a->link);
 }
 
-bool ds_agent_is_current(const struct ds_agent *a)
+void ds_agent_note_version(struct ds_agent *a, uint64_t version)
+{
+	ba_time now = ba_loop_now(a->loop);
+
+	if (version <= a->receiver.subscriber.held ||
+	    (version < a->noted && now < a->noted_until))
+		return;
+	if (!versions_behind(a, now) && !a->behind_timer.slot)
+		ba_loop_arm(a->loop, &a->behind_timer, now + BEHIND_DELAY);
+	a->noted = version;
+	a->noted_until = now + NOTED_TIME;
+}
+
+ba_time ds_agent_current_until(const struct ds_agent *a)
 {
 	const struct wi_session *s = ds_link_session(a->link);
 
-	return s && a->confirmed &&
-	       ba_loop_now(a->loop) <
-		       wi_session_heard_at(s) + DS_CURRENT_SILENCE;
+	if (!s || !a->confirmed || versions_behind(a, ba_loop_now(a->loop)))
+		return 0;
+	return wi_session_heard_at(s) + DS_CURRENT_SILENCE;
+}
+
+bool ds_agent_is_current(const struct ds_agent *a)
+{
+	return ba_loop_now(a->loop) < ds_agent_current_until(a);
 }
 
 void ds_agent_free(struct ds_agent *a)
@@ -250,6 +309,7 @@
 	ba_loop_disarm(a->loop, &a->sibling_timer);
 	ba_loop_disarm(a->loop, &a->subscribe_timer);
 	ba_loop_disarm(a->loop, &a->marks_timer);
+	ba_loop_disarm(a->loop, &a->behind_timer);
 	ds_link_free(a->link);
 	ds_sibling_free(a->sibling);
 	ds_receiver_free(&a->receiver);
@@ -486,6 +546,7 @@
 		ba_event(CF_EV_REFUSED, "version=%llu kept=no code=%d",
 			 (unsigned long long)next->version, ret);
 	ds_receiver_set_current(&a->receiver, next);
+	rt_set_gauge(RT_BEHIND, versions_behind(a, ba_loop_now(a->loop)));
 	ds_sibling_publish(a->sibling, next);
 	a->owner->on_snapshot(a->owner, next);
 }
--- a/distrib/ds_agent.h
+++ b/distrib/ds_agent.h
@@ -22,8 +22,7 @@
 extern "C" {
 #endif
 
-/* A relay sends something each second. */
-#define DS_CURRENT_SILENCE (1500 * BA_MS)
+#define DS_CURRENT_SILENCE DS_SILENCE_FIRST
 
 struct ds_agent;
 
@@ -111,11 +110,24 @@
 bool ds_agent_connected(const struct ds_agent *a);
 
 /**
- * ds_agent_is_current() - whether the version held is known to be the newest
+ * ds_agent_note_version() - note that another instance has @version in force
  *
- * It is while a relay that hears the source has confirmed it in the open session
- * and was heard within %DS_CURRENT_SILENCE.
+ * Versions that are not newer than the one held are ignored.
  */
+void ds_agent_note_version(struct ds_agent *a, uint64_t version);
+
+/**
+ * ds_agent_current_until() - until when the version held counts as the newest
+ *
+ * It does for %DS_CURRENT_SILENCE after a relay was heard that hears the source
+ * and has confirmed the version in the open session, while no other instance
+ * was heard of that has a newer one.
+ *
+ * Return: a time, which may have passed, or 0 while the version does not.
+ */
+ba_time ds_agent_current_until(const struct ds_agent *a);
+
+/** ds_agent_is_current() - whether the version held counts as the newest now */
 bool ds_agent_is_current(const struct ds_agent *a);
 
 /** ds_agent_free() - end the session and free the agent */
--- a/distrib/ds_dialer.c
+++ b/distrib/ds_dialer.c
@@ -4,6 +4,7 @@
 
 static size_t next_address(const struct ds_dialer *d, bool was_open,
 			   bool silent);
+static void count_silent(struct ds_dialer *d, ba_time now);
 static ba_time setup_time(const struct ds_dialer *d);
 static ba_time backoff_delay(struct ds_dialer *d);
 static ba_time jitter(struct ds_dialer *d, ba_time limit);
@@ -63,6 +64,8 @@
 {
 	bool was_open = d->open;
 
+	if (was_open && silent)
+		count_silent(d, now);
 	d->open = false;
 	d->setup_deadline = BA_NEVER;
 	d->failback_deadline = BA_NEVER;
@@ -79,14 +82,26 @@
 		d->dial_deadline = now + backoff_delay(d);
 }
 
+ba_time ds_dialer_silence_time(const struct ds_dialer *d, ba_time now)
+{
+	bool is_rare = d->n_silent < DS_SILENT_MAX || now >= d->silent_deadline;
+
+	return d->n > 1 && is_rare ? DS_SILENCE_FIRST : DS_SILENCE_LIMIT;
+}
+
 bool ds_dialer_should_give_up(const struct ds_dialer *d, ba_time now)
 {
 	return now >= d->setup_deadline;
 }
 
-/* A peer with fresh data resets the pauses of the search for one. */
+/*
+ * A peer with fresh data resets the pauses of the search for one.  A peer that
+ * has just become stale gets time to find another upstream.
+ */
 void ds_dialer_set_stale(struct ds_dialer *d, bool stale, ba_time now)
 {
+	if (stale && !d->stale && d->leave_deadline < now + DS_LEAVE_DELAY)
+		d->leave_deadline = now + DS_LEAVE_DELAY;
 	if (!stale) {
 		d->n_stale = 0;
 		d->leave_pause = DS_LEAVE_PAUSE_FIRST;
@@ -97,10 +112,7 @@
 	d->stale = stale;
 }
 
-/*
- * A stale peer is left DS_LEAVE_DELAY after the session was opened; when every
- * peer was stale, a pause follows.
- */
+/* When every peer was stale, a pause follows. */
 bool ds_dialer_should_leave(struct ds_dialer *d, ba_time now)
 {
 	if (!d->open || !d->stale || d->n < 2 || now < d->leave_deadline)
@@ -154,6 +166,14 @@
 	return (d->current + 1) % d->n;
 }
 
+static void count_silent(struct ds_dialer *d, ba_time now)
+{
+	if (now >= d->silent_deadline)
+		d->n_silent = 0;
+	d->n_silent++;
+	d->silent_deadline = now + DS_SILENT_PERIOD;
+}
+
 static ba_time setup_time(const struct ds_dialer *d)
 {
 	unsigned int rounds = d->attempts / (unsigned int)d->n;
--- a/distrib/ds_dialer.h
+++ b/distrib/ds_dialer.h
@@ -9,8 +9,12 @@
  *   one.  That time is short, as a frozen process accepts connections, and grows
  *   with each round in vain.
  * - An address whose session fell silent is not the one that is dialled next.
- * - A peer whose data are stale is left for the next address.  When all peers
- *   were stale, the current one is kept for a pause that doubles each round.
+ * - Silence is judged early while that is rare, as there is another address to
+ *   go to.  After some sessions were left for it in a short time, the peers may
+ *   only be slow, and more patience keeps those they serve from moving about.
+ * - A peer whose data are stale is left for the next address, unless they are
+ *   fresh again within a short time.  When all peers were stale, the current
+ *   one is kept for a pause that doubles each round.
  * - While a session to a less preferred address is open, the dialer fails
  *   back to the preferred ones after a delay, which doubles whenever a
  *   preferred peer turns out to be stale.
@@ -39,6 +43,14 @@
 #define DS_LEAVE_PAUSE_FIRST (5 * BA_SECOND)
 #define DS_LEAVE_PAUSE_LIMIT (30 * BA_SECOND)
 
+#define DS_HEARTBEAT_INTERVAL (700 * BA_MS)
+
+/* A peer that pauses for 300 ms before a heartbeat is not yet silent. */
+#define DS_SILENCE_FIRST (DS_HEARTBEAT_INTERVAL + 350 * BA_MS)
+#define DS_SILENCE_LIMIT (2500 * BA_MS)
+#define DS_SILENT_PERIOD (30 * BA_SECOND)
+#define DS_SILENT_MAX 3
+
 /**
  * struct ds_dialer - state of one dialer
  * @n: number of addresses
@@ -58,6 +70,9 @@
  * @leave_deadline: earliest time to leave a stale peer
  * @leave_pause: pause after a round in which every peer was stale
  * @n_stale: number of stale peers left since one was fresh
+ * @n_silent: sessions that fell silent, none more than %DS_SILENT_PERIOD after
+ *	the one before
+ * @silent_deadline: when @n_silent begins anew
  */
 struct ds_dialer {
 	size_t n;
@@ -74,6 +89,8 @@
 	ba_time leave_deadline;
 	ba_time leave_pause;
 	unsigned int n_stale;
+	unsigned int n_silent;
+	ba_time silent_deadline;
 	struct ba_rand rand;
 };
 
@@ -104,6 +121,12 @@
 void ds_dialer_closed(struct ds_dialer *d, bool silent, ba_time retry_after,
 		      ba_time now);
 
+/**
+ * ds_dialer_silence_time() - how long the peer of the open session may say
+ * nothing before the session has to be closed as silent
+ */
+ba_time ds_dialer_silence_time(const struct ds_dialer *d, ba_time now);
+
 /** ds_dialer_should_give_up() - whether to stop dialling @current */
 bool ds_dialer_should_give_up(const struct ds_dialer *d, ba_time now);
 
--- a/distrib/ds_feed.c
+++ b/distrib/ds_feed.c
@@ -5,6 +5,7 @@
 #include "base/ba_event.h"
 #include "base/ba_list.h"
 #include "base/ba_result.h"
+#include "distrib/ds_dialer.h"
 #include "distrib/ds_feed.h"
 #include "distrib/ds_pacing.h"
 #include "distrib/ds_publisher.h"
@@ -59,12 +60,23 @@
 	struct ba_rand rand;
 };
 
-const struct wi_limits ds_session_limits = {
-	.heartbeat_interval = BA_SECOND,
-	.silence_timeout = 2500 * BA_MS,
+enum { QUEUE_BYTES = 64 * 1024 * 1024 };
+
+/* Both ends together send as many heartbeats as with one a second at each. */
+const struct wi_limits ds_dial_limits = {
+	.heartbeat_interval = 1750 * BA_MS,
+	.silence_timeout = DS_SILENCE_LIMIT,
+	.connect_timeout = WI_CONNECT_TIMEOUT,
+	.handshake_timeout = 2 * BA_SECOND,
+	.max_queue_bytes = QUEUE_BYTES,
+};
+
+const struct wi_limits ds_listen_limits = {
+	.heartbeat_interval = DS_HEARTBEAT_INTERVAL,
+	.silence_timeout = 3250 * BA_MS,
 	.connect_timeout = WI_CONNECT_TIMEOUT,
 	.handshake_timeout = 2 * BA_SECOND,
-	.max_queue_bytes = 64 * 1024 * 1024,
+	.max_queue_bytes = QUEUE_BYTES,
 };
 
 static void buf_free(void *data);
--- a/distrib/ds_feed.h
+++ b/distrib/ds_feed.h
@@ -111,8 +111,17 @@
 /** ds_feed_version() - return the newest version published, 0 for none */
 uint64_t ds_feed_version(const struct ds_feed *f);
 
-/** ds_session_limits - limits of the sessions used for distribution */
-extern const struct wi_limits ds_session_limits;
+/**
+ * ds_dial_limits - limits of the sessions used for distribution, at the end that
+ * dials
+ *
+ * It learns soon that the publisher is silent, so the publisher sends the more
+ * frequent heartbeats, and waits longer for those of the other end.
+ */
+extern const struct wi_limits ds_dial_limits;
+
+/** ds_listen_limits - the same, at the end that listens */
+extern const struct wi_limits ds_listen_limits;
 
 /** ds_feed_free() - free the feed; sessions are not closed */
 void ds_feed_free(struct ds_feed *f);
--- a/distrib/ds_sibling.c
+++ b/distrib/ds_sibling.c
@@ -77,7 +77,7 @@
 	ba_list_init(&s->served);
 	if (!control_address)
 		return s;
-	if (wi_listen(loop, control_address, identity, &ds_session_limits,
+	if (wi_listen(loop, control_address, identity, &ds_listen_limits,
 		      &s->acceptor, &s->listener)) {
 		g_free(s);
 		return NULL;
@@ -107,7 +107,7 @@
 	r = c.list[ba_rand_below(rand, c.n)];
 	if (ba_parse_address(r->control_address, &to))
 		return;
-	s->client = wi_dial(s->loop, &to, s->identity, &ds_session_limits,
+	s->client = wi_dial(s->loop, &to, s->identity, &ds_dial_limits,
 			    &s->client_handler);
 }
 
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -106,6 +106,7 @@
 			       bool renewed);
 static void on_marks_changed(struct px_owner *o, const struct ep_mark *marks,
 			     size_t n);
+static void on_version_heard(struct px_owner *o, uint64_t version);
 static bool is_current(struct px_owner *o);
 static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s);
 static void on_view(struct ds_agent_owner *o, struct ep_view *v);
@@ -172,6 +173,7 @@
 	ba_random_bytes(&o.seed, sizeof(o.seed));
 	g->proxy_owner.backend_changed = on_backend_changed;
 	g->proxy_owner.marks_changed = on_marks_changed;
+	g->proxy_owner.version_heard = on_version_heard;
 	g->proxy_owner.is_current = is_current;
 	if (px_new(g->loop, &o, &g->proxy_owner, &failed, &g->proxy))
 		return pr_listen_failed(failed);
@@ -239,6 +241,13 @@
 	ds_agent_report_marks(g->agent, marks, n, g->identity.incarnation);
 }
 
+static void on_version_heard(struct px_owner *o, uint64_t version)
+{
+	struct program *g = ba_entry(o, struct program, proxy_owner);
+
+	ds_agent_note_version(g->agent, version);
+}
+
 static bool is_current(struct px_owner *o)
 {
 	struct program *g = ba_entry(o, struct program, proxy_owner);
--- a/prog/carawayd.c
+++ b/prog/carawayd.c
@@ -477,17 +477,18 @@
 
 /*
  * Renews the lease of idempotency keys only while a relay is connected: without
- * one, other daemons may believe that this endpoint is gone.
+ * one, other daemons may believe that this endpoint is gone.  What relays
+ * confirm of the configuration is renewed with it.
  */
 static void on_lease_timer(struct ba_timer *t, ba_time now)
 {
 	struct daemon *d = ba_entry(t, struct daemon, lease_timer);
 
-	if (ds_agent_connected(d->agent)) {
-		pthread_mutex_lock(&d->shared.lock);
+	pthread_mutex_lock(&d->shared.lock);
+	if (ds_agent_connected(d->agent))
 		cl_dedup_renew_lease(d->shared.dedup, ba_clock_wall());
-		pthread_mutex_unlock(&d->shared.lock);
-	}
+	d->shared.current_until = ds_agent_current_until(d->agent);
+	pthread_mutex_unlock(&d->shared.lock);
 	ba_loop_arm(d->loop, t, now + LEASE_RENEWAL_PERIOD);
 }
 
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -73,6 +73,17 @@
 	px_exchange_resume_held(p);
 }
 
+/* What is no number is no version. */
+void px_note_version(struct px *p, const struct ht_head *h)
+{
+	const char *text = ht_head_get(h, PX_FIELD_VERSION);
+	uint64_t version;
+
+	if (text &&
+	    g_ascii_string_to_unsigned(text, 10, 1, UINT64_MAX, &version, NULL))
+		p->owner->version_heard(p->owner, version);
+}
+
 void px_set_endpoints(struct px *p, const struct ep_view *v)
 {
 	cl_router_update(p->router, v, ba_loop_now(p->loop));
--- a/proxy/px.h
+++ b/proxy/px.h
@@ -39,6 +39,7 @@
  *	@b is the first heartbeat of another start
  * @marks_changed: the own report of requests that crash backend servers has
  *	changed; @marks is all of it
+ * @version_heard: another proxy has configuration version @version in force
  * @is_current: whether the configuration is known to be the newest, or was so a
  *	moment ago; without that, an unknown route may be a new one
  */
@@ -47,6 +48,7 @@
 				const struct px_heartbeat *b, bool renewed);
 	void (*marks_changed)(struct px_owner *o, const struct ep_mark *marks,
 			      size_t n);
+	void (*version_heard)(struct px_owner *o, uint64_t version);
 	bool (*is_current)(struct px_owner *o);
 };
 
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -9,6 +9,7 @@
 		       struct ba_buf *out);
 static void add_backend_fields(const struct px_exchange *x, struct ba_buf *out);
 static void add_proxy_fields(struct px_exchange *x, struct ba_buf *out);
+static void add_version(const struct px *p, struct ba_buf *out);
 static void add_leaves_field(const struct px_exchange *x, struct ba_buf *out);
 static ba_time time_left(const struct px_exchange *x);
 static ba_time retry_after(struct px_exchange *x, int code);
@@ -62,6 +63,7 @@
 	if (x->downstream->from_peer) {
 		ba_buf_addf(out, PX_FIELD_LOAD ": %u\r\n",
 			    cl_admit_load(x->p->backend.admit));
+		add_version(x->p, out);
 		px_limit_write_stated(x, out);
 	}
 	x->no_body = !strcmp(request->method, "HEAD") || h->status == 204 ||
@@ -95,6 +97,7 @@
 			    x->p->backend.admit
 				    ? cl_admit_load(x->p->backend.admit)
 				    : 0);
+		add_version(x->p, out);
 		px_limit_write_stated(x, out);
 	} else if (status == 503)
 		ba_buf_addf(out, "Retry-After: %.3f\r\n",
@@ -168,9 +171,17 @@
 				       ": %lld\r\n",
 		    (long long)time_left(x), (long long)target);
 	add_leaves_field(x, out);
+	add_version(x->p, out);
 	px_limit_write_told(x, out);
 }
 
+static void add_version(const struct px *p, struct ba_buf *out)
+{
+	if (p->snapshot)
+		ba_buf_addf(out, PX_FIELD_VERSION ": %llu\r\n",
+			    (unsigned long long)p->snapshot->version);
+}
+
 /* The caller may leave before this proxy does. */
 static void add_leaves_field(const struct px_exchange *x, struct ba_buf *out)
 {
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -322,6 +322,7 @@
 		x->leaves_at =
 			x->arrived_at + g_ascii_strtoll(leaves, NULL, 10);
 	ba_loop_arm(x->p->loop, &x->timer, x->deadline);
+	px_note_version(x->p, h);
 	px_limit_on_told(x);
 	if (px_poison_refuses(x))
 		answer_error(x, 503, CL_REQUEST_CRASHES);
@@ -345,12 +346,11 @@
 	cf_snapshot_unref(x->snapshot);
 	x->snapshot = cf_snapshot_ref(p->snapshot);
 	r = find_route(x);
-	if (!r && p->owner->is_current(p->owner)) {
-		answer_error(x, 404, CL_NO_ROUTE);
-		return;
-	}
 	if (!r) {
-		answer_error(x, 503, CL_NOT_CURRENT);
+		if (p->owner->is_current(p->owner))
+			answer_error(x, 404, CL_NO_ROUTE);
+		else
+			answer_error(x, 503, CL_NOT_CURRENT);
 		return;
 	}
 	apply_route(x, r);
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -99,6 +99,8 @@
 #define PX_FIELD_ROOM "caraway-room-us"
 /* In a request: what the sender was told of the backend server, and its age. */
 #define PX_FIELD_TOLD "caraway-told"
+/* The configuration version that the sender has in force. */
+#define PX_FIELD_VERSION "caraway-version"
 
 struct px_downstream;
 
@@ -521,6 +523,9 @@
 /** px_limit_on_told() - process what another proxy was told, from its request */
 void px_limit_on_told(struct px_exchange *x);
 
+/** px_note_version() - pass on which version the other proxy has in force */
+void px_note_version(struct px *p, const struct ht_head *h);
+
 /** px_limit_on_stated() - process what another proxy tells with an answer */
 void px_limit_on_stated(struct px_exchange *x, const struct ht_head *h);
 
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -188,6 +188,7 @@
 	}
 	if (x->state == PX_ATTEMPT_AT_PEER) {
 		record_load(x, h);
+		px_note_version(x->p, h);
 		px_limit_on_stated(x, h);
 	} else {
 		if (x->fresh)
--- a/relay/re_relay.c
+++ b/relay/re_relay.c
@@ -17,7 +17,7 @@
 	r->acceptor.accept = re_session_accept;
 	ba_list_init(&r->conns);
 	if (wi_listen(r->loop, &r->settings->address, r->identity,
-		      &ds_session_limits, &r->acceptor, &r->listener))
+		      &ds_listen_limits, &r->acceptor, &r->listener))
 		return BA_PORT_IN_USE;
 	r->by_instance = g_hash_table_new(g_str_hash, g_str_equal);
 	r->origins =
--- a/report/rt.c
+++ b/report/rt.c
@@ -62,11 +62,15 @@
 	[RT_BACKEND_LIMITS] = "backend_limits_learned",
 	[RT_BACKEND_DEPARTURES] = "backend_departures_learned",
 	[RT_RATE_REFUSED] = "rate_refused",
+	[RT_UPSTREAMS_SILENT] = "upstreams_silent",
+	[RT_UPSTREAMS_PASSED_OVER] = "upstreams_passed_over",
+	[RT_UPSTREAM_UNHEARD_MS] = "upstream_unheard_ms",
 };
 
 static const char *const gauge_names[] = {
 	[RT_CONVICTED] = "convicted_requests",
 	[RT_BACKEND_LIMIT] = "backend_limit_per_1000_s",
+	[RT_BEHIND] = "versions_behind",
 };
 
 static uint64_t counters[RT_COUNTERS];
--- a/report/rt.h
+++ b/report/rt.h
@@ -73,6 +73,9 @@
 	RT_BACKEND_LIMITS,
 	RT_BACKEND_DEPARTURES,
 	RT_RATE_REFUSED,
+	RT_UPSTREAMS_SILENT,
+	RT_UPSTREAMS_PASSED_OVER,
+	RT_UPSTREAM_UNHEARD_MS, /* without word between two sessions, in ms */
 	RT_COUNTERS,
 };
 
@@ -80,6 +83,7 @@
 enum rt_gauge {
 	RT_CONVICTED,	  /* requests that it refuses now */
 	RT_BACKEND_LIMIT, /* 1,000 times the stated limit, 0 for none */
+	RT_BEHIND,	  /* versions known to be newer than the one held */
 	RT_GAUGES,
 };
 
--- a/source/so_source.c
+++ b/source/so_source.c
@@ -45,7 +45,7 @@
 	if (!ret) {
 		s->acceptor.accept = so_session_accept;
 		ret = wi_listen(s->loop, &s->settings->address, s->identity,
-				&ds_session_limits, &s->acceptor, &s->listener);
+				&ds_listen_limits, &s->acceptor, &s->listener);
 	}
 	if (ret)
 		return ret;
--- a/test/ds_dialer_test.cc
+++ b/test/ds_dialer_test.cc
@@ -8,8 +8,7 @@
 namespace
 {
 
-/* As of sessions to relays: see ds_session_limits. */
-const ba_time SILENCE_TIMEOUT = 2500 * BA_MS;
+/* As of sessions to relays: see ds_dial_limits. */
 const ba_time HANDSHAKE_TIMEOUT = 2 * BA_SECOND;
 const ba_time REFUSAL_TIME = BA_MS;
 const ba_time OPEN_TIME = 35 * BA_MS;
@@ -17,23 +16,26 @@
 const ba_time LENGTH = 120 * BA_SECOND;
 
 /*
- * Frozen from FROZEN_AT to @thaws_at: the kernel accepts connections, and
- * nothing is said.
+ * Frozen from FROZEN_AT to @thaws_at, and again each @period if it is not 0:
+ * the kernel accepts connections, and nothing is said.
  */
 struct relay {
 	ba_time thaws_at; /* 0: it does not freeze */
 	bool refuses;	  /* from FROZEN_AT on */
+	ba_time period;
 };
 
-const relay SOUND = {0, false};
-const relay FROZEN = {BA_NEVER, false};
-const relay GONE = {0, true};
+const relay SOUND = {0, false, 0};
+const relay FROZEN = {BA_NEVER, false, 0};
+const relay GONE = {0, true, 0};
 
 enum variant {
 	RIGHT,
-	REDIALS,      /* the relay that fell silent is dialled first */
-	WAITS,	      /* no time limit of its own for the handshake */
-	REDIALS_WAITS /* both */
+	REDIALS,       /* the relay that fell silent is dialled first */
+	WAITS,	       /* no time limit of its own for the handshake */
+	REDIALS_WAITS, /* both */
+	PATIENT,       /* silence is judged as late as it ever is */
+	IMPATIENT,     /* as early as it ever is */
 };
 
 /* A daemon in virtual time; it was at the first relay for long. */
@@ -44,6 +46,7 @@
 	ba_time now = 0;
 	ba_time lost_at = BA_NEVER; /* the silence was noticed */
 	ba_time found_at = BA_NEVER;
+	size_t n_silent = 0; /* sessions left for silence */
 	std::vector<size_t> dials;
 
 	daemon_world(const std::vector<relay> &r, size_t n_preferred,
@@ -56,8 +59,24 @@
 
 	bool is_frozen(size_t i) const
 	{
-		return relays[i].thaws_at && now >= FROZEN_AT &&
-		       now < relays[i].thaws_at;
+		ba_time since = now - FROZEN_AT;
+
+		if (since > 0 && relays[i].period)
+			since %= relays[i].period;
+		return relays[i].thaws_at && since >= 0 &&
+		       since < relays[i].thaws_at - FROZEN_AT;
+	}
+
+	ba_time silence_time() const
+	{
+		switch (v) {
+		case PATIENT:
+			return DS_SILENCE_LIMIT;
+		case IMPATIENT:
+			return DS_SILENCE_FIRST;
+		default:
+			return ds_dialer_silence_time(&d, now);
+		}
 	}
 
 	void dial()
@@ -113,8 +132,9 @@
 				silent_since = now;
 			}
 			if (silent_since != BA_NEVER &&
-			    now >= silent_since + SILENCE_TIMEOUT) {
+			    now >= silent_since + silence_time()) {
 				lost_at = std::min(lost_at, now);
+				n_silent++;
 				close(true);
 			} else if (ds_dialer_should_fail_back(&d, now)) {
 				close(false);
@@ -140,7 +160,7 @@
 	{"three in a row", {FROZEN, FROZEN, FROZEN, SOUND}, 3, 1300},
 	{"without a preference", {FROZEN, SOUND, SOUND}, 0, 100},
 	{"it thaws when it is left",
-	 {{FROZEN_AT + SILENCE_TIMEOUT + 20 * BA_MS, false}, SOUND},
+	 {{FROZEN_AT + DS_SILENCE_FIRST + 20 * BA_MS, false, 0}, SOUND},
 	 1,
 	 100},
 };
@@ -207,7 +227,7 @@
 /* It goes back when the relay is well again, and the delay is over. */
 TEST(DsDialer, PreferredRelayIsUsedAgain)
 {
-	daemon_world w({{FROZEN_AT + 5 * BA_SECOND, false}, SOUND}, 1, RIGHT,
+	daemon_world w({{FROZEN_AT + 5 * BA_SECOND, false, 0}, SOUND}, 1, RIGHT,
 		       3);
 
 	EXPECT_TRUE(w.d.open);
@@ -215,4 +235,96 @@
 	EXPECT_EQ(w.dials, (std::vector<size_t>{0, 1, 0}));
 }
 
+/*
+ * Daemons of a frozen relay had an old configuration for 2.5 s and more.
+ * @within: from the freeze to the next session
+ */
+TEST(DsDialer, FrozenRelayIsLeftWithinItsBound)
+{
+	static const struct {
+		const char *name;
+		std::vector<relay> relays;
+		ba_time within;
+	} frozen[] = {
+		{"one of two", {FROZEN, SOUND}, 1200},
+		{"one of many", {FROZEN, SOUND, SOUND, SOUND}, 1200},
+		{"the next is gone", {FROZEN, GONE, SOUND}, 1200},
+		{"the next is frozen", {FROZEN, FROZEN, SOUND}, 2000},
+	};
+
+	for (const auto &c : frozen)
+		for (uint64_t seed = 1; seed <= 50; seed++) {
+			daemon_world w(c.relays, 0, RIGHT, seed);
+			daemon_world late(c.relays, 0, PATIENT, seed);
+
+			EXPECT_LE(w.found_at - FROZEN_AT, c.within * BA_MS)
+				<< c.name;
+			EXPECT_GT(late.found_at - FROZEN_AT, c.within * BA_MS)
+				<< c.name;
+		}
+}
+
+/*
+ * Two relays lost the same upstream.  The daemon left the second one, which had
+ * another upstream a moment later, and waited for the first one again.
+ */
+TEST(DsDialer, RelayThatIsStaleForAMomentIsKept)
+{
+	static const struct {
+		ba_time fresh, stale; /* since the session was opened */
+		bool is_left;
+	} cases[] = {
+		{50 * BA_MS, 200 * BA_MS, false},
+		{50 * BA_MS, 700 * BA_MS, true},
+		{10 * BA_SECOND, 200 * BA_MS, false},
+		{10 * BA_SECOND, 700 * BA_MS, true},
+		{0, 700 * BA_MS, true},
+	};
+
+	for (const auto &c : cases) {
+		struct ds_dialer d;
+		bool is_left = false;
+
+		ds_dialer_init(&d, 2, 0, 1, 0);
+		ds_dialer_dialled(&d, 0);
+		ds_dialer_opened(&d, 0);
+		if (c.fresh)
+			ds_dialer_set_stale(&d, false, c.fresh / 2);
+		ds_dialer_set_stale(&d, true, c.fresh);
+		for (ba_time now = c.fresh; now < c.fresh + c.stale;
+		     now += BA_MS) {
+			ds_dialer_set_stale(&d, true, now);
+			is_left |= ds_dialer_should_leave(&d, now);
+		}
+		EXPECT_EQ(is_left, c.is_left) << c.fresh << " " << c.stale;
+	}
+}
+
+/* Relays that pause again and again are slow, and so is any other of them. */
+TEST(DsDialer, RelaysThatPauseOftenKeepTheirSessions)
+{
+	const relay slow = {FROZEN_AT + 2 * BA_SECOND, false, 4 * BA_SECOND};
+
+	for (uint64_t seed = 1; seed <= 50; seed++) {
+		daemon_world w({slow, slow, slow}, 0, RIGHT, seed);
+		daemon_world rash({slow, slow, slow}, 0, IMPATIENT, seed);
+
+		EXPECT_LE(w.n_silent, (LENGTH / DS_SILENT_PERIOD + 1) *
+					      (size_t)DS_SILENT_MAX);
+		EXPECT_GT(rash.n_silent, 2 * w.n_silent);
+	}
+}
+
+/* A heartbeat that comes after a pause of less than 300 ms is in time. */
+TEST(DsDialer, ShortPausesAreNoSilence)
+{
+	struct ds_dialer d;
+
+	ds_dialer_init(&d, 2, 0, 1, 0);
+	EXPECT_GT(ds_dialer_silence_time(&d, 0),
+		  DS_HEARTBEAT_INTERVAL + 300 * BA_MS);
+	ds_dialer_init(&d, 1, 0, 1, 0);
+	EXPECT_EQ(ds_dialer_silence_time(&d, 0), DS_SILENCE_LIMIT);
+}
+
 } // namespace
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -153,6 +153,42 @@
 	}
 }
 
+/* What other proxies have in force is heard with each request and answer. */
+TEST(PxVersion, IsHeardFromOtherProxies)
+{
+	static const struct {
+		const char *field;
+		uint64_t heard;
+	} cases[] = {
+		{"", 0},
+		{"caraway-version: 7\r\n", 7},
+		{"caraway-version: 0\r\n", 0},
+		{"caraway-version: \r\n", 0},
+		{"caraway-version: -7\r\n", 0},
+		{"caraway-version: 7x\r\n", 0},
+		{"caraway-version: 18446744073709551615\r\n", UINT64_MAX},
+		{"caraway-version: 18446744073709551616\r\n", 0},
+	};
+	world w;
+
+	for (const auto &c : cases) {
+		blocking_socket s = blocking_socket::connect_to(PEER_PORT);
+		std::string got;
+
+		w.version_heard = 0;
+		s.write(request(
+			"GET /look/a",
+			std::string("caraway-service: stock\r\n"
+				    "caraway-caller: stock\r\n"
+				    "caraway-time-left-us: 400000\r\n") +
+				c.field));
+		got = s.read_message();
+		EXPECT_EQ(w.version_heard, c.heard) << c.field;
+		EXPECT_NE(got.find("caraway-version: 1\r\n"), std::string::npos)
+			<< got;
+	}
+}
+
 /* These requests are refused without a backend server. */
 TEST(PxRefusal, NeedsNoBackendServer)
 {
--- a/test/proxy_world.h
+++ b/test/proxy_world.h
@@ -267,6 +267,7 @@
 	int n_reports = 0;
 	bool announced_draining = false;
 	std::atomic<bool> current{true};
+	std::atomic<uint64_t> version_heard{0}; /* of another proxy */
 	/* Reports of other proxies, for endpoints(). */
 	std::map<std::string, std::vector<struct ep_mark>> others;
 	struct ba_loop *loop = ba_loop_new();
@@ -293,6 +294,7 @@
 		o.seed = 7;
 		owner.backend_changed = record_backend;
 		owner.marks_changed = record_marks;
+		owner.version_heard = record_version;
 		owner.is_current = is_current;
 		owner.w = this;
 		EXPECT_EQ(px_new(loop, &o, &owner, &failed, &proxy), BA_OK);
@@ -318,6 +320,11 @@
 		w->announced_draining = b && b->draining;
 	}
 
+	static void record_version(struct px_owner *o, uint64_t version)
+	{
+		static_cast<owner_of *>(o)->w->version_heard = version;
+	}
+
 	static bool is_current(struct px_owner *o)
 	{
 		return static_cast<owner_of *>(o)->w->current;
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -9,6 +9,7 @@
 #include "base/ba_result.h"
 #include "distrib/ds_agent.h"
 #include "distrib/ds_feed.h"
+#include "report/rt.h"
 #include "test/loop.h"
 #include "test/net.h"
 
@@ -125,7 +126,7 @@
 	s->id = identity("s1", WI_SOURCE, "d1", "r1");
 	s->feed = ds_feed_new(loop, &s->owner);
 	ds_feed_set_authority(s->feed, true);
-	ASSERT_EQ(wi_listen(loop, &at, &s->id, &ds_session_limits, &s->acceptor,
+	ASSERT_EQ(wi_listen(loop, &at, &s->id, &ds_listen_limits, &s->acceptor,
 			    &s->listener),
 		  BA_OK);
 }
@@ -369,6 +370,58 @@
 	others.join();
 }
 
+/*
+ * A daemon whose relay had not brought a version took it for the newest although
+ * the answers of other instances showed that it was not.
+ */
+TEST(DsAgent, IsNotCurrentOnceItHearsOfANewerVersion)
+{
+	struct mesh m(23161);
+	struct ds_agent *a;
+
+	m.publish(2);
+	m.add("a1", false);
+	a = m.daemons[0]->agent;
+	ASSERT_TRUE(wait_until(m.loop, [&] { return ds_agent_is_current(a); }));
+	ds_agent_note_version(a, 1);
+	ds_agent_note_version(a, 2);
+	EXPECT_TRUE(ds_agent_is_current(a));
+	EXPECT_EQ(rt_gauge_value(RT_BEHIND), 0u);
+
+	ds_agent_note_version(a, 5);
+	ds_agent_note_version(a, 3);
+	EXPECT_FALSE(ds_agent_is_current(a));
+	EXPECT_TRUE(wait_until(m.loop,
+			       [&] { return rt_gauge_value(RT_BEHIND) == 3; }));
+	m.publish(4);
+	EXPECT_TRUE(wait_until(m.loop,
+			       [&] { return rt_gauge_value(RT_BEHIND) == 1; }));
+	EXPECT_FALSE(ds_agent_is_current(a));
+	m.publish(5);
+	EXPECT_TRUE(wait_until(m.loop, [&] { return ds_agent_is_current(a); }));
+	EXPECT_EQ(rt_gauge_value(RT_BEHIND), 0u);
+}
+
+/* Nobody but the one that said so may know such a version. */
+TEST(DsAgent, IsCurrentAgainWhenNobodyConfirmsTheNewerVersion)
+{
+	struct mesh m(23171);
+	struct ds_agent *a;
+	ba_time noted_at;
+
+	m.publish(2);
+	m.add("a1", false);
+	a = m.daemons[0]->agent;
+	ASSERT_TRUE(wait_until(m.loop, [&] { return ds_agent_is_current(a); }));
+	ds_agent_note_version(a, UINT64_MAX);
+	noted_at = ba_clock_now();
+	EXPECT_FALSE(wait_until(m.loop, [&] {
+		return ds_agent_is_current(a) &&
+		       ba_clock_now() < noted_at + 9 * BA_SECOND;
+	}));
+	EXPECT_TRUE(wait_until(m.loop, [&] { return ds_agent_is_current(a); }));
+}
+
 /* A relay that does not hear the source confirms nothing. */
 TEST(DsAgent, IsNotCurrentAtARelayThatLostTheSource)
 {
