base: a malformed TOML file is refused, not the end of the process

Cause: toml++ asserts what it takes for granted of a table's header. A line such as "[/orders]" or "[.a]" broke that assertion and aborted the program: carawayctl, each program at its start, and the leader of the sources, which parses what operators submit.

Change: its assertions throw, and ba_toml_parse() reports them like any other error, with the line that breaks one.

--- a/base/ba_toml_shim.cc
+++ b/base/ba_toml_shim.cc
@@ -1,13 +1,26 @@
-#define TOML_EXCEPTIONS 0
+/* toml++ asserts what a malformed document does not hold to. */
+struct broken_assertion {
+};
+[[noreturn]] static void on_broken_assertion()
+{
+	throw broken_assertion();
+}
+#define TOML_ASSERT(expr) ((expr) ? (void)0 : on_broken_assertion())
+#define TOML_EXCEPTIONS 1
 #include <toml++/toml.h>
 
 #include <algorithm>
 #include <cstdlib>
 #include <cstring>
+#include <memory>
 #include <vector>
 
 #include "base/ba_toml.h"
 
+static void describe(std::string_view text, int line, int column,
+		     struct ba_toml_error *err);
+static int first_line_asserted(std::string_view document);
+static bool breaks_assertion(std::string_view document);
 static void convert(const toml::node &from, struct ba_toml *to);
 static void convert_table(const toml::table &from, struct ba_toml *to);
 static void convert_array(const toml::array &from, struct ba_toml *to);
@@ -16,23 +29,63 @@
 extern "C" struct ba_toml *ba_toml_parse(const char *text, size_t len,
 					 struct ba_toml_error *err)
 {
-	auto result = toml::parse(std::string_view(text, len));
+	std::string_view document(text, len);
 
-	if (!result) {
-		auto d = result.error().description();
-		auto n = std::min(d.size(), sizeof(err->text) - 1);
+	try {
+		auto *root =
+			(struct ba_toml *)calloc(1, sizeof(struct ba_toml));
+		std::unique_ptr<struct ba_toml, void (*)(struct ba_toml *)>
+			owned(root, ba_toml_free);
 
-		memcpy(err->text, d.data(), n);
-		err->text[n] = '\0';
-		err->line = (int)result.error().source().begin.line;
-		err->column = (int)result.error().source().begin.column;
-		return nullptr;
+		if (root)
+			convert(toml::parse(document), root);
+		return owned.release();
+	} catch (const toml::parse_error &e) {
+		describe(e.description(), (int)e.source().begin.line,
+			 (int)e.source().begin.column, err);
+	} catch (const broken_assertion &) {
+		describe("this is not TOML", first_line_asserted(document), 1,
+			 err);
 	}
-	auto *root = (struct ba_toml *)calloc(1, sizeof(struct ba_toml));
+	return nullptr;
+}
+
+static void describe(std::string_view text, int line, int column,
+		     struct ba_toml_error *err)
+{
+	auto n = std::min(text.size(), sizeof(err->text) - 1);
+
+	memcpy(err->text, text.data(), n);
+	err->text[n] = '\0';
+	err->line = line;
+	err->column = column;
+}
 
-	if (root)
-		convert(result.table(), root);
-	return root;
+/* The parser reads from the start, so an assertion that a line breaks stays. */
+static int first_line_asserted(std::string_view document)
+{
+	std::vector<size_t> ends;
+
+	for (size_t i = 0; i < document.size(); i++)
+		if (document[i] == '\n' || i + 1 == document.size())
+			ends.push_back(i + 1);
+	auto first =
+		std::partition_point(ends.begin(), ends.end(), [&](size_t end) {
+			return !breaks_assertion(document.substr(0, end));
+		});
+
+	return (int)(first - ends.begin()) + 1;
+}
+
+static bool breaks_assertion(std::string_view document)
+{
+	try {
+		(void)toml::parse(document);
+	} catch (const toml::parse_error &) {
+	} catch (const broken_assertion &) {
+		return true;
+	}
+	return false;
 }
 
 static void convert(const toml::node &from, struct ba_toml *to)
--- a/test/base_test.cc
+++ b/test/base_test.cc
@@ -14,6 +14,7 @@
 #include "base/ba_rand.h"
 #include "base/ba_result.h"
 #include "base/ba_settings.h"
+#include "base/ba_toml.h"
 #include "base/ba_unit.h"
 
 namespace
@@ -282,4 +283,42 @@
 	EXPECT_FALSE(ba_digest_equal(&plain, &keyed));
 }
 
+/*
+ * toml++ ends the process at some of these, by its own assertions: an operator's
+ * typing error must not end the leader.
+ */
+TEST(BaToml, WhatIsNoDocumentIsRefusedWithItsLine)
+{
+	static const struct {
+		const char *text;
+		int line;
+	} cases[] = {
+		{"[/orders]", 1},
+		{"[.a]", 1},
+		{"[=]", 1},
+		{"[[.a]]", 1},
+		{"[ ,]", 1},
+		{"\n\n[#]\na = 1", 3},
+		{"a = 1\n[b]\nc = 2\n[\1[m]\nd = 3\n", 4},
+		{"text = \"\"\"\n[/no header]\n\"\"\"\n[/a]\n", 4},
+		{"a.=1", 1},
+		{"a = [1,,2]", 1},
+		{"x = {.a=1}", 1},
+		{"a = \"\\ud800\"", 1},
+		{"a = 1\na = 2", 2},
+		{"[a]\n[a]", 2},
+	};
+
+	for (const auto &c : cases) {
+		struct ba_toml_error err = {};
+		struct ba_toml *root =
+			ba_toml_parse(c.text, strlen(c.text), &err);
+
+		EXPECT_EQ(root, nullptr) << c.text;
+		EXPECT_EQ(err.line, c.line) << c.text;
+		EXPECT_GT(strlen(err.text), 0u) << c.text;
+		ba_toml_free(root);
+	}
+}
+
 } // namespace
