--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 
 BINARIES := $(PROGRAMS:%=$(BUILD)/%) $(TOOLS:%=$(BUILD)/%)
 
-.PHONY: all programs demo check tests run-tests bench bench-converge bench-calls \
+.PHONY: all programs demo check tests fuzz fuzz-programs run-tests bench bench-converge bench-calls \
 	bench-scale bench-silence install clean deps lint-deps format lint tidy proto docs
 
 all: $(BINARIES)
@@ -114,6 +114,22 @@
 $(TOOLS:%=$(BUILD)/%): $(BUILD)/%: $(BUILD)/bench/%_main.c.o $(BENCH_COMMON) $(PROG_COMMON) $(BUILD)/libcaraway.a
 	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
 
+FUZZERS := $(patsubst fuzz/%.c,$(BUILD)/fuzz/%,$(filter-out %_main.c,$(wildcard fuzz/*.c)))
+
+# libFuzzer is a part of clang, which knows some flags of GCC only by name.
+fuzz:
+	@$(MAKE) --no-print-directory -s -j$$(nproc) BUILD=build/fuzz \
+		CC=clang CXX=clang++ WARN="-Wall -Wextra" SAN_CXX_WARN= \
+		CONTROL_FLOW= SAN=address,undefined,fuzzer-no-link fuzz-programs
+
+fuzz-programs: $(FUZZERS) $(BUILD)/fuzz/fz_seeds
+
+$(FUZZERS): $(BUILD)/fuzz/%: $(BUILD)/fuzz/%.c.o $(PROG_COMMON) $(BUILD)/libcaraway.a
+	$(CXX) $(LDFLAGS) -fsanitize=fuzzer -o $@ $^ $(PKG_LIBS)
+
+$(BUILD)/fuzz/fz_seeds: $(BUILD)/fuzz/fz_seeds_main.c.o $(PROG_COMMON) $(BUILD)/libcaraway.a
+	$(CXX) $(LDFLAGS) -o $@ $^ $(PKG_LIBS)
+
 $(BUILD)/test/all: $(TEST_OBJ) $(PROG_COMMON) $(BUILD)/libcaraway.a
 	$(CXX) $(LDFLAGS) -o $@ $(TEST_OBJ) $(PROG_COMMON) $(BUILD)/libcaraway.a -lrapidcheck -lgtest -lgtest_main $(PKG_LIBS)
 
