proxy: a request that was not sent whole has not run; the codes say so

Cause: an attempt at another proxy counted as a run from its first byte. And the codes of both outcomes were mixed up: 504 came with 616, whose text says "it was not run", and a call refused as too late came with 604, "the request may have run".

Change: an attempt whose request the kernel had not taken whole is taken back at the deadline, at a stop, and when its connection ends; the caller gets 503 with Retry-After, and the request may go elsewhere. 504 has 604 and a refusal for time 616; a refusal never has a code of another outcome, whatever another proxy names.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -29,6 +29,7 @@
  * @watched_bits: events that the loop watches for
  * @callback_depth: depth of callbacks; the connection is freed only at 0
  * @has_sent: a byte was written since ht_conn_read_next()
+ * @send_failed: what was to be written was dropped, as the other end was gone
  * @refused: the other end has refused the connection
  * @message_complete: a message was read, and ht_conn_read_next() not called yet
  * @message_started: a byte of the message was read
@@ -56,6 +57,7 @@
 	bool client;
 	bool connecting;
 	bool has_sent;
+	bool send_failed;
 	bool refused;
 	bool paused;
 	bool message_complete;
@@ -208,6 +210,7 @@
 		/* What the other end sent before is still read. */
 		c->out.len = 0;
 		c->keep_alive = false;
+		c->send_failed = true;
 	}
 	if (!c->out.len && c->out.alloc > OUT_BUFFER_KEEP_BYTES)
 		ba_buf_free(&c->out);
@@ -224,6 +227,11 @@
 	return c->has_sent;
 }
 
+bool ht_conn_has_sent_all(const struct ht_conn *c)
+{
+	return !c->out.len && !c->send_failed;
+}
+
 bool ht_conn_was_refused(const struct ht_conn *c)
 {
 	return c->refused;
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -111,6 +111,13 @@
 /** ht_conn_has_sent() - whether a byte was sent since ht_conn_read_next() */
 bool ht_conn_has_sent(const struct ht_conn *c);
 
+/**
+ * ht_conn_has_sent_all() - whether the kernel has taken all that was written
+ *
+ * It did not if the other end was gone before.
+ */
+bool ht_conn_has_sent_all(const struct ht_conn *c);
+
 /** ht_conn_was_refused() - whether nobody listens at the address dialled */
 bool ht_conn_was_refused(const struct ht_conn *c);
 
--- a/proxy/px_backend.c
+++ b/proxy/px_backend.c
@@ -210,7 +210,8 @@
 {
 	if (reason == CL_ADMIT_PACED)
 		rt_count(RT_RATE_REFUSED, 1);
-	return reason == CL_ADMIT_TOO_LATE ? CL_DEADLINE_PASSED : CL_OVERLOADED;
+	return reason == CL_ADMIT_TOO_LATE ? CL_DEADLINE_EXPIRED
+					   : CL_OVERLOADED;
 }
 
 static bool is_new_start(const struct px_backend *be,
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -195,6 +195,7 @@
 
 void px_exchange_give_up(struct px_exchange *x)
 {
+	px_upstream_take_back(x);
 	px_exchange_end_attempt(x, CL_ATTEMPT_CANCELLED);
 	x->last_code = CL_DRAINING;
 	fail(x);
@@ -508,19 +509,17 @@
 		return;
 	}
 	if (x->answering) {
-		px_exchange_on_broken(x, CL_DEADLINE_EXPIRED);
+		px_exchange_on_broken(x, CL_DEADLINE_PASSED);
 		return;
 	}
 	if (x->state == PX_ATTEMPT_HELD) {
 		fail(x);
 		return;
 	}
+	px_upstream_take_back(x);
 	px_exchange_end_attempt(x, CL_ATTEMPT_TIMEOUT);
 	x->last_code = CL_DEADLINE_EXPIRED;
-	if (x->downstream->from_peer && !x->runs)
-		answer_error(x, 503, CL_DEADLINE_PASSED);
-	else
-		fail(x);
+	fail(x);
 }
 
 static void answer_error(struct px_exchange *x, int status, int code)
@@ -546,12 +545,17 @@
 static void fail(struct px_exchange *x)
 {
 	bool late = ba_loop_now(x->p->loop) >= x->deadline;
+	int code = x->last_code;
 
-	if (x->runs)
+	if (x->runs) {
 		answer_error(x, late ? 504 : 502,
-			     late ? CL_DEADLINE_EXPIRED : CL_MAY_HAVE_RUN);
-	else
-		answer_error(x, 503, x->last_code);
+			     late ? CL_DEADLINE_PASSED : CL_MAY_HAVE_RUN);
+		return;
+	}
+	/* Another proxy may name a code that says less than its refusal. */
+	if (cl_outcome_of(code) != CL_OUT_NOT_RUN)
+		code = CL_DEADLINE_EXPIRED;
+	answer_error(x, 503, code);
 }
 
 static bool may_retry(struct px_exchange *x, int code)
@@ -619,7 +623,8 @@
 	switch (code) {
 	case CL_OVERLOADED:
 	case CL_LINK_FULL:
-	case CL_DEADLINE_PASSED:
+	case CL_DEADLINE_PASSED: /* of a proxy of an earlier release */
+	case CL_DEADLINE_EXPIRED:
 		return CL_ATTEMPT_OVERLOADED;
 	case CL_SHED_BY_BACKEND:
 		return CL_ATTEMPT_SHED;
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -425,6 +425,12 @@
 void px_exchange_end_attempt(struct px_exchange *x,
 			     enum cl_attempt_result result);
 
+/**
+ * px_upstream_take_back() - do not count the attempt in progress as a run if
+ * nothing can have been passed on to a backend server
+ */
+void px_upstream_take_back(struct px_exchange *x);
+
 /** px_upstream_announce_leaving() - tell the other proxy of @x when we leave */
 void px_upstream_announce_leaving(struct px_exchange *x);
 
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -32,6 +32,8 @@
 static int read_not_run_code(const struct px_exchange *x,
 			     const struct ht_head *h,
 			     const struct px_answer_fields *ans);
+static bool cannot_have_run(const struct px_exchange *x,
+			    const struct ht_conn *c);
 static void record_load(struct px_exchange *x, const struct ht_head *h);
 static void release_conn(struct px_exchange *x);
 static void begin_answer(struct px_exchange *x);
@@ -58,6 +60,12 @@
 	send_request(x, pool, PX_ATTEMPT_AT_PEER);
 }
 
+void px_upstream_take_back(struct px_exchange *x)
+{
+	if (x->conn && cannot_have_run(x, x->conn))
+		x->runs--;
+}
+
 /* The answer is of no interest: the notice is a hint. */
 void px_upstream_announce_leaving(struct px_exchange *x)
 {
@@ -250,6 +258,7 @@
 {
 	struct px_exchange *x = ba_entry(o, struct px_exchange, upstream);
 	bool sent = ht_conn_has_sent(c);
+	bool ran_not = cannot_have_run(x, c);
 
 	x->conn = NULL;
 	ba_event(CL_EV_MAY_HAVE_RUN,
@@ -259,7 +268,7 @@
 		 x->status, (unsigned long long)x->digest);
 	if (x->state == PX_ATTEMPT_AT_BACKEND)
 		tell_loss(x, c, why, sent);
-	if (x->not_run_code || why == HT_END_CONNECT_FAILED || !sent) {
+	if (x->not_run_code || why == HT_END_CONNECT_FAILED || ran_not) {
 		x->runs--;
 		px_exchange_on_not_run(x, x->not_run_code
 						  ? x->not_run_code
@@ -269,6 +278,14 @@
 	px_exchange_on_broken(x, CL_ANSWER_BROKEN);
 }
 
+/* Another proxy passes on whole requests only. */
+static bool cannot_have_run(const struct px_exchange *x,
+			    const struct ht_conn *c)
+{
+	return !ht_conn_has_sent(c) ||
+	       (x->state == PX_ATTEMPT_AT_PEER && !ht_conn_has_sent_all(c));
+}
+
 /* What the backend server has not run was not running when it crashed. */
 static void tell_loss(struct px_exchange *x, const struct ht_conn *c,
 		      enum ht_end why, bool sent)
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -537,6 +537,54 @@
 	EXPECT_FALSE(has(got, "caraway-not-run"));
 }
 
+/*
+ * Uploads that waited for the outgoing link of their proxy were answered 504,
+ * "may have run", though another proxy passes on whole requests only.
+ */
+TEST(PxRetry, RequestThatWasNotSentWholeIsReportedAsNotRun)
+{
+	enum { LINK_RATE = 100 * 1000, LONG_BODY = 90 * 1000, SHORT_BODY = 9 };
+	static const struct {
+		const char *name;
+		size_t body;
+		bool closes; /* the other proxy ends the connection */
+		int status, code;
+	} cases[] = {
+		{"not sent whole in its time", LONG_BODY, false, 503, 616},
+		{"sent whole, without an answer", SHORT_BODY, false, 504, 604},
+		{"cut off before it was sent whole", LONG_BODY, true, 503, 612},
+		{"cut off after it was sent whole", SHORT_BODY, true, 502, 607},
+	};
+
+	for (const auto &c : cases) {
+		world w(true, LINK_RATE);
+		listener other(OTHER_PROXY_PORT);
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
+
+		w.run([&] { w.endpoints(true); });
+		caller.write("POST /photos/ HTTP/1.1\r\nHost: a.example\r\n"
+			     "X-Attempt-Id: 1\r\nX-Deadline-Ms: 300\r\n"
+			     "Content-Length: " +
+			     std::to_string(c.body) + "\r\n\r\n" +
+			     std::string(c.body, 'x'));
+		blocking_socket peer = other.accept_one();
+
+		if (c.body == SHORT_BODY) {
+			EXPECT_FALSE(peer.read_message().empty());
+		}
+		if (c.closes)
+			peer.end();
+		std::string got = caller.read_message();
+
+		EXPECT_EQ(status(got), c.status) << c.name << got;
+		EXPECT_TRUE(
+			has(got, "\"code\":" + std::to_string(c.code) + ","))
+			<< c.name << got;
+		EXPECT_EQ(has(got, "Retry-After: "), c.status == 503) << c.name;
+	}
+}
+
 TEST(PxTimeout, OfTheRouteIsAnsweredAndClosesTheBackendConnection)
 {
 	world w;
