relay: acknowledgements go back where figures came from; no cycles

Cause, first: a relay whose upstream is another relay has two sessions with it, for versions and for endpoint records. Acknowledgements of figures went to the one that was opened last; as a frame unknown there they ended it, and the figures were sent again. Second: relays of a region are ordered by address so that no two subscribe to each other, but a relay with an external address compared that with the others' own: both took the other for the one before.

Change: a relay's session is found once it has sent figures; the order uses the address of the own region.

Result: DsRelay.FiguresAreAcknowledgedOverTheSessionTheyCameFrom and DsRelay.NoTwoRelaysSubscribeToEachOther failed before and pass.

--- a/relay/re.h
+++ b/relay/re.h
@@ -91,7 +91,7 @@
 
 /**
  * struct re_relay - the state of the program
- * @by_instance: instance name to &struct re_conn, for open sessions of daemons
+ * @by_instance: instance name to &struct re_conn, as of re_session_index()
  *	and relays
  * @n_holders: number of holder ids given to sessions of relays so far
  * @stale_since: time the source was last heard, %BA_NEVER while it is heard
@@ -159,7 +159,15 @@
 struct wi_handler *re_session_accept(struct wi_acceptor *a,
 				     struct wi_session *s);
 
-/** re_session_find() - find the newest open session of an instance, or NULL */
+/**
+ * re_session_index() - let re_session_find() find @c from now on
+ *
+ * The session of a daemon is found from its start, one of a relay since it has
+ * sent figures: a relay may have two sessions with this one.
+ */
+void re_session_index(struct re_conn *c);
+
+/** re_session_find() - find the open session of an instance, or NULL */
 struct re_conn *re_session_find(struct re_relay *r, const char *instance);
 
 /** re_session_free_all() - detach from all accepted sessions and free them */
--- a/relay/re_figures.c
+++ b/relay/re_figures.c
@@ -31,6 +31,7 @@
 
 	if (!m)
 		return WI_FRAME_GARBAGE;
+	re_session_index(c);
 	for (size_t i = 0; i < m->n_figures; i++)
 		queue_figures(c->relay, m->figures[i],
 			      wi_session_peer(c->session)->instance);
--- a/relay/re_session.c
+++ b/relay/re_session.c
@@ -34,6 +34,12 @@
 	return &c->handler;
 }
 
+void re_session_index(struct re_conn *c)
+{
+	g_hash_table_replace(c->relay->by_instance,
+			     wi_session_peer(c->session)->instance, c);
+}
+
 struct re_conn *re_session_find(struct re_relay *r, const char *instance)
 {
 	return g_hash_table_lookup(r->by_instance, instance);
@@ -55,7 +61,6 @@
 	r->n_conns = 0;
 }
 
-/* A newer session of the same instance replaces the older one in the index. */
 static void on_opened(struct wi_handler *h, struct wi_session *s)
 {
 	struct re_conn *c = (struct re_conn *)h;
@@ -64,7 +69,8 @@
 	c->open = true;
 	if (wi_session_peer(s)->role == WI_RELAY)
 		c->holder = EP_HELD_BY_PEER + r->n_holders++;
-	g_hash_table_replace(r->by_instance, wi_session_peer(s)->instance, c);
+	else
+		re_session_index(c);
 }
 
 static int on_frame(struct wi_handler *h, struct wi_session *s,
--- a/relay/re_upstream.c
+++ b/relay/re_upstream.c
@@ -188,14 +188,13 @@
  * Only one relay of a region is meant to subscribe to a source, over the paid
  * link, and the others to it.  Relays are ordered by address; each one prefers
  * the relays ordered before it, first to last, and then the sources.  So the
- * first relay that is up uses the paid link, and no cycle can arise.  The
- * source that is tried first differs between relays, by a hash of the instance.
+ * first relay that is up uses the paid link, and no cycle can arise.  All of
+ * them are listed by the address that their own region uses.  The source that is tried first differs between relays, by a hash of the instance.
  */
 static size_t order_upstreams(const struct re_relay *r, struct ba_address *out)
 {
 	const struct re_settings *st = r->settings;
-	const char *own = st->external_address.len ? st->external_address.text
-						   : st->address.text;
+	const char *own = st->address.text;
 	size_t first = 0;
 	size_t n = 0;
 
@@ -203,8 +202,7 @@
 		const struct ba_address *a = &st->upstream_relays.list[i];
 		size_t at = n;
 
-		if (strcmp(a->text, own) >= 0 ||
-		    !strcmp(a->text, st->address.text))
+		if (strcmp(a->text, own) >= 0)
 			continue;
 		for (; at && strcmp(out[at - 1].text, a->text) > 0; at--)
 			out[at] = out[at - 1];
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -10,8 +10,10 @@
 #include "distrib/ds_agent.h"
 #include "distrib/ds_feed.h"
 #include "report/rt.h"
+#include "report/rt_figures.h"
 #include "test/loop.h"
 #include "test/net.h"
+#include "wire/rt.pb-c.h"
 
 extern "C" {
 #include "relay/re.h"
@@ -88,10 +90,28 @@
 	return ba_entry(h, struct source, handler);
 }
 
+void acknowledge_figures(struct wi_session *s, const struct wi_frame *f)
+{
+	RtBatch *m = (RtBatch *)wi_frame_unpack(f, &rt_batch__descriptor);
+
+	for (size_t i = 0; m && i < m->n_figures; i++) {
+		RtAck ack = RT_ACK__INIT;
+
+		ack.instance = m->figures[i]->instance;
+		ack.incarnation = m->figures[i]->incarnation;
+		ack.sequence = m->figures[i]->sequence;
+		wi_send(s, RT_ACK, &ack.base);
+	}
+	if (m)
+		rt_batch__free_unpacked(m, nullptr);
+}
+
 int source_frame(struct wi_handler *h, struct wi_session *s,
 		 const struct wi_frame *f)
 {
 	/* Sessions outlive the feed until their peers have closed. */
+	if (f->type == RT_BATCH)
+		acknowledge_figures(s, f);
 	if (f->type == RT_BATCH || !source_of(h)->feed)
 		return BA_OK;
 	source_of(h)->subscriptions += f->type == DS_SUBSCRIBE;
@@ -438,6 +458,94 @@
 	}));
 }
 
+/* Counts the sessions that a process has closed for a frame. */
+struct frame_meter {
+	struct wi_meter meter;
+	int refused;
+};
+
+/*
+ * A relay whose upstream is another relay has two sessions with it.  What the
+ * sources acknowledged was sent over the one that was opened last: over the
+ * wrong one it ended that session, and the figures were sent again and again.
+ */
+TEST(DsRelay, FiguresAreAcknowledgedOverTheSessionTheyCameFrom)
+{
+	struct frame_meter meter = {};
+	struct mesh m(23181);
+	struct relay third = {};
+	struct ba_address at = address(14, 23181); /* after its upstream */
+	ba_time end;
+
+	meter.meter.opened = [](struct wi_meter *, const struct wi_peer *) {};
+	meter.meter.transferred = [](struct wi_meter *, const struct wi_peer *,
+				     uint64_t, uint64_t) {};
+	meter.meter.closed = [](struct wi_meter *w, const struct wi_peer *,
+				int code) {
+		((struct frame_meter *)w)->refused += code == WI_FRAME_UNKNOWN;
+	};
+	m.publish(1);
+	third.settings.address = at;
+	third.settings.upstream_relays = {m.at, 1};
+	third.id = identity("y3", WI_RELAY, "d1", "r1");
+	third.id.meter = &meter.meter;
+	third.r.loop = m.loop;
+	third.r.settings = &third.settings;
+	third.r.identity = &third.id;
+	ASSERT_EQ(re_relay_start(&third.r), BA_OK);
+	ASSERT_TRUE(wait_until(m.loop, [&] {
+		return ds_link_session(third.r.upstream) != nullptr;
+	}));
+	re_peer_add(&third.r, m.at);
+	end = ba_clock_now() + 3 * BA_SECOND;
+	wait_until(m.loop, [&] { return ba_clock_now() > end; });
+	EXPECT_EQ(meter.refused, 0);
+	EXPECT_FALSE(rt_figures_has_pending(third.r.own_figures));
+	re_relay_stop(&third.r);
+}
+
+/*
+ * Two relays that reach each other by the addresses of their region each took
+ * the other for the one before it, as its own address was the external one: they
+ * subscribed to each other, at each start and whenever they failed back.
+ */
+TEST(DsRelay, NoTwoRelaysSubscribeToEachOther)
+{
+	struct ba_loop *loop = ba_loop_new();
+	struct ba_address source_at = address(11, 23191);
+	struct ba_address at[2] = {address(12, 23191), address(13, 23191)};
+	struct source src;
+	struct relay relays[2] = {};
+	const char *names[] = {"y1", "y2"};
+
+	source_start(&src, loop, 11, 23191);
+	for (int i = 0; i < 2; i++) {
+		struct relay &r = relays[i];
+
+		r.settings.address = at[i];
+		r.settings.external_address = address(212 + i, 23191);
+		r.settings.sources = {&source_at, 1};
+		r.settings.upstream_relays = {&at[1 - i], 1};
+		r.id = identity(names[i], WI_RELAY, "d1", "r1");
+		r.r.loop = loop;
+		r.r.settings = &r.settings;
+		r.r.identity = &r.id;
+		ASSERT_EQ(re_relay_start(&r.r), BA_OK);
+	}
+	EXPECT_TRUE(wait_until(loop, [&] {
+		return ds_link_session(relays[0].r.upstream) &&
+		       ds_link_session(relays[1].r.upstream);
+	}));
+	EXPECT_STREQ(ds_link_address(relays[0].r.upstream), source_at.text);
+	EXPECT_STREQ(ds_link_address(relays[1].r.upstream), at[0].text);
+	for (auto &r : relays)
+		re_relay_stop(&r.r);
+	wi_listener_close(src.listener);
+	ds_feed_free(src.feed);
+	src.feed = nullptr;
+	settle_and_free(loop);
+}
+
 /*
  * At the first start of a mesh, relays of another region than the source's
  * subscribe before any configuration is accepted.
