distrib: a relay that brings no versions is left after 4 s

Cause: a relay that sends heartbeats and no versions kept its daemons for good; only their proxies' answers showed that others were ahead.

Change: the agent, which hears of a newer version from other proxies, takes its relay for stale once it has been behind for 4 s, and again each second while it is. The second choices of a relay's daemons are tested to be spread (2,400 of 24 relays, under 1.5 times the mean).

--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -59,8 +59,8 @@
  *	held is the newest
  * @noted: newest version that another instance was heard of
  * @noted_until: when @noted is forgotten
- * @behind_timer: armed while @noted is newer than the version held, and that is
- *	not yet logged
+ * @behind_since: since when @noted is newer than the version held
+ * @behind_timer: armed while that is so; logs it, then leaves the relay
  * @marks_timer: armed while the marks have changed since the last announcement
  * @marks_not_before: earliest time at which marks are announced again
  */
@@ -88,6 +88,7 @@
 	bool confirmed;
 	uint64_t noted;
 	ba_time noted_until;
+	ba_time behind_since;
 	struct ds_receiver receiver;
 	struct ep_record record;
 	ba_time lease;
@@ -112,6 +113,10 @@
 static void on_marks_timer(struct ba_timer *t, ba_time now);
 static void on_behind_timer(struct ba_timer *t, ba_time now);
 static uint64_t versions_behind(const struct ds_agent *a, ba_time now);
+/*
+ * A relay that has not brought the version for long is as one whose data are
+ * stale: the next one may have it.
+ */
 static void on_behind_timer(struct ba_timer *t, ba_time now)
 {
 	struct ds_agent *a = ba_entry(t, struct ds_agent, behind_timer);
@@ -119,11 +124,20 @@
 	uint64_t behind = versions_behind(a, now);
 
 	rt_set_gauge(RT_BEHIND, behind);
-	if (behind)
-		ba_event(DS_EV_BEHIND, "held=%llu known=%llu relay=%s",
-			 (unsigned long long)a->receiver.subscriber.held,
-			 (unsigned long long)a->noted,
-			 s ? wi_session_peer(s)->instance : "none");
+	if (!behind)
+		return;
+	ba_event(DS_EV_BEHIND, "held=%llu known=%llu since_us=%lld relay=%s",
+		 (unsigned long long)a->receiver.subscriber.held,
+		 (unsigned long long)a->noted,
+		 (long long)(now - a->behind_since),
+		 s ? wi_session_peer(s)->instance : "none");
+	if (now < a->behind_since + DS_BEHIND_LIMIT) {
+		ba_loop_arm(a->loop, t, a->behind_since + DS_BEHIND_LIMIT);
+		return;
+	}
+	ds_link_set_stale(a->link, true);
+	a->behind_since = now;
+	ba_loop_arm(a->loop, t, now + BEHIND_DELAY);
 }
 
 static uint64_t versions_behind(const struct ds_agent *a, ba_time now)
@@ -279,8 +293,10 @@
 	if (version <= a->receiver.subscriber.held ||
 	    (version < a->noted && now < a->noted_until))
 		return;
-	if (!versions_behind(a, now) && !a->behind_timer.slot)
+	if (!versions_behind(a, now)) {
+		a->behind_since = now;
 		ba_loop_arm(a->loop, &a->behind_timer, now + BEHIND_DELAY);
+	}
 	a->noted = version;
 	a->noted_until = now + NOTED_TIME;
 }
--- a/distrib/ds_agent.h
+++ b/distrib/ds_agent.h
@@ -24,6 +24,9 @@
 
 #define DS_CURRENT_SILENCE DS_SILENCE_FIRST
 
+/* Changes may reach a region this much later than another one. */
+#define DS_BEHIND_LIMIT (4 * BA_SECOND)
+
 struct ds_agent;
 
 /**
--- a/test/distrib_test.cc
+++ b/test/distrib_test.cc
@@ -379,6 +379,25 @@
 	EXPECT_LT(most, 1.5 * 800 / 24);
 }
 
+/* All daemons of a relay move at once when it falls silent. */
+TEST(DsRoster, DaemonsOfOneRelaySpreadOverTheOthers)
+{
+	roster_world w;
+	std::map<std::string, std::map<std::string, int>> moves;
+
+	for (int i = 0; i < 2400; i++) {
+		struct ds_ranking r = w.rank("d" + std::to_string(i), i % 8);
+
+		moves[r.list[0].text][r.list[1].text]++;
+	}
+	EXPECT_EQ(moves.size(), 24u);
+	for (const auto &[from, to] : moves) {
+		EXPECT_EQ(to.size(), 2u) << from;
+		for (const auto &[address, n] : to)
+			EXPECT_LT(n, 1.5 * 2400 / 24 / 2) << address;
+	}
+}
+
 TEST(DsRoster, MovesOnlyForARelayThatIsNew)
 {
 	roster_world w;
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -422,6 +422,53 @@
 	EXPECT_EQ(rt_gauge_value(RT_BEHIND), 0u);
 }
 
+/*
+ * A relay that sends heartbeats and no versions is no different from one that has
+ * the newest version, but for what other instances show.
+ */
+TEST(DsAgent, LeavesARelayThatBringsNoVersions)
+{
+	struct ba_loop *loop = ba_loop_new();
+	struct source sources[2];
+	struct ba_address source_at[2] = {address(11, 23201),
+					  address(15, 23201)};
+	struct ba_address at[2] = {address(12, 23201), address(13, 23201)};
+	struct relay relays[2];
+	struct daemon d = {};
+
+	for (int i = 0; i < 2; i++) {
+		struct cf_snapshot *s = snapshot(i ? 5 : 2);
+
+		source_start(&sources[i], loop, i ? 15 : 11, 23201);
+		ds_feed_publish(sources[i].feed, s);
+		cf_snapshot_unref(s);
+		relay_start(&relays[i], loop, i ? "y2" : "y1", "d1", at[i],
+			    {&source_at[i], 1}, {});
+	}
+	daemon_start(&d, loop, "a1", "d1", at, 2);
+	ASSERT_TRUE(
+		wait_until(loop, [&] { return ds_agent_is_current(d.agent); }));
+	ASSERT_EQ(ds_agent_version(d.agent), 2u);
+
+	ba_time noted_at = ba_clock_now();
+
+	ds_agent_note_version(d.agent, 5);
+	EXPECT_TRUE(wait_until(loop,
+			       [&] { return ds_agent_version(d.agent) == 5; }));
+	EXPECT_GT(ba_clock_now(), noted_at + DS_BEHIND_LIMIT);
+	EXPECT_LT(ba_clock_now(), noted_at + DS_BEHIND_LIMIT + BA_SECOND);
+
+	ds_agent_free(d.agent);
+	for (auto &r : relays)
+		re_relay_stop(&r.r);
+	for (auto &s : sources) {
+		wi_listener_close(s.listener);
+		ds_feed_free(s.feed);
+		s.feed = nullptr;
+	}
+	settle_and_free(loop);
+}
+
 /* Nobody but the one that said so may know such a version. */
 TEST(DsAgent, IsCurrentAgainWhenNobodyConfirmsTheNewerVersion)
 {
