bench: an answer at the end of the caller's time is late, not cut

Trace: their proxies answered 504 at 6,000,179 and 6,000,933 us, the end of the 6 s that the caller states, as a proxy that stays does; the caller's own timer, which counts such a request as late, fired after.

Change: what is answered at the end of that time or later, and is neither whole nor a refusal, is late, as soak.h says.

--- a/bench/soak_caller.c
+++ b/bench/soak_caller.c
@@ -218,6 +218,9 @@
 	if (h->status == 503 || h->status == 429 || h->status == 408 ||
 	    h->status == 421)
 		return SOAK_REFUSED;
+	/* Its proxy may see that before the caller does. */
+	if (now >= r->budget_end)
+		return SOAK_LATE;
 	cut = classify_cut(r, now);
 	if (cut != SOAK_CUT || !r->worked_until)
 		return SOAK_FAILED;
