--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -258,7 +258,7 @@
 {
 	struct px_exchange *x = ba_entry(o, struct px_exchange, upstream);
 	bool sent = ht_conn_has_sent(c);
-	bool ran_not = cannot_have_run(x, c);
+	bool not_passed_on = cannot_have_run(x, c);
 
 	x->conn = NULL;
 	ba_event(CL_EV_MAY_HAVE_RUN,
@@ -268,7 +268,8 @@
 		 x->status, (unsigned long long)x->digest);
 	if (x->state == PX_ATTEMPT_AT_BACKEND)
 		tell_loss(x, c, why, sent);
-	if (x->not_run_code || why == HT_END_CONNECT_FAILED || ran_not) {
+	if (x->not_run_code || why == HT_END_CONNECT_FAILED ||
+	    not_passed_on) {
 		x->runs--;
 		px_exchange_on_not_run(x, x->not_run_code
 						  ? x->not_run_code
