--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -268,8 +268,7 @@
 		 x->status, (unsigned long long)x->digest);
 	if (x->state == PX_ATTEMPT_AT_BACKEND)
 		tell_loss(x, c, why, sent);
-	if (x->not_run_code || why == HT_END_CONNECT_FAILED ||
-	    not_passed_on) {
+	if (x->not_run_code || why == HT_END_CONNECT_FAILED || not_passed_on) {
 		x->runs--;
 		px_exchange_on_not_run(x, x->not_run_code
 						  ? x->not_run_code
