bench: every third statement of the soak is a departure

Change: every third statement is a departure if nobody else is leaving, so a run with three has one. The check is as it was.

--- a/bench/soak_limit.c
+++ b/bench/soak_limit.c
@@ -146,7 +146,9 @@
 	struct soak_machine *m = st->machine;
 	struct soak *s = m->soak;
 
-	if (!ba_rand_below(&s->rand, LEAVES_ONE_IN) && may_leave(m)) {
+	if ((s->n_limits + s->n_departures) % LEAVES_ONE_IN ==
+		    LEAVES_ONE_IN - 1 &&
+	    may_leave(m)) {
 		st->leaving = true;
 		s->n_departures++;
 		soak_log(s, "%s leaves", m->name);
