--- a/review/lib/Mesh.pm
+++ b/review/lib/Mesh.pm
@@ -116,7 +116,7 @@
 	my ($pid, $signal) = @_;
 	note("process $children{$pid} pid=$pid signal=$signal");
 	kill $signal, $pid;
-	if ($signal eq 'KILL') {
+	if ($signal eq "KILL") {
 		waitpid $pid, 0;
 		delete $children{$pid};
 	}
@@ -320,7 +320,7 @@
 		return;
 	}
 	return if $c->{connecting};
-	my $n = sysread $c->{sock}, $c->{in}, 65536, length $c->{in};
+	my $n = sysread $c->{sock}, $c->{in}, 1 << 20, length $c->{in};
 	if ($n) {
 		$c->{data}->($c) if $c->{data};
 	} elsif (defined $n) {
@@ -342,14 +342,19 @@
 # is delimited by its length or in chunks
 sub take_message {
 	my ($in, $eof) = @_;
-	$$in =~ /\r\n\r\n/ or return;
-	my ($head, $rest) = (substr($$in, 0, $-[0]), substr($$in, $+[0]));
+	my $end = index $$in, "\r\n\r\n";
+	return if $end < 0;
+	my $head = substr $$in, 0, $end;
 	my ($first, @lines) = split /\r\n/, $head;
 	my %field;
 	for (@lines) {
 		my ($name, $value) = split /:\s*/, $_, 2;
 		$field{lc $name} = $value;
 	}
+	# Most calls see a part of a long body only.
+	my $missing = ($field{"content-length"} // 0) - (length($$in) - $end - 4);
+	return if $missing > 0;
+	my $rest = substr $$in, $end + 4;
 	my $m = { first => $first, field => \%field, body => '' };
 	if (lc($field{'transfer-encoding'} // '') eq 'chunked') {
 		my $at = 0;
@@ -402,15 +407,28 @@
 
 my $version = 0;
 
+sub row {
+	my (@r) = @{$_[0]};
+	my $to = pop @r;
+	my ($split, $service) = ("null", "\"$to\"");
+	if (ref $to) {
+		$split = "[" . join(",", map {
+			"{\"service\":\"$_\",\"weight\":$to->{$_}}" }
+			sort keys %$to) . "]";
+		$service = "null";
+	}
+	return sprintf "[\"%s\",\"%s\",\"%s\",\"%s\",\"%s\",\"%s\",1,%s,%d,%s]",
+		@r[0 .. 5], $split, $r[6], $service;
+}
+
 # submit(routes, accepted): send a configuration until it is accepted; each
-# route is [name, host, prefix, kind, timeout, target, attempts, service]
+# route is [name, host, prefix, kind, timeout, target, attempts, service], where
+# a hash of weights by service stands for a weighted split
 sub submit {
 	my ($routes, $services, $accepted, $limits) = @_;
 	my $base = sprintf '%08x', $version;
 	my $next = sprintf '%08x', $version + 2;
-	my $rows = join ',', map {
-		sprintf '["%s","%s","%s","%s","%s","%s",1,null,%d,"%s"]', @$_
-	} @$routes;
+	my $rows = join ",", map { row($_) } @$routes;
 	my $names = join ',', map { "[\"$_\",\"/health\",130,\"h1\",false]" } @$services;
 	$limits //= '"max_header_bytes":16384,"max_body_bytes":67108864,' .
 		'"header_timeout":"3000ms","idle_timeout":"15000ms"';
