--- a/review/3/case.pl
+++ b/review/3/case.pl
@@ -4,16 +4,16 @@
 use warnings;
 use Mesh;
 
-my $period = 0.1; # seconds between two requests of the clients on a machine
+my $period = 0.2; # seconds between two requests of the clients on a machine
 my $before = 5;   # seconds with the first weights
 my $after = 20;   # seconds with the second ones
-my %first = ('plans-new' => 1000, 'plans-old' => 9000);
-my %second = ('plans-new' => 10, 'plans-old' => 0);
+my %first = ('plans-new' => 10, 'plans-old' => 90);
+my %second = ('plans-new' => 1, 'plans-old' => 0);
 
 Mesh::begin($ARGV[0]);
-my @front = map { Mesh::machine("front-$_", $_, 'front', 'zone-a') } 1 .. 4;
-my $old = Mesh::machine('plans-old-1', 10, 'plans-old', 'zone-a');
-my $new = Mesh::machine('plans-new-1', 11, 'plans-new', 'zone-a');
+my @front = map { Mesh::machine("front-$_", $_, 'front', 'zone-a') } 1 .. 8;
+my $old = Mesh::machine('plans-old-1', 20, 'plans-old', 'zone-a');
+my $new = Mesh::machine('plans-new-1', 21, 'plans-new', 'zone-a');
 my @machines = (@front, $old, $new);
 Mesh::start_core($_, 1) for 0 .. 2;
 Mesh::start_proxy($_) for @machines;
@@ -63,7 +63,7 @@
 } $old, $new;
 my $last = @$at_old ? $at_old->[-1]{at} - $acknowledged_at : 0;
 my $text = sprintf 'requests=%d later_than_config_apply: at_weight_0=%d ' .
-	'at_weight_10=%d last_at_weight_0=%.1fs', $n, scalar @$at_old,
+	'at_weight_1=%d last_at_weight_0=%.1fs', $n, scalar @$at_old,
 	scalar @$at_new, $last;
 Mesh::finish(2, "could not run: $text") if @$at_old + @$at_new < 200;
 Mesh::finish(@$at_old ? 1 : 0, $text);
