proxy: a backend server that deregistered stays out

Callers' requests went on reaching a backend server for up to 12 s after its proxy had acknowledged the deregistration (DRAIN).

Cause: px_backend_deregister() kept nothing but registered=false, so the next heartbeat that arrived counted as that of a new start. A heartbeat that the network delays by 2 s, sent before the deregistration, revived the backend server and was announced to all proxies. The same happened after a restart of the proxy, whose first announcement replaced the departure at the relays, also to a departure by "draining"; and to a backend server that deregistered before its first heartbeat. A late deregistration took out the next start of the same id.

Change: a lifetime (id and start) that has left is remembered, and ep_lifetime_is_past() decides for each heartbeat. Records carry the lifetime, so the relay completes the first record of a restarted proxy, which learns it before it can route to any endpoint. A deregistration that states its start is applied to that start only; one that may be meant for another start is undone by heartbeats that arrive 10 s later.

--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -160,6 +160,7 @@
 static size_t read_roster(const DsRoster *m, struct ds_relay *out);
 static int handle_records(struct ds_agent *a, const struct wi_frame *f);
 static void put_record(struct ds_agent *a, const EpRecord *m, ba_time now);
+static void learn_lifetime(struct ds_agent *a, const struct ep_record *r);
 static int handle_figures_ack(struct ds_agent *a, const struct wi_frame *f);
 static void announce(struct ds_agent *a, struct wi_session *s);
 static void announce_if_connected(struct ds_agent *a);
@@ -659,15 +660,44 @@
 	if (ep_record_check(&r))
 		return;
 	ep_table_put(a->table, &r, EP_HELD_BY_PEER, BA_NEVER, now);
-	if (!r.left || a->record.left ||
-	    strcmp(r.instance, a->record.instance) != 0 ||
+	if (strcmp(r.instance, a->record.instance) != 0 ||
 	    r.incarnation != a->record.incarnation ||
 	    r.sequence < a->record.sequence)
 		return;
+	learn_lifetime(a, &r);
+	if (!r.left || a->record.left || r.sequence < a->record.sequence)
+		return;
 	a->record.sequence = r.sequence;
 	announce_if_connected(a);
 }
 
+/*
+ * The relay has added what an earlier start of this daemon knew.  The owner may
+ * answer with an announcement.
+ */
+static void learn_lifetime(struct ds_agent *a, const struct ep_record *r)
+{
+	struct ep_lifetime known = ep_record_lifetime(r);
+	struct ep_lifetime own = ep_record_lifetime(&a->record);
+
+	bool same = own.start_wall_ms == known.start_wall_ms;
+
+	if (!*known.backend)
+		return;
+	if (*own.backend && (!ep_lifetime_is_past(&known, &own) ||
+			     (same && own.state >= known.state)))
+		return;
+	if (!*own.backend) {
+		g_free(a->record.backend);
+		a->record.backend = g_strdup(known.backend);
+		a->record.backend_start_wall_ms = known.start_wall_ms;
+		a->record.backend_sequence = known.sequence;
+		a->record.backend_state = known.state;
+	}
+	if (a->owner->on_lifetime)
+		a->owner->on_lifetime(a->owner, &known);
+}
+
 static int handle_figures_ack(struct ds_agent *a, const struct wi_frame *f)
 {
 	RtAck *m = (RtAck *)wi_frame_unpack(f, &rt_ack__descriptor);
--- a/distrib/ds_agent.h
+++ b/distrib/ds_agent.h
@@ -32,6 +32,8 @@
 /**
  * struct ds_agent_owner - callbacks to the daemon; embed it first
  * @on_snapshot: puts a new version in force; takes over the reference
+ * @on_lifetime: learns what was known of the own backend server before the start
+ *	of this daemon; may be NULL
  * @on_view: uses a new view of the endpoints; takes over the reference
  * @add_figures: appends a packed RtFigures to send, or leaves @out empty; may
  *	be NULL
@@ -40,6 +42,8 @@
  */
 struct ds_agent_owner {
 	void (*on_snapshot)(struct ds_agent_owner *o, struct cf_snapshot *s);
+	void (*on_lifetime)(struct ds_agent_owner *o,
+			    const struct ep_lifetime *known);
 	void (*on_view)(struct ds_agent_owner *o, struct ep_view *v);
 	void (*add_figures)(struct ds_agent_owner *o, struct ba_buf *out);
 	void (*on_figures_acked)(struct ds_agent_owner *o, uint64_t incarnation,
--- a/endpoint/ep.h
+++ b/endpoint/ep.h
@@ -42,12 +42,36 @@
 	bool convicted;
 };
 
+/** enum ep_state - what a backend server has said of itself */
+enum ep_state {
+	EP_SERVES,
+	EP_DRAINS,
+	EP_HAS_LEFT, /* it has deregistered */
+};
+
+/**
+ * struct ep_lifetime - one start of a backend server, as its heartbeats tell
+ * @backend: id that the backend server gave itself at its start, or ""
+ * @start_wall_ms: wall time of the start in milliseconds, 0 if not stated
+ * @sequence: number of the last heartbeat that is known
+ * @state: state as of that heartbeat, or of a deregistration after it
+ */
+struct ep_lifetime {
+	const char *backend;
+	int64_t start_wall_ms;
+	int64_t sequence;
+	enum ep_state state;
+};
+
 /**
  * struct ep_record - one endpoint
  * @address: address to which daemons of its region forward calls
  * @external_address: the same for daemons of other regions
  * @control_address: address at which siblings get the configuration, or ""
- * @backend: id that the backend server gave itself at its start, or ""
+ * @backend: id of the backend server; see struct ep_lifetime
+ * @backend_start_wall_ms: wall time of its start in milliseconds
+ * @backend_sequence: number of its heartbeat that last changed the record
+ * @backend_state: what it has said of itself; its daemon may be leaving, too
  * @cold_time: time after the announcement during which the backend server is
  *	slow, in microseconds
  * @incarnation: wall time of the daemon's start, in microseconds, plus one for
@@ -74,6 +98,9 @@
 	char *external_address;
 	char *control_address;
 	char *backend;
+	int64_t backend_start_wall_ms;
+	int64_t backend_sequence;
+	enum ep_state backend_state;
 	ba_time cold_time;
 	uint64_t incarnation;
 	uint64_t sequence;
@@ -134,6 +161,30 @@
 const struct ep_service_view *ep_view_find(const struct ep_view *v,
 					   const char *service);
 
+/**
+ * ep_lifetime_is_past() - whether a heartbeat was overtaken by what is known
+ * @known: what is known of the backend servers at one place
+ * @next: the heartbeat, of any start there
+ *
+ * A lifetime that has deregistered never comes back.
+ */
+bool ep_lifetime_is_past(const struct ep_lifetime *known,
+			 const struct ep_lifetime *next);
+
+/** ep_record_lifetime() - the lifetime that @r is about; borrows its strings */
+struct ep_lifetime ep_record_lifetime(const struct ep_record *r);
+
+/**
+ * ep_record_keep_lifetime() - add to a record what its own writer may not know
+ * @r: record of a daemon that may have been restarted; may borrow of @known
+ * @known: the record that it replaces, or NULL
+ *
+ * A restarted daemon knows nothing of the backend server, and may hear a
+ * heartbeat that was sent before the backend server drained or left.
+ */
+void ep_record_keep_lifetime(struct ep_record *r,
+			     const struct ep_record *known);
+
 /** ep_record_copy() - copy a record with its strings and marks */
 void ep_record_copy(struct ep_record *to, const struct ep_record *from);
 
--- a/endpoint/ep_record.c
+++ b/endpoint/ep_record.c
@@ -7,6 +7,7 @@
 #include "endpoint/ep_wire.h"
 
 static bool has_valid_length(const char *s, bool required);
+static enum ep_state state_from_message(EpBackendState state);
 static void marks_to_message(const struct ep_record *r, EpRecord *m);
 static void marks_from_message(const EpRecord *m, struct ep_mark *marks,
 			       struct ep_record *r);
@@ -68,6 +69,9 @@
 		m->control_address = r->control_address;
 	if (r->backend)
 		m->backend = r->backend;
+	m->backend_start_ms = r->backend_start_wall_ms;
+	m->backend_sequence = r->backend_sequence;
+	m->backend_state = (EpBackendState)r->backend_state;
 	m->cold_ms = (uint32_t)(r->cold_time / BA_MS);
 	m->incarnation = r->incarnation;
 	m->sequence = r->sequence;
@@ -103,6 +107,9 @@
 	r->external_address = m->external_address;
 	r->control_address = m->control_address;
 	r->backend = m->backend;
+	r->backend_start_wall_ms = m->backend_start_ms;
+	r->backend_sequence = m->backend_sequence;
+	r->backend_state = state_from_message(m->backend_state);
 	r->cold_time = m->cold_ms * BA_MS;
 	r->incarnation = m->incarnation;
 	r->sequence = m->sequence;
@@ -117,6 +124,19 @@
 		marks_from_message(m, marks, r);
 }
 
+/* A state that only a newer program knows comes after those known here. */
+static enum ep_state state_from_message(EpBackendState state)
+{
+	switch (state) {
+	case EP_BACKEND_STATE__EP_BACKEND_SERVES:
+		return EP_SERVES;
+	case EP_BACKEND_STATE__EP_BACKEND_DRAINS:
+		return EP_DRAINS;
+	default:
+		return EP_HAS_LEFT;
+	}
+}
+
 /* The marks and the pointers to them are one allocation. */
 static void marks_to_message(const struct ep_record *r, EpRecord *m)
 {
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -103,12 +103,15 @@
 static int start_proxy(struct program *g);
 static void start_agent(struct program *g);
 static void on_backend_changed(struct px_owner *o, const struct px_heartbeat *b,
-			       bool renewed);
+			       bool registered, bool renewed);
+static enum ep_state backend_state(const struct px_heartbeat *b);
 static void on_marks_changed(struct px_owner *o, const struct ep_mark *marks,
 			     size_t n);
 static void on_version_heard(struct px_owner *o, uint64_t version);
 static bool is_current(struct px_owner *o);
 static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s);
+static void on_lifetime(struct ds_agent_owner *o,
+			const struct ep_lifetime *known);
 static void on_view(struct ds_agent_owner *o, struct ep_view *v);
 static void on_signal(int signo, void *arg);
 static ba_time grace_share(const struct program *g, double share);
@@ -207,32 +210,43 @@
 	pr_set_port(&s->relays, s->relay_port);
 	pr_shuffle(&s->relays, s->common.instance_name);
 	g->agent_owner.on_snapshot = on_snapshot;
+	g->agent_owner.on_lifetime = on_lifetime;
 	g->agent_owner.on_view = on_view;
 	g->agent = ds_agent_new(g->loop, &o, &g->agent_owner);
 }
 
 static void on_backend_changed(struct px_owner *o, const struct px_heartbeat *b,
-			       bool renewed)
+			       bool registered, bool renewed)
 {
 	struct program *g = ba_entry(o, struct program, proxy_owner);
 	const struct settings *s = &g->settings;
 	struct ep_record record = {
-		.service = b ? (char *)b->service : "",
+		.service = (char *)b->service,
 		.data_centre = s->common.data_centre,
 		.region = s->common.region,
 		.address = (char *)s->peer_address.text,
 		.external_address = "",
 		.control_address = "",
-		.backend = b ? (char *)b->backend : "",
-		.cold_time = b ? b->cold_time : 0,
-		.slots = b ? b->slots : 0,
-		.draining = b && b->draining,
-		.left = !b,
+		.backend = (char *)b->backend,
+		.backend_start_wall_ms = b->start_wall_ms,
+		.backend_sequence = b->sequence,
+		.backend_state = backend_state(b),
+		.cold_time = b->cold_time,
+		.slots = b->slots,
+		.draining = b->draining,
+		.left = !registered,
 	};
 
 	ds_agent_announce(g->agent, &record, renewed);
 }
 
+static enum ep_state backend_state(const struct px_heartbeat *b)
+{
+	if (b->left)
+		return EP_HAS_LEFT;
+	return b->draining ? EP_DRAINS : EP_SERVES;
+}
+
 static void on_marks_changed(struct px_owner *o, const struct ep_mark *marks,
 			     size_t n)
 {
@@ -266,6 +280,14 @@
 	cf_snapshot_unref(s);
 }
 
+static void on_lifetime(struct ds_agent_owner *o,
+			const struct ep_lifetime *known)
+{
+	struct program *g = ba_entry(o, struct program, agent_owner);
+
+	px_restore_backend(g->proxy, known);
+}
+
 static void on_view(struct ds_agent_owner *o, struct ep_view *v)
 {
 	struct program *g = ba_entry(o, struct program, agent_owner);
--- a/proxy/px.h
+++ b/proxy/px.h
@@ -35,8 +35,8 @@
 /**
  * struct px_owner - callbacks into the program; embed it
  * @backend_changed: the backend server has started, changed its state or left;
- *	@b is its last heartbeat, NULL after it has left; @renewed is set when
- *	@b is the first heartbeat of another start
+ *	@b is its last heartbeat; @registered is not set while it is not to be
+ *	used; @renewed is set when @b is the first heartbeat of another start
  * @marks_changed: the own report of requests that crash backend servers has
  *	changed; @marks is all of it
  * @version_heard: another proxy has configuration version @version in force
@@ -45,7 +45,8 @@
  */
 struct px_owner {
 	void (*backend_changed)(struct px_owner *o,
-				const struct px_heartbeat *b, bool renewed);
+				const struct px_heartbeat *b, bool registered,
+				bool renewed);
 	void (*marks_changed)(struct px_owner *o, const struct ep_mark *marks,
 			      size_t n);
 	void (*version_heard)(struct px_owner *o, uint64_t version);
@@ -95,6 +96,14 @@
 /** px_configure() - use the configuration @s; takes its own reference */
 void px_configure(struct px *p, struct cf_snapshot *s);
 
+/**
+ * px_restore_backend() - use what was known before the start of this proxy
+ *
+ * A heartbeat that was sent before the backend server drained or left may
+ * arrive after the restart.
+ */
+void px_restore_backend(struct px *p, const struct ep_lifetime *known);
+
 /** px_set_endpoints() - use the endpoints of @v */
 void px_set_endpoints(struct px *p, const struct ep_view *v);
 
--- a/proxy/px_control.c
+++ b/proxy/px_control.c
@@ -7,6 +7,8 @@
 		  struct ba_buf *body);
 static int accept_heartbeat(struct px *p, const struct ht_request *r,
 			    const char *backend, struct ba_buf *body);
+static void accept_departure(struct px *p, const struct ht_request *r,
+			     const char *backend);
 
 void px_control_on_request(struct ht_service_owner *o, struct ht_request *r)
 {
@@ -29,7 +31,7 @@
 	case PX_CONTROL_HEARTBEAT:
 		return accept_heartbeat(p, r, backend, body);
 	case PX_CONTROL_DEREGISTER:
-		px_backend_deregister(p, backend);
+		accept_departure(p, r, backend);
 		return 200;
 	default:
 		return 404;
@@ -53,3 +55,16 @@
 	p->dialect->write_heartbeat_ack(body);
 	return 200;
 }
+
+static void accept_departure(struct px *p, const struct ht_request *r,
+			     const char *backend)
+{
+	const struct px_departure d = {
+		.backend = backend,
+		.start_wall_ms =
+			p->dialect->read_start(r->body.data, r->body.len),
+		.received_wall_ms = ba_clock_wall() / BA_MS,
+	};
+
+	px_backend_deregister(p, &d);
+}
--- a/proxy/px_dialect.h
+++ b/proxy/px_dialect.h
@@ -69,6 +69,7 @@
  * @slots: requests that it works on at once
  * @cold_time: how much longer it is slow after its cold start
  * @draining: it is about to leave
+ * @left: it has deregistered since
  */
 struct px_heartbeat {
 	char backend[PX_ID_BYTES];
@@ -79,6 +80,7 @@
 	uint32_t slots;
 	ba_time cold_time;
 	bool draining;
+	bool left;
 };
 
 /**
@@ -91,6 +93,8 @@
  * @read_control: classify the call @method @target; @backend receives the id
  *	that the target names
  * @read_heartbeat: parse the body of a heartbeat; false if it is malformed
+ * @read_start: parse the body of a deregistration; the wall time of the start in
+ *	milliseconds, 0 if it is not stated
  * @write_heartbeat_ack: append the body that acknowledges a heartbeat
  */
 struct px_dialect {
@@ -105,6 +109,7 @@
 					char backend[PX_ID_BYTES]);
 	bool (*read_heartbeat)(const void *body, size_t len,
 			       struct px_heartbeat *out);
+	int64_t (*read_start)(const void *body, size_t len);
 	void (*write_heartbeat_ack)(struct ba_buf *out);
 };
 
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -72,6 +72,8 @@
 #define PX_RETRY_RESERVE 1.0
 /* How long an answer may go on after its caller has stopped waiting. */
 #define PX_LATE_ANSWER_TIME BA_SECOND
+/* How late a heartbeat or a deregistration may arrive. */
+#define PX_LATE_CONTROL_TIME (10 * BA_SECOND)
 /* An answer that waits for the link for longer is logged. */
 #define PX_ANSWER_HELD_TIME BA_SECOND
 #define PX_RETRY_AFTER_MIN (200 * BA_MS)
@@ -125,10 +127,25 @@
 	struct cl_retry reruns;
 };
 
+/**
+ * struct px_departure - a deregistration of a backend server
+ * @start_wall_ms: wall time of its start in milliseconds, 0 if not stated
+ * @received_wall_ms: wall time of the arrival in milliseconds
+ */
+struct px_departure {
+	const char *backend;
+	int64_t start_wall_ms;
+	int64_t received_wall_ms;
+};
+
 /**
  * struct px_backend - the local backend server
  * @registered: a heartbeat has arrived, and it has not deregistered since
- * @heartbeat: last heartbeat
+ * @heartbeat: last heartbeat, or what is known of the last start that left
+ * @first_heard_at: when the first heartbeat of this start arrived
+ * @id_was_used: the start before this one had the same id
+ * @left_at: when it deregistered
+ * @left_unsure: the deregistration may have been meant for another start
  * @admit: admission control for its slots, and the queue of waiting requests
  * @pool: connections to it
  * @sched: order of waiting requests and how long they may wait
@@ -142,6 +159,10 @@
 struct px_backend {
 	bool registered;
 	struct px_heartbeat heartbeat;
+	ba_time first_heard_at;
+	bool id_was_used;
+	ba_time left_at;
+	bool left_unsure;
 	struct cl_admit *admit;
 	struct ht_pool *pool;
 	struct cl_sched *sched;
@@ -458,8 +479,8 @@
 /** px_backend_on_heartbeat() - process a heartbeat of the backend server */
 void px_backend_on_heartbeat(struct px *p, const struct px_heartbeat *hb);
 
-/** px_backend_deregister() - stop using the backend server @backend */
-void px_backend_deregister(struct px *p, const char *backend);
+/** px_backend_deregister() - stop using the backend server that leaves */
+void px_backend_deregister(struct px *p, const struct px_departure *d);
 
 /** px_backend_on_departure() - announce that the backend server leaves */
 void px_backend_on_departure(struct px *p);
--- a/test/endpoint_test.cc
+++ b/test/endpoint_test.cc
@@ -507,6 +507,163 @@
 	}
 }
 
+TEST(EpLifetime, HeartbeatsThatWereOvertaken)
+{
+	static const struct {
+		const char *name;
+		struct ep_lifetime known, next;
+		bool past;
+	} cases[] = {
+		{"nothing known",
+		 {"", 0, 0, EP_SERVES},
+		 {"a", 5, 1, EP_SERVES},
+		 false},
+		{"next", {"a", 5, 1, EP_SERVES}, {"a", 5, 2, EP_SERVES}, false},
+		{"repeated",
+		 {"a", 5, 2, EP_SERVES},
+		 {"a", 5, 2, EP_SERVES},
+		 true},
+		{"earlier",
+		 {"a", 5, 2, EP_DRAINS},
+		 {"a", 5, 1, EP_SERVES},
+		 true},
+		{"after it left",
+		 {"a", 5, 2, EP_HAS_LEFT},
+		 {"a", 5, 3, EP_SERVES},
+		 true},
+		{"earlier start",
+		 {"b", 9, 1, EP_SERVES},
+		 {"a", 5, 7, EP_SERVES},
+		 true},
+		{"later start",
+		 {"a", 5, 7, EP_SERVES},
+		 {"b", 9, 1, EP_SERVES},
+		 false},
+		{"later start after one that left",
+		 {"a", 5, 7, EP_HAS_LEFT},
+		 {"a", 9, 1, EP_SERVES},
+		 false},
+		{"no start is stated",
+		 {"a", 0, 7, EP_HAS_LEFT},
+		 {"b", 0, 1, EP_SERVES},
+		 false},
+		{"no start is stated, it left",
+		 {"a", 0, 7, EP_HAS_LEFT},
+		 {"a", 0, 8, EP_SERVES},
+		 true},
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(ep_lifetime_is_past(&c.known, &c.next), c.past)
+			<< c.name;
+}
+
+struct ep_record record_of(uint64_t incarnation, struct ep_lifetime l,
+			   bool left = false)
+{
+	struct ep_record r = record("p", incarnation, 1);
+
+	r.backend = (char *)l.backend;
+	r.backend_start_wall_ms = l.start_wall_ms;
+	r.backend_sequence = l.sequence;
+	r.backend_state = l.state;
+	r.draining = l.state == EP_DRAINS;
+	r.left = left || l.state == EP_HAS_LEFT;
+	return r;
+}
+
+/* A restarted daemon does not know that its backend server drained or left. */
+TEST(EpLifetime, RecordOfARestartedDaemonIsCompleted)
+{
+	static const struct {
+		const char *name;
+		struct ep_record known, next;
+		struct ep_lifetime want;
+		bool draining, left;
+	} cases[] = {
+		{"no heartbeat yet, it serves",
+		 record_of(1, {"a", 5, 2, EP_SERVES}),
+		 record_of(2, {"", 0, 0, EP_SERVES}, true),
+		 {"a", 5, 2, EP_SERVES},
+		 false,
+		 true},
+		{"no heartbeat yet, it left",
+		 record_of(1, {"a", 5, 2, EP_HAS_LEFT}),
+		 record_of(2, {"", 0, 0, EP_SERVES}, true),
+		 {"a", 5, 2, EP_HAS_LEFT},
+		 false,
+		 true},
+		{"late heartbeat of one that left",
+		 record_of(1, {"a", 5, 2, EP_HAS_LEFT}),
+		 record_of(2, {"a", 5, 3, EP_SERVES}),
+		 {"a", 5, 2, EP_HAS_LEFT},
+		 false,
+		 true},
+		{"late heartbeat of one that drains",
+		 record_of(1, {"a", 5, 4, EP_DRAINS}),
+		 record_of(2, {"a", 5, 3, EP_SERVES}),
+		 {"a", 5, 4, EP_DRAINS},
+		 true,
+		 false},
+		{"late heartbeat of an earlier start",
+		 record_of(1, {"b", 9, 4, EP_SERVES}),
+		 record_of(2, {"a", 5, 3, EP_SERVES}),
+		 {"b", 9, 4, EP_SERVES},
+		 false,
+		 true},
+		{"next heartbeat",
+		 record_of(1, {"a", 5, 4, EP_SERVES}),
+		 record_of(2, {"a", 5, 5, EP_SERVES}),
+		 {"a", 5, 5, EP_SERVES},
+		 false,
+		 false},
+		{"next start",
+		 record_of(1, {"a", 5, 4, EP_HAS_LEFT}),
+		 record_of(2, {"a", 9, 1, EP_SERVES}),
+		 {"a", 9, 1, EP_SERVES},
+		 false,
+		 false},
+		{"deregistered within one incarnation",
+		 record_of(2, {"a", 5, 4, EP_SERVES}),
+		 record_of(2, {"a", 5, 4, EP_HAS_LEFT}),
+		 {"a", 5, 4, EP_HAS_LEFT},
+		 false,
+		 true},
+		{"older incarnation",
+		 record_of(3, {"a", 5, 4, EP_HAS_LEFT}),
+		 record_of(2, {"a", 5, 3, EP_SERVES}),
+		 {"a", 5, 3, EP_SERVES},
+		 false,
+		 false},
+	};
+
+	for (const auto &c : cases) {
+		struct ep_record r = c.next;
+		struct ep_lifetime got;
+
+		ep_record_keep_lifetime(&r, &c.known);
+		got = ep_record_lifetime(&r);
+		EXPECT_STREQ(got.backend, c.want.backend) << c.name;
+		EXPECT_EQ(got.start_wall_ms, c.want.start_wall_ms) << c.name;
+		EXPECT_EQ(got.sequence, c.want.sequence) << c.name;
+		EXPECT_EQ(got.state, c.want.state) << c.name;
+		EXPECT_EQ(r.draining, c.draining) << c.name;
+		EXPECT_EQ(r.left, c.left) << c.name;
+	}
+}
+
+TEST(EpWire, TheLifetimeOfTheBackendServerIsSentWhole)
+{
+	struct ep_record r = record_of(1, {"a", 1234567890123, 7, EP_DRAINS});
+	struct transfer t(r, 0, 0);
+	struct ep_lifetime got = ep_record_lifetime(&t.record);
+
+	EXPECT_STREQ(got.backend, "a");
+	EXPECT_EQ(got.start_wall_ms, 1234567890123);
+	EXPECT_EQ(got.sequence, 7);
+	EXPECT_EQ(got.state, EP_DRAINS);
+}
+
 TEST(EpTable, AChangeOfMarksIsAChangeOfTheRecord)
 {
 	struct ep_table *t = ep_table_new(10);
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -675,6 +675,95 @@
 	EXPECT_EQ(status(caller.read_message()), 503);
 }
 
+/*
+ * A heartbeat that was sent before the deregistration arrived after it and made
+ * the backend server a new one.
+ */
+TEST(PxBackend, LateHeartbeatDoesNotReviveAServerThatDeregistered)
+{
+	struct step {
+		const char *call, *id, *state;
+		int sequence;
+		long start_wall_ms; /* 0: not stated */
+		bool used;	    /* after the step */
+	};
+	static const struct {
+		const char *name;
+		std::vector<struct step> steps;
+	} cases[] = {
+		{"sent after the last one",
+		 {{"heartbeat", "i-1", "ready", 1, 5, true},
+		  {"deregister", "i-1", "", 0, 0, false},
+		  {"heartbeat", "i-1", "ready", 2, 5, false}}},
+		{"repeated",
+		 {{"heartbeat", "i-1", "ready", 1, 5, true},
+		  {"deregister", "i-1", "", 0, 0, false},
+		  {"heartbeat", "i-1", "ready", 1, 5, false}}},
+		{"after a repeated deregistration",
+		 {{"heartbeat", "i-1", "ready", 1, 5, true},
+		  {"deregister", "i-1", "", 0, 0, false},
+		  {"deregister", "i-1", "", 0, 0, false},
+		  {"heartbeat", "i-1", "ready", 2, 5, false}}},
+		{"after a departure that it announced",
+		 {{"heartbeat", "i-1", "ready", 1, 5, true},
+		  {"heartbeat", "i-1", "draining", 2, 5, false},
+		  {"deregister", "i-1", "", 0, 0, false},
+		  {"heartbeat", "i-1", "ready", 3, 5, false}}},
+		{"of an earlier start, after a later one has left",
+		 {{"heartbeat", "i-1", "ready", 1, 5, true},
+		  {"heartbeat", "i-2", "ready", 1, 9, true},
+		  {"deregister", "i-2", "", 0, 0, false},
+		  {"heartbeat", "i-1", "ready", 2, 5, false},
+		  {"heartbeat", "i-2", "ready", 2, 9, false}}},
+		{"the proxy never heard of it before",
+		 {{"deregister", "i-1", "", 0, 0, false},
+		  {"heartbeat", "i-1", "ready", 1, 5, false}}},
+		{"the deregistration states the start",
+		 {{"deregister", "i-1", "", 0, 5, false},
+		  {"heartbeat", "i-1", "ready", 1, 5, false},
+		  {"heartbeat", "i-1", "ready", 1, 9, true}}},
+		{"the next start has another id",
+		 {{"heartbeat", "i-1", "ready", 1, 5, true},
+		  {"deregister", "i-1", "", 0, 0, false},
+		  {"heartbeat", "i-2", "ready", 1, 9, true},
+		  {"heartbeat", "i-1", "ready", 2, 5, true}}},
+		{"the next start has the same id",
+		 {{"heartbeat", "i-1", "ready", 7, 5, true},
+		  {"deregister", "i-1", "", 0, 0, false},
+		  {"heartbeat", "i-1", "ready", 1, 9, true}}},
+		{"a late deregistration of the start before",
+		 {{"heartbeat", "i-1", "ready", 7, 5, true},
+		  {"heartbeat", "i-1", "ready", 1, 9, true},
+		  {"deregister", "i-1", "", 0, 5, true},
+		  {"heartbeat", "i-2", "ready", 1, 12, true},
+		  {"deregister", "i-1", "", 0, 0, true}}},
+	};
+
+	for (const auto &c : cases) {
+		world w;
+		int n = 0;
+
+		for (const auto &s : c.steps) {
+			if (!strcmp(s.call, "heartbeat"))
+				w.send_heartbeat(s.id, s.state, s.sequence,
+						 s.start_wall_ms);
+			else
+				w.call_control(
+					std::string("POST /v1/instances/") +
+						s.id + "/deregister",
+					s.start_wall_ms
+						? "{\"born\":" +
+							  std::to_string(
+								  s.start_wall_ms) +
+							  "}"
+						: "");
+			w.run([&] { w.endpoints(false, ++n); });
+			EXPECT_EQ(w.is_used(), s.used)
+				<< c.name << ", step " << n;
+		}
+	}
+}
+
 TEST(PxSplit, KeepsItsSharesOverFewRequests)
 {
 	world w;
--- a/test/proxy_world.h
+++ b/test/proxy_world.h
@@ -312,12 +312,13 @@
 	}
 
 	static void record_backend(struct px_owner *o,
-				   const struct px_heartbeat *b, bool)
+				   const struct px_heartbeat *b,
+				   bool registered, bool)
 	{
 		world *w = static_cast<owner_of *>(o)->w;
 		std::lock_guard<std::mutex> g(w->lock);
 
-		w->announced_draining = b && b->draining;
+		w->announced_draining = registered && b->draining;
 	}
 
 	static void record_version(struct px_owner *o, uint64_t version)
@@ -455,6 +456,28 @@
 				    body);
 	}
 
+	/* Whether the backend server gets the next request of a caller. */
+	bool is_used()
+	{
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
+		struct pollfd p[2] = {{backend.fd, POLLIN, 0},
+				      {caller.fd, POLLIN, 0}};
+
+		caller.write("GET /look/ HTTP/1.1\r\nHost: a.example\r\n"
+			     "Connection: close\r\n\r\n");
+		EXPECT_GE(poll(p, 2, WAIT_S * 1000), 1);
+		if (!(p[0].revents & POLLIN))
+			return false;
+		blocking_socket s = backend.accept_one();
+
+		s.read_message();
+		s.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+			"Connection: close\r\n\r\n");
+		caller.read_message();
+		return true;
+	}
+
 	static std::string call_control(const std::string &call,
 					const std::string &body)
 	{
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -1,5 +1,6 @@
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <string>
@@ -167,8 +168,19 @@
 	size_t endpoints;
 	size_t draining;
 	std::map<std::string, struct report> reports;
+	struct ep_lifetime known; /* before its start, without the id */
+	std::string known_id;
+	size_t most_endpoints;
 };
 
+void on_lifetime(struct ds_agent_owner *o, const struct ep_lifetime *known)
+{
+	auto *d = (struct daemon *)o;
+
+	d->known = *known;
+	d->known_id = known->backend;
+}
+
 void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s)
 {
 	((struct daemon *)o)->versions.push_back(s->version);
@@ -181,6 +193,7 @@
 	const struct ep_service_view *sv = ep_view_find(v, "orders");
 
 	d->endpoints = sv ? sv->n_records : 0;
+	d->most_endpoints = std::max(d->most_endpoints, d->endpoints);
 	d->draining = 0;
 	for (size_t i = 0; sv && i < sv->n_records; i++)
 		d->draining += sv->records[i].draining;
@@ -199,13 +212,14 @@
 
 void daemon_start(struct daemon *d, struct ba_loop *loop, const char *name,
 		  const char *data_centre, struct ba_address *relays, size_t n,
-		  const char *region = "r1")
+		  const char *region = "r1", bool left = false)
 {
 	struct ep_record r = {};
 	struct ds_agent_options options = {};
 
 	d->owner.on_snapshot = on_snapshot;
 	d->owner.on_view = on_view;
+	d->owner.on_lifetime = on_lifetime;
 	d->name = name;
 	d->id = identity(d->name.c_str(), WI_DAEMON, data_centre, region);
 	d->relays = {relays, n};
@@ -215,6 +229,7 @@
 	r.region = (char *)region;
 	r.address = (char *)"127.0.0.1:1";
 	r.incarnation = d->id.incarnation;
+	r.left = left;
 	options.identity = &d->id;
 	options.relays = &d->relays;
 	options.record = &r;
@@ -685,6 +700,59 @@
 		EXPECT_EQ(d->versions, (std::vector<uint64_t>{5, 6}));
 }
 
+/* Announces @l as what the backend server of @d has said of itself. */
+void announce(struct daemon *d, const struct ep_lifetime &l, bool renewed)
+{
+	struct ep_record r = {};
+
+	r.service = (char *)"orders";
+	r.data_centre = (char *)"d1";
+	r.region = (char *)"r1";
+	r.address = (char *)"127.0.0.1:1";
+	r.backend = (char *)l.backend;
+	r.backend_start_wall_ms = l.start_wall_ms;
+	r.backend_sequence = l.sequence;
+	r.backend_state = l.state;
+	r.left = l.state == EP_HAS_LEFT;
+	ds_agent_announce(d->agent, &r, renewed);
+}
+
+/*
+ * The backend server deregisters, its proxy is killed, and the next process
+ * hears a heartbeat that was sent before: before it has a session, and after.
+ */
+TEST(DsRelay, RestartedDaemonLearnsThatItsBackendServerLeft)
+{
+	for (bool heard_first : {true, false}) {
+		struct mesh m(23146);
+		struct daemon *d;
+
+		m.publish(1);
+		m.add("a1", false);
+		m.add("a2", true);
+		d = m.daemons[0].get();
+		announce(d, {"i-1", 5, 1, EP_SERVES}, true);
+		ASSERT_TRUE(wait_until(m.loop, [&] { return m.all_see(2); }));
+		announce(d, {"i-1", 5, 1, EP_HAS_LEFT}, false);
+		ASSERT_TRUE(wait_until(m.loop, [&] { return m.all_see(1); }));
+		m.daemons[1]->most_endpoints = 0;
+		ds_agent_free(d->agent);
+		*d = {};
+		daemon_start(d, m.loop, "a1", "d1", m.at + 1, 1, "r1", true);
+		if (heard_first)
+			announce(d, {"i-1", 5, 2, EP_SERVES}, true);
+		EXPECT_TRUE(wait_until(m.loop, [&] {
+			return d->known.state == EP_HAS_LEFT;
+		})) << heard_first;
+		EXPECT_EQ(d->known_id, "i-1") << heard_first;
+		EXPECT_LE(d->most_endpoints, 1u) << heard_first;
+		EXPECT_LE(m.daemons[1]->most_endpoints, 1u) << heard_first;
+		announce(d, {"i-2", 9, 1, EP_SERVES}, true);
+		EXPECT_TRUE(wait_until(m.loop, [&] { return m.all_see(2); }))
+			<< heard_first;
+	}
+}
+
 /* Two relays of different regions, each with a daemon of its region. */
 struct far_mesh : mesh {
 	bool all_data_centres;
--- a/wire/ep.pb-c.c
+++ b/wire/ep.pb-c.c
@@ -354,7 +354,7 @@
   (ProtobufCMessageInit) ep_mark__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ep_record__field_descriptors[18] =
+static const ProtobufCFieldDescriptor ep_record__field_descriptors[21] =
 {
   {
     "instance",
@@ -572,10 +572,49 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "backend_start_ms",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(EpRecord, backend_start_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backend_sequence",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(EpRecord, backend_sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "backend_state",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(EpRecord, backend_state),
+    &ep_backend_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ep_record__field_indices_by_name[] = {
   4,   /* field[4] = address */
   13,   /* field[13] = backend */
+  19,   /* field[19] = backend_sequence */
+  18,   /* field[18] = backend_start_ms */
+  20,   /* field[20] = backend_state */
   14,   /* field[14] = cold_ms */
   10,   /* field[10] = connections */
   12,   /* field[12] = control_address */
@@ -596,7 +635,7 @@
 static const ProtobufCIntRange ep_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor ep_record__descriptor =
 {
@@ -606,7 +645,7 @@
   "EpRecord",
   "",
   sizeof(EpRecord),
-  18,
+  21,
   ep_record__field_descriptors,
   ep_record__field_indices_by_name,
   1,  ep_record__number_ranges,
@@ -856,3 +895,33 @@
   (ProtobufCMessageInit) ep_digest__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCEnumValue ep_backend_state__enum_values_by_number[3] =
+{
+  { "EP_BACKEND_SERVES", "EP_BACKEND_STATE__EP_BACKEND_SERVES", 0 },
+  { "EP_BACKEND_DRAINS", "EP_BACKEND_STATE__EP_BACKEND_DRAINS", 1 },
+  { "EP_BACKEND_HAS_LEFT", "EP_BACKEND_STATE__EP_BACKEND_HAS_LEFT", 2 },
+};
+static const ProtobufCIntRange ep_backend_state__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex ep_backend_state__enum_values_by_name[3] =
+{
+  { "EP_BACKEND_DRAINS", 1 },
+  { "EP_BACKEND_HAS_LEFT", 2 },
+  { "EP_BACKEND_SERVES", 0 },
+};
+const ProtobufCEnumDescriptor ep_backend_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "EpBackendState",
+  "EpBackendState",
+  "EpBackendState",
+  "",
+  3,
+  ep_backend_state__enum_values_by_number,
+  3,
+  ep_backend_state__enum_values_by_name,
+  1,
+  ep_backend_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/wire/ep.pb-c.h
+++ b/wire/ep.pb-c.h
@@ -25,6 +25,18 @@
 
 /* --- enums --- */
 
+/*
+ * What a backend server has said of itself; it never goes back to an earlier one.
+ */
+typedef enum _EpBackendState {
+  EP_BACKEND_STATE__EP_BACKEND_SERVES = 0,
+  EP_BACKEND_STATE__EP_BACKEND_DRAINS = 1,
+  /*
+   * it has deregistered
+   */
+  EP_BACKEND_STATE__EP_BACKEND_HAS_LEFT = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(EP_BACKEND_STATE)
+} EpBackendState;
 
 /* --- messages --- */
 
@@ -64,11 +76,11 @@
   char *data_centre;
   char *region;
   /*
-   * peer port, inside the region
+   * of the peer port, inside the region
    */
   char *address;
   /*
-   * peer port, from other regions
+   * of the peer port, for other regions
    */
   char *external_address;
   uint64_t incarnation;
@@ -81,15 +93,15 @@
    */
   protobuf_c_boolean left;
   /*
-   * where siblings can catch up
+   * where siblings get the configuration
    */
   char *control_address;
   /*
-   * the backend server's own id, changes at its start
+   * id of the backend server, new at each start
    */
   char *backend;
   /*
-   * it stays slow for so long
+   * time for which it is slow after its start
    */
   uint32_t cold_ms;
   /*
@@ -105,10 +117,19 @@
    * time since it left, of a tombstone
    */
   uint32_t left_ms;
+  /*
+   * wall time of the backend server's start
+   */
+  int64_t backend_start_ms;
+  /*
+   * its last heartbeat that changed the record
+   */
+  int64_t backend_sequence;
+  EpBackendState backend_state;
 };
 #define EP_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ep_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, 0, EP_BACKEND_STATE__EP_BACKEND_SERVES }
 
 
 struct  EpAnnounce
@@ -126,17 +147,17 @@
 {
   ProtobufCMessage base;
   /*
-   * all that the sender has in the buckets
+   * records are all that the sender has in buckets
    */
   protobuf_c_boolean full;
   /*
-   * of the buckets
+   * that the buckets belong to
    */
   char *data_centre;
   size_t n_records;
   EpRecord **records;
   /*
-   * announced over sessions of the sender
+   * announced over the sender's own sessions
    */
   protobuf_c_boolean held;
   size_t n_buckets;
@@ -156,7 +177,7 @@
    */
   uint64_t root;
   /*
-   * absent when only the root is told
+   * empty if only the root is sent
    */
   size_t n_buckets;
   uint64_t *buckets;
@@ -167,7 +188,7 @@
 
 
 /*
- * What the sender holds; the receiver answers with what differs.
+ * Digest of the sender's records; the receiver answers with those that differ.
  */
 struct  EpDigest
 {
@@ -320,6 +341,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCEnumDescriptor    ep_backend_state__descriptor;
 extern const ProtobufCMessageDescriptor ep_mark__descriptor;
 extern const ProtobufCMessageDescriptor ep_record__descriptor;
 extern const ProtobufCMessageDescriptor ep_announce__descriptor;
