proxy: weights of a split hold from the next request

Callers' requests went on running at a service whose weight had become 0, for up to 10 s after the change was acknowledged (CONFIG).

Cause: the current weights of the round robin were kept by the name of the route while the number of parts stayed the same. After 90 and 10 they are up to 100 apart; the weights 0 and 1 work that off by 2 with each request. A weight of 0 was not excluded from the choice, nor from the random first state.

Change: call/cl_split keeps the services and weights that the state was made for, and begins anew where they differ; parts of weight 0 are left out. The mean size of answers, kept by the name of the route too, is kept by route and service, as another service has other answers.

--- a/proxy/px.c
+++ b/proxy/px.c
@@ -9,7 +9,6 @@
 static void announce_leaving(struct px *p);
 static struct px_exchange *find_unanswered(struct px *p);
 static void pool_free(gpointer data);
-static void split_free(gpointer data);
 static int listen_all(struct px *p, const struct ba_address **failed);
 static int serve(struct px *p, const struct ba_address *at,
 		 struct ht_service **out);
@@ -47,8 +46,10 @@
 	p->retry_budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->splits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					  split_free);
-	p->route_stats =
+					  (GDestroyNotify)cl_split_free);
+	p->patience =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	p->answer_stats =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->backend.sched = cl_sched_new();
 	p->stated = cl_stated_new();
@@ -143,7 +144,8 @@
 	g_hash_table_destroy(p->splits);
 	cl_sched_free(p->backend.sched);
 	cl_stated_free(p->stated);
-	g_hash_table_destroy(p->route_stats);
+	g_hash_table_destroy(p->patience);
+	g_hash_table_destroy(p->answer_stats);
 	g_hash_table_destroy(p->retry_budgets);
 	ht_pool_free(p->backend.pool);
 	cl_admit_free(p->backend.admit);
@@ -186,14 +188,6 @@
 	ht_pool_free(data);
 }
 
-static void split_free(gpointer data)
-{
-	struct px_split *s = data;
-
-	g_free(s->current_weight);
-	g_free(s);
-}
-
 static int listen_all(struct px *p, const struct ba_address **failed)
 {
 	*failed = &p->o.caller_address;
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -17,11 +17,12 @@
 static const struct cf_route *find_route(const struct px_exchange *x);
 static void apply_route(struct px_exchange *x, const struct cf_route *r);
 static void earn_retries(struct px_retry_budget *b);
-static struct px_route_stats *find_route_stats(struct px *p, const char *route);
+static struct px_answer_stats *find_answer_stats(struct px_exchange *x);
 static void *find_or_add(GHashTable *table, const char *name, size_t size);
 static const char *choose_service(struct px_exchange *x,
 				  const struct cf_route *r);
-static struct px_split *find_split(struct px *p, const struct cf_route *r);
+static struct cl_split *find_split(struct px_exchange *x,
+				   const struct cf_route *r);
 static void on_deadline(struct ba_timer *t, ba_time now);
 static void answer_error(struct px_exchange *x, int status, int code);
 static void fail(struct px_exchange *x);
@@ -148,8 +149,7 @@
 
 double px_exchange_expected_bytes(struct px_exchange *x)
 {
-	return x->route ? find_route_stats(x->p, x->route)->mean_answer_bytes
-			: 0;
+	return x->route ? find_answer_stats(x)->mean_bytes : 0;
 }
 
 void px_exchange_on_not_run(struct px_exchange *x, int code)
@@ -395,7 +395,9 @@
 
 static void apply_route(struct px_exchange *x, const struct cf_route *r)
 {
-	struct px_route_stats *stats = find_route_stats(x->p, r->name);
+	struct cl_patience *patience =
+		find_or_add(x->p->patience, r->name, sizeof(*patience));
+	struct px_answer_stats *stats;
 	ba_time timeout = r->timeout ? r->timeout : PX_DEFAULT_ROUTE_TIMEOUT;
 	ba_time time_left = x->caller_deadline - x->arrived_at;
 	bool time_known = x->caller_deadline != BA_NEVER;
@@ -407,15 +409,15 @@
 	g_free(x->caller);
 	x->caller = g_strdup(x->p->o.service);
 	x->idempotent = r->idempotent || r->download;
+	stats = find_answer_stats(x);
 	/* A download counts as large until answers have been measured. */
-	if (r->download && !stats->mean_answer_bytes)
-		stats->mean_answer_bytes = 2 * PX_LARGE_ANSWER_BYTES;
+	if (r->download && !stats->mean_bytes)
+		stats->mean_bytes = 2 * PX_LARGE_ANSWER_BYTES;
 	x->max_runs = r->attempts ? r->attempts : PX_DEFAULT_ATTEMPTS;
 	x->priority = r->priority;
 	x->deadline = MIN(x->arrived_at + timeout, x->caller_deadline);
 	x->latency_target = x->deadline;
-	elapsed =
-		time_known ? cl_patience_spent(&stats->patience, time_left) : 0;
+	elapsed = time_known ? cl_patience_spent(patience, time_left) : 0;
 	if (r->latency_target &&
 	    r->latency_target < x->deadline - x->arrived_at)
 		x->latency_target = x->arrived_at + r->latency_target - elapsed;
@@ -428,10 +430,15 @@
 	cl_retry_earn(&b->reruns, PX_RERUN_RATIO, 1);
 }
 
-static struct px_route_stats *find_route_stats(struct px *p, const char *route)
+/* A route that leads to another service has other answers. */
+static struct px_answer_stats *find_answer_stats(struct px_exchange *x)
 {
-	return find_or_add(p->route_stats, route,
-			   sizeof(struct px_route_stats));
+	char *key = g_strconcat(x->route, "\n", x->service, NULL);
+	struct px_answer_stats *stats = find_or_add(
+		x->p->answer_stats, key, sizeof(struct px_answer_stats));
+
+	g_free(key);
+	return stats;
 }
 
 /* Returns the entry @name of @table; a new entry is zeroed. */
@@ -446,47 +453,34 @@
 	return entry;
 }
 
-/*
- * Uses smooth weighted round robin, so that the shares already hold over a few
- * requests; a random choice would need hundreds.
- */
 static const char *choose_service(struct px_exchange *x,
 				  const struct cf_route *r)
 {
-	const struct cf_snapshot *s = x->snapshot;
-	struct px_split *split;
-	double sum = 0;
-	size_t best = 0;
+	const struct cf_service *services = x->snapshot->services;
 
 	if (!r->n_parts)
-		return s->services[r->service].name;
-	split = find_split(x->p, r);
-	for (size_t i = 0; i < r->n_parts; i++) {
-		split->current_weight[i] += r->parts[i].weight;
-		sum += r->parts[i].weight;
-		if (split->current_weight[i] > split->current_weight[best])
-			best = i;
-	}
-	split->current_weight[best] -= sum;
-	return s->services[r->parts[best].service].name;
+		return services[r->service].name;
+	return services[r->parts[cl_split_choose(find_split(x, r))].service]
+		.name;
 }
 
-static struct px_split *find_split(struct px *p, const struct cf_route *r)
+/* A change of the services or weights of a route begins anew. */
+static struct cl_split *find_split(struct px_exchange *x,
+				   const struct cf_route *r)
 {
-	struct px_split *s = g_hash_table_lookup(p->splits, r->name);
-	double sum = 0;
+	struct px *p = x->p;
+	struct cl_split *s = g_hash_table_lookup(p->splits, r->name);
+	struct cl_split_part *parts = g_newa(struct cl_split_part, r->n_parts);
+
+	for (size_t i = 0; i < r->n_parts; i++) {
+		const struct cf_part *part = &r->parts[i];
 
-	if (s && s->n == r->n_parts)
+		parts[i].service = x->snapshot->services[part->service].name;
+		parts[i].weight = part->weight;
+	}
+	if (s && cl_split_fits(s, parts, r->n_parts))
 		return s;
-	s = g_new0(struct px_split, 1);
-	s->n = r->n_parts;
-	s->current_weight = g_new0(double, s->n);
-	for (size_t i = 0; i < s->n; i++)
-		sum += r->parts[i].weight;
-	/* Keeps proxies that start together from choosing in step. */
-	for (size_t i = 0; i < s->n; i++)
-		s->current_weight[i] =
-			sum * (double)ba_rand_below(&p->rand, 1000) / 1000.0;
+	s = cl_split_new(parts, r->n_parts, &p->rand);
 	g_hash_table_replace(p->splits, g_strdup(r->name), s);
 	return s;
 }
@@ -608,14 +602,13 @@
 
 void px_exchange_record_answer(struct px_exchange *x)
 {
-	struct px_route_stats *stats;
+	struct px_answer_stats *stats;
 
 	if (!x->route)
 		return;
-	stats = find_route_stats(x->p, x->route);
-	stats->mean_answer_bytes +=
-		((double)x->answer_bytes - stats->mean_answer_bytes) /
-		SIZE_SMOOTHING;
+	stats = find_answer_stats(x);
+	stats->mean_bytes +=
+		((double)x->answer_bytes - stats->mean_bytes) / SIZE_SMOOTHING;
 }
 
 static enum cl_attempt_result result_from_code(int code)
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -27,6 +27,7 @@
 #include "call/cl_retry.h"
 #include "call/cl_route.h"
 #include "call/cl_sched.h"
+#include "call/cl_split.h"
 #include "call/cl_startup.h"
 #include "call/cl_stated.h"
 #include "http/ht_conn.h"
@@ -106,16 +107,6 @@
 
 struct px_downstream;
 
-/**
- * struct px_split - smooth weighted round robin over the parts of a route
- * @current_weight: by part; the part with the largest is chosen next
- * @n: number of parts
- */
-struct px_split {
-	double *current_weight;
-	size_t n;
-};
-
 /**
  * struct px_retry_budget - retry budget of a service
  * @all: for all retries
@@ -197,8 +188,9 @@
 /**
  * struct px - one proxy
  * @retry_budgets: struct px_retry_budget by service
- * @splits: struct px_split by route
- * @route_stats: struct px_route_stats by route
+ * @splits: struct cl_split by route
+ * @patience: struct cl_patience by route
+ * @answer_stats: struct px_answer_stats by route and service
  * @begins_nothing: final answers have been given; no attempt begins any more
  * @leaves_at: when this proxy is about to leave, 0 while it is not stopping
  * @notices: calls to other proxies that tell them so
@@ -231,7 +223,8 @@
 	bool begins_nothing;
 	GHashTable *retry_budgets;
 	GHashTable *splits;
-	GHashTable *route_stats;
+	GHashTable *patience;
+	GHashTable *answer_stats;
 	struct cl_pace pace;
 	struct ht_link *link;
 	struct cl_egress egress;
@@ -243,13 +236,11 @@
 };
 
 /**
- * struct px_route_stats - statistics of the requests of a route
- * @patience: how long their callers wait
- * @mean_answer_bytes: exponential moving average of the size of its answers
+ * struct px_answer_stats - statistics of the answers of a service on a route
+ * @mean_bytes: exponential moving average of their size
  */
-struct px_route_stats {
-	struct cl_patience patience;
-	double mean_answer_bytes;
+struct px_answer_stats {
+	double mean_bytes;
 };
 
 /**
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -797,6 +797,54 @@
 	EXPECT_NEAR(taken, 30, 1);
 }
 
+/*
+ * What was built up by the old weights went on sending requests to a service of
+ * weight 0.  It is largest right after a request for the other service.
+ */
+TEST(PxSplit, ChangedWeightsHoldFromTheNextRequest)
+{
+	static const char *const request =
+		"GET /x HTTP/1.1\r\nHost: b.example\r\n";
+	static const struct {
+		const char *name, *before, *after;
+		bool used;
+	} cases[] = {
+		{"smaller scale",
+		 "{\"service\":\"stock\",\"weight\":90},"
+		 "{\"service\":\"none\",\"weight\":10}",
+		 "{\"service\":\"stock\",\"weight\":0},"
+		 "{\"service\":\"none\",\"weight\":1}",
+		 false},
+		{"parts change places",
+		 "{\"service\":\"stock\",\"weight\":90},"
+		 "{\"service\":\"none\",\"weight\":10}",
+		 "{\"service\":\"none\",\"weight\":1},"
+		 "{\"service\":\"stock\",\"weight\":0}",
+		 false},
+		{"the other way round",
+		 "{\"service\":\"stock\",\"weight\":10},"
+		 "{\"service\":\"none\",\"weight\":90}",
+		 "{\"service\":\"stock\",\"weight\":1},"
+		 "{\"service\":\"none\",\"weight\":0}",
+		 true},
+	};
+	const std::string split = "{\"service\":\"stock\",\"weight\":3},"
+				  "{\"service\":\"none\",\"weight\":1}";
+
+	for (const auto &c : cases) {
+		world w;
+		int n = 0;
+
+		w.send_heartbeat("i-1", "ready", 1);
+		w.run([&] { w.configure(changed(split, c.before)); });
+		while (w.is_used(request) != c.used)
+			ASSERT_LT(++n, 20) << c.name;
+		w.run([&] { w.configure(changed(split, c.after)); });
+		for (int i = 0; i < 30; i++)
+			ASSERT_EQ(w.is_used(request), c.used) << c.name << i;
+	}
+}
+
 /*
  * The answer waits for the link longer than USER_TIMEOUT_MS of ht_conn.c, which
  * bounds the time without progress of a closing connection.
--- a/test/proxy_world.h
+++ b/test/proxy_world.h
@@ -239,15 +239,26 @@
 	"\"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":100000,"
 	"\"header_timeout\":\"3000ms\",\"idle_timeout\":\"15000ms\"}}";
 
-static inline struct cf_snapshot *snapshot()
+/* The configuration with @from, which it has once, replaced by @to. */
+static inline std::string changed(const std::string &from,
+				  const std::string &to)
+{
+	std::string text = configuration;
+
+	EXPECT_NE(text.find(from), std::string::npos) << from;
+	return text.replace(text.find(from), from.size(), to);
+}
+
+static inline struct cf_snapshot *snapshot(
+	const std::string &text = configuration)
 {
 	struct cf_snapshot *none = cf_snapshot_empty();
 	struct cf_snapshot *s = nullptr;
 	struct ba_problems problems = {};
 	struct ba_buf packed = {};
 
-	EXPECT_TRUE(pf_operators.read_configuration(
-		configuration, strlen(configuration), &packed, &problems));
+	EXPECT_TRUE(pf_operators.read_configuration(text.data(), text.size(),
+						    &packed, &problems));
 	EXPECT_EQ(cf_snapshot_decode_submission(packed.data, packed.len, none,
 						1, &s, &problems),
 		  BA_OK);
@@ -378,9 +389,9 @@
 		run([&] { px_begin_stop(proxy, ba_loop_now(loop) + time); });
 	}
 
-	void configure()
+	void configure(const std::string &text = configuration)
 	{
-		struct cf_snapshot *s = snapshot();
+		struct cf_snapshot *s = snapshot(text);
 
 		px_configure(proxy, s);
 		cf_snapshot_unref(s);
@@ -457,15 +468,15 @@
 	}
 
 	/* Whether the backend server gets the next request of a caller. */
-	bool is_used()
+	bool is_used(const std::string &start =
+			     "GET /look/ HTTP/1.1\r\nHost: a.example\r\n")
 	{
 		blocking_socket caller =
 			blocking_socket::connect_to(CALLER_PORT);
 		struct pollfd p[2] = {{backend.fd, POLLIN, 0},
 				      {caller.fd, POLLIN, 0}};
 
-		caller.write("GET /look/ HTTP/1.1\r\nHost: a.example\r\n"
-			     "Connection: close\r\n\r\n");
+		caller.write(start + "Connection: close\r\n\r\n");
 		EXPECT_GE(poll(p, 2, WAIT_S * 1000), 1);
 		if (!(p[0].revents & POLLIN))
 			return false;
