proxy: an answer without end is cut off after its route's timeout

Callers were sent an answer without end for as long as they waited, well past the timeout that the operator set for the route (CONFIG), and the slot of the backend server was taken for as long.

Cause: once the head of an answer had been passed on, on_deadline() let it go on until a second after the caller's own deadline, and without end if the caller states none.

Change: call/cl_overrun decides. 0.25 s after the timeout an answer goes on only if it has a length and, at its rate so far, ends while its caller waits; this keeps downloads over a slow link. The proxy beside the backend server cuts off what stands still or has no length 5 s after its deadline, as the other proxy may be frozen.

--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -154,6 +154,10 @@
 		{"stated-dropped", BA_NOTICE,
 		 "The table of what backend servers state was full; what was "
 		 "told first was dropped."},
+	[CL_EV_ANSWER_CUT] =
+		{"answer-cut", BA_WARNING,
+		 "An answer that went on past the timeout of its route was "
+		 "cut off."},
 	[RT_EV_DAY_CLOSED] = {"day-closed", BA_NOTICE,
 			      "The figures of a day are complete."},
 	[RT_EV_FIGURES] = {"figures", BA_DEBUG,
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -24,6 +24,7 @@
 static struct cl_split *find_split(struct px_exchange *x,
 				   const struct cf_route *r);
 static void on_deadline(struct ba_timer *t, ba_time now);
+static void limit_answer(struct px_exchange *x, ba_time now);
 static void answer_error(struct px_exchange *x, int status, int code);
 static void fail(struct px_exchange *x);
 static bool may_retry(struct px_exchange *x, int code);
@@ -415,7 +416,8 @@
 		stats->mean_bytes = 2 * PX_LARGE_ANSWER_BYTES;
 	x->max_runs = r->attempts ? r->attempts : PX_DEFAULT_ATTEMPTS;
 	x->priority = r->priority;
-	x->deadline = MIN(x->arrived_at + timeout, x->caller_deadline);
+	x->route_deadline = x->arrived_at + timeout;
+	x->deadline = MIN(x->route_deadline, x->caller_deadline);
 	x->latency_target = x->deadline;
 	elapsed = time_known ? cl_patience_spent(patience, time_left) : 0;
 	if (r->latency_target &&
@@ -485,25 +487,12 @@
 	return s;
 }
 
-/*
- * An answer that has begun may continue for as long as the caller waits.  One
- * without an end is cut off soon after that; of a request that came from
- * another proxy, that proxy does so.
- */
 static void on_deadline(struct ba_timer *t, ba_time now)
 {
 	struct px_exchange *x = ba_entry(t, struct px_exchange, timer);
 
-	if (x->answering &&
-	    (x->downstream->from_peer || x->caller_deadline == BA_NEVER))
-		return;
-	if (x->answering && now < x->caller_deadline + PX_LATE_ANSWER_TIME) {
-		ba_loop_arm(x->p->loop, t,
-			    x->caller_deadline + PX_LATE_ANSWER_TIME);
-		return;
-	}
 	if (x->answering) {
-		px_exchange_on_broken(x, CL_DEADLINE_PASSED);
+		limit_answer(x, now);
 		return;
 	}
 	if (x->state == PX_ATTEMPT_HELD) {
@@ -516,6 +505,42 @@
 	fail(x);
 }
 
+/*
+ * Of a request that came from another proxy, that proxy knows how long the
+ * caller waits.  It is relied on unless it takes nothing for long.
+ */
+static void limit_answer(struct px_exchange *x, ba_time now)
+{
+	const struct cl_overrun o = {
+		.arrived_at = x->arrived_at,
+		.route_deadline = x->route_deadline,
+		.caller_deadline = x->caller_deadline,
+		.began_at = x->answering_at,
+		.length = x->length,
+		.received = x->answer_bytes,
+	};
+	ba_time next = now;
+
+	if (!x->downstream->from_peer)
+		next = cl_overrun_next(&o, now);
+	else if (now < x->deadline + PX_PEER_OVERRUN_PERIOD ||
+		 (x->length >= 0 && x->answer_bytes > x->checked_bytes))
+		next = now + PX_PEER_OVERRUN_PERIOD;
+	x->checked_bytes = x->answer_bytes;
+	if (next > now) {
+		ba_loop_arm(x->p->loop, &x->timer, next);
+		return;
+	}
+	ba_event(CL_EV_ANSWER_CUT,
+		 "call=%s route=%s service=%s endpoint=%s received=%llu "
+		 "length=%lld took_us=%lld",
+		 x->id, x->route, x->service,
+		 x->endpoint ? x->endpoint->instance : "self",
+		 (unsigned long long)x->answer_bytes, (long long)x->length,
+		 (long long)(now - x->arrived_at));
+	px_exchange_on_broken(x, CL_DEADLINE_PASSED);
+}
+
 static void answer_error(struct px_exchange *x, int status, int code)
 {
 	bool may_have_run = status == 502 || status == 504;
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -22,6 +22,7 @@
 #include "call/cl_crash.h"
 #include "call/cl_egress.h"
 #include "call/cl_limit.h"
+#include "call/cl_overrun.h"
 #include "call/cl_pace.h"
 #include "call/cl_poison.h"
 #include "call/cl_retry.h"
@@ -71,8 +72,11 @@
 #define PX_RETRY_BUDGET_MAX 2.0
 /* Tokens left to requests whose callers cannot come back in time. */
 #define PX_RETRY_RESERVE 1.0
-/* How long an answer may go on after its caller has stopped waiting. */
-#define PX_LATE_ANSWER_TIME BA_SECOND
+/*
+ * How often an answer for another proxy that goes on past the deadline is looked
+ * at, and how long it may stand still.
+ */
+#define PX_PEER_OVERRUN_PERIOD (5 * BA_SECOND)
 /* How late a heartbeat or a deregistration may arrive. */
 #define PX_LATE_CONTROL_TIME (10 * BA_SECOND)
 /* An answer that waits for the link for longer is logged. */
@@ -280,6 +284,7 @@
  * @digest: of the parts that make it the same request as another
  * @caller_deadline: when the caller stops waiting, %BA_NEVER if unknown
  * @deadline: when the caller stops waiting or the route's timeout expires
+ * @route_deadline: when the route's timeout expires, where it is known
  * @latency_target: latency target, as a point in time
  * @leaves_at: when the proxy that it came from is about to leave, 0 if not known
  * @is_told: the proxy that it came from told what the backend server states
@@ -297,6 +302,8 @@
  * @answer_bytes: length of the body received so far
  * @not_run_code: code of an answer that reports "not run", or 0
  * @answering: the head of the answer has been written to the caller
+ * @answering_at: when that was
+ * @checked_bytes: @answer_bytes when the answer was last found to go on
  * @chunked: the body is sent to the caller in chunks
  * @no_body: the answer to the caller has no body
  * @length: length of the answer's body, or %HT_LENGTH_UNKNOWN
@@ -317,6 +324,7 @@
 	ba_time arrived_at;
 	ba_time caller_deadline;
 	ba_time deadline;
+	ba_time route_deadline;
 	ba_time latency_target;
 	ba_time leaves_at;
 	uint32_t priority;
@@ -346,6 +354,8 @@
 	int status;
 	int not_run_code;
 	bool answering;
+	ba_time answering_at;
+	uint64_t checked_bytes;
 	bool chunked;
 	bool no_body;
 	int64_t length;
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -344,6 +344,7 @@
 	if (x->answering)
 		return;
 	x->answering = true;
+	x->answering_at = ba_loop_now(x->p->loop);
 	ht_conn_set_rank(x->downstream->conn, x->reservation.rank,
 			 x->reservation.rank == CL_EGRESS_IN_TIME
 				 ? x->latency_target
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -460,6 +460,88 @@
 	}
 }
 
+/* The timeout of the route did not end an answer that had begun. */
+TEST(PxTimeout, AnswerWithoutEndIsCutSoonAfterTheTimeoutOfItsRoute)
+{
+	static const struct {
+		const char *name, *head, *piece;
+	} cases[] = {
+		{"no length", "", "body"},
+		{"chunks", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n"},
+		{"length", "Content-Length: 100000000000\r\n", "body"},
+	};
+	const auto timeout = std::chrono::milliseconds(200);
+	const auto slack = std::chrono::milliseconds(500);
+
+	for (bool via_peer : {false, true})
+		for (const auto &c : cases) {
+			world w;
+			listener peer(OTHER_PROXY_PORT);
+			blocking_socket caller =
+				blocking_socket::connect_to(CALLER_PORT);
+			std::string piece;
+			bool cut = false;
+
+			if (via_peer)
+				w.run([&] { w.endpoints(true); });
+			else
+				w.send_heartbeat("i-1", "ready", 1);
+			for (int i = 0; i < 1000; i++)
+				piece += c.piece;
+			auto start = std::chrono::steady_clock::now();
+
+			caller.write(request("GET /short/"));
+			blocking_socket server =
+				(via_peer ? peer : w.backend).accept_one();
+
+			server.read_message();
+			server.write(std::string("HTTP/1.1 200 OK\r\n"
+						 "X-Attempt-Id: 1\r\n") +
+				     c.head + "\r\n");
+			std::thread sender(
+				[&] { cut = is_cut_off(server, piece); });
+			std::string got = caller.read_rest();
+			auto took = std::chrono::steady_clock::now() - start;
+
+			sender.join();
+			EXPECT_TRUE(cut) << c.name << via_peer;
+			EXPECT_EQ(status(got), 200) << c.name << via_peer;
+			EXPECT_FALSE(has(got, "\r\n0\r\n\r\n")) << c.name;
+			EXPECT_GE(took, timeout) << c.name << via_peer;
+			EXPECT_LE(took, timeout + slack) << c.name << via_peer;
+		}
+}
+
+/* Each piece comes 100 ms after the last one; the route's timeout is 200 ms. */
+TEST(PxTimeout, WholeAnswerThatIsSlowIsDelivered)
+{
+	const std::string piece(50000, 'b');
+	const int n = 12;
+	world w;
+	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+
+	w.send_heartbeat("i-1", "ready", 1);
+	caller.write(request("GET /short/"));
+	blocking_socket server = w.backend.accept_one();
+
+	server.read_message();
+	std::thread sender([&] {
+		server.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n"
+			     "Content-Length: " +
+			     std::to_string(n * piece.size()) + "\r\n\r\n");
+		for (int i = 0; i < n; i++) {
+			std::this_thread::sleep_for(
+				std::chrono::milliseconds(i ? 100 : 0));
+			server.write(piece);
+		}
+	});
+	std::string got = caller.read_message();
+
+	sender.join();
+	EXPECT_EQ(status(got), 200);
+	EXPECT_GT(got.size(), n * piece.size());
+}
+
 /* Requests fill the budget; then a failed idempotent request is retried. */
 TEST(PxRetry, GoesElsewhereWithinTheBudget)
 {
