proxy: a time that another proxy states is bounded

Nothing that callers could see: only proxies send these fields.

Cause: a field like caraway-leaves-left-us of 118 digits is read as the largest number, and was added to the present time without a bound, which overflows (undefined behaviour, found once by fuzzing). The same stood in the notice of a departure and where a limit tells when it has room.

--- a/proxy/px.c
+++ b/proxy/px.c
@@ -85,6 +85,12 @@
 		p->owner->version_heard(p->owner, version);
 }
 
+ba_time px_read_time_left(const char *text)
+{
+	return CLAMP(g_ascii_strtoll(text, NULL, 10), -24 * BA_HOUR,
+		     24 * BA_HOUR);
+}
+
 void px_set_endpoints(struct px *p, const struct ep_view *v)
 {
 	cl_router_update(p->router, v, ba_loop_now(p->loop));
--- a/proxy/px_downstream.c
+++ b/proxy/px_downstream.c
@@ -82,8 +82,7 @@
 			ba_entry(pos, struct px_downstream, link);
 
 		if (left && other->from_peer && is_answering(other, id))
-			set_expiry(other,
-				   now + g_ascii_strtoll(left, NULL, 10));
+			set_expiry(other, now + px_read_time_left(left));
 	}
 	ht_conn_write(d->conn, done, sizeof(done) - 1);
 	px_downstream_finish_answer(d);
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -313,16 +313,14 @@
 	x->service = service;
 	x->caller = g_strdup(caller);
 	x->digest = px_poison_digest(h, caller, &x->downstream->body);
-	x->deadline = x->arrived_at + g_ascii_strtoll(left, NULL, 10);
+	x->deadline = x->arrived_at + px_read_time_left(left);
 	x->priority = priority ? (uint32_t)strtoul(priority, NULL, 10) : 0;
 	x->route = ht_head_get(h, PX_FIELD_ROUTE);
 	x->last_try = ht_head_get(h, PX_FIELD_LAST_TRY) != NULL;
-	x->latency_target =
-		target ? x->arrived_at + g_ascii_strtoll(target, NULL, 10)
-		       : x->deadline;
+	x->latency_target = target ? x->arrived_at + px_read_time_left(target)
+				   : x->deadline;
 	if (leaves)
-		x->leaves_at =
-			x->arrived_at + g_ascii_strtoll(leaves, NULL, 10);
+		x->leaves_at = x->arrived_at + px_read_time_left(leaves);
 	ba_loop_arm(x->p->loop, &x->timer, x->deadline);
 	px_note_version(x->p, h);
 	px_limit_on_told(x);
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -551,6 +551,9 @@
 /** px_limit_on_told() - process what another proxy was told, from its request */
 void px_limit_on_told(struct px_exchange *x);
 
+/** px_read_time_left() - read a time of another proxy; at most a day either way */
+ba_time px_read_time_left(const char *text);
+
 /** px_note_version() - pass on which version the other proxy has in force */
 void px_note_version(struct px *p, const struct ht_head *h);
 
--- a/proxy/px_limit.c
+++ b/proxy/px_limit.c
@@ -73,8 +73,8 @@
 	if (told.start != be->start)
 		return;
 	change = cl_limit_adopt(&be->limit, &told.statement,
-				now - MAX(g_ascii_strtoll(age, NULL, 10), 0),
-				now, &leaves);
+				now - MAX(px_read_time_left(age), 0), now,
+				&leaves);
 	on_recorded(x->p, change, leaves, "proxy", &was);
 }
 
@@ -96,9 +96,8 @@
 			    &s.statement, now))
 		ba_event(CL_EV_STATED_DROPPED, "entries=%u",
 			 cl_stated_count(x->p->stated));
-	cl_route_record_limit(
-		x->endpoint, s.statement.per_second,
-		room ? now + MAX(g_ascii_strtoll(room, NULL, 10), 0) : 0);
+	cl_route_record_limit(x->endpoint, s.statement.per_second,
+			      room ? now + MAX(px_read_time_left(room), 0) : 0);
 	if (s.statement.leaving)
 		cl_route_record_leaving(x->endpoint);
 }
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -190,6 +190,45 @@
 }
 
 /* These requests are refused without a backend server. */
+/* A time that another proxy states overflowed. */
+TEST(PxRequest, TimesOfOtherProxiesAreBounded)
+{
+	static const char *const fields[] = {"caraway-time-left-us",
+					     "caraway-target-left-us",
+					     "caraway-leaves-left-us"};
+	const std::string digits(118, '5');
+	world w;
+
+	w.send_heartbeat("i-1", "ready", 1);
+	for (const char *field : fields)
+		for (const char *sign : {"", "-"}) {
+			blocking_socket s =
+				blocking_socket::connect_to(PEER_PORT);
+			std::string other;
+
+			for (const char *f : fields)
+				if (f != field)
+					other +=
+						std::string(f) + ": 400000\r\n";
+			s.write(request("GET /look/a",
+					"caraway-service: stock\r\n"
+					"caraway-caller: stock\r\n" +
+						other + field + ": " + sign +
+						digits + "\r\n"));
+			/* No time is left; the others are no limits. */
+			bool expired = *sign && field == fields[0];
+
+			if (!expired) {
+				blocking_socket b = w.backend.accept_one();
+
+				b.read_message();
+				b.write(answer(200, "ok"));
+			}
+			EXPECT_EQ(status(s.read_message()), expired ? 503 : 200)
+				<< field << sign;
+		}
+}
+
 TEST(PxRefusal, NeedsNoBackendServer)
 {
 	static const struct {
