proxy: limits of heads and bodies apply where a request enters

Cause: the limit was applied to the requests of other proxies too, whose fields make the head larger, and by the version that the second proxy has in force; and it was set once, when a connection was accepted.

Change: the limit is set at the first byte of each request.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -144,6 +144,11 @@
 	return c;
 }
 
+void ht_conn_set_head_limit(struct ht_conn *c, size_t bytes)
+{
+	c->head_limit = bytes;
+}
+
 void ht_conn_set_link(struct ht_conn *c, struct ht_link *l)
 {
 	if (c->link == l)
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -69,6 +69,9 @@
 struct ht_conn *ht_conn_dial(struct ba_loop *loop, const struct ba_address *to,
 			     size_t head_limit, struct ht_conn_owner *o);
 
+/** ht_conn_set_head_limit() - set the limit of the bytes of a head */
+void ht_conn_set_head_limit(struct ht_conn *c, size_t bytes);
+
 /** ht_conn_set_link() - schedule further writes on the shared link @l */
 void ht_conn_set_link(struct ht_conn *c, struct ht_link *l);
 
--- a/proxy/px_downstream.c
+++ b/proxy/px_downstream.c
@@ -20,8 +20,8 @@
 static void set_expiry(struct px_downstream *d, ba_time expiry);
 static void end_noted_answer(struct px_downstream *d);
 static void remove_downstream(struct px_downstream *d);
-static size_t head_limit(const struct px *p);
-static uint64_t body_limit(const struct px *p);
+static size_t head_limit(const struct px_downstream *d);
+static uint64_t body_limit(const struct px_downstream *d);
 static ba_time header_timeout(const struct px *p);
 static ba_time idle_timeout(const struct px_downstream *d);
 
@@ -123,7 +123,7 @@
 	d->owner.drained = on_drained;
 	d->owner.ended = on_ended;
 	ba_list_append(&p->downstreams, &d->link);
-	d->conn = ht_conn_serve(p->loop, fd, head_limit(p), &d->owner);
+	d->conn = ht_conn_serve(p->loop, fd, head_limit(d), &d->owner);
 	ht_conn_set_link(d->conn, p->link);
 	ht_conn_set_deadline(d->conn, ba_loop_now(p->loop) + idle_timeout(d));
 }
@@ -133,7 +133,9 @@
 	struct px_downstream *d = (struct px_downstream *)o;
 
 	d->in_request = true;
-	ht_conn_set_deadline(c, ba_loop_now(d->p->loop) + header_timeout(d->p));
+	d->begun_at = ba_loop_now(d->p->loop);
+	ht_conn_set_head_limit(c, head_limit(d));
+	ht_conn_set_deadline(c, d->begun_at + header_timeout(d->p));
 }
 
 static void on_head(struct ht_conn_owner *o, struct ht_conn *c)
@@ -146,7 +148,7 @@
 		refuse(d, 400);
 		return;
 	}
-	if (h->length > 0 && (uint64_t)h->length > body_limit(d->p)) {
+	if (h->length > 0 && (uint64_t)h->length > body_limit(d)) {
 		refuse(d, 413);
 		return;
 	}
@@ -164,7 +166,7 @@
 {
 	struct px_downstream *d = (struct px_downstream *)o;
 
-	if (d->body.len + len > body_limit(d->p)) {
+	if (d->body.len + len > body_limit(d)) {
 		refuse(d, 413);
 		return;
 	}
@@ -271,17 +273,27 @@
 	g_free(d);
 }
 
-static size_t head_limit(const struct px *p)
+/*
+ * The limits of the configuration are applied where a request enters.  The next
+ * proxy gets it with more fields, and may have another version in force.
+ */
+static size_t head_limit(const struct px_downstream *d)
 {
-	uint32_t limit = p->snapshot ? p->snapshot->limits.max_header_bytes : 0;
+	const struct cf_snapshot *s = d->p->snapshot;
+	size_t limit = s ? s->limits.max_header_bytes : 0;
 
-	return limit ? limit : PX_HEAD_LIMIT_BYTES;
+	if (!limit)
+		limit = PX_HEAD_LIMIT_BYTES;
+	return d->from_peer ? limit + PX_HEAD_LIMIT_BYTES : limit;
 }
 
-static uint64_t body_limit(const struct px *p)
+static uint64_t body_limit(const struct px_downstream *d)
 {
-	uint64_t limit = p->snapshot ? p->snapshot->limits.max_body_bytes : 0;
+	const struct cf_snapshot *s = d->p->snapshot;
+	uint64_t limit = s ? s->limits.max_body_bytes : 0;
 
+	if (d->from_peer)
+		return UINT64_MAX;
 	return limit ? limit : PX_DEFAULT_BODY_LIMIT_BYTES;
 }
 
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -250,6 +250,7 @@
 /**
  * struct px_downstream - a connection of a caller or of another proxy
  * @in_request: a request has begun and its answer is not complete
+ * @begun_at: when its first byte arrived
  * @body: body of the request, as far as it has arrived
  * @exchange: the request that is being answered, or NULL
  * @answer_id: id of the last request if its answer is not all sent, or NULL
@@ -262,6 +263,7 @@
 	struct ht_conn *conn;
 	bool from_peer;
 	bool in_request;
+	ba_time begun_at;
 	struct ba_buf body;
 	struct px_exchange *exchange;
 	char *answer_id;
@@ -280,6 +282,7 @@
 
 /**
  * struct px_exchange - one request, from its last byte to the end of its answer
+ * @arrived_at: when its first byte arrived, from which all of its times count
  * @route: name of its route, in @snapshot or in the head of the request
  * @digest: of the parts that make it the same request as another
  * @caller_deadline: when the caller stops waiting, %BA_NEVER if unknown
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -284,6 +284,76 @@
 	EXPECT_EQ(status(caller.read_message()), 431);
 }
 
+/*
+ * The proxy that a request entered has applied the limits; the next one refused
+ * it with 431, as the fields of proxies had made it larger.
+ */
+TEST(PxLimits, AreAppliedWhereARequestEnters)
+{
+	static const std::string of_proxies =
+		"caraway-service: stock\r\n"
+		"caraway-caller: stock\r\n"
+		"caraway-time-left-us: 400000\r\n";
+	static const struct {
+		const char *name;
+		size_t head, body;
+		int caller, peer;
+	} cases[] = {
+		{"just below the limit", 3950, 0, 200, 200},
+		{"above the limit of heads", 4200, 0, 431, 200},
+		{"body at the limit", 0, 100000, 200, 200},
+		{"above the limit of bodies", 0, 100001, 413, 200},
+	};
+
+	for (const auto &c : cases)
+		for (bool of_peer : {false, true}) {
+			world w;
+			blocking_socket s = blocking_socket::connect_to(
+				of_peer ? PEER_PORT : CALLER_PORT);
+			int want = of_peer ? c.peer : c.caller;
+
+			w.send_heartbeat("i-1", "ready", 1);
+			s.write(request("POST /book/1",
+					"X-Long: " + std::string(c.head, 'x') +
+						"\r\n" +
+						(of_peer ? of_proxies : ""),
+					std::string(c.body, 'b')));
+			if (want == 200) {
+				blocking_socket b = w.backend.accept_one();
+
+				b.read_message();
+				b.write(answer(200, "ok"));
+			}
+			EXPECT_EQ(status(s.read_message()), want)
+				<< c.name << of_peer;
+		}
+}
+
+/* A connection from before the change kept the limit of its first request. */
+TEST(PxLimits, OfAChangeHoldOnOpenConnections)
+{
+	const std::string large = request(
+		"GET /look/", "X-Long: " + std::string(5000, 'x') + "\r\n");
+	world w;
+	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+
+	w.send_heartbeat("i-1", "ready", 1);
+	caller.write(request("GET /look/"));
+	blocking_socket b = w.backend.accept_one();
+
+	b.read_message();
+	b.write(answer(200, "ok"));
+	EXPECT_EQ(status(caller.read_message()), 200);
+	w.run([&] {
+		w.configure(changed("\"max_header_bytes\":4096",
+				    "\"max_header_bytes\":8192"));
+	});
+	caller.write(large);
+	b.read_message();
+	b.write(answer(200, "ok"));
+	EXPECT_EQ(status(caller.read_message()), 200);
+}
+
 enum backend_failure {
 	CLOSED,
 	RESET,
