proxy: the time of a request counts from its first byte

Cause: the deadlines of a request were computed when it was complete.

Change: they count from its first byte. A request whose time is over when it has arrived is refused with 503 and the code of an expired deadline.

Measured: PxTimeout.CountsFromTheFirstByteOfTheRequest failed on (900 ms handed on after an upload of 500 ms) and passes.

--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -125,7 +125,8 @@
 	}
 	if (!x->endpoint) {
 		if (!x->last_code)
-			x->last_code = CL_NO_ENDPOINT;
+			x->last_code = now < x->deadline ? CL_NO_ENDPOINT
+							 : CL_DEADLINE_EXPIRED;
 		fail(x);
 		return;
 	}
@@ -277,7 +278,7 @@
 
 	x->p = d->p;
 	x->downstream = d;
-	x->arrived_at = ba_loop_now(d->p->loop);
+	x->arrived_at = d->begun_at;
 	x->caller_deadline = request->time_left < 0
 				     ? BA_NEVER
 				     : x->arrived_at + request->time_left;
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -354,6 +354,44 @@
 	EXPECT_EQ(status(caller.read_message()), 200);
 }
 
+/*
+ * The time that an upload takes to arrive counts: a backend server was given the
+ * whole time of the caller from the last byte on.
+ */
+TEST(PxTimeout, CountsFromTheFirstByteOfTheRequest)
+{
+	const std::string head = "POST /photos/ HTTP/1.1\r\nHost: a.example\r\n"
+				 "X-Attempt-Id: 1\r\nX-Deadline-Ms: 900\r\n"
+				 "Content-Length: 5\r\n\r\nbod";
+	const std::string name = "X-Deadline-Ms: ";
+	static const struct {
+		int arrives_in_ms;
+		bool served;
+	} cases[] = {{500, true}, {1000, false}};
+
+	for (const auto &c : cases) {
+		world w;
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
+
+		w.send_heartbeat("i-1", "ready", 1);
+		caller.write(head);
+		std::this_thread::sleep_for(
+			std::chrono::milliseconds(c.arrives_in_ms));
+		caller.write("y1");
+		if (c.served) {
+			blocking_socket b = w.backend.accept_one();
+			std::string got = b.read_message();
+			size_t at = got.find(name);
+
+			ASSERT_NE(at, std::string::npos) << got;
+			EXPECT_LE(std::stoi(got.substr(at + name.size())), 400);
+			b.write(answer(200, "ok"));
+		}
+		EXPECT_EQ(status(caller.read_message()), c.served ? 200 : 503);
+	}
+}
+
 enum backend_failure {
 	CLOSED,
 	RESET,
