test: bytes without end are not kept in memory

Reported by another operator: a faulty endpoint sent bytes that were no answer, without end, and the machine that had called it kept them all.

The test allows 1 MB for a request.

--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -1,5 +1,10 @@
 #include "test/proxy_world.h"
 
+#include <malloc.h>
+#if defined(__SANITIZE_ADDRESS__)
+#include <sanitizer/allocator_interface.h>
+#endif
+
 using namespace proxy_world;
 
 namespace
@@ -560,6 +565,18 @@
 	return false;
 }
 
+/* Bytes that the process has allocated and not freed. */
+size_t allocated_bytes()
+{
+#if defined(__SANITIZE_ADDRESS__)
+	return __sanitizer_get_current_allocated_bytes();
+#else
+	struct mallinfo2 m = mallinfo2();
+
+	return m.uordblks + m.hblkhd;
+#endif
+}
+
 /* A faulty backend server sends bytes without end. */
 TEST(PxOutcome, AnswerWithoutEndIsCutOff)
 {
@@ -689,6 +706,98 @@
 	EXPECT_GT(got.size(), n * piece.size());
 }
 
+/*
+ * Another operator's proxy kept all that a faulty endpoint sent, until it was
+ * out of memory.
+ */
+TEST(PxMemory, BytesWithoutEndAreNotKept)
+{
+	static const struct {
+		const char *name, *start, *piece;
+		bool caller_reads;
+	} cases[] = {
+		{"garbage", "", "garbage without end ", true},
+		{"fields of a head", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n", true},
+		{"one field", "HTTP/1.1 200 OK\r\nX-Long: ", "abcdefghij",
+		 true},
+		{"status line", "HTTP/1.1 200 ", "abcdefghij", true},
+		{"interim answers", "", "HTTP/1.1 100 Continue\r\n\r\n", true},
+		{"interim answers with fields", "",
+		 "HTTP/1.1 103 X\r\nLink: abcdefghij\r\n\r\n", true},
+		{"body with no length", "HTTP/1.1 200 OK\r\n\r\n", "body",
+		 true},
+		{"body with no length, caller does not read",
+		 "HTTP/1.1 200 OK\r\n\r\n", "body", false},
+		{"body with a length, caller does not read",
+		 "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+		 "body", false},
+		{"chunks of one byte",
+		 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		 "1\r\nx\r\n", true},
+		{"chunks, caller does not read",
+		 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		 "4\r\nbody\r\n", false},
+		{"extension of a chunk",
+		 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;",
+		 "abcdefghij", true},
+		{"trailers",
+		 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+		 "X-A: b\r\n", true},
+		{"body of a rejection",
+		 "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\n\r\n", "body", true},
+		{"answers to others", "",
+		 "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9\r\nContent-Length: 4\r\n"
+		 "\r\nbody",
+		 true},
+		{"answers after the answer",
+		 "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\nContent-Length: 4\r\n"
+		 "\r\nbody",
+		 "HTTP/1.1 200 OK\r\n\r\n", true},
+	};
+	const size_t limit = 1024 * 1024; /* for one request */
+
+	for (const auto &c : cases) {
+		world w;
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
+		std::string piece;
+		size_t before;
+		size_t most = 0;
+		size_t sent = 0;
+
+		w.send_heartbeat("i-1", "ready", 1);
+		for (int i = 0; i < 2000; i++)
+			piece += c.piece;
+		caller.write("GET /book/1 HTTP/1.1\r\nHost: a.example\r\n"
+			     "X-Attempt-Id: 1\r\nX-Deadline-Ms: 300\r\n"
+			     "Connection: close\r\n\r\n");
+		blocking_socket backend = w.backend.accept_one();
+
+		backend.read_message();
+		before = allocated_bytes();
+		std::thread reader([&] {
+			char buffer[65536];
+
+			while (c.caller_reads &&
+			       recv(caller.fd, buffer, sizeof(buffer), 0) > 0)
+				;
+		});
+
+		send(backend.fd, c.start, strlen(c.start), MSG_NOSIGNAL);
+		for (;;) {
+			ssize_t n = send(backend.fd, piece.data(), piece.size(),
+					 MSG_NOSIGNAL);
+
+			most = std::max(most, allocated_bytes());
+			if (n < 0)
+				break;
+			sent += (size_t)n;
+		}
+		reader.join();
+		EXPECT_LE(most, before + limit) << c.name << " of " << sent;
+	}
+}
+
 /* Requests fill the budget; then a failed idempotent request is retried. */
 TEST(PxRetry, GoesElsewhereWithinTheBudget)
 {
