proxy: late in the grace time no request of another proxy is taken

Reported by another operator: requests that came late in the grace time were taken and passed on, and cut off at its end.

Here requests of callers are refused from 2.5 s of a grace time of 6 s on, also on open connections and uploads that end later. Those that another proxy sent were still passed on until 5 s, although the departure has been announced at 1.2 s, and were given 502 then.

Change: they are refused, as not run, from the same moment on, so that the other proxy sends them elsewhere.

--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -307,7 +307,7 @@
 		answer_error(x, 400, CL_REQUEST_MALFORMED);
 		return;
 	}
-	if (x->p->begins_nothing) {
+	if (x->p->refuses_requests || x->p->begins_nothing) {
 		answer_error(x, 503, CL_DRAINING);
 		return;
 	}
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -1249,6 +1249,45 @@
 	EXPECT_EQ(status(early.read_message()), 502);
 }
 
+/*
+ * Another operator's proxy took requests late in the grace time and cut them off
+ * at its end.
+ */
+TEST(PxStop, NoRequestIsTakenLateInTheGraceTime)
+{
+	const std::string of_proxies = "caraway-service: stock\r\n"
+				       "caraway-caller: stock\r\n"
+				       "caraway-time-left-us: 4000000\r\n";
+	world w;
+	blocking_socket kept = blocking_socket::connect_to(CALLER_PORT);
+	blocking_socket upload = blocking_socket::connect_to(CALLER_PORT);
+	blocking_socket peer = blocking_socket::connect_to(PEER_PORT);
+
+	w.send_heartbeat("i-1", "ready", 1);
+	w.begin_stop();
+	kept.write(request("POST /book/1"));
+	blocking_socket backend = w.backend.accept_one();
+
+	backend.read_message();
+	upload.write("POST /photos/ HTTP/1.1\r\nHost: a.example\r\n"
+		     "Content-Length: 2\r\n\r\na");
+	w.run([&] { px_refuse_requests(w.proxy); });
+	backend.write(answer(200, "ok"));
+	EXPECT_EQ(status(kept.read_message()), 200);
+	upload.write("b");
+	EXPECT_EQ(status(upload.read_message()), 503);
+	for (const char *line : {"POST /book/2", "GET /look/"}) {
+		peer.write(request(line, of_proxies));
+		std::string got = peer.read_message();
+
+		EXPECT_EQ(status(got), 503) << line;
+		EXPECT_TRUE(has(got, "caraway-not-run: ")) << got;
+	}
+	struct pollfd p = {w.backend.fd, POLLIN, 0};
+
+	EXPECT_EQ(poll(&p, 1, 50), 0);
+}
+
 /* The answer was made, so the stop must not turn it into a failure. */
 TEST(PxStop, AnswerThatIsArrivingIsDeliveredWhole)
 {
