proxy: an odd heartbeat of another writer changes nothing

Reported by another operator: an odd entry (deeply nested, a number too large, a port out of range) ended the machines that read the list, or they stopped following it.

Here such bodies are refused and addresses that can't be read are passed over. But a heartbeat or a deregistration whose start lies far ahead was accepted, and no heartbeat of the real backend server counted after it.

Change: a start more than an hour ahead is refused, and a deregistration with the id of no registered backend server is left alone.

Measured: PxBackend.OddEntriesOfAnotherWriterChangeNothing failed on, from the case with such a start on, and passes. PxBackend.OddAddressesOfOtherProxiesAreNoEndpoints passes on both.

--- a/proxy/px_backend.c
+++ b/proxy/px_backend.c
@@ -286,9 +286,10 @@
 static bool names_another_start(const struct px_backend *be,
 				const struct px_departure *d)
 {
-	if (d->start_wall_ms)
-		return d->start_wall_ms < be->heartbeat.start_wall_ms;
-	return be->registered && strcmp(be->heartbeat.backend, d->backend) != 0;
+	if (be->registered && strcmp(be->heartbeat.backend, d->backend) != 0)
+		return true;
+	return d->start_wall_ms &&
+	       d->start_wall_ms < be->heartbeat.start_wall_ms;
 }
 
 /* Of a start that was never heard of, only the time before which it began. */
--- a/proxy/px_control.c
+++ b/proxy/px_control.c
@@ -3,12 +3,19 @@
 #include "base/ba_event.h"
 #include "proxy/px_internal.h"
 
+/*
+ * Clocks differ by seconds.  After a start that lies further ahead no later one
+ * would count.
+ */
+#define START_AHEAD_LIMIT BA_HOUR
+
 static int answer(struct px *p, const struct ht_request *r,
 		  struct ba_buf *body);
 static int accept_heartbeat(struct px *p, const struct ht_request *r,
 			    const char *backend, struct ba_buf *body);
-static void accept_departure(struct px *p, const struct ht_request *r,
-			     const char *backend);
+static int accept_departure(struct px *p, const struct ht_request *r,
+			    const char *backend);
+static bool lies_ahead(const char *backend, int64_t start_wall_ms);
 
 void px_control_on_request(struct ht_service_owner *o, struct ht_request *r)
 {
@@ -31,8 +38,7 @@
 	case PX_CONTROL_HEARTBEAT:
 		return accept_heartbeat(p, r, backend, body);
 	case PX_CONTROL_DEREGISTER:
-		accept_departure(p, r, backend);
-		return 200;
+		return accept_departure(p, r, backend);
 	default:
 		return 404;
 	}
@@ -50,14 +56,16 @@
 			 r->body.len);
 		return 400;
 	}
+	if (lies_ahead(backend, hb.start_wall_ms))
+		return 400;
 	g_strlcpy(hb.backend, backend, sizeof(hb.backend));
 	px_backend_on_heartbeat(p, &hb);
 	p->dialect->write_heartbeat_ack(body);
 	return 200;
 }
 
-static void accept_departure(struct px *p, const struct ht_request *r,
-			     const char *backend)
+static int accept_departure(struct px *p, const struct ht_request *r,
+			    const char *backend)
 {
 	const struct px_departure d = {
 		.backend = backend,
@@ -66,5 +74,17 @@
 		.received_wall_ms = ba_clock_wall() / BA_MS,
 	};
 
+	if (lies_ahead(backend, d.start_wall_ms))
+		return 400;
 	px_backend_deregister(p, &d);
+	return 200;
+}
+
+static bool lies_ahead(const char *backend, int64_t start_wall_ms)
+{
+	if (start_wall_ms <= (ba_clock_wall() + START_AHEAD_LIMIT) / BA_MS)
+		return false;
+	ba_event(EP_EV_REFUSED, "backend=%s start=%lld", backend,
+		 (long long)start_wall_ms);
+	return true;
 }
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -1102,6 +1102,93 @@
 	}
 }
 
+/*
+ * Another writer's odd entry ended the machines of another operator that read
+ * it, or they stopped following the list.
+ */
+TEST(PxBackend, OddEntriesOfAnotherWriterChangeNothing)
+{
+	const std::string valid =
+		"{\"service\":\"stock\",\"address\":\"x\",\"zone\":\"dc1\","
+		"\"version\":\"v1\",\"slots\":2,\"state\":\"ready\","
+		"\"cold_left\":\"0ms\",\"sequence\":9,\"born\":99}";
+	const std::string deep(30000, '[');
+	const std::string deep_object = [] {
+		std::string text;
+
+		for (int i = 0; i < 9000; i++)
+			text += "{\"a\":";
+		return text;
+	}();
+	const struct {
+		const char *name;
+		std::string from, to;
+	} cases[] = {
+		{"deep arrays", valid, deep},
+		{"deep arrays, closed", valid, deep + std::string(30000, ']')},
+		{"deep objects", valid, deep_object},
+		{"deep value of an unknown field", "\"v1\"", deep},
+		{"closed deep value", "\"v1\"",
+		 std::string(3000, '[') + std::string(3000, ']')},
+		{"number too large", "\"slots\":2",
+		 "\"slots\":" + std::string(400, '9')},
+		{"start too large", ":99}", ":" + std::string(30, '9') + "}"},
+		{"start in the far future", ":99}", ":99999999999999}"},
+		{"real number too large", "\"slots\":2", "\"slots\":1e999"},
+		{"negative number", "\"slots\":2", "\"slots\":-2"},
+		{"too many slots", "\"slots\":2", "\"slots\":4294967298"},
+		{"sequence too large", "\"sequence\":9",
+		 "\"sequence\":18446744073709551616"},
+		{"time too large", "0ms", std::string(400, '9') + "s"},
+		{"long name", "\"stock\"",
+		 "\"" + std::string(60000, 's') + "\""},
+		{"not UTF-8", "stock", "\xff\xfe"},
+		{"nothing", valid, ""},
+		{"null", valid, "null"},
+	};
+	world w;
+
+	w.send_heartbeat("i-1", "ready", 1);
+	for (const auto &c : cases) {
+		std::string text = valid;
+
+		text.replace(text.find(c.from), c.from.size(), c.to);
+		for (const char *call : {"heartbeat", "deregister"})
+			w.call_control(
+				std::string("POST /v1/instances/i-odd/") + call,
+				text);
+		EXPECT_TRUE(w.is_used()) << c.name;
+	}
+	EXPECT_EQ(status(w.send_heartbeat("i-1", "ready", 2)), 200);
+	EXPECT_TRUE(w.is_used());
+}
+
+/* Records of other proxies that name no address that can be reached. */
+TEST(PxBackend, OddAddressesOfOtherProxiesAreNoEndpoints)
+{
+	static const char *const addresses[] = {
+		"127.0.0.1:99999",
+		"127.0.0.1:-1",
+		"127.0.0.1:0",
+		"127.0.0.1:",
+		"127.0.0.1",
+		":1",
+		"nowhere:1",
+		"[::1:1",
+		"256.0.0.1:1",
+		"127.0.0.1:1:1",
+		"18446744073709551616:1",
+	};
+	world w;
+
+	w.send_heartbeat("i-1", "ready", 1);
+	for (const char *a : addresses) {
+		w.run([&] { w.endpoint_at(a); });
+		for (int i = 0; i < 5; i++)
+			EXPECT_TRUE(w.is_used()) << a;
+	}
+}
+
 TEST(PxSplit, KeepsItsSharesOverFewRequests)
 {
 	world w;
--- a/test/proxy_world.h
+++ b/test/proxy_world.h
@@ -417,6 +417,29 @@
 		ep_table_free(t);
 	}
 
+	/* Sets the local endpoint and another one whose proxy is at @at. */
+	void endpoint_at(const char *at)
+	{
+		struct ep_table *t = ep_table_new(16);
+		struct ep_view_options o = {"p1", "dc1", "r1", 0};
+		struct ep_record r = {};
+		struct ep_view *v;
+
+		put(t, "p1", PEER_PORT, 1);
+		r.instance = (char *)"p3";
+		r.service = (char *)"stock";
+		r.data_centre = (char *)"dc1";
+		r.region = (char *)"r1";
+		r.address = (char *)at;
+		r.slots = 100;
+		r.incarnation = r.sequence = 1;
+		ep_table_put(t, &r, EP_HELD_HERE, BA_NEVER, 0);
+		v = ep_table_view(t, nullptr, &o);
+		px_set_endpoints(proxy, v);
+		ep_view_unref(v);
+		ep_table_free(t);
+	}
+
 	/* A report of the instance @name, whose backend server has left. */
 	static void put_report(struct ep_table *t, const std::string &name,
 			       const std::vector<struct ep_mark> &marks)
