proxy: late bytes without an id are no answer to the next request

Cause: on_head() skipped answers that name another request, but not those that name none, on connections in use again.

Change: an answer without an id is skipped there, if this backend server has named requests before. Rejections name none, so a connection is closed after one, and a second copy of it has no way to arrive.

--- a/proxy/px_backend.c
+++ b/proxy/px_backend.c
@@ -109,6 +109,7 @@
 	if (renewed) {
 		px_poison_on_start(p);
 		px_limit_on_start(p);
+		be->echoes_ids = false;
 	}
 	if (!changed)
 		return;
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -147,6 +147,7 @@
  * @dispatch_timer: fires at the end of a loop iteration in which a slot became
  *	free or a request was queued
  * @start: digest of its id and its start
+ * @echoes_ids: it has named a request in an answer
  * @limit: what it states
  * @n_sent: requests sent to it since the last line of the log about @limit
  * @logged_at: time of that line
@@ -163,6 +164,7 @@
 	struct cl_sched *sched;
 	struct ba_timer dispatch_timer;
 	uint64_t start;
+	bool echoes_ids;
 	struct cl_limit limit;
 	uint64_t n_sent;
 	ba_time logged_at;
@@ -304,6 +306,7 @@
  * @n_foreign: number of such answers in this attempt
  * @answer_bytes: length of the body received so far
  * @not_run_code: code of an answer that reports "not run", or 0
+ * @unnamed: the answer that is being read names no request
  * @answering: the head of the answer has been written to the caller
  * @answering_at: when that was
  * @checked_bytes: @answer_bytes when the answer was last found to go on
@@ -356,6 +359,7 @@
 	uint64_t answer_bytes;
 	int status;
 	int not_run_code;
+	bool unnamed;
 	bool answering;
 	ba_time answering_at;
 	uint64_t checked_bytes;
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -22,6 +22,8 @@
 static void notice_free(struct notice *n);
 static struct ht_pool *find_peer_pool(struct px *p, const char *address);
 static void on_head(struct ht_conn_owner *o, struct ht_conn *c);
+static bool is_foreign(const struct px_exchange *x, const struct ht_head *h,
+		       const struct px_answer_fields *ans);
 static void on_body(struct ht_conn_owner *o, struct ht_conn *c,
 		    const void *data, size_t len);
 static void on_complete(struct ht_conn_owner *o, struct ht_conn *c);
@@ -135,6 +137,7 @@
 	x->not_run_code = 0;
 	x->foreign = false;
 	x->from_backend = false;
+	x->unnamed = false;
 	x->n_foreign = 0;
 	x->status = 0;
 	x->answer_bytes = 0;
@@ -185,11 +188,10 @@
 	struct px_answer_fields ans;
 
 	x->p->dialect->read_answer(h, &ans);
-	x->foreign =
-		ans.id && strcmp(ans.id, x->id) != 0 && (*x->id || !x->fresh);
+	x->foreign = is_foreign(x, h, &ans);
 	if (x->foreign) {
 		ba_event(CL_EV_FOREIGN_ANSWER, "call=%s answer=%s fresh=%d",
-			 x->id, ans.id, (int)x->fresh);
+			 x->id, ans.id ? ans.id : "", (int)x->fresh);
 		if (x->fresh || ++x->n_foreign > PX_FOREIGN_ANSWERS_LIMIT)
 			px_exchange_on_broken(x, CL_ANSWER_BROKEN);
 		return;
@@ -199,6 +201,8 @@
 		px_note_version(x->p, h);
 		px_limit_on_stated(x, h);
 	} else {
+		x->p->backend.echoes_ids |= ans.id != NULL;
+		x->unnamed = !ans.id;
 		if (x->fresh)
 			px_poison_on_opened(x);
 		px_limit_on_answer(x, &ans.statement);
@@ -210,6 +214,21 @@
 			  (x->state == PX_ATTEMPT_AT_BACKEND || ans.id);
 }
 
+/*
+ * A backend server that names requests does so in each answer but rejections.
+ * Without that, bytes on a connection in use again belong to no request.  A
+ * rejection on it is no late copy, as on_complete() gives a connection back only
+ * after answers that name a request.
+ */
+static bool is_foreign(const struct px_exchange *x, const struct ht_head *h,
+		       const struct px_answer_fields *ans)
+{
+	if (ans->id)
+		return strcmp(ans->id, x->id) != 0 && (*x->id || !x->fresh);
+	return !x->fresh && *x->id && x->state == PX_ATTEMPT_AT_BACKEND &&
+	       x->p->backend.echoes_ids && !read_not_run_code(x, h, ans);
+}
+
 static void on_body(struct ht_conn_owner *o, struct ht_conn *c,
 		    const void *data, size_t len)
 {
@@ -229,6 +248,10 @@
 		ht_conn_pause(c, true);
 }
 
+/*
+ * A second copy of a rejection that names no request could not be told from a
+ * rejection of the next one, so the connection is closed.
+ */
 static void on_complete(struct ht_conn_owner *o, struct ht_conn *c)
 {
 	struct px_exchange *x = ba_entry(o, struct px_exchange, upstream);
@@ -242,7 +265,8 @@
 		if (code == CL_REQUEST_CRASHES)
 			px_poison_on_refusal(x);
 		x->runs--;
-		release_conn(x);
+		if (!x->unnamed)
+			release_conn(x);
 		px_exchange_on_not_run(x, code);
 		return;
 	}
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -479,6 +479,64 @@
 	}
 }
 
+/*
+ * What a backend server sent late without an id was taken for the answer to the
+ * next order, which ran twice or got a foreign success.
+ */
+TEST(PxOutcome, LateBytesWithoutAnIdAreNoAnswer)
+{
+	static const std::string rejection =
+		"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
+		"Content-Length: 0\r\n\r\n";
+	static const std::string no_answer =
+		"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nextra";
+	world w;
+
+	w.send_heartbeat("i-1", "ready", 1);
+	for (const char *line : {"POST /book/1", "GET /look/1"}) {
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
+
+		caller.write(request(line));
+		blocking_socket backend = w.backend.accept_one();
+
+		backend.read_message();
+		backend.write(answer(200, "first"));
+		EXPECT_TRUE(has(caller.read_message(), "first")) << line;
+		caller.write(request(line));
+		backend.read_message();
+		backend.write(no_answer);
+		backend.write(answer(200, "second"));
+		EXPECT_TRUE(has(caller.read_message(), "second")) << line;
+		/* Its second copy would come on this connection. */
+		caller.write(request(line));
+		backend.read_message();
+		backend.write(rejection);
+		EXPECT_EQ(status(caller.read_message()), 503) << line;
+		EXPECT_TRUE(backend.is_closed_by_peer()) << line;
+	}
+}
+
+/* Some backend servers name no request in any answer. */
+TEST(PxOutcome, AnswersOfAServerThatNamesNoRequestAreDelivered)
+{
+	world w;
+	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+
+	w.send_heartbeat("i-1", "ready", 1);
+	caller.write(request("GET /look/1"));
+	blocking_socket backend = w.backend.accept_one();
+
+	for (int i = 0; i < 3; i++) {
+		if (i)
+			caller.write(request("GET /look/1"));
+		backend.read_message();
+		backend.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+			      "ok");
+		EXPECT_EQ(status(caller.read_message()), 200) << i;
+	}
+}
+
 /*
  * A backend server sends a second copy of its answer, late, when the connection
  * serves the next request.  That caller gets its own answer.
