proxy: bodies of requests stay within the memory

Three uploads at once, which the configuration allows, took a proxy over the memory of its machine, and all requests there ended with it (Fault).

Cause: the whole body was copied into the buffer of the next connection while the first copy stayed, and nothing bounded the sum.

Change: the body is written in pieces, as the other end takes them. All bodies together take three quarters of proxy.memory_mb at most; a request without room is refused at once, 503 with Retry-After, and another proxy is told that it did not run.

--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -36,6 +36,7 @@
 /**
  * struct settings - the settings file
  * @link_rate: rate of the outgoing link in bytes per second, or 0
+ * @memory_mb: memory that the process may use in MB, or 0
  * @relay_port: port of all relays if their addresses name another one, or 0
  * @grace_time: time from the signal to stop until the process is killed
  */
@@ -47,6 +48,7 @@
 	struct ba_address registration_address;
 	struct ba_address backend_address;
 	int64_t link_rate;
+	int64_t memory_mb;
 	char *service;
 	struct ba_addresses relays;
 	int64_t relay_port;
@@ -66,6 +68,8 @@
 	KEY("proxy", "beat_address", BA_KIND_ADDRESS, false,
 	    registration_address),
 	KEY("proxy", "link_rate", BA_KIND_RATE, false, link_rate),
+	{"proxy", "memory_mb", BA_KIND_INTEGER, false,
+	 offsetof(struct settings, memory_mb), NULL, 16, 1 << 20},
 	KEY("backend", "address", BA_KIND_ADDRESS, true, backend_address),
 	KEY("backend", "service", BA_KIND_STRING, true, service),
 	KEY("relays", "addresses", BA_KIND_ADDRESSES, true, relays),
@@ -169,6 +173,7 @@
 		.data_centre = s->common.data_centre,
 		.region = s->common.region,
 		.link_rate = s->link_rate,
+		.memory = s->memory_mb * 1024 * 1024,
 		.service = s->service,
 		.dialect = &pf_proxy,
 	};
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -30,7 +30,6 @@
 	if (body->len || h->length >= 0 || h->chunked)
 		ba_buf_addf(out, "Content-Length: %zu\r\n", body->len);
 	ba_buf_addf(out, "\r\n");
-	ba_buf_add(out, body->data, body->len);
 }
 
 void px_compose_notice(const struct px_exchange *x, struct ba_buf *out)
@@ -114,6 +113,21 @@
 	ba_buf_free(&body);
 }
 
+void px_compose_unread(struct px_downstream *d, int code, struct ba_buf *out)
+{
+	ba_time wait =
+		PX_RETRY_AFTER_MIN +
+		(ba_time)ba_rand_below(&d->p->rand, PX_RETRY_AFTER_JITTER);
+
+	ba_buf_addf(out, "HTTP/1.1 503 %s\r\n", ht_reason_phrase(503));
+	if (d->from_peer)
+		ba_buf_addf(out, PX_FIELD_NOT_RUN ": %d\r\n", code);
+	else
+		ba_buf_addf(out, "Retry-After: %.3f\r\n",
+			    (double)wait / (double)BA_SECOND);
+	ba_buf_addf(out, "Content-Length: 0\r\nConnection: close\r\n\r\n");
+}
+
 void px_compose_bodyless(int status, struct ba_buf *out)
 {
 	ba_buf_addf(out,
--- a/proxy/px_downstream.c
+++ b/proxy/px_downstream.c
@@ -2,7 +2,9 @@
 #include <strings.h>
 
 #include "base/ba_event.h"
+#include "base/ba_result.h"
 #include "proxy/px_internal.h"
+#include "report/rt.h"
 
 static void accept_conn(struct px *p, int fd, bool from_peer);
 static void on_begun(struct ht_conn_owner *o, struct ht_conn *c);
@@ -13,6 +15,9 @@
 static void on_drained(struct ht_conn_owner *o, struct ht_conn *c);
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *c,
 		     enum ht_end why);
+static bool reserve(struct px_downstream *d, uint64_t bytes);
+static void free_body(struct px_downstream *d);
+static void refuse_unread(struct px_downstream *d);
 static void refuse(struct px_downstream *d, int status);
 static void log_cut_off(const struct px_downstream *d,
 			const struct px_exchange *x);
@@ -49,7 +54,7 @@
 
 	d->exchange = NULL;
 	d->in_request = false;
-	ba_buf_free(&d->body);
+	free_body(d);
 	if (close || (d->p->stopping && !d->from_peer)) {
 		struct ht_conn *c = d->conn;
 
@@ -152,6 +157,10 @@
 		refuse(d, 413);
 		return;
 	}
+	if (h->length > 0 && !reserve(d, (uint64_t)h->length)) {
+		refuse_unread(d);
+		return;
+	}
 	if (expect && !strcasecmp(expect, "100-continue")) {
 		static const char interim[] = "HTTP/1.1 100 Continue\r\n\r\n";
 
@@ -170,6 +179,10 @@
 		refuse(d, 413);
 		return;
 	}
+	if (!reserve(d, d->body.len + len)) {
+		refuse_unread(d);
+		return;
+	}
 	ba_buf_add(&d->body, data, len);
 	ht_conn_set_deadline(c, ba_loop_now(d->p->loop) + idle_timeout(d));
 }
@@ -213,6 +226,41 @@
 	remove_downstream(d);
 }
 
+/* Return: whether there is memory for a body of @bytes. */
+static bool reserve(struct px_downstream *d, uint64_t bytes)
+{
+	struct px *p = d->p;
+	double limit = (double)p->o.memory * PX_BODIES_SHARE;
+	uint64_t more = bytes > d->reserved ? bytes - d->reserved : 0;
+
+	if (p->o.memory && more && (double)(p->bodies + more) > limit)
+		return false;
+	d->reserved += more;
+	p->bodies += more;
+	return true;
+}
+
+static void free_body(struct px_downstream *d)
+{
+	ba_buf_free(&d->body);
+	d->p->bodies -= d->reserved;
+	d->reserved = 0;
+}
+
+/* Answers that the request was not run, for want of memory, and closes. */
+static void refuse_unread(struct px_downstream *d)
+{
+	struct ht_conn *c = d->conn;
+
+	ba_event(CL_EV_NOT_RUN, "code=%d status=503 bodies=%llu length=%lld",
+		 CL_OVERLOADED, (unsigned long long)d->p->bodies,
+		 (long long)ht_conn_head(c)->length);
+	rt_count(RT_NOT_RUN, 1);
+	px_compose_unread(d, CL_OVERLOADED, ht_conn_out(c));
+	remove_downstream(d);
+	ht_conn_close_after_flush(c);
+}
+
 /* Answers @status and closes; the rest of the request is not read. */
 static void refuse(struct px_downstream *d, int status)
 {
@@ -269,7 +317,7 @@
 {
 	end_noted_answer(d);
 	ba_list_remove(&d->link);
-	ba_buf_free(&d->body);
+	free_body(d);
 	g_free(d);
 }
 
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -58,6 +58,10 @@
 #define PX_DEFAULT_IDLE_TIMEOUT BA_MINUTE
 #define PX_DEFAULT_ROUTE_TIMEOUT (10 * BA_SECOND)
 #define PX_DEFAULT_BODY_LIMIT_BYTES ((uint64_t)64 * 1024 * 1024)
+/* Share of the memory that bodies of requests may take, all together. */
+#define PX_BODIES_SHARE 0.75
+/* The body of a request is written in pieces, as the other end takes them. */
+#define PX_BODY_PIECE_BYTES ((size_t)256 * 1024)
 /* Of connections to another proxy, while they are in its pool. */
 #define PX_PEER_POOL_IDLE_TIMEOUT (20 * BA_SECOND)
 /* Of connections of another proxy; longer, so that it closes them first. */
@@ -200,6 +204,7 @@
  * @begins_nothing: final answers have been given; no attempt begins any more
  * @leaves_at: when this proxy is about to leave, 0 while it is not stopping
  * @notices: calls to other proxies that tell them so
+ * @bodies: bytes that are reserved for bodies of requests
  * @peer_pools: struct ht_pool by address of the other proxy
  * @stated: what their backend servers state
  */
@@ -225,6 +230,7 @@
 	bool stopping;
 	ba_time leaves_at;
 	struct ba_list notices;
+	uint64_t bodies;
 	bool refuses_requests;
 	bool begins_nothing;
 	GHashTable *retry_budgets;
@@ -254,6 +260,7 @@
  * @in_request: a request has begun and its answer is not complete
  * @begun_at: when its first byte arrived
  * @body: body of the request, as far as it has arrived
+ * @reserved: bytes that are reserved for it
  * @exchange: the request that is being answered, or NULL
  * @answer_id: id of the last request if its answer is not all sent, or NULL
  * @answered_at: when that answer was complete
@@ -267,6 +274,7 @@
 	bool in_request;
 	ba_time begun_at;
 	struct ba_buf body;
+	uint64_t reserved;
 	struct px_exchange *exchange;
 	char *answer_id;
 	ba_time answered_at;
@@ -300,6 +308,7 @@
  * @last_try: no further proxy is tried if this attempt fails
  * @fresh: the upstream connection was opened for this attempt
  * @paced: a large answer is expected over the paid link
+ * @body_written: bytes of the body that were passed to the connection
  * @backend_start: start of the local backend server that it was sent to
  * @foreign: the answer that is being read belongs to an earlier request
  * @from_backend: the answer that is being read was made by a backend server
@@ -350,6 +359,7 @@
 	struct cl_admit_call admission;
 	struct cl_egress_reservation reservation;
 	ba_time sent_at;
+	size_t body_written;
 	uint64_t backend_start;
 	bool paced;
 	bool fresh;
@@ -576,7 +586,7 @@
 /** px_control_on_request() - answer a call of the platform or backend server */
 void px_control_on_request(struct ht_service_owner *o, struct ht_request *r);
 
-/** px_compose_request() - write the request for the next hop */
+/** px_compose_request() - write the request for the next hop, but its body */
 void px_compose_request(struct px_exchange *x, bool to_backend,
 			struct ba_buf *out);
 
@@ -591,6 +601,9 @@
 void px_compose_error(struct px_exchange *x, int status, int code,
 		      struct ba_buf *out);
 
+/** px_compose_unread() - refuse, as not run, a request that is not read */
+void px_compose_unread(struct px_downstream *d, int code, struct ba_buf *out);
+
 /**
  * px_compose_bodyless() - write an answer without a body
  *
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -21,6 +21,9 @@
 			    enum ht_end why);
 static void notice_free(struct notice *n);
 static struct ht_pool *find_peer_pool(struct px *p, const char *address);
+static void write_body(struct px_exchange *x);
+static size_t body_left(const struct px_exchange *x);
+static void on_drained(struct ht_conn_owner *o, struct ht_conn *c);
 static void on_head(struct ht_conn_owner *o, struct ht_conn *c);
 static bool is_foreign(const struct px_exchange *x, const struct ht_head *h,
 		       const struct px_answer_fields *ans);
@@ -131,6 +134,7 @@
 	x->upstream.head = on_head;
 	x->upstream.body = on_body;
 	x->upstream.complete = on_complete;
+	x->upstream.drained = on_drained;
 	x->upstream.ended = on_ended;
 	x->state = state;
 	x->pool = pool;
@@ -155,7 +159,38 @@
 		ht_conn_set_link(x->conn, x->p->link);
 	px_compose_request(x, state == PX_ATTEMPT_AT_BACKEND,
 			   ht_conn_out(x->conn));
-	ht_conn_flush(x->conn);
+	x->body_written = 0;
+	write_body(x);
+}
+
+/* Writes pieces until one has to wait; then on_drained() goes on. */
+static void write_body(struct px_exchange *x)
+{
+	const struct ba_buf *body = &x->downstream->body;
+	struct ht_conn *c = x->conn;
+
+	do {
+		size_t len = MIN(body_left(x), PX_BODY_PIECE_BYTES);
+
+		ht_conn_write(c, body->data + x->body_written, len);
+		x->body_written += len;
+		ht_conn_set_to_come(c, body_left(x));
+		ht_conn_flush(c);
+	} while (body_left(x) && ht_conn_has_sent_all(c));
+}
+
+static size_t body_left(const struct px_exchange *x)
+{
+	return x->downstream ? x->downstream->body.len - x->body_written : 0;
+}
+
+static void on_drained(struct ht_conn_owner *o, struct ht_conn *c)
+{
+	struct px_exchange *x = ba_entry(o, struct px_exchange, upstream);
+
+	(void)c;
+	if (body_left(x))
+		write_body(x);
 }
 
 static struct ht_pool *find_peer_pool(struct px *p, const char *address)
@@ -307,7 +342,8 @@
 			    const struct ht_conn *c)
 {
 	return !ht_conn_has_sent(c) ||
-	       (x->state == PX_ATTEMPT_AT_PEER && !ht_conn_has_sent_all(c));
+	       (x->state == PX_ATTEMPT_AT_PEER &&
+		(!ht_conn_has_sent_all(c) || body_left(x)));
 }
 
 /* What the backend server has not run was not running when it crashed. */
@@ -354,13 +390,16 @@
 			     ba_loop_now(x->p->loop));
 }
 
-/* Returns the connection to its pool for the next request. */
+/*
+ * Returns the connection to its pool for the next request.  It is closed if the
+ * answer came before the whole request was written.
+ */
 static void release_conn(struct px_exchange *x)
 {
 	struct ht_conn *c = x->conn;
 
 	x->conn = NULL;
-	ht_pool_give(x->pool, c);
+	ht_pool_give(body_left(x) ? NULL : x->pool, c);
 }
 
 static void begin_answer(struct px_exchange *x)
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -397,6 +397,140 @@
 	}
 }
 
+std::string large_bodies()
+{
+	return changed("\"max_body_bytes\":100000",
+		       "\"max_body_bytes\":67108864");
+}
+
+std::string upload_head(const std::string &fields, size_t length)
+{
+	return "POST /photos/1 HTTP/1.1\r\nHost: a.example\r\n"
+	       "X-Attempt-Id: 1\r\n" +
+	       fields +
+	       (length ? "Content-Length: " + std::to_string(length)
+		       : "Transfer-Encoding: chunked") +
+	       "\r\n\r\n";
+}
+
+/* A body is written in pieces, as the other end takes them. */
+TEST(PxUpload, LargeBodyArrivesWhole)
+{
+	std::string body(6000000, 'b');
+
+	for (size_t i = 0; i < body.size(); i++)
+		body[i] = (char)('a' + i * 7 / 1000 % 26);
+	for (bool via_peer : {false, true})
+		for (int64_t link_rate : {0, 20000000}) {
+			world w(true, link_rate);
+			listener peer(OTHER_PROXY_PORT);
+			blocking_socket caller =
+				blocking_socket::connect_to(CALLER_PORT);
+
+			w.run([&] { w.configure(large_bodies()); });
+			if (via_peer)
+				w.run([&] { w.endpoints(true); });
+			else
+				w.send_heartbeat("i-1", "ready", 1);
+			std::thread sender([&] {
+				caller.write(upload_head("", body.size()) +
+					     body);
+			});
+			blocking_socket server =
+				(via_peer ? peer : w.backend).accept_one();
+			std::string got = server.read_message();
+
+			sender.join();
+			EXPECT_EQ(got.size() - got.find("\r\n\r\n") - 4,
+				  body.size());
+			EXPECT_TRUE(got.compare(got.find("\r\n\r\n") + 4,
+						std::string::npos, body) == 0);
+			server.write(answer(200, "ok"));
+			EXPECT_EQ(status(caller.read_message()), 200);
+		}
+}
+
+/* The rest of a body would be taken for the next request. */
+TEST(PxUpload, ConnectionIsClosedIfTheAnswerComesBeforeTheWholeBody)
+{
+	const std::string body(8000000, 'b');
+	world w;
+	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+
+	w.run([&] { w.configure(large_bodies()); });
+	w.send_heartbeat("i-1", "ready", 1);
+	std::thread sender(
+		[&] { caller.write(upload_head("", body.size()) + body); });
+	blocking_socket backend = w.backend.accept_one();
+
+	while (!has(backend.unread, "\r\n\r\n"))
+		ASSERT_TRUE(backend.read_more());
+	sender.join();
+	backend.write(answer(200, "early"));
+	EXPECT_TRUE(has(caller.read_message(), "early"));
+	EXPECT_LT(backend.read_rest().size(), body.size());
+}
+
+/* Uploads that the configuration allows took a proxy over its memory. */
+TEST(PxUpload, BodiesTogetherStayWithinTheMemory)
+{
+	static const std::string of_proxies =
+		"caraway-service: stock\r\ncaraway-caller: stock\r\n"
+		"caraway-time-left-us: 4000000\r\n";
+	static const size_t body = 700000; /* three quarters of 2 MB hold two */
+
+	for (bool of_peer : {false, true})
+		for (bool has_length : {true, false}) {
+			world w(true, 0, 2000000);
+			std::vector<blocking_socket> held;
+			const std::string head =
+				upload_head(of_peer ? of_proxies : "",
+					    has_length ? body : 0);
+			std::string part(body - 1, 'b');
+			std::string got;
+
+			if (!has_length)
+				part = "aae5f\r\n" + part + "\r\n";
+			w.run([&] { w.configure(large_bodies()); });
+			w.send_heartbeat("i-1", "ready", 1);
+			for (int i = 0; i < 3; i++) {
+				held.push_back(blocking_socket::connect_to(
+					of_peer ? PEER_PORT : CALLER_PORT));
+				held.back().write(head + part);
+			}
+			std::vector<struct pollfd> p;
+
+			for (auto &h : held)
+				p.push_back({h.fd, POLLIN, 0});
+			ASSERT_EQ(poll(p.data(), p.size(), WAIT_S * 1000), 1);
+			/* Without a length, any of them may be the last. */
+			size_t refused = p[0].revents	? 0
+					 : p[1].revents ? 1
+							: 2;
+			blocking_socket &other = held[(refused + 1) % 3];
+
+			got = held[refused].read_message();
+			EXPECT_EQ(status(got), 503) << of_peer << has_length;
+			EXPECT_TRUE(has(got, of_peer ? "caraway-not-run: "
+						     : "Retry-After: "))
+				<< got;
+			const std::string end =
+				has_length ? "b" : "1\r\nb\r\n0\r\n\r\n";
+
+			other.write(end);
+			blocking_socket backend = w.backend.accept_one();
+
+			backend.read_message();
+			backend.write(answer(200, "ok"));
+			EXPECT_EQ(status(other.read_message()), 200);
+			/* There is room again. */
+			other.write(head + part + end);
+			backend.read_message();
+			backend.write(answer(200, "ok"));
+			EXPECT_EQ(status(other.read_message()), 200);
+		}
+}
+
 enum backend_failure {
 	CLOSED,
 	RESET,
--- a/test/proxy_world.h
+++ b/test/proxy_world.h
@@ -286,7 +286,8 @@
 	std::thread thread;
 	listener backend{BACKEND_PORT};
 
-	explicit world(bool configured = true, int64_t link_rate = 0)
+	explicit world(bool configured = true, int64_t link_rate = 0,
+		       int64_t memory = 0)
 	{
 		struct px_options o = {};
 		const struct ba_address *failed = nullptr;
@@ -301,6 +302,7 @@
 		o.region = "r1";
 		o.service = "stock";
 		o.link_rate = link_rate;
+		o.memory = memory;
 		o.dialect = &pf_proxy;
 		o.seed = 7;
 		owner.backend_changed = record_backend;
