proxy: a held request names no route of a version that was released

No effect that a caller could see was shown; reading a released string may end the proxy.

Cause: a request that is held at a start, for want of an endpoint, has the route and service of the version of that time. When it is tried again under a version that lacks the route, that version had been released, and its strings were written to the log.

Change: both are cleared with the version.

Measured: PxStartup.RouteOfAHeldRequestGoes passes.

--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -679,7 +679,6 @@
 {
 	struct ep_lifetime known = ep_record_lifetime(r);
 	struct ep_lifetime own = ep_record_lifetime(&a->record);
-
 	bool same = own.start_wall_ms == known.start_wall_ms;
 
 	if (!*known.backend)
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -344,6 +344,9 @@
 		hold_or_refuse(x, CL_NOT_CONFIGURED);
 		return;
 	}
+	/* Those of a request that was held are strings of the old snapshot. */
+	x->route = NULL;
+	x->service = NULL;
 	cf_snapshot_unref(x->snapshot);
 	x->snapshot = cf_snapshot_ref(p->snapshot);
 	r = find_route(x);
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -53,6 +53,34 @@
 	EXPECT_EQ(status(first.read_message()), 200);
 }
 
+/* The refusal named the route and service of the version that was released. */
+TEST(PxStartup, RouteOfAHeldRequestGoes)
+{
+	world w(false);
+	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+
+	w.run([&] {
+		struct cf_snapshot *s = snapshot();
+
+		px_configure(w.proxy, s);
+		cf_snapshot_unref(s);
+	});
+	caller.write(request("GET /look/"));
+	/* It has been read when an answer to a later request has come. */
+	blocking_socket other = blocking_socket::connect_to(CALLER_PORT);
+
+	other.write(request("GET /nowhere/"));
+	EXPECT_EQ(status(other.read_message()), 404);
+	w.run([&] {
+		struct cf_snapshot *s =
+			snapshot(changed("\"/look/\"", "\"/elsewhere/\""));
+
+		px_configure(w.proxy, s);
+		cf_snapshot_unref(s);
+	});
+	EXPECT_EQ(status(caller.read_message()), 404);
+}
+
 TEST(PxStartup, RefusesWhatItHeldForTooLong)
 {
 	world w(false);
