test: a restarted proxy uses what its predecessor knew

px_restore_backend() had only the test of the relay: ten cases of a heartbeat before and after it, of a backend server that serves, drains or has left.

--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -1322,6 +1322,55 @@
 	}
 }
 
+/*
+ * A proxy was killed after it had acknowledged a departure, and the next process
+ * heard a heartbeat that was sent before.
+ */
+TEST(PxBackend, RestartedProxyUsesWhatItsPredecessorKnew)
+{
+	static const struct {
+		const char *name;
+		enum ep_state state;
+		bool heard_first;
+		const char *id, *next;
+		int sequence;
+		long start_wall_ms;
+		bool used;
+	} cases[] = {
+		{"it left", EP_HAS_LEFT, false, "i-1", "ready", 9, 5, false},
+		{"it left, heard before", EP_HAS_LEFT, true, "i-1", "ready", 9,
+		 5, false},
+		{"it left, next start", EP_HAS_LEFT, false, "i-1", "ready", 1,
+		 6, true},
+		{"it drains, sent before", EP_DRAINS, false, "i-1", "ready", 6,
+		 5, false},
+		{"it drains, sent before, heard before", EP_DRAINS, true, "i-1",
+		 "ready", 6, 5, false},
+		{"it drains, sent after", EP_DRAINS, false, "i-1", "draining",
+		 8, 5, false},
+		{"it serves, sent after", EP_SERVES, false, "i-1", "ready", 8,
+		 5, true},
+		{"it serves, heard before", EP_SERVES, true, "i-1", "ready", 8,
+		 5, true},
+		{"it serves, late one of an earlier start", EP_SERVES, false,
+		 "i-0", "ready", 8, 4, false},
+		{"it serves, late one heard before", EP_SERVES, true, "i-0",
+		 "ready", 8, 4, false},
+	};
+
+	for (const auto &c : cases) {
+		world w;
+		const struct ep_lifetime known = {"i-1", 5, 7, c.state};
+
+		if (!c.heard_first)
+			w.run([&] { px_restore_backend(w.proxy, &known); });
+		w.send_heartbeat(c.id, c.next, c.sequence, c.start_wall_ms);
+		if (c.heard_first)
+			w.run([&] { px_restore_backend(w.proxy, &known); });
+		EXPECT_EQ(w.is_used(), c.used) << c.name;
+	}
+}
+
 /*
  * Another writer's odd entry ended the machines of another operator that read
  * it, or they stopped following the list.
