--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -2,7 +2,8 @@
 
 #include <malloc.h>
 #if defined(__SANITIZE_ADDRESS__)
-#include <sanitizer/allocator_interface.h>
+/* Of the sanitizer; GCC has no header for it. */
+extern "C" size_t __sanitizer_get_current_allocated_bytes(void);
 #endif
 
 using namespace proxy_world;
