proxy: no pointer is computed from a body that is not there

Undefined behaviour without an effect: write_body() added 0 to the null pointer of an empty body, which the sanitizer of clang would report. Found by reading. Objects of the fuzz targets are built again when a header has changed; a stale one read beyond a structure.

Measured: fuzz/run.sh build/fuzz 20000 1 proxy passes.

--- a/Makefile
+++ b/Makefile
@@ -195,4 +195,4 @@
 	rm -rf build
 
 -include $(LIB_OBJ:.o=.d) $(TEST_OBJ:.o=.d)
--include $(foreach d,prog bench ctl $(ROLES),$(wildcard $(BUILD)/$(d)/*.d))
+-include $(foreach d,prog bench ctl fuzz $(ROLES),$(wildcard $(BUILD)/$(d)/*.d))
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -172,7 +172,8 @@
 	do {
 		size_t len = MIN(body_left(x), PX_BODY_PIECE_BYTES);
 
-		ht_conn_write(c, body->data + x->body_written, len);
+		if (len)
+			ht_conn_write(c, body->data + x->body_written, len);
 		x->body_written += len;
 		ht_conn_set_to_come(c, body_left(x));
 		ht_conn_flush(c);
