endpoint: presence of the backend server is decided apart from the proxy

Which start a heartbeat or a deregistration belongs to was decided in px_backend.c, with the loop's time and the state of the proxy, so that the return after a departure that is not sure had no test: it takes 10 s. The same for starts that lie ahead (px_control.c read the clock for it) and for answers on their way to another proxy (px_exchange.c).

Change: ep_presence, ep_start_is_plausible() and cl_overrun_next_passed() are pure, with tables of cases. Behaviour is the same, but that a departure of a start that was never heard of is announced, too.

--- a/call/cl_overrun.c
+++ b/call/cl_overrun.c
@@ -19,6 +19,15 @@
 	return MIN(now + CL_OVERRUN_PERIOD, limit);
 }
 
+ba_time cl_overrun_next_passed(const struct cl_overrun_passed *o, ba_time now)
+{
+	bool moves = o->length >= 0 && o->received > o->received_before;
+
+	if (now < o->deadline + CL_OVERRUN_STALL_TIME || moves)
+		return now + CL_OVERRUN_STALL_TIME;
+	return now;
+}
+
 static ba_time last_use(const struct cl_overrun *o)
 {
 	if (o->caller_deadline == BA_NEVER)
--- a/endpoint/ep.h
+++ b/endpoint/ep.h
@@ -171,6 +171,14 @@
 bool ep_lifetime_is_past(const struct ep_lifetime *known,
 			 const struct ep_lifetime *next);
 
+/**
+ * ep_start_is_plausible() - whether a start lies no further ahead than clocks
+ * differ
+ *
+ * After one that does, no later start would count.
+ */
+bool ep_start_is_plausible(int64_t start_wall_ms, int64_t now_wall_ms);
+
 /** ep_record_lifetime() - the lifetime that @r is about; borrows its strings */
 struct ep_lifetime ep_record_lifetime(const struct ep_record *r);
 
--- a/endpoint/ep_lifetime.c
+++ b/endpoint/ep_lifetime.c
@@ -4,6 +4,8 @@
 
 #include "endpoint/ep.h"
 
+#define START_AHEAD_LIMIT BA_HOUR
+
 bool ep_lifetime_is_past(const struct ep_lifetime *known,
 			 const struct ep_lifetime *next)
 {
@@ -16,6 +18,11 @@
 	return known->state == EP_HAS_LEFT || next->sequence <= known->sequence;
 }
 
+bool ep_start_is_plausible(int64_t start_wall_ms, int64_t now_wall_ms)
+{
+	return start_wall_ms <= now_wall_ms + START_AHEAD_LIMIT / BA_MS;
+}
+
 struct ep_lifetime ep_record_lifetime(const struct ep_record *r)
 {
 	return (struct ep_lifetime){
--- a/fuzz/fz_proxy.c
+++ b/fuzz/fz_proxy.c
@@ -33,11 +33,11 @@
 static struct px_options options;
 
 static void on_backend_changed(struct px_owner *o, const struct px_heartbeat *b,
-			       bool registered, bool renewed)
+			       const struct ep_lifetime *l, bool renewed)
 {
 	(void)o;
 	(void)b;
-	(void)registered;
+	(void)l;
 	(void)renewed;
 }
 
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -107,8 +107,7 @@
 static int start_proxy(struct program *g);
 static void start_agent(struct program *g);
 static void on_backend_changed(struct px_owner *o, const struct px_heartbeat *b,
-			       bool registered, bool renewed);
-static enum ep_state backend_state(const struct px_heartbeat *b);
+			       const struct ep_lifetime *l, bool renewed);
 static void on_marks_changed(struct px_owner *o, const struct ep_mark *marks,
 			     size_t n);
 static void on_version_heard(struct px_owner *o, uint64_t version);
@@ -221,37 +220,30 @@
 }
 
 static void on_backend_changed(struct px_owner *o, const struct px_heartbeat *b,
-			       bool registered, bool renewed)
+			       const struct ep_lifetime *l, bool renewed)
 {
 	struct program *g = ba_entry(o, struct program, proxy_owner);
 	const struct settings *s = &g->settings;
 	struct ep_record record = {
-		.service = (char *)b->service,
+		.service = b ? (char *)b->service : "",
 		.data_centre = s->common.data_centre,
 		.region = s->common.region,
 		.address = (char *)s->peer_address.text,
 		.external_address = "",
 		.control_address = "",
-		.backend = (char *)b->backend,
-		.backend_start_wall_ms = b->start_wall_ms,
-		.backend_sequence = b->sequence,
-		.backend_state = backend_state(b),
-		.cold_time = b->cold_time,
-		.slots = b->slots,
-		.draining = b->draining,
-		.left = !registered,
+		.backend = (char *)l->backend,
+		.backend_start_wall_ms = l->start_wall_ms,
+		.backend_sequence = l->sequence,
+		.backend_state = l->state,
+		.cold_time = b ? b->cold_time : 0,
+		.slots = b ? b->slots : 0,
+		.draining = b && b->draining,
+		.left = !b,
 	};
 
 	ds_agent_announce(g->agent, &record, renewed);
 }
 
-static enum ep_state backend_state(const struct px_heartbeat *b)
-{
-	if (b->left)
-		return EP_HAS_LEFT;
-	return b->draining ? EP_DRAINS : EP_SERVES;
-}
-
 static void on_marks_changed(struct px_owner *o, const struct ep_mark *marks,
 			     size_t n)
 {
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -51,6 +51,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->answer_stats =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	ep_presence_init(&p->backend.presence);
 	p->backend.sched = cl_sched_new();
 	p->stated = cl_stated_new();
 	px_poison_init(p);
--- a/proxy/px.h
+++ b/proxy/px.h
@@ -35,8 +35,9 @@
 /**
  * struct px_owner - callbacks into the program; embed it
  * @backend_changed: the backend server has started, changed its state or left;
- *	@b is its last heartbeat; @registered is not set while it is not to be
- *	used; @renewed is set when @b is the first heartbeat of another start
+ *	@b is its last heartbeat, NULL while it is not to be used; @l is what to
+ *	tell others of it; @renewed is set when @b is the first heartbeat of
+ *	another start
  * @marks_changed: the own report of requests that crash backend servers has
  *	changed; @marks is all of it
  * @version_heard: another proxy has configuration version @version in force
@@ -45,8 +46,8 @@
  */
 struct px_owner {
 	void (*backend_changed)(struct px_owner *o,
-				const struct px_heartbeat *b, bool registered,
-				bool renewed);
+				const struct px_heartbeat *b,
+				const struct ep_lifetime *l, bool renewed);
 	void (*marks_changed)(struct px_owner *o, const struct ep_mark *marks,
 			      size_t n);
 	void (*version_heard)(struct px_owner *o, uint64_t version);
--- a/proxy/px_backend.c
+++ b/proxy/px_backend.c
@@ -13,14 +13,8 @@
 static int refusal_code(const struct px *p, const char *service);
 static int reserve_link(struct px_exchange *x, double bytes);
 static int code_from_reason(enum cl_admit_reason reason);
-static bool is_new_start(const struct px_backend *be,
-			 const struct px_heartbeat *hb);
-static bool is_past(const struct px *p, const struct px_heartbeat *hb);
 static struct ep_lifetime lifetime_of(const struct px_heartbeat *hb);
-static bool names_another_start(const struct px_backend *be,
-				const struct px_departure *d);
-static void note_departure(struct px *p, const struct px_departure *d);
-static void unregister(struct px *p);
+static void unregister(struct px *p, bool was_registered);
 static void apply_heartbeat(struct px *p, const struct px_heartbeat *hb);
 static void refuse_queued(struct px *p, int code);
 
@@ -99,11 +93,15 @@
 void px_backend_on_heartbeat(struct px *p, const struct px_heartbeat *hb)
 {
 	struct px_backend *be = &p->backend;
-	bool renewed = is_new_start(be, hb);
+	struct ep_lifetime next = lifetime_of(hb);
+	enum ep_heard heard =
+		ep_presence_hear(&be->presence, &next, ba_loop_now(p->loop));
+	bool renewed = heard == EP_HEARD_START ||
+		       strcmp(be->heartbeat.service, hb->service) != 0;
 	bool changed = renewed || hb->draining != be->heartbeat.draining ||
 		       hb->slots != be->heartbeat.slots;
 
-	if (is_past(p, hb))
+	if (heard == EP_HEARD_PAST)
 		return;
 	apply_heartbeat(p, hb);
 	if (renewed) {
@@ -122,46 +120,38 @@
 }
 
 /* It is remembered, as a heartbeat that was sent before may arrive later. */
-void px_backend_deregister(struct px *p, const struct px_departure *d)
+void px_backend_deregister(struct px *p, const struct ep_departure *d)
 {
 	struct px_backend *be = &p->backend;
+	bool was_registered = be->presence.registered;
 
-	if (names_another_start(be, d))
+	if (!ep_presence_leave(&be->presence, d, ba_loop_now(p->loop)))
 		return;
-	note_departure(p, d);
 	ba_event(EP_EV_LEFT, "backend=%s service=%s registered=%d unsure=%d",
-		 d->backend, be->heartbeat.service, (int)be->registered,
-		 (int)be->left_unsure);
-	unregister(p);
+		 d->backend, be->heartbeat.service, (int)was_registered,
+		 (int)be->presence.left_unsure);
+	unregister(p, was_registered);
 }
 
 void px_restore_backend(struct px *p, const struct ep_lifetime *known)
 {
 	struct px_backend *be = &p->backend;
-	struct px_heartbeat *hb = &be->heartbeat;
-	struct ep_lifetime own = lifetime_of(hb);
-	bool same = own.start_wall_ms == known->start_wall_ms;
+	bool was_registered = be->presence.registered;
 
-	if (*own.backend && !ep_lifetime_is_past(known, &own))
+	if (!ep_presence_restore(&be->presence, known) || !was_registered)
+		return;
+	if (!be->presence.registered) {
+		unregister(p, true);
 		return;
-	if (!same || !be->registered) {
-		memset(hb, 0, sizeof(*hb));
-		g_strlcpy(hb->backend, known->backend, sizeof(hb->backend));
-		hb->start_wall_ms = known->start_wall_ms;
-		hb->sequence = known->sequence;
 	}
-	hb->draining = known->state == EP_DRAINS;
-	hb->left = known->state == EP_HAS_LEFT;
-	be->left_unsure = false;
-	if (!same || hb->left)
-		unregister(p);
-	else if (hb->draining)
+	be->heartbeat.draining = known->state == EP_DRAINS;
+	if (be->heartbeat.draining)
 		px_backend_on_departure(p);
 }
 
 void px_backend_on_departure(struct px *p)
 {
-	if (!p->backend.registered)
+	if (!p->backend.presence.registered)
 		return;
 	announce(p, false);
 	refuse_queued(p, CL_DRAINING);
@@ -187,19 +177,23 @@
 /* A departure that answers state is announced like one of a heartbeat. */
 static void announce(struct px *p, bool renewed)
 {
-	struct px_heartbeat hb = p->backend.heartbeat;
-
-	hb.draining = px_backend_is_leaving(&p->backend);
-	hb.left = hb.left && !p->backend.left_unsure;
-	p->owner->backend_changed(p->owner, &hb, p->backend.registered,
-				  renewed);
+	const struct px_backend *be = &p->backend;
+	struct ep_lifetime told = ep_presence_told(&be->presence);
+	struct px_heartbeat hb = be->heartbeat;
+
+	hb.draining = px_backend_is_leaving(be);
+	if (be->presence.registered && hb.draining)
+		told.state = EP_DRAINS;
+	p->owner->backend_changed(
+		p->owner, be->presence.registered ? &hb : NULL, &told, renewed);
 }
 
 static int refusal_code(const struct px *p, const char *service)
 {
 	const struct px_backend *be = &p->backend;
 
-	if (!be->registered || strcmp(be->heartbeat.service, service) != 0)
+	if (!be->presence.registered ||
+	    strcmp(be->heartbeat.service, service) != 0)
 		return CL_NO_ENDPOINT;
 	return px_backend_is_leaving(be) ? CL_DRAINING : 0;
 }
@@ -245,86 +239,20 @@
 					   : CL_OVERLOADED;
 }
 
-static bool is_new_start(const struct px_backend *be,
-			 const struct px_heartbeat *hb)
-{
-	return !be->registered ||
-	       strcmp(be->heartbeat.backend, hb->backend) != 0 ||
-	       be->heartbeat.start_wall_ms != hb->start_wall_ms ||
-	       strcmp(be->heartbeat.service, hb->service);
-}
-
-/*
- * Whether @hb is of a start that has left or of an earlier one, or was sent
- * before the last one.  Where it is not sure which start has left, heartbeats
- * that go on arriving show that it is another one.
- */
-static bool is_past(const struct px *p, const struct px_heartbeat *hb)
-{
-	const struct px_backend *be = &p->backend;
-	struct ep_lifetime known = lifetime_of(&be->heartbeat);
-	struct ep_lifetime next = lifetime_of(hb);
-
-	if (be->heartbeat.left && be->left_unsure &&
-	    ba_loop_now(p->loop) >= be->left_at + PX_LATE_CONTROL_TIME)
-		return false;
-	return ep_lifetime_is_past(&known, &next);
-}
-
 static struct ep_lifetime lifetime_of(const struct px_heartbeat *hb)
 {
 	return (struct ep_lifetime){
 		.backend = hb->backend,
 		.start_wall_ms = hb->start_wall_ms,
 		.sequence = hb->sequence,
-		.state = hb->left	? EP_HAS_LEFT
-			 : hb->draining ? EP_DRAINS
-					: EP_SERVES,
+		.state = hb->draining ? EP_DRAINS : EP_SERVES,
 	};
 }
 
-/* Whether the deregistration is a late or repeated one of an earlier start. */
-static bool names_another_start(const struct px_backend *be,
-				const struct px_departure *d)
-{
-	if (be->registered && strcmp(be->heartbeat.backend, d->backend) != 0)
-		return true;
-	return d->start_wall_ms &&
-	       d->start_wall_ms < be->heartbeat.start_wall_ms;
-}
-
-/* Of a start that was never heard of, only the time before which it began. */
-static void note_departure(struct px *p, const struct px_departure *d)
-{
-	struct px_backend *be = &p->backend;
-	struct px_heartbeat *hb = &be->heartbeat;
-	ba_time now = ba_loop_now(p->loop);
-	bool known =
-		!strcmp(hb->backend, d->backend) &&
-		(!d->start_wall_ms || d->start_wall_ms == hb->start_wall_ms);
-
-	be->left_unsure =
-		!d->start_wall_ms &&
-		(!known || (be->id_was_used &&
-			    now < be->first_heard_at + PX_LATE_CONTROL_TIME));
-	if (!known) {
-		memset(hb, 0, sizeof(*hb));
-		g_strlcpy(hb->backend, d->backend, sizeof(hb->backend));
-		hb->start_wall_ms = d->start_wall_ms ? d->start_wall_ms
-						     : d->received_wall_ms;
-	}
-	hb->left = true;
-	be->left_at = now;
-}
-
-static void unregister(struct px *p)
+static void unregister(struct px *p, bool was_registered)
 {
-	struct px_backend *be = &p->backend;
-
-	if (!be->registered)
-		return;
-	be->registered = false;
-	px_poison_on_leave(p);
+	if (was_registered)
+		px_poison_on_leave(p);
 	announce(p, false);
 	refuse_queued(p, CL_DRAINING);
 }
@@ -352,14 +280,7 @@
 	if (!be->pool)
 		be->pool = ht_pool_new(p->loop, &pool);
 	cl_admit_set_slots(be->admit, hb->slots);
-	if (is_new_start(be, hb)) {
-		be->first_heard_at = ba_loop_now(p->loop);
-		be->id_was_used =
-			!strcmp(be->heartbeat.backend, hb->backend) &&
-			be->heartbeat.start_wall_ms != hb->start_wall_ms;
-	}
 	be->heartbeat = *hb;
-	be->registered = true;
 }
 
 static void refuse_queued(struct px *p, int code)
--- a/proxy/px_control.c
+++ b/proxy/px_control.c
@@ -3,19 +3,14 @@
 #include "base/ba_event.h"
 #include "proxy/px_internal.h"
 
-/*
- * Clocks differ by seconds.  After a start that lies further ahead no later one
- * would count.
- */
-#define START_AHEAD_LIMIT BA_HOUR
-
 static int answer(struct px *p, const struct ht_request *r,
 		  struct ba_buf *body);
 static int accept_heartbeat(struct px *p, const struct ht_request *r,
 			    const char *backend, struct ba_buf *body);
 static int accept_departure(struct px *p, const struct ht_request *r,
 			    const char *backend);
-static bool lies_ahead(const char *backend, int64_t start_wall_ms);
+static bool accepts_start(const char *backend, int64_t start_wall_ms,
+			  int64_t now_wall_ms);
 
 void px_control_on_request(struct ht_service_owner *o, struct ht_request *r)
 {
@@ -56,7 +51,7 @@
 			 r->body.len);
 		return 400;
 	}
-	if (lies_ahead(backend, hb.start_wall_ms))
+	if (!accepts_start(backend, hb.start_wall_ms, ba_clock_wall() / BA_MS))
 		return 400;
 	g_strlcpy(hb.backend, backend, sizeof(hb.backend));
 	px_backend_on_heartbeat(p, &hb);
@@ -67,24 +62,25 @@
 static int accept_departure(struct px *p, const struct ht_request *r,
 			    const char *backend)
 {
-	const struct px_departure d = {
+	const struct ep_departure d = {
 		.backend = backend,
 		.start_wall_ms =
 			p->dialect->read_start(r->body.data, r->body.len),
 		.received_wall_ms = ba_clock_wall() / BA_MS,
 	};
 
-	if (lies_ahead(backend, d.start_wall_ms))
+	if (!accepts_start(backend, d.start_wall_ms, d.received_wall_ms))
 		return 400;
 	px_backend_deregister(p, &d);
 	return 200;
 }
 
-static bool lies_ahead(const char *backend, int64_t start_wall_ms)
+static bool accepts_start(const char *backend, int64_t start_wall_ms,
+			  int64_t now_wall_ms)
 {
-	if (start_wall_ms <= (ba_clock_wall() + START_AHEAD_LIMIT) / BA_MS)
-		return false;
+	if (ep_start_is_plausible(start_wall_ms, now_wall_ms))
+		return true;
 	ba_event(EP_EV_REFUSED, "backend=%s start=%lld", backend,
 		 (long long)start_wall_ms);
-	return true;
+	return false;
 }
--- a/proxy/px_dialect.h
+++ b/proxy/px_dialect.h
@@ -69,7 +69,6 @@
  * @slots: requests that it works on at once
  * @cold_time: how much longer it is slow after its cold start
  * @draining: it is about to leave
- * @left: it has deregistered since
  */
 struct px_heartbeat {
 	char backend[PX_ID_BYTES];
@@ -80,7 +79,6 @@
 	uint32_t slots;
 	ba_time cold_time;
 	bool draining;
-	bool left;
 };
 
 /**
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -507,10 +507,6 @@
 	fail(x);
 }
 
-/*
- * Of a request that came from another proxy, that proxy knows how long the
- * caller waits.  It is relied on unless it takes nothing for long.
- */
 static void limit_answer(struct px_exchange *x, ba_time now)
 {
 	const struct cl_overrun o = {
@@ -521,13 +517,16 @@
 		.length = x->length,
 		.received = x->answer_bytes,
 	};
-	ba_time next = now;
+	const struct cl_overrun_passed passed = {
+		.deadline = x->deadline,
+		.length = x->length,
+		.received = x->answer_bytes,
+		.received_before = x->checked_bytes,
+	};
+	ba_time next = x->downstream->from_peer
+			       ? cl_overrun_next_passed(&passed, now)
+			       : cl_overrun_next(&o, now);
 
-	if (!x->downstream->from_peer)
-		next = cl_overrun_next(&o, now);
-	else if (now < x->deadline + PX_PEER_OVERRUN_PERIOD ||
-		 (x->length >= 0 && x->answer_bytes > x->checked_bytes))
-		next = now + PX_PEER_OVERRUN_PERIOD;
 	x->checked_bytes = x->answer_bytes;
 	if (next > now) {
 		ba_loop_arm(x->p->loop, &x->timer, next);
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -31,6 +31,7 @@
 #include "call/cl_split.h"
 #include "call/cl_startup.h"
 #include "call/cl_stated.h"
+#include "endpoint/ep_presence.h"
 #include "http/ht_conn.h"
 #include "http/ht_pool.h"
 #include "http/ht_service.h"
@@ -76,13 +77,6 @@
 #define PX_RETRY_BUDGET_MAX 2.0
 /* Tokens left to requests whose callers cannot come back in time. */
 #define PX_RETRY_RESERVE 1.0
-/*
- * How often an answer for another proxy that goes on past the deadline is looked
- * at, and how long it may stand still.
- */
-#define PX_PEER_OVERRUN_PERIOD (5 * BA_SECOND)
-/* How late a heartbeat or a deregistration may arrive. */
-#define PX_LATE_CONTROL_TIME (10 * BA_SECOND)
 /* An answer that waits for the link for longer is logged. */
 #define PX_ANSWER_HELD_TIME BA_SECOND
 #define PX_RETRY_AFTER_MIN (200 * BA_MS)
@@ -126,25 +120,10 @@
 	struct cl_retry reruns;
 };
 
-/**
- * struct px_departure - a deregistration of a backend server
- * @start_wall_ms: wall time of its start in milliseconds, 0 if not stated
- * @received_wall_ms: wall time of the arrival in milliseconds
- */
-struct px_departure {
-	const char *backend;
-	int64_t start_wall_ms;
-	int64_t received_wall_ms;
-};
-
 /**
  * struct px_backend - the local backend server
- * @registered: a heartbeat has arrived, and it has not deregistered since
- * @heartbeat: last heartbeat, or what is known of the last start that left
- * @first_heard_at: when the first heartbeat of this start arrived
- * @id_was_used: the start before this one had the same id
- * @left_at: when it deregistered
- * @left_unsure: the deregistration may have been meant for another start
+ * @presence: which one it is, and whether it is there
+ * @heartbeat: last heartbeat
  * @admit: admission control for its slots, and the queue of waiting requests
  * @pool: connections to it
  * @sched: order of waiting requests and how long they may wait
@@ -157,12 +136,8 @@
  * @logged_at: time of that line
  */
 struct px_backend {
-	bool registered;
+	struct ep_presence presence;
 	struct px_heartbeat heartbeat;
-	ba_time first_heard_at;
-	bool id_was_used;
-	ba_time left_at;
-	bool left_unsure;
 	struct cl_admit *admit;
 	struct ht_pool *pool;
 	struct cl_sched *sched;
@@ -498,7 +473,7 @@
 void px_backend_on_heartbeat(struct px *p, const struct px_heartbeat *hb);
 
 /** px_backend_deregister() - stop using the backend server that leaves */
-void px_backend_deregister(struct px *p, const struct px_departure *d);
+void px_backend_deregister(struct px *p, const struct ep_departure *d);
 
 /** px_backend_on_departure() - announce that the backend server leaves */
 void px_backend_on_departure(struct px *p);
--- a/proxy/px_limit.c
+++ b/proxy/px_limit.c
@@ -67,7 +67,8 @@
 	const char *age;
 	bool leaves;
 
-	if (!text || !be->registered || !read_stated(text, &told, &age))
+	if (!text || !be->presence.registered ||
+	    !read_stated(text, &told, &age))
 		return;
 	x->is_told = true;
 	if (told.start != be->start)
@@ -113,7 +114,8 @@
 		.leaving = l->leaving,
 	};
 
-	if (!be->registered || (!l->limited && !l->leaving && !x->is_told))
+	if (!be->presence.registered ||
+	    (!l->limited && !l->leaving && !x->is_told))
 		return;
 	ba_buf_addf(out, PX_FIELD_STATED ": ");
 	write_stated(be->start, &s, out);
--- a/proxy/px_poison.c
+++ b/proxy/px_poison.c
@@ -92,7 +92,8 @@
 	struct px *p = x->p;
 
 	/* A backend server that leaves may end with requests in progress. */
-	if (!p->backend.registered || px_backend_is_leaving(&p->backend))
+	if (!p->backend.presence.registered ||
+	    px_backend_is_leaving(&p->backend))
 		return;
 	cl_crash_lost(&p->poison.crash, x->digest, x->fresh,
 		      x->admission.started, ba_loop_now(p->loop));
@@ -103,7 +104,8 @@
 {
 	struct px *p = x->p;
 
-	if (p->backend.registered && !px_backend_is_leaving(&p->backend))
+	if (p->backend.presence.registered &&
+	    !px_backend_is_leaving(&p->backend))
 		cl_crash_abandoned(&p->poison.crash, x->digest,
 				   x->admission.started, ba_loop_now(p->loop));
 }
--- a/test/cl_overrun_test.cc
+++ b/test/cl_overrun_test.cc
@@ -61,4 +61,37 @@
 	}
 }
 
+/* The deadline is at 1 s; times are in milliseconds. */
+TEST(ClOverrun, AnswersForAnotherProxy)
+{
+	static const struct {
+		const char *name;
+		int64_t length;
+		uint64_t received, before;
+		int now, want;
+	} cases[] = {
+		{"at the deadline", -1, 500, 0, 1000, 6000},
+		{"no length, that proxy has not ended it", -1, 900, 500, 6000,
+		 6000},
+		{"whole, moves", 4000, 900, 500, 6000, 11000},
+		{"whole, stands still", 4000, 900, 900, 6000, 6000},
+		{"whole, stood still for less", 4000, 900, 900, 5999, 10999},
+	};
+
+	for (const auto &c : cases) {
+		const struct cl_overrun_passed o = {
+			.deadline = BA_HOUR + BA_SECOND,
+			.length = c.length,
+			.received = c.received,
+			.received_before = c.before,
+		};
+
+		EXPECT_EQ((cl_overrun_next_passed(&o, BA_HOUR + c.now * BA_MS) -
+			   BA_HOUR) /
+				  BA_MS,
+			  c.want)
+			<< c.name;
+	}
+}
+
 } // namespace
--- a/test/endpoint_test.cc
+++ b/test/endpoint_test.cc
@@ -9,6 +9,7 @@
 
 #include "base/ba_rand.h"
 #include "base/ba_result.h"
+#include "endpoint/ep_presence.h"
 #include "endpoint/ep_table.h"
 #include "endpoint/ep_wire.h"
 #include "wire/wi_type.h"
@@ -558,6 +559,114 @@
 			<< c.name;
 }
 
+TEST(EpLifetime, StartsThatLieAhead)
+{
+	const int64_t now = 1800000000000;
+	static const struct {
+		int64_t ahead_ms;
+		bool plausible;
+	} cases[] = {
+		{-3600001, true}, {0, true},	    {5000, true},
+		{3600000, true},  {3600001, false},
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(ep_start_is_plausible(now + c.ahead_ms, now),
+			  c.plausible)
+			<< c.ahead_ms;
+}
+
+/* The clock of the daemon is at 100 s when the loop time is 0. */
+TEST(EpPresence, HeartbeatsAndDeparturesOfEachCase)
+{
+	struct step {
+		int at_s;
+		const char *what, *id;
+		int64_t start_wall_ms, sequence;
+		bool registered; /* after the step */
+	};
+	static const struct {
+		const char *name;
+		std::vector<struct step> steps;
+	} cases[] = {
+		{"it leaves for good",
+		 {{0, "ready", "a", 5, 1, true},
+		  {1, "leave", "a", 0, 0, false},
+		  {2, "ready", "a", 5, 2, false},
+		  {60, "ready", "a", 5, 3, false},
+		  {61, "ready", "a", 6, 1, true}}},
+		{"late departure of the start before, of the same id",
+		 {{0, "ready", "a", 5, 1, true},
+		  {1, "ready", "a", 900, 1, true},
+		  {2, "leave", "a", 0, 0, false},
+		  {3, "ready", "a", 900, 2, false},
+		  {11, "ready", "a", 900, 9, false},
+		  {12, "ready", "a", 900, 10, true},
+		  {13, "ready", "a", 900, 11, true}}},
+		{"the same, once it is known for long",
+		 {{0, "ready", "a", 5, 1, true},
+		  {1, "ready", "a", 900, 1, true},
+		  {11, "leave", "a", 0, 0, false},
+		  {30, "ready", "a", 900, 20, false}}},
+		{"the same, but the start is stated",
+		 {{0, "ready", "a", 5, 1, true},
+		  {1, "ready", "a", 900, 1, true},
+		  {2, "leave", "a", 5, 0, true},
+		  {3, "leave", "a", 900, 0, false},
+		  {30, "ready", "a", 900, 20, false}}},
+		{"one that was never heard of leaves",
+		 {{0, "leave", "a", 0, 0, false},
+		  {1, "ready", "a", 99000, 1, false},
+		  {2, "ready", "a", 101000, 1, true}}},
+		{"it was another one, as it goes on",
+		 {{0, "leave", "a", 0, 0, false},
+		  {9, "ready", "a", 99000, 1, false},
+		  {10, "ready", "a", 99000, 2, true}}},
+		{"another id leaves",
+		 {{0, "ready", "a", 5, 1, true},
+		  {1, "leave", "b", 0, 0, true},
+		  {2, "leave", "b", 9, 0, true}}},
+	};
+
+	for (const auto &c : cases) {
+		struct ep_presence p;
+
+		ep_presence_init(&p);
+		for (const auto &s : c.steps) {
+			ba_time now = s.at_s * BA_SECOND;
+			const struct ep_lifetime l = {s.id, s.start_wall_ms,
+						      s.sequence, EP_SERVES};
+			const struct ep_departure d = {s.id, s.start_wall_ms,
+						       100000 + s.at_s * 1000};
+
+			if (!strcmp(s.what, "ready"))
+				ep_presence_hear(&p, &l, now);
+			else
+				ep_presence_leave(&p, &d, now);
+			EXPECT_EQ(p.registered, s.registered)
+				<< c.name << " at " << s.at_s;
+		}
+	}
+}
+
+/* Others would shut out a backend server that has not left. */
+TEST(EpPresence, DepartureThatIsNotSureIsNotTold)
+{
+	const struct ep_lifetime l = {"a", 5, 1, EP_SERVES};
+	const struct ep_departure sure = {"a", 0, 100000};
+	const struct ep_departure unsure = {"b", 0, 100000};
+	struct ep_presence p;
+
+	ep_presence_init(&p);
+	ep_presence_leave(&p, &unsure, 0);
+	EXPECT_EQ(ep_presence_told(&p).state, EP_SERVES);
+	ep_presence_init(&p);
+	ep_presence_hear(&p, &l, 0);
+	ep_presence_leave(&p, &sure, 1);
+	EXPECT_EQ(ep_presence_told(&p).state, EP_HAS_LEFT);
+	EXPECT_STREQ(ep_presence_told(&p).backend, "a");
+}
+
 struct ep_record record_of(uint64_t incarnation, struct ep_lifetime l,
 			   bool left = false)
 {
--- a/test/proxy_world.h
+++ b/test/proxy_world.h
@@ -326,12 +326,12 @@
 
 	static void record_backend(struct px_owner *o,
 				   const struct px_heartbeat *b,
-				   bool registered, bool)
+				   const struct ep_lifetime *, bool)
 	{
 		world *w = static_cast<owner_of *>(o)->w;
 		std::lock_guard<std::mutex> g(w->lock);
 
-		w->announced_draining = registered && b->draining;
+		w->announced_draining = b && b->draining;
 	}
 
 	static void record_version(struct px_owner *o, uint64_t version)
