call: sizes of answers in a unit of their own

The estimate by route and service came with the weights of splits and had no test; px_exchange.c kept the table and the smoothing.

Change: call/cl_sizes with tests for a route that leads to another service and for the assumption about downloads. px_read_duration() was called after one of its uses, and a line of the log printed a route that may be missing.

Measured: ClSizes and all Px tests pass.

--- a/proxy/px.c
+++ b/proxy/px.c
@@ -49,8 +49,7 @@
 					  (GDestroyNotify)cl_split_free);
 	p->patience =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-	p->answer_stats =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	p->sizes = cl_sizes_new();
 	ep_presence_init(&p->backend.presence);
 	p->backend.sched = cl_sched_new();
 	p->stated = cl_stated_new();
@@ -86,7 +85,7 @@
 		p->owner->version_heard(p->owner, version);
 }
 
-ba_time px_read_time_left(const char *text)
+ba_time px_read_duration(const char *text)
 {
 	return CLAMP(g_ascii_strtoll(text, NULL, 10), -24 * BA_HOUR,
 		     24 * BA_HOUR);
@@ -152,7 +151,7 @@
 	cl_sched_free(p->backend.sched);
 	cl_stated_free(p->stated);
 	g_hash_table_destroy(p->patience);
-	g_hash_table_destroy(p->answer_stats);
+	cl_sizes_free(p->sizes);
 	g_hash_table_destroy(p->retry_budgets);
 	ht_pool_free(p->backend.pool);
 	cl_admit_free(p->backend.admit);
--- a/proxy/px_downstream.c
+++ b/proxy/px_downstream.c
@@ -87,7 +87,7 @@
 			ba_entry(pos, struct px_downstream, link);
 
 		if (left && other->from_peer && is_answering(other, id))
-			set_expiry(other, now + px_read_time_left(left));
+			set_expiry(other, now + px_read_duration(left));
 	}
 	ht_conn_write(d->conn, done, sizeof(done) - 1);
 	px_downstream_finish_answer(d);
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -6,9 +6,6 @@
 #include "proxy/px_internal.h"
 #include "report/rt.h"
 
-/* The newest answer weighs 1/SIZE_SMOOTHING in the mean answer size. */
-enum { SIZE_SMOOTHING = 16 };
-
 static struct px_exchange *exchange_new(struct px_downstream *d,
 					const struct px_caller_fields *request);
 static void begin_from_peer(struct px_exchange *x);
@@ -17,7 +14,6 @@
 static const struct cf_route *find_route(const struct px_exchange *x);
 static void apply_route(struct px_exchange *x, const struct cf_route *r);
 static void earn_retries(struct px_retry_budget *b);
-static struct px_answer_stats *find_answer_stats(struct px_exchange *x);
 static void *find_or_add(GHashTable *table, const char *name, size_t size);
 static const char *choose_service(struct px_exchange *x,
 				  const struct cf_route *r);
@@ -151,7 +147,7 @@
 
 double px_exchange_expected_bytes(struct px_exchange *x)
 {
-	return x->route ? find_answer_stats(x)->mean_bytes : 0;
+	return x->route ? cl_sizes_mean(x->p->sizes, x->route, x->service) : 0;
 }
 
 void px_exchange_on_not_run(struct px_exchange *x, int code)
@@ -314,14 +310,14 @@
 	x->service = service;
 	x->caller = g_strdup(caller);
 	x->digest = px_poison_digest(h, caller, &x->downstream->body);
-	x->deadline = x->arrived_at + px_read_time_left(left);
+	x->deadline = x->arrived_at + px_read_duration(left);
 	x->priority = priority ? (uint32_t)strtoul(priority, NULL, 10) : 0;
 	x->route = ht_head_get(h, PX_FIELD_ROUTE);
 	x->last_try = ht_head_get(h, PX_FIELD_LAST_TRY) != NULL;
-	x->latency_target = target ? x->arrived_at + px_read_time_left(target)
-				   : x->deadline;
+	x->latency_target =
+		target ? x->arrived_at + px_read_duration(target) : x->deadline;
 	if (leaves)
-		x->leaves_at = x->arrived_at + px_read_time_left(leaves);
+		x->leaves_at = x->arrived_at + px_read_duration(leaves);
 	ba_loop_arm(x->p->loop, &x->timer, x->deadline);
 	px_note_version(x->p, h);
 	px_limit_on_told(x);
@@ -400,7 +396,6 @@
 {
 	struct cl_patience *patience =
 		find_or_add(x->p->patience, r->name, sizeof(*patience));
-	struct px_answer_stats *stats;
 	ba_time timeout = r->timeout ? r->timeout : PX_DEFAULT_ROUTE_TIMEOUT;
 	ba_time time_left = x->caller_deadline - x->arrived_at;
 	bool time_known = x->caller_deadline != BA_NEVER;
@@ -412,10 +407,10 @@
 	g_free(x->caller);
 	x->caller = g_strdup(x->p->o.service);
 	x->idempotent = r->idempotent || r->download;
-	stats = find_answer_stats(x);
 	/* A download counts as large until answers have been measured. */
-	if (r->download && !stats->mean_bytes)
-		stats->mean_bytes = 2 * PX_LARGE_ANSWER_BYTES;
+	if (r->download)
+		cl_sizes_assume(x->p->sizes, x->route, x->service,
+				2 * PX_LARGE_ANSWER_BYTES);
 	x->max_runs = r->attempts ? r->attempts : PX_DEFAULT_ATTEMPTS;
 	x->priority = r->priority;
 	x->route_deadline = x->arrived_at + timeout;
@@ -434,17 +429,6 @@
 	cl_retry_earn(&b->reruns, PX_RERUN_RATIO, 1);
 }
 
-/* A route that leads to another service has other answers. */
-static struct px_answer_stats *find_answer_stats(struct px_exchange *x)
-{
-	char *key = g_strconcat(x->route, "\n", x->service, NULL);
-	struct px_answer_stats *stats = find_or_add(
-		x->p->answer_stats, key, sizeof(struct px_answer_stats));
-
-	g_free(key);
-	return stats;
-}
-
 /* Returns the entry @name of @table; a new entry is zeroed. */
 static void *find_or_add(GHashTable *table, const char *name, size_t size)
 {
@@ -535,7 +519,7 @@
 	ba_event(CL_EV_ANSWER_CUT,
 		 "call=%s route=%s service=%s endpoint=%s received=%llu "
 		 "length=%lld took_us=%lld",
-		 x->id, x->route, x->service,
+		 x->id, x->route ? x->route : "", x->service,
 		 x->endpoint ? x->endpoint->instance : "self",
 		 (unsigned long long)x->answer_bytes, (long long)x->length,
 		 (long long)(now - x->arrived_at));
@@ -628,13 +612,9 @@
 
 void px_exchange_record_answer(struct px_exchange *x)
 {
-	struct px_answer_stats *stats;
-
-	if (!x->route)
-		return;
-	stats = find_answer_stats(x);
-	stats->mean_bytes +=
-		((double)x->answer_bytes - stats->mean_bytes) / SIZE_SMOOTHING;
+	if (x->route)
+		cl_sizes_record(x->p->sizes, x->route, x->service,
+				x->answer_bytes);
 }
 
 static enum cl_attempt_result result_from_code(int code)
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -28,6 +28,7 @@
 #include "call/cl_retry.h"
 #include "call/cl_route.h"
 #include "call/cl_sched.h"
+#include "call/cl_sizes.h"
 #include "call/cl_split.h"
 #include "call/cl_startup.h"
 #include "call/cl_stated.h"
@@ -175,7 +176,7 @@
  * @retry_budgets: struct px_retry_budget by service
  * @splits: struct cl_split by route
  * @patience: struct cl_patience by route
- * @answer_stats: struct px_answer_stats by route and service
+ * @sizes: of answers
  * @begins_nothing: final answers have been given; no attempt begins any more
  * @leaves_at: when this proxy is about to leave, 0 while it is not stopping
  * @notices: calls to other proxies that tell them so
@@ -211,7 +212,7 @@
 	GHashTable *retry_budgets;
 	GHashTable *splits;
 	GHashTable *patience;
-	GHashTable *answer_stats;
+	struct cl_sizes *sizes;
 	struct cl_pace pace;
 	struct ht_link *link;
 	struct cl_egress egress;
@@ -222,14 +223,6 @@
 	struct ba_rand rand;
 };
 
-/**
- * struct px_answer_stats - statistics of the answers of a service on a route
- * @mean_bytes: exponential moving average of their size
- */
-struct px_answer_stats {
-	double mean_bytes;
-};
-
 /**
  * struct px_downstream - a connection of a caller or of another proxy
  * @in_request: a request has begun and its answer is not complete
@@ -543,8 +536,8 @@
 /** px_limit_on_told() - process what another proxy was told, from its request */
 void px_limit_on_told(struct px_exchange *x);
 
-/** px_read_time_left() - read a time of another proxy; at most a day either way */
-ba_time px_read_time_left(const char *text);
+/** px_read_duration() - read a time of another proxy; a day at most either way */
+ba_time px_read_duration(const char *text);
 
 /** px_note_version() - pass on which version the other proxy has in force */
 void px_note_version(struct px *p, const struct ht_head *h);
--- a/proxy/px_limit.c
+++ b/proxy/px_limit.c
@@ -74,7 +74,7 @@
 	if (told.start != be->start)
 		return;
 	change = cl_limit_adopt(&be->limit, &told.statement,
-				now - MAX(px_read_time_left(age), 0), now,
+				now - MAX(px_read_duration(age), 0), now,
 				&leaves);
 	on_recorded(x->p, change, leaves, "proxy", &was);
 }
@@ -98,7 +98,7 @@
 		ba_event(CL_EV_STATED_DROPPED, "entries=%u",
 			 cl_stated_count(x->p->stated));
 	cl_route_record_limit(x->endpoint, s.statement.per_second,
-			      room ? now + MAX(px_read_time_left(room), 0) : 0);
+			      room ? now + MAX(px_read_duration(room), 0) : 0);
 	if (s.statement.leaving)
 		cl_route_record_leaving(x->endpoint);
 }
