http: an answer is read by a reader of its own

Callers got status 000 as an answer: a faulty backend server had sent it. They also got 099, 600, 999, a status of two or four digits, the versions 0.9 and 2.0, and what followed an unasked 101.

Cause: http_parser reads answers as leniently as it can. It takes any number of up to three digits for a status and does not show the line it came from, so no later check can tell 0200 from 200.

Change: http/ht_answer reads answers on the client's side of a connection, for those of backend servers and of other proxies. It takes one step at a time from given bytes, so it is tested and fuzzed without a socket. What is no status line of HTTP/1 ends the connection as malformed: the proxy answers 502, or tries another endpoint where the route allows it. Requests are read as before. Lines may end with LF alone, and the reason may be absent, as before.

Measured: PxAnswer sends each answer of test/answer_cases.h from a backend server and through another proxy.

--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -158,6 +158,10 @@
 		{"answer-cut", BA_WARNING,
 		 "An answer that went on past the timeout of its route was "
 		 "cut off."},
+	[CL_EV_ANSWER_FLAWED] =
+		{"answer-flawed", BA_WARNING,
+		 "What came in place of an answer is none in the protocol; it "
+		 "was not delivered.  The field flaw tells why."},
 	[RT_EV_DAY_CLOSED] = {"day-closed", BA_NOTICE,
 			      "The figures of a day are complete."},
 	[RT_EV_FIGURES] = {"figures", BA_DEBUG,
--- a/fuzz/fz_seeds_main.c
+++ b/fuzz/fz_seeds_main.c
@@ -42,6 +42,14 @@
 	"\r\n",
 };
 
+static const char *const answers[] = {
+	"HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 4\r\n\r\nbodymore",
+	"HTTP/1.1 103 X\r\nLink: <a>\r\n\r\nHTTP/1.0 404\r\n\r\nbody",
+	"HTTP/1.1 200\nTransfer-Encoding: chunked\n\n2;a\r\nde\r\n0\r\nX: 1\r\n\n",
+	"HTTP/1.1 304 X\nX-A: a\n b\nConnection: close\n\n",
+	"HTTP/1.1 204 X\r\nContent-Length: 1\r\n\r\n",
+};
+
 static void save(const char *folder, const char *target, int first,
 		 const char *name, const void *data, size_t len)
 {
@@ -87,6 +95,16 @@
 	}
 }
 
+static void save_answers(const char *folder)
+{
+	char name[16];
+
+	for (size_t i = 0; i < G_N_ELEMENTS(answers); i++) {
+		g_snprintf(name, sizeof(name), "answer-%zu", i);
+		save(folder, "answer", 7, name, answers[i], strlen(answers[i]));
+	}
+}
+
 static void save_config(const char *folder)
 {
 	struct cf_snapshot *s = parse(2);
@@ -200,6 +218,7 @@
 		return 2;
 	}
 	save_http(argv[1]);
+	save_answers(argv[1]);
 	save_config(argv[1]);
 	save_frames(argv[1]);
 	save_disk(argv[1]);
--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -22,6 +22,8 @@
 enum part { PART_NONE, PART_NAME, PART_VALUE };
 
 /*
+ * @parser: reads requests, on the server's side
+ * @answer: reads answers, on the client's side
  * @read_ahead: received bytes that follow the last message
  * @link: shared with other connections, or NULL
  * @message_sent: bytes written since ht_conn_read_next()
@@ -32,7 +34,6 @@
  * @send_failed: what was to be written was dropped, as the other end was gone
  * @refused: the other end has refused the connection
  * @message_complete: a message was read, and ht_conn_read_next() not called yet
- * @message_started: a byte of the message was read
  * @keep_alive: the connection may be reused after the message
  * @closing: close once @out is sent, without callback
  * @closed: the socket is closed and no callback follows
@@ -43,6 +44,7 @@
 	struct ba_loop *loop;
 	struct ht_conn_owner *owner;
 	http_parser parser;
+	struct ht_answer answer;
 	struct ht_head head;
 	struct ba_buf out;
 	struct ba_buf read_ahead;
@@ -61,9 +63,6 @@
 	bool refused;
 	bool paused;
 	bool message_complete;
-	bool message_started;
-	bool in_head;
-	bool no_body;
 	bool keep_alive;
 	bool closing;
 	bool closed;
@@ -84,7 +83,10 @@
 static void read_some(struct ht_conn *c);
 static void on_data(struct ht_conn *c, const char *data, size_t len);
 static void on_eof(struct ht_conn *c);
-static void parse(struct ht_conn *c, const char *data, size_t len);
+static void read_answer(struct ht_conn *c, const char *data, size_t len);
+static void on_answer_head(struct ht_conn *c);
+static void complete_message(struct ht_conn *c);
+static void parse_request(struct ht_conn *c, const char *data, size_t len);
 static void store_read_ahead(struct ht_conn *c, const char *data, size_t len);
 static void end_conn(struct ht_conn *c, enum ht_end why);
 static void close_conn(struct ht_conn *c);
@@ -135,8 +137,9 @@
 	c->client = true;
 	c->connecting = true;
 	c->refused = refused;
-	http_parser_init(&c->parser, HTTP_RESPONSE);
-	c->parser.data = c;
+	c->answer.head = &c->head;
+	c->answer.head_limit = head_limit;
+	ht_answer_begin(&c->answer);
 	if (c->watch.fd >= 0)
 		update_watch(c);
 	else
@@ -242,6 +245,11 @@
 	return c->refused;
 }
 
+enum ht_flaw ht_conn_flaw(const struct ht_conn *c)
+{
+	return c->answer.flaw;
+}
+
 void ht_conn_pause(struct ht_conn *c, bool paused)
 {
 	if (c->paused == paused)
@@ -255,13 +263,16 @@
 	struct ba_buf held = c->read_ahead;
 
 	c->message_complete = false;
-	c->message_started = false;
 	c->has_sent = false;
 	c->message_sent = 0;
-	c->no_body = false;
 	c->paused = false;
 	memset(&c->read_ahead, 0, sizeof(c->read_ahead));
-	http_parser_pause(&c->parser, 0);
+	if (c->client) {
+		c->answer.no_body = false;
+		ht_answer_begin(&c->answer);
+	} else {
+		http_parser_pause(&c->parser, 0);
+	}
 	update_watch(c);
 	if (held.len)
 		on_data(c, (const char *)held.data, held.len);
@@ -271,13 +282,12 @@
 void ht_conn_skip_message(struct ht_conn *c)
 {
 	c->message_complete = false;
-	c->message_started = false;
-	http_parser_pause(&c->parser, 0);
+	ht_answer_begin(&c->answer);
 }
 
 void ht_conn_expect_no_body(struct ht_conn *c)
 {
-	c->no_body = true;
+	c->answer.no_body = true;
 }
 
 void ht_conn_set_deadline(struct ht_conn *c, ba_time deadline)
@@ -468,19 +478,20 @@
 		return;
 	if (c->message_complete)
 		store_read_ahead(c, data, len);
+	else if (c->client)
+		read_answer(c, data, len);
 	else
-		parse(c, data, len);
+		parse_request(c, data, len);
 }
 
 /* The end of the connection completes a body without a length. */
 static void on_eof(struct ht_conn *c)
 {
-	if (c->client && c->message_started && !c->message_complete &&
-	    !c->in_head) {
+	if (c->client && !c->message_complete &&
+	    ht_answer_has_begun(&c->answer) &&
+	    ht_answer_close(&c->answer) == HT_STEP_END) {
 		c->keep_alive = false;
-		c->callback_depth++;
-		http_parser_execute(&c->parser, &settings, "", 0);
-		c->callback_depth--;
+		read_answer(c, NULL, 0);
 		if (c->closed)
 			return;
 		if (c->message_complete) {
@@ -491,7 +502,53 @@
 	end_conn(c, HT_END_CLOSED);
 }
 
-static void parse(struct ht_conn *c, const char *data, size_t len)
+static void read_answer(struct ht_conn *c, const char *data, size_t len)
+{
+	struct ht_bytes in = {data, len};
+	struct ht_bytes body;
+	enum ht_step step;
+
+	c->callback_depth++;
+	if (len && !ht_answer_has_begun(&c->answer) && c->owner &&
+	    c->owner->begun)
+		c->owner->begun(c->owner, c);
+	do {
+		step = c->closed ? HT_STEP_MORE
+				 : ht_answer_read(&c->answer, &in, &body);
+		if (step == HT_STEP_HEAD)
+			on_answer_head(c);
+		else if (step == HT_STEP_BODY && c->owner && c->owner->body)
+			c->owner->body(c->owner, c, body.data, body.len);
+		else if (step == HT_STEP_END)
+			complete_message(c);
+	} while (step != HT_STEP_MORE && step != HT_STEP_FLAW &&
+		 !c->message_complete);
+	end_callback(c);
+	if (c->closed || c->closing)
+		return;
+	if (step == HT_STEP_FLAW)
+		end_conn(c, c->answer.flaw == HT_FLAW_TOO_LARGE
+				    ? HT_END_HEAD_TOO_LARGE
+				    : HT_END_MALFORMED);
+	else if (in.len)
+		store_read_ahead(c, in.data, in.len);
+}
+
+static void on_answer_head(struct ht_conn *c)
+{
+	c->keep_alive = !c->head.connection_close;
+	if (c->owner && c->owner->head)
+		c->owner->head(c->owner, c);
+}
+
+static void complete_message(struct ht_conn *c)
+{
+	c->message_complete = true;
+	if (c->owner && c->owner->complete)
+		c->owner->complete(c->owner, c);
+}
+
+static void parse_request(struct ht_conn *c, const char *data, size_t len)
 {
 	enum http_errno code;
 	size_t used;
@@ -626,6 +683,7 @@
 {
 	ht_link_unref(c->link);
 	ht_head_free(&c->head);
+	ht_answer_free(&c->answer);
 	ba_buf_free(&c->out);
 	ba_buf_free(&c->read_ahead);
 	g_free(c);
@@ -638,8 +696,6 @@
 	ht_head_clear(&c->head);
 	c->head_bytes = 0;
 	c->part = PART_NONE;
-	c->in_head = true;
-	c->message_started = true;
 	if (c->owner && c->owner->begun)
 		c->owner->begun(c->owner, c);
 	return c->closed;
@@ -693,7 +749,6 @@
 	struct ht_head *h = &c->head;
 
 	end_text(c);
-	c->in_head = false;
 	h->minor = p->http_minor;
 	h->chunked = p->flags & F_CHUNKED;
 	h->length = p->flags & F_CONTENTLENGTH ? (int64_t)p->content_length
@@ -701,17 +756,10 @@
 	h->connection_close = !http_should_keep_alive(p);
 	c->keep_alive = !h->connection_close;
 	p->upgrade = 0;
-	if (c->client)
-		h->status = p->status_code;
-	else
-		h->method = http_method_str((enum http_method)p->method);
-	if (c->client && p->status_code / 100 == 1)
-		return 0;
+	h->method = http_method_str((enum http_method)p->method);
 	if (c->owner && c->owner->head)
 		c->owner->head(c->owner, c);
-	if (c->closed || c->closing)
-		return -1;
-	return c->no_body ? 1 : 0;
+	return c->closed || c->closing ? -1 : 0;
 }
 
 static int on_body(http_parser *p, const char *at, size_t len)
@@ -723,19 +771,12 @@
 	return c->closed || c->closing;
 }
 
-/* An interim (1xx) answer is skipped; the final answer follows it. */
 static int on_complete(http_parser *p)
 {
 	struct ht_conn *c = p->data;
 
-	if (c->client && p->status_code / 100 == 1) {
-		c->message_started = false;
-		return 0;
-	}
-	c->message_complete = true;
 	http_parser_pause(p, 1);
-	if (c->owner && c->owner->complete)
-		c->owner->complete(c->owner, c);
+	complete_message(c);
 	return 0;
 }
 
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -16,6 +16,7 @@
 #include "base/ba_list.h"
 #include "base/ba_loop.h"
 #include "base/ba_unit.h"
+#include "http/ht_answer.h"
 #include "http/ht_head.h"
 #include "http/ht_link.h"
 
@@ -124,6 +125,9 @@
 /** ht_conn_was_refused() - whether nobody listens at the address dialled */
 bool ht_conn_was_refused(const struct ht_conn *c);
 
+/** ht_conn_flaw() - why the answer that was received is none */
+enum ht_flaw ht_conn_flaw(const struct ht_conn *c);
+
 /** ht_conn_pause() - stop or resume reading */
 void ht_conn_pause(struct ht_conn *c, bool paused);
 
--- a/http/ht_head.c
+++ b/http/ht_head.c
@@ -12,8 +12,6 @@
 	"upgrade",	     "expect",	   "content-length",
 };
 
-static bool is_listed(const char *list, const char *name);
-
 void ht_head_clear(struct ht_head *h)
 {
 	h->text.len = 0;
@@ -74,29 +72,28 @@
 			return true;
 	for (size_t j = 0; j < h->n_fields; j++)
 		if (!strcasecmp(ht_head_name(h, j), "connection") &&
-		    is_listed(ht_head_value(h, j), name))
+		    ht_list_contains(ht_head_value(h, j), name))
 			return true;
 	return false;
 }
 
-const char *ht_reason_phrase(int status)
-{
-	return http_status_str((enum http_status)status);
-}
-
-/* Whether the comma-separated @list contains @name, ignoring case. */
-static bool is_listed(const char *list, const char *name)
+bool ht_list_contains(const char *list, const char *word)
 {
-	size_t len = strlen(name);
+	size_t len = strlen(word);
 
 	while (*list) {
-		size_t word;
+		size_t n;
 
 		list += strspn(list, ", \t");
-		word = strcspn(list, ", \t");
-		if (word == len && !strncasecmp(list, name, len))
+		n = strcspn(list, ", \t");
+		if (n == len && !strncasecmp(list, word, len))
 			return true;
-		list += word;
+		list += n;
 	}
 	return false;
 }
+
+const char *ht_reason_phrase(int status)
+{
+	return http_status_str((enum http_status)status);
+}
--- a/http/ht_head.h
+++ b/http/ht_head.h
@@ -77,6 +77,9 @@
  */
 bool ht_head_is_hop_by_hop(const struct ht_head *h, size_t i);
 
+/** ht_list_contains() - whether the comma-separated @list has @word, ignoring case */
+bool ht_list_contains(const char *list, const char *word);
+
 /** ht_reason_phrase() - get the reason phrase of a status */
 const char *ht_reason_phrase(int status);
 
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -321,6 +321,11 @@
 	bool not_passed_on = cannot_have_run(x, c);
 
 	x->conn = NULL;
+	if (ht_conn_flaw(c) != HT_FLAW_NONE)
+		ba_event(CL_EV_ANSWER_FLAWED,
+			 "call=%s service=%s place=%d flaw=%s status=%d", x->id,
+			 x->service, (int)x->state,
+			 ht_flaw_name(ht_conn_flaw(c)), x->status);
 	ba_event(CL_EV_MAY_HAVE_RUN,
 		 "call=%s place=%d end=%d sent=%d fresh=%d status=%d "
 		 "request=%016llx",
--- /dev/null
+++ b/test/px_answer_test.cc
@@ -0,0 +1,84 @@
+/*
+ * What a caller gets for each answer of a faulty backend server, from the proxy
+ * beside it and from one that got the answer from another proxy.
+ */
+#include "test/answer_cases.h"
+#include "test/proxy_world.h"
+
+using namespace proxy_world;
+
+namespace
+{
+
+/* What the caller gets if the server at @at answers its request with @bytes. */
+std::string relay(listener &at, const std::string &bytes, bool ends,
+		  const char *line = "GET /book/")
+{
+	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+
+	caller.write(request(line, "Connection: close\r\n"));
+	blocking_socket server = at.accept_one();
+
+	EXPECT_FALSE(server.read_message().empty());
+	server.write(bytes);
+	if (ends)
+		shutdown(server.fd, SHUT_WR);
+	return caller.read_rest();
+}
+
+/* The body of an answer that has a length, is in chunks or has no body. */
+std::string body_of(const std::string &message)
+{
+	size_t head = message.find("\r\n\r\n");
+
+	return head == std::string::npos ? "" : message.substr(head + 4);
+}
+
+/*
+ * A broken answer is not reported as "not run": the request may have run.  No
+ * byte of it reaches the caller.
+ */
+TEST(PxAnswer, ImproperOnesReachNobody)
+{
+	for (bool via_peer : {false, true}) {
+		world w;
+		listener peer(OTHER_PROXY_PORT);
+
+		if (via_peer)
+			w.run([&] { w.endpoints(true); });
+		else
+			w.send_heartbeat("i-1", "ready", 1);
+		for (const auto &c : improper_answers) {
+			std::string got = relay(via_peer ? peer : w.backend,
+						c.bytes, c.ends);
+
+			EXPECT_EQ(status(got), 502) << c.name << via_peer;
+			EXPECT_FALSE(has(got, "body")) << c.name << via_peer;
+			EXPECT_FALSE(has(got, "X-A")) << c.name << via_peer;
+		}
+	}
+}
+
+TEST(PxAnswer, ProperOnesOfOddFormPass)
+{
+	for (bool via_peer : {false, true}) {
+		world w;
+		listener peer(OTHER_PROXY_PORT);
+
+		if (via_peer)
+			w.run([&] { w.endpoints(true); });
+		else
+			w.send_heartbeat("i-1", "ready", 1);
+		for (const auto &c : proper_answers) {
+			std::string got = relay(via_peer ? peer : w.backend,
+						c.bytes, c.ends);
+
+			EXPECT_EQ(status(got), c.status) << c.name << via_peer;
+			EXPECT_EQ(body_of(got), c.body) << c.name << via_peer;
+			EXPECT_FALSE(has(got, "X-Sum")) << c.name << via_peer;
+			EXPECT_FALSE(has(got, "Id: 2")) << c.name << via_peer;
+		}
+	}
+}
+
+} // namespace
