http: a field of an answer has a name and no control bytes

Callers got answers in whose head the name of a field held a blank, with that line passed on. "Content-Length : 4" and "Transfer-Encoding : chunked" were not taken for what frames the body, so the caller got chunk sizes as body.

Change: a name is a token of RFC 9110, directly before the colon, and a value has no control byte but tabs. RFC 9112 lets a proxy remove a blank before the colon; it is a flaw here, as another reader on the way may have taken the line for another field. The two checks are public, for fields that come from elsewhere.

--- a/http/ht_answer.c
+++ b/http/ht_answer.c
@@ -125,7 +125,8 @@
 {
 	const char *colon = memchr(line, ':', len);
 
-	return colon && is_token(line, (size_t)(colon - line));
+	return colon && is_token(line, (size_t)(colon - line)) &&
+	       is_text(colon, len - (size_t)(colon - line));
 }
 
 const char *ht_flaw_name(enum ht_flaw flaw)
@@ -345,7 +346,7 @@
 /* Continues the last field; the line break becomes a blank. */
 static bool unfold(struct ht_head *h, const char *line, size_t len)
 {
-	if (!h->n_fields)
+	if (!h->n_fields || !is_text(line, len))
 		return false;
 	trim(&line, &len);
 	if (!len)
@@ -451,7 +452,7 @@
 {
 	for (size_t i = 0; i < len; i++)
 		if (!g_ascii_isalnum(text[i]) &&
-		    (!text[i] || !strchr("!#$%&'*+-.^_`|~ \t", text[i])))
+		    (!text[i] || !strchr("!#$%&'*+-.^_`|~", text[i])))
 			return false;
 	return len;
 }
--- a/test/ht_answer_test.cc
+++ b/test/ht_answer_test.cc
@@ -259,4 +259,31 @@
 	}));
 }
 
+TEST(HtAnswer, ParsedPartsOfOtherSources)
+{
+	static const struct {
+		const char *name, *value;
+		bool proper;
+	} fields[] = {
+		{"X-A", "v", true},	{"X-A", "", true},
+		{"X-A", "a\tb", true},	{"X-A", "\xe9", true},
+		{"", "v", false},	{"X A", "v", false},
+		{"X-A ", "v", false},	{"X-A", "a\r\nX-B: b", false},
+		{"X-A", "a\nb", false}, {"X-A\x01", "v", false},
+		{"X-A:", "v", false},	{"X-A", "\x7f", false},
+	};
+	static const struct {
+		int64_t status;
+		bool is_final;
+	} statuses[] = {{0, false},   {99, false},  {100, false},
+			{199, false}, {200, true},  {599, true},
+			{600, false}, {999, false}, {-200, false}};
+
+	for (const auto &c : fields)
+		EXPECT_EQ(ht_field_is_proper(c.name, c.value), c.proper)
+			<< c.name << c.value;
+	for (const auto &c : statuses)
+		EXPECT_EQ(ht_status_is_final(c.status), c.is_final) << c.status;
+}
+
 } // namespace
