http: the end of an answer follows from one length or one coding

Callers got bodies as whole that were still encoded or belonged to no answer: with a coding that is not known, with chunks in chunks, with chunks in HTTP/1.0, with a 204 or an interim answer that announced a body.

Cause: http_parser looks at the last coding only and reads any other body to the end of the connection; it reads the announced body of a 204.

Change: the reader accepts chunked alone or one length, by RFC 9112, section 6.3, and no announced body where there can be none. All else is a flaw, as the two ends may disagree on where the answer ends.

--- a/http/ht_answer.c
+++ b/http/ht_answer.c
@@ -247,7 +247,8 @@
 }
 
 /*
- * Decides where the answer ends, by RFC 9112, section 6.3.
+ * Decides where the answer ends, by RFC 9112, section 6.3.  An answer that has
+ * no body may not announce one, except with the length that GET would get.
  */
 static enum ht_step end_head(struct ht_answer *a)
 {
@@ -257,6 +258,9 @@
 
 	if (!parse_framing(h, &f))
 		return fail(a, HT_FLAW_FRAMING);
+	if ((interim || h->status == STATUS_NO_CONTENT) &&
+	    (f.n_codings || f.length))
+		return fail(a, HT_FLAW_FRAMING);
 	if (interim) {
 		ht_answer_begin(a);
 		return HT_STEP_MORE;
@@ -382,8 +386,8 @@
 	}
 	if (!f->n_codings)
 		return f->n_lengths <= 1;
-	/* A length contradicts codings. */
-	return !f->n_lengths;
+	/* HTTP/1.0 has no codings, and a length contradicts them. */
+	return f->n_codings == 1 && f->chunked && !f->n_lengths && h->minor;
 }
 
 static bool add_length(struct framing *f, const char *value)
@@ -396,8 +400,11 @@
 	return digits && !value[digits] && f->length <= INT64_MAX;
 }
 
+/* A field without any coding counts as one that is not known. */
 static void add_codings(struct framing *f, const char *value)
 {
+	unsigned int before = f->n_codings;
+
 	while (*(value += strspn(value, ", \t"))) {
 		size_t len = strcspn(value, ",");
 		const char *coding = value;
@@ -408,6 +415,8 @@
 		f->chunked = len == strlen("chunked") &&
 			     !strncasecmp(coding, "chunked", len);
 	}
+	if (f->n_codings == before)
+		f->n_codings += 2;
 }
 
 /* Extensions follow a semicolon; they are ignored. */
