http: a chunk is as long as it says

Callers got bodies with bytes missing or too many, as whole: after the bytes of a chunk any two bytes were skipped, whatever they were.

Change: lines of chunks end with CR LF, a size is followed by an extension or nothing, and an extension has no control bytes.

--- a/http/ht_answer.c
+++ b/http/ht_answer.c
@@ -179,7 +179,8 @@
 
 	len -= crlf;
 	if (a->state == STATE_CHUNK_SIZE || a->state == STATE_CHUNK_END)
-		return use_chunk_line(a, line, len);
+		return crlf ? use_chunk_line(a, line, len)
+			    : fail(a, HT_FLAW_CHUNK);
 	return use_head_line(a, line, len);
 }
 
@@ -216,6 +217,8 @@
 				   size_t len)
 {
 	if (a->state == STATE_CHUNK_END) {
+		if (len)
+			return fail(a, HT_FLAW_CHUNK);
 		a->state = STATE_CHUNK_SIZE;
 		return HT_STEP_MORE;
 	}
@@ -431,7 +434,13 @@
 			return false;
 		*size = *size << 4 | (uint64_t)g_ascii_xdigit_value(*p);
 	}
-	return p > line && (p == end || *p == ' ' || *p == ';');
+	if (p == line || !is_text(p, (size_t)(end - p)))
+		return false;
+	if (p == end)
+		return true;
+	while (p < end && (*p == ' ' || *p == '\t'))
+		p++;
+	return p < end && *p == ';';
 }
 
 /* Removes blanks at both ends. */
--- a/test/answer_cases.h
+++ b/test/answer_cases.h
@@ -125,6 +125,9 @@
 	{"size in hexadecimal",
 	 with_chunks("a\r\n0123456789\r\nA\r\n0123456789\r\n0\r\n\r\n"), false,
 	 200, "01234567890123456789"},
+	{"extensions",
+	 with_chunks("4;a=b;c=\"d e\"\r\nbody\r\n0 \t;last\r\n\r\n"), false,
+	 200, "body"},
 };
 
 static const std::vector<improper_answer> improper_answers = {
@@ -259,8 +262,22 @@
 	{"prefix before the size", with_chunks("0x4\r\nbody\r\n0\r\n\r\n"),
 	 true},
 	{"blank before the size", with_chunks(" 4\r\nbody\r\n0\r\n\r\n"), true},
+	{"blank after the size", with_chunks("4 \r\nbody\r\n0\r\n\r\n"), true},
+	{"word after the size", with_chunks("4 x\r\nbody\r\n0\r\n\r\n"), true},
 	{"size above 64 bits",
 	 with_chunks("10000000000000004\r\nbody\r\n0\r\n\r\n"), true},
+	{"LF alone after the size", with_chunks("4\nbody\r\n0\r\n\r\n"), true},
+	{"LF in an extension", with_chunks("4;a\nbody\r\n0\r\n\r\n"), true},
+	{"control byte in an extension",
+	 with_chunks("4;a\x01\r\nbody\r\n0\r\n\r\n"), true},
+	{"CR without LF after the size", with_chunks("4\rXbody\r\n0\r\n\r\n"),
+	 true},
+	{"bytes after the chunk", with_chunks("4\r\nbodyXX0\r\n\r\n"), true},
+	{"more bytes than the size", with_chunks("3\r\nbody\r\n0\r\n\r\n"),
+	 true},
+	{"fewer bytes than the size", with_chunks("5\r\nbody\r\n0\r\n\r\n"),
+	 true},
+	{"LF alone after the chunk", with_chunks("4\r\nbody\n0\r\n\r\n"), true},
 	{"no colon in a trailer",
 	 with_chunks("4\r\nbody\r\n0\r\ntrailer\r\n\r\n"), false},
 	/* End */
