http: fields of a trailer do not join the head

A caller got the trailer of an answer in chunks as part of its head: a second X-Attempt-Id, or any field that the backend server had not said before. The lines of a trailer were not checked either.

Cause: the parser calls the same functions for both, and the head of a short answer is written only when the answer is complete.

Change: lines of a trailer are checked like fields and dropped, which RFC 9110, section 6.5, allows; nothing here forwards trailers.

--- a/http/ht_answer.c
+++ b/http/ht_answer.c
@@ -205,7 +205,7 @@
 		return HT_STEP_MORE;
 	default:
 		if (len)
-			return parse_field(a->head, line, len)
+			return ht_field_line_is_proper(line, len)
 				       ? HT_STEP_MORE
 				       : fail(a, HT_FLAW_FIELD);
 		a->state = STATE_END;
--- a/test/answer_cases.h
+++ b/test/answer_cases.h
@@ -128,6 +128,13 @@
 	{"extensions",
 	 with_chunks("4;a=b;c=\"d e\"\r\nbody\r\n0 \t;last\r\n\r\n"), false,
 	 200, "body"},
+	{"trailer",
+	 with_chunks("4\r\nbody\r\n0\r\nX-Sum: 1\r\nX-Empty:\r\n\r\n"), false,
+	 200, "body"},
+	{"trailer that would change the head",
+	 with_chunks("4\r\nbody\r\n0\r\nX-Attempt-Id: 2\r\n"
+		     "Content-Length: 9\r\nConnection: close\r\n\r\n"),
+	 false, 200, "body"},
 };
 
 static const std::vector<improper_answer> improper_answers = {
@@ -278,6 +285,10 @@
 	{"fewer bytes than the size", with_chunks("5\r\nbody\r\n0\r\n\r\n"),
 	 true},
 	{"LF alone after the chunk", with_chunks("4\r\nbody\n0\r\n\r\n"), true},
+	{"blank in the name of a trailer",
+	 with_chunks("4\r\nbody\r\n0\r\nX A: v\r\n\r\n"), false},
+	{"control byte in a trailer",
+	 with_chunks("4\r\nbody\r\n0\r\nX-A: \x01\r\n\r\n"), false},
 	{"no colon in a trailer",
 	 with_chunks("4\r\nbody\r\n0\r\ntrailer\r\n\r\n"), false},
 	/* End */
