http: a 304 has no body, whatever length it states

A caller that asked with a condition got no answer until its timeout if the backend server sent 304 with the length that GET would have, as it may.

Cause: http_parser waits for the body; nothing told it that there is none.

Change: the reader ends 204 and 304 after the head.

--- a/http/ht_answer.c
+++ b/http/ht_answer.c
@@ -272,10 +272,8 @@
 	h->length = f.n_lengths ? (int64_t)f.length : HT_LENGTH_UNKNOWN;
 	h->connection_close = f.close || (!h->minor && !f.keep_alive);
 	a->left = f.length;
-	if (a->no_body || (f.n_lengths && !f.length) ||
-	    (!f.n_lengths && !f.chunked &&
-	     (h->status == STATUS_NO_CONTENT ||
-	      h->status == STATUS_NOT_MODIFIED))) {
+	if (a->no_body || h->status == STATUS_NO_CONTENT ||
+	    h->status == STATUS_NOT_MODIFIED || (f.n_lengths && !f.length)) {
 		a->state = STATE_END;
 	} else if (f.chunked) {
 		a->state = STATE_CHUNK_SIZE;
--- a/test/answer_cases.h
+++ b/test/answer_cases.h
@@ -111,6 +111,13 @@
 	{"204 of length 0",
 	 "HTTP/1.1 204 No Content\r\n" ID "Content-Length: 0\r\n\r\n", false,
 	 204, ""},
+	{"304 with the length of GET",
+	 "HTTP/1.1 304 Not Modified\r\n" ID "Content-Length: 4\r\n\r\n", false,
+	 304, ""},
+	{"304 with the coding of GET",
+	 "HTTP/1.1 304 Not Modified\r\n" ID
+	 "Transfer-Encoding: chunked\r\n\r\n",
+	 false, 304, ""},
 	{"304", "HTTP/1.1 304 Not Modified\r\n" ID "\r\n", false, 304, ""},
 	/* Chunks */
 	{"chunks", with_chunks("2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"), false, 200,
