daemon: answers of the backend server are read by the common reader

A caller of carawayd got as answers what is none: status 600 and 999, names of fields with blanks and control bytes, two lengths, codings that are not known, bytes that no chunk announced, and a 200 with an empty body where the backend server had closed the connection within the head.

Cause: libcurl guesses where bytes are no answer, and a close within the head ends a transfer without an error.

Change: da_client sends requests over ht_pool and ht_conn, as the proxy does, so that answers are read by ht_answer.

--- a/daemon/da_attempt.c
+++ b/daemon/da_attempt.c
@@ -111,9 +111,7 @@
 	c->sent_at = ba_clock_now();
 	da_audit_backend_start(c);
 	fill_request(c);
-	c->fetch = da_client_fetch(c->w->client,
-				   c->w->shared->settings->backend_address.text,
-				   &c->request, &c->owner);
+	c->fetch = da_client_fetch(c->w->client, &c->request, &c->owner);
 }
 
 void da_attempt_fail(struct da_call *c, int code, enum cl_attempt_result result)
--- a/daemon/da_headers.h
+++ b/daemon/da_headers.h
@@ -20,6 +20,10 @@
 	size_t alloc;
 };
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 /** da_headers_add() - append a field; both strings are copied */
 void da_headers_add(struct da_headers *h, const char *name, const char *value);
 
@@ -44,4 +48,7 @@
  */
 bool da_header_is_reserved(const char *name);
 
+#ifdef __cplusplus
+}
+#endif
 #endif
--- a/prog/carawayd.c
+++ b/prog/carawayd.c
@@ -4,7 +4,6 @@
 #include <string.h>
 #include <unistd.h>
 
-#include <curl/curl.h>
 #include <glib.h>
 
 #include "base/ba_event.h"
@@ -145,7 +144,6 @@
 {
 	int ret;
 
-	curl_global_init(CURL_GLOBAL_DEFAULT);
 	d->loop = ba_loop_new();
 	ba_loop_signals(d->loop, on_signal, d);
 	d->stop_timer.fire = on_stop_timer;
@@ -171,7 +169,6 @@
 	free_shared(&d->shared);
 	ep_view_unref(d->view);
 	ba_loop_free(d->loop);
-	curl_global_cleanup();
 	return ret;
 }
 
@@ -269,7 +266,9 @@
 	ba_list_init(&w->calls);
 	ba_list_init(&w->ready_calls);
 	w->loop = ba_loop_new();
-	w->client = da_client_new(w->loop, s->connections / d->n_workers);
+	w->client = da_client_new(
+		w->loop, &s->backend_address,
+		(unsigned int)MAX(s->connections / d->n_workers, 1));
 	w->peers = da_peers_new(w->loop, &d->call_identity);
 	w->http_server = da_http_new(w, listen_fd);
 	if (!w->http_server)
--- a/test/loop.h
+++ b/test/loop.h
@@ -7,8 +7,8 @@
 
 #include "base/ba_loop.h"
 
-/** settle_and_free() - free a loop once what was closed on it is freed */
-static inline void settle_and_free(struct ba_loop *loop)
+/** settle() - run a loop until what was closed on it is freed */
+static inline void settle(struct ba_loop *loop)
 {
 	struct stopper {
 		struct ba_timer timer;
@@ -22,6 +22,12 @@
 	ba_loop_arm(loop, &s.timer, ba_clock_now() + 20 * BA_MS);
 	while (s.timer.slot)
 		ba_loop_run(loop);
+}
+
+/** settle_and_free() - free a loop once what was closed on it is freed */
+static inline void settle_and_free(struct ba_loop *loop)
+{
+	settle(loop);
 	ba_loop_free(loop);
 }
 
