daemon: answers of other daemons and stored ones are checked

A status of 0 in an answer of another daemon was taken for the answer that had not come yet: the call ended as answered, and its caller got no answer. A name with a blank or a value with a line break went on to the caller.

Cause: only the status and fields of the own backend server passed a parser; those in frames, and in stored answers, were believed.

--- a/daemon/da_attempt.c
+++ b/daemon/da_attempt.c
@@ -10,6 +10,7 @@
 #include "daemon/da_client.h"
 #include "daemon/da_local.h"
 #include "daemon/da_peer.h"
+#include "http/ht_answer.h"
 #include "report/rt.h"
 
 /*
@@ -219,11 +220,16 @@
 	da_headers_add(&c->sent_headers, "If-Range", c->check.etag);
 }
 
+/* Answers of other daemons and stored ones are checked here for the first time. */
 static void on_header(struct da_fetch_owner *o, const char *name,
 		      const char *value)
 {
 	struct da_call *c = (struct da_call *)o;
 
+	if (!ht_field_is_proper(name, value)) {
+		c->bad_head = true;
+		return;
+	}
 	if (da_header_is_reserved(name))
 		return;
 	if (!strcasecmp(name, "ETag")) {
@@ -243,8 +249,19 @@
 	bool may_resume = c->idempotent && !strcmp(c->method, "GET") &&
 			  !da_headers_get(&c->headers, "Range");
 
+	c->bad_head |= !ht_status_is_final(status);
+	if (c->bad_head && !c->resuming) {
+		ba_event(CL_EV_ANSWER_FLAWED, "call=%s flaw=%s status=%d",
+			 c->id,
+			 ht_flaw_name(ht_status_is_final(status)
+					      ? HT_FLAW_FIELD
+					      : HT_FLAW_STATUS),
+			 status);
+		return;
+	}
 	if (c->resuming) {
 		c->bad_answer =
+			c->bad_head ||
 			cl_answer_resume(&c->check, status, c->etag,
 					 c->content_range) != CL_PART_GOOD;
 		da_call_notify(c);
@@ -263,6 +280,8 @@
 	struct da_call *c = (struct da_call *)o;
 	struct da_answer *a = &c->answer;
 
+	if (!a->status)
+		return true;
 	if (!is_buffered(c) && a->data.len - a->sent > UNSENT_HIGH_BYTES) {
 		c->paused = true;
 		return false;
@@ -374,6 +393,8 @@
 			       : CL_ATTEMPT_BROKEN;
 	if (end->attempt_result != CL_ATTEMPT_ANSWERED)
 		return end->attempt_result;
+	if (!c->answer.status)
+		return CL_ATTEMPT_BROKEN;
 	if (!has_no_body(c) &&
 	    (c->bad_answer || cl_answer_check_end(&c->check) != CL_PART_GOOD))
 		return CL_ATTEMPT_BROKEN;
@@ -471,6 +492,7 @@
 	memset(&c->check, 0, sizeof(c->check));
 	c->paused = false;
 	c->bad_answer = false;
+	c->bad_head = false;
 }
 
 /*
@@ -495,6 +517,7 @@
 			 (long long)c->check.received);
 		c->resuming = true;
 		c->bad_answer = false;
+		c->bad_head = false;
 		c->paused = false;
 		da_attempt_start(c);
 		return;
--- a/daemon/da_attempt.h
+++ b/daemon/da_attempt.h
@@ -7,6 +7,10 @@
 
 #include "daemon/da_call.h"
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 /** da_attempt_init() - set the callbacks that receive answers */
 void da_attempt_init(struct da_call *c);
 
@@ -36,4 +40,7 @@
 /** da_attempt_cancel() - cancel the attempt in progress, if any */
 void da_attempt_cancel(struct da_call *c);
 
+#ifdef __cplusplus
+}
+#endif
 #endif
--- a/daemon/da_call.h
+++ b/daemon/da_call.h
@@ -77,6 +77,7 @@
  * @resuming: the attempt requests the rest of an answer by its range
  * @bad_answer: the answer of the attempt contradicts its head or, when
  *	resuming, the answer that was sent so far
+ * @bad_head: the head of the answer is none of HTTP/1; @answer.status stays 0
  * @check: checks the data of the answer against its head
  * @bytes_sent: bytes of the answer that have been sent
  * @result: result code, %BA_OK unless the call has failed
@@ -122,6 +123,7 @@
 	bool to_backend;
 	bool resuming;
 	bool bad_answer;
+	bool bad_head;
 	uint64_t tried[CL_ATTEMPTS_LIMIT];
 	size_t n_tried;
 	ba_time sent_at;
@@ -134,6 +136,10 @@
 	int result;
 };
 
+#ifdef __cplusplus
+extern "C" {
+#endif
+
 /** da_call_init() - initialise a zeroed call that arrives now */
 void da_call_init(struct da_call *c, struct da_worker *w,
 		  const struct da_frontend *front);
@@ -188,4 +194,7 @@
 /** da_call_add_error_json() - append the body of an error answer to @out */
 void da_call_add_error_json(int code, struct ba_buf *out);
 
+#ifdef __cplusplus
+}
+#endif
 #endif
