replica: tests of disks that are full one after another

Operators of another system saw changes refused, or unanswered, long after the last of several disks that were full in turn had room again. Here they are not: what cannot be stored is refused at once, the leader steps down, and a replica whose disk has room takes its place.

Change: RpDiskFull fills the disks of three and five replicas in turn, each for 3 s, with changes all the while, and demands that one is accepted every 4 s, which is what ack allows, and that all replicas end on the newest one. RpDisk does each operation on a full disk, three times, and then with room.

--- a/test/rp_disk_test.cc
+++ b/test/rp_disk_test.cc
@@ -362,4 +362,81 @@
 	EXPECT_EQ(rp_log_last(&o.r.log), 11u);
 }
 
+/* Each operation fails while the disk is full, and works once it has room. */
+TEST(RpDisk, EachOperationRecoversFromAFullDisk)
+{
+	static const struct {
+		const char *name;
+		std::function<int(open_store &)> run;
+		uint64_t last;
+	} cases[] = {
+		{"append", [](open_store &o) { return o.append(ENTRIES + 1); },
+		 ENTRIES + 1},
+		{"truncate",
+		 [](open_store &o) {
+			 return o.store->ops->truncate(o.store, 8);
+		 },
+		 7},
+		{"append in the middle",
+		 [](open_store &o) { return o.append(8); }, 8},
+		{"snapshot",
+		 [](open_store &o) {
+			 struct ba_buf state = {};
+			 int ret;
+
+			 ba_buf_add(&state, "state", 5);
+			 ret = o.store->ops->save_snapshot(o.store, 6, 2,
+							   &state, 5, false);
+			 ba_buf_free(&state);
+			 return ret;
+		 },
+		 ENTRIES},
+		{"installed snapshot",
+		 [](open_store &o) {
+			 struct ba_buf state = {};
+			 int ret;
+
+			 ba_buf_add(&state, "state", 5);
+			 ret = o.store->ops->save_snapshot(o.store, 20, 2,
+							   &state, 0, true);
+			 ba_buf_free(&state);
+			 return ret;
+		 },
+		 20},
+	};
+
+	for (const auto &c : cases) {
+		folder f;
+		struct rlimit before;
+		struct rlimit full;
+		uint64_t next;
+
+		fill_folder(f);
+		{
+			open_store o(f);
+
+			signal(SIGXFSZ, SIG_IGN);
+			getrlimit(RLIMIT_FSIZE, &before);
+			full = before;
+			full.rlim_cur = 1;
+			setrlimit(RLIMIT_FSIZE, &full);
+			for (int i = 0; i < 3; i++)
+				EXPECT_EQ(c.run(o), BA_DISK_FULL) << c.name;
+			setrlimit(RLIMIT_FSIZE, &before);
+			signal(SIGXFSZ, SIG_DFL);
+			EXPECT_EQ(c.run(o), BA_OK) << c.name;
+			EXPECT_EQ(o.store->ops->save_vote(o.store, 3, "s1"),
+				  BA_OK);
+			next = c.last + 1;
+			EXPECT_EQ(o.append(next), BA_OK) << c.name;
+		}
+		open_store o(f);
+
+		EXPECT_FALSE(o.r.damaged) << c.name;
+		EXPECT_EQ(o.r.cut_bytes, 0u) << c.name;
+		EXPECT_EQ(rp_log_last(&o.r.log), next) << c.name;
+		EXPECT_STREQ(o.r.vote, "s1") << c.name;
+	}
+}
+
 } // namespace
--- a/test/rp_test.cc
+++ b/test/rp_test.cc
@@ -592,6 +592,59 @@
 	}
 }
 
+/*
+ * Of another operator's installation: the disks were full one after another, for
+ * seconds each, and long after the last one had room changes were refused.
+ */
+TEST(RpDiskFull, DisksInTurnDelayChangesOnlyForSeconds)
+{
+	const ba_time ack = 4 * BA_SECOND;
+
+	for (int n : {3, 5})
+		for (uint64_t seed = 1; seed <= 40; seed++) {
+			world w(seed, n);
+			ba_time accepted_at = w.now;
+			uint64_t newest = 0;
+			int variant = 1;
+			int l = wait_for_leader(w);
+
+			ASSERT_GE(l, 0);
+			/* The last rounds have room everywhere. */
+			for (int round = 0; round < n + 6; round++) {
+				int full = round < n ? round : -1;
+
+				if (seed % 2 && round < n && w.leader() >= 0)
+					full = w.leader();
+				if (full >= 0)
+					w.all[full]->store.full = true;
+				for (int i = 0; i < 10; i++) {
+					w.run(w.now + 300 * BA_MS);
+					l = w.leader();
+					if (l < 0)
+						continue;
+					if (version(w, l) > newest)
+						accepted_at = w.now;
+					newest =
+						std::max(newest, version(w, l));
+					EXPECT_LE(w.now - accepted_at, ack)
+						<< seed << " " << round;
+					variant += variant % 7 == 6 ? 2 : 1;
+					w.submit(
+						l,
+						"id-" + std::to_string(variant),
+						version(w, l), variant);
+				}
+				if (full >= 0)
+					w.all[full]->store.full = false;
+			}
+			w.run(w.now + BA_SECOND);
+			EXPECT_LE(w.now - accepted_at, ack) << seed;
+			EXPECT_EQ(w.violation, "") << seed;
+			for (int i = 0; i < n; i++)
+				EXPECT_GE(version(w, i), newest) << seed;
+		}
+}
+
 /* A new group with a damaged replica would lose the committed entries. */
 TEST(RpDamaged, NoGroupIsFormedWithADamagedReplica)
 {
--- a/test/rp_world.h
+++ b/test/rp_world.h
@@ -91,6 +91,9 @@
 
 	if (m->crash_if_due() || m->full)
 		return BA_DISK_FULL;
+	/* Entries that could not be removed when the disk was full. */
+	if (m->pending.empty())
+		m->log.erase(m->log.lower_bound(e->index), m->log.end());
 	m->pending[e->index] = {
 		e->term, {e->kind, std::string((const char *)e->body, e->len)}};
 	return BA_OK;
@@ -116,7 +119,8 @@
 {
 	auto *m = (struct mem_store *)s;
 
-	if (m->crash_if_due())
+	/* The real store writes what it keeps to a new file. */
+	if (m->crash_if_due() || m->full)
 		return BA_DISK_FULL;
 	m->log.erase(m->log.lower_bound(index), m->log.end());
 	m->pending.erase(m->pending.lower_bound(index), m->pending.end());
