proxy: an answer without a body is given no length that it did not state

A caller that asked with HEAD, or got 304, was told "Content-Length: 0" where the backend server had stated no length: that the body which GET gets is empty.

Cause: the length of an answer that is complete before its head is written is taken from the bytes received, and here there are none by definition.

Change: whether an answer has a body is known when its head has come; only one that has is given the length of what was received.

Measured: PxAnswer.LengthOfAnAnswerWithoutABodyIsNotMadeUp fails in two of its rows without the change.

--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -65,8 +65,6 @@
 		add_version(x->p, out);
 		px_limit_write_stated(x, out);
 	}
-	x->no_body = !strcmp(request->method, "HEAD") || h->status == 204 ||
-		     h->status == 304;
 	x->chunked = !x->no_body && x->length < 0 && request->minor >= 1;
 	if (x->length >= 0 && h->status != 204)
 		ba_buf_addf(out, "Content-Length: %lld\r\n",
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -27,6 +27,7 @@
 static void on_head(struct ht_conn_owner *o, struct ht_conn *c);
 static bool is_foreign(const struct px_exchange *x, const struct ht_head *h,
 		       const struct px_answer_fields *ans);
+static bool has_no_body(const struct px_exchange *x, const struct ht_head *h);
 static void on_body(struct ht_conn_owner *o, struct ht_conn *c,
 		    const void *data, size_t len);
 static void on_complete(struct ht_conn_owner *o, struct ht_conn *c);
@@ -245,6 +246,7 @@
 	}
 	x->status = h->status;
 	x->length = h->length;
+	x->no_body = has_no_body(x, h);
 	x->not_run_code = read_not_run_code(x, h, &ans);
 	x->from_backend = !x->not_run_code &&
 			  (x->state == PX_ATTEMPT_AT_BACKEND || ans.id);
@@ -265,6 +267,13 @@
 	       x->p->backend.echoes_ids && !read_not_run_code(x, h, ans);
 }
 
+static bool has_no_body(const struct px_exchange *x, const struct ht_head *h)
+{
+	const char *method = ht_conn_head(x->downstream->conn)->method;
+
+	return !strcmp(method, "HEAD") || h->status == 204 || h->status == 304;
+}
+
 static void on_body(struct ht_conn_owner *o, struct ht_conn *c,
 		    const void *data, size_t len)
 {
@@ -445,14 +454,15 @@
 
 /*
  * Delivers the rest of the answer.  If nothing of it was sent yet, its length
- * is known even if it came without Content-Length.
+ * is known even if it came without Content-Length; not that of the body which
+ * GET would get, if the answer has none.
  */
 static void finish_answer(struct px_exchange *x)
 {
 	struct px_downstream *d = x->downstream;
 	bool framed;
 
-	if (!x->answering && x->length < 0)
+	if (!x->answering && x->length < 0 && !x->no_body)
 		x->length = (int64_t)x->buffered.len;
 	begin_answer(x);
 	forward_buffered(x);
--- a/test/px_answer_test.cc
+++ b/test/px_answer_test.cc
@@ -81,4 +81,43 @@
 	}
 }
 
+/*
+ * An answer without a body bears the length that GET would get, if any: the
+ * proxy made it 0 where it was not stated.
+ */
+TEST(PxAnswer, LengthOfAnAnswerWithoutABodyIsNotMadeUp)
+{
+	static const struct {
+		const char *line, *status, *length;
+		bool stated;
+	} cases[] = {
+		{"HEAD /look/", "200 OK", "", false},
+		{"HEAD /look/", "200 OK", "Content-Length: 4\r\n", true},
+		{"HEAD /look/", "200 OK", "Content-Length: 0\r\n", true},
+		{"GET /look/", "304 Not Modified", "", false},
+		{"GET /look/", "304 Not Modified", "Content-Length: 4\r\n",
+		 true},
+		{"GET /look/", "204 No Content", "", false},
+		{"GET /look/", "204 No Content", "Content-Length: 0\r\n",
+		 false},
+	};
+	world w;
+
+	w.send_heartbeat("i-1", "ready", 1);
+	for (const auto &c : cases) {
+		std::string got = relay(w.backend,
+					std::string("HTTP/1.1 ") + c.status +
+						"\r\nX-Attempt-Id: 1\r\n" +
+						c.length + "\r\n",
+					false, c.line);
+
+		EXPECT_EQ(got.substr(9, 3), std::string(c.status).substr(0, 3));
+		EXPECT_EQ(has(got, "Content-Length"), c.stated)
+			<< c.line << c.status << c.length;
+		EXPECT_EQ(c.stated && has(got, c.length), c.stated)
+			<< c.line << c.status << c.length;
+		EXPECT_FALSE(has(got, "chunked")) << c.line << c.status;
+	}
+}
+
 } // namespace
