proxy: an answer names one attempt, and a success has run

A caller got an answer that named its attempt and another one as well, so that it may have belonged to another request. A caller of a request that must run once was told "not run, try again" though the answer was a 200 or 302.

Cause: only the first X-Attempt-Id of an answer was read, and X-Not-Executed was believed beside any status.

Change: an answer that names several attempts, or a success that reports that nothing ran, is broken. The platform's adapter tells the names; the proxy decides.

--- a/proxy/px_dialect.h
+++ b/proxy/px_dialect.h
@@ -44,11 +44,13 @@
  * struct px_answer_fields - what a backend server states in an answer
  * @id: id of the attempt that it answers; borrowed, NULL if not stated
  * @not_run: the backend server did not begin to work on the request
+ * @names_several: it names other attempts than @id, too
  * @statement: its limit, and whether it leaves
  */
 struct px_answer_fields {
 	const char *id;
 	bool not_run;
+	bool names_several;
 	struct cl_statement statement;
 };
 
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -6,6 +6,8 @@
 #include "proxy/px_internal.h"
 #include "report/rt.h"
 
+enum { STATUS_FIRST_ERROR = 400 };
+
 /* A call that tells another proxy when this one leaves. */
 struct notice {
 	struct ht_conn_owner owner;
@@ -25,6 +27,8 @@
 static size_t body_left(const struct px_exchange *x);
 static void on_drained(struct ht_conn_owner *o, struct ht_conn *c);
 static void on_head(struct ht_conn_owner *o, struct ht_conn *c);
+static bool is_contradictory(const struct ht_head *h,
+			     const struct px_answer_fields *ans);
 static bool is_foreign(const struct px_exchange *x, const struct ht_head *h,
 		       const struct px_answer_fields *ans);
 static bool has_no_body(const struct px_exchange *x, const struct ht_head *h);
@@ -226,6 +230,15 @@
 
 	x->p->dialect->read_answer(h, &ans);
 	x->foreign = is_foreign(x, h, &ans);
+	if (is_contradictory(h, &ans)) {
+		ba_event(CL_EV_ANSWER_FLAWED,
+			 "call=%s service=%s place=%d flaw=contradictory "
+			 "status=%d answer=%s",
+			 x->id, x->service, (int)x->state, h->status,
+			 ans.id ? ans.id : "");
+		px_exchange_on_broken(x, CL_ANSWER_BROKEN);
+		return;
+	}
 	if (x->foreign) {
 		ba_event(CL_EV_FOREIGN_ANSWER, "call=%s answer=%s fresh=%d",
 			 x->id, ans.id ? ans.id : "", (int)x->fresh);
@@ -252,6 +265,14 @@
 			  (x->state == PX_ATTEMPT_AT_BACKEND || ans.id);
 }
 
+/* Whose an answer is, and whether the request ran, must be clear. */
+static bool is_contradictory(const struct ht_head *h,
+			     const struct px_answer_fields *ans)
+{
+	return ans->names_several ||
+	       (ans->not_run && h->status < STATUS_FIRST_ERROR);
+}
+
 /*
  * A backend server that names requests does so in each answer but rejections.
  * Without that, bytes on a connection in use again belong to no request.  A
--- a/test/px_answer_test.cc
+++ b/test/px_answer_test.cc
@@ -120,4 +120,42 @@
 	}
 }
 
+/* Whose an answer is, and whether the request ran, must be clear. */
+TEST(PxAnswer, ContradictoryOnesReachNobody)
+{
+	static const struct {
+		const char *name, *status, *fields;
+		int expected;
+	} cases[] = {
+		{"own id", "200 OK", "X-Attempt-Id: 1\r\n", 200},
+		{"own id twice", "200 OK",
+		 "X-Attempt-Id: 1\r\nX-Attempt-Id: 1\r\n", 200},
+		{"own id and another", "200 OK",
+		 "X-Attempt-Id: 1\r\nX-Attempt-Id: 7\r\n", 502},
+		{"another id and the own", "200 OK",
+		 "X-Attempt-Id: 7\r\nX-Attempt-Id: 1\r\n", 502},
+		{"ids in a list", "200 OK", "X-Attempt-Id: 1, 7\r\n", 502},
+		{"empty id", "200 OK", "X-Attempt-Id:\r\n", 502},
+		{"success that did not run", "200 OK",
+		 "X-Attempt-Id: 1\r\nX-Not-Executed: 1\r\n", 502},
+		{"redirection that did not run", "302 Found",
+		 "X-Attempt-Id: 1\r\nX-Not-Executed: 1\r\n", 502},
+		{"rejection", "503 Full",
+		 "X-Attempt-Id: 1\r\nX-Not-Executed: 1\r\n", 503},
+	};
+
+	for (const auto &c : cases) {
+		world w;
+
+		w.send_heartbeat("i-1", "ready", 1);
+		std::string got =
+			relay(w.backend,
+			      std::string("HTTP/1.1 ") + c.status + "\r\n" +
+				      c.fields + "Content-Length: 0\r\n\r\n",
+			      false);
+
+		EXPECT_EQ(status(got), c.expected) << c.name;
+	}
+}
+
 } // namespace
