proxy: an unnamed refusal is not believed where refusals are named

A faulty backend server may write an earlier refusal once more on a kept connection. Without its name it was taken for the refusal of the request that ran there: its caller was told "not run, try again", or it ran at a second backend server.

Cause: a refusal without a name was believed on any connection, as some backend servers name none; the copies with their name were told apart already.

Change: once a backend server has named a refusal, one without a name on a connection in use again belongs to no request, like any other answer; the own answer is awaited.

--- a/proxy/px_backend.c
+++ b/proxy/px_backend.c
@@ -108,6 +108,7 @@
 		px_poison_on_start(p);
 		px_limit_on_start(p);
 		be->echoes_ids = false;
+		be->names_refusals = false;
 	}
 	if (!changed)
 		return;
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -132,6 +132,7 @@
  *	free or a request was queued
  * @start: digest of its id and its start
  * @echoes_ids: it has named a request in an answer
+ * @names_refusals: it has named a request in a rejection
  * @limit: what it states
  * @n_sent: requests sent to it since the last line of the log about @limit
  * @logged_at: time of that line
@@ -145,6 +146,7 @@
 	struct ba_timer dispatch_timer;
 	uint64_t start;
 	bool echoes_ids;
+	bool names_refusals;
 	struct cl_limit limit;
 	uint64_t n_sent;
 	ba_time logged_at;
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -261,6 +261,8 @@
 	x->length = h->length;
 	x->no_body = has_no_body(x, h);
 	x->not_run_code = read_not_run_code(x, h, &ans);
+	if (x->not_run_code && x->state == PX_ATTEMPT_AT_BACKEND)
+		x->p->backend.names_refusals |= ans.id != NULL;
 	x->from_backend = !x->not_run_code &&
 			  (x->state == PX_ATTEMPT_AT_BACKEND || ans.id);
 }
@@ -274,18 +276,23 @@
 }
 
 /*
- * A backend server that names requests does so in each answer but rejections.
- * Without that, bytes on a connection in use again belong to no request.  A
- * rejection on it is no late copy, as on_complete() gives a connection back only
- * after answers that name a request.
+ * A backend server that names requests does so in each answer; some do not in
+ * rejections.  Without that, bytes on a connection in use again belong to no
+ * request.  Where no rejection is named, one on such a connection is no late
+ * copy, as on_complete() gives a connection back only after answers that name a
+ * request.
  */
 static bool is_foreign(const struct px_exchange *x, const struct ht_head *h,
 		       const struct px_answer_fields *ans)
 {
+	const struct px_backend *be = &x->p->backend;
+
 	if (ans->id)
 		return strcmp(ans->id, x->id) != 0 && (*x->id || !x->fresh);
-	return !x->fresh && *x->id && x->state == PX_ATTEMPT_AT_BACKEND &&
-	       x->p->backend.echoes_ids && !read_not_run_code(x, h, ans);
+	if (x->fresh || !*x->id || x->state != PX_ATTEMPT_AT_BACKEND)
+		return false;
+	return read_not_run_code(x, h, ans) ? be->names_refusals
+					    : be->echoes_ids;
 }
 
 static bool has_no_body(const struct px_exchange *x, const struct ht_head *h)
--- a/test/px_answer_test.cc
+++ b/test/px_answer_test.cc
@@ -158,4 +158,69 @@
 	}
 }
 
+/*
+ * A faulty backend server writes an earlier refusal once more on a kept
+ * connection.  The request that runs there is not reported as "not run", and
+ * is tried nowhere else.
+ */
+TEST(PxAnswer, RefusalOfAnEarlierRequestIsNotBelieved)
+{
+	static const std::string unnamed =
+		"HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\n"
+		"Content-Length: 0\r\n\r\n";
+	static const std::string named =
+		answer(503, "", "X-Not-Executed: 1\r\n");
+	static const std::string other_status =
+		answer(421, "", "X-Not-Executed: 1\r\n");
+	static const std::string own = "HTTP/1.1 200 OK\r\nX-Attempt-Id: 2\r\n"
+				       "Content-Length: 4\r\n\r\nbody";
+	static const std::string own_refusal =
+		"HTTP/1.1 503 Full\r\nX-Attempt-Id: 2\r\n"
+		"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+	static const struct {
+		const char *name;
+		std::string first, second;
+		int expected;
+	} cases[] = {
+		{"named, then the answer", named, named + own, 200},
+		{"of another status, then the answer", other_status,
+		 other_status + own, 200},
+		{"twice, then the answer", named, named + named + own, 200},
+		{"without its name, then the answer", named, unnamed + own,
+		 200},
+		{"named, and no answer", named, named, 504},
+		{"without its name, and no answer", named, unnamed, 504},
+		{"named, then the own refusal", named, named + own_refusal,
+		 503},
+	};
+	world w;
+
+	w.send_heartbeat("i-1", "ready", 1);
+	for (const char *line : {"POST /book/1", "GET /look/1"})
+		for (const auto &c : cases) {
+			blocking_socket caller =
+				blocking_socket::connect_to(CALLER_PORT);
+
+			caller.write(request(line));
+			blocking_socket backend = w.backend.accept_one();
+
+			backend.read_message();
+			backend.write(c.first);
+			EXPECT_EQ(status(caller.read_message()), 503) << c.name;
+			caller.write(std::string(line) +
+				     " HTTP/1.1\r\nHost: a.example\r\n"
+				     "X-Attempt-Id: 2\r\n"
+				     "X-Deadline-Ms: 300\r\n\r\n");
+			EXPECT_TRUE(has(backend.read_message(), "Id: 2"))
+				<< c.name;
+			backend.write(c.second);
+			std::string got = caller.read_message();
+
+			EXPECT_EQ(status(got), c.expected) << c.name << line;
+			EXPECT_EQ(has(got, "body"), c.expected == 200)
+				<< c.name << line;
+			backend.end();
+		}
+}
+
 } // namespace
