proxy: a broken answer is not whole to a caller of HTTP/1.0

A caller of HTTP/1.0 got the first part of an answer as a whole one, if its length was not known and the backend server broke off.

Cause: such a caller gets no chunks, so that the end of the connection ends the body, and a connection that was cut off was closed in order.

Change: an answer to HTTP/1.0 that is cut off ends with a reset.

Measured: PxAnswer.BrokenOneIsNotWholeToACallerOfHttp10 fails without the change.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -330,6 +330,16 @@
 	close_conn(c);
 }
 
+void ht_conn_reset(struct ht_conn *c)
+{
+	const struct linger at_once = {.l_onoff = 1};
+
+	/* Without it the close is an orderly one, as by ht_conn_abort(). */
+	(void)setsockopt(c->watch.fd, SOL_SOCKET, SO_LINGER, &at_once,
+			 sizeof(at_once));
+	ht_conn_abort(c);
+}
+
 static struct ht_conn *conn_new(struct ba_loop *loop, int fd, size_t head_limit,
 				struct ht_conn_owner *o)
 {
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -170,6 +170,12 @@
 /** ht_conn_abort() - close at once, without callback */
 void ht_conn_abort(struct ht_conn *c);
 
+/**
+ * ht_conn_reset() - the same with a reset, so that the other end does not take
+ * the close for the end of a message
+ */
+void ht_conn_reset(struct ht_conn *c);
+
 struct ht_listener;
 
 /**
--- a/proxy/px_downstream.c
+++ b/proxy/px_downstream.c
@@ -19,6 +19,7 @@
 static void free_body(struct px_downstream *d);
 static void refuse_unread(struct px_downstream *d);
 static void refuse(struct px_downstream *d, int status);
+static void cut_off(struct ht_conn *c);
 static void log_cut_off(const struct px_downstream *d,
 			const struct px_exchange *x);
 static bool is_answering(const struct px_downstream *d, const char *id);
@@ -99,7 +100,7 @@
 
 	d->exchange = NULL;
 	remove_downstream(d);
-	ht_conn_abort(c);
+	cut_off(c);
 }
 
 void px_downstream_free(struct px_downstream *d)
@@ -110,8 +111,10 @@
 	if (x) {
 		log_cut_off(d, x);
 		px_exchange_cancel(x);
+		cut_off(d->conn);
+	} else {
+		ht_conn_abort(d->conn);
 	}
-	ht_conn_abort(d->conn);
 	remove_downstream(d);
 }
 
@@ -271,6 +274,15 @@
 	ht_conn_close_after_flush(c);
 }
 
+/* HTTP/1.0 has no chunks, so that an orderly close may end a body. */
+static void cut_off(struct ht_conn *c)
+{
+	if (ht_conn_head(c)->minor)
+		ht_conn_abort(c);
+	else
+		ht_conn_reset(c);
+}
+
 static void log_cut_off(const struct px_downstream *d,
 			const struct px_exchange *x)
 {
--- a/test/px_answer_test.cc
+++ b/test/px_answer_test.cc
@@ -223,4 +223,43 @@
 		}
 }
 
+/*
+ * A caller of HTTP/1.0 gets no chunks: the end of its connection ends a body of
+ * unknown length, unless the connection is reset.
+ */
+TEST(PxAnswer, BrokenOneIsNotWholeToACallerOfHttp10)
+{
+	const std::string part(200000, 'p');
+
+	for (bool whole : {false, true}) {
+		world w;
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
+
+		w.send_heartbeat("i-1", "ready", 1);
+		caller.write("GET /look/ HTTP/1.0\r\nHost: a.example\r\n"
+			     "X-Attempt-Id: 1\r\n\r\n");
+		blocking_socket backend = w.backend.accept_one();
+
+		backend.read_message();
+		backend.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n"
+			      "Transfer-Encoding: chunked\r\n\r\n30d40\r\n" +
+			      part + "\r\n" + (whole ? "0\r\n\r\n" : ""));
+		backend.end();
+		std::string got;
+		char buffer[65536];
+		ssize_t n;
+
+		while ((n = recv(caller.fd, buffer, sizeof(buffer), 0)) > 0)
+			got.append(buffer, (size_t)n);
+		EXPECT_EQ(n, whole ? 0 : -1);
+		EXPECT_TRUE(whole || errno == ECONNRESET) << errno;
+		EXPECT_FALSE(has(got, "chunked"));
+		if (!whole)
+			continue;
+		EXPECT_EQ(status(got), 200);
+		EXPECT_TRUE(body_of(got) == part);
+	}
+}
+
 } // namespace
