test: another endpoint answers where one sends no answer

Each kind of improper answer: an idempotent request is sent to the other endpoint, whose answer its caller gets; a request that must run once is answered 502. Both hold already.

--- a/test/px_answer_test.cc
+++ b/test/px_answer_test.cc
@@ -120,6 +120,58 @@
 	}
 }
 
+/*
+ * A request that may run again is sent to another endpoint, whose answer its
+ * caller gets, while the retry budget lasts; any other one is not.
+ */
+TEST(PxAnswer, ImproperOnesAreReplacedWhereTheRouteAllows)
+{
+	static const struct {
+		const char *name;
+		std::string bytes;
+	} cases[] = {
+		{"status", with_status_line("HTTP/1.1 000 X")},
+		{"field", with_field("X A: v")},
+		{"framing", with_framing("Transfer-Encoding: gzip\r\n", "")},
+		{"chunk", with_chunks("4\r\nbodyXX0\r\n\r\n")},
+		{"trailer", with_chunks("0\r\nX A: v\r\n\r\n")},
+		{"end", "HTTP/1.1 200 OK\r\nContent-Len"},
+		{"names", "HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n"
+			  "X-Attempt-Id: 2\r\nContent-Length: 0\r\n\r\n"},
+	};
+
+	for (const char *line : {"GET /look/", "GET /book/"})
+		for (const auto &c : cases) {
+			world w;
+			listener other(OTHER_PROXY_PORT);
+			bool again = has(line, "look");
+
+			w.send_heartbeat("i-1", "ready", 1);
+			for (int i = 0; i < 21; i++)
+				relay(w.backend, answer(200, ""), false, line);
+			w.run([&] { w.endpoints(true); });
+			blocking_socket caller =
+				blocking_socket::connect_to(CALLER_PORT);
+
+			caller.write(request(line));
+			blocking_socket backend = w.backend.accept_one();
+
+			backend.read_message();
+			backend.write(c.bytes);
+			backend.end();
+			if (again) {
+				blocking_socket peer = other.accept_one();
+
+				peer.read_message();
+				peer.write(answer(200, "second"));
+			}
+			std::string got = caller.read_message();
+
+			EXPECT_EQ(status(got), again ? 200 : 502) << c.name;
+			EXPECT_EQ(has(got, "second"), again) << c.name;
+		}
+}
+
 /* Whose an answer is, and whether the request ran, must be clear. */
 TEST(PxAnswer, ContradictoryOnesReachNobody)
 {
