bench: a soak in which backend servers send improper answers

Callers judge by the same reader: what is no answer, or not their own, is wrong; orders that ran must not be refused as not run, nor run twice.

--- a/bench/soak.h
+++ b/bench/soak.h
@@ -11,6 +11,8 @@
  *   it and it had been sent no longer than %SOAK_LOSS_SLACK before.
  * - A failure that a stopping proxy gives in place of an answer at which the
  *   backend server is at work counts as CUT.
+ * - A backend server in trouble sends improper answers, refuses requests at
+ *   random, and writes a refusal once more on a kept connection.
  * - An overloaded backend server states a limit, one that leaves its departure, in
  *   all answers.  LIMIT and DRAIN count requests that reach it nevertheless.
  */
@@ -42,18 +44,19 @@
 
 /** enum soak_outcome - outcome of a request as its caller saw it */
 enum soak_outcome {
-	SOAK_WHOLE,	  /* complete answer of an endpoint */
-	SOAK_REFUSED,	  /* 408, 421, 429 or 503 */
-	SOAK_FAILED,	  /* another failure, of the proxy or the endpoint */
-	SOAK_REPLACED,	  /* a failure of a stopping proxy, for a made answer */
-	SOAK_WRONG,	  /* the answer is not the endpoint's */
-	SOAK_NOT_SENT,	  /* no connection */
-	SOAK_UNREAD,	  /* the close crossed the request */
-	SOAK_LATE,	  /* the caller's budget was over */
-	SOAK_CUT,	  /* by the planned stop of the caller's proxy */
-	SOAK_CUT_ALLOWED, /* the same, with the endpoint at work to the end */
-	SOAK_CUT_OTHER,	  /* no stop of the caller's proxy */
-	SOAK_CUT_UNCALM,  /* with a crash shortly before */
+	SOAK_WHOLE,    /* complete answer of an endpoint */
+	SOAK_REFUSED,  /* 408, 421, 429 or 503 */
+	SOAK_FAILED,   /* another failure, of the proxy or the endpoint */
+	SOAK_REPLACED, /* a failure of a stopping proxy, for a made answer */
+	SOAK_WRONG,    /* the answer is not the endpoint's, or none */
+	SOAK_FALSE_REFUSAL, /* refused as not run, but it has run */
+	SOAK_NOT_SENT,	    /* no connection */
+	SOAK_UNREAD,	    /* the close crossed the request */
+	SOAK_LATE,	    /* the caller's budget was over */
+	SOAK_CUT,	    /* by the planned stop of the caller's proxy */
+	SOAK_CUT_ALLOWED,   /* the same, with the endpoint at work to the end */
+	SOAK_CUT_OTHER,	    /* no stop of the caller's proxy */
+	SOAK_CUT_UNCALM,    /* with a crash shortly before */
 	SOAK_OUTCOMES,
 };
 
@@ -116,6 +119,8 @@
  * @bytes: length of its answer's body
  * @worked_until: when its endpoint had ended its work, 0 if none got it,
  *	%BA_NEVER while one is at work
+ * @order: it must not run twice
+ * @improper: its endpoint sent an improper answer
  */
 struct soak_request {
 	char id[SOAK_ID_BYTES];
@@ -126,6 +131,8 @@
 	ba_time sent_at;
 	ba_time budget_end;
 	ba_time worked_until;
+	bool order;
+	bool improper;
 	bool right;
 };
 
@@ -147,6 +154,11 @@
  * @n_limited: requests that reached a backend server with a limit
  * @n_limit_broken: requests beyond what LIMIT allows
  * @n_drain_broken: requests beyond what DRAIN allows
+ * @improper_one_in: answers of backend servers of which one is improper, 0 for
+ *	none
+ * @n_improper: improper answers
+ * @n_refusals_again: refusals that were written once more
+ * @n_twice: orders that ran twice
  * @calling: callers send requests
  */
 struct soak {
@@ -178,6 +190,10 @@
 	uint64_t n_limited;
 	uint64_t n_limit_broken;
 	uint64_t n_drain_broken;
+	int improper_one_in;
+	uint64_t n_improper;
+	uint64_t n_refusals_again;
+	uint64_t n_twice;
 	bool calling;
 };
 
--- a/bench/soak.sh
+++ b/bench/soak.sh
@@ -1,8 +1,10 @@
 #!/bin/sh
 # A soak of planned stops over many seeds, two at a time.  Each seed prints its
-# results; the last line names the seeds with a request that was cut, or that
-# reached a backend server against what it states, and the exit status is 1 if
-# there is one.  The seed chooses the kind of run, too.
+# results; the last line names the seeds with a request that was cut, that got a
+# wrong answer or a false refusal, that ran twice, or that reached a backend server
+# against what it states, and the exit status is 1 if there is one.  The seed
+# chooses the kind of run, too; from 1001 on, backend servers send improper
+# answers.
 #
 # usage: bench/soak.sh BUILD [FIRST-SEED [LAST-SEED]]
 
@@ -12,10 +14,16 @@
 last=${3:-50}
 net=${TEST_NET:-127.0}
 work=$build/bench-run/soak
+improper="--improper 4 --load 0.5 --answer-bytes 9000 --target 800ms --budget 4s"
 limits="--limits --answer-bytes 9000 --target 800ms --budget 4s"
 
 # kind_of SEED: print the options of its kind of run
 kind_of() {
+	if test "$1" -gt 1000
+	then
+		improper_kind_of "$1"
+		return
+	fi
 	case $(($1 % 7)) in
 	0) echo "--load 1.0 --stops 1" ;;
 	1) echo "--load 1.4 --stops 2 --target 500ms" ;;
@@ -27,6 +35,15 @@
 	esac
 }
 
+# improper_kind_of SEED: the same, with backend servers in trouble
+improper_kind_of() {
+	case $(($1 % 3)) in
+	0) echo "$improper --stops 1" ;;
+	1) echo "$improper --stops 2 --crashes" ;;
+	2) echo "$improper --stops 2 --freezes --limits" ;;
+	esac
+}
+
 # run_seed SEED NET: run one seed in a network of its own
 run_seed() {
 	mkdir -p "$work/$1"
@@ -48,7 +65,7 @@
 	wait
 	seed=$((seed + 2))
 done
-broken=$(cd "$work" && grep -lE '"(cut|not_played|limit_broken|drain_broken)":[1-9]' -- *.json |
+broken=$(cd "$work" && grep -lE '"(cut|wrong|false_refusals|twice|not_played|limit_broken|drain_broken)":[1-9]' -- *.json |
 	sed 's/\.json//' | sort -n | tr '\n' ' ')
 echo "broken: ${broken:-none}"
 test -z "$broken"
--- a/bench/soak_backend.c
+++ b/bench/soak_backend.c
@@ -9,12 +9,46 @@
 
 #define HEARTBEAT_PERIOD (500 * BA_MS)
 
+/* Requests of which a backend server in trouble refuses one. */
+enum { REFUSED_ONE_IN = 16 };
+
+/*
+ * What follows the first line, the id and the stamp of an improper answer.
+ * @ends: the connection is closed after it
+ */
+static const struct {
+	const char *line;
+	const char *rest;
+	bool ends;
+} improper_answers[] = {
+	{"HTTP/1.1 000 X", "Content-Length: 4\r\n\r\nbody", false},
+	{"HTTP/1.1 0200 OK", "Content-Length: 4\r\n\r\nbody", false},
+	{"HTTP/1.1 200 OK", "X A: v\r\nContent-Length: 4\r\n\r\nbody", false},
+	{"HTTP/1.1 200 OK", "X\001A: v\r\nContent-Length: 4\r\n\r\nbody",
+	 false},
+	{"HTTP/1.1 200 OK",
+	 "Transfer-Encoding : chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", true},
+	{"HTTP/1.1 200 OK", "Transfer-Encoding: gzip\r\n\r\nbody", true},
+	{"HTTP/1.1 200 OK",
+	 "Transfer-Encoding: chunked\r\n\r\n4\r\nbodyXX0\r\n\r\n", false},
+	{"HTTP/1.1 200 OK",
+	 "Transfer-Encoding: chunked\r\n\r\n0\r\nX A: v\r\n\r\n", false},
+	{"HTTP/1.1 200 OK",
+	 "Content-Length: 4\r\nContent-Length: 5\r\n\r\nbody", true},
+	{"HTTP/1.1 200 OK",
+	 PN_ATTEMPT_ID ": other\r\nContent-Length: 4\r\n\r\nbody", false},
+	{"HTTP/1.1 200 OK", "Content-Len", true},
+	{"HTTP/1.1 200 OK", "Content-Length: 9\r\n\r\nbody", true},
+};
+
+/* @refused: id of a request that was refused on it, or "" */
 struct backend_conn {
 	struct ht_conn_owner owner;
 	struct ba_timer work;
 	struct soak_machine *machine;
 	struct ht_conn *conn;
 	char id[SOAK_ID_BYTES];
+	char refused[SOAK_ID_BYTES];
 	bool working;
 };
 
@@ -25,6 +59,14 @@
 
 static void on_accept(struct ht_acceptor *a, int fd);
 static void on_complete(struct ht_conn_owner *o, struct ht_conn *conn);
+static bool is_refused(struct soak_machine *m);
+static void refuse(struct backend_conn *c, const char *id,
+		   const struct soak_request *r);
+static void write_refusal(struct backend_conn *c, const char *id,
+			  const struct soak_request *r);
+static void begin_work(struct soak *s, struct soak_machine *m,
+		       struct soak_request *r);
+static bool answer_improperly(struct backend_conn *c, struct soak_request *r);
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *conn,
 		     enum ht_end why);
 static void on_work_end(struct ba_timer *t, ba_time now);
@@ -73,29 +115,70 @@
 	ba_time now = ba_loop_now(s->loop);
 
 	soak_limit_on_arrival(m, r);
-	if (m->in_flight >= s->slots) {
-		ba_buf_addf(ht_conn_out(conn),
-			    "HTTP/1.1 503 Full\r\n" PN_NOT_EXECUTED
-			    ": full\r\nContent-Length: 0\r\n");
-		soak_limit_write(m, r, ht_conn_out(conn));
-		ba_buf_addf(ht_conn_out(conn), "\r\n");
-		ht_conn_flush(conn);
-		ht_conn_read_next(conn);
+	if (is_refused(m)) {
+		refuse(c, id ? id : "", r);
 		return;
 	}
-	m->in_flight++;
+	if (s->improper_one_in && *c->refused && ba_rand_below(&s->rand, 2)) {
+		s->n_refusals_again++;
+		write_refusal(c, c->refused, r);
+		ht_conn_flush(conn);
+	}
 	c->working = true;
 	g_strlcpy(c->id, id ? id : "", sizeof(c->id));
-	if (r) {
-		r->endpoint = m->name;
-		r->worked_until = BA_NEVER;
-	}
+	begin_work(s, m, r);
 	ba_loop_arm(s->loop, &c->work,
 		    now + s->work_time / 2 +
 			    (ba_time)ba_rand_below(&s->rand,
 						   (uint64_t)s->work_time));
 }
 
+static bool is_refused(struct soak_machine *m)
+{
+	struct soak *s = m->soak;
+
+	return m->in_flight >= s->slots ||
+	       (s->improper_one_in && !ba_rand_below(&s->rand, REFUSED_ONE_IN));
+}
+
+static void refuse(struct backend_conn *c, const char *id,
+		   const struct soak_request *r)
+{
+	g_strlcpy(c->refused, id, sizeof(c->refused));
+	write_refusal(c, id, r);
+	ht_conn_flush(c->conn);
+	ht_conn_read_next(c->conn);
+}
+
+static void write_refusal(struct backend_conn *c, const char *id,
+			  const struct soak_request *r)
+{
+	struct ba_buf *out = ht_conn_out(c->conn);
+
+	ba_buf_addf(out, "HTTP/1.1 503 Full\r\n" PN_NOT_EXECUTED
+			 ": full\r\nContent-Length: 0\r\n");
+	if (c->machine->soak->improper_one_in)
+		ba_buf_addf(out, PN_ATTEMPT_ID ": %s\r\n", id);
+	soak_limit_write(c->machine, r, out);
+	ba_buf_addf(out, "\r\n");
+}
+
+static void begin_work(struct soak *s, struct soak_machine *m,
+		       struct soak_request *r)
+{
+	m->in_flight++;
+	if (!r)
+		return;
+	if (r->order && r->worked_until) {
+		s->n_twice++;
+		soak_log(s, "order %s ran at %s and at %s", r->id, r->endpoint,
+			 m->name);
+	}
+	r->endpoint = m->name;
+	r->worked_until = BA_NEVER;
+	r->improper = false;
+}
+
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *conn,
 		     enum ht_end why)
 {
@@ -121,6 +204,8 @@
 	(void)now;
 	end_work(c);
 	r = g_hash_table_lookup(c->machine->soak->requests, c->id);
+	if (answer_improperly(c, r))
+		return;
 	ba_buf_addf(out,
 		    "HTTP/1.1 200 OK\r\n" PN_ATTEMPT_ID
 		    ": %s\r\n" PN_RESPONSE_STAMP ": soak.%s\r\n"
@@ -135,6 +220,35 @@
 	ht_conn_read_next(c->conn);
 }
 
+/* Return: whether the answer was an improper one; @c may be gone then. */
+static bool answer_improperly(struct backend_conn *c, struct soak_request *r)
+{
+	struct soak *s = c->machine->soak;
+	struct ht_conn *conn = c->conn;
+	size_t i;
+
+	if (!s->improper_one_in ||
+	    ba_rand_below(&s->rand, (uint64_t)s->improper_one_in) != 0)
+		return false;
+	i = ba_rand_below(&s->rand, G_N_ELEMENTS(improper_answers));
+	s->n_improper++;
+	if (r)
+		r->improper = true;
+	ba_buf_addf(ht_conn_out(conn),
+		    "%s\r\n" PN_ATTEMPT_ID ": %s\r\n" PN_RESPONSE_STAMP
+		    ": soak.%s\r\n%s",
+		    improper_answers[i].line, c->id, c->id,
+		    improper_answers[i].rest);
+	if (improper_answers[i].ends) {
+		ht_conn_close_after_flush(conn);
+		g_free(c);
+		return true;
+	}
+	ht_conn_flush(conn);
+	ht_conn_read_next(conn);
+	return true;
+}
+
 static void end_work(struct backend_conn *c)
 {
 	struct soak *s = c->machine->soak;
--- a/bench/soak_caller.c
+++ b/bench/soak_caller.c
@@ -46,6 +46,7 @@
 	[SOAK_FAILED] = "failed",
 	[SOAK_REPLACED] = "replaced",
 	[SOAK_WRONG] = "WRONG",
+	[SOAK_FALSE_REFUSAL] = "REFUSED but run",
 	[SOAK_LATE] = "late",
 	[SOAK_CUT] = "CUT",
 	[SOAK_CUT_ALLOWED] = "cut, allowed",
@@ -115,9 +116,10 @@
 	struct soak_machine *m = c->machine;
 	struct soak *s = m->soak;
 	struct soak_request *r = g_new0(struct soak_request, 1);
-	const char *path =
-		ba_rand_below(&s->rand, ORDER_ONE_IN) ? "long" : "order";
+	const char *path;
 
+	r->order = !ba_rand_below(&s->rand, ORDER_ONE_IN);
+	path = r->order ? "order" : "long";
 	g_snprintf(r->id, sizeof(r->id), "%s-%" PRIu64, m->name,
 		   ++s->n_requests);
 	r->machine = m;
@@ -217,7 +219,10 @@
 			       : SOAK_WRONG;
 	if (h->status == 503 || h->status == 429 || h->status == 408 ||
 	    h->status == 421)
-		return SOAK_REFUSED;
+		return r->order && r->worked_until ? SOAK_FALSE_REFUSAL
+						   : SOAK_REFUSED;
+	if (r->improper)
+		return SOAK_FAILED;
 	/* Its proxy may see that before the caller does. */
 	if (now >= r->budget_end)
 		return SOAK_LATE;
@@ -232,6 +237,11 @@
 {
 	if (why == HT_END_CONNECT_FAILED)
 		return SOAK_NOT_SENT;
+	if (why == HT_END_MALFORMED || why == HT_END_HEAD_TOO_LARGE)
+		return SOAK_WRONG;
+	/* What had come of the answer was passed on. */
+	if (r->improper)
+		return SOAK_FAILED;
 	if (!r->worked_until && now - r->sent_at <= SOAK_LOSS_SLACK)
 		return SOAK_UNREAD;
 	return classify_cut(r, now);
--- a/bench/soak_main.c
+++ b/bench/soak_main.c
@@ -209,6 +209,8 @@
 		 "Freeze proxies, too", NULL},
 		{"limits", 0, 0, G_OPTION_ARG_NONE, &g->limits,
 		 "Backend servers state limits and leave", NULL},
+		{"improper", 0, 0, G_OPTION_ARG_INT, &s->improper_one_in,
+		 "Answers of backend servers of which one is improper", "N"},
 		{"judged-share", 0, 0, G_OPTION_ARG_DOUBLE, &s->judged_share,
 		 "Share of the stated limits that is judged by", "SHARE"},
 		G_OPTION_ENTRY_NULL,
@@ -656,6 +658,7 @@
 		[SOAK_FAILED] = "failed",
 		[SOAK_REPLACED] = "replaced",
 		[SOAK_WRONG] = "wrong",
+		[SOAK_FALSE_REFUSAL] = "false_refusals",
 		[SOAK_NOT_SENT] = "not_sent",
 		[SOAK_UNREAD] = "unread",
 		[SOAK_LATE] = "late",
@@ -674,12 +677,14 @@
 	       ",\"freezes\":%" PRIu64 ",\"limits\":%" PRIu64
 	       ",\"departures\":%" PRIu64 ",\"limited\":%" PRIu64
 	       ",\"limit_broken\":%" PRIu64 ",\"drain_broken\":%" PRIu64
-	       ",\"requests\":%" PRIu64,
+	       ",\"improper\":%" PRIu64 ",\"refusals_again\":%" PRIu64
+	       ",\"twice\":%" PRIu64 ",\"requests\":%" PRIu64,
 	       g->seed, g->n_stops, g->n_core_stops, g->n_crashes, g->n_orders,
 	       g->n_killed, g->n_ended, s->heartbeats_cut,
 	       s->heartbeats_crossed, s->orders_cut, g->n_freezes, s->n_limits,
 	       s->n_departures, s->n_limited, s->n_limit_broken,
-	       s->n_drain_broken, s->n_requests);
+	       s->n_drain_broken, s->n_improper, s->n_refusals_again,
+	       s->n_twice, s->n_requests);
 	for (int i = 0; i < SOAK_OUTCOMES; i++)
 		printf(",\"%s\":%" PRIu64, names[i], s->outcomes[i]);
 	printf("}\n");
