http: bytes that cannot become an answer end it at once

A caller whose backend server sent a few bytes of garbage without an end of line waited until its timeout. The reader of answers brought that: it looked at whole lines only, where the library had refused the first wrong byte.

Change: the start of a line whose end has not come is checked, too. Which flaw is met first may depend on the pieces now; the tests compare all else.

--- a/http/ht_answer.c
+++ b/http/ht_answer.c
@@ -28,6 +28,8 @@
 	STATE_FLAW,
 };
 
+static const char version[] = "HTTP/1.";
+
 /* Framing of a head's fields. */
 struct framing {
 	unsigned int n_lengths;
@@ -39,6 +41,8 @@
 };
 
 static enum ht_step read_line(struct ht_answer *a, struct ht_bytes *in);
+static enum ht_flaw check_start(const struct ht_answer *a,
+				const struct ht_bytes *piece);
 static enum ht_step use_line(struct ht_answer *a, const char *line, size_t len);
 static enum ht_step use_head_line(struct ht_answer *a, const char *line,
 				  size_t len);
@@ -59,6 +63,7 @@
 static bool parse_chunk_size(const char *line, size_t len, uint64_t *size);
 static void trim(const char **text, size_t *len);
 static bool is_text(const char *text, size_t len);
+static bool is_control(char c);
 static bool is_token(const char *text, size_t len);
 
 void ht_answer_begin(struct ht_answer *a)
@@ -153,8 +158,11 @@
 	bool in_chunk =
 		a->state == STATE_CHUNK_SIZE || a->state == STATE_CHUNK_END;
 	struct ht_bytes line = {in->data, len};
+	enum ht_flaw flaw = end ? HT_FLAW_NONE : check_start(a, in);
 	enum ht_step step;
 
+	if (flaw)
+		return fail(a, flaw);
 	if (in_chunk ? a->line.len + len > CHUNK_LINE_LIMIT_BYTES
 		     : (a->n_bytes += len) > a->head_limit)
 		return fail(a, HT_FLAW_TOO_LARGE);
@@ -172,6 +180,39 @@
 	return step;
 }
 
+/*
+ * Checks @piece, which a line goes on with whose end has not come: it may never
+ * come.
+ */
+static enum ht_flaw check_start(const struct ht_answer *a,
+				const struct ht_bytes *piece)
+{
+	size_t at = a->line.len;
+
+	switch (a->state) {
+	case STATE_STATUS_LINE:
+		for (size_t i = 0; i < piece->len && at < strlen(version); i++)
+			if (piece->data[i] != version[at++])
+				return HT_FLAW_STATUS_LINE;
+		return HT_FLAW_NONE;
+	case STATE_CHUNK_SIZE:
+		return at || !piece->len || g_ascii_isxdigit(*piece->data)
+			       ? HT_FLAW_NONE
+			       : HT_FLAW_CHUNK;
+	case STATE_CHUNK_END:
+		return !piece->len || (!at &&
+				       !strncmp(piece->data, "\r", piece->len))
+			       ? HT_FLAW_NONE
+			       : HT_FLAW_CHUNK;
+	default:
+		for (size_t i = 0; i < piece->len; i++)
+			if (piece->data[i] != '\r' &&
+			    is_control(piece->data[i]))
+				return HT_FLAW_FIELD;
+		return HT_FLAW_NONE;
+	}
+}
+
 /* @line ends before its LF. */
 static enum ht_step use_line(struct ht_answer *a, const char *line, size_t len)
 {
@@ -300,7 +341,6 @@
 static enum ht_flaw parse_status_line(struct ht_head *h, const char *line,
 				      size_t len)
 {
-	static const char version[] = "HTTP/1.";
 	const char *end = line + len;
 	const char *p = line + strlen(version);
 	size_t n;
@@ -452,18 +492,22 @@
 		--*len;
 }
 
-/* Whether @text has no control byte but tabs. */
 static bool is_text(const char *text, size_t len)
 {
-	for (size_t i = 0; i < len; i++) {
-		unsigned char b = (unsigned char)text[i];
-
-		if ((b < ' ' && b != '\t') || b == 0x7f)
+	for (size_t i = 0; i < len; i++)
+		if (is_control(text[i]))
 			return false;
-	}
 	return true;
 }
 
+/* Tabs are none here. */
+static bool is_control(char c)
+{
+	unsigned char b = (unsigned char)c;
+
+	return (b < ' ' && b != '\t') || b == 0x7f;
+}
+
 static bool is_token(const char *text, size_t len)
 {
 	for (size_t i = 0; i < len; i++)
--- a/test/answer_cases.h
+++ b/test/answer_cases.h
@@ -181,6 +181,8 @@
 	{"empty line before the status line",
 	 with_status_line("\r\nHTTP/1.1 200 OK"), false},
 	{"garbage", "\x01\x02 what is this\r\n\r\n", false},
+	{"garbage without an end of line", "\x01\x02 what is this", false},
+	{"a letter", "G", false},
 	/* Fields */
 	{"blank in a name", with_field("X A: v"), false},
 	{"blank after a name", with_field("X-A : v"), false},
@@ -212,6 +214,8 @@
 	{"CR before the end of the line", with_field("X-A: a\r"), false},
 	{"control byte in a folded value", with_field("X-A: a\r\n \x01"),
 	 false},
+	{"control byte in a line without an end",
+	 "HTTP/1.1 200 OK\r\nX-A: \x01", false},
 	/* Framing */
 	{"no digit in the length", with_framing("Content-Length:\r\n", "body"),
 	 true},
@@ -287,6 +291,9 @@
 	{"CR without LF after the size", with_chunks("4\rXbody\r\n0\r\n\r\n"),
 	 true},
 	{"bytes after the chunk", with_chunks("4\r\nbodyXX0\r\n\r\n"), true},
+	{"no size, and no end of line", with_chunks("xyz"), false},
+	{"bytes after the chunk, and no end of line",
+	 with_chunks("4\r\nbodyXX"), false},
 	{"more bytes than the size", with_chunks("3\r\nbody\r\n0\r\n\r\n"),
 	 true},
 	{"fewer bytes than the size", with_chunks("5\r\nbody\r\n0\r\n\r\n"),
