test: a held request is refused after its version was released, and logged

RouteOfAHeldRequestGoes read the released strings only in lines of the log that were not written at the level of the tests, and only for a refusal with 404.

Change: the log is open while it runs, and the refusal of a proxy that is not current, which looks up the service, is a case, too.

--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -1,6 +1,8 @@
 #include "test/proxy_world.h"
 
 #include <malloc.h>
+
+#include "base/ba_event.h"
 #if defined(__SANITIZE_ADDRESS__)
 /* Of the sanitizer; GCC has no header for it. */
 extern "C" size_t __sanitizer_get_current_allocated_bytes(void);
@@ -54,32 +56,56 @@
 	EXPECT_EQ(status(first.read_message()), 200);
 }
 
-/* The refusal named the route and service of the version that was released. */
+/* Events are written out, as their strings are read only then. */
+struct full_log {
+	full_log()
+	{
+		EXPECT_EQ(ba_event_open("p/i", "/dev/null", BA_INFO), BA_OK);
+	}
+	~full_log()
+	{
+		ba_event_close();
+		EXPECT_EQ(ba_event_open("p/i", "/dev/null", BA_NOTICE), BA_OK);
+		ba_event_close();
+	}
+};
+
+/*
+ * The refusal named the route and service of the version that was released.  The
+ * address sanitizer tells.
+ */
 TEST(PxStartup, RouteOfAHeldRequestGoes)
 {
-	world w(false);
-	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+	full_log log;
 
-	w.run([&] {
-		struct cf_snapshot *s = snapshot();
-
-		px_configure(w.proxy, s);
-		cf_snapshot_unref(s);
-	});
-	caller.write(request("GET /look/"));
-	/* It has been read when an answer to a later request has come. */
-	blocking_socket other = blocking_socket::connect_to(CALLER_PORT);
+	for (bool current : {true, false}) {
+		world w(false);
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
+		blocking_socket other =
+			blocking_socket::connect_to(CALLER_PORT);
 
-	other.write(request("GET /nowhere/"));
-	EXPECT_EQ(status(other.read_message()), 404);
-	w.run([&] {
-		struct cf_snapshot *s =
-			snapshot(changed("\"/look/\"", "\"/elsewhere/\""));
+		w.run([&] {
+			struct cf_snapshot *s = snapshot();
 
-		px_configure(w.proxy, s);
-		cf_snapshot_unref(s);
-	});
-	EXPECT_EQ(status(caller.read_message()), 404);
+			px_configure(w.proxy, s);
+			cf_snapshot_unref(s);
+		});
+		caller.write(request("GET /look/"));
+		/* It has been read when a later one has its answer. */
+		other.write(request("GET /nowhere/"));
+		EXPECT_EQ(status(other.read_message()), 404);
+		/* The refusal of one that is not current looks up the service. */
+		w.current = current;
+		w.run([&] {
+			struct cf_snapshot *s = snapshot(
+				changed("\"/look/\"", "\"/elsewhere/\""));
+
+			px_configure(w.proxy, s);
+			cf_snapshot_unref(s);
+		});
+		EXPECT_EQ(status(caller.read_message()), current ? 404 : 503);
+	}
 }
 
 TEST(PxStartup, RefusesWhatItHeldForTooLong)
