proxy: a refusal that is no answer is not believed

A request that must run once was answered "not run, try again" where the head of a refusal was followed by bytes that are no answer, such as a broken chunk.

Cause: the code of a refusal was taken from its head, and kept when the rest turned out to be malformed.

Change: such a refusal is broken, so that the request may have run. One that is cut off by a close after its head is believed as before: a backend server may refuse a request before it has read it, and close.

--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -358,6 +358,9 @@
 	bool not_passed_on = cannot_have_run(x, c);
 
 	x->conn = NULL;
+	/* A refusal that was cut off is believed, one that is none is not. */
+	if (why == HT_END_MALFORMED || why == HT_END_HEAD_TOO_LARGE)
+		x->not_run_code = 0;
 	if (ht_conn_flaw(c) != HT_FLAW_NONE)
 		ba_event(CL_EV_ANSWER_FLAWED,
 			 "call=%s service=%s place=%d flaw=%s status=%d", x->id,
--- a/test/px_answer_test.cc
+++ b/test/px_answer_test.cc
@@ -275,6 +275,48 @@
 		}
 }
 
+/*
+ * A refusal that ends in bytes that are no answer tells nothing; one that is cut
+ * off has told that the request did not run.
+ */
+TEST(PxAnswer, ImproperRefusalIsNotBelieved)
+{
+	static const struct {
+		const char *name;
+		std::string rest;
+		bool ends;
+		int expected;
+	} cases[] = {
+		{"whole", "Content-Length: 4\r\n\r\nfull", false, 503},
+		{"cut off", "Content-Length: 4\r\n\r\nfu", true, 503},
+		{"cut off in the head", "Content-Len", true, 502},
+		{"broken chunk",
+		 "Transfer-Encoding: chunked\r\n\r\n4\r\nfullXX\r\n", false,
+		 502},
+		{"broken trailer",
+		 "Transfer-Encoding: chunked\r\n\r\n0\r\nX A: v\r\n\r\n", false,
+		 502},
+		{"broken field", "X A: v\r\nContent-Length: 0\r\n\r\n", false,
+		 502},
+		{"two lengths",
+		 "Content-Length: 0\r\nContent-Length: 4\r\n\r\n", false, 502},
+	};
+
+	for (const auto &c : cases) {
+		world w;
+
+		w.send_heartbeat("i-1", "ready", 1);
+		std::string got =
+			relay(w.backend,
+			      "HTTP/1.1 503 Full\r\nX-Attempt-Id: 1\r\n"
+			      "X-Not-Executed: 1\r\n" +
+				      c.rest,
+			      c.ends);
+
+		EXPECT_EQ(status(got), c.expected) << c.name;
+	}
+}
+
 /*
  * A caller of HTTP/1.0 gets no chunks: the end of its connection ends a body of
  * unknown length, unless the connection is reset.
