test: the time until an answer is cut off is that of the proxy

PxTimeout.AnswerWithoutEndIsCutSoonAfterTheTimeoutOfItsRoute failed once in five runs with the address sanitizer: 714 ms, where 700 are allowed.

Cause, from its log: the proxy cut the answer off 450 ms after the request, as it must. The rest was the reader of the test, which kept all of 339 MB in a string and had not caught up.

Change: it keeps what begins and what ends the answer. All checks and bounds are the same.

--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -911,7 +911,7 @@
 				     c.head + "\r\n");
 			std::thread sender(
 				[&] { cut = is_cut_off(server, piece); });
-			std::string got = caller.read_rest();
+			std::string got = caller.read_ends();
 			auto took = std::chrono::steady_clock::now() - start;
 
 			sender.join();
--- a/test/proxy_world.h
+++ b/test/proxy_world.h
@@ -149,6 +149,21 @@
 		return std::exchange(unread, "");
 	}
 
+	/* The same, but of a long rest only what begins and what ends it. */
+	std::string read_ends()
+	{
+		const size_t kept = 65536;
+		std::string begin;
+
+		while (read_more()) {
+			if (begin.empty())
+				begin = unread;
+			if (unread.size() > 2 * kept)
+				unread.erase(0, unread.size() - kept);
+		}
+		return begin + std::exchange(unread, "");
+	}
+
 	void reset()
 	{
 		struct linger l = {1, 0};
