http: an answer without a length ends by an orderly close only

An endpoint answered an upload of 8 MB at once with a 200 without a length, sent a part of its body and reset the connection; the client got that part as a whole answer. The kernel reports a reset once: when a write had met it, the next read met an end of file, which completed the body.

Whether the end of a connection completes an answer is now a function of the framing, the end and the state of the request (ht_end_is_whole), and all readers of answers ask it. A server that closes before its kernel has acknowledged the whole request has not taken it.

A proxy that breaks off before it has the whole request has not passed it on; that was also believed once an answer of a backend server had begun to arrive from it, so that a second answer followed the part of the first.

--- a/fuzz/fz_answer.c
+++ b/fuzz/fz_answer.c
@@ -1,7 +1,7 @@
 /*
  * Answers of backend servers.  They are read at once and in pieces as long as
  * the first byte says, which must make no difference but to the flaw that is
- * met first.
+ * met first.  The same byte says how the connection ends.
  */
 #include <string.h>
 
@@ -23,7 +23,8 @@
 };
 
 static void check_head(const struct ht_head *h);
-static struct reading read_all(const char *data, size_t len, size_t piece);
+static struct reading read_all(const uint8_t *input, size_t input_len,
+			       size_t piece);
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t len)
 {
@@ -32,8 +33,8 @@
 
 	if (len < 2)
 		return 0;
-	whole = read_all((const char *)data + 1, len - 1, len);
-	pieces = read_all((const char *)data + 1, len - 1, 1 + data[0] % 64);
+	whole = read_all(data, len, len);
+	pieces = read_all(data, len, 1 + data[0] % 64);
 	fz_require(whole.last == pieces.last && whole.status == pieces.status &&
 			   whole.n_fields == pieces.n_fields &&
 			   whole.body_bytes == pieces.body_bytes &&
@@ -43,11 +44,19 @@
 	return 0;
 }
 
-static struct reading read_all(const char *data, size_t len, size_t piece)
+/* The upper bits of the first byte say how the connection ends. */
+static struct reading read_all(const uint8_t *input, size_t input_len,
+			       size_t piece)
 {
+	const char *data = (const char *)input + 1;
+	size_t len = input_len - 1;
+	enum ht_end why = input[0] & 0x80 ? HT_END_RESET : HT_END_CLOSED;
+	enum ht_taken request =
+		input[0] & 0x40 ? HT_TAKEN_PART : HT_TAKEN_WHOLE;
 	struct ht_head head = {0};
 	struct ht_answer a = {.head = &head, .head_limit = HEAD_LIMIT};
 	struct reading r = {.last = HT_STEP_MORE};
+	bool was_cut;
 	size_t at = 0;
 
 	ht_answer_begin(&a);
@@ -73,8 +82,12 @@
 		}
 		at -= in.len;
 	}
-	if (r.last == HT_STEP_MORE)
-		r.last = ht_answer_close(&a);
+	was_cut = r.last == HT_STEP_MORE;
+	if (was_cut)
+		r.last = ht_answer_close(&a, why, request);
+	fz_require(r.last != HT_STEP_END || !was_cut ||
+			   (why == HT_END_CLOSED && request == HT_TAKEN_WHOLE),
+		   "only an orderly close completes an answer");
 	if (r.last == HT_STEP_END)
 		r.left = len - at;
 	r.flaw = a.flaw;
--- a/http/ht_answer.c
+++ b/http/ht_answer.c
@@ -51,6 +51,7 @@
 static enum ht_step read_piece(struct ht_answer *a, struct ht_bytes *in,
 			       struct ht_bytes *body);
 static enum ht_step end_head(struct ht_answer *a);
+static enum ht_framing framing(const struct ht_answer *a);
 static enum ht_step fail(struct ht_answer *a, enum ht_flaw flaw);
 static enum ht_flaw parse_status_line(struct ht_head *h, const char *line,
 				      size_t len);
@@ -108,9 +109,10 @@
 	return step;
 }
 
-enum ht_step ht_answer_close(struct ht_answer *a)
+enum ht_step ht_answer_close(struct ht_answer *a, enum ht_end why,
+			     enum ht_taken request)
 {
-	if (a->state != STATE_BODY_TO_CLOSE)
+	if (!ht_end_is_whole(framing(a), why, request))
 		return fail(a, HT_FLAW_CUT_OFF);
 	a->state = STATE_END;
 	return HT_STEP_END;
@@ -327,6 +329,23 @@
 	return HT_STEP_HEAD;
 }
 
+static enum ht_framing framing(const struct ht_answer *a)
+{
+	switch (a->state) {
+	case STATE_BODY:
+		return HT_FRAMING_LENGTH;
+	case STATE_BODY_TO_CLOSE:
+		return HT_FRAMING_CLOSE;
+	case STATE_CHUNK_SIZE:
+	case STATE_CHUNK_DATA:
+	case STATE_CHUNK_END:
+	case STATE_TRAILER:
+		return HT_FRAMING_CHUNKS;
+	default:
+		return HT_FRAMING_HEAD;
+	}
+}
+
 static enum ht_step fail(struct ht_answer *a, enum ht_flaw flaw)
 {
 	a->state = STATE_FLAW;
--- a/http/ht_answer.h
+++ b/http/ht_answer.h
@@ -14,6 +14,7 @@
 #ifndef HT_ANSWER_H
 #define HT_ANSWER_H
 
+#include "http/ht_end.h"
 #include "http/ht_head.h"
 
 #ifdef __cplusplus
@@ -29,7 +30,7 @@
 	HT_FLAW_FRAMING,   /* length and codings do not tell one end */
 	HT_FLAW_CHUNK,	   /* not a chunk, or not of the size it states */
 	HT_FLAW_TOO_LARGE, /* head or trailer is larger than the limit */
-	HT_FLAW_CUT_OFF,   /* the connection was closed before the end */
+	HT_FLAW_CUT_OFF,   /* the connection ended before the answer */
 };
 
 /** enum ht_step - result of ht_answer_read() */
@@ -92,12 +93,15 @@
 			    struct ht_bytes *body);
 
 /**
- * ht_answer_close() - process an orderly close by the server
+ * ht_answer_close() - process the end of the connection
+ * @why: how it ended
+ * @request: state of the request
  *
- * Return: %HT_STEP_END if the close completes a body without a length, else
+ * Return: %HT_STEP_END if the end completes a body without a length, else
  * %HT_STEP_FLAW.
  */
-enum ht_step ht_answer_close(struct ht_answer *a);
+enum ht_step ht_answer_close(struct ht_answer *a, enum ht_end why,
+			     enum ht_taken request);
 
 /** ht_status_is_final() - whether an answer may end with @status */
 bool ht_status_is_final(int64_t status);
--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -82,7 +82,8 @@
 static void on_deadline(struct ba_timer *t, ba_time now);
 static void read_some(struct ht_conn *c);
 static void on_data(struct ht_conn *c, const char *data, size_t len);
-static void on_eof(struct ht_conn *c);
+static void on_lost(struct ht_conn *c, enum ht_end why);
+static enum ht_taken request_taken(const struct ht_conn *c);
 static void read_answer(struct ht_conn *c, const char *data, size_t len);
 static void on_answer_head(struct ht_conn *c);
 static void complete_message(struct ht_conn *c);
@@ -477,9 +478,9 @@
 	if (n > 0)
 		on_data(c, buffer, (size_t)n);
 	else if (!n)
-		on_eof(c);
+		on_lost(c, c->send_failed ? HT_END_RESET : HT_END_CLOSED);
 	else if (errno != EAGAIN && errno != EINTR)
-		end_conn(c, HT_END_RESET);
+		on_lost(c, HT_END_RESET);
 }
 
 static void on_data(struct ht_conn *c, const char *data, size_t len)
@@ -494,12 +495,15 @@
 		parse_request(c, data, len);
 }
 
-/* The end of the connection completes a body without a length. */
-static void on_eof(struct ht_conn *c)
+/*
+ * The end of the connection may complete a body without a length.  The kernel
+ * reports a reset once: if a write has met it, reading meets an end of file.
+ */
+static void on_lost(struct ht_conn *c, enum ht_end why)
 {
 	if (c->client && !c->message_complete &&
 	    ht_answer_has_begun(&c->answer) &&
-	    ht_answer_close(&c->answer) == HT_STEP_END) {
+	    ht_answer_close(&c->answer, why, request_taken(c)) == HT_STEP_END) {
 		c->keep_alive = false;
 		read_answer(c, NULL, 0);
 		if (c->closed)
@@ -509,7 +513,17 @@
 			return;
 		}
 	}
-	end_conn(c, HT_END_CLOSED);
+	end_conn(c, why);
+}
+
+/* A segment that closes the connection acknowledges all that has arrived. */
+static enum ht_taken request_taken(const struct ht_conn *c)
+{
+	if (c->send_failed)
+		return HT_TAKEN_LOST;
+	return c->link_user.to_come || ht_conn_unacknowledged(c)
+		       ? HT_TAKEN_PART
+		       : HT_TAKEN_WHOLE;
 }
 
 static void read_answer(struct ht_conn *c, const char *data, size_t len)
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -5,8 +5,8 @@
  * - The parser alone decides where a message ends.  Bytes after a complete
  *   message are kept for the next message (server) or end the connection
  *   (client); they never become part of the message before.
- * - A body without a length ends only with an orderly close by the other end;
- *   a reset does not end it.
+ * - A body without a length ends only with an orderly close by an other end
+ *   that has taken the whole request; ht_end_is_whole() decides.
  * - A connection is not freed during a callback into its owner.
  * - A connection is used only from the thread of its loop.
  */
@@ -17,6 +17,7 @@
 #include "base/ba_loop.h"
 #include "base/ba_unit.h"
 #include "http/ht_answer.h"
+#include "http/ht_end.h"
 #include "http/ht_head.h"
 #include "http/ht_link.h"
 
@@ -26,16 +27,6 @@
 
 struct ht_conn;
 
-/** enum ht_end - why a connection ended */
-enum ht_end {
-	HT_END_CLOSED,	       /* orderly close by the other end */
-	HT_END_RESET,	       /* by the other end or the network */
-	HT_END_CONNECT_FAILED, /* not opened; nothing was sent */
-	HT_END_MALFORMED,      /* received bytes are not an HTTP message */
-	HT_END_HEAD_TOO_LARGE, /* the head is larger than the limit */
-	HT_END_TIMEOUT, /* deadline of ht_conn_set_deadline() has passed */
-};
-
 /**
  * struct ht_conn_owner - callbacks to the user of a connection; embed it
  * @begun: the first byte of a message has arrived; may be NULL
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -194,8 +194,7 @@
 {
 	struct px_exchange *x = ba_entry(o, struct px_exchange, upstream);
 
-	(void)c;
-	if (body_left(x))
+	if (body_left(x) && ht_conn_has_sent_all(c))
 		write_body(x);
 }
 
@@ -383,12 +382,17 @@
 	px_exchange_on_broken(x, CL_ANSWER_BROKEN);
 }
 
-/* Another proxy passes on whole requests only. */
+/*
+ * Another proxy passes on whole requests only, and has no answer of a backend
+ * server before.  What was passed on of an answer can't be taken back.
+ */
 static bool cannot_have_run(const struct px_exchange *x,
 			    const struct ht_conn *c)
 {
+	if (x->answering)
+		return false;
 	return !ht_conn_has_sent(c) ||
-	       (x->state == PX_ATTEMPT_AT_PEER &&
+	       (x->state == PX_ATTEMPT_AT_PEER && !x->from_backend &&
 		(!ht_conn_has_sent_all(c) || body_left(x)));
 }
 
--- a/test/ht_answer_test.cc
+++ b/test/ht_answer_test.cc
@@ -75,7 +75,8 @@
 
 	void close()
 	{
-		r.complete = ht_answer_close(&answer) == HT_STEP_END;
+		r.complete = ht_answer_close(&answer, HT_END_CLOSED,
+					     HT_TAKEN_WHOLE) == HT_STEP_END;
 		r.flaw = answer.flaw;
 	}
 };
