--- a/base/ba_result.c
+++ b/base/ba_result.c
@@ -121,6 +121,8 @@
 			      "The version is older than one already held.",
 			      "None needed; it is not applied.", 0,
 			      EXIT_CONFLICT},
+	[CF_KEY_SHARED] = {"key-shared", "Two teams have the same key.",
+			   "Give one of them another key.", 0, EXIT_REFUSED},
 	[RP_NOT_LEADER] = {"not-leader", "This replica does not lead.",
 			   "Ask the replica named in the answer.", 0,
 			   EXIT_UNAVAILABLE},
--- a/bench/ds_bench_main.c
+++ b/bench/ds_bench_main.c
@@ -666,8 +666,8 @@
 	struct ba_buf whole = {0};
 	struct ba_buf delta = {0};
 
-	cf_snapshot_encode(next, &whole);
-	cf_delta_encode(s, next, &delta);
+	cf_snapshot_encode(next, CF_FORM_DIGESTS, &whole);
+	cf_delta_encode(s, next, CF_FORM_DIGESTS, &delta);
 	print_result("change_snapshot_bytes", (double)whole.len, "B");
 	print_result("change_delta_bytes", (double)delta.len, "B");
 	print_result("change_snapshot_to_delta_ratio",
--- a/bench/rp_bench_main.c
+++ b/bench/rp_bench_main.c
@@ -131,7 +131,7 @@
 {
 	struct ba_buf whole = {0};
 
-	cf_snapshot_encode(s, &whole);
+	cf_snapshot_encode(s, CF_FORM_DIGESTS, &whole);
 	printf("bench snapshot_bytes_%d %zu B\n", services, whole.len);
 	printf("bench delta_bytes_%d %zu B\n", services, delta);
 	ba_buf_free(&whole);
@@ -233,7 +233,7 @@
 
 	b->delta.len = 0;
 	if (b->last)
-		cf_delta_encode(b->last, s, &b->delta);
+		cf_delta_encode(b->last, s, CF_FORM_DIGESTS, &b->delta);
 	cf_snapshot_unref(b->previous);
 	b->previous = b->last;
 	b->last = cf_snapshot_ref(s);
--- a/config/cf.h
+++ b/config/cf.h
@@ -8,6 +8,8 @@
  * - The digest covers the canonical encoding of everything except the version.
  * - A delta applies to exactly one version, and the result must have the
  *   digest that the delta carries; otherwise nothing is changed.
+ * - No key belongs to two teams.  Only the core holds keys as text; what is
+ *   sent to others, and the digest of a snapshot, has their digests instead.
  */
 #ifndef CF_H
 #define CF_H
@@ -30,6 +32,7 @@
 	CF_NAME_BYTES = 63,
 	CF_SERVICES_LIMIT = 4096,
 	CF_ROUTES_LIMIT = 16384,
+	CF_TEAMS_LIMIT = 16384,
 	CF_NO_SERVICE = -1,
 };
 
@@ -91,6 +94,7 @@
  * @priority: priority of its calls, 0 is the highest
  * @attempts: maximum number of endpoints that are tried for one call, 0 for
  *	the default
+ * @open: whether its calls need no key of a team
  * @parts: targets of a weighted split, or NULL
  * @n_parts: number of targets, 0 when the route is not split
  */
@@ -107,10 +111,35 @@
 	ba_time latency_target;
 	uint32_t priority;
 	uint32_t attempts;
+	bool open;
 	struct cf_part *parts;
 	size_t n_parts;
 };
 
+/**
+ * struct cf_team - a group of callers, known by its keys
+ * @has_priority: whether @priority was given; it precedes that of the route
+ * @priority: priority of its calls, 0 is the highest
+ * @has_calls_per_second: whether @calls_per_second was given
+ * @calls_per_second: limit in the whole mesh, 0 for no limit
+ * @has_burst: whether @burst was given
+ * @burst: calls beyond @calls_per_second that may come at once
+ * @keys: digests of its keys, in the order of the operator
+ * @key_texts: the keys themselves; NULL outside the core
+ */
+struct cf_team {
+	const char *name;
+	bool has_priority;
+	uint32_t priority;
+	bool has_calls_per_second;
+	uint32_t calls_per_second;
+	bool has_burst;
+	uint32_t burst;
+	const struct ba_digest *keys;
+	const char *const *key_texts;
+	size_t n_keys;
+};
+
 /**
  * struct cf_policy_row - policy row: the policy for one service
  * @service: index into the services of the same snapshot
@@ -163,6 +192,8 @@
 	struct cf_policy policy;
 	uint64_t revision;
 	struct cf_limits limits;
+	struct cf_team *teams;
+	size_t n_teams;
 };
 
 /** cf_snapshot_empty() - create the snapshot of version 0, without services */
@@ -194,8 +225,17 @@
 		    const struct cf_snapshot *base, uint64_t version,
 		    struct cf_snapshot **out, struct ba_problems *problems);
 
+/**
+ * enum cf_form - what an encoding holds of the keys of teams
+ */
+enum cf_form {
+	CF_FORM_DIGESTS, /* their digests; for everybody */
+	CF_FORM_KEYS,	 /* the keys; for the log of the core only */
+};
+
 /** cf_snapshot_encode() - append the CfSnapshot message to @out */
-void cf_snapshot_encode(const struct cf_snapshot *s, struct ba_buf *out);
+void cf_snapshot_encode(const struct cf_snapshot *s, enum cf_form form,
+			struct ba_buf *out);
 
 /**
  * cf_snapshot_decode() - decode a CfSnapshot message and check every rule
@@ -220,7 +260,8 @@
 
 /** cf_delta_encode() - append to @out the CfDelta that turns @from into @to */
 void cf_delta_encode(const struct cf_snapshot *from,
-		     const struct cf_snapshot *to, struct ba_buf *out);
+		     const struct cf_snapshot *to, enum cf_form form,
+		     struct ba_buf *out);
 
 /**
  * cf_delta_apply() - apply a CfDelta message to @from
@@ -235,6 +276,14 @@
 /** cf_service_find() - find a service by name; index or %CF_NO_SERVICE */
 int cf_service_find(const struct cf_snapshot *s, const char *name);
 
+/** cf_team_find() - find a team by name, or NULL */
+const struct cf_team *cf_team_find(const struct cf_snapshot *s,
+				   const char *name);
+
+/** cf_team_find_key() - find the team that has a key, or NULL */
+const struct cf_team *cf_team_find_key(const struct cf_snapshot *s,
+				       const struct ba_digest *key);
+
 /**
  * cf_route_match() - find the route for a request
  * @host: host of the request in lower case, without a port, or ""
--- a/config/cf_check.c
+++ b/config/cf_check.c
@@ -20,12 +20,8 @@
 			       const char *name);
 static void check_row(const struct cf_draft_row *r, struct ba_problems *p);
 static int reported_line(int line);
-static void check_name(const char *name, int line, const char *key,
-		       struct ba_problems *p);
 static void check_time(ba_time t, int line, const char *key,
 		       struct ba_problems *p);
-static void check_number(uint32_t n, uint32_t least, uint32_t most, int line,
-			 const char *key, struct ba_problems *p);
 static bool is_path(const char *path);
 static bool has_trailing_slash(const char *path);
 static bool is_host(const char *host);
@@ -38,6 +34,7 @@
 	check_services(d, problems);
 	check_routes(d, problems);
 	check_unique_paths(d, problems);
+	cf_draft_check_teams(d, problems);
 	check_policy(d, problems);
 	check_rows(d, problems);
 }
@@ -73,9 +70,9 @@
 static void check_service(const struct cf_draft_service *s,
 			  struct ba_problems *p)
 {
-	check_name(s->value.name, s->line, "services.name", p);
-	check_number(s->value.max_in_flight, 0, CF_IN_FLIGHT_LIMIT, s->line,
-		     "services.max_in_flight", p);
+	cf_check_name(s->value.name, s->line, "services.name", p);
+	cf_check_number(s->value.max_in_flight, 0, CF_IN_FLIGHT_LIMIT, s->line,
+			"services.max_in_flight", p);
 	check_time(s->value.timeout, s->line, "services.timeout", p);
 }
 
@@ -107,7 +104,7 @@
 
 static void check_route(const struct cf_draft_route *r, struct ba_problems *p)
 {
-	check_name(r->value.name, r->line, "routes.name", p);
+	cf_check_name(r->value.name, r->line, "routes.name", p);
 	if (!is_path(r->value.path) ||
 	    (!*r->value.host && has_trailing_slash(r->value.path)))
 		ba_problem_add(p, BA_RANGE_WRONG, r->line, "routes.path",
@@ -138,10 +135,10 @@
 		ba_problem_add(p, BA_RANGE_WRONG, r->line,
 			       "routes.latency_target",
 			       "less than a minute above the timeout");
-	check_number(v->priority, 0, CF_PRIORITY_LIMIT, r->line,
-		     "routes.priority", p);
-	check_number(v->attempts, 0, CF_ATTEMPTS_LIMIT, r->line,
-		     "routes.attempts", p);
+	cf_check_number(v->priority, 0, CF_PRIORITY_LIMIT, r->line,
+			"routes.priority", p);
+	cf_check_number(v->attempts, 0, CF_ATTEMPTS_LIMIT, r->line,
+			"routes.attempts", p);
 }
 
 static void check_parts(const struct cf_draft *d,
@@ -200,10 +197,10 @@
 	if (!is_time_zone(policy->time_zone))
 		ba_problem_add(p, BA_RANGE_WRONG, 0, "mesh.time_zone",
 			       "a name such as \"America/Bogota\"");
-	check_number(policy->convergence_weight, 0, CF_WEIGHT_LIMIT, 0,
-		     "mesh.convergence_weight", p);
-	check_number(policy->bytes_weight, 0, CF_WEIGHT_LIMIT, 0,
-		     "mesh.bytes_weight", p);
+	cf_check_number(policy->convergence_weight, 0, CF_WEIGHT_LIMIT, 0,
+			"mesh.convergence_weight", p);
+	cf_check_number(policy->bytes_weight, 0, CF_WEIGHT_LIMIT, 0,
+			"mesh.bytes_weight", p);
 	if (!policy->convergence_weight && !policy->bytes_weight)
 		ba_problem_add(p, BA_RANGE_WRONG, 0, "mesh.convergence_weight",
 			       "one of the two weights above 0");
@@ -255,8 +252,8 @@
 
 static void check_row(const struct cf_draft_row *r, struct ba_problems *p)
 {
-	check_number(r->value.weight, 1, CF_WEIGHT_LIMIT, r->line,
-		     "rows.weight", p);
+	cf_check_number(r->value.weight, 1, CF_WEIGHT_LIMIT, r->line,
+			"rows.weight", p);
 	check_time(r->value.convergence_limit, r->line,
 		   "rows.convergence_limit", p);
 	check_time(r->value.deadline, r->line, "rows.deadline", p);
@@ -267,8 +264,8 @@
 	return line == CF_LINE_FROM_SNAPSHOT ? 0 : line;
 }
 
-static void check_name(const char *name, int line, const char *key,
-		       struct ba_problems *p)
+void cf_check_name(const char *name, int line, const char *key,
+		   struct ba_problems *p)
 {
 	size_t len = strlen(name);
 
@@ -288,8 +285,8 @@
 			       "\"1ms\" to \"24h\" in whole milliseconds");
 }
 
-static void check_number(uint32_t n, uint32_t least, uint32_t most, int line,
-			 const char *key, struct ba_problems *p)
+void cf_check_number(uint32_t n, uint32_t least, uint32_t most, int line,
+		     const char *key, struct ba_problems *p)
 {
 	if (n < least || n > most)
 		ba_problem_add(p, BA_RANGE_WRONG, line, key, "%u to %u", least,
--- a/config/cf_delta.c
+++ b/config/cf_delta.c
@@ -11,12 +11,15 @@
 	CfService *services;
 	CfRoute *routes;
 	CfPolicyRow *rows;
+	CfTeam *teams;
 };
 
 static void diff_services(struct delta *d, const struct cf_snapshot *from,
 			  const struct cf_snapshot *to);
 static void diff_routes(struct delta *d, const struct cf_snapshot *from,
 			const struct cf_snapshot *to);
+static void diff_teams(struct delta *d, const struct cf_snapshot *from,
+		       const struct cf_snapshot *to, enum cf_form form);
 static void diff_policy(struct delta *d, const struct cf_snapshot *from,
 			const struct cf_snapshot *to);
 static void diff_rows(struct delta *d, const struct cf_snapshot *from,
@@ -43,11 +46,14 @@
 			   const CfDelta *m);
 static void apply_routes(struct cf_draft *d, const struct cf_snapshot *from,
 			 const CfDelta *m);
+static void apply_teams(struct cf_draft *d, const struct cf_snapshot *from,
+			const CfDelta *m);
 static void apply_rows(struct cf_draft *d, const struct cf_snapshot *from,
 		       const CfDelta *m);
 
 void cf_delta_encode(const struct cf_snapshot *from,
-		     const struct cf_snapshot *to, struct ba_buf *out)
+		     const struct cf_snapshot *to, enum cf_form form,
+		     struct ba_buf *out)
 {
 	struct delta d;
 	size_t len;
@@ -55,6 +61,7 @@
 	delta_init(&d, from, to);
 	diff_services(&d, from, to);
 	diff_routes(&d, from, to);
+	diff_teams(&d, from, to, form);
 	diff_policy(&d, from, to);
 	diff_rows(&d, from, to);
 	len = cf_delta__get_packed_size(&d.m);
@@ -136,6 +143,35 @@
 	}
 }
 
+static void diff_teams(struct delta *d, const struct cf_snapshot *from,
+		       const struct cf_snapshot *to, enum cf_form form)
+{
+	size_t i = 0;
+	size_t j = 0;
+
+	while (i < from->n_teams || j < to->n_teams) {
+		const struct cf_team *a = &from->teams[i];
+		const struct cf_team *b = &to->teams[j];
+		int order = i == from->n_teams ? 1
+			    : j == to->n_teams ? -1
+					       : strcmp(a->name, b->name);
+
+		if (order < 0) {
+			d->m.drop_teams[d->m.n_drop_teams++] = (char *)a->name;
+			i++;
+			continue;
+		}
+		if (order || !cf_team_same(a, b)) {
+			CfTeam *put = &d->teams[d->m.n_put_teams];
+
+			cf_team_to_proto(put, b, form);
+			d->m.put_teams[d->m.n_put_teams++] = put;
+		}
+		i += !order;
+		j++;
+	}
+}
+
 static void diff_policy(struct delta *d, const struct cf_snapshot *from,
 			const struct cf_snapshot *to)
 {
@@ -201,8 +237,8 @@
 	       a->upload == b->upload && a->timeout == b->timeout &&
 	       a->latency_target == b->latency_target &&
 	       a->priority == b->priority && a->attempts == b->attempts &&
-	       !strcmp(a->host, b->host) && !strcmp(a->path, b->path) &&
-	       !strcmp(a->method, b->method) &&
+	       a->open == b->open && !strcmp(a->host, b->host) &&
+	       !strcmp(a->path, b->path) && !strcmp(a->method, b->method) &&
 	       !strcmp(from->services[a->service].name,
 		       to->services[b->service].name) &&
 	       same_parts(from, a, to, b);
@@ -256,6 +292,9 @@
 	d->m.put_services = g_new(CfService *, to->n_services + 1);
 	d->m.put_routes = g_new(CfRoute *, to->n_routes + 1);
 	d->m.put_rows = g_new(CfPolicyRow *, to->n_services + 1);
+	d->teams = g_new(CfTeam, to->n_teams + 1);
+	d->m.put_teams = g_new(CfTeam *, to->n_teams + 1);
+	d->m.drop_teams = g_new(char *, from->n_teams + 1);
 	d->m.drop_services = g_new(char *, from->n_services + 1);
 	d->m.drop_routes = g_new(char *, from->n_routes + 1);
 }
@@ -264,6 +303,8 @@
 {
 	for (size_t i = 0; i < d->m.n_put_routes; i++)
 		cf_route_proto_clear(d->m.put_routes[i]);
+	for (size_t i = 0; i < d->m.n_put_teams; i++)
+		cf_team_proto_clear(d->m.put_teams[i]);
 	g_free(d->services);
 	g_free(d->routes);
 	g_free(d->rows);
@@ -272,6 +313,9 @@
 	g_free(d->m.put_rows);
 	g_free(d->m.drop_services);
 	g_free(d->m.drop_routes);
+	g_free(d->teams);
+	g_free(d->m.put_teams);
+	g_free(d->m.drop_teams);
 }
 
 static int apply(const struct cf_snapshot *from, const CfDelta *m,
@@ -287,6 +331,7 @@
 	d.limits = cf_limits_from_proto(m->limits);
 	apply_services(&d, from, m);
 	apply_routes(&d, from, m);
+	apply_teams(&d, from, m);
 	if (m->policy)
 		cf_draft_set_policy_proto(&d, m->policy);
 	else
@@ -354,6 +399,21 @@
 	g_hash_table_destroy(names);
 }
 
+static void apply_teams(struct cf_draft *d, const struct cf_snapshot *from,
+			const CfDelta *m)
+{
+	GHashTable *names = name_set(m->drop_teams, m->n_drop_teams);
+
+	for (size_t i = 0; i < m->n_put_teams; i++) {
+		g_hash_table_add(names, m->put_teams[i]->name);
+		cf_draft_add_team_proto(d, m->put_teams[i]);
+	}
+	for (size_t i = 0; i < from->n_teams; i++)
+		if (!g_hash_table_contains(names, from->teams[i].name))
+			cf_draft_copy_team(d, &from->teams[i]);
+	g_hash_table_destroy(names);
+}
+
 /* A row exists only together with its service; a dropped service drops it. */
 static void apply_rows(struct cf_draft *d, const struct cf_snapshot *from,
 		       const CfDelta *m)
--- a/config/cf_draft.c
+++ b/config/cf_draft.c
@@ -4,7 +4,6 @@
 
 static const char *copy_or_empty(struct cf_draft *d, const char *text);
 static void sort_entries(struct cf_draft *d);
-static void sort_array(GArray *a, GCompareFunc compare);
 static void resolve_services(struct cf_draft *d);
 static void sort_routes_by_path(struct cf_draft *d);
 static gint by_service_name(gconstpointer a, gconstpointer b);
@@ -35,6 +34,9 @@
 	d->revision = 0;
 	memset(&d->limits, 0, sizeof(d->limits));
 	d->rows = g_array_new(FALSE, TRUE, sizeof(struct cf_draft_row));
+	d->teams = g_array_new(FALSE, TRUE, sizeof(struct cf_draft_team));
+	d->keys = g_array_new(FALSE, TRUE, sizeof(struct cf_draft_key));
+	d->by_key = g_array_new(FALSE, TRUE, sizeof(struct cf_key_owner));
 	d->by_path = g_ptr_array_new();
 	cf_draft_set_policy(d, &policy);
 }
@@ -46,6 +48,9 @@
 	g_array_free(d->routes, TRUE);
 	g_array_free(d->parts, TRUE);
 	g_array_free(d->rows, TRUE);
+	g_array_free(d->teams, TRUE);
+	g_array_free(d->keys, TRUE);
+	g_array_free(d->by_key, TRUE);
 	g_ptr_array_free(d->by_path, TRUE);
 }
 
@@ -176,13 +181,14 @@
 
 static void sort_entries(struct cf_draft *d)
 {
-	sort_array(d->services, by_service_name);
-	sort_array(d->routes, by_route_name);
-	sort_array(d->rows, by_row_service);
+	cf_sort_array(d->services, by_service_name);
+	cf_sort_array(d->routes, by_route_name);
+	cf_sort_array(d->rows, by_row_service);
+	cf_draft_sort_teams(d);
 }
 
 /* Encoded entries are sorted already; checking is cheaper than sorting. */
-static void sort_array(GArray *a, GCompareFunc compare)
+void cf_sort_array(GArray *a, GCompareFunc compare)
 {
 	guint size = g_array_get_element_size(a);
 
@@ -274,7 +280,7 @@
 		else
 			cf_draft_add_row(d, &default_row, s->name, 0);
 	}
-	sort_array(d->rows, by_row_service);
+	cf_sort_array(d->rows, by_row_service);
 }
 
 static struct cf_snapshot *build_snapshot(struct cf_draft *d)
@@ -307,6 +313,7 @@
 				.value;
 	resolve_parts(d, impl);
 	build_path_index(d, impl);
+	cf_draft_build_teams(d, impl);
 	s->digest = cf_snapshot_digest(s);
 	return s;
 }
--- a/config/cf_encode.c
+++ b/config/cf_encode.c
@@ -11,20 +11,23 @@
 	CfService *services;
 	CfRoute *routes;
 	CfPolicyRow *rows;
+	CfTeam *teams;
 };
 
-static void encoder_init(struct encoder *e, const struct cf_snapshot *s);
+static void encoder_init(struct encoder *e, const struct cf_snapshot *s,
+			 enum cf_form form);
 static void encoder_free(struct encoder *e);
 static void add_entries(struct cf_draft *d, const CfSnapshot *m);
 static void pack(const ProtobufCMessage *m, struct ba_buf *out);
 static uint32_t to_ms(ba_time t);
 static ba_time from_ms(uint32_t ms);
 
-void cf_snapshot_encode(const struct cf_snapshot *s, struct ba_buf *out)
+void cf_snapshot_encode(const struct cf_snapshot *s, enum cf_form form,
+			struct ba_buf *out)
 {
 	struct encoder e;
 
-	encoder_init(&e, s);
+	encoder_init(&e, s, form);
 	pack(&e.m.base, out);
 	encoder_free(&e);
 }
@@ -35,7 +38,7 @@
 	struct ba_digest digest;
 	struct encoder e;
 
-	encoder_init(&e, s);
+	encoder_init(&e, s, CF_FORM_DIGESTS);
 	e.m.version = 0;
 	pack(&e.m.base, &encoded);
 	encoder_free(&e);
@@ -93,6 +96,8 @@
 		cf_draft_add_service_proto(d, m->services[i]);
 	for (size_t i = 0; i < m->n_routes; i++)
 		cf_draft_add_route_proto(d, m->routes[i]);
+	for (size_t i = 0; i < m->n_teams; i++)
+		cf_draft_add_team_proto(d, m->teams[i]);
 	d->revision = m->revision;
 	d->limits = cf_limits_from_proto(m->limits);
 }
@@ -125,6 +130,7 @@
 	m->attempts = r->attempts;
 	m->download = r->download;
 	m->upload = r->upload;
+	m->open = r->open;
 	if (!r->n_parts)
 		return;
 	m->parts = g_new(CfPart *, r->n_parts);
@@ -213,6 +219,7 @@
 		.host = m->host,
 		.download = m->download,
 		.upload = m->upload,
+		.open = m->open,
 		.timeout = from_ms(m->timeout_ms),
 		.latency_target = from_ms(m->latency_target_ms),
 		.priority = m->priority,
@@ -249,12 +256,14 @@
 	cf_draft_set_policy(d, &p);
 }
 
-static void encoder_init(struct encoder *e, const struct cf_snapshot *s)
+static void encoder_init(struct encoder *e, const struct cf_snapshot *s,
+			 enum cf_form form)
 {
 	cf_snapshot__init(&e->m);
 	e->services = g_new(CfService, s->n_services + 1);
 	e->routes = g_new(CfRoute, s->n_routes + 1);
 	e->rows = g_new(CfPolicyRow, s->n_services + 1);
+	e->teams = g_new(CfTeam, s->n_teams + 1);
 	e->m.version = s->version;
 	e->m.revision = s->revision;
 	cf_limits_to_proto(&e->limits, &s->limits);
@@ -278,18 +287,28 @@
 		cf_route_to_proto(&e->routes[i], s, &s->routes[i]);
 		e->m.routes[i] = &e->routes[i];
 	}
+	e->m.n_teams = s->n_teams;
+	e->m.teams = g_new(CfTeam *, s->n_teams + 1);
+	for (size_t i = 0; i < s->n_teams; i++) {
+		cf_team_to_proto(&e->teams[i], &s->teams[i], form);
+		e->m.teams[i] = &e->teams[i];
+	}
 }
 
 static void encoder_free(struct encoder *e)
 {
 	for (size_t i = 0; i < e->m.n_routes; i++)
 		cf_route_proto_clear(&e->routes[i]);
+	for (size_t i = 0; i < e->m.n_teams; i++)
+		cf_team_proto_clear(&e->teams[i]);
 	g_free(e->m.services);
 	g_free(e->m.routes);
+	g_free(e->m.teams);
 	g_free(e->policy.rows);
 	g_free(e->services);
 	g_free(e->routes);
 	g_free(e->rows);
+	g_free(e->teams);
 }
 
 static void pack(const ProtobufCMessage *m, struct ba_buf *out)
--- a/config/cf_internal.h
+++ b/config/cf_internal.h
@@ -23,6 +23,8 @@
 	CF_WEIGHT_LIMIT = 1000,
 	CF_DEFAULT_ROW_WEIGHT = 100,
 	CF_DEFAULT_POLICY_WEIGHT = 50,
+	CF_KEY_BYTES = 255,
+	CF_KEYS_LIMIT = 1000, /* of one team */
 };
 
 /*
@@ -45,6 +47,10 @@
  * @strings: storage of all strings of the snapshot
  * @parts: storage of the parts of all split routes
  * @by_path: the routes sorted by host, path and method, for binary search
+ * @keys: storage of the digests of all keys
+ * @key_texts: storage of the keys
+ * @by_key: the digests of all keys, sorted, for binary search
+ * @n_keys: their number
  */
 struct cf_snapshot_impl {
 	struct cf_snapshot s;
@@ -52,6 +58,16 @@
 	GStringChunk *strings;
 	struct cf_part *parts;
 	const struct cf_route **by_path;
+	struct ba_digest *keys;
+	const char **key_texts;
+	struct cf_key_owner *by_key;
+	size_t n_keys;
+};
+
+/** struct cf_key_owner - a key and the index of its team */
+struct cf_key_owner {
+	struct ba_digest key;
+	uint32_t team;
 };
 
 struct cf_draft_service {
@@ -87,10 +103,30 @@
 	int line;
 };
 
+/** struct cf_draft_key - a key; @text is NULL where only the digest is known */
+struct cf_draft_key {
+	struct ba_digest digest;
+	const char *text;
+};
+
+/**
+ * struct cf_draft_team - a team whose keys are in the keys of the draft
+ * @line: as for a route
+ * @wrong_key: whether one of its keys is no key or digest
+ */
+struct cf_draft_team {
+	struct cf_team value;
+	int line;
+	guint first_key;
+	guint n_keys;
+	bool wrong_key;
+};
+
 /**
  * struct cf_draft - a snapshot under construction
  * @by_path: pointers to the routes, sorted by host, path and method; filled by
  *	cf_draft_finish()
+ * @by_key: the digests of all keys, sorted; filled by cf_draft_finish()
  *
  * Entries are added in any order.  Routes, parts and rows refer to services by
  * name; these names are borrowed, and must stay valid until the draft is
@@ -103,6 +139,9 @@
 	GArray *routes;
 	GArray *parts;
 	GArray *rows;
+	GArray *teams;
+	GArray *keys;
+	GArray *by_key;
 	GPtrArray *by_path;
 	struct cf_policy policy;
 	uint64_t revision;
@@ -131,6 +170,26 @@
 void cf_draft_add_row(struct cf_draft *d, const struct cf_policy_row *r,
 		      const char *service, int line);
 
+/** cf_draft_add_team() - add a team, without its keys */
+void cf_draft_add_team(struct cf_draft *d, const struct cf_team *t, int line);
+
+/** cf_draft_add_key() - add a key to the team added last */
+void cf_draft_add_key(struct cf_draft *d, const char *text);
+
+/** cf_draft_copy_team() - add team @t of a snapshot, with its keys */
+void cf_draft_copy_team(struct cf_draft *d, const struct cf_team *t);
+
+/** cf_draft_sort_teams() - sort the teams by name and index their keys */
+void cf_draft_sort_teams(struct cf_draft *d);
+
+/** cf_draft_check_teams() - check every rule of sorted teams */
+void cf_draft_check_teams(const struct cf_draft *d,
+			  struct ba_problems *problems);
+
+/** cf_draft_build_teams() - move the sorted teams into the snapshot */
+void cf_draft_build_teams(const struct cf_draft *d,
+			  struct cf_snapshot_impl *impl);
+
 /** cf_draft_copy_route() - add route @r of the snapshot @from */
 void cf_draft_copy_route(struct cf_draft *d, const struct cf_snapshot *from,
 			 const struct cf_route *r);
@@ -158,6 +217,21 @@
 struct cf_snapshot *cf_draft_finish(struct cf_draft *d,
 				    struct ba_problems *problems);
 
+/**
+ * cf_check_name() - check the name of an entry
+ * @line: line that a problem is reported with
+ * @key: key that a problem is reported with
+ */
+void cf_check_name(const char *name, int line, const char *key,
+		   struct ba_problems *p);
+
+/** cf_check_number() - check that a number is in a range */
+void cf_check_number(uint32_t n, uint32_t least, uint32_t most, int line,
+		     const char *key, struct ba_problems *p);
+
+/** cf_sort_array() - sort @a unless it is sorted already */
+void cf_sort_array(GArray *a, GCompareFunc compare);
+
 /** cf_draft_check() - check every rule of a sorted, resolved draft */
 void cf_draft_check(const struct cf_draft *d, struct ba_problems *problems);
 
@@ -183,6 +257,18 @@
 /** cf_route_proto_clear() - free what cf_route_to_proto() allocated */
 void cf_route_proto_clear(CfRoute *m);
 
+/**
+ * cf_team_to_proto() - fill in a message; borrows the strings of @t; release
+ * it with cf_team_proto_clear()
+ */
+void cf_team_to_proto(CfTeam *m, const struct cf_team *t, enum cf_form form);
+
+/** cf_team_proto_clear() - free what cf_team_to_proto() allocated */
+void cf_team_proto_clear(CfTeam *m);
+
+/** cf_team_same() - whether two teams of one name are equal */
+bool cf_team_same(const struct cf_team *a, const struct cf_team *b);
+
 /** cf_limits_to_proto() - fill in a message */
 void cf_limits_to_proto(CfLimits *m, const struct cf_limits *l);
 
@@ -202,6 +288,9 @@
 /** cf_draft_add_route_proto() - add the route of a message to a draft */
 void cf_draft_add_route_proto(struct cf_draft *d, const CfRoute *m);
 
+/** cf_draft_add_team_proto() - add the team of a message to a draft */
+void cf_draft_add_team_proto(struct cf_draft *d, const CfTeam *m);
+
 /** cf_draft_add_row_proto() - add the policy row of a message to a draft */
 void cf_draft_add_row_proto(struct cf_draft *d, const CfPolicyRow *m);
 
--- a/config/cf_parse.c
+++ b/config/cf_parse.c
@@ -23,6 +23,15 @@
 	bool idempotent;
 	bool download;
 	bool upload;
+	bool open;
+};
+
+struct parsed_team {
+	char *name;
+	struct ba_strings keys;
+	int64_t priority; /* -1 for none */
+	int64_t calls_per_second;
+	int64_t burst;
 };
 
 struct parsed_mesh {
@@ -67,6 +76,20 @@
 	    0, 0),
 	KEY("routes", parsed_route, upload, BA_KIND_BOOLEAN, false, "false", 0,
 	    0),
+	KEY("routes", parsed_route, open, BA_KIND_BOOLEAN, false, "false", 0,
+	    0),
+	{NULL, NULL, BA_KIND_STRING, false, 0, NULL, 0, 0},
+};
+
+static const struct ba_settings_key team_keys[] = {
+	KEY("teams", parsed_team, name, BA_KIND_STRING, true, NULL, 0, 0),
+	KEY("teams", parsed_team, keys, BA_KIND_STRINGS, true, NULL, 0, 0),
+	KEY("teams", parsed_team, priority, BA_KIND_INTEGER, false, "-1", -1,
+	    CF_PRIORITY_LIMIT),
+	KEY("teams", parsed_team, calls_per_second, BA_KIND_INTEGER, false, "0",
+	    0, UINT32_MAX),
+	KEY("teams", parsed_team, burst, BA_KIND_INTEGER, false, "0", 0,
+	    UINT32_MAX),
 	{NULL, NULL, BA_KIND_STRING, false, 0, NULL, 0, 0},
 };
 
@@ -103,7 +126,7 @@
 static int parse(const char *text, size_t len, struct ba_problems *problems,
 		 struct ba_toml **out);
 static void check_root_keys(const struct ba_toml *root,
-			    const char *const names[2],
+			    const char *const *names, size_t n_names,
 			    struct ba_problems *problems);
 static void read_array(const struct ba_toml *root, const char *name,
 		       table_reader read, const struct cf_snapshot *base,
@@ -114,6 +137,9 @@
 static void read_route(const struct ba_toml *table,
 		       const struct cf_snapshot *base, struct cf_draft *d,
 		       struct ba_problems *problems);
+static void read_team(const struct ba_toml *table,
+		      const struct cf_snapshot *base, struct cf_draft *d,
+		      struct ba_problems *problems);
 static void read_mesh(const struct ba_toml *root, struct cf_draft *d,
 		      struct ba_problems *problems);
 static void check_time_zone(const char *zone, int line,
@@ -121,8 +147,8 @@
 static void read_row(const struct ba_toml *table,
 		     const struct cf_snapshot *base, struct cf_draft *d,
 		     struct ba_problems *problems);
-static void copy_services_and_routes(const struct cf_snapshot *base,
-				     struct cf_draft *d);
+static void copy_configuration(const struct cf_snapshot *base,
+			       struct cf_draft *d);
 static int finish_draft(struct cf_draft *d, struct ba_toml *root, size_t before,
 			struct cf_snapshot **out, struct ba_problems *problems);
 
@@ -131,7 +157,7 @@
 			   struct cf_snapshot **out,
 			   struct ba_problems *problems)
 {
-	static const char *const names[2] = {"services", "routes"};
+	static const char *const names[] = {"services", "routes", "teams"};
 	size_t before = problems->n;
 	struct ba_toml *root;
 	struct cf_draft d;
@@ -140,9 +166,10 @@
 	if (ret)
 		return ret;
 	cf_draft_init(&d, version);
-	check_root_keys(root, names, problems);
+	check_root_keys(root, names, G_N_ELEMENTS(names), problems);
 	read_array(root, "services", read_service, base, &d, problems);
 	read_array(root, "routes", read_route, base, &d, problems);
+	read_array(root, "teams", read_team, base, &d, problems);
 	cf_draft_copy_policy(&d, base);
 	return finish_draft(&d, root, before, out, problems);
 }
@@ -151,7 +178,7 @@
 		    const struct cf_snapshot *base, uint64_t version,
 		    struct cf_snapshot **out, struct ba_problems *problems)
 {
-	static const char *const names[2] = {"mesh", "rows"};
+	static const char *const names[] = {"mesh", "rows"};
 	size_t before = problems->n;
 	struct ba_toml *root;
 	struct cf_draft d;
@@ -160,8 +187,8 @@
 	if (ret)
 		return ret;
 	cf_draft_init(&d, version);
-	check_root_keys(root, names, problems);
-	copy_services_and_routes(base, &d);
+	check_root_keys(root, names, G_N_ELEMENTS(names), problems);
+	copy_configuration(base, &d);
 	read_mesh(root, &d, problems);
 	read_array(root, "rows", read_row, base, &d, problems);
 	return finish_draft(&d, root, before, out, problems);
@@ -181,16 +208,20 @@
 }
 
 static void check_root_keys(const struct ba_toml *root,
-			    const char *const names[2],
+			    const char *const *names, size_t n_names,
 			    struct ba_problems *problems)
 {
 	for (size_t i = 0; i < root->n_children; i++) {
 		const struct ba_toml *c = &root->children[i];
+		size_t at = 0;
 
-		if (strcmp(c->key, names[0]) && strcmp(c->key, names[1]))
+		while (at < n_names && strcmp(c->key, names[at]) != 0)
+			at++;
+		if (at == n_names)
 			ba_problem_add(problems, BA_KEY_UNKNOWN, c->line,
-				       c->key, "\"%s\" or \"%s\"", names[0],
-				       names[1]);
+				       c->key,
+				       "one of the %zu tables from \"%s\"",
+				       n_names, names[0]);
 	}
 }
 
@@ -254,6 +285,7 @@
 			.idempotent = v.idempotent,
 			.download = v.download,
 			.upload = v.upload,
+			.open = v.open,
 		};
 
 		cf_draft_add_route(d, &r, cf_draft_strdup(d, v.service),
@@ -262,6 +294,31 @@
 	ba_settings_free(route_keys, &v);
 }
 
+static void read_team(const struct ba_toml *table,
+		      const struct cf_snapshot *base, struct cf_draft *d,
+		      struct ba_problems *problems)
+{
+	struct parsed_team v = {0};
+
+	(void)base;
+	if (!ba_settings_read_table(table, "teams", team_keys, &v, problems)) {
+		struct cf_team t = {
+			.name = v.name,
+			.has_priority = v.priority >= 0,
+			.priority = (uint32_t)MAX(v.priority, 0),
+			.has_calls_per_second = v.calls_per_second > 0,
+			.calls_per_second = (uint32_t)v.calls_per_second,
+			.has_burst = v.burst > 0,
+			.burst = (uint32_t)v.burst,
+		};
+
+		cf_draft_add_team(d, &t, table->line);
+		for (size_t i = 0; i < v.keys.n; i++)
+			cf_draft_add_key(d, v.keys.list[i]);
+	}
+	ba_settings_free(team_keys, &v);
+}
+
 static void read_mesh(const struct ba_toml *root, struct cf_draft *d,
 		      struct ba_problems *problems)
 {
@@ -326,17 +383,19 @@
 }
 
 /*
- * A policy file changes no service or route, so they are copied from @base.
+ * A policy file changes no service, route or team; they are copied from @base.
  * Policy rows are removed only together with their service.
  */
-static void copy_services_and_routes(const struct cf_snapshot *base,
-				     struct cf_draft *d)
+static void copy_configuration(const struct cf_snapshot *base,
+			       struct cf_draft *d)
 {
 	for (size_t i = 0; i < base->n_services; i++)
 		cf_draft_add_service(d, &base->services[i],
 				     CF_LINE_FROM_SNAPSHOT);
 	for (size_t i = 0; i < base->n_routes; i++)
 		cf_draft_copy_route(d, base, &base->routes[i]);
+	for (size_t i = 0; i < base->n_teams; i++)
+		cf_draft_copy_team(d, &base->teams[i]);
 	d->revision = base->revision;
 	d->limits = base->limits;
 }
--- a/config/cf_snapshot.c
+++ b/config/cf_snapshot.c
@@ -45,6 +45,10 @@
 	g_free(s->policy.rows);
 	g_free((void *)impl->by_path);
 	g_free(impl->parts);
+	g_free(s->teams);
+	g_free(impl->keys);
+	g_free((void *)impl->key_texts);
+	g_free(impl->by_key);
 	g_string_chunk_free(impl->strings);
 	g_free(impl);
 }
--- a/distrib/ds_feed.c
+++ b/distrib/ds_feed.c
@@ -361,7 +361,7 @@
 	b = g_new0(struct ba_buf, 1);
 	key = g_new(uint64_t, 1);
 	*key = from;
-	cf_delta_encode(base, f->current, b);
+	cf_delta_encode(base, f->current, CF_FORM_DIGESTS, b);
 	g_hash_table_insert(f->deltas, key, b);
 	return b;
 }
@@ -369,7 +369,7 @@
 static const struct ba_buf *encoded_snapshot(struct ds_feed *f)
 {
 	if (!f->snapshot.len)
-		cf_snapshot_encode(f->current, &f->snapshot);
+		cf_snapshot_encode(f->current, CF_FORM_DIGESTS, &f->snapshot);
 	return &f->snapshot;
 }
 
--- a/distrib/ds_store.c
+++ b/distrib/ds_store.c
@@ -27,7 +27,7 @@
 	struct ba_digest digest;
 	int ret;
 
-	cf_snapshot_encode(s, &body);
+	cf_snapshot_encode(s, CF_FORM_DIGESTS, &body);
 	digest = ba_digest(body.data, body.len);
 	ba_buf_add(&file, digest.bytes, sizeof(digest.bytes));
 	ba_buf_add(&file, body.data, body.len);
--- a/fuzz/fz_config.c
+++ b/fuzz/fz_config.c
@@ -85,12 +85,12 @@
 	struct cf_snapshot *read = NULL;
 	struct cf_snapshot *applied = NULL;
 
-	cf_snapshot_encode(s, &whole);
+	cf_snapshot_encode(s, CF_FORM_DIGESTS, &whole);
 	fz_require(!cf_snapshot_decode(whole.data, whole.len, &read),
 		   "what was accepted can be decoded");
 	fz_require(!memcmp(&read->digest, &s->digest, sizeof(s->digest)),
 		   "it is the same when it was decoded");
-	cf_delta_encode(base, s, &delta);
+	cf_delta_encode(base, s, CF_FORM_DIGESTS, &delta);
 	fz_require(!cf_delta_apply(base, delta.data, delta.len, &applied),
 		   "the delta to what was accepted applies");
 	fz_require(!memcmp(&applied->digest, &s->digest, sizeof(s->digest)),
--- a/fuzz/fz_seeds_main.c
+++ b/fuzz/fz_seeds_main.c
@@ -112,7 +112,7 @@
 	struct ba_buf packed = {0};
 
 	pf_operators.write_configuration(s, &written);
-	cf_snapshot_encode(s, &packed);
+	cf_snapshot_encode(s, CF_FORM_DIGESTS, &packed);
 	save(folder, "config", 0, "configuration", configuration,
 	     sizeof(configuration) - 1);
 	save(folder, "config", 1, "policy", policy, sizeof(policy) - 1);
@@ -128,7 +128,7 @@
 	struct ba_buf packed = {0};
 	DsUpdate m = DS_UPDATE__INIT;
 
-	cf_snapshot_encode(s, &packed);
+	cf_snapshot_encode(s, CF_FORM_DIGESTS, &packed);
 	m.current_version = s->version;
 	m.floor = 1;
 	m.floor_known = true;
--- a/replica/rp_machine.c
+++ b/replica/rp_machine.c
@@ -129,7 +129,7 @@
 	int code = parse_submission(m, submit, index, &next, &problems);
 
 	if (!code)
-		cf_delta_encode(m->current, next, &delta);
+		cf_delta_encode(m->current, next, CF_FORM_KEYS, &delta);
 	pack_submission(submit, wall, code, &delta, &problems, out);
 	cf_snapshot_unref(next);
 	ba_problems_free(&problems);
--- a/replica/rp_machine_state.c
+++ b/replica/rp_machine_state.c
@@ -21,7 +21,7 @@
 	struct ba_buf days = {0};
 	struct ba_buf members = {0};
 
-	cf_snapshot_encode(m->current, &configuration);
+	cf_snapshot_encode(m->current, CF_FORM_KEYS, &configuration);
 	rt_days_encode(m->days, &days);
 	state.configuration.data = configuration.data;
 	state.configuration.len = configuration.len;
--- a/report/rt_audit.c
+++ b/report/rt_audit.c
@@ -48,7 +48,7 @@
 
 	if (count_dangling(s))
 		return false;
-	cf_snapshot_encode(s, &encoded);
+	cf_snapshot_encode(s, CF_FORM_DIGESTS, &encoded);
 	whole = !cf_snapshot_decode(encoded.data, encoded.len, &again) &&
 		!memcmp(&again->digest, &s->digest, sizeof(s->digest));
 	cf_snapshot_unref(again);
--- a/source/so_operator.c
+++ b/source/so_operator.c
@@ -150,7 +150,7 @@
 	(void)argument;
 	so_current_json(s, json);
 	cf_snapshot_encode(rp_machine_current(rp_node_machine(s->node)),
-			   snapshot);
+			   CF_FORM_DIGESTS, snapshot);
 	return BA_OK;
 }
 
--- a/test/cf_test.cc
+++ b/test/cf_test.cc
@@ -47,6 +47,13 @@
 	       "\n";
 }
 
+std::string team(const std::string &name, const std::string &key, int rate = 0)
+{
+	return "[[teams]]\nname = \"" + name + "\"\nkeys = [\"" + key +
+	       "\", \"" + key +
+	       "-2\"]\ncalls_per_second = " + std::to_string(rate) + "\n";
+}
+
 TEST(CfParse, EveryProblemIsReportedWithItsLine)
 {
 	static const struct {
@@ -81,6 +88,17 @@
 		 "upload = true\n",
 		 {{BA_RANGE_WRONG, 3}}},
 		{false, "services = 5\n", {{BA_TYPE_WRONG, 1}}},
+		{false,
+		 "[[teams]]\nname = \"x\"\nkeys = [\"k\", \"k\"]\n"
+		 "[[teams]]\nname = \"y\"\nkeys = [\"l\", \"k\"]\n",
+		 {{CF_KEY_SHARED, 4}}},
+		{false,
+		 "[[teams]]\nname = \"x\"\nkeys = []\n"
+		 "[[teams]]\nname = \"x\"\nkeys = [\"a b\"]\n",
+		 {{CF_DUPLICATE_NAME, 4}, {BA_RANGE_WRONG, 4}}},
+		{false,
+		 "[[teams]]\nname = \"x\"\npriority = 1001\n",
+		 {{BA_KEY_MISSING, 1}, {BA_RANGE_WRONG, 3}}},
 		{false, "[mesh]\ntime_zone = \"UTC\"\n", {{BA_KEY_UNKNOWN, 1}}},
 		{false,
 		 "[[services]]\nname = \"a\"\ntimeout = \"1500us\"\n",
@@ -230,6 +248,12 @@
 					  method.empty() ? "upload = true\n"
 							 : "");
 	}
+	for (int n = 0; n < 4; n++)
+		if (*rc::gen::inRange(0, 2))
+			text += team("t" + std::to_string(n),
+				     "k" + std::to_string(n) +
+					     *rc::gen::element("", "x"),
+				     *rc::gen::inRange(0, 3));
 	struct cf_snapshot *plain = must_parse(text, empty, version);
 	struct cf_snapshot *s = must_parse(rows, plain, version, true);
 
@@ -238,11 +262,12 @@
 	return s;
 }
 
-std::string encode(const struct cf_snapshot *s)
+std::string encode(const struct cf_snapshot *s,
+		   enum cf_form form = CF_FORM_DIGESTS)
 {
 	struct ba_buf b = {};
 
-	cf_snapshot_encode(s, &b);
+	cf_snapshot_encode(s, form, &b);
 	std::string out((const char *)b.data, b.len);
 
 	ba_buf_free(&b);
@@ -254,7 +279,7 @@
 {
 	struct ba_buf b = {};
 
-	cf_delta_encode(from, to, &b);
+	cf_delta_encode(from, to, CF_FORM_DIGESTS, &b);
 	std::string out((const char *)b.data, b.len);
 
 	ba_buf_free(&b);
@@ -292,6 +317,54 @@
 	cf_snapshot_unref(to);
 }
 
+TEST(CfTeam, IsFoundByNameAndByEachOfItsKeys)
+{
+	struct cf_snapshot *empty = cf_snapshot_empty();
+	struct cf_snapshot *s =
+		must_parse(team("b", "k1") + team("a", "k2"), empty, 1);
+	static const struct {
+		const char *key, *name;
+	} cases[] = {
+		{"k1", "b"}, {"k1-2", "b"}, {"k2", "a"},
+		{"k", NULL}, {"k2-2", "a"}, {"", NULL},
+	};
+
+	for (const auto &c : cases) {
+		struct ba_digest digest = ba_digest(c.key, strlen(c.key));
+		const struct cf_team *t = cf_team_find_key(s, &digest);
+
+		EXPECT_EQ(t, c.name ? cf_team_find(s, c.name) : nullptr)
+			<< c.key;
+		EXPECT_EQ(cf_team_find_key(empty, &digest), nullptr);
+	}
+	EXPECT_STREQ(cf_team_find(s, "a")->name, "a");
+	EXPECT_EQ(cf_team_find(s, "c"), nullptr);
+	cf_snapshot_unref(s);
+	cf_snapshot_unref(empty);
+}
+
+TEST(CfTeam, OnlyTheFormOfTheCoreHoldsKeys)
+{
+	struct cf_snapshot *empty = cf_snapshot_empty();
+	struct cf_snapshot *s = must_parse(team("a", "secret"), empty, 1);
+
+	for (auto form : {CF_FORM_DIGESTS, CF_FORM_KEYS}) {
+		bool keys = form == CF_FORM_KEYS;
+		std::string text = encode(s, form);
+		struct cf_snapshot *back = nullptr;
+
+		EXPECT_EQ(text.find("secret") != text.npos, keys);
+		ASSERT_EQ(cf_snapshot_decode(text.data(), text.size(), &back),
+			  BA_OK);
+		EXPECT_TRUE(ba_digest_equal(&back->digest, &s->digest));
+		EXPECT_EQ(back->teams[0].key_texts != nullptr, keys);
+		EXPECT_EQ(encode(back, form), text);
+		cf_snapshot_unref(back);
+	}
+	cf_snapshot_unref(s);
+	cf_snapshot_unref(empty);
+}
+
 /*
  * A flipped bit may leave an encoding of the same content, or change the target
  * version, which the caller compares.  In every other case the delta must be
--- a/test/ds_world.h
+++ b/test/ds_world.h
@@ -515,7 +515,7 @@
 				"endpoint that proxy does not have.");
 	if (part.n_routes != next->n_routes)
 		next = &part;
-	cf_snapshot_encode(next, &got);
+	cf_snapshot_encode(next, CF_FORM_DIGESTS, &got);
 	if (got.len != want.encoded.len ||
 	    memcmp(got.data, want.encoded.data, got.len))
 		violations.push_back(
@@ -587,10 +587,12 @@
 	}
 	if (a.kind == DS_SEND_DELTA) {
 		cf_delta_encode(accepted[a.from].snapshot,
-				accepted[current].snapshot, &payload);
+				accepted[current].snapshot, CF_FORM_DIGESTS,
+				&payload);
 		m.delta = {payload.len, payload.data};
 	} else if (a.kind == DS_SEND_SNAPSHOT) {
-		cf_snapshot_encode(accepted[current].snapshot, &payload);
+		cf_snapshot_encode(accepted[current].snapshot, CF_FORM_DIGESTS,
+				   &payload);
 		m.snapshot = {payload.len, payload.data};
 	}
 	out.bytes.resize(ds_update__get_packed_size(&m));
@@ -664,7 +666,7 @@
 
 	c.snapshot = s;
 	c.encoded = {};
-	cf_snapshot_encode(s, &c.encoded);
+	cf_snapshot_encode(s, CF_FORM_DIGESTS, &c.encoded);
 	for (int i = 0; i < N_SOURCES; i++) {
 		if (i == leader) {
 			publish(i, s);
--- a/wire/cf.pb-c.c
+++ b/wire/cf.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &cf_route__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cf_team__init
+                     (CfTeam         *message)
+{
+  static const CfTeam init_value = CF_TEAM__INIT;
+  *message = init_value;
+}
+size_t cf_team__get_packed_size
+                     (const CfTeam *message)
+{
+  assert(message->base.descriptor == &cf_team__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cf_team__pack
+                     (const CfTeam *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cf_team__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cf_team__pack_to_buffer
+                     (const CfTeam *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cf_team__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CfTeam *
+       cf_team__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CfTeam *)
+     protobuf_c_message_unpack (&cf_team__descriptor,
+                                allocator, len, data);
+}
+void   cf_team__free_unpacked
+                     (CfTeam *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cf_team__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cf_policy_row__init
                      (CfPolicyRow         *message)
 {
@@ -611,7 +656,7 @@
   (ProtobufCMessageInit) cf_limits__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_route__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cf_route__field_descriptors[14] =
 {
   {
     "name",
@@ -769,6 +814,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "open",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CfRoute, open),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cf_route__field_indices_by_name[] = {
   9,   /* field[9] = attempts */
@@ -778,6 +835,7 @@
   7,   /* field[7] = latency_target_ms */
   2,   /* field[2] = method */
   0,   /* field[0] = name */
+  13,   /* field[13] = open */
   10,   /* field[10] = parts */
   1,   /* field[1] = path */
   8,   /* field[8] = priority */
@@ -788,7 +846,7 @@
 static const ProtobufCIntRange cf_route__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor cf_route__descriptor =
 {
@@ -798,13 +856,155 @@
   "CfRoute",
   "",
   sizeof(CfRoute),
-  13,
+  14,
   cf_route__field_descriptors,
   cf_route__field_indices_by_name,
   1,  cf_route__number_ranges,
   (ProtobufCMessageInit) cf_route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cf_team__field_descriptors[9] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CfTeam, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key_digests",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_BYTES,
+    offsetof(CfTeam, n_key_digests),
+    offsetof(CfTeam, key_digests),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_priority",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CfTeam, has_priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfTeam, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "calls_per_second",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfTeam, calls_per_second),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "burst",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfTeam, burst),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(CfTeam, n_keys),
+    offsetof(CfTeam, keys),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_calls_per_second",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CfTeam, has_calls_per_second),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "has_burst",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CfTeam, has_burst),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cf_team__field_indices_by_name[] = {
+  5,   /* field[5] = burst */
+  4,   /* field[4] = calls_per_second */
+  8,   /* field[8] = has_burst */
+  7,   /* field[7] = has_calls_per_second */
+  2,   /* field[2] = has_priority */
+  1,   /* field[1] = key_digests */
+  6,   /* field[6] = keys */
+  0,   /* field[0] = name */
+  3,   /* field[3] = priority */
+};
+static const ProtobufCIntRange cf_team__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor cf_team__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "CfTeam",
+  "CfTeam",
+  "CfTeam",
+  "",
+  sizeof(CfTeam),
+  9,
+  cf_team__field_descriptors,
+  cf_team__field_indices_by_name,
+  1,  cf_team__number_ranges,
+  (ProtobufCMessageInit) cf_team__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cf_policy_row__field_descriptors[5] =
 {
   {
@@ -998,7 +1198,7 @@
   (ProtobufCMessageInit) cf_policy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_snapshot__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cf_snapshot__field_descriptors[7] =
 {
   {
     "version",
@@ -1072,6 +1272,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "teams",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CfSnapshot, n_teams),
+    offsetof(CfSnapshot, teams),
+    &cf_team__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cf_snapshot__field_indices_by_name[] = {
   5,   /* field[5] = limits */
@@ -1079,12 +1291,13 @@
   4,   /* field[4] = revision */
   2,   /* field[2] = routes */
   1,   /* field[1] = services */
+  6,   /* field[6] = teams */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange cf_snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cf_snapshot__descriptor =
 {
@@ -1094,14 +1307,14 @@
   "CfSnapshot",
   "",
   sizeof(CfSnapshot),
-  6,
+  7,
   cf_snapshot__field_descriptors,
   cf_snapshot__field_indices_by_name,
   1,  cf_snapshot__number_ranges,
   (ProtobufCMessageInit) cf_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_delta__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cf_delta__field_descriptors[13] =
 {
   {
     "from_version",
@@ -1235,16 +1448,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "put_teams",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CfDelta, n_put_teams),
+    offsetof(CfDelta, put_teams),
+    &cf_team__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drop_teams",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(CfDelta, n_drop_teams),
+    offsetof(CfDelta, drop_teams),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cf_delta__field_indices_by_name[] = {
   6,   /* field[6] = drop_routes */
   4,   /* field[4] = drop_services */
+  12,   /* field[12] = drop_teams */
   0,   /* field[0] = from_version */
   10,   /* field[10] = limits */
   7,   /* field[7] = policy */
   5,   /* field[5] = put_routes */
   8,   /* field[8] = put_rows */
   3,   /* field[3] = put_services */
+  11,   /* field[11] = put_teams */
   9,   /* field[9] = revision */
   2,   /* field[2] = to_digest */
   1,   /* field[1] = to_version */
@@ -1252,7 +1491,7 @@
 static const ProtobufCIntRange cf_delta__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor cf_delta__descriptor =
 {
@@ -1262,7 +1501,7 @@
   "CfDelta",
   "",
   sizeof(CfDelta),
-  11,
+  13,
   cf_delta__field_descriptors,
   cf_delta__field_indices_by_name,
   1,  cf_delta__number_ranges,
--- a/wire/cf.pb-c.h
+++ b/wire/cf.pb-c.h
@@ -19,6 +19,7 @@
 typedef struct CfPart CfPart;
 typedef struct CfLimits CfLimits;
 typedef struct CfRoute CfRoute;
+typedef struct CfTeam CfTeam;
 typedef struct CfPolicyRow CfPolicyRow;
 typedef struct CfPolicy CfPolicy;
 typedef struct CfSnapshot CfSnapshot;
@@ -129,10 +130,53 @@
    * its requests are large
    */
   protobuf_c_boolean upload;
+  /*
+   * for callers of no team too
+   */
+  protobuf_c_boolean open;
 };
 #define CF_ROUTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_route__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0, 0 }
+
+
+/*
+ * A group of callers, known by its keys.  Only the core holds the keys; all
+ * others get their digests.
+ */
+struct  CfTeam
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * BLAKE2b of each key; not with keys
+   */
+  size_t n_key_digests;
+  ProtobufCBinaryData *key_digests;
+  protobuf_c_boolean has_priority;
+  /*
+   * 0 is the highest
+   */
+  uint32_t priority;
+  /*
+   * of the mesh, 0 for no limit
+   */
+  uint32_t calls_per_second;
+  uint32_t burst;
+  /*
+   * in the core only
+   */
+  size_t n_keys;
+  char **keys;
+  /*
+   * whether the operator gave one
+   */
+  protobuf_c_boolean has_calls_per_second;
+  protobuf_c_boolean has_burst;
+};
+#define CF_TEAM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cf_team__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
@@ -200,10 +244,15 @@
    */
   uint64_t revision;
   CfLimits *limits;
+  /*
+   * sorted by name
+   */
+  size_t n_teams;
+  CfTeam **teams;
 };
 #define CF_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_snapshot__descriptor) \
-    , 0, 0,NULL, 0,NULL, NULL, 0, NULL }
+    , 0, 0,NULL, 0,NULL, NULL, 0, NULL, 0,NULL }
 
 
 struct  CfDelta
@@ -228,10 +277,14 @@
   CfPolicyRow **put_rows;
   uint64_t revision;
   CfLimits *limits;
+  size_t n_put_teams;
+  CfTeam **put_teams;
+  size_t n_drop_teams;
+  char **drop_teams;
 };
 #define CF_DELTA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_delta__descriptor) \
-    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, NULL }
+    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL }
 
 
 /* CfService methods */
@@ -310,6 +363,25 @@
 void   cf_route__free_unpacked
                      (CfRoute *message,
                       ProtobufCAllocator *allocator);
+/* CfTeam methods */
+void   cf_team__init
+                     (CfTeam         *message);
+size_t cf_team__get_packed_size
+                     (const CfTeam   *message);
+size_t cf_team__pack
+                     (const CfTeam   *message,
+                      uint8_t             *out);
+size_t cf_team__pack_to_buffer
+                     (const CfTeam   *message,
+                      ProtobufCBuffer     *buffer);
+CfTeam *
+       cf_team__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cf_team__free_unpacked
+                     (CfTeam *message,
+                      ProtobufCAllocator *allocator);
 /* CfPolicyRow methods */
 void   cf_policy_row__init
                      (CfPolicyRow         *message);
@@ -400,6 +472,9 @@
 typedef void (*CfRoute_Closure)
                  (const CfRoute *message,
                   void *closure_data);
+typedef void (*CfTeam_Closure)
+                 (const CfTeam *message,
+                  void *closure_data);
 typedef void (*CfPolicyRow_Closure)
                  (const CfPolicyRow *message,
                   void *closure_data);
@@ -422,6 +497,7 @@
 extern const ProtobufCMessageDescriptor cf_part__descriptor;
 extern const ProtobufCMessageDescriptor cf_limits__descriptor;
 extern const ProtobufCMessageDescriptor cf_route__descriptor;
+extern const ProtobufCMessageDescriptor cf_team__descriptor;
 extern const ProtobufCMessageDescriptor cf_policy_row__descriptor;
 extern const ProtobufCMessageDescriptor cf_policy__descriptor;
 extern const ProtobufCMessageDescriptor cf_snapshot__descriptor;
