http: one strict reader of requests instead of http_parser

Requests get what answers got. What both share (fields, framing, chunks, trailers) moves from ht_answer.c to ht_message.c; ht_request.c adds the request line. A request that is none is answered with 400 in all fronts and the connection is closed: blanks in or after names, control bytes, LF alone, folded fields, two lengths, a length with chunks, codings other than chunked, chunks in HTTP/1.0, sizes and trailers that are none. Trailers no longer join the head. The bytes of a head count whole, with the request line and line ends. A method that is a token passes even if it is not known. The ports that are served by ht_service answer such a request at all; they closed.

http_parser is no longer needed by the build or at run time.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PACKAGES = gcc g++ make pkg-config libck-dev libprotobuf-c-dev \
 	libtomlplusplus-dev libmicrohttpd-dev libcurl4-openssl-dev \
 	libglib2.0-dev libgtest-dev librapidcheck-dev libxxhash-dev \
-	libsodium-dev libjansson-dev libhttp-parser-dev tzdata
+	libsodium-dev libjansson-dev tzdata
 LINT_PACKAGES = clang-format clang-tidy cppcheck git
 
 VERSION := 0.1.0
@@ -23,7 +23,7 @@
 
 PKGS = glib-2.0 libmicrohttpd libcurl libxxhash libsodium jansson
 PKG_CFLAGS = $(shell pkg-config --cflags $(PKGS))
-PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lprotobuf-c -lhttp_parser -lck -lpthread -lm
+PKG_LIBS = $(shell pkg-config --libs $(PKGS)) -lprotobuf-c -lck -lpthread -lm
 
 # Protection of the control flow has another flag on each architecture.
 CONTROL_FLOW = -fcf-protection -mbranch-protection=standard
@@ -69,8 +69,7 @@
 	@command -v pkg-config >/dev/null && pkg-config --exists $(PKGS) && \
 	 test -e /usr/include/rapidcheck.h -a -e /usr/include/gtest/gtest.h \
 	      -a -e /usr/include/toml++/toml.h -a -e /usr/include/ck_pr.h \
-	      -a -e /usr/include/protobuf-c/protobuf-c.h \
-	      -a -e /usr/include/http_parser.h || \
+	      -a -e /usr/include/protobuf-c/protobuf-c.h || \
 	 { apt-get update -q && DEBIAN_FRONTEND=noninteractive \
 	   apt-get install -y -q $(PACKAGES); }
 
--- a/fuzz/fz_answer.c
+++ b/fuzz/fz_answer.c
@@ -54,7 +54,7 @@
 	enum ht_taken request =
 		input[0] & 0x40 ? HT_TAKEN_PART : HT_TAKEN_WHOLE;
 	struct ht_head head = {0};
-	struct ht_answer a = {.head = &head, .head_limit = HEAD_LIMIT};
+	struct ht_message a = {.head = &head, .head_limit = HEAD_LIMIT};
 	struct reading r = {.last = HT_STEP_MORE};
 	bool was_cut;
 	size_t at = 0;
@@ -66,7 +66,7 @@
 		struct ht_bytes body;
 
 		at += in.len;
-		while ((r.last = ht_answer_read(&a, &in, &body)) ==
+		while ((r.last = ht_message_read(&a, &in, &body)) ==
 			       HT_STEP_HEAD ||
 		       r.last == HT_STEP_BODY) {
 			if (r.last == HT_STEP_HEAD) {
@@ -84,7 +84,7 @@
 	}
 	was_cut = r.last == HT_STEP_MORE;
 	if (was_cut)
-		r.last = ht_answer_close(&a, why, request);
+		r.last = ht_message_close(&a, why, request);
 	fz_require(r.last != HT_STEP_END || !was_cut ||
 			   (why == HT_END_CLOSED && request == HT_TAKEN_WHOLE),
 		   "only an orderly close completes an answer");
@@ -97,7 +97,7 @@
 			   r.body_bytes == (size_t)head.length ||
 			   head.status == 304,
 		   "a complete body is as long as it says");
-	ht_answer_free(&a);
+	ht_message_free(&a);
 	ht_head_free(&head);
 	return r;
 }
--- a/fuzz/fz_seeds_main.c
+++ b/fuzz/fz_seeds_main.c
@@ -92,6 +92,8 @@
 		g_snprintf(name, sizeof(name), "request-%zu", i);
 		save(folder, "http", 20, name, requests[i],
 		     strlen(requests[i]));
+		save(folder, "request", 20, name, requests[i],
+		     strlen(requests[i]));
 	}
 }
 
--- a/fuzz/run.sh
+++ b/fuzz/run.sh
@@ -10,7 +10,7 @@
 runs=${2:-20000}
 seed=${3:-1}
 top=$(cd "$(dirname "$0")/.." && pwd)
-test $# -gt 3 && shift 3 || set -- http answer frame config platform proxy disk
+test $# -gt 3 && shift 3 || set -- http request answer frame config platform proxy disk
 
 rm -rf "$build/fuzz/seeds"
 "$build/fuzz/fz_seeds" "$build/fuzz/seeds" || exit 1
--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -5,10 +5,10 @@
 #include <unistd.h>
 
 #include <glib.h>
-#include <http_parser.h>
 
 #include "base/ba_socket.h"
 #include "http/ht_conn.h"
+#include "http/ht_request.h"
 
 enum {
 	READ_BYTES = 32 * 1024,
@@ -19,15 +19,11 @@
 	LINGER_MS = 1000, /* for the other end to read what was sent */
 };
 
-enum part { PART_NONE, PART_NAME, PART_VALUE };
-
 /*
- * @parser: reads requests, on the server's side
- * @answer: reads answers, on the client's side
+ * @in: reads answers, on the client's side, or requests
  * @read_ahead: received bytes that follow the last message
  * @link: shared with other connections, or NULL
  * @message_sent: bytes written since ht_conn_read_next()
- * @part: kind of the last string added to @head
  * @watched_bits: events that the loop watches for
  * @callback_depth: depth of callbacks; the connection is freed only at 0
  * @has_sent: a byte was written since ht_conn_read_next()
@@ -43,17 +39,13 @@
 	struct ba_timer timer;
 	struct ba_loop *loop;
 	struct ht_conn_owner *owner;
-	http_parser parser;
-	struct ht_answer answer;
+	struct ht_message in;
 	struct ht_head head;
 	struct ba_buf out;
 	struct ba_buf read_ahead;
 	struct ht_link *link;
 	struct ht_link_user link_user;
 	size_t message_sent;
-	size_t head_limit;
-	size_t head_bytes;
-	enum part part;
 	unsigned int watched_bits;
 	int callback_depth;
 	bool client;
@@ -66,7 +58,6 @@
 	bool keep_alive;
 	bool closing;
 	bool closed;
-	bool head_too_large;
 };
 
 static struct ht_conn *conn_new(struct ba_loop *loop, int fd, size_t head_limit,
@@ -84,10 +75,10 @@
 static void on_data(struct ht_conn *c, const char *data, size_t len);
 static void on_lost(struct ht_conn *c, enum ht_end why);
 static enum ht_taken request_taken(const struct ht_conn *c);
-static void read_answer(struct ht_conn *c, const char *data, size_t len);
-static void on_answer_head(struct ht_conn *c);
+static void read_messages(struct ht_conn *c, const char *data, size_t len);
+static void notify_begun(struct ht_conn *c, const struct ht_bytes *in);
+static void on_head(struct ht_conn *c);
 static void complete_message(struct ht_conn *c);
-static void parse_request(struct ht_conn *c, const char *data, size_t len);
 static void store_read_ahead(struct ht_conn *c, const char *data, size_t len);
 static void end_conn(struct ht_conn *c, enum ht_end why);
 static void close_conn(struct ht_conn *c);
@@ -97,33 +88,13 @@
 static void free_later(struct ht_conn *c);
 static void on_free(struct ba_timer *t, ba_time now);
 static void conn_free(struct ht_conn *c);
-static int on_begin(http_parser *p);
-static int on_target(http_parser *p, const char *at, size_t len);
-static int on_name(http_parser *p, const char *at, size_t len);
-static int on_value(http_parser *p, const char *at, size_t len);
-static int on_head(http_parser *p);
-static int on_body(http_parser *p, const char *at, size_t len);
-static int on_complete(http_parser *p);
-static bool add_text(struct ht_conn *c, const char *at, size_t len);
-static void end_text(struct ht_conn *c);
-
-static const http_parser_settings settings = {
-	.on_message_begin = on_begin,
-	.on_url = on_target,
-	.on_header_field = on_name,
-	.on_header_value = on_value,
-	.on_headers_complete = on_head,
-	.on_body = on_body,
-	.on_message_complete = on_complete,
-};
 
 struct ht_conn *ht_conn_serve(struct ba_loop *loop, int fd, size_t head_limit,
 			      struct ht_conn_owner *o)
 {
 	struct ht_conn *c = conn_new(loop, fd, head_limit, o);
 
-	http_parser_init(&c->parser, HTTP_REQUEST);
-	c->parser.data = c;
+	ht_request_begin(&c->in);
 	update_watch(c);
 	return c;
 }
@@ -138,9 +109,7 @@
 	c->client = true;
 	c->connecting = true;
 	c->refused = refused;
-	c->answer.head = &c->head;
-	c->answer.head_limit = head_limit;
-	ht_answer_begin(&c->answer);
+	ht_answer_begin(&c->in);
 	if (c->watch.fd >= 0)
 		update_watch(c);
 	else
@@ -150,7 +119,7 @@
 
 void ht_conn_set_head_limit(struct ht_conn *c, size_t bytes)
 {
-	c->head_limit = bytes;
+	c->in.head_limit = bytes;
 }
 
 void ht_conn_set_link(struct ht_conn *c, struct ht_link *l)
@@ -248,7 +217,7 @@
 
 enum ht_flaw ht_conn_flaw(const struct ht_conn *c)
 {
-	return c->answer.flaw;
+	return c->in.flaw;
 }
 
 void ht_conn_pause(struct ht_conn *c, bool paused)
@@ -269,10 +238,10 @@
 	c->paused = false;
 	memset(&c->read_ahead, 0, sizeof(c->read_ahead));
 	if (c->client) {
-		c->answer.no_body = false;
-		ht_answer_begin(&c->answer);
+		c->in.no_body = false;
+		ht_answer_begin(&c->in);
 	} else {
-		http_parser_pause(&c->parser, 0);
+		ht_request_begin(&c->in);
 	}
 	update_watch(c);
 	if (held.len)
@@ -283,12 +252,12 @@
 void ht_conn_skip_message(struct ht_conn *c)
 {
 	c->message_complete = false;
-	ht_answer_begin(&c->answer);
+	ht_answer_begin(&c->in);
 }
 
 void ht_conn_expect_no_body(struct ht_conn *c)
 {
-	c->answer.no_body = true;
+	c->in.no_body = true;
 }
 
 void ht_conn_set_deadline(struct ht_conn *c, ba_time deadline)
@@ -348,7 +317,8 @@
 
 	c->loop = loop;
 	c->owner = o;
-	c->head_limit = head_limit;
+	c->in.head = &c->head;
+	c->in.head_limit = head_limit;
 	c->watch.fd = fd;
 	c->watch.ready = on_ready;
 	c->timer.fire = on_deadline;
@@ -489,10 +459,8 @@
 		return;
 	if (c->message_complete)
 		store_read_ahead(c, data, len);
-	else if (c->client)
-		read_answer(c, data, len);
 	else
-		parse_request(c, data, len);
+		read_messages(c, data, len);
 }
 
 /*
@@ -501,11 +469,10 @@
  */
 static void on_lost(struct ht_conn *c, enum ht_end why)
 {
-	if (c->client && !c->message_complete &&
-	    ht_answer_has_begun(&c->answer) &&
-	    ht_answer_close(&c->answer, why, request_taken(c)) == HT_STEP_END) {
+	if (c->client && !c->message_complete && ht_message_has_begun(&c->in) &&
+	    ht_message_close(&c->in, why, request_taken(c)) == HT_STEP_END) {
 		c->keep_alive = false;
-		read_answer(c, NULL, 0);
+		read_messages(c, NULL, 0);
 		if (c->closed)
 			return;
 		if (c->message_complete) {
@@ -526,21 +493,21 @@
 		       : HT_TAKEN_WHOLE;
 }
 
-static void read_answer(struct ht_conn *c, const char *data, size_t len)
+/* Reads on with the next message if the owner has asked for it meanwhile. */
+static void read_messages(struct ht_conn *c, const char *data, size_t len)
 {
 	struct ht_bytes in = {data, len};
 	struct ht_bytes body;
 	enum ht_step step;
 
 	c->callback_depth++;
-	if (len && !ht_answer_has_begun(&c->answer) && c->owner &&
-	    c->owner->begun)
-		c->owner->begun(c->owner, c);
 	do {
-		step = c->closed ? HT_STEP_MORE
-				 : ht_answer_read(&c->answer, &in, &body);
+		notify_begun(c, &in);
+		step = c->closed || c->closing
+			       ? HT_STEP_MORE
+			       : ht_message_read(&c->in, &in, &body);
 		if (step == HT_STEP_HEAD)
-			on_answer_head(c);
+			on_head(c);
 		else if (step == HT_STEP_BODY && c->owner && c->owner->body)
 			c->owner->body(c->owner, c, body.data, body.len);
 		else if (step == HT_STEP_END)
@@ -551,14 +518,28 @@
 	if (c->closed || c->closing)
 		return;
 	if (step == HT_STEP_FLAW)
-		end_conn(c, c->answer.flaw == HT_FLAW_TOO_LARGE
+		end_conn(c, c->in.flaw == HT_FLAW_TOO_LARGE
 				    ? HT_END_HEAD_TOO_LARGE
 				    : HT_END_MALFORMED);
 	else if (in.len)
 		store_read_ahead(c, in.data, in.len);
 }
 
-static void on_answer_head(struct ht_conn *c)
+/* Empty lines before a request are no part of it. */
+static void notify_begun(struct ht_conn *c, const struct ht_bytes *in)
+{
+	size_t at = 0;
+
+	if (ht_message_has_begun(&c->in) || !c->owner || !c->owner->begun)
+		return;
+	while (!c->client && at < in->len &&
+	       (in->data[at] == '\r' || in->data[at] == '\n'))
+		at++;
+	if (at < in->len)
+		c->owner->begun(c->owner, c);
+}
+
+static void on_head(struct ht_conn *c)
 {
 	c->keep_alive = !c->head.connection_close;
 	if (c->owner && c->owner->head)
@@ -572,27 +553,6 @@
 		c->owner->complete(c->owner, c);
 }
 
-static void parse_request(struct ht_conn *c, const char *data, size_t len)
-{
-	enum http_errno code;
-	size_t used;
-
-	c->callback_depth++;
-	used = http_parser_execute(&c->parser, &settings, data, len);
-	end_callback(c);
-	if (c->closed)
-		return;
-	code = HTTP_PARSER_ERRNO(&c->parser);
-	if (c->closing)
-		return;
-	if (c->head_too_large)
-		end_conn(c, HT_END_HEAD_TOO_LARGE);
-	else if (code != HPE_OK && code != HPE_PAUSED)
-		end_conn(c, HT_END_MALFORMED);
-	else if (used < len && c->message_complete)
-		store_read_ahead(c, data + used, len - used);
-}
-
 /*
  * On the client's side, bytes after the answer were not requested; they end
  * the connection.
@@ -707,120 +667,8 @@
 {
 	ht_link_unref(c->link);
 	ht_head_free(&c->head);
-	ht_answer_free(&c->answer);
+	ht_message_free(&c->in);
 	ba_buf_free(&c->out);
 	ba_buf_free(&c->read_ahead);
 	g_free(c);
 }
-
-static int on_begin(http_parser *p)
-{
-	struct ht_conn *c = p->data;
-
-	ht_head_clear(&c->head);
-	c->head_bytes = 0;
-	c->part = PART_NONE;
-	if (c->owner && c->owner->begun)
-		c->owner->begun(c->owner, c);
-	return c->closed;
-}
-
-static int on_target(http_parser *p, const char *at, size_t len)
-{
-	struct ht_conn *c = p->data;
-
-	if (c->part == PART_NONE)
-		c->head.target = (uint32_t)c->head.text.len;
-	c->part = PART_VALUE;
-	return !add_text(c, at, len);
-}
-
-static int on_name(http_parser *p, const char *at, size_t len)
-{
-	struct ht_conn *c = p->data;
-	struct ht_head *h = &c->head;
-
-	if (c->part != PART_NAME) {
-		end_text(c);
-		if (h->n_fields == h->alloc) {
-			h->alloc = h->alloc ? 2 * h->alloc : 16;
-			h->fields =
-				g_renew(struct ht_field, h->fields, h->alloc);
-		}
-		h->fields[h->n_fields++].name = (uint32_t)h->text.len;
-		h->fields[h->n_fields - 1].value = 0;
-	}
-	c->part = PART_NAME;
-	return !add_text(c, at, len);
-}
-
-static int on_value(http_parser *p, const char *at, size_t len)
-{
-	struct ht_conn *c = p->data;
-	struct ht_head *h = &c->head;
-
-	if (c->part == PART_NAME) {
-		end_text(c);
-		h->fields[h->n_fields - 1].value = (uint32_t)h->text.len;
-	}
-	c->part = PART_VALUE;
-	return !add_text(c, at, len);
-}
-
-static int on_head(http_parser *p)
-{
-	struct ht_conn *c = p->data;
-	struct ht_head *h = &c->head;
-
-	end_text(c);
-	h->minor = p->http_minor;
-	h->chunked = p->flags & F_CHUNKED;
-	h->length = p->flags & F_CONTENTLENGTH ? (int64_t)p->content_length
-					       : HT_LENGTH_UNKNOWN;
-	h->connection_close = !http_should_keep_alive(p);
-	c->keep_alive = !h->connection_close;
-	p->upgrade = 0;
-	h->method = http_method_str((enum http_method)p->method);
-	if (c->owner && c->owner->head)
-		c->owner->head(c->owner, c);
-	return c->closed || c->closing ? -1 : 0;
-}
-
-static int on_body(http_parser *p, const char *at, size_t len)
-{
-	struct ht_conn *c = p->data;
-
-	if (c->owner && c->owner->body)
-		c->owner->body(c->owner, c, at, len);
-	return c->closed || c->closing;
-}
-
-static int on_complete(http_parser *p)
-{
-	struct ht_conn *c = p->data;
-
-	http_parser_pause(p, 1);
-	complete_message(c);
-	return 0;
-}
-
-static bool add_text(struct ht_conn *c, const char *at, size_t len)
-{
-	c->head_bytes += len;
-	if (c->head_bytes > c->head_limit) {
-		c->head_too_large = true;
-		return false;
-	}
-	ba_buf_add(&c->head.text, at, len);
-	return true;
-}
-
-static void end_text(struct ht_conn *c)
-{
-	if (c->part == PART_NONE)
-		return;
-	ba_buf_add(&c->head.text, "", 1);
-	if (c->part == PART_NAME && c->head.n_fields)
-		c->head.fields[c->head.n_fields - 1].value =
-			(uint32_t)(c->head.text.len - 1);
-}
--- a/http/ht_head.c
+++ b/http/ht_head.c
@@ -2,7 +2,6 @@
 #include <strings.h>
 
 #include <glib.h>
-#include <http_parser.h>
 
 #include "http/ht_head.h"
 
@@ -12,6 +11,63 @@
 	"upgrade",	     "expect",	   "content-length",
 };
 
+/* RFC 9110, section 15, and RFC 6585. */
+static const struct {
+	int status;
+	const char *phrase;
+} reasons[] = {
+	{100, "Continue"},
+	{101, "Switching Protocols"},
+	{102, "Processing"},
+	{103, "Early Hints"},
+	{200, "OK"},
+	{201, "Created"},
+	{202, "Accepted"},
+	{203, "Non-Authoritative Information"},
+	{204, "No Content"},
+	{205, "Reset Content"},
+	{206, "Partial Content"},
+	{300, "Multiple Choices"},
+	{301, "Moved Permanently"},
+	{302, "Found"},
+	{303, "See Other"},
+	{304, "Not Modified"},
+	{305, "Use Proxy"},
+	{307, "Temporary Redirect"},
+	{308, "Permanent Redirect"},
+	{400, "Bad Request"},
+	{401, "Unauthorized"},
+	{402, "Payment Required"},
+	{403, "Forbidden"},
+	{404, "Not Found"},
+	{405, "Method Not Allowed"},
+	{406, "Not Acceptable"},
+	{407, "Proxy Authentication Required"},
+	{408, "Request Timeout"},
+	{409, "Conflict"},
+	{410, "Gone"},
+	{411, "Length Required"},
+	{412, "Precondition Failed"},
+	{413, "Payload Too Large"},
+	{414, "URI Too Long"},
+	{415, "Unsupported Media Type"},
+	{416, "Range Not Satisfiable"},
+	{417, "Expectation Failed"},
+	{421, "Misdirected Request"},
+	{422, "Unprocessable Entity"},
+	{425, "Too Early"},
+	{426, "Upgrade Required"},
+	{428, "Precondition Required"},
+	{429, "Too Many Requests"},
+	{431, "Request Header Fields Too Large"},
+	{500, "Internal Server Error"},
+	{501, "Not Implemented"},
+	{502, "Bad Gateway"},
+	{503, "Service Unavailable"},
+	{504, "Gateway Timeout"},
+	{505, "HTTP Version Not Supported"},
+};
+
 void ht_head_clear(struct ht_head *h)
 {
 	h->text.len = 0;
@@ -31,6 +87,12 @@
 	memset(h, 0, sizeof(*h));
 }
 
+void ht_head_add(struct ht_head *h, const char *text, size_t len)
+{
+	ba_buf_add(&h->text, text, len);
+	ba_buf_add(&h->text, "", 1);
+}
+
 const char *ht_head_name(const struct ht_head *h, size_t i)
 {
 	return (const char *)h->text.data + h->fields[i].name;
@@ -95,5 +157,8 @@
 
 const char *ht_reason_phrase(int status)
 {
-	return http_status_str((enum http_status)status);
+	for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++)
+		if (reasons[i].status == status)
+			return reasons[i].phrase;
+	return "Unknown";
 }
--- a/http/ht_head.h
+++ b/http/ht_head.h
@@ -26,7 +26,7 @@
 /**
  * struct ht_head - a head; zero it before the first ht_head_clear()
  * @text: all strings, each ended by NUL
- * @method: constant name of a request's method; NULL in an answer
+ * @method: name of a request's method, in @text; NULL in an answer
  * @target: offset of path and query in @text
  * @status: status of an answer; 0 in a request
  * @length: length of the body, or %HT_LENGTH_UNKNOWN
@@ -54,6 +54,9 @@
 /** ht_head_free() - free its memory */
 void ht_head_free(struct ht_head *h);
 
+/** ht_head_add() - add a string to the text; does not add a field */
+void ht_head_add(struct ht_head *h, const char *text, size_t len);
+
 /** ht_head_name() - get the name of field @i */
 const char *ht_head_name(const struct ht_head *h, size_t i);
 
--- a/http/ht_service.c
+++ b/http/ht_service.c
@@ -181,9 +181,18 @@
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *c,
 		     enum ht_end why)
 {
-	(void)c;
-	(void)why;
+	int status = why == HT_END_MALFORMED	    ? 400
+		     : why == HT_END_HEAD_TOO_LARGE ? 431
+						    : 0;
+
 	remove_conn((struct service_conn *)o);
+	if (!status)
+		return;
+	ba_buf_addf(ht_conn_out(c),
+		    "HTTP/1.1 %d %s\r\nContent-Length: 0\r\n"
+		    "Connection: close\r\n\r\n",
+		    status, ht_reason_phrase(status));
+	ht_conn_close_after_flush(c);
 }
 
 /* Writes the answer, which ends the request; nothing is sent yet. */
--- a/test/ht_answer_test.cc
+++ b/test/ht_answer_test.cc
@@ -18,7 +18,7 @@
 
 struct reader {
 	struct ht_head head = {};
-	struct ht_answer answer = {};
+	struct ht_message answer = {};
 	reading r;
 
 	explicit reader(size_t head_limit = 1024, bool no_body = false)
@@ -30,7 +30,7 @@
 	}
 	~reader()
 	{
-		ht_answer_free(&answer);
+		ht_message_free(&answer);
 		ht_head_free(&head);
 	}
 
@@ -41,7 +41,7 @@
 		struct ht_bytes body = {};
 
 		for (;;) {
-			switch (ht_answer_read(&answer, &in, &body)) {
+			switch (ht_message_read(&answer, &in, &body)) {
 			case HT_STEP_MORE:
 				EXPECT_EQ(in.len, 0U);
 				return true;
@@ -75,8 +75,8 @@
 
 	void close()
 	{
-		r.complete = ht_answer_close(&answer, HT_END_CLOSED,
-					     HT_TAKEN_WHOLE) == HT_STEP_END;
+		r.complete = ht_message_close(&answer, HT_END_CLOSED,
+					      HT_TAKEN_WHOLE) == HT_STEP_END;
 		r.flaw = answer.flaw;
 	}
 };
@@ -225,7 +225,7 @@
 		if (c.ends || c.bytes.find("bodyHTTP") != std::string::npos)
 			continue;
 		do
-			step = ht_answer_read(&a.answer, &in, &body);
+			step = ht_message_read(&a.answer, &in, &body);
 		while (step == HT_STEP_HEAD || step == HT_STEP_BODY);
 		EXPECT_EQ(step, HT_STEP_END) << c.name;
 		EXPECT_EQ(std::string(in.data, in.len), "rest") << c.name;
