prog: a deadline of its own ends a process that is stopped

Cause: the end of a stop hung on the loop and on the log. A loop that waited for a file or a disk never took SIGTERM; pr_end() joined the log's thread, which a full pipe that nobody reads holds up for good; and an instance of the core knew no grace time and waited 4 s for operators whatever it was. A proxy that ended with requests in progress said nothing of them.

A thread of its own now takes the signals and passes them on to the loop. What was left is logged as 1010 stop-cut, by the proxy and carawayd also when their own deadline for requests passes. core.grace is set from the installation, as proxy.grace is, and operators get 2/3 of it.

--- a/base/ba_event.c
+++ b/base/ba_event.c
@@ -25,6 +25,7 @@
 	CALENDAR_BYTES = 24,
 	TIMESTAMP_BYTES = 40,
 	POLL_INTERVAL_NS = 5000000,
+	FLUSH_INTERVAL_NS = 1000000,
 	IDLE_POLLS_LIMIT = 40,
 };
 
@@ -54,6 +55,7 @@
 	bool stopping;
 	bool reopen_requested;
 	bool asleep;
+	bool writing;
 } logger = {
 	.lock = PTHREAD_MUTEX_INITIALIZER,
 	.wake = PTHREAD_COND_INITIALIZER,
@@ -138,6 +140,21 @@
 	pthread_mutex_unlock(&logger.lock);
 }
 
+void ba_event_flush(ba_time timeout)
+{
+	static const struct timespec interval = {0, FLUSH_INTERVAL_NS};
+	ba_time deadline = ba_clock_now() + timeout;
+	bool left = true;
+
+	while (left && ba_clock_now() < deadline) {
+		pthread_mutex_lock(&logger.lock);
+		left = logger.running && (logger.queue.len || logger.writing);
+		pthread_mutex_unlock(&logger.lock);
+		if (left)
+			nanosleep(&interval, NULL);
+	}
+}
+
 void ba_event_close(void)
 {
 	pthread_mutex_lock(&logger.lock);
@@ -146,10 +163,14 @@
 		return;
 	}
 	logger.stopping = true;
-	logger.running = false;
 	pthread_cond_signal(&logger.wake);
 	pthread_mutex_unlock(&logger.lock);
 	pthread_join(logger.thread, NULL);
+	pthread_mutex_lock(&logger.lock);
+	logger.running = false;
+	write_all(logger.fd, logger.queue.data, logger.queue.len);
+	ba_buf_free(&logger.queue);
+	pthread_mutex_unlock(&logger.lock);
 	close_file();
 	logger.fd = STDERR_FILENO;
 	g_clear_pointer(&logger.program, g_free);
@@ -234,9 +255,11 @@
 
 static void enqueue(const char *line, size_t len)
 {
+	int fd = -1;
+
 	pthread_mutex_lock(&logger.lock);
 	if (!logger.running) {
-		write_all(logger.fd, (const uint8_t *)line, len);
+		fd = logger.fd;
 	} else if (logger.queue.len + len > QUEUE_LIMIT_BYTES) {
 		logger.dropped++;
 	} else {
@@ -245,6 +268,9 @@
 		ba_buf_add(&logger.queue, line, len);
 	}
 	pthread_mutex_unlock(&logger.lock);
+	/* A descriptor that takes nothing may not hold up other threads. */
+	if (fd >= 0)
+		write_all(fd, (const uint8_t *)line, len);
 }
 
 /*
@@ -269,16 +295,17 @@
 		}
 		idle_polls = 0;
 		dropped = swap_queue(&out);
+		logger.writing = true;
 		pthread_mutex_unlock(&logger.lock);
 		write_all(logger.fd, out.data, out.len);
 		out.len = 0;
 		if (dropped)
 			report_dropped(dropped);
 		pthread_mutex_lock(&logger.lock);
+		logger.writing = false;
 		if (!logger.stopping)
 			sleep_unlocked();
 	}
-	ba_buf_free(&logger.queue);
 	pthread_mutex_unlock(&logger.lock);
 	ba_buf_free(&out);
 	return NULL;
--- a/base/ba_event.h
+++ b/base/ba_event.h
@@ -11,6 +11,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "base/ba_clock.h"
+
 #ifdef __cplusplus
 extern "C" {
 #endif
@@ -33,6 +35,7 @@
 	BA_EV_LOG_DROPPED = 1007,
 	BA_EV_LOG_REOPENED = 1008,
 	BA_EV_UNDELIVERED = 1009,
+	BA_EV_STOP_CUT = 1010,
 
 	WI_EV_SESSION_OPEN = 2001,
 	WI_EV_SESSION_CLOSED = 2002,
@@ -149,6 +152,9 @@
 /** ba_event_reopen() - reopen the log file, after it was rotated */
 void ba_event_reopen(void);
 
+/** ba_event_flush() - wait until all lines are written, or for @timeout */
+void ba_event_flush(ba_time timeout);
+
 /** ba_event_close() - write the queued lines and end the log thread */
 void ba_event_close(void);
 
--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -22,6 +22,9 @@
 	[BA_EV_UNDELIVERED] =
 		{"undelivered", BA_WARNING,
 		 "A planned stop ended a connection whose other end had not taken all that was written."},
+	[BA_EV_STOP_CUT] =
+		{"stop-cut", BA_WARNING,
+		 "A planned stop had to end before everything was finished; what was left is cut."},
 	[WI_EV_SESSION_OPEN] = {"session-open", BA_INFO,
 				"A session with a peer is open."},
 	[WI_EV_SESSION_CLOSED] = {"session-closed", BA_INFO,
--- a/prog/caraway-core.c
+++ b/prog/caraway-core.c
@@ -5,6 +5,7 @@
 #include "base/ba_result.h"
 #include "platform/pf.h"
 #include "prog/pr.h"
+#include "prog/pr_guard.h"
 #include "prog/pr_metrics.h"
 #include "relay/re.h"
 #include "source/so.h"
@@ -20,6 +21,7 @@
  * @relay_address: where daemons and relays reach a relay; all use the same port
  * @first_start: the whole system starts for the first time, so the seeds form
  *	the group
+ * @grace_time: time from the signal to stop until the process is killed
  * @max_losses: instances that may be lost at once while the group goes on
  */
 struct settings {
@@ -28,6 +30,7 @@
 	struct ba_address source_address;
 	struct ba_address relay_address;
 	char *data_folder;
+	ba_time grace_time;
 	struct ba_addresses seeds;
 	bool first_start;
 	int64_t max_losses;
@@ -45,6 +48,8 @@
 	KEY("core", "source_address", BA_KIND_ADDRESS, true, source_address),
 	KEY("core", "relay_address", BA_KIND_ADDRESS, true, relay_address),
 	KEY("core", "data_folder", BA_KIND_STRING, true, data_folder),
+	{"core", "grace", BA_KIND_DURATION, false,
+	 offsetof(struct settings, grace_time), "6s", BA_SECOND, 0},
 	KEY("group", "seeds", BA_KIND_ADDRESSES, true, seeds),
 	KEY("group", "first_start", BA_KIND_BOOLEAN, false, first_start),
 	{"group", "losses", BA_KIND_INTEGER, false,
@@ -100,12 +105,14 @@
 	int ret;
 
 	g->loop = ba_loop_new();
-	ba_loop_signals(g->loop, on_signal, g);
+	ret = pr_guard_start(g->loop, g->settings.grace_time, on_signal, g);
 	collect_known_addresses(g);
 	set_role_settings(g);
-	ret = start_roles(g);
+	if (!ret)
+		ret = start_roles(g);
 	if (!ret)
 		ba_loop_run(g->loop);
+	pr_guard_detach();
 	so_http_free(g->http);
 	pr_metrics_stop(g->metrics);
 	if (g->relay.listener)
@@ -162,6 +169,7 @@
 	so->common = s->common;
 	so->address = s->source_address;
 	so->data_folder = s->data_folder;
+	so->grace_time = s->grace_time;
 	so->open_group = true;
 	so->times = &rp_times_fast_failover;
 	so->voters = (size_t)MAX(2 * s->max_losses + 1, MIN_VOTERS);
@@ -236,6 +244,7 @@
 		return;
 	}
 	ba_event(BA_EV_STOPPING, "instance=%s", g->relay_identity.instance);
+	pr_guard_note(PR_STAGE_REQUESTS, PR_LEFT_UNKNOWN);
 	so_source_shut_down(&g->source);
 }
 
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -7,6 +7,7 @@
 #include "distrib/ds_agent.h"
 #include "platform/pf.h"
 #include "prog/pr.h"
+#include "prog/pr_guard.h"
 #include "prog/pr_metrics.h"
 #include "proxy/px.h"
 
@@ -139,9 +140,10 @@
 	int ret;
 
 	g->loop = ba_loop_new();
-	ba_loop_signals(g->loop, on_signal, g);
 	g->stop_timer.fire = on_stop_timer;
-	ret = start_proxy(g);
+	ret = pr_guard_start(g->loop, g->settings.grace_time, on_signal, g);
+	if (!ret)
+		ret = start_proxy(g);
 	if (!ret &&
 	    pr_metrics_start(g->loop, &g->settings.common.metrics_address,
 			     &g->metrics))
@@ -150,6 +152,7 @@
 		start_agent(g);
 		ba_loop_run(g->loop);
 	}
+	pr_guard_detach();
 	ba_loop_disarm(g->loop, &g->stop_timer);
 	ds_agent_free(g->agent);
 	px_free(g->proxy);
@@ -321,6 +324,8 @@
 static void on_stop_timer(struct ba_timer *t, ba_time now)
 {
 	struct program *g = ba_entry(t, struct program, stop_timer);
+	int left;
+
 	if (now >= g->drain_at) {
 		g->drain_at = BA_NEVER;
 		ds_agent_drain(g->agent);
@@ -329,11 +334,13 @@
 		px_refuse_requests(g->proxy);
 	if (now >= g->stop_deadline)
 		px_end_requests(g->proxy);
-	if (now < g->end_deadline &&
-	    (now < g->refuse_at || px_count_in_progress(g->proxy))) {
+	left = (int)px_count_in_progress(g->proxy);
+	pr_guard_note(PR_STAGE_REQUESTS, left);
+	if (now < g->end_deadline && (now < g->refuse_at || left)) {
 		ba_loop_arm(g->loop, t, now + STOP_POLL_PERIOD);
 		return;
 	}
+	pr_guard_cut(left);
 	ds_agent_leave(g->agent);
 	ba_loop_stop(g->loop);
 }
--- a/prog/caraway-relay.c
+++ b/prog/caraway-relay.c
@@ -2,9 +2,13 @@
 
 #include "base/ba_event.h"
 #include "base/ba_result.h"
+#include "prog/pr_guard.h"
 #include "prog/pr_metrics.h"
 #include "relay/re.h"
 
+/* Time from the signal to stop until the process ends in any case. */
+#define GRACE_TIME (6 * BA_SECOND)
+
 #define RE_KEY(t, n, k, req, m)                                           \
 	{                                                                 \
 		t, n, k, req, offsetof(struct re_settings, m), NULL, 0, 0 \
@@ -39,8 +43,10 @@
 	relay.settings = &settings;
 	relay.identity = &identity;
 	relay.loop = ba_loop_new();
-	ba_loop_signals(relay.loop, on_signal, &relay);
-	ret = run(&relay);
+	ret = pr_guard_start(relay.loop, GRACE_TIME, on_signal, &relay);
+	if (!ret)
+		ret = run(&relay);
+	pr_guard_detach();
 	ba_loop_free(relay.loop);
 	pr_end(keys, &settings.common);
 	return ret;
--- a/prog/caraway-source.c
+++ b/prog/caraway-source.c
@@ -4,9 +4,13 @@
 
 #include "base/ba_event.h"
 #include "base/ba_result.h"
+#include "prog/pr_guard.h"
 #include "prog/pr_metrics.h"
 #include "source/so.h"
 
+/* Time from the signal to stop until the process ends in any case. */
+#define GRACE_TIME (6 * BA_SECOND)
+
 #define SO_KEY(t, n, k, req, m)                                           \
 	{                                                                 \
 		t, n, k, req, offsetof(struct so_settings, m), NULL, 0, 0 \
@@ -41,6 +45,7 @@
 	int ret;
 
 	settings.common.check = check_settings;
+	settings.grace_time = GRACE_TIME;
 	ret = pr_start(argc, argv, WI_SOURCE, keys, &settings.common,
 		       &identity);
 	if (ret >= 0) {
@@ -50,8 +55,10 @@
 	source.settings = &settings;
 	source.identity = &identity;
 	source.loop = ba_loop_new();
-	ba_loop_signals(source.loop, on_signal, &source);
-	ret = run(&source);
+	ret = pr_guard_start(source.loop, GRACE_TIME, on_signal, &source);
+	if (!ret)
+		ret = run(&source);
+	pr_guard_detach();
 	ba_loop_free(source.loop);
 	pr_end(keys, &settings.common);
 	return ret;
@@ -147,6 +154,7 @@
 		ba_event_reopen();
 		so_keys_load(s);
 	} else {
+		pr_guard_note(PR_STAGE_REQUESTS, PR_LEFT_UNKNOWN);
 		so_source_shut_down(s);
 	}
 }
--- a/prog/carawayd.c
+++ b/prog/carawayd.c
@@ -15,6 +15,7 @@
 #include "daemon/da_http.h"
 #include "daemon/da_peer.h"
 #include "daemon/da_peer_server.h"
+#include "prog/pr_guard.h"
 #include "prog/pr_metrics.h"
 #include "report/rt.h"
 #include "report/rt_audit.h"
@@ -36,6 +37,8 @@
 #define FIGURES_TIMEOUT BA_SECOND
 /* Longest wait for calls in progress, from the beginning of a stop. */
 #define STOP_TIMEOUT (CL_TIME_LIMIT + 5 * BA_SECOND)
+/* Time from the signal to stop until the process ends in any case. */
+#define GRACE_TIME (STOP_TIMEOUT + 5 * BA_SECOND)
 #define STOP_POLL_PERIOD (20 * BA_MS)
 #define LEASE_RENEWAL_PERIOD (100 * BA_MS)
 
@@ -145,13 +148,14 @@
 	int ret;
 
 	d->loop = ba_loop_new();
-	ba_loop_signals(d->loop, on_signal, d);
 	d->stop_timer.fire = on_stop_timer;
 	d->lease_timer.fire = on_lease_timer;
 	d->call_identity = d->identity;
 	d->call_identity.meter = NULL;
 	create_shared(d);
-	ret = start_workers(d);
+	ret = pr_guard_start(d->loop, GRACE_TIME, on_signal, d);
+	if (!ret)
+		ret = start_workers(d);
 	if (!ret &&
 	    pr_metrics_start(d->loop, &d->settings.common.metrics_address,
 			     &d->metrics))
@@ -160,6 +164,7 @@
 		ret = start_agent(d);
 	if (!ret)
 		ba_loop_run(d->loop);
+	pr_guard_detach();
 	ba_loop_disarm(d->loop, &d->lease_timer);
 	ba_loop_disarm(d->loop, &d->stop_timer);
 	ds_agent_free(d->agent);
@@ -547,11 +552,13 @@
 		d->shared.closing = true;
 	left = d->shared.in_progress;
 	pthread_mutex_unlock(&d->shared.lock);
+	pr_guard_note(PR_STAGE_REQUESTS, (int)left);
 	if (now < d->refuse_at || (left && now < d->stop_deadline)) {
 		ba_loop_arm(d->loop, t, now + STOP_POLL_PERIOD);
 		return;
 	}
 	if (!d->figures_deadline) {
+		pr_guard_cut((int)left);
 		rt_count(RT_CUT_BY_STOP, left);
 		rt_count(RT_STOPS_ENDED, 1);
 		rt_count(RT_DRAINS_CHECKED, 1);
--- a/prog/pr.c
+++ b/prog/pr.c
@@ -11,6 +11,7 @@
 #include "base/ba_rand.h"
 #include "base/ba_result.h"
 #include "prog/pr.h"
+#include "prog/pr_guard.h"
 #include "prog/pr_meter.h"
 
 struct command_line {
@@ -126,6 +127,7 @@
 void pr_end(const struct ba_settings_key *keys, struct pr_common *settings)
 {
 	ba_event(BA_EV_STOPPED, "instance=%s", settings->instance_name);
+	pr_guard_note(PR_STAGE_LOG, 0);
 	ba_event_close();
 	ba_settings_free(keys, settings);
 }
--- a/source/so.h
+++ b/source/so.h
@@ -44,6 +44,7 @@
  * @n_founders: the first @n_founders of @names form the group when there is
  *	none
  * @voters: target number of voting members
+ * @grace_time: time from the signal to stop until the process is killed
  * @times: times of the replication protocol, NULL for the defaults
  */
 struct so_settings {
@@ -57,6 +58,7 @@
 	bool open_group;
 	size_t n_founders;
 	size_t voters;
+	ba_time grace_time;
 	const struct rp_times *times;
 };
 
--- a/source/so_source.c
+++ b/source/so_source.c
@@ -9,8 +9,8 @@
 
 #define CHECK_INTERVAL (200 * BA_MS)
 #define SHUTDOWN_DELAY (100 * BA_MS)
-/* Longest wait for operators, from the beginning of a stop. */
-#define SHUTDOWN_TIMEOUT (4 * BA_SECOND)
+/* Share of the grace time for operators, from the beginning of a stop. */
+#define SHUTDOWN_SHARE (2.0 / 3)
 #define SHUTDOWN_POLL_PERIOD (20 * BA_MS)
 
 static int start_node(struct so_source *s);
@@ -83,7 +83,10 @@
 	so_source_rearm(s);
 	if (s->http)
 		so_http_stop_listening(s->http);
-	ba_drain_begin(&s->drain, now + SHUTDOWN_TIMEOUT, now);
+	ba_drain_begin(&s->drain,
+		       now + (ba_time)((double)s->settings->grace_time *
+				       SHUTDOWN_SHARE),
+		       now);
 	s->shutdown_timer.fire = on_shutdown_timer;
 	ba_loop_arm(s->loop, &s->shutdown_timer, now + SHUTDOWN_DELAY);
 }
