bench: the soak plays crowds of connections

Callers that the system does not control had ended a process, and no test had any. It prints the highest resident memory and the most descriptors of a process, and the answers after the crowd.

--- a/bench/soak.h
+++ b/bench/soak.h
@@ -13,6 +13,8 @@
  *   backend server is at work counts as CUT.
  * - A backend server in trouble sends improper answers, refuses requests at
  *   random, and writes a refusal once more on a kept connection.
+ * - A crowd of connections sends bodies or heads that stop short of their end, or
+ *   requests whose answers it does not read; what is closed is opened again.
  * - An overloaded backend server states a limit, one that leaves its departure, in
  *   all answers.  LIMIT and DRAIN count requests that reach it nevertheless.
  */
@@ -68,6 +70,7 @@
  * @restart_at: when to start it again, 0 while it runs
  * @stopping: it has got SIGTERM and has not ended yet
  * @crashed: it has been killed and has not ended yet
+ * @descriptors: limit of them, 0 for that of this process
  * @frozen: it has got SIGSTOP and no SIGCONT yet
  */
 struct soak_process {
@@ -76,6 +79,7 @@
 	char *output;
 	struct ba_address at;
 	pid_t pid;
+	int descriptors;
 	ba_time terminated_at;
 	ba_time disturbed_at;
 	ba_time restart_at;
@@ -136,6 +140,47 @@
 	bool right;
 };
 
+/** enum soak_crowd_kind - what the connections of a crowd do */
+enum soak_crowd_kind {
+	SOAK_CROWD_BODIES, /* send chunked bodies that do not end */
+	SOAK_CROWD_HEADS,  /* send heads that do not end */
+	SOAK_CROWD_WHOLE,  /* send chunked bodies that end */
+	SOAK_CROWD_UNREAD, /* send requests and do not read the answers */
+};
+
+struct crowd_conn;
+
+/**
+ * struct soak_crowd - a crowd, and what processes use meanwhile
+ * @n: its connections
+ * @body_bytes: length of a body, a head or an answer
+ * @chunk_bytes: length of a chunk
+ * @n_refused: answers with an error that it got
+ * @n_served: answers with 200
+ * @n_closed: its connections that were closed
+ * @whole_before: complete answers of callers before its end
+ * @peak_kb: highest resident memory of a proxy, in KB
+ * @core_peak_kb: the same of a core
+ * @peak_fds: most descriptors of a process
+ */
+struct soak_crowd {
+	struct ba_timer measure;
+	struct crowd_conn *conns;
+	int n;
+	enum soak_crowd_kind kind;
+	size_t body_bytes;
+	size_t chunk_bytes;
+	bool on;
+	uint64_t n_opened;
+	uint64_t n_refused;
+	uint64_t n_served;
+	uint64_t n_closed;
+	uint64_t whole_before;
+	uint64_t peak_kb;
+	uint64_t core_peak_kb;
+	uint64_t peak_fds;
+};
+
 /**
  * struct soak - one run
  * @requests: unfinished requests by id
@@ -159,6 +204,7 @@
  * @n_improper: improper answers
  * @n_refusals_again: refusals that were written once more
  * @n_twice: orders that ran twice
+ * @descriptors: limit of those of a process, 0 for that of this process
  * @calling: callers send requests
  */
 struct soak {
@@ -194,6 +240,8 @@
 	uint64_t n_improper;
 	uint64_t n_refusals_again;
 	uint64_t n_twice;
+	struct soak_crowd crowd;
+	int descriptors;
 	bool calling;
 };
 
@@ -237,6 +285,15 @@
 void soak_limit_write(struct soak_machine *m, const struct soak_request *r,
 		      struct ba_buf *out);
 
+/** soak_crowd_start() - open the connections of the crowd */
+void soak_crowd_start(struct soak *s);
+
+/** soak_crowd_end() - close them */
+void soak_crowd_end(struct soak *s);
+
+/** soak_measure_start() - measure memory and descriptors of all processes */
+void soak_measure_start(struct soak *s);
+
 /** soak_call_send() - send a control call on a connection of its own */
 void soak_call_send(struct ba_loop *loop, struct soak_call *c,
 		    const struct ba_address *to, const char *head,
--- a/bench/soak_control.c
+++ b/bench/soak_control.c
@@ -3,6 +3,7 @@
 #include <stdarg.h>
 #include <string.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <fcntl.h>
 #include <unistd.h>
@@ -83,8 +84,14 @@
 static void run_program(const struct soak_process *p)
 {
 	int fd = open(p->output, O_WRONLY | O_CREAT | O_APPEND, 0644);
+	struct rlimit limit;
 	sigset_t none;
 
+	if (p->descriptors && !getrlimit(RLIMIT_NOFILE, &limit)) {
+		limit.rlim_cur = (rlim_t)p->descriptors;
+		limit.rlim_max = limit.rlim_cur;
+		setrlimit(RLIMIT_NOFILE, &limit);
+	}
 	sigemptyset(&none);
 	sigprocmask(SIG_SETMASK, &none, NULL);
 	signal(SIGPIPE, SIG_DFL);
--- a/bench/soak_main.c
+++ b/bench/soak_main.c
@@ -36,6 +36,7 @@
 #define ORDER_RETRY_DELAY (200 * BA_MS)
 #define CORE_STOP_PERIOD (9 * BA_SECOND)
 #define CRASH_PERIOD (8 * BA_SECOND)
+#define AFTER_CROWD_TIME (4 * BA_SECOND)
 #define RESTART_DELAY_MAX (1500 * BA_MS)
 #define FREEZE_PERIOD (4 * BA_SECOND)
 #define FREEZE_TIME_MAX (4 * BA_SECOND)
@@ -85,6 +86,9 @@
 	ba_time crash_at;
 	ba_time freeze_at;
 	ba_time thaw_at;
+	ba_time crowd_at;
+	ba_time crowd_end;
+	int memory_mb;
 	struct soak_process *frozen;
 	ba_time calls_end;
 	uint64_t n_stops;
@@ -118,6 +122,8 @@
 static void crash_one(struct run *g, ba_time now);
 static void freeze_one(struct run *g, ba_time now);
 static void thaw(struct run *g, ba_time now);
+static void play_crowd(struct run *g, ba_time now);
+static enum soak_crowd_kind parse_crowd_kind(const char *name);
 static void send_order(struct run *g);
 static void on_order(struct soak_call *call);
 static void print_results(const struct run *g);
@@ -166,6 +172,9 @@
 	char *work_time = NULL;
 	char *grace = NULL;
 	char *kill_after = NULL;
+	char *crowd_kind = NULL;
+	int crowd_bytes = 1024 * 1024;
+	int crowd_chunk = 64 * 1024;
 	const GOptionEntry entries[] = {
 		{"seed", 0, 0, G_OPTION_ARG_INT64, &g->seed,
 		 "Seed of the schedule", "N"},
@@ -211,6 +220,18 @@
 		 "Backend servers state limits and leave", NULL},
 		{"improper", 0, 0, G_OPTION_ARG_INT, &s->improper_one_in,
 		 "Answers of backend servers of which one is improper", "N"},
+		{"crowd", 0, 0, G_OPTION_ARG_INT, &s->crowd.n,
+		 "Connections of a crowd that harms", "N"},
+		{"crowd-kind", 0, 0, G_OPTION_ARG_STRING, &crowd_kind,
+		 "bodies, heads, whole or unread", "KIND"},
+		{"crowd-bytes", 0, 0, G_OPTION_ARG_INT, &crowd_bytes,
+		 "Length of a body, head or answer of the crowd", "BYTES"},
+		{"crowd-chunk", 0, 0, G_OPTION_ARG_INT, &crowd_chunk,
+		 "Length of a chunk", "BYTES"},
+		{"memory-mb", 0, 0, G_OPTION_ARG_INT, &g->memory_mb,
+		 "Memory that a proxy is told to use", "MB"},
+		{"descriptors", 0, 0, G_OPTION_ARG_INT, &s->descriptors,
+		 "Limit of the descriptors of each process", "N"},
 		{"judged-share", 0, 0, G_OPTION_ARG_DOUBLE, &s->judged_share,
 		 "Share of the stated limits that is judged by", "SHARE"},
 		G_OPTION_ENTRY_NULL,
@@ -245,6 +266,10 @@
 	s->rand.state = (uint64_t)g->seed;
 	s->n_callers = g->n_front;
 	s->n_called = g->n_long;
+	s->crowd.kind = parse_crowd_kind(crowd_kind);
+	s->crowd.body_bytes = (size_t)MAX(crowd_bytes, 1);
+	s->crowd.chunk_bytes = (size_t)MAX(crowd_chunk, 1);
+	g_free(crowd_kind);
 	set_rate(g, g->link_rate ? g->link_rate : "8.4Mbit");
 	g_free(length);
 	g_free(budget);
@@ -254,6 +279,24 @@
 	g_free(grace);
 }
 
+static enum soak_crowd_kind parse_crowd_kind(const char *name)
+{
+	static const char *const names[] = {
+		[SOAK_CROWD_BODIES] = "bodies",
+		[SOAK_CROWD_HEADS] = "heads",
+		[SOAK_CROWD_WHOLE] = "whole",
+		[SOAK_CROWD_UNREAD] = "unread",
+	};
+
+	for (size_t i = 0; name && i < G_N_ELEMENTS(names); i++)
+		if (!strcmp(name, names[i]))
+			return (enum soak_crowd_kind)i;
+	if (!name)
+		return SOAK_CROWD_BODIES;
+	fprintf(stderr, "--crowd-kind=%s\n", name);
+	exit(ba_result_info(BA_USAGE)->exit_code);
+}
+
 static void set_rate(struct run *g, const char *link_rate)
 {
 	struct soak *s = &g->soak;
@@ -299,6 +342,7 @@
 			octet, g->net, octet, g->work, i, seeds);
 		write_settings(p->settings, text);
 		g_free(text);
+		p->descriptors = s->descriptors;
 		soak_process_start(p);
 	}
 	g_free(seeds);
@@ -308,6 +352,9 @@
 {
 	struct soak *s = &g->soak;
 	char *seeds = seed_list(g);
+	char *memory =
+		g->memory_mb ? g_strdup_printf("memory_mb = %d\n", g->memory_mb)
+			     : g_strdup("");
 
 	s->n_machines = g->n_front + g->n_long;
 	s->machines = g_new0(struct soak_machine, s->n_machines);
@@ -338,21 +385,23 @@
 			"[proxy]\ncaller_address = \"%s\"\n"
 			"peer_address = \"%s.%d:9101\"\n"
 			"ready_address = \"%s\"\nbeat_address = \"%s\"\n"
-			"grace = \"%" PRId64 "ms\"\nlink_rate = \"%s\"\n"
+			"grace = \"%" PRId64 "ms\"\nlink_rate = \"%s\"\n%s"
 			"[backend]\naddress = \"%s\"\nservice = \"%s\"\n"
 			"[relays]\naddresses = [%s]\nport = 9202\n",
 			g->key, m->name, m->data_centre, g->net, octet,
 			p->at.text, g->net, octet, m->ready.text,
 			m->registration.text, s->grace / BA_MS, g->link_rate,
-			m->backend.text, m->service, seeds);
+			memory, m->backend.text, m->service, seeds);
 		write_settings(p->settings, text);
 		g_free(text);
 		if (soak_backend_start(m)) {
 			fprintf(stderr, "%s: in use\n", m->backend.text);
 			exit(1);
 		}
+		p->descriptors = s->descriptors;
 		soak_process_start(p);
 	}
+	g_free(memory);
 	g_free(seeds);
 }
 
@@ -416,6 +465,8 @@
 			crash_one(g, now);
 		if (g->freezes && now >= g->freeze_at)
 			freeze_one(g, now);
+		if (s->crowd.n)
+			play_crowd(g, now);
 	} else {
 		s->calling = false;
 		if (!g_hash_table_size(s->requests))
@@ -431,10 +482,15 @@
 	soak_log(s, "all ready");
 	s->calling = true;
 	g->calls_end = now + WARM_UP_TIME + g->length;
-	g->stop_at = now + WARM_UP_TIME;
-	g->core_stop_at = now + WARM_UP_TIME + CORE_STOP_PERIOD / 2;
+	g->stop_at = g->stops > 0 ? now + WARM_UP_TIME : BA_NEVER;
+	g->core_stop_at = g->stops > 0
+				  ? now + WARM_UP_TIME + CORE_STOP_PERIOD / 2
+				  : BA_NEVER;
 	g->crash_at = now + WARM_UP_TIME + CRASH_PERIOD;
 	g->freeze_at = now + WARM_UP_TIME;
+	g->crowd_at = now + WARM_UP_TIME;
+	g->crowd_end = g->calls_end - AFTER_CROWD_TIME;
+	soak_measure_start(s);
 	for (int i = 0; i < g->n_front; i++)
 		soak_callers_start(&s->machines[i]);
 	for (int i = g->n_front; g->limits && i < s->n_machines; i++)
@@ -599,6 +655,19 @@
 		kill(p->pid, SIGCONT);
 }
 
+static void play_crowd(struct run *g, ba_time now)
+{
+	struct soak *s = &g->soak;
+
+	if (now >= g->crowd_at) {
+		soak_log(s, "%d connections of a crowd", s->crowd.n);
+		soak_crowd_start(s);
+		g->crowd_at = BA_NEVER;
+	}
+	if (s->crowd.on && now >= g->crowd_end)
+		soak_crowd_end(s);
+}
+
 static void send_order(struct run *g)
 {
 	struct operator* o = & g->operator;
@@ -678,13 +747,20 @@
 	       ",\"departures\":%" PRIu64 ",\"limited\":%" PRIu64
 	       ",\"limit_broken\":%" PRIu64 ",\"drain_broken\":%" PRIu64
 	       ",\"improper\":%" PRIu64 ",\"refusals_again\":%" PRIu64
-	       ",\"twice\":%" PRIu64 ",\"requests\":%" PRIu64,
+	       ",\"twice\":%" PRIu64 ",\"requests\":%" PRIu64
+	       ",\"crowd_opened\":%" PRIu64 ",\"crowd_refused\":%" PRIu64
+	       ",\"crowd_served\":%" PRIu64 ",\"crowd_closed\":%" PRIu64
+	       ",\"peak_kb\":%" PRIu64 ",\"core_peak_kb\":%" PRIu64
+	       ",\"peak_fds\":%" PRIu64 ",\"whole_after_crowd\":%" PRIu64,
 	       g->seed, g->n_stops, g->n_core_stops, g->n_crashes, g->n_orders,
 	       g->n_killed, g->n_ended, s->heartbeats_cut,
 	       s->heartbeats_crossed, s->orders_cut, g->n_freezes, s->n_limits,
 	       s->n_departures, s->n_limited, s->n_limit_broken,
 	       s->n_drain_broken, s->n_improper, s->n_refusals_again,
-	       s->n_twice, s->n_requests);
+	       s->n_twice, s->n_requests, s->crowd.n_opened, s->crowd.n_refused,
+	       s->crowd.n_served, s->crowd.n_closed, s->crowd.peak_kb,
+	       s->crowd.core_peak_kb, s->crowd.peak_fds,
+	       s->outcomes[SOAK_WHOLE] - s->crowd.whole_before);
 	for (int i = 0; i < SOAK_OUTCOMES; i++)
 		printf(",\"%s\":%" PRIu64, names[i], s->outcomes[i]);
 	printf("}\n");
