--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -25,6 +25,12 @@
 	[BA_EV_STOP_CUT] =
 		{"stop-cut", BA_WARNING,
 		 "A planned stop had to end before everything was finished; what was left is cut."},
+	[BA_EV_CROWDED] =
+		{"crowded", BA_WARNING,
+		 "Other ends hold more memory or connections than there are for "
+		 "them; requests were refused and not run, or connections "
+		 "closed.  One line a second at most, with the numbers since "
+		 "the last one."},
 	[WI_EV_SESSION_OPEN] = {"session-open", BA_INFO,
 				"A session with a peer is open."},
 	[WI_EV_SESSION_CLOSED] = {"session-closed", BA_INFO,
--- a/report/rt.c
+++ b/report/rt.c
@@ -65,6 +65,9 @@
 	[RT_UPSTREAMS_SILENT] = "upstreams_silent",
 	[RT_UPSTREAMS_PASSED_OVER] = "upstreams_passed_over",
 	[RT_UPSTREAM_UNHEARD_MS] = "upstream_unheard_ms",
+	[RT_BODIES_REFUSED] = "bodies_refused",
+	[RT_HOLDERS_CLOSED] = "holders_closed",
+	[RT_CONNS_TURNED_AWAY] = "conns_turned_away",
 };
 
 static const char *const gauge_names[] = {
--- a/report/rt.h
+++ b/report/rt.h
@@ -76,6 +76,9 @@
 	RT_UPSTREAMS_SILENT,
 	RT_UPSTREAMS_PASSED_OVER,
 	RT_UPSTREAM_UNHEARD_MS, /* without word between two sessions, in ms */
+	RT_BODIES_REFUSED,	/* requests, for want of memory */
+	RT_HOLDERS_CLOSED,    /* connections that held much and moved little */
+	RT_CONNS_TURNED_AWAY, /* for want of descriptors */
 	RT_COUNTERS,
 };
 
