proxy, http: what clients make a process hold stays within its memory

Crowds of chunked bodies that never end took processes over the memory of their machines: bodies grew by doubling, with both copies at once; heads, requests read ahead, answers not taken and connections counted nothing, and a proxy that was told no memory had no limit. A client that took no answers got more appended without end, and a listener without descriptors span.

Now all of it is charged to one account.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -12,10 +12,15 @@
 
 enum {
 	READ_BYTES = 32 * 1024,
-	READ_AHEAD_LIMIT_BYTES = 64 * 1024, /* pipelined requests */
-	OUT_BUFFER_KEEP_BYTES = 4096,	    /* a larger empty buffer is freed */
+	READ_TIGHT_BYTES = 4 * 1024,	    /* with memory short */
+	READ_AHEAD_LIMIT_BYTES = 32 * 1024, /* pipelined requests */
+	/* A client that takes no answers gets no more before it does. */
+	UNTAKEN_LIMIT_BYTES = 64 * 1024,
+	UNTAKEN_TIGHT_BYTES = 8 * 1024, /* with memory short */
+	OUT_BUFFER_KEEP_BYTES = 4096,	/* a larger empty buffer is freed */
 	/* A path that leaves sent bytes unacknowledged for longer is dead. */
 	USER_TIMEOUT_MS = 3000,
+	OWN_BYTES = 4096, /* of the kernel and of the owner for a connection */
 	LINGER_MS = 1000, /* for the other end to read what was sent */
 };
 
@@ -23,6 +28,7 @@
  * @in: reads answers, on the client's side, or requests
  * @read_ahead: received bytes that follow the last message
  * @link: shared with other connections, or NULL
+ * @charge: for what it holds
  * @message_sent: bytes written since ht_conn_read_next()
  * @watched_bits: events that the loop watches for
  * @callback_depth: depth of callbacks; the connection is freed only at 0
@@ -30,6 +36,7 @@
  * @send_failed: what was to be written was dropped, as the other end was gone
  * @refused: the other end has refused the connection
  * @message_complete: a message was read, and ht_conn_read_next() not called yet
+ * @next_waits: the next request is read once @out is sent
  * @keep_alive: the connection may be reused after the message
  * @closing: close once @out is sent, without callback
  * @closed: the socket is closed and no callback follows
@@ -45,6 +52,7 @@
 	struct ba_buf read_ahead;
 	struct ht_link *link;
 	struct ht_link_user link_user;
+	struct ba_charge charge;
 	size_t message_sent;
 	unsigned int watched_bits;
 	int callback_depth;
@@ -55,6 +63,7 @@
 	bool refused;
 	bool paused;
 	bool message_complete;
+	bool next_waits;
 	bool keep_alive;
 	bool closing;
 	bool closed;
@@ -83,6 +92,7 @@
 static void end_conn(struct ht_conn *c, enum ht_end why);
 static void close_conn(struct ht_conn *c);
 static void linger_close(struct ht_conn *c);
+static bool is_tight(const struct ht_conn *c);
 static void update_watch(struct ht_conn *c);
 static void end_callback(struct ht_conn *c);
 static void free_later(struct ht_conn *c);
@@ -122,6 +132,25 @@
 	c->in.head_limit = bytes;
 }
 
+void ht_conn_set_account(struct ht_conn *c, struct ba_account *a)
+{
+	ba_charge_set(&c->charge, 0);
+	if (c->charge.account)
+		c->charge.account->conns--;
+	ba_account_unref(c->charge.account);
+	c->charge.account = ba_account_ref(a);
+	if (a)
+		a->conns++;
+	ba_charge_set(&c->charge, ht_conn_held(c));
+}
+
+size_t ht_conn_held(const struct ht_conn *c)
+{
+	return OWN_BYTES + sizeof(*c) + c->head.text.alloc +
+	       c->head.alloc * sizeof(*c->head.fields) + c->out.alloc +
+	       c->read_ahead.alloc;
+}
+
 void ht_conn_set_link(struct ht_conn *c, struct ht_link *l)
 {
 	if (c->link == l)
@@ -192,6 +221,7 @@
 	}
 	if (!c->out.len && c->out.alloc > OUT_BUFFER_KEEP_BYTES)
 		ba_buf_free(&c->out);
+	ba_charge_set(&c->charge, ht_conn_held(c));
 	update_link(c);
 	set_send_deadline(c);
 	if (!c->out.len && c->closing)
@@ -232,10 +262,17 @@
 {
 	struct ba_buf held = c->read_ahead;
 
-	c->message_complete = false;
 	c->has_sent = false;
 	c->message_sent = 0;
 	c->paused = false;
+	c->next_waits =
+		!c->client && c->out.len > (is_tight(c) ? UNTAKEN_TIGHT_BYTES
+							: UNTAKEN_LIMIT_BYTES);
+	if (c->next_waits) {
+		update_watch(c);
+		return;
+	}
+	c->message_complete = false;
 	memset(&c->read_ahead, 0, sizeof(c->read_ahead));
 	if (c->client) {
 		c->in.no_body = false;
@@ -412,6 +449,8 @@
 {
 	if (!c->closed && c->owner && c->owner->drained && !c->out.len)
 		c->owner->drained(c->owner, c);
+	if (!c->closed && c->owner && c->next_waits && !c->out.len)
+		ht_conn_read_next(c);
 }
 
 static void on_connected(struct ht_conn *c)
@@ -443,7 +482,8 @@
 static void read_some(struct ht_conn *c)
 {
 	static _Thread_local char buffer[READ_BYTES];
-	ssize_t n = recv(c->watch.fd, buffer, sizeof(buffer), 0);
+	size_t len = is_tight(c) ? READ_TIGHT_BYTES : sizeof(buffer);
+	ssize_t n = recv(c->watch.fd, buffer, len, 0);
 
 	if (n > 0)
 		on_data(c, buffer, (size_t)n);
@@ -611,6 +651,7 @@
 static void end_callback(struct ht_conn *c)
 {
 	c->callback_depth--;
+	ba_charge_set(&c->charge, ht_conn_held(c));
 	if (c->closed && !c->callback_depth)
 		free_later(c);
 }
@@ -644,6 +685,12 @@
 	update_watch(c);
 }
 
+/* Whether memory for other ends is short. */
+static bool is_tight(const struct ht_conn *c)
+{
+	return c->charge.account && ba_account_is_tight(c->charge.account);
+}
+
 static void update_watch(struct ht_conn *c)
 {
 	unsigned int bits = 0;
@@ -651,7 +698,7 @@
 	if (c->closed)
 		return;
 	if (!c->paused && !c->connecting &&
-	    c->read_ahead.len < READ_AHEAD_LIMIT_BYTES)
+	    c->read_ahead.len < (is_tight(c) ? 1 : READ_AHEAD_LIMIT_BYTES))
 		bits |= BA_READABLE;
 	if (c->connecting ||
 	    (c->out.len &&
@@ -665,6 +712,7 @@
 
 static void conn_free(struct ht_conn *c)
 {
+	ht_conn_set_account(c, NULL);
 	ht_link_unref(c->link);
 	ht_head_free(&c->head);
 	ht_message_free(&c->in);
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -13,6 +13,7 @@
 #ifndef HT_CONN_H
 #define HT_CONN_H
 
+#include "base/ba_account.h"
 #include "base/ba_list.h"
 #include "base/ba_loop.h"
 #include "base/ba_unit.h"
@@ -64,6 +65,12 @@
 /** ht_conn_set_head_limit() - set the limit of the bytes of a head */
 void ht_conn_set_head_limit(struct ht_conn *c, size_t bytes);
 
+/** ht_conn_set_account() - charge what the connection holds to @a */
+void ht_conn_set_account(struct ht_conn *c, struct ba_account *a);
+
+/** ht_conn_held() - return the bytes of memory that the connection holds */
+size_t ht_conn_held(const struct ht_conn *c);
+
 /** ht_conn_set_link() - schedule further writes on the shared link @l */
 void ht_conn_set_link(struct ht_conn *c, struct ht_link *l);
 
--- a/http/ht_pool.c
+++ b/http/ht_pool.c
@@ -69,8 +69,11 @@
 	struct ht_conn *c;
 
 	*fresh = !ic;
-	if (!ic)
-		return ht_conn_dial(p->loop, &p->o.to, p->o.head_limit, o);
+	if (!ic) {
+		c = ht_conn_dial(p->loop, &p->o.to, p->o.head_limit, o);
+		ht_conn_set_account(c, p->o.account);
+		return c;
+	}
 	c = ic->conn;
 	remove_idle(ic);
 	ht_conn_set_deadline(c, BA_NEVER);
--- a/http/ht_pool.h
+++ b/http/ht_pool.h
@@ -24,12 +24,14 @@
  * @idle_timeout: longest time that a connection is kept idle
  * @max_idle: limit of idle connections
  * @head_limit: limit of the bytes of an answer's head
+ * @account: charged with what connections hold; may be NULL
  */
 struct ht_pool_options {
 	struct ba_address to;
 	ba_time idle_timeout;
 	size_t max_idle;
 	size_t head_limit;
+	struct ba_account *account;
 };
 
 /** ht_pool_new() - create an empty pool */
--- a/http/ht_service.c
+++ b/http/ht_service.c
@@ -5,6 +5,7 @@
 
 #include "base/ba_result.h"
 #include "http/ht_service.h"
+#include "report/rt.h"
 
 struct ht_service {
 	struct ht_acceptor acceptor;
@@ -16,17 +17,26 @@
 	unsigned int n_conns;
 };
 
-/* @in_request: @request is complete and has not been answered */
+/*
+ * @charge: for the body of @request
+ * @moved_at: when something of it has come last
+ * @in_request: @request is complete and has not been answered
+ */
 struct service_conn {
 	struct ht_conn_owner owner;
 	struct ht_request request;
 	struct ba_list link;
 	struct ht_service *service;
 	struct ht_conn *conn;
+	struct ba_charge charge;
+	ba_time moved_at;
 	bool in_request;
 };
 
 static void on_accept(struct ht_acceptor *a, int fd);
+static struct service_conn *find_idle(struct ht_service *s);
+static bool make_room(struct service_conn *sc, size_t len);
+static void refuse(struct service_conn *sc);
 static void on_body(struct ht_conn_owner *o, struct ht_conn *c,
 		    const void *data, size_t len);
 static void on_complete(struct ht_conn_owner *o, struct ht_conn *c);
@@ -91,6 +101,8 @@
 		return;
 	}
 	ht_conn_flush(c);
+	ba_list_remove(&sc->link);
+	ba_list_append(&sc->service->conns, &sc->link);
 	set_idle_deadline(sc);
 	ht_conn_read_next(c);
 }
@@ -142,8 +154,17 @@
 	struct service_conn *sc;
 
 	if (s->o.max_connections && s->n_conns >= s->o.max_connections) {
-		close(fd);
-		return;
+		sc = find_idle(s);
+		rt_count(RT_CONNS_TURNED_AWAY, 1);
+		if (s->o.account)
+			ba_account_note(s->o.account, BA_CROWD_TURNED_AWAY,
+					ba_loop_now(s->loop));
+		if (!sc) {
+			close(fd);
+			return;
+		}
+		ht_conn_abort(sc->conn);
+		remove_conn(sc);
 	}
 	sc = g_new0(struct service_conn, 1);
 	sc->owner.body = on_body;
@@ -153,6 +174,8 @@
 	ba_list_append(&s->conns, &sc->link);
 	s->n_conns++;
 	sc->conn = ht_conn_serve(s->loop, fd, s->o.head_limit, &sc->owner);
+	ht_conn_set_account(sc->conn, s->o.account);
+	sc->charge.account = s->o.account;
 	sc->request.head = ht_conn_head(sc->conn);
 	set_idle_deadline(sc);
 }
@@ -164,9 +187,84 @@
 	struct ht_request *r = &sc->request;
 
 	(void)c;
+	sc->moved_at = ba_loop_now(sc->service->loop);
 	r->body_truncated |= r->body.len + len > sc->service->o.body_limit;
-	if (!r->body_truncated)
-		ba_buf_add(&r->body, data, len);
+	if (r->body_truncated)
+		return;
+	if (!make_room(sc, len)) {
+		refuse(sc);
+		return;
+	}
+	ba_buf_add(&r->body, data, len);
+	ba_charge_set(&sc->charge, r->body.alloc);
+}
+
+/* The oldest of those without a complete request. */
+static struct service_conn *find_idle(struct ht_service *s)
+{
+	struct ba_list *pos;
+
+	ba_list_each(pos, &s->conns)
+	{
+		struct service_conn *sc =
+			ba_entry(pos, struct service_conn, link);
+
+		if (!sc->in_request && !ht_conn_out(sc->conn)->len)
+			return sc;
+	}
+	return NULL;
+}
+
+/*
+ * Return: whether there is memory for @len more bytes of the body of @sc.  A
+ * buffer that grows is there twice for a moment.
+ */
+static bool make_room(struct service_conn *sc, size_t len)
+{
+	const struct ba_buf *body = &sc->request.body;
+	struct ht_service *s = sc->service;
+	size_t need = body->len + len;
+	size_t more = need > body->alloc ? 2 * need : 0;
+	struct ba_list *pos;
+
+	while (s->o.account && !ba_account_has_room(s->o.account, more, need)) {
+		struct service_conn *worst = NULL;
+		double most = 0;
+
+		ba_list_each(pos, &s->conns)
+		{
+			struct service_conn *other =
+				ba_entry(pos, struct service_conn, link);
+			double weight = ba_hold_weight(other->charge.bytes,
+						       ba_loop_now(s->loop) -
+							       other->moved_at);
+
+			if (other == sc || other->in_request || weight <= most)
+				continue;
+			worst = other;
+			most = weight;
+		}
+		if (!worst)
+			return false;
+		refuse(worst);
+	}
+	return true;
+}
+
+/* Answers that the request was not run, for want of memory, and closes. */
+static void refuse(struct service_conn *sc)
+{
+	static const char text[] = "HTTP/1.1 503 Service Unavailable\r\n"
+				   "Retry-After: 1\r\nContent-Length: 0\r\n"
+				   "Connection: close\r\n\r\n";
+	struct ht_conn *c = sc->conn;
+
+	rt_count(RT_BODIES_REFUSED, 1);
+	ba_account_note(sc->service->o.account, BA_CROWD_REFUSED,
+			ba_loop_now(sc->service->loop));
+	ht_conn_write(c, text, sizeof(text) - 1);
+	remove_conn(sc);
+	ht_conn_close_after_flush(c);
 }
 
 static void on_complete(struct ht_conn_owner *o, struct ht_conn *c)
@@ -231,6 +329,9 @@
 
 static void clear_request(struct ht_request *r)
 {
+	struct service_conn *sc = ba_entry(r, struct service_conn, request);
+
+	ba_charge_set(&sc->charge, 0);
 	ba_buf_free(&r->body);
 	r->body_truncated = false;
 	r->context = NULL;
--- a/http/ht_service.h
+++ b/http/ht_service.h
@@ -6,6 +6,8 @@
  * - The owner holds a request from @request until it answers it or gets
  *   @cancelled.
  * - A connection carries one request at a time.
+ * - A body for which there is no memory is answered 503; before that, others that
+ *   hold much and have stopped coming are.
  */
 #ifndef HT_SERVICE_H
 #define HT_SERVICE_H
@@ -48,7 +50,9 @@
  * @head_limit: limit of the bytes of a head
  * @body_limit: limit of the bytes of a body that are kept
  * @idle_timeout: a connection without a request is closed after this time
- * @max_connections: limit of open connections, 0 for no limit
+ * @max_connections: limit of open connections, 0 for no limit; beyond it the one
+ *	that has been without a request for longest is closed
+ * @account: charged with what the service holds; may be NULL
  */
 struct ht_service_options {
 	const struct ba_address *address;
@@ -56,6 +60,7 @@
 	size_t body_limit;
 	ba_time idle_timeout;
 	unsigned int max_connections;
+	struct ba_account *account;
 };
 
 /**
--- a/prog/caraway-core.c
+++ b/prog/caraway-core.c
@@ -1,6 +1,8 @@
+#include <malloc.h>
 #include <signal.h>
 #include <string.h>
 
+#include "base/ba_account.h"
 #include "base/ba_event.h"
 #include "base/ba_result.h"
 #include "platform/pf.h"
@@ -22,6 +24,7 @@
  * @first_start: the whole system starts for the first time, so the seeds form
  *	the group
  * @grace_time: time from the signal to stop until the process is killed
+ * @memory_mb: memory that the process may use in MB
  * @max_losses: instances that may be lost at once while the group goes on
  */
 struct settings {
@@ -33,6 +36,7 @@
 	ba_time grace_time;
 	struct ba_addresses seeds;
 	bool first_start;
+	int64_t memory_mb;
 	int64_t max_losses;
 };
 
@@ -50,6 +54,9 @@
 	KEY("core", "data_folder", BA_KIND_STRING, true, data_folder),
 	{"core", "grace", BA_KIND_DURATION, false,
 	 offsetof(struct settings, grace_time), "6s", BA_SECOND, 0},
+	{"core", "memory_mb", BA_KIND_INTEGER, false,
+	 offsetof(struct settings, memory_mb), BA_ACCOUNT_DEFAULT_MB, 16,
+	 1 << 20},
 	KEY("group", "seeds", BA_KIND_ADDRESSES, true, seeds),
 	KEY("group", "first_start", BA_KIND_BOOLEAN, false, first_start),
 	{"group", "losses", BA_KIND_INTEGER, false,
@@ -60,6 +67,8 @@
 /* With fewer replicas, the loss of one would leave no majority. */
 enum { MIN_VOTERS = 3 };
 
+enum { MAPPED_BYTES = 512 * 1024 };
+
 struct program {
 	struct settings settings;
 	struct ba_addresses founders;
@@ -104,6 +113,8 @@
 {
 	int ret;
 
+	/* Large bodies go back to the system, and grow without a copy. */
+	mallopt(M_MMAP_THRESHOLD, MAPPED_BYTES);
 	g->loop = ba_loop_new();
 	ret = pr_guard_start(g->loop, g->settings.grace_time, on_signal, g);
 	collect_known_addresses(g);
@@ -214,6 +225,7 @@
 		.address = &g->settings.operator_address,
 		.source = &g->source,
 		.dialect = &pf_operators,
+		.memory = g->settings.memory_mb * 1024 * 1024,
 	};
 	int ret = so_source_start(&g->source);
 
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -1,6 +1,7 @@
 #include <signal.h>
 #include <string.h>
 
+#include "base/ba_account.h"
 #include "base/ba_digest.h"
 #include "base/ba_event.h"
 #include "base/ba_result.h"
@@ -37,7 +38,8 @@
 /**
  * struct settings - the settings file
  * @link_rate: rate of the outgoing link in bytes per second, or 0
- * @memory_mb: memory that the process may use in MB, or 0
+ * @memory_mb: memory that the process may use in MB
+ * @descriptors: descriptors that it may use, 0 for those that the system allows
  * @relay_port: port of all relays if their addresses name another one, or 0
  * @grace_time: time from the signal to stop until the process is killed
  */
@@ -50,6 +52,7 @@
 	struct ba_address backend_address;
 	int64_t link_rate;
 	int64_t memory_mb;
+	int64_t descriptors;
 	char *service;
 	struct ba_addresses relays;
 	int64_t relay_port;
@@ -70,7 +73,10 @@
 	    registration_address),
 	KEY("proxy", "link_rate", BA_KIND_RATE, false, link_rate),
 	{"proxy", "memory_mb", BA_KIND_INTEGER, false,
-	 offsetof(struct settings, memory_mb), NULL, 16, 1 << 20},
+	 offsetof(struct settings, memory_mb), BA_ACCOUNT_DEFAULT_MB, 16,
+	 1 << 20},
+	{"proxy", "descriptors", BA_KIND_INTEGER, false,
+	 offsetof(struct settings, descriptors), NULL, 128, 1 << 24},
 	KEY("backend", "address", BA_KIND_ADDRESS, true, backend_address),
 	KEY("backend", "service", BA_KIND_STRING, true, service),
 	KEY("relays", "addresses", BA_KIND_ADDRESSES, true, relays),
@@ -176,6 +182,7 @@
 		.region = s->common.region,
 		.link_rate = s->link_rate,
 		.memory = s->memory_mb * 1024 * 1024,
+		.descriptors = pr_descriptors(s->descriptors),
 		.service = s->service,
 		.dialect = &pf_proxy,
 	};
--- a/prog/pr.c
+++ b/prog/pr.c
@@ -224,6 +224,16 @@
 	return -1;
 }
 
+int64_t pr_descriptors(int64_t stated)
+{
+	struct rlimit limit;
+
+	if (getrlimit(RLIMIT_NOFILE, &limit))
+		return stated;
+	return stated ? MIN(stated, (int64_t)limit.rlim_cur)
+		      : (int64_t)MIN(limit.rlim_cur, 1 << 24);
+}
+
 /* A relay needs a descriptor for each daemon of its data centre. */
 static void raise_descriptor_limit(void)
 {
--- a/prog/pr.h
+++ b/prog/pr.h
@@ -75,6 +75,9 @@
  */
 int pr_listen_failed(const struct ba_address *address);
 
+/** pr_descriptors() - return how many there are: @stated, or 0, bounds them */
+int64_t pr_descriptors(int64_t stated);
+
 /** pr_port() - return the port of an address */
 int pr_port(const struct ba_address *a);
 
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -42,6 +42,7 @@
 	ba_list_init(&p->downstreams);
 	ba_list_init(&p->exchanges);
 	ba_list_init(&p->notices);
+	px_crowd_init(p);
 	p->router = cl_router_new(&router);
 	p->retry_budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -144,6 +145,7 @@
 	ba_list_each_safe(pos, tmp, &p->downstreams)
 		px_downstream_free(ba_entry(pos, struct px_downstream, link));
 	px_upstream_end_notices(p);
+	px_crowd_free(p);
 	ba_loop_disarm(p->loop, &p->backend.dispatch_timer);
 	px_poison_free(p);
 	g_hash_table_destroy(p->peer_pools);
@@ -219,6 +221,8 @@
 		.head_limit = PX_HEAD_LIMIT_BYTES,
 		.body_limit = PX_CONTROL_BODY_LIMIT_BYTES,
 		.idle_timeout = PX_DEFAULT_IDLE_TIMEOUT,
+		.max_connections = px_crowd_max_control(p),
+		.account = p->memory,
 	};
 
 	return at->len ? ht_service_new(p->loop, &o, &p->control_owner, out)
--- a/proxy/px.h
+++ b/proxy/px.h
@@ -65,6 +65,7 @@
  * @backend_address: address that the backend server listens on
  * @link_rate: bytes a second of the outgoing link, or 0 if not known
  * @memory: bytes of memory that the process may use, or 0 if not known
+ * @descriptors: descriptors that it may use, or 0 if not known
  * @service: service of this instance; stated to backend servers as the caller
  *	of the requests that enter this proxy
  * @seed: seed of the generator for choices among equal endpoints, the first
@@ -81,6 +82,7 @@
 	const char *region;
 	int64_t link_rate;
 	int64_t memory;
+	int64_t descriptors;
 	const char *service;
 	const struct px_dialect *dialect;
 	uint64_t seed;
--- a/proxy/px_backend.c
+++ b/proxy/px_backend.c
@@ -272,6 +272,7 @@
 		.idle_timeout = PX_BACKEND_POOL_IDLE_TIMEOUT,
 		.max_idle = hb->slots,
 		.head_limit = PX_HEAD_LIMIT_BYTES,
+		.account = p->memory,
 	};
 
 	if (!be->admit) {
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -19,7 +19,7 @@
 			struct ba_buf *out)
 {
 	const struct ht_head *h = ht_conn_head(x->downstream->conn);
-	const struct ba_buf *body = &x->downstream->body;
+	const struct ba_chain *body = &x->downstream->body;
 
 	ba_buf_addf(out, "%s %s HTTP/1.1\r\n", h->method, ht_head_target(h));
 	add_fields(x, h, out);
--- a/proxy/px_downstream.c
+++ b/proxy/px_downstream.c
@@ -1,5 +1,6 @@
 #include <string.h>
 #include <strings.h>
+#include <unistd.h>
 
 #include "base/ba_event.h"
 #include "base/ba_result.h"
@@ -15,9 +16,8 @@
 static void on_drained(struct ht_conn_owner *o, struct ht_conn *c);
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *c,
 		     enum ht_end why);
-static bool reserve(struct px_downstream *d, uint64_t bytes);
+static void set_moved(struct px_downstream *d);
 static void free_body(struct px_downstream *d);
-static void refuse_unread(struct px_downstream *d);
 static void refuse(struct px_downstream *d, int status);
 static void cut_off(struct ht_conn *c);
 static void log_cut_off(const struct px_downstream *d,
@@ -120,8 +120,13 @@
 
 static void accept_conn(struct px *p, int fd, bool from_peer)
 {
-	struct px_downstream *d = g_new0(struct px_downstream, 1);
+	struct px_downstream *d;
 
+	if (!px_crowd_admit(p, from_peer)) {
+		close(fd);
+		return;
+	}
+	d = g_new0(struct px_downstream, 1);
 	d->p = p;
 	d->from_peer = from_peer;
 	d->owner.begun = on_begun;
@@ -130,9 +135,13 @@
 	d->owner.complete = on_complete;
 	d->owner.drained = on_drained;
 	d->owner.ended = on_ended;
+	d->moved_at = ba_loop_now(p->loop);
+	d->body_charge.account = p->memory;
 	ba_list_append(&p->downstreams, &d->link);
+	p->crowd.n_conns[from_peer]++;
 	d->conn = ht_conn_serve(p->loop, fd, head_limit(d), &d->owner);
 	ht_conn_set_link(d->conn, p->link);
+	ht_conn_set_account(d->conn, p->memory);
 	ht_conn_set_deadline(d->conn, ba_loop_now(p->loop) + idle_timeout(d));
 }
 
@@ -142,6 +151,8 @@
 
 	d->in_request = true;
 	d->begun_at = ba_loop_now(d->p->loop);
+	set_moved(d);
+	px_crowd_watch(d->p);
 	ht_conn_set_head_limit(c, head_limit(d));
 	ht_conn_set_deadline(c, d->begun_at + header_timeout(d->p));
 }
@@ -160,8 +171,8 @@
 		refuse(d, 413);
 		return;
 	}
-	if (h->length > 0 && !reserve(d, (uint64_t)h->length)) {
-		refuse_unread(d);
+	if (h->length > 0 && !px_crowd_reserve(d, (size_t)h->length)) {
+		px_downstream_refuse_unread(d);
 		return;
 	}
 	if (expect && !strcasecmp(expect, "100-continue")) {
@@ -182,18 +193,24 @@
 		refuse(d, 413);
 		return;
 	}
-	if (!reserve(d, d->body.len + len)) {
-		refuse_unread(d);
+	ba_chain_add(&d->body, data, len);
+	d->moved_at = ba_loop_now(d->p->loop);
+	if (!px_crowd_grow(d)) {
+		px_downstream_refuse_unread(d);
 		return;
 	}
-	ba_buf_add(&d->body, data, len);
 	ht_conn_set_deadline(c, ba_loop_now(d->p->loop) + idle_timeout(d));
 }
 
 static void on_complete(struct ht_conn_owner *o, struct ht_conn *c)
 {
+	struct px_downstream *d = (struct px_downstream *)o;
+
 	ht_conn_set_deadline(c, BA_NEVER);
-	px_exchange_begin((struct px_downstream *)o);
+	set_moved(d);
+	px_crowd_unpause(d);
+	px_crowd_watch(d->p);
+	px_exchange_begin(d);
 }
 
 /* Resumes reading the answer once the caller has taken what was written. */
@@ -202,6 +219,7 @@
 	struct px_downstream *d = (struct px_downstream *)o;
 
 	(void)c;
+	d->moved_at = ba_loop_now(d->p->loop);
 	end_noted_answer(d);
 	if (d->exchange && d->exchange->conn)
 		ht_conn_pause(d->exchange->conn, false);
@@ -229,36 +247,32 @@
 	remove_downstream(d);
 }
 
-/* Return: whether there is memory for a body of @bytes. */
-static bool reserve(struct px_downstream *d, uint64_t bytes)
+/* Keeps the connections in the order in which something last came. */
+static void set_moved(struct px_downstream *d)
 {
-	struct px *p = d->p;
-	double limit = (double)p->o.memory * PX_BODIES_SHARE;
-	uint64_t more = bytes > d->reserved ? bytes - d->reserved : 0;
-
-	if (p->o.memory && more && (double)(p->bodies + more) > limit)
-		return false;
-	d->reserved += more;
-	p->bodies += more;
-	return true;
+	d->moved_at = ba_loop_now(d->p->loop);
+	ba_list_remove(&d->link);
+	ba_list_append(&d->p->downstreams, &d->link);
 }
 
 static void free_body(struct px_downstream *d)
 {
-	ba_buf_free(&d->body);
-	d->p->bodies -= d->reserved;
-	d->reserved = 0;
+	ba_chain_free(&d->body);
+	ba_charge_set(&d->body_charge, 0);
 }
 
 /* Answers that the request was not run, for want of memory, and closes. */
-static void refuse_unread(struct px_downstream *d)
+void px_downstream_refuse_unread(struct px_downstream *d)
 {
 	struct ht_conn *c = d->conn;
 
 	ba_event(CL_EV_NOT_RUN, "code=%d status=503 bodies=%llu length=%lld",
-		 CL_OVERLOADED, (unsigned long long)d->p->bodies,
+		 CL_OVERLOADED, (unsigned long long)d->p->memory->used,
 		 (long long)ht_conn_head(c)->length);
 	rt_count(RT_NOT_RUN, 1);
+	rt_count(RT_BODIES_REFUSED, 1);
+	ba_account_note(d->p->memory, BA_CROWD_REFUSED,
+			ba_loop_now(d->p->loop));
 	px_compose_unread(d, CL_OVERLOADED, ht_conn_out(c));
 	remove_downstream(d);
 	ht_conn_close_after_flush(c);
@@ -328,6 +342,7 @@
 static void remove_downstream(struct px_downstream *d)
 {
 	end_noted_answer(d);
+	px_crowd_leave(d);
 	ba_list_remove(&d->link);
 	free_body(d);
 	g_free(d);
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -219,6 +219,7 @@
 	cf_snapshot_unref(x->snapshot);
 	g_free(x->caller);
 	g_free(x->id);
+	ba_charge_set(&x->buffered_charge, 0);
 	ba_buf_free(&x->buffered);
 	g_free(x);
 }
@@ -274,6 +275,7 @@
 
 	x->p = d->p;
 	x->downstream = d;
+	x->buffered_charge.account = d->p->memory;
 	x->arrived_at = d->begun_at;
 	x->caller_deadline = request->time_left < 0
 				     ? BA_NEVER
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -2,6 +2,7 @@
  * Private to proxy/:
  *
  *   px.c             start and stop, configuration and endpoints
+ *   px_crowd.c       callers that hold more than there is for them
  *   px_downstream.c  downstream connections: of callers and of other proxies
  *   px_exchange.c    life of one request: route, attempts, retries, answer
  *   px_upstream.c    upstream connection of an attempt, and its answer
@@ -16,6 +17,8 @@
 
 #include <glib.h>
 
+#include "base/ba_account.h"
+#include "base/ba_chain.h"
 #include "base/ba_list.h"
 #include "base/ba_rand.h"
 #include "call/cl_admit.h"
@@ -43,11 +46,13 @@
 	PX_HEAD_LIMIT_BYTES = 64 * 1024,
 	PX_ANSWER_BUFFER_BYTES = 64 * 1024, /* shorter answers are sent whole */
 	PX_OUT_HIGH_WATER_BYTES = 128 * 1024, /* unsent; then reading pauses */
+	PX_OUT_TIGHT_BYTES = 16 * 1024,	      /* the same, with memory short */
 	PX_PEER_POOL_MAX_IDLE = 64,	      /* idle connections to a proxy */
 	PX_MAX_ENDPOINTS_TRIED = 3,	      /* for one request */
 	PX_DEFAULT_ATTEMPTS = 2,
 	PX_FOREIGN_ANSWERS_LIMIT = 4,		 /* skipped before the answer */
 	PX_CONTROL_BODY_LIMIT_BYTES = 64 * 1024, /* of control calls */
+	PX_MAX_PAUSED = 64, /* bodies that wait for memory */
 };
 
 /*
@@ -60,8 +65,6 @@
 #define PX_DEFAULT_IDLE_TIMEOUT BA_MINUTE
 #define PX_DEFAULT_ROUTE_TIMEOUT (10 * BA_SECOND)
 #define PX_DEFAULT_BODY_LIMIT_BYTES ((uint64_t)64 * 1024 * 1024)
-/* Share of the memory that bodies of requests may take, all together. */
-#define PX_BODIES_SHARE 0.75
 /* The body of a request is written in pieces, as the other end takes them. */
 #define PX_BODY_PIECE_BYTES ((size_t)256 * 1024)
 /* Of connections to another proxy, while they are in its pool. */
@@ -173,6 +176,22 @@
 	struct ba_timer hold_timer;
 };
 
+/**
+ * struct px_crowd - callers that hold more than there is for them
+ * @timer: next look at what they hold, while it is too much
+ * @paused: downstream connections whose bodies wait for memory
+ * @n_paused: their number
+ * @n_conns: open connections, of callers and of other proxies
+ * @max_conns: limits of these, 0 for none
+ */
+struct px_crowd {
+	struct ba_timer timer;
+	struct ba_list paused;
+	unsigned int n_paused;
+	unsigned int n_conns[2];
+	unsigned int max_conns[2];
+};
+
 /**
  * struct px - one proxy
  * @retry_budgets: struct px_retry_budget by service
@@ -182,7 +201,8 @@
  * @begins_nothing: final answers have been given; no attempt begins any more
  * @leaves_at: when this proxy is about to leave, 0 while it is not stopping
  * @notices: calls to other proxies that tell them so
- * @bodies: bytes that are reserved for bodies of requests
+ * @memory: what callers, other proxies and the backend server make this one hold
+ * @crowd: what is done when that is too much
  * @peer_pools: struct ht_pool by address of the other proxy
  * @stated: what their backend servers state
  */
@@ -208,7 +228,8 @@
 	bool stopping;
 	ba_time leaves_at;
 	struct ba_list notices;
-	uint64_t bodies;
+	struct ba_account *memory;
+	struct px_crowd crowd;
 	bool refuses_requests;
 	bool begins_nothing;
 	GHashTable *retry_budgets;
@@ -230,7 +251,10 @@
  * @in_request: a request has begun and its answer is not complete
  * @begun_at: when its first byte arrived
  * @body: body of the request, as far as it has arrived
- * @reserved: bytes that are reserved for it
+ * @body_charge: for it and for its declared length
+ * @moved_at: when something has come of a request, or an answer was taken
+ * @paused_link: in the list of those that wait for memory, if it does
+ * @paused_at: since when it waits
  * @exchange: the request that is being answered, or NULL
  * @answer_id: id of the last request if its answer is not all sent, or NULL
  * @answered_at: when that answer was complete
@@ -243,8 +267,11 @@
 	bool from_peer;
 	bool in_request;
 	ba_time begun_at;
-	struct ba_buf body;
-	uint64_t reserved;
+	struct ba_chain body;
+	struct ba_charge body_charge;
+	ba_time moved_at;
+	struct ba_list paused_link;
+	ba_time paused_at;
 	struct px_exchange *exchange;
 	char *answer_id;
 	ba_time answered_at;
@@ -279,6 +306,7 @@
  * @fresh: the upstream connection was opened for this attempt
  * @paced: a large answer is expected over the paid link
  * @body_written: bytes of the body that were passed to the connection
+ * @body_pos: where they end
  * @backend_start: start of the local backend server that it was sent to
  * @foreign: the answer that is being read belongs to an earlier request
  * @from_backend: the answer that is being read was made by a backend server
@@ -292,6 +320,7 @@
  * @chunked: the body is sent to the caller in chunks
  * @no_body: the answer to the caller has no body
  * @length: length of the answer's body, or %HT_LENGTH_UNKNOWN
+ * @buffered_charge: for @buffered
  * @buffered: received part of the body that has not been sent yet
  * @last_code: why the last attempt failed, or 0
  */
@@ -330,6 +359,7 @@
 	struct cl_egress_reservation reservation;
 	ba_time sent_at;
 	size_t body_written;
+	struct ba_chain_pos body_pos;
 	uint64_t backend_start;
 	bool paced;
 	bool fresh;
@@ -346,6 +376,7 @@
 	bool chunked;
 	bool no_body;
 	int64_t length;
+	struct ba_charge buffered_charge;
 	struct ba_buf buffered;
 	int last_code;
 };
@@ -376,6 +407,57 @@
 /** px_downstream_free() - cancel the request and close the connection */
 void px_downstream_free(struct px_downstream *d);
 
+/** px_downstream_refuse_unread() - refuse a request that has not come whole */
+void px_downstream_refuse_unread(struct px_downstream *d);
+
+/**
+ * px_crowd_init() - set the limits of memory and connections
+ *
+ * Unlimited where the options do not tell.
+ */
+void px_crowd_init(struct px *p);
+
+/** px_crowd_free() - end what px_crowd_init() began */
+void px_crowd_free(struct px *p);
+
+/**
+ * px_crowd_admit() - whether there is a descriptor for one more connection
+ *
+ * If not, the connection that has been idle for longest is closed for it.
+ */
+bool px_crowd_admit(struct px *p, bool from_peer);
+
+/**
+ * px_crowd_reserve() - reserve memory for a body of the declared length @bytes
+ *
+ * Return: whether there is memory for it; if not, the request is to be refused.
+ */
+bool px_crowd_reserve(struct px_downstream *d, size_t bytes);
+
+/**
+ * px_crowd_grow() - account for a body that has grown
+ *
+ * Without memory for it, the connection is not read until there is some.
+ *
+ * Return: false if too many wait already; the request is to be refused.
+ */
+bool px_crowd_grow(struct px_downstream *d);
+
+/** px_crowd_unpause() - a body does not wait for memory any more */
+void px_crowd_unpause(struct px_downstream *d);
+
+/** px_crowd_high_water() - unsent bytes at which the reading of an answer pauses */
+size_t px_crowd_high_water(struct px *p);
+
+/** px_crowd_max_control() - limit the connections of a control port */
+unsigned int px_crowd_max_control(const struct px *p);
+
+/** px_crowd_leave() - a downstream connection is about to be freed */
+void px_crowd_leave(struct px_downstream *d);
+
+/** px_crowd_watch() - look at what callers hold, if memory is short */
+void px_crowd_watch(struct px *p);
+
 /** px_exchange_begin() - start processing the complete request of @d */
 void px_exchange_begin(struct px_downstream *d);
 
@@ -494,7 +576,7 @@
  * The same at the proxy that it entered and at the one beside the endpoint.
  */
 uint64_t px_poison_digest(const struct ht_head *h, const char *caller,
-			  const struct ba_buf *body);
+			  const struct ba_chain *body);
 
 /** px_poison_refuses() - whether the request must not run; counts refusals */
 bool px_poison_refuses(struct px_exchange *x);
--- a/proxy/px_poison.c
+++ b/proxy/px_poison.c
@@ -55,7 +55,7 @@
 
 /* Each part is hashed with the digest before it as seed, so none runs on. */
 uint64_t px_poison_digest(const struct ht_head *h, const char *caller,
-			  const struct ba_buf *body)
+			  const struct ba_chain *body)
 {
 	const char *host = ht_head_get(h, "Host");
 	const char *target = ht_head_target(h);
@@ -66,7 +66,7 @@
 	d = digest_add(d, h->method, strlen(h->method));
 	d = digest_add(d, target, strlen(target));
 	d = digest_add(d, caller, strlen(caller));
-	return digest_add(d, body->data, body->len);
+	return ba_chain_hash(body, d);
 }
 
 bool px_poison_refuses(struct px_exchange *x)
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -165,21 +165,29 @@
 	px_compose_request(x, state == PX_ATTEMPT_AT_BACKEND,
 			   ht_conn_out(x->conn));
 	x->body_written = 0;
+	x->body_pos = (struct ba_chain_pos){0};
 	write_body(x);
 }
 
 /* Writes pieces until one has to wait; then on_drained() goes on. */
 static void write_body(struct px_exchange *x)
 {
-	const struct ba_buf *body = &x->downstream->body;
+	const struct ba_chain *body = &x->downstream->body;
+	size_t piece = ba_account_is_tight(x->p->memory) ? PX_OUT_TIGHT_BYTES
+							 : PX_BODY_PIECE_BYTES;
 	struct ht_conn *c = x->conn;
+	const uint8_t *data;
+	size_t len;
 
 	do {
-		size_t len = MIN(body_left(x), PX_BODY_PIECE_BYTES);
-
-		if (len)
-			ht_conn_write(c, body->data + x->body_written, len);
-		x->body_written += len;
+		size_t left = piece;
+
+		while (left &&
+		       (len = ba_chain_read(body, &x->body_pos, left, &data))) {
+			ht_conn_write(c, data, len);
+			x->body_written += len;
+			left -= len;
+		}
 		ht_conn_set_to_come(c, body_left(x));
 		ht_conn_flush(c);
 	} while (body_left(x) && ht_conn_has_sent_all(c));
@@ -205,6 +213,7 @@
 		.idle_timeout = PX_PEER_POOL_IDLE_TIMEOUT,
 		.max_idle = PX_PEER_POOL_MAX_IDLE,
 		.head_limit = PX_HEAD_LIMIT_BYTES,
+		.account = p->memory,
 	};
 
 	if (pool)
@@ -310,13 +319,14 @@
 		return;
 	x->answer_bytes += len;
 	ba_buf_add(&x->buffered, data, len);
+	ba_charge_set(&x->buffered_charge, x->buffered.alloc);
 	if (!x->answering && !x->downstream->from_peer &&
 	    x->buffered.len < PX_ANSWER_BUFFER_BYTES &&
 	    x->length <= PX_ANSWER_BUFFER_BYTES)
 		return;
 	begin_answer(x);
 	forward_buffered(x);
-	if (ht_conn_out(x->downstream->conn)->len > PX_OUT_HIGH_WATER_BYTES)
+	if (ht_conn_out(x->downstream->conn)->len > px_crowd_high_water(x->p))
 		ht_conn_pause(c, true);
 }
 
@@ -482,6 +492,10 @@
 	if (x->chunked)
 		ba_buf_addf(out, "\r\n");
 	x->buffered.len = 0;
+	if (ba_account_is_tight(x->p->memory)) {
+		ba_buf_free(&x->buffered);
+		ba_charge_set(&x->buffered_charge, 0);
+	}
 	ht_conn_set_to_come(x->downstream->conn,
 			    to_come > 0 ? (size_t)to_come : 0);
 	ht_conn_flush(x->downstream->conn);
--- a/source/so_http.c
+++ b/source/so_http.c
@@ -9,6 +9,7 @@
 enum {
 	HEAD_LIMIT_BYTES = 64 * 1024,
 	BODY_LIMIT_BYTES = 32 * 1024 * 1024,
+	MAX_CONNECTIONS = 512,
 	ID_BYTES = RP_SUBMISSION_ID_BYTES + 1,
 };
 
@@ -21,6 +22,7 @@
 	struct ht_service_owner owner;
 	struct so_http_options o;
 	struct ht_service *service;
+	struct ba_account *memory;
 };
 
 /* struct pending_submission - a request that waits for an outcome */
@@ -49,18 +51,23 @@
 int so_http_new(struct ba_loop *loop, const struct so_http_options *o,
 		struct so_http **out)
 {
+	struct so_http *h = g_new0(struct so_http, 1);
+	struct ba_account *memory = ba_account_new((uint64_t)o->memory);
 	const struct ht_service_options service = {
 		.address = o->address,
 		.head_limit = HEAD_LIMIT_BYTES,
 		.body_limit = BODY_LIMIT_BYTES,
 		.idle_timeout = IDLE_TIMEOUT,
+		.max_connections = MAX_CONNECTIONS,
+		.account = memory,
 	};
-	struct so_http *h = g_new0(struct so_http, 1);
 
 	h->owner.request = on_request;
 	h->owner.cancelled = on_cancelled;
 	h->o = *o;
+	h->memory = memory;
 	if (ht_service_new(loop, &service, &h->owner, &h->service)) {
+		ba_account_unref(memory);
 		g_free(h);
 		return BA_PORT_IN_USE;
 	}
@@ -75,6 +82,7 @@
 		return;
 	h->o.source->http = NULL;
 	ht_service_free(h->service);
+	ba_account_unref(h->memory);
 	g_free(h);
 }
 
--- a/source/so_http.h
+++ b/source/so_http.h
@@ -51,11 +51,13 @@
  * @address: address to listen on for operators
  * @source: the replica of this process
  * @dialect: the names and formats to use
+ * @memory: bytes that the process may use, or 0 if not known
  */
 struct so_http_options {
 	const struct ba_address *address;
 	struct so_source *source;
 	const struct so_dialect *dialect;
+	int64_t memory;
 };
 
 struct so_http;
