platform: configurations with tenants; the refusal names the entry

The adapter dropped `tenants` and `auth_exempt`, so that no configuration with them could be read back as it was sent, and a refusal named the column only, never the route, service or team.

Each problem ends with the name of its entry.

PfConfiguration compares the name too, for each kind of invalid configuration.

--- a/config/cf_check.c
+++ b/config/cf_check.c
@@ -19,6 +19,7 @@
 static bool advance_to_service(const struct cf_draft *d, guint *at,
 			       const char *name);
 static void check_row(const struct cf_draft_row *r, struct ba_problems *p);
+static void name_entry(struct ba_problems *p, size_t from, const char *name);
 static int reported_line(int line);
 static void check_time(ba_time t, int line, const char *key,
 		       struct ba_problems *p);
@@ -56,6 +57,7 @@
 	for (guint i = 0; i < d->services->len; i++) {
 		const struct cf_draft_service *s =
 			&g_array_index(d->services, struct cf_draft_service, i);
+		size_t before = p->n;
 
 		if (s->line != CF_LINE_FROM_SNAPSHOT)
 			check_service(s, p);
@@ -63,6 +65,7 @@
 			ba_problem_add(p, CF_DUPLICATE_NAME,
 				       reported_line(s->line), "services.name",
 				       "one service \"%s\"", last);
+		name_entry(p, before, s->value.name);
 		last = s->value.name;
 	}
 }
@@ -83,6 +86,7 @@
 	for (guint i = 0; i < d->routes->len; i++) {
 		const struct cf_draft_route *r =
 			&g_array_index(d->routes, struct cf_draft_route, i);
+		size_t before = p->n;
 
 		if (r->line != CF_LINE_FROM_SNAPSHOT) {
 			check_route(r, p);
@@ -98,6 +102,7 @@
 			ba_problem_add(p, CF_DUPLICATE_NAME,
 				       reported_line(r->line), "routes.name",
 				       "one route \"%s\"", last);
+		name_entry(p, before, r->value.name);
 		last = r->value.name;
 	}
 }
@@ -259,6 +264,18 @@
 	check_time(r->value.deadline, r->line, "rows.deadline", p);
 }
 
+/* A configuration that is no file has no lines to tell its entries by. */
+static void name_entry(struct ba_problems *p, size_t from, const char *name)
+{
+	for (size_t i = from; i < p->n; i++) {
+		char *expected = p->list[i].expected;
+
+		p->list[i].expected =
+			g_strdup_printf("%s; in \"%s\"", expected, name);
+		g_free(expected);
+	}
+}
+
 static int reported_line(int line)
 {
 	return line == CF_LINE_FROM_SNAPSHOT ? 0 : line;
--- a/test/platform.sh
+++ b/test/platform.sh
@@ -6,7 +6,7 @@
 # usage: test/platform.sh
 
 limit=1500 # lines
-names='X-Attempt-Id|X-Deadline-Ms|X-Target-Instance|X-Caller-Service|X-Not-Executed|X-Server-Load|X-Response-Stamp|X-Base-Version|X-Instance-Id|Server-Limit|Server-Leaving|/v1/(ready|instances|config)|cold_left|weighted_split|path_prefix|target_latency|heartbeat_addr|non_idempotent'
+names='X-Tenant|api_keys|rate_per_s|auth_exempt|X-Attempt-Id|X-Deadline-Ms|X-Target-Instance|X-Caller-Service|X-Not-Executed|X-Server-Load|X-Response-Stamp|X-Base-Version|X-Instance-Id|Server-Limit|Server-Leaving|/v1/(ready|instances|config)|cold_left|weighted_split|path_prefix|target_latency|heartbeat_addr|non_idempotent'
 
 if git grep -nE "$names" -- '*.c' '*.h' '*.cc' '*.proto' \
 	':!platform' ':!deploy' ':!test'
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -23,9 +23,10 @@
 
 /*
  * Submits a configuration.  Returns the code of the first problem and sets @key
- * to its key, or returns BA_OK.
+ * to its key and @expected to its description, or returns BA_OK.
  */
-int submit(const std::string &text, std::string *key)
+int submit(const std::string &text, std::string *key,
+	   std::string *expected = nullptr)
 {
 	struct cf_snapshot *none = cf_snapshot_empty();
 	struct cf_snapshot *s = nullptr;
@@ -41,6 +42,8 @@
 						     none, 1, &s, &problems);
 	if (problems.n)
 		*key = problems.list[0].key;
+	if (problems.n && expected)
+		*expected = problems.list[0].expected;
 	cf_snapshot_unref(s);
 	cf_snapshot_unref(none);
 	ba_problems_free(&problems);
@@ -96,39 +99,132 @@
 	cf_snapshot_unref(s);
 }
 
+/* The test configuration with teams and, in all routes, the column of @open. */
+std::string configuration_with_teams(const char *rows, const char *open)
+{
+	std::string text = proxy_world::configuration;
+	const std::string column = ",\"service\"],\"rows\"";
+	size_t at = text.find(column) + column.size() - 8;
+	size_t end = text.find("]]}", at);
+
+	text.insert(text.size() - 1,
+		    std::string(",\"tenants\":{\"columns\":[\"name\",") +
+			    "\"api_keys\",\"priority\",\"rate_per_s\","
+			    "\"burst\"],\"rows\":[" +
+			    rows + "]}");
+	text.insert(end, std::string(",") + open);
+	text.insert(at, ",\"auth_exempt\"");
+	return text;
+}
+
+TEST(PfConfiguration, TeamsAreReadBackAsTheyWereSent)
+{
+	static const char *const rows =
+		"[\"b\",[\"k2\",\"k1\"],3,539,0],[\"d\",[],0,null,7],"
+		"[\"c\",[\"k3\"],null,0,null]";
+	std::string text = configuration_with_teams(rows, "true");
+	struct cf_snapshot *s = proxy_world::snapshot(text);
+	struct ba_buf out = {};
+	json_t *sent = json_loads(text.c_str(), 0, nullptr);
+	json_t *back;
+
+	pf_operators.write_configuration(s, &out);
+	back = json_loads(ba_buf_text(&out), 0, nullptr);
+	ASSERT_TRUE(sent && back);
+	json_t *want = json_object_get(sent, "tenants");
+	json_t *list = json_object_get(want, "rows");
+	json_t *d = json_incref(json_array_get(list, 1));
+
+	/* Rows are returned sorted by name. */
+	json_array_remove(list, 1);
+	json_array_append_new(list, d);
+	EXPECT_TRUE(json_equal(want, json_object_get(back, "tenants")))
+		<< ba_buf_text(&out);
+	EXPECT_TRUE(proxy_world::has(ba_buf_text(&out),
+				     "\"service\",\"auth_exempt\"]"));
+	EXPECT_TRUE(s->routes[s->n_routes - 1].open);
+	EXPECT_FALSE(s->routes[0].open);
+	json_decref(sent);
+	json_decref(back);
+	ba_buf_free(&out);
+	cf_snapshot_unref(s);
+}
+
+TEST(PfConfiguration, WrongTeamsAreRefusedByName)
+{
+	static const struct {
+		const char *name, *rows, *key, *named;
+	} cases[] = {
+		{"shared key",
+		 "[\"a\",[\"k\",\"l\"],1,1,1],[\"b\",[\"l\"],1,1,1]",
+		 "teams.keys", "\"a\" and \"b\""},
+		{"two of a name", "[\"a\",[\"k\"],1,1,1],[\"a\",[],1,1,1]",
+		 "teams.name", "\"a\""},
+		{"blank in a key", "[\"a\",[\"k l\"],1,1,1]", "teams.keys",
+		 "\"a\""},
+		{"keys of another type", "[\"a\",\"k\",1,1,1]", "tenants",
+		 "\"a\""},
+		{"key of another type", "[\"a\",[5],1,1,1]", "tenants",
+		 "\"a\""},
+		{"negative rate", "[\"a\",[\"k\"],1,-1,1]", "tenants", "\"a\""},
+		{"row cut short", "[\"a\",[\"k\"],1", "body", ""},
+		{"no name", "[null,[\"k\"],1,1,1]", "tenants", "row 1"},
+	};
+
+	for (const auto &c : cases) {
+		std::string key;
+		std::string expected;
+		int code = submit(configuration_with_teams(c.rows, "false"),
+				  &key, &expected);
+
+		EXPECT_NE(code, BA_OK) << c.name;
+		EXPECT_EQ(key, c.key) << c.name;
+		EXPECT_TRUE(proxy_world::has(expected, c.named)) << expected;
+	}
+}
+
 /* One case per kind of error, with the field that must be reported. */
 TEST(PfConfiguration, ErrorNamesTheWrongField)
 {
 	static const struct {
 		const char *name, *from, *to, *key;
+		const char *entry; /* that is named, or "" */
 	} cases[] = {
-		{"cut short", "\"limits\"", "", "body"},
-		{"version", "\"0000002a\"", "\"xyz\"", "version"},
-		{"long version", "\"0000002a\"", "\"00000002a\"", "version"},
-		{"no routes", "\"routes\"", "\"roads\"", "routes"},
+		{"cut short", "\"limits\"", "", "body", ""},
+		{"version", "\"0000002a\"", "\"xyz\"", "version", ""},
+		{"long version", "\"0000002a\"", "\"00000002a\"", "version",
+		 ""},
+		{"no routes", "\"routes\"", "\"roads\"", "routes", ""},
 		{"unknown service", "2,\"stock\"]", "2,\"gone\"]",
-		 "routes.service"},
+		 "routes.service", "look"},
 		{"unknown part", "{\"service\":\"none\"",
-		 "{\"service\":\"gone\"", "routes.split.service"},
+		 "{\"service\":\"gone\"", "routes.split.service", "split"},
 		{"sum of weights 0",
 		 "\"weight\":3},{\"service\":\"none\",\"weight\":1}",
 		 "\"weight\":0},{\"service\":\"none\",\"weight\":0}",
-		 "routes.split.weight"},
-		{"timeout of 0", "\"9000ms\"", "\"0ms\"", "routes.timeout"},
-		{"timeout without a unit", "\"9000ms\"", "9000", "routes"},
+		 "routes.split.weight", "split"},
+		{"timeout of 0", "\"9000ms\"", "\"0ms\"", "routes.timeout",
+		 "look"},
+		{"timeout without a unit", "\"9000ms\"", "9000", "routes",
+		 "look"},
 		{"target far above the timeout", "\"9s\",\"400ms\"",
-		 "\"9s\",\"69s\"", "routes.latency_target"},
-		{"unknown kind", "\"non_idempotent\"", "\"maybe\"", "routes"},
-		{"two routes with one path", "/book/", "/look/", "routes.path"},
-		{"limits", "4096", "\"4096\"", "limits"},
+		 "\"9s\",\"69s\"", "routes.latency_target", "book"},
+		{"unknown kind", "\"non_idempotent\"", "\"maybe\"", "routes",
+		 "book"},
+		{"two routes with one path", "/book/", "/look/", "routes.path",
+		 "look"},
+		{"limits", "4096", "\"4096\"", "limits", ""},
 	};
 
 	for (const auto &c : cases) {
 		std::string key;
-		int code = submit(configuration_with(c.from, c.to), &key);
+		std::string expected;
+		int code = submit(configuration_with(c.from, c.to), &key,
+				  &expected);
 
 		EXPECT_NE(code, BA_OK) << c.name;
 		EXPECT_EQ(key, c.key) << c.name;
+		EXPECT_TRUE(proxy_world::has(expected, c.entry)) << expected;
 	}
 }
 
