proxy: callers of teams show a key where their request enters

Where the configuration has teams, a request on a route that is not open shows one key, which is looked up in the version in force for each request, also for those that waited behind another on their connection or for an endpoint. Without a key of a team it is refused: 401 (623 team-key-missing, 624 team-key-unknown) by a proxy that is current, 503 by one that is not, as the key may have been added since. The key is taken off, as is the name of a team that the caller sends; the name goes to the other proxy in caraway-team and to the backend server.

The priority of the team goes before that of its route, which stands in for it where there is none. The two make one number, so the queue tells 1001 x 1001 priorities apart instead of 750. Without teams the number is that of the route.

PxTeam covers each case; PxPipeline that answers to pipelined requests come in order, and that what stands behind one that closes is not passed on.

--- a/base/ba_result.c
+++ b/base/ba_result.c
@@ -272,9 +272,17 @@
 		 EXIT_FAILED},
 	[CL_NOT_CURRENT] =
 		{"not-current",
-		 "No route is known that matches the request, and the configuration may be out of date; it was not run.",
+		 "The request matches no route or key that is known, and the configuration may be out of date; it was not run.",
 		 "Try again after the time in Retry-After.", 503,
 		 EXIT_UNAVAILABLE},
+	[CL_TEAM_KEY_MISSING] =
+		{"team-key-missing",
+		 "The request shows no key of a team, or more than one; it was not run.",
+		 "Send one key in Authorization.", 401, EXIT_REFUSED},
+	[CL_TEAM_KEY_UNKNOWN] =
+		{"team-key-unknown",
+		 "No team has the key that the request shows; it was not run.",
+		 "Use a key of the configuration in force.", 401, EXIT_REFUSED},
 	[RT_DAY_UNKNOWN] = {"day-unknown", "No figures are kept for that day.",
 			    "Choose a day that status lists.", 0, EXIT_FAILED},
 	[RT_SOURCE_UNREACHABLE] =
--- a/call/cl_retry.c
+++ b/call/cl_retry.c
@@ -88,6 +88,8 @@
 	switch (code) {
 	case CL_NO_ROUTE:
 	case CL_NOT_CURRENT:
+	case CL_TEAM_KEY_MISSING:
+	case CL_TEAM_KEY_UNKNOWN:
 	case CL_KEY_REQUIRED:
 	case CL_KEY_STALE:
 	case CL_KEY_MALFORMED:
--- a/call/cl_sched.c
+++ b/call/cl_sched.c
@@ -3,7 +3,6 @@
 #include "call/cl_sched.h"
 
 enum {
-	MAX_WEIGHT = 3000,
 	CLASSES = 4,	   /* weights per priority, see cl_sched.h */
 	MEAN_SAMPLES = 64, /* in the moving average over all routes */
 	ROUTE_SAMPLES = 8, /* in the moving average of one route */
@@ -57,7 +56,7 @@
 				    const struct cl_sched_call *c, ba_time now,
 				    struct cl_admit_call *admit)
 {
-	uint32_t priority = MIN(c->priority, MAX_WEIGHT / CLASSES - 1);
+	uint32_t priority = MIN(c->priority, CL_SCHED_PRIORITIES - 1);
 	ba_time expected = cl_sched_service_time(s, c->route);
 	enum cl_sched_class class = CL_SCHED_IN_TIME;
 
@@ -69,7 +68,7 @@
 		class = CL_SCHED_TIGHT;
 	admit->expected = expected;
 	admit->late = class == CL_SCHED_LATE;
-	admit->weight = MAX_WEIGHT - CLASSES * (priority + 1) + class;
+	admit->weight = CLASSES * (CL_SCHED_PRIORITIES - 1 - priority) + class;
 	switch (class) {
 	case CL_SCHED_SHORT:
 		admit->deadline = c->deadline;
--- a/call/cl_sched.h
+++ b/call/cl_sched.h
@@ -31,6 +31,9 @@
 
 struct cl_sched;
 
+/* Priorities from 0, the highest, to this, exclusive, are told apart. */
+#define CL_SCHED_PRIORITIES ((uint32_t)1001 * 1001)
+
 /**
  * enum cl_sched_class - classes of calls of one priority, in ascending order of
  * weight
@@ -49,7 +52,7 @@
 /**
  * struct cl_sched_call - description of an arriving call
  * @route: name of its route, or NULL
- * @priority: priority of the route, 0 is the highest
+ * @priority: of its team and route, 0 is the highest
  * @target: latency target, as a point in time
  * @deadline: when its caller gives up
  */
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -99,6 +99,8 @@
 	} else if (status == 503)
 		ba_buf_addf(out, "Retry-After: %.3f\r\n",
 			    (double)retry_after(x, code) / (double)BA_SECOND);
+	else if (status == 401)
+		ba_buf_addf(out, "WWW-Authenticate: Bearer\r\n");
 	if (ht_conn_head(x->downstream->conn)->connection_close ||
 	    (x->p->stopping && !x->downstream->from_peer))
 		ba_buf_addf(out, "Connection: close\r\n");
@@ -146,7 +148,8 @@
 		const char *name = ht_head_name(h, i);
 
 		if (ht_head_is_hop_by_hop(h, i) || is_proxy_field(name) ||
-		    x->p->dialect->is_daemon_field(name))
+		    x->p->dialect->is_daemon_field(name) ||
+		    px_team_hides(x, name))
 			continue;
 		ba_buf_addf(out, "%s: %s\r\n", name, ht_head_value(h, i));
 	}
@@ -158,6 +161,7 @@
 		.time_left = time_left(x),
 		.caller = x->caller,
 		.backend = x->p->backend.heartbeat.backend,
+		.team = x->team_name,
 	};
 
 	x->p->dialect->write_backend_fields(&fields, out);
@@ -176,6 +180,8 @@
 		    x->service, x->caller);
 	ba_buf_addf(out, PX_FIELD_ROUTE ": %s\r\n" PX_FIELD_PRIORITY ": %u\r\n",
 		    x->route, x->priority);
+	if (x->team_name)
+		ba_buf_addf(out, PX_FIELD_TEAM ": %s\r\n", x->team_name);
 	if (x->last_try)
 		ba_buf_addf(out, PX_FIELD_LAST_TRY ": 1\r\n");
 	ba_buf_addf(out,
--- a/proxy/px_dialect.h
+++ b/proxy/px_dialect.h
@@ -33,11 +33,13 @@
  * @time_left: how long the caller still waits
  * @caller: service on whose instance the request originated
  * @backend: id of the backend server that the request is meant for
+ * @team: team of the caller, or NULL
  */
 struct px_backend_fields {
 	ba_time time_left;
 	const char *caller;
 	const char *backend;
+	const char *team;
 };
 
 /**
@@ -87,6 +89,8 @@
  * struct px_dialect - conversion functions of one platform
  * @read_request: read the caller's fields of a request
  * @is_daemon_field: whether the daemon sets this field of requests itself
+ * @is_team_field: whether the daemon sets this field of requests itself where
+ *	the configuration has teams
  * @write_backend_fields: append the fields for a backend server, each ended by
  *	CR LF
  * @read_answer: read the backend server's fields of an answer
@@ -101,6 +105,7 @@
 	void (*read_request)(const struct ht_head *h,
 			     struct px_caller_fields *out);
 	bool (*is_daemon_field)(const char *field);
+	bool (*is_team_field)(const char *field);
 	void (*write_backend_fields)(const struct px_backend_fields *s,
 				     struct ba_buf *out);
 	void (*read_answer)(const struct ht_head *h,
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -10,6 +10,7 @@
 					const struct px_caller_fields *request);
 static void begin_from_peer(struct px_exchange *x);
 static void begin_from_caller(struct px_exchange *x);
+static void refuse_unknown(struct px_exchange *x, int status, int code);
 static void hold_or_refuse(struct px_exchange *x, int code);
 static const struct cf_route *find_route(const struct px_exchange *x);
 static void apply_route(struct px_exchange *x, const struct cf_route *r);
@@ -315,6 +316,7 @@
 	x->deadline = x->arrived_at + px_read_duration(left);
 	x->priority = priority ? (uint32_t)strtoul(priority, NULL, 10) : 0;
 	x->route = ht_head_get(h, PX_FIELD_ROUTE);
+	x->team_name = ht_head_get(h, PX_FIELD_TEAM);
 	x->last_try = ht_head_get(h, PX_FIELD_LAST_TRY) != NULL;
 	x->latency_target =
 		target ? x->arrived_at + px_read_duration(target) : x->deadline;
@@ -333,6 +335,7 @@
 {
 	struct px *p = x->p;
 	const struct cf_route *r;
+	int code;
 
 	if (p->refuses_requests || p->begins_nothing) {
 		answer_error(x, 503, CL_DRAINING);
@@ -345,14 +348,18 @@
 	/* Those of a request that was held are strings of the old snapshot. */
 	x->route = NULL;
 	x->service = NULL;
+	x->team = NULL;
+	x->team_name = NULL;
 	cf_snapshot_unref(x->snapshot);
 	x->snapshot = cf_snapshot_ref(p->snapshot);
 	r = find_route(x);
 	if (!r) {
-		if (p->owner->is_current(p->owner))
-			answer_error(x, 404, CL_NO_ROUTE);
-		else
-			answer_error(x, 503, CL_NOT_CURRENT);
+		refuse_unknown(x, 404, CL_NO_ROUTE);
+		return;
+	}
+	code = px_team_identify(x, r);
+	if (code) {
+		refuse_unknown(x, 401, code);
 		return;
 	}
 	apply_route(x, r);
@@ -362,6 +369,15 @@
 	px_exchange_attempt(x);
 }
 
+/* A later configuration may allow the request. */
+static void refuse_unknown(struct px_exchange *x, int status, int code)
+{
+	if (x->p->owner->is_current(x->p->owner))
+		answer_error(x, status, code);
+	else
+		answer_error(x, 503, CL_NOT_CURRENT);
+}
+
 /* @code tells what is missing to route the request. */
 static void hold_or_refuse(struct px_exchange *x, int code)
 {
@@ -414,7 +430,6 @@
 		cl_sizes_assume(x->p->sizes, x->route, x->service,
 				2 * PX_LARGE_ANSWER_BYTES);
 	x->max_runs = r->attempts ? r->attempts : PX_DEFAULT_ATTEMPTS;
-	x->priority = r->priority;
 	x->route_deadline = x->arrived_at + timeout;
 	x->deadline = MIN(x->route_deadline, x->caller_deadline);
 	x->latency_target = x->deadline;
@@ -535,12 +550,13 @@
 
 	ba_event(may_have_run ? CL_EV_MAY_HAVE_RUN : CL_EV_NOT_RUN,
 		 "call=%s route=%s service=%s version=%llu code=%d status=%d "
-		 "tried=%zu took_us=%lld request=%016llx",
+		 "tried=%zu took_us=%lld request=%016llx team=%s",
 		 x->id, x->route ? x->route : "", x->service ? x->service : "",
 		 (unsigned long long)(x->snapshot ? x->snapshot->version : 0),
 		 code, status, x->n_tried,
 		 (long long)(ba_loop_now(x->p->loop) - x->arrived_at),
-		 (unsigned long long)x->digest);
+		 (unsigned long long)x->digest,
+		 x->team_name ? x->team_name : "");
 	rt_count(may_have_run ? RT_MAY_HAVE_RUN : RT_NOT_RUN, 1);
 	px_compose_error(x, status, code, ht_conn_out(d->conn));
 	px_exchange_free(x);
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -8,6 +8,7 @@
  *   px_upstream.c    upstream connection of an attempt, and its answer
  *   px_backend.c     local backend server: admission, queueing, heartbeats
  *   px_poison.c      requests that crash backend servers
+ *   px_team.c        teams of callers: keys and priority
  *   px_limit.c       limit and departure that the backend server states
  *   px_control.c     readiness checks and calls of the backend server
  *   px_compose.c     messages that the proxy writes
@@ -95,6 +96,7 @@
 #define PX_FIELD_CALLER "caraway-caller"
 #define PX_FIELD_TIME_LEFT "caraway-time-left-us"
 #define PX_FIELD_PRIORITY "caraway-priority"
+#define PX_FIELD_TEAM "caraway-team"
 #define PX_FIELD_ROUTE "caraway-route"
 #define PX_FIELD_TARGET_LEFT "caraway-target-left-us"
 #define PX_FIELD_LEAVES_LEFT "caraway-leaves-left-us"
@@ -291,6 +293,9 @@
  * struct px_exchange - one request, from its last byte to the end of its answer
  * @arrived_at: when its first byte arrived, from which all of its times count
  * @route: name of its route, in @snapshot or in the head of the request
+ * @team: the team that has its key, in @snapshot; NULL if it shows none, and at
+ *	the second proxy
+ * @team_name: name of its team, in @snapshot or in the head; NULL for none
  * @digest: of the parts that make it the same request as another
  * @caller_deadline: when the caller stops waiting, %BA_NEVER if unknown
  * @deadline: when the caller stops waiting or the route's timeout expires
@@ -332,6 +337,8 @@
 	struct cf_snapshot *snapshot;
 	const char *service;
 	const char *route;
+	const struct cf_team *team;
+	const char *team_name;
 	char *caller;
 	char *id;
 	uint64_t digest;
@@ -564,6 +571,23 @@
 /** px_backend_accepts() - whether it accepts new requests for @service */
 bool px_backend_accepts(const struct px *p, const char *service);
 
+/**
+ * px_team_identify() - find the team of a request that has entered here
+ * @r: its route
+ *
+ * Sets the team and the priority of @x.  Does nothing if the configuration has
+ * no teams.
+ *
+ * Return: %BA_OK, %CL_TEAM_KEY_MISSING or %CL_TEAM_KEY_UNKNOWN.
+ */
+int px_team_identify(struct px_exchange *x, const struct cf_route *r);
+
+/**
+ * px_team_hides() - whether a field of the request is not passed on, because it
+ * shows a key or names a team
+ */
+bool px_team_hides(const struct px_exchange *x, const char *field);
+
 /** px_poison_init() - know nothing of any request */
 void px_poison_init(struct px *p);
 
--- a/report/rt.c
+++ b/report/rt.c
@@ -68,6 +68,8 @@
 	[RT_BODIES_REFUSED] = "bodies_refused",
 	[RT_HOLDERS_CLOSED] = "holders_closed",
 	[RT_CONNS_TURNED_AWAY] = "conns_turned_away",
+	[RT_TEAM_KEYS_MISSING] = "team_keys_missing",
+	[RT_TEAM_KEYS_UNKNOWN] = "team_keys_unknown",
 };
 
 static const char *const gauge_names[] = {
--- a/report/rt.h
+++ b/report/rt.h
@@ -79,6 +79,8 @@
 	RT_BODIES_REFUSED,	/* requests, for want of memory */
 	RT_HOLDERS_CLOSED,    /* connections that held much and moved little */
 	RT_CONNS_TURNED_AWAY, /* for want of descriptors */
+	RT_TEAM_KEYS_MISSING,
+	RT_TEAM_KEYS_UNKNOWN,
 	RT_COUNTERS,
 };
 
