call: an instance tells what it knows of a quota

The logs of the proxies are to say why a team was refused: whether a relay was connected, whether the shares were lent, and how many requests it sent.

--- a/call/cl_quota.c
+++ b/call/cl_quota.c
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 
+#include "base/ba_digest.h"
 #include "base/ba_list.h"
 #include "call/cl_quota.h"
 
@@ -102,6 +103,11 @@
 	       CL_QUOTA_SLACK - MARGIN;
 }
 
+uint64_t cl_quota_team(const char *name)
+{
+	return ba_hash(name, strlen(name), 0);
+}
+
 struct cl_quota *cl_quota_new(ba_time now)
 {
 	struct cl_quota *q = g_new0(struct cl_quota, 1);
@@ -195,6 +201,19 @@
 	return CLAMP(MAX(wait, t->scarce_until - now), RETRY_MIN, RETRY_MAX);
 }
 
+void cl_quota_read(struct cl_quota *q, uint64_t team,
+		   struct cl_quota_known *out, ba_time now)
+{
+	struct team *t = g_hash_table_lookup(q->teams, &team);
+
+	*out = (struct cl_quota_known){
+		.connected = q->connected,
+		.lent = now < q->lent_until,
+		.instances = q->instances,
+		.demand = t ? demand(t, now) : 0,
+	};
+}
+
 ba_time cl_quota_ask_at(const struct cl_quota *q)
 {
 	ba_time soon = q->asked_at + CL_QUOTA_ASK_GAP;
--- a/call/cl_quota.h
+++ b/call/cl_quota.h
@@ -107,6 +107,9 @@
 
 struct cl_quota;
 
+/** cl_quota_team() - id of the team @name */
+uint64_t cl_quota_team(const char *name);
+
 /** cl_quota_stock() - tokens of a limit that may exist at the same time */
 double cl_quota_stock(const struct cl_quota_limit *l);
 
@@ -138,6 +141,22 @@
  */
 ba_time cl_quota_retry_after(struct cl_quota *q, uint64_t team, ba_time now);
 
+/**
+ * struct cl_quota_known - what an instance knows, for logs
+ * @lent: whether its shares are lent
+ * @demand: requests of the team a second, 0 for a team without a limit
+ */
+struct cl_quota_known {
+	bool connected;
+	bool lent;
+	uint32_t instances;
+	double demand;
+};
+
+/** cl_quota_read() - get what is known about @team */
+void cl_quota_read(struct cl_quota *q, uint64_t team,
+		   struct cl_quota_known *out, ba_time now);
+
 /** cl_quota_ask_at() - when to send the next question, %BA_NEVER for none */
 ba_time cl_quota_ask_at(const struct cl_quota *q);
 
--- a/call/cl_quota_pool.c
+++ b/call/cl_quota_pool.c
@@ -218,6 +218,11 @@
 	}
 }
 
+bool cl_quota_pool_is_lacking(const struct cl_quota_pool *p)
+{
+	return !ba_list_empty(&p->lacking);
+}
+
 bool cl_quota_pool_ask(struct cl_quota_pool *p, unsigned int n_peers,
 		       struct cl_quota_message *out, ba_time now)
 {
--- a/call/cl_quota_pool.h
+++ b/call/cl_quota_pool.h
@@ -84,6 +84,9 @@
 			const struct cl_quota_message *ask,
 			struct cl_quota_message *out, ba_time now);
 
+/** cl_quota_pool_is_lacking() - whether other relays are to be asked */
+bool cl_quota_pool_is_lacking(const struct cl_quota_pool *p);
+
 /**
  * cl_quota_pool_ask() - compose a question to each of @n_peers other relays
  *
