--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -8,6 +8,7 @@
 #include "distrib/ds_agent.h"
 #include "distrib/ds_receiver.h"
 #include "distrib/ds_link.h"
+#include "distrib/ds_quota.h"
 #include "distrib/ds_roster.h"
 #include "distrib/ds_sibling.h"
 #include "distrib/ds_store.h"
@@ -162,6 +163,7 @@
 static void put_record(struct ds_agent *a, const EpRecord *m, ba_time now);
 static void learn_lifetime(struct ds_agent *a, const struct ep_record *r);
 static int handle_figures_ack(struct ds_agent *a, const struct wi_frame *f);
+static int handle_quota_grant(struct ds_agent *a, const struct wi_frame *f);
 static void announce(struct ds_agent *a, struct wi_session *s);
 static void announce_if_connected(struct ds_agent *a);
 static void send_digest(struct ds_agent *a, struct wi_session *s);
@@ -277,6 +279,14 @@
 	ba_buf_free(&out);
 }
 
+void ds_agent_ask_quota(struct ds_agent *a, const struct cl_quota_message *m)
+{
+	struct wi_session *s = ds_link_session(a->link);
+
+	if (s && a->subscribed)
+		ds_quota_send_ask(s, m);
+}
+
 uint64_t ds_agent_version(const struct ds_agent *a)
 {
 	return a->receiver.subscriber.held;
@@ -379,6 +389,8 @@
 	ds_receiver_subscribe(&a->receiver, s, false);
 	announce(a, s);
 	send_digest(a, s);
+	if (a->owner->on_relay)
+		a->owner->on_relay(a->owner, true);
 }
 
 static int on_frame(struct ds_link_owner *o, struct wi_session *s,
@@ -394,13 +406,18 @@
 		return handle_records(a, f);
 	if (f->type == RT_ACK)
 		return handle_figures_ack(a, f);
+	if (f->type == QT_GRANT)
+		return handle_quota_grant(a, f);
 	return WI_FRAME_UNKNOWN;
 }
 
 static void on_lost(struct ds_link_owner *o, int code)
 {
-	(void)o;
+	struct ds_agent *a = ba_entry(o, struct ds_agent, link_owner);
+
 	(void)code;
+	if (a->owner->on_relay)
+		a->owner->on_relay(a->owner, false);
 }
 
 static int on_sibling_frame(struct ds_sibling_owner *o, struct wi_session *s,
@@ -710,6 +727,17 @@
 	return BA_OK;
 }
 
+static int handle_quota_grant(struct ds_agent *a, const struct wi_frame *f)
+{
+	struct cl_quota_message m;
+
+	if (!ds_quota_read_grant(f, &m))
+		return WI_FRAME_GARBAGE;
+	if (a->owner->on_quota_granted)
+		a->owner->on_quota_granted(a->owner, &m);
+	return BA_OK;
+}
+
 static void announce(struct ds_agent *a, struct wi_session *s)
 {
 	EpAnnounce m = EP_ANNOUNCE__INIT;
--- a/distrib/ds_agent.h
+++ b/distrib/ds_agent.h
@@ -14,6 +14,7 @@
 
 #include "base/ba_settings.h"
 #include "base/ba_unit.h"
+#include "call/cl_quota.h"
 #include "config/cf.h"
 #include "endpoint/ep.h"
 #include "wire/wi_session.h"
@@ -39,6 +40,8 @@
  *	be NULL
  * @on_figures_acked: the figures of (@incarnation, @sequence) were acknowledged
  *	as safely stored; may be NULL
+ * @on_relay: a relay can be asked for tokens, or no longer; may be NULL
+ * @on_quota_granted: the relay has answered ds_agent_ask_quota(); may be NULL
  */
 struct ds_agent_owner {
 	void (*on_snapshot)(struct ds_agent_owner *o, struct cf_snapshot *s);
@@ -48,6 +51,9 @@
 	void (*add_figures)(struct ds_agent_owner *o, struct ba_buf *out);
 	void (*on_figures_acked)(struct ds_agent_owner *o, uint64_t incarnation,
 				 uint64_t sequence);
+	void (*on_relay)(struct ds_agent_owner *o, bool connected);
+	void (*on_quota_granted)(struct ds_agent_owner *o,
+				 const struct cl_quota_message *m);
 };
 
 /**
@@ -110,6 +116,9 @@
 /** ds_agent_send_figures() - send figures now, besides the periodic ones */
 void ds_agent_send_figures(struct ds_agent *a);
 
+/** ds_agent_ask_quota() - ask the relay for tokens, if one is connected */
+void ds_agent_ask_quota(struct ds_agent *a, const struct cl_quota_message *m);
+
 /** ds_agent_version() - return the version held, 0 for none */
 uint64_t ds_agent_version(const struct ds_agent *a);
 
--- a/wire/wi_type.h
+++ b/wire/wi_type.h
@@ -55,6 +55,9 @@
 	CL_DATA = 122,	  /* ClData */
 	CL_CREDIT = 123,  /* ClCredit */
 	CL_CANCEL = 124,  /* ClCancel */
+
+	QT_ASK = 140,	/* QtAsk */
+	QT_GRANT = 141, /* QtGrant */
 };
 
 #endif
