relay: a pool for the quotas of teams

Instances are counted by its endpoint table with tombstones, as one whose backend server has left still takes requests. The test ends a relay that was lent the shares of two of four daemons, which ask for far more than the limit: no window over the bound, and 80% of the limit in use again three seconds later.

--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -171,6 +171,14 @@
 		{"answer-flawed", BA_WARNING,
 		 "What came in place of an answer is none in the protocol; it "
 		 "was not delivered.  The field flaw tells why."},
+	[CL_EV_QUOTA_SCARCE] =
+		{"quota-scarce", BA_NOTICE,
+		 "Tokens of a team began to be lacking at a relay, or are "
+		 "there again."},
+	[CL_EV_QUOTA_REFUSED] =
+		{"quota-refused", BA_NOTICE,
+		 "Requests of a team were refused since the last such line "
+		 "about it, as there were no tokens."},
 	[RT_EV_DAY_CLOSED] = {"day-closed", BA_NOTICE,
 			      "The figures of a day are complete."},
 	[RT_EV_FIGURES] = {"figures", BA_DEBUG,
--- a/endpoint/ep_table.c
+++ b/endpoint/ep_table.c
@@ -214,6 +214,11 @@
 	return t->n_live;
 }
 
+size_t ep_table_n_known(const struct ep_table *t)
+{
+	return g_hash_table_size(t->entries);
+}
+
 uint64_t ep_table_generation(const struct ep_table *t)
 {
 	return t->generation;
--- a/endpoint/ep_table.h
+++ b/endpoint/ep_table.h
@@ -135,6 +135,9 @@
 /** ep_table_n_live() - number of records that have not left */
 size_t ep_table_n_live(const struct ep_table *t);
 
+/** ep_table_n_known() - number of records and tombstones */
+size_t ep_table_n_known(const struct ep_table *t);
+
 /** ep_table_generation() - generation of the last change */
 uint64_t ep_table_generation(const struct ep_table *t);
 
--- a/relay/re.h
+++ b/relay/re.h
@@ -10,6 +10,7 @@
  *   re_peer.c      sessions dialled to other relays, for endpoint records
  *   re_roster.c    tells daemons which relays there are
  *   re_upstream.c  the session to a source or another relay
+ *   re_quota.c     grants tokens of the quotas of teams
  *   re_figures.c   forwards figures upstream and acknowledgements downstream
  */
 #ifndef RE_H
@@ -18,6 +19,7 @@
 #include <glib.h>
 
 #include "base/ba_list.h"
+#include "call/cl_quota_pool.h"
 #include "distrib/ds_feed.h"
 #include "distrib/ds_receiver.h"
 #include "distrib/ds_link.h"
@@ -63,6 +65,7 @@
  * @lease: how long a daemon's record remains valid after the session has ended
  * @holder: for a session of a relay, the id under which the table notes the
  *	records that this relay holds
+ * @lender: shares of the daemon in the quotas of teams
  */
 struct re_conn {
 	struct wi_handler handler;
@@ -75,11 +78,14 @@
 	uint64_t roster_digest;
 	ba_time lease;
 	uint64_t holder;
+	struct cl_quota_lender lender;
 };
 
 /**
  * struct re_peer - the session dialled to another relay
  * @sent_generation: generation of the table up to which it was sent changes
+ * @quota_asked: the last question for tokens that was sent to it, at
+ *	@quota_asked_at; its number is 0 once it was answered
  */
 struct re_peer {
 	struct ds_link_owner owner;
@@ -87,6 +93,8 @@
 	struct ds_link *link;
 	char *address;
 	uint64_t sent_generation;
+	struct cl_quota_message quota_asked;
+	ba_time quota_asked_at;
 };
 
 /**
@@ -103,6 +111,10 @@
  *	changes
  * @peers: array of &struct re_peer
  * @figures: RtFigures that are queued for the upstream
+ * @quota: pool of the quotas of teams
+ * @quota_timer: armed while tokens are to be asked for at other relays, which
+ *	is done from @quota_not_before on
+ * @quota_scarce: id to the name of the teams that are logged as scarce
  * @origins: instance to the instance whose session its figures came from
  */
 struct re_relay {
@@ -139,6 +151,11 @@
 	GPtrArray *figures;
 	GHashTable *origins;
 	struct ba_timer figures_timer;
+
+	struct cl_quota_pool *quota;
+	struct ba_timer quota_timer;
+	ba_time quota_not_before;
+	GHashTable *quota_scarce;
 };
 
 /**
@@ -254,6 +271,27 @@
 /** re_upstream_schedule_ack() - send a DsAck upstream after a short delay */
 void re_upstream_schedule_ack(struct re_relay *r);
 
+/** re_quota_start() - begin with an empty pool */
+void re_quota_start(struct re_relay *r);
+
+/** re_quota_stop() - free the pool */
+void re_quota_stop(struct re_relay *r);
+
+/** re_quota_configure() - use the limits of @s from now on */
+void re_quota_configure(struct re_relay *r, const struct cf_snapshot *s);
+
+/** re_quota_check() - count the instances; called once a second */
+void re_quota_check(struct re_relay *r);
+
+/** re_quota_handle_ask() - answer a QtAsk of a daemon or another relay */
+int re_quota_handle_ask(struct re_conn *c, const struct wi_frame *f);
+
+/** re_quota_handle_grant() - process the answer of another relay */
+int re_quota_handle_grant(struct re_peer *p, const struct wi_frame *f);
+
+/** re_quota_end() - the session of a daemon has ended */
+void re_quota_end(struct re_conn *c);
+
 /** re_figures_handle() - process the RtFigures of a daemon */
 int re_figures_handle(struct re_conn *c, const struct wi_frame *f);
 
--- a/relay/re_peer.c
+++ b/relay/re_peer.c
@@ -102,6 +102,7 @@
 {
 	struct re_peer *p = (struct re_peer *)o;
 
+	p->quota_asked.number = 0;
 	if (re_relay_serves(p->relay, wi_session_peer(s)->data_centre))
 		re_endpoint_send_held(p->relay, s);
 	re_endpoint_send_roots(p->relay, s);
@@ -119,6 +120,8 @@
 		return re_endpoint_handle_update(p->relay, EP_HELD_BY_NONE, f);
 	if (f->type == EP_DIGEST)
 		return re_endpoint_handle_digest(p->relay, s, false, f);
+	if (f->type == QT_GRANT)
+		return re_quota_handle_grant(p, f);
 	return WI_FRAME_UNKNOWN;
 }
 
--- a/relay/re_relay.c
+++ b/relay/re_relay.c
@@ -36,6 +36,7 @@
 	r->figures_timer.fire = re_figures_on_timer;
 	r->tick_timer.fire = on_tick;
 	re_roster_init(r);
+	re_quota_start(r);
 	re_peer_start(r);
 	re_upstream_start(r);
 	ba_loop_arm(r->loop, &r->tick_timer, now + BA_SECOND);
@@ -50,10 +51,12 @@
 	ba_loop_disarm(r->loop, &r->batch_timer);
 	ba_loop_disarm(r->loop, &r->roster_timer);
 	ba_loop_disarm(r->loop, &r->ack_timer);
+	ba_loop_disarm(r->loop, &r->quota_timer);
 	wi_listener_close(r->listener);
 	ds_link_free(r->upstream);
 	re_peer_free_all(r);
 	re_session_free_all(r);
+	re_quota_stop(r);
 	ds_feed_free(r->feed);
 	ds_receiver_free(&r->receiver);
 	ep_table_free(r->table);
@@ -90,6 +93,7 @@
 
 	ba_loop_arm(r->loop, t, now + BA_SECOND);
 	re_endpoint_expire(r, now);
+	re_quota_check(r);
 	re_upstream_check(r, now);
 	if (now >= r->roots_deadline) {
 		r->roots_deadline = now + ROOTS_INTERVAL;
--- a/relay/re_session.c
+++ b/relay/re_session.c
@@ -29,6 +29,7 @@
 	c->relay = r;
 	c->session = s;
 	c->lease = RE_LEASE_MIN;
+	ba_list_init(&c->lender.link);
 	ba_list_append(&r->conns, &c->link);
 	r->n_conns++;
 	return &c->handler;
@@ -94,6 +95,8 @@
 		return re_endpoint_handle_announce(c, f);
 	if (f->type == RT_FIGURES)
 		return re_figures_handle(c, f);
+	if (f->type == QT_ASK)
+		return re_quota_handle_ask(c, f);
 	if (f->type != EP_DIGEST)
 		return WI_FRAME_UNKNOWN;
 	c->wants_endpoints = true;
@@ -109,6 +112,8 @@
 						 f);
 	if (f->type == RT_BATCH)
 		return re_figures_handle_batch(c, f);
+	if (f->type == QT_ASK)
+		return re_quota_handle_ask(c, f);
 	return WI_FRAME_UNKNOWN;
 }
 
@@ -122,6 +127,7 @@
 	if (c->open) {
 		ds_feed_remove_session(c->relay->feed, s);
 		re_endpoint_release(c);
+		re_quota_end(c);
 	}
 	remove_conn(c);
 }
--- a/relay/re_upstream.c
+++ b/relay/re_upstream.c
@@ -115,6 +115,7 @@
 	if (next) {
 		ds_receiver_set_current(&r->receiver, next);
 		ds_feed_publish(r->feed, next);
+		re_quota_configure(r, next);
 		cf_snapshot_unref(next);
 		send_ack(r, s);
 	}
--- a/test/relay_test.cc
+++ b/test/relay_test.cc
@@ -171,6 +171,7 @@
 	struct ep_lifetime known; /* before its start, without the id */
 	std::string known_id;
 	size_t most_endpoints;
+	struct cl_quota *tokens; /* of a spender */
 };
 
 void on_lifetime(struct ds_agent_owner *o, const struct ep_lifetime *known)
@@ -664,6 +665,107 @@
 		EXPECT_EQ(d->versions, (std::vector<uint64_t>{5, 6}));
 }
 
+/* A daemon that asks for tokens and spends each at once. */
+struct spender {
+	struct daemon d = {};
+	struct cl_quota *q = cl_quota_new(ba_clock_now());
+	std::vector<ba_time> spent;
+
+	~spender()
+	{
+		cl_quota_free(q);
+	}
+
+	void start(struct ba_loop *loop, const char *name,
+		   struct ba_address *relays, const struct cl_quota_limit &l)
+	{
+		cl_quota_configure(q, &l, 1, ba_clock_now());
+		d.owner.on_relay = [](struct ds_agent_owner *o,
+				      bool connected) {
+			cl_quota_connected(((struct daemon *)o)->tokens,
+					   connected, ba_clock_now());
+		};
+		d.owner.on_quota_granted =
+			[](struct ds_agent_owner *o,
+			   const struct cl_quota_message *m) {
+				cl_quota_granted(((struct daemon *)o)->tokens,
+						 m, ba_clock_now());
+			};
+		d.tokens = q;
+		daemon_start(&d, loop, name, "d1", relays, 2);
+	}
+
+	void spend(uint64_t team)
+	{
+		ba_time now = ba_clock_now();
+		struct cl_quota_message m;
+
+		if (cl_quota_take(q, team, true, now) == CL_QUOTA_ADMIT)
+			spent.push_back(now);
+		if (now < cl_quota_ask_at(q))
+			return;
+		cl_quota_ask(q, &m, now);
+		ds_agent_ask_quota(d.agent, &m);
+	}
+};
+
+/*
+ * Two daemons at each relay ask for far more than the limit.  One relay ends
+ * with all that it was lent, and its daemons move to the other.
+ */
+TEST(DsRelay, QuotaHoldsWhenARelayIsLost)
+{
+	const struct cl_quota_limit limit = {7, 200, 10};
+	struct mesh m(23191);
+	struct spender s[4];
+	struct ba_address order[2][2] = {{m.at[0], m.at[1]},
+					 {m.at[1], m.at[0]}};
+	std::vector<ba_time> all;
+	ba_time lost_at, end;
+	size_t after = 0, most = 0, first = 0;
+
+	m.publish(1);
+	for (int i = 0; i < 4; i++)
+		s[i].start(m.loop, ("q" + std::to_string(i)).c_str(),
+			   order[i / 2], limit);
+	ASSERT_TRUE(wait_until(m.loop, [&] {
+		for (auto &x : s)
+			if (ds_agent_version(x.d.agent) != 1)
+				return false;
+		return true;
+	}));
+	for (auto &r : m.relays)
+		cl_quota_pool_configure(r.r.quota, &limit, 1, ba_clock_now());
+	end = ba_clock_now() + 4 * BA_SECOND;
+	wait_until(m.loop, [&] {
+		for (auto &x : s)
+			x.spend(limit.team);
+		return ba_clock_now() >= end;
+	});
+	re_relay_stop(&m.relays[0].r);
+	m.relays[0].r.loop = nullptr;
+	lost_at = ba_clock_now();
+	end = lost_at + 6 * BA_SECOND;
+	wait_until(m.loop, [&] {
+		for (auto &x : s)
+			x.spend(limit.team);
+		return ba_clock_now() >= end;
+	});
+	for (auto &x : s) {
+		all.insert(all.end(), x.spent.begin(), x.spent.end());
+		ds_agent_free(x.d.agent);
+	}
+	std::sort(all.begin(), all.end());
+	for (size_t i = 0; i < all.size(); i++) {
+		after += all[i] > lost_at + 3 * BA_SECOND;
+		while (all[i] - all[first] >= CL_QUOTA_WINDOW)
+			first++;
+		most = std::max(most, i - first + 1);
+	}
+	EXPECT_LE(most, (200 * 5 + 10) * 1.1 + 20);
+	EXPECT_GE(after, 3 * 200 * 0.8);
+}
+
 /*
  * The daemons know one relay of another data centre only.  They move to that
  * of their own before they are sent a configuration, and fall back when it is
