proxy: requests of a team need a token of its quota

Before it is routed on, a request of a team with a limit takes a token. Teams without a limit, and requests without a team, are not asked. Which team a request belongs to is not told yet.

--- a/base/ba_result.c
+++ b/base/ba_result.c
@@ -283,6 +283,10 @@
 		{"team-key-unknown",
 		 "No team has the key that the request shows; it was not run.",
 		 "Use a key of the configuration in force.", 401, EXIT_REFUSED},
+	[CL_QUOTA_EXCEEDED] =
+		{"quota-exceeded",
+		 "The team of the request sends more than its limit, or its tokens could not be had in time; it was not run.",
+		 "Try again after the time in Retry-After.", 429, EXIT_FAILED},
 	[RT_DAY_UNKNOWN] = {"day-unknown", "No figures are kept for that day.",
 			    "Choose a day that status lists.", 0, EXIT_FAILED},
 	[RT_SOURCE_UNREACHABLE] =
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -119,6 +119,10 @@
 			     size_t n);
 static void on_version_heard(struct px_owner *o, uint64_t version);
 static bool is_current(struct px_owner *o);
+static void ask_quota(struct px_owner *o, const struct cl_quota_message *m);
+static void on_relay(struct ds_agent_owner *o, bool connected);
+static void on_quota_granted(struct ds_agent_owner *o,
+			     const struct cl_quota_message *m);
 static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s);
 static void on_lifetime(struct ds_agent_owner *o,
 			const struct ep_lifetime *known);
@@ -192,6 +196,7 @@
 	g->proxy_owner.marks_changed = on_marks_changed;
 	g->proxy_owner.version_heard = on_version_heard;
 	g->proxy_owner.is_current = is_current;
+	g->proxy_owner.ask_quota = ask_quota;
 	if (px_new(g->loop, &o, &g->proxy_owner, &failed, &g->proxy))
 		return pr_listen_failed(failed);
 	return 0;
@@ -226,6 +231,8 @@
 	g->agent_owner.on_snapshot = on_snapshot;
 	g->agent_owner.on_lifetime = on_lifetime;
 	g->agent_owner.on_view = on_view;
+	g->agent_owner.on_relay = on_relay;
+	g->agent_owner.on_quota_granted = on_quota_granted;
 	g->agent = ds_agent_new(g->loop, &o, &g->agent_owner);
 }
 
@@ -276,6 +283,28 @@
 	return ds_agent_is_current(g->agent);
 }
 
+static void ask_quota(struct px_owner *o, const struct cl_quota_message *m)
+{
+	struct program *g = ba_entry(o, struct program, proxy_owner);
+
+	ds_agent_ask_quota(g->agent, m);
+}
+
+static void on_relay(struct ds_agent_owner *o, bool connected)
+{
+	struct program *g = ba_entry(o, struct program, agent_owner);
+
+	px_quota_connected(g->proxy, connected);
+}
+
+static void on_quota_granted(struct ds_agent_owner *o,
+			     const struct cl_quota_message *m)
+{
+	struct program *g = ba_entry(o, struct program, agent_owner);
+
+	px_quota_granted(g->proxy, m);
+}
+
 static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s)
 {
 	struct program *g = ba_entry(o, struct program, agent_owner);
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -55,6 +55,7 @@
 	p->backend.sched = cl_sched_new();
 	p->stated = cl_stated_new();
 	px_poison_init(p);
+	px_quota_init(p);
 	p->peer_pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      pool_free);
 	ret = listen_all(p, failed);
@@ -72,7 +73,8 @@
 
 	p->snapshot = cf_snapshot_ref(s);
 	cf_snapshot_unref(old);
-	px_exchange_resume_held(p);
+	px_quota_configure(p);
+	px_exchange_resume(p, PX_ATTEMPT_HELD);
 }
 
 /* What is no number is no version. */
@@ -97,7 +99,7 @@
 	cl_router_update(p->router, v, ba_loop_now(p->loop));
 	px_poison_learn(p, v);
 	p->endpoints_known = true;
-	px_exchange_resume_held(p);
+	px_exchange_resume(p, PX_ATTEMPT_HELD);
 }
 
 void px_begin_stop(struct px *p, ba_time leaves_at)
@@ -148,6 +150,7 @@
 	px_crowd_free(p);
 	ba_loop_disarm(p->loop, &p->backend.dispatch_timer);
 	px_poison_free(p);
+	px_quota_free(p);
 	g_hash_table_destroy(p->peer_pools);
 	g_hash_table_destroy(p->splits);
 	cl_sched_free(p->backend.sched);
--- a/proxy/px.h
+++ b/proxy/px.h
@@ -22,6 +22,7 @@
 
 #include "base/ba_loop.h"
 #include "base/ba_unit.h"
+#include "call/cl_quota.h"
 #include "config/cf.h"
 #include "endpoint/ep.h"
 #include "proxy/px_dialect.h"
@@ -43,6 +44,8 @@
  * @version_heard: another proxy has configuration version @version in force
  * @is_current: whether the configuration is known to be the newest, or was so a
  *	moment ago; without that, an unknown route may be a new one
+ * @ask_quota: send a question for tokens to the relay; its answer comes with
+ *	px_quota_granted()
  */
 struct px_owner {
 	void (*backend_changed)(struct px_owner *o,
@@ -52,6 +55,7 @@
 			      size_t n);
 	void (*version_heard)(struct px_owner *o, uint64_t version);
 	bool (*is_current)(struct px_owner *o);
+	void (*ask_quota)(struct px_owner *o, const struct cl_quota_message *m);
 };
 
 /**
@@ -112,6 +116,12 @@
 /** px_set_endpoints() - use the endpoints of @v */
 void px_set_endpoints(struct px *p, const struct ep_view *v);
 
+/** px_quota_connected() - a relay can be asked for tokens, or no longer */
+void px_quota_connected(struct px *p, bool connected);
+
+/** px_quota_granted() - the relay has answered a question for tokens */
+void px_quota_granted(struct px *p, const struct cl_quota_message *m);
+
 /**
  * px_begin_stop() - report not ready; requests are still accepted and answered
  * @leaves_at: when px_end_requests() will be called; links are scheduled for it
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -96,7 +96,7 @@
 				    : 0);
 		add_version(x->p, out);
 		px_limit_write_stated(x, out);
-	} else if (status == 503)
+	} else if (status == 503 || status == 429)
 		ba_buf_addf(out, "Retry-After: %.3f\r\n",
 			    (double)retry_after(x, code) / (double)BA_SECOND);
 	else if (status == 401)
@@ -231,7 +231,9 @@
 		      : code == CL_REQUEST_CRASHES ? PX_RETRY_AFTER_CONVICTED
 						   : PX_RETRY_AFTER_MIN;
 
-	if (x->service)
+	if (code == CL_QUOTA_EXCEEDED)
+		min = px_quota_retry_after(x);
+	else if (x->service)
 		min = MAX(min, room_wait(x));
 	return min + (ba_time)ba_rand_below(&x->p->rand, PX_RETRY_AFTER_JITTER);
 }
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -49,7 +49,7 @@
 }
 
 /* A request may be held again, so those to try are marked first. */
-void px_exchange_resume_held(struct px *p)
+void px_exchange_resume(struct px *p, enum px_attempt_state state)
 {
 	struct px_exchange *x;
 	struct ba_list *pos;
@@ -57,7 +57,7 @@
 	ba_list_each(pos, &p->exchanges)
 	{
 		x = ba_entry(pos, struct px_exchange, link);
-		if (x->state == PX_ATTEMPT_HELD)
+		if (x->state == state)
 			x->state = PX_ATTEMPT_RESUMED;
 	}
 	while ((x = px_exchange_find(p, PX_ATTEMPT_RESUMED))) {
@@ -200,6 +200,11 @@
 	fail(x);
 }
 
+void px_exchange_refuse(struct px_exchange *x, int status, int code)
+{
+	answer_error(x, status, code);
+}
+
 bool px_exchange_is_answered(const struct px_exchange *x)
 {
 	return x->answering || (x->conn && x->status && !x->not_run_code);
@@ -365,6 +370,8 @@
 	apply_route(x, r);
 	x->digest = px_poison_digest(ht_conn_head(x->downstream->conn),
 				     x->caller, &x->downstream->body);
+	if (!px_quota_admits(x))
+		return;
 	ba_loop_arm(p->loop, &x->timer, x->deadline);
 	px_exchange_attempt(x);
 }
@@ -502,6 +509,10 @@
 		fail(x);
 		return;
 	}
+	if (x->state == PX_ATTEMPT_NO_TOKEN) {
+		px_quota_refuse(x);
+		return;
+	}
 	px_upstream_take_back(x);
 	px_exchange_end_attempt(x, CL_ATTEMPT_TIMEOUT);
 	x->last_code = CL_DEADLINE_EXPIRED;
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -194,6 +194,18 @@
 	unsigned int max_conns[2];
 };
 
+/**
+ * struct px_quota - quotas of teams
+ * @tokens: what this instance may use of the limits
+ * @timer: fires when the relay is to be asked for more
+ * @refusals: refusals to log, by team
+ */
+struct px_quota {
+	struct cl_quota *tokens;
+	struct ba_timer timer;
+	GHashTable *refusals;
+};
+
 /**
  * struct px - one proxy
  * @retry_budgets: struct px_retry_budget by service
@@ -245,6 +257,7 @@
 	struct cl_stated_table *stated;
 	struct px_backend backend;
 	struct px_poison poison;
+	struct px_quota quota;
 	struct ba_rand rand;
 };
 
@@ -283,6 +296,7 @@
 enum px_attempt_state {
 	PX_ATTEMPT_NONE,
 	PX_ATTEMPT_HELD,       /* waits for a configuration or endpoints */
+	PX_ATTEMPT_NO_TOKEN,   /* waits for tokens of its team */
 	PX_ATTEMPT_RESUMED,    /* held until now; to be tried again */
 	PX_ATTEMPT_QUEUED,     /* waits for a local slot */
 	PX_ATTEMPT_AT_BACKEND, /* sent to the local backend server */
@@ -308,6 +322,8 @@
  * @max_runs: limit of @runs
  * @tried: endpoints that it was sent to
  * @last_try: no further proxy is tried if this attempt fails
+ * @quota_until: until when it waits for a token of its team, 0 before it asked
+ * @quota_taken: it has taken its token
  * @fresh: the upstream connection was opened for this attempt
  * @paced: a large answer is expected over the paid link
  * @body_written: bytes of the body that were passed to the connection
@@ -369,6 +385,8 @@
 	struct ba_chain_pos body_pos;
 	uint64_t backend_start;
 	bool paced;
+	ba_time quota_until;
+	bool quota_taken;
 	bool fresh;
 	bool foreign;
 	bool from_backend;
@@ -478,8 +496,11 @@
  */
 struct px_exchange *px_exchange_find(struct px *p, enum px_attempt_state state);
 
-/** px_exchange_resume_held() - try the requests that were held again */
-void px_exchange_resume_held(struct px *p);
+/** px_exchange_resume() - try the requests that wait in @state again */
+void px_exchange_resume(struct px *p, enum px_attempt_state state);
+
+/** px_exchange_refuse() - answer a request that has not run and will not */
+void px_exchange_refuse(struct px_exchange *x, int status, int code);
 
 /** px_exchange_cancel() - cancel a request whose caller has disconnected */
 void px_exchange_cancel(struct px_exchange *x);
@@ -635,6 +656,29 @@
 /** px_poison_learn() - process the reports of the other proxies */
 void px_poison_learn(struct px *p, const struct ep_view *v);
 
+/** px_quota_init() - begin without limits */
+void px_quota_init(struct px *p);
+
+/** px_quota_free() - free what px_quota_init() set up */
+void px_quota_free(struct px *p);
+
+/** px_quota_configure() - use the limits of the snapshot from now on */
+void px_quota_configure(struct px *p);
+
+/**
+ * px_quota_admits() - take a token for a request of a caller
+ *
+ * Return: whether it may go on.  If not, it waits and is begun again, or has
+ * been refused.
+ */
+bool px_quota_admits(struct px_exchange *x);
+
+/** px_quota_refuse() - refuse a request that has waited in vain */
+void px_quota_refuse(struct px_exchange *x);
+
+/** px_quota_retry_after() - when a refused request may be admitted */
+ba_time px_quota_retry_after(const struct px_exchange *x);
+
 /** px_limit_on_start() - forget what an earlier start of the backend server said */
 void px_limit_on_start(struct px *p);
 
--- a/report/rt.c
+++ b/report/rt.c
@@ -70,6 +70,7 @@
 	[RT_CONNS_TURNED_AWAY] = "conns_turned_away",
 	[RT_TEAM_KEYS_MISSING] = "team_keys_missing",
 	[RT_TEAM_KEYS_UNKNOWN] = "team_keys_unknown",
+	[RT_QUOTA_REFUSED] = "quota_refused",
 };
 
 static const char *const gauge_names[] = {
--- a/report/rt.h
+++ b/report/rt.h
@@ -81,6 +81,7 @@
 	RT_CONNS_TURNED_AWAY, /* for want of descriptors */
 	RT_TEAM_KEYS_MISSING,
 	RT_TEAM_KEYS_UNKNOWN,
+	RT_QUOTA_REFUSED,
 	RT_COUNTERS,
 };
 
