call: a refusal at a silent relay tells when the loan ends

Requests of a team that are refused while its relay does not answer came back after 100 ms, though nothing is admitted before the shares are the instance's own again or lent to another relay, up to 1.3 s.

--- a/call/cl_quota.c
+++ b/call/cl_quota.c
@@ -23,6 +23,9 @@
 #define RETRY_MIN CL_QUOTA_SCARCE_TIME
 #define RETRY_MAX (5 * BA_SECOND)
 
+/* A relay answers in less, also one of another region. */
+#define ANSWER_TIME (200 * BA_MS)
+
 enum { GRANTS = 4 };
 
 /** struct grant - tokens that may be used until @until */
@@ -182,7 +185,10 @@
 	return CL_QUOTA_WAIT;
 }
 
-/* While a part of the requests is admitted, a later one has that chance. */
+/*
+ * While a part of the requests is admitted, a later one has that chance.  A
+ * relay that does not answer is left by the time at which the loan ends.
+ */
 ba_time cl_quota_retry_after(struct cl_quota *q, uint64_t team, ba_time now)
 {
 	struct team *t = g_hash_table_lookup(q->teams, &team);
@@ -194,6 +200,8 @@
 		wait = q->instances ? (ba_time)(q->instances / t->limit.rate *
 						BA_SECOND)
 				    : RETRY_MAX;
+	else if (q->open && now >= q->asked_at + ANSWER_TIME)
+		wait = q->lent_until - now;
 	else if (t->granted_part > 0)
 		wait = (ba_time)(RETRY_MIN / t->granted_part);
 	else
