proxy: wait longer for tokens than a slow relay takes

A relay that is busy with a configuration answers late; a request that is refused meanwhile is lost, one that waits a quarter of the time to its target is mostly not.

--- a/proxy/px_quota.c
+++ b/proxy/px_quota.c
@@ -8,10 +8,10 @@
 #include "report/rt.h"
 
 /* A request waits for tokens for this part of the time to its target. */
-#define WAIT_PART 8
+#define WAIT_PART 4
 /* Time enough for an answer of a relay in the same region. */
 #define WAIT_MIN (30 * BA_MS)
-#define WAIT_MAX (150 * BA_MS)
+#define WAIT_MAX (300 * BA_MS)
 
 /* Refusals are logged once in this time for each team. */
 #define LOG_PERIOD (5 * BA_SECOND)
