--- a/call/cl_route.c
+++ b/call/cl_route.c
@@ -29,10 +29,14 @@
 
 /**
  * struct cl_service_endpoints - the endpoints of one service
+ * @rollout: last roll-out of the service, in the snapshot of the router, or NULL
+ * @to_target: the call that is being routed is meant for the target version
  * @shed_share: moving average of the share of calls that were rejected
  */
 struct cl_service_endpoints {
 	char *name;
+	const struct cf_rollout *rollout;
+	bool to_target;
 	double shed_share;
 	struct ba_list endpoints;
 	unsigned int n_endpoints;
@@ -40,6 +44,7 @@
 };
 
 /*
+ * @snapshot: configuration whose roll-outs are applied, NULL before the first
  * @removed: endpoints that are no longer listed and still have calls
  * @has_budget: the paid link has a byte budget; @budget_bytes are left of it,
  *	as of @budget_at
@@ -50,6 +55,7 @@
 	char *region;
 	bool load_aware;
 	bool self_draining;
+	struct cf_snapshot *snapshot;
 	GHashTable *services;
 	struct ba_list removed;
 	uint64_t next_id;
@@ -120,6 +126,14 @@
 			    const struct ep_record *rec);
 static void remove_unlisted(struct cl_router *r);
 static void remove_endpoint(struct cl_router *r, struct cl_endpoint *e);
+static struct cl_endpoint *pick_cohort(struct cl_router *r,
+				       struct cl_service_endpoints *s,
+				       const struct cl_pick_request *q,
+				       ba_time now, struct ba_rand *rand,
+				       enum cl_route_reason *reason);
+static bool has_kept(const struct cl_service_endpoints *s);
+static bool is_eligible(const struct cl_service_endpoints *s,
+			const struct cl_endpoint *e);
 static struct cl_endpoint *pick_nearest(struct cl_router *r,
 					struct cl_service_endpoints *s,
 					const struct cl_pick_request *q,
@@ -184,6 +198,7 @@
 	if (!r)
 		return;
 	g_hash_table_destroy(r->services);
+	cf_snapshot_unref(r->snapshot);
 	ba_list_each_safe(pos, tmp, &r->removed)
 		endpoint_free(ba_entry(pos, struct cl_endpoint, link));
 	g_free(r->instance);
@@ -204,6 +219,32 @@
 	remove_unlisted(r);
 }
 
+void cl_router_set_rollouts(struct cl_router *r, struct cf_snapshot *s)
+{
+	struct cf_snapshot *old = r->snapshot;
+	GHashTableIter it;
+	struct ba_list *pos;
+	gpointer p;
+
+	if (!s->n_rollouts && (!old || !old->n_rollouts))
+		return;
+	r->snapshot = cf_snapshot_ref(s);
+	g_hash_table_iter_init(&it, r->services);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		struct cl_service_endpoints *se = p;
+
+		se->rollout = cf_rollout_find(s, se->name);
+		ba_list_each(pos, &se->endpoints)
+		{
+			struct cl_endpoint *e =
+				ba_entry(pos, struct cl_endpoint, link);
+
+			e->cohort = cf_rollout_cohort(se->rollout, e->version);
+		}
+	}
+	cf_snapshot_unref(old);
+}
+
 void cl_router_drain_self(struct cl_router *r)
 {
 	r->self_draining = true;
@@ -240,13 +281,10 @@
 	*reason = CL_ROUTE_NONE_KNOWN;
 	if (!s || ba_list_empty(&s->endpoints))
 		return NULL;
-	if (q->owner) {
+	if (q->owner)
 		e = pick_owner(s, q, reason);
-	} else if (q->may_probe && (e = pick_probe(s, q, now))) {
-		*reason = CL_ROUTE_PROBE;
-	} else {
-		e = pick_nearest(r, s, q, now, rand, reason);
-	}
+	else
+		e = pick_cohort(r, s, q, now, rand, reason);
 	if (!e)
 		return NULL;
 	e->in_flight++;
@@ -293,7 +331,8 @@
 			ba_entry(pos, struct cl_endpoint, link);
 		double wait = room_wait(e, &q, now);
 
-		if (!e->draining && (least < 0 || wait < least))
+		if (!e->draining && e->cohort != CF_COHORT_BARRED &&
+		    (least < 0 || wait < least))
 			least = wait;
 	}
 	return least > 0 ? now + (ba_time)least : now;
@@ -349,6 +388,7 @@
 {
 	g_free(e->instance);
 	g_free(e->address);
+	g_free(e->version);
 	g_free(e);
 }
 
@@ -361,6 +401,7 @@
 		return s;
 	s = g_new0(struct cl_service_endpoints, 1);
 	s->name = g_strdup(name);
+	s->rollout = r->snapshot ? cf_rollout_find(r->snapshot, name) : NULL;
 	ba_list_init(&s->endpoints);
 	g_hash_table_insert(r->services, s->name, s);
 	return s;
@@ -384,6 +425,8 @@
 		e->instance = g_strdup(rec->instance);
 		e->address = g_strdup(address);
 		e->incarnation = rec->incarnation;
+		e->version = g_strdup(rec->version ? rec->version : "");
+		e->cohort = cf_rollout_cohort(s->rollout, e->version);
 		e->service = s;
 		e->tier = tier;
 		e->latency = (double)CL_LATENCY_INITIAL;
@@ -466,6 +509,53 @@
 		endpoint_free(e);
 }
 
+/*
+ * A call that is meant for the target version goes to another one if no
+ * endpoint takes it, but not the other way round, unless no other is known.
+ */
+static struct cl_endpoint *pick_cohort(struct cl_router *r,
+				       struct cl_service_endpoints *s,
+				       const struct cl_pick_request *q,
+				       ba_time now, struct ba_rand *rand,
+				       enum cl_route_reason *reason)
+{
+	const struct cf_rollout *ro = s->rollout;
+	bool runs = ro && ro->state == CF_ROLLOUT_RUNNING;
+	struct cl_endpoint *e = NULL;
+
+	s->to_target = runs && (ba_rand_below(rand, CF_SHARE_ALL) < ro->share ||
+				!has_kept(s));
+	for (int i = 0; i < 2; i++) {
+		if (q->may_probe && (e = pick_probe(s, q, now)))
+			*reason = CL_ROUTE_PROBE;
+		else
+			e = pick_nearest(r, s, q, now, rand, reason);
+		if (e || !s->to_target)
+			return e;
+		s->to_target = false;
+	}
+	return e;
+}
+
+static bool has_kept(const struct cl_service_endpoints *s)
+{
+	struct ba_list *pos;
+
+	ba_list_each(pos, &s->endpoints)
+	{
+		if (ba_entry(pos, struct cl_endpoint, link)->cohort ==
+		    CF_COHORT_KEPT)
+			return true;
+	}
+	return false;
+}
+
+static bool is_eligible(const struct cl_service_endpoints *s,
+			const struct cl_endpoint *e)
+{
+	return e->cohort == (s->to_target ? CF_COHORT_TARGET : CF_COHORT_KEPT);
+}
+
 static struct cl_endpoint *pick_nearest(struct cl_router *r,
 					struct cl_service_endpoints *s,
 					const struct cl_pick_request *q,
@@ -568,7 +658,8 @@
 		struct cl_endpoint *e = ba_entry(pos, struct cl_endpoint, link);
 
 		if (e->ejected && !e->probing && !e->draining &&
-		    e->ejected_until <= now && !was_tried(q, e))
+		    is_eligible(s, e) && e->ejected_until <= now &&
+		    !was_tried(q, e))
 			return e;
 	}
 	return NULL;
@@ -587,7 +678,8 @@
 	{
 		struct cl_endpoint *e = ba_entry(pos, struct cl_endpoint, link);
 
-		if (e->tier != tier || e->draining || was_tried(q, e))
+		if (e->tier != tier || e->draining || !is_eligible(s, e) ||
+		    was_tried(q, e))
 			continue;
 		/*
 		 * The link is the last resort of a large answer, so its
--- a/call/cl_route.h
+++ b/call/cl_route.h
@@ -15,6 +15,9 @@
  *   most half of the endpoints of a service are ejected, and an ejected one is
  *   still used if no other is left.
  * - A draining endpoint gets no new calls.
+ * - While a roll-out of a service runs, its share of the calls goes to endpoints
+ *   of the target version, the others to those that serve already.  Endpoints of
+ *   a version that was rolled back or replaced get none.
  * - An endpoint at the limit that it states counts as full until it has room
  *   again, and its wait for the limit adds to that for a slot.
  * - A router has no lock; its owner holds one around each function call.
@@ -27,6 +30,7 @@
 #include "base/ba_list.h"
 #include "base/ba_rand.h"
 #include "call/cl.h"
+#include "config/cf.h"
 #include "endpoint/ep.h"
 
 #ifdef __cplusplus
@@ -134,6 +138,8 @@
  * @probing: a call to the ejected endpoint is in progress
  * @removed: no longer listed, but still has calls of this daemon
  * @listed: only used during an update
+ * @version: version of its backend server, "" if it states none
+ * @cohort: how the roll-out of its service treats it
  *
  * Read-only for users, and valid from cl_route_pick() to cl_route_done().
  */
@@ -162,6 +168,8 @@
 	bool draining;
 	bool removed;
 	bool listed;
+	char *version;
+	enum cf_cohort cohort;
 };
 
 /**
@@ -211,6 +219,9 @@
 void cl_router_update(struct cl_router *r, const struct ep_view *v,
 		      ba_time now);
 
+/** cl_router_set_rollouts() - apply the roll-outs of @s; takes a reference */
+void cl_router_set_rollouts(struct cl_router *r, struct cf_snapshot *s);
+
 /** cl_router_drain_self() - send no new calls to the own backend server */
 void cl_router_drain_self(struct cl_router *r);
 
--- a/config/cf.h
+++ b/config/cf.h
@@ -176,6 +176,48 @@
 	struct cf_policy_row *rows;
 };
 
+/** enum cf_rollout_state - as CfRolloutState */
+enum cf_rollout_state {
+	CF_ROLLOUT_RUNNING,
+	CF_ROLLOUT_COMPLETED,
+	CF_ROLLOUT_ROLLED_BACK,
+};
+
+/** CF_SHARE_ALL - all calls, as a share in thousandths */
+enum { CF_SHARE_ALL = 1000, CF_ROLLOUTS_LIMIT = CF_SERVICES_LIMIT };
+
+/** enum cf_cohort - how a roll-out treats the endpoints of a version */
+enum cf_cohort {
+	CF_COHORT_KEPT,	  /* serves, as before the roll-out */
+	CF_COHORT_TARGET, /* gets the share of the roll-out */
+	CF_COHORT_BARRED, /* gets no calls */
+};
+
+/**
+ * struct cf_rollout - the last move of a service's calls to another version
+ * @target: version that the calls are moved to
+ * @share: share of the calls for @target while it runs, in thousandths
+ * @previous: version that was in force before, "" if not known: all but @target
+ * @barred: version that was rolled back before, or ""
+ * @order: index of the log entry of the order
+ * @ordered_at: wall time of the order
+ * @stepped_at: wall time of the last step
+ * @elapsed: time from the order to the last step
+ */
+struct cf_rollout {
+	const char *service;
+	const char *target;
+	enum cf_rollout_state state;
+	uint32_t share;
+	const char *previous;
+	const char *barred;
+	uint64_t order;
+	ba_time duration;
+	ba_time ordered_at;
+	ba_time stepped_at;
+	ba_time elapsed;
+};
+
 /**
  * struct cf_snapshot - one version of the configuration with its policy
  * @version: index in the replicated log, 0 for the empty snapshot
@@ -194,6 +236,8 @@
 	struct cf_limits limits;
 	struct cf_team *teams;
 	size_t n_teams;
+	struct cf_rollout *rollouts;
+	size_t n_rollouts;
 };
 
 /** cf_snapshot_empty() - create the snapshot of version 0, without services */
@@ -273,6 +317,62 @@
 int cf_delta_apply(const struct cf_snapshot *from, const void *data, size_t len,
 		   struct cf_snapshot **out);
 
+/**
+ * cf_snapshot_set_rollouts() - copy @s with other roll-outs
+ * @list: sorted by service; its strings are copied
+ */
+struct cf_snapshot *cf_snapshot_set_rollouts(const struct cf_snapshot *s,
+					     const struct cf_rollout *list,
+					     size_t n, uint64_t version);
+
+/** cf_rollout_find() - the last roll-out of @service, or NULL */
+const struct cf_rollout *cf_rollout_find(const struct cf_snapshot *s,
+					 const char *service);
+
+/**
+ * cf_rollout_cohort() - how endpoints of @version are treated
+ * @r: the last roll-out of their service; NULL if there was none
+ * @version: what they state of themselves, "" for nothing
+ */
+enum cf_cohort cf_rollout_cohort(const struct cf_rollout *r,
+				 const char *version);
+
+/** enum cf_order_verdict - what becomes of the order of a roll-out */
+enum cf_order_verdict {
+	CF_ORDER_STARTS,
+	CF_ORDER_REPEATS, /* it was accepted before */
+	CF_ORDER_WAITS,	  /* another one is in progress */
+};
+
+/*
+ * An order that is the same as that of a version rolled back is its repetition
+ * for this time after the end of the duration, else a new attempt.
+ */
+#define CF_ORDER_REPEAT_TIME (30 * BA_SECOND)
+
+/** cf_rollout_judge_order() - compare an order with the last roll-out */
+enum cf_order_verdict cf_rollout_judge_order(const struct cf_rollout *last,
+					     const struct cf_rollout *order);
+
+/**
+ * cf_rollout_decode() - decode a CfRollout message that an operator submits
+ * @keep: set to the message that owns the strings of @out, to be passed to
+ *	cf_rollout_release()
+ *
+ * Return: whether it names a service, a target and a duration.
+ */
+bool cf_rollout_decode(const void *data, size_t len, struct cf_rollout *out,
+		       void **keep);
+
+/** cf_rollout_release() - free what cf_rollout_decode() set */
+void cf_rollout_release(void *keep);
+
+/** cf_rollout_encode() - append the CfRollout message */
+void cf_rollout_encode(const struct cf_rollout *r, struct ba_buf *out);
+
+/** cf_rollout_state_name() - "running", "completed" or "rolled-back" */
+const char *cf_rollout_state_name(enum cf_rollout_state state);
+
 /** cf_service_find() - find a service by name; index or %CF_NO_SERVICE */
 int cf_service_find(const struct cf_snapshot *s, const char *name);
 
--- a/config/cf_delta.c
+++ b/config/cf_delta.c
@@ -289,6 +289,11 @@
 	d->services = g_new(CfService, to->n_services + 1);
 	d->routes = g_new(CfRoute, to->n_routes + 1);
 	d->rows = g_new(CfPolicyRow, to->n_services + 1);
+	if (!cf_rollouts_equal(from, to)) {
+		d->m.rollouts_changed = true;
+		d->m.rollouts = cf_rollouts_to_proto(to);
+		d->m.n_rollouts = to->n_rollouts;
+	}
 	d->m.put_services = g_new(CfService *, to->n_services + 1);
 	d->m.put_routes = g_new(CfRoute *, to->n_routes + 1);
 	d->m.put_rows = g_new(CfPolicyRow *, to->n_services + 1);
@@ -305,6 +310,7 @@
 		cf_route_proto_clear(d->m.put_routes[i]);
 	for (size_t i = 0; i < d->m.n_put_teams; i++)
 		cf_team_proto_clear(d->m.put_teams[i]);
+	cf_rollouts_proto_free(d->m.rollouts);
 	g_free(d->services);
 	g_free(d->routes);
 	g_free(d->rows);
@@ -337,6 +343,10 @@
 	else
 		cf_draft_set_policy(&d, &from->policy);
 	apply_rows(&d, from, m);
+	if (m->rollouts_changed)
+		cf_draft_add_rollouts_proto(&d, m->rollouts, m->n_rollouts);
+	else
+		cf_draft_copy_rollouts(&d, from);
 	s = cf_draft_finish(&d, &problems);
 	if (!s) {
 		ret = problems.list[0].code;
--- a/config/cf_draft.c
+++ b/config/cf_draft.c
@@ -38,6 +38,7 @@
 	d->keys = g_array_new(FALSE, TRUE, sizeof(struct cf_draft_key));
 	d->by_key = g_array_new(FALSE, TRUE, sizeof(struct cf_key_owner));
 	d->by_path = g_ptr_array_new();
+	d->rollouts = g_array_new(FALSE, TRUE, sizeof(struct cf_rollout));
 	cf_draft_set_policy(d, &policy);
 }
 
@@ -52,6 +53,7 @@
 	g_array_free(d->keys, TRUE);
 	g_array_free(d->by_key, TRUE);
 	g_ptr_array_free(d->by_path, TRUE);
+	g_array_free(d->rollouts, TRUE);
 }
 
 void cf_draft_add_service(struct cf_draft *d, const struct cf_service *s,
@@ -152,6 +154,7 @@
 	resolve_services(d);
 	sort_routes_by_path(d);
 	cf_draft_check(d, problems);
+	cf_draft_check_rollouts(d, problems);
 	if (problems->n > before)
 		return NULL;
 	add_default_rows(d);
@@ -298,6 +301,9 @@
 	s->routes = g_new0(struct cf_route, s->n_routes + 1);
 	s->revision = d->revision;
 	s->limits = d->limits;
+	s->n_rollouts = d->rollouts->len;
+	s->rollouts = g_memdup2(d->rollouts->data,
+				d->rollouts->len * sizeof(struct cf_rollout));
 	s->policy.rows = g_new0(struct cf_policy_row, s->n_services + 1);
 	for (guint i = 0; i < d->services->len; i++) {
 		s->services[i] =
--- a/config/cf_encode.c
+++ b/config/cf_encode.c
@@ -58,6 +58,7 @@
 		return CF_ENCODING_WRONG;
 	cf_draft_init(&d, m->version);
 	add_entries(&d, m);
+	cf_draft_add_rollouts_proto(&d, m->rollouts, m->n_rollouts);
 	if (m->policy) {
 		cf_draft_set_policy_proto(&d, m->policy);
 		for (size_t i = 0; i < m->policy->n_rows; i++)
@@ -269,6 +270,8 @@
 	cf_limits_to_proto(&e->limits, &s->limits);
 	if (protobuf_c_message_get_packed_size(&e->limits.base))
 		e->m.limits = &e->limits;
+	e->m.rollouts = cf_rollouts_to_proto(s);
+	e->m.n_rollouts = s->n_rollouts;
 	e->m.n_services = s->n_services;
 	e->m.n_routes = s->n_routes;
 	e->m.services = g_new(CfService *, s->n_services + 1);
@@ -301,6 +304,7 @@
 		cf_route_proto_clear(&e->routes[i]);
 	for (size_t i = 0; i < e->m.n_teams; i++)
 		cf_team_proto_clear(&e->teams[i]);
+	cf_rollouts_proto_free(e->m.rollouts);
 	g_free(e->m.services);
 	g_free(e->m.routes);
 	g_free(e->m.teams);
--- a/config/cf_internal.h
+++ b/config/cf_internal.h
@@ -146,6 +146,7 @@
 	struct cf_policy policy;
 	uint64_t revision;
 	struct cf_limits limits;
+	GArray *rollouts;
 };
 
 /** cf_draft_init() - initialize an empty draft with the default policy */
@@ -297,4 +298,33 @@
 /** cf_draft_set_policy_proto() - set the policy, but not its rows */
 void cf_draft_set_policy_proto(struct cf_draft *d, const CfPolicy *m);
 
+/** cf_draft_add_rollout() - add a roll-out; its strings are copied */
+void cf_draft_add_rollout(struct cf_draft *d, const struct cf_rollout *r);
+
+/** cf_draft_add_rollouts_proto() - add the roll-outs of a message */
+void cf_draft_add_rollouts_proto(struct cf_draft *d, CfRollout *const *list,
+				 size_t n);
+
+/** cf_draft_copy_rollouts() - add the roll-outs of a snapshot */
+void cf_draft_copy_rollouts(struct cf_draft *d, const struct cf_snapshot *from);
+
+/** cf_draft_check_rollouts() - report the first wrong roll-out */
+void cf_draft_check_rollouts(const struct cf_draft *d,
+			     struct ba_problems *problems);
+
+/**
+ * cf_rollouts_to_proto() - convert all roll-outs of a snapshot
+ *
+ * Return: the messages, to be freed with cf_rollouts_proto_free(); NULL if
+ * there are none.
+ */
+CfRollout **cf_rollouts_to_proto(const struct cf_snapshot *s);
+
+/** cf_rollouts_proto_free() - free what cf_rollouts_to_proto() returned */
+void cf_rollouts_proto_free(CfRollout **list);
+
+/** cf_rollouts_equal() - whether two snapshots have the same roll-outs */
+bool cf_rollouts_equal(const struct cf_snapshot *a,
+		       const struct cf_snapshot *b);
+
 #endif
--- a/config/cf_snapshot.c
+++ b/config/cf_snapshot.c
@@ -43,6 +43,7 @@
 	g_free(s->services);
 	g_free(s->routes);
 	g_free(s->policy.rows);
+	g_free(s->rollouts);
 	g_free((void *)impl->by_path);
 	g_free(impl->parts);
 	g_free(s->teams);
--- a/endpoint/ep.h
+++ b/endpoint/ep.h
@@ -69,6 +69,7 @@
  * @external_address: the same for daemons of other regions
  * @control_address: address at which siblings get the configuration, or ""
  * @backend: id of the backend server; see struct ep_lifetime
+ * @version: version of its software, "" or NULL if it states none
  * @backend_start_wall_ms: wall time of its start in milliseconds
  * @backend_sequence: number of its heartbeat that last changed the record
  * @backend_state: what it has said of itself; its daemon may be leaving, too
@@ -98,6 +99,7 @@
 	char *external_address;
 	char *control_address;
 	char *backend;
+	char *version;
 	int64_t backend_start_wall_ms;
 	int64_t backend_sequence;
 	enum ep_state backend_state;
--- a/endpoint/ep_record.c
+++ b/endpoint/ep_record.c
@@ -23,6 +23,7 @@
 	to->external_address = g_strdup(from->external_address);
 	to->control_address = g_strdup(from->control_address);
 	to->backend = g_strdup(from->backend);
+	to->version = g_strdup(from->version);
 	to->marks =
 		g_memdup2(from->marks, from->n_marks * sizeof(struct ep_mark));
 }
@@ -37,6 +38,7 @@
 	g_free(r->external_address);
 	g_free(r->control_address);
 	g_free(r->backend);
+	g_free(r->version);
 	g_free(r->marks);
 	memset(r, 0, sizeof(*r));
 }
@@ -50,7 +52,8 @@
 	    !has_valid_length(r->address, !r->left) ||
 	    !has_valid_length(r->external_address, false) ||
 	    !has_valid_length(r->control_address, false) ||
-	    !has_valid_length(r->backend, false) || r->n_marks > EP_MARKS_MAX)
+	    !has_valid_length(r->backend, false) ||
+	    !has_valid_length(r->version, false) || r->n_marks > EP_MARKS_MAX)
 		return WI_FRAME_GARBAGE;
 	return BA_OK;
 }
@@ -69,6 +72,8 @@
 		m->control_address = r->control_address;
 	if (r->backend)
 		m->backend = r->backend;
+	if (r->version)
+		m->backend_version = r->version;
 	m->backend_start_ms = r->backend_start_wall_ms;
 	m->backend_sequence = r->backend_sequence;
 	m->backend_state = (EpBackendState)r->backend_state;
@@ -107,6 +112,7 @@
 	r->external_address = m->external_address;
 	r->control_address = m->control_address;
 	r->backend = m->backend;
+	r->version = m->backend_version;
 	r->backend_start_wall_ms = m->backend_start_ms;
 	r->backend_sequence = m->backend_sequence;
 	r->backend_state = state_from_message(m->backend_state);
--- a/wire/cf.pb-c.c
+++ b/wire/cf.pb-c.c
@@ -322,6 +322,51 @@
   assert(message->base.descriptor == &cf_policy__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cf_rollout__init
+                     (CfRollout         *message)
+{
+  static const CfRollout init_value = CF_ROLLOUT__INIT;
+  *message = init_value;
+}
+size_t cf_rollout__get_packed_size
+                     (const CfRollout *message)
+{
+  assert(message->base.descriptor == &cf_rollout__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cf_rollout__pack
+                     (const CfRollout *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cf_rollout__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cf_rollout__pack_to_buffer
+                     (const CfRollout *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cf_rollout__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+CfRollout *
+       cf_rollout__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (CfRollout *)
+     protobuf_c_message_unpack (&cf_rollout__descriptor,
+                                allocator, len, data);
+}
+void   cf_rollout__free_unpacked
+                     (CfRollout *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cf_rollout__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cf_snapshot__init
                      (CfSnapshot         *message)
 {
@@ -1198,7 +1243,175 @@
   (ProtobufCMessageInit) cf_policy__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_snapshot__field_descriptors[7] =
+static const ProtobufCFieldDescriptor cf_rollout__field_descriptors[11] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CfRollout, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CfRollout, target),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(CfRollout, state),
+    &cf_rollout_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfRollout, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "previous",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CfRollout, previous),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "barred",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(CfRollout, barred),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CfRollout, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "duration_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfRollout, duration_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ordered_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CfRollout, ordered_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stepped_us",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(CfRollout, stepped_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elapsed_ms",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(CfRollout, elapsed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cf_rollout__field_indices_by_name[] = {
+  5,   /* field[5] = barred */
+  7,   /* field[7] = duration_ms */
+  10,   /* field[10] = elapsed_ms */
+  6,   /* field[6] = order */
+  8,   /* field[8] = ordered_us */
+  4,   /* field[4] = previous */
+  0,   /* field[0] = service */
+  3,   /* field[3] = share */
+  2,   /* field[2] = state */
+  9,   /* field[9] = stepped_us */
+  1,   /* field[1] = target */
+};
+static const ProtobufCIntRange cf_rollout__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 11 }
+};
+const ProtobufCMessageDescriptor cf_rollout__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "CfRollout",
+  "CfRollout",
+  "CfRollout",
+  "",
+  sizeof(CfRollout),
+  11,
+  cf_rollout__field_descriptors,
+  cf_rollout__field_indices_by_name,
+  1,  cf_rollout__number_ranges,
+  (ProtobufCMessageInit) cf_rollout__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cf_snapshot__field_descriptors[8] =
 {
   {
     "version",
@@ -1284,20 +1497,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollouts",
+    20,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CfSnapshot, n_rollouts),
+    offsetof(CfSnapshot, rollouts),
+    &cf_rollout__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cf_snapshot__field_indices_by_name[] = {
   5,   /* field[5] = limits */
   3,   /* field[3] = policy */
   4,   /* field[4] = revision */
+  7,   /* field[7] = rollouts */
   2,   /* field[2] = routes */
   1,   /* field[1] = services */
   6,   /* field[6] = teams */
   0,   /* field[0] = version */
 };
-static const ProtobufCIntRange cf_snapshot__number_ranges[1 + 1] =
+static const ProtobufCIntRange cf_snapshot__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 20, 7 },
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cf_snapshot__descriptor =
 {
@@ -1307,14 +1534,14 @@
   "CfSnapshot",
   "",
   sizeof(CfSnapshot),
-  7,
+  8,
   cf_snapshot__field_descriptors,
   cf_snapshot__field_indices_by_name,
-  1,  cf_snapshot__number_ranges,
+  2,  cf_snapshot__number_ranges,
   (ProtobufCMessageInit) cf_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_delta__field_descriptors[13] =
+static const ProtobufCFieldDescriptor cf_delta__field_descriptors[15] =
 {
   {
     "from_version",
@@ -1472,6 +1699,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rollouts_changed",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CfDelta, rollouts_changed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rollouts",
+    21,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(CfDelta, n_rollouts),
+    offsetof(CfDelta, rollouts),
+    &cf_rollout__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cf_delta__field_indices_by_name[] = {
   6,   /* field[6] = drop_routes */
@@ -1485,13 +1736,16 @@
   3,   /* field[3] = put_services */
   11,   /* field[11] = put_teams */
   9,   /* field[9] = revision */
+  14,   /* field[14] = rollouts */
+  13,   /* field[13] = rollouts_changed */
   2,   /* field[2] = to_digest */
   1,   /* field[1] = to_version */
 };
-static const ProtobufCIntRange cf_delta__number_ranges[1 + 1] =
+static const ProtobufCIntRange cf_delta__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 20, 13 },
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor cf_delta__descriptor =
 {
@@ -1501,10 +1755,40 @@
   "CfDelta",
   "",
   sizeof(CfDelta),
-  13,
+  15,
   cf_delta__field_descriptors,
   cf_delta__field_indices_by_name,
-  1,  cf_delta__number_ranges,
+  2,  cf_delta__number_ranges,
   (ProtobufCMessageInit) cf_delta__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCEnumValue cf_rollout_state__enum_values_by_number[3] =
+{
+  { "CF_ROLLOUT_STATE_RUNNING", "CF_ROLLOUT_STATE__CF_ROLLOUT_STATE_RUNNING", 0 },
+  { "CF_ROLLOUT_STATE_COMPLETED", "CF_ROLLOUT_STATE__CF_ROLLOUT_STATE_COMPLETED", 1 },
+  { "CF_ROLLOUT_STATE_ROLLED_BACK", "CF_ROLLOUT_STATE__CF_ROLLOUT_STATE_ROLLED_BACK", 2 },
+};
+static const ProtobufCIntRange cf_rollout_state__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex cf_rollout_state__enum_values_by_name[3] =
+{
+  { "CF_ROLLOUT_STATE_COMPLETED", 1 },
+  { "CF_ROLLOUT_STATE_ROLLED_BACK", 2 },
+  { "CF_ROLLOUT_STATE_RUNNING", 0 },
+};
+const ProtobufCEnumDescriptor cf_rollout_state__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "CfRolloutState",
+  "CfRolloutState",
+  "CfRolloutState",
+  "",
+  3,
+  cf_rollout_state__enum_values_by_number,
+  3,
+  cf_rollout_state__enum_values_by_name,
+  1,
+  cf_rollout_state__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/wire/cf.pb-c.h
+++ b/wire/cf.pb-c.h
@@ -22,12 +22,19 @@
 typedef struct CfTeam CfTeam;
 typedef struct CfPolicyRow CfPolicyRow;
 typedef struct CfPolicy CfPolicy;
+typedef struct CfRollout CfRollout;
 typedef struct CfSnapshot CfSnapshot;
 typedef struct CfDelta CfDelta;
 
 
 /* --- enums --- */
 
+typedef enum _CfRolloutState {
+  CF_ROLLOUT_STATE__CF_ROLLOUT_STATE_RUNNING = 0,
+  CF_ROLLOUT_STATE__CF_ROLLOUT_STATE_COMPLETED = 1,
+  CF_ROLLOUT_STATE__CF_ROLLOUT_STATE_ROLLED_BACK = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CF_ROLLOUT_STATE)
+} CfRolloutState;
 
 /* --- messages --- */
 
@@ -224,6 +231,53 @@
     , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL }
 
 
+/*
+ * The last move of a service's calls to endpoints of another version.
+ */
+struct  CfRollout
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * version that the calls are moved to
+   */
+  char *target;
+  CfRolloutState state;
+  /*
+   * of the calls for the target, in thousandths
+   */
+  uint32_t share;
+  /*
+   * version in force before, "" if not known
+   */
+  char *previous;
+  /*
+   * version that was rolled back before, or ""
+   */
+  char *barred;
+  /*
+   * index of the log entry of the order
+   */
+  uint64_t order;
+  uint32_t duration_ms;
+  /*
+   * wall time
+   */
+  uint64_t ordered_us;
+  /*
+   * wall time of the last step
+   */
+  uint64_t stepped_us;
+  /*
+   * time from the order to the last step
+   */
+  uint32_t elapsed_ms;
+};
+#define CF_ROLLOUT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cf_rollout__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, CF_ROLLOUT_STATE__CF_ROLLOUT_STATE_RUNNING, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
 struct  CfSnapshot
 {
   ProtobufCMessage base;
@@ -249,10 +303,15 @@
    */
   size_t n_teams;
   CfTeam **teams;
+  /*
+   * sorted by service
+   */
+  size_t n_rollouts;
+  CfRollout **rollouts;
 };
 #define CF_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_snapshot__descriptor) \
-    , 0, 0,NULL, 0,NULL, NULL, 0, NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, NULL, 0, NULL, 0,NULL, 0,NULL }
 
 
 struct  CfDelta
@@ -281,10 +340,16 @@
   CfTeam **put_teams;
   size_t n_drop_teams;
   char **drop_teams;
+  /*
+   * rollouts replaces all
+   */
+  protobuf_c_boolean rollouts_changed;
+  size_t n_rollouts;
+  CfRollout **rollouts;
 };
 #define CF_DELTA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_delta__descriptor) \
-    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL }
+    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /* CfService methods */
@@ -420,6 +485,25 @@
 void   cf_policy__free_unpacked
                      (CfPolicy *message,
                       ProtobufCAllocator *allocator);
+/* CfRollout methods */
+void   cf_rollout__init
+                     (CfRollout         *message);
+size_t cf_rollout__get_packed_size
+                     (const CfRollout   *message);
+size_t cf_rollout__pack
+                     (const CfRollout   *message,
+                      uint8_t             *out);
+size_t cf_rollout__pack_to_buffer
+                     (const CfRollout   *message,
+                      ProtobufCBuffer     *buffer);
+CfRollout *
+       cf_rollout__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cf_rollout__free_unpacked
+                     (CfRollout *message,
+                      ProtobufCAllocator *allocator);
 /* CfSnapshot methods */
 void   cf_snapshot__init
                      (CfSnapshot         *message);
@@ -481,6 +565,9 @@
 typedef void (*CfPolicy_Closure)
                  (const CfPolicy *message,
                   void *closure_data);
+typedef void (*CfRollout_Closure)
+                 (const CfRollout *message,
+                  void *closure_data);
 typedef void (*CfSnapshot_Closure)
                  (const CfSnapshot *message,
                   void *closure_data);
@@ -493,6 +580,7 @@
 
 /* --- descriptors --- */
 
+extern const ProtobufCEnumDescriptor    cf_rollout_state__descriptor;
 extern const ProtobufCMessageDescriptor cf_service__descriptor;
 extern const ProtobufCMessageDescriptor cf_part__descriptor;
 extern const ProtobufCMessageDescriptor cf_limits__descriptor;
@@ -500,6 +588,7 @@
 extern const ProtobufCMessageDescriptor cf_team__descriptor;
 extern const ProtobufCMessageDescriptor cf_policy_row__descriptor;
 extern const ProtobufCMessageDescriptor cf_policy__descriptor;
+extern const ProtobufCMessageDescriptor cf_rollout__descriptor;
 extern const ProtobufCMessageDescriptor cf_snapshot__descriptor;
 extern const ProtobufCMessageDescriptor cf_delta__descriptor;
 
--- a/wire/ct.pb-c.c
+++ b/wire/ct.pb-c.c
@@ -630,19 +630,21 @@
   (ProtobufCMessageInit) ct_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue ct_kind__enum_values_by_number[3] =
+static const ProtobufCEnumValue ct_kind__enum_values_by_number[4] =
 {
   { "CT_KIND_CONFIGURATION", "CT_KIND__CT_KIND_CONFIGURATION", 0 },
   { "CT_KIND_POLICY", "CT_KIND__CT_KIND_POLICY", 1 },
   { "CT_KIND_SNAPSHOT", "CT_KIND__CT_KIND_SNAPSHOT", 2 },
+  { "CT_KIND_ROLLOUT", "CT_KIND__CT_KIND_ROLLOUT", 3 },
 };
 static const ProtobufCIntRange ct_kind__value_ranges[] = {
-{0, 0},{0, 3}
+{0, 0},{0, 4}
 };
-static const ProtobufCEnumValueIndex ct_kind__enum_values_by_name[3] =
+static const ProtobufCEnumValueIndex ct_kind__enum_values_by_name[4] =
 {
   { "CT_KIND_CONFIGURATION", 0 },
   { "CT_KIND_POLICY", 1 },
+  { "CT_KIND_ROLLOUT", 3 },
   { "CT_KIND_SNAPSHOT", 2 },
 };
 const ProtobufCEnumDescriptor ct_kind__descriptor =
@@ -652,9 +654,9 @@
   "CtKind",
   "CtKind",
   "",
-  3,
+  4,
   ct_kind__enum_values_by_number,
-  3,
+  4,
   ct_kind__enum_values_by_name,
   1,
   ct_kind__value_ranges,
--- a/wire/ct.pb-c.h
+++ b/wire/ct.pb-c.h
@@ -28,9 +28,13 @@
   CT_KIND__CT_KIND_CONFIGURATION = 0,
   CT_KIND__CT_KIND_POLICY = 1,
   /*
-   * the text is a packed CfSnapshot
+   * text is a packed CfSnapshot
    */
-  CT_KIND__CT_KIND_SNAPSHOT = 2
+  CT_KIND__CT_KIND_SNAPSHOT = 2,
+  /*
+   * text is a packed CfRollout; base_version is unused
+   */
+  CT_KIND__CT_KIND_ROLLOUT = 3
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CT_KIND)
 } CtKind;
 
@@ -75,7 +79,7 @@
    */
   uint32_t code;
   /*
-   * accepted version, when code is 0
+   * accepted version, if code is 0
    */
   uint64_t version;
   /*
@@ -83,7 +87,7 @@
    */
   uint64_t current;
   /*
-   * address of the leader, when known
+   * address of the leader, if known
    */
   char *leader;
   size_t n_problems;
@@ -95,7 +99,7 @@
 
 
 /*
- * The answers' JSON is described in docs/design/60-operator-queries.md.
+ * The JSON of the answers is described in docs/design/60-operator-queries.md.
  */
 struct  CtQuery
 {
@@ -119,7 +123,7 @@
   char *leader;
   ProtobufCBinaryData json;
   /*
-   * of "current": an encoded CfSnapshot
+   * answer to "current": a packed CfSnapshot
    */
   ProtobufCBinaryData snapshot;
 };
--- a/wire/ep.pb-c.c
+++ b/wire/ep.pb-c.c
@@ -354,7 +354,7 @@
   (ProtobufCMessageInit) ep_mark__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor ep_record__field_descriptors[21] =
+static const ProtobufCFieldDescriptor ep_record__field_descriptors[22] =
 {
   {
     "instance",
@@ -608,6 +608,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "backend_version",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(EpRecord, backend_version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned ep_record__field_indices_by_name[] = {
   4,   /* field[4] = address */
@@ -615,6 +627,7 @@
   19,   /* field[19] = backend_sequence */
   18,   /* field[18] = backend_start_ms */
   20,   /* field[20] = backend_state */
+  21,   /* field[21] = backend_version */
   14,   /* field[14] = cold_ms */
   10,   /* field[10] = connections */
   12,   /* field[12] = control_address */
@@ -635,7 +648,7 @@
 static const ProtobufCIntRange ep_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 21 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor ep_record__descriptor =
 {
@@ -645,7 +658,7 @@
   "EpRecord",
   "",
   sizeof(EpRecord),
-  21,
+  22,
   ep_record__field_descriptors,
   ep_record__field_indices_by_name,
   1,  ep_record__number_ranges,
--- a/wire/ep.pb-c.h
+++ b/wire/ep.pb-c.h
@@ -126,10 +126,14 @@
    */
   int64_t backend_sequence;
   EpBackendState backend_state;
+  /*
+   * of its software, "" if not stated
+   */
+  char *backend_version;
 };
 #define EP_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&ep_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, 0, EP_BACKEND_STATE__EP_BACKEND_SERVES }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0,NULL, 0, 0, 0, 0, EP_BACKEND_STATE__EP_BACKEND_SERVES, (char *)protobuf_c_empty_string }
 
 
 struct  EpAnnounce
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -187,6 +187,51 @@
   assert(message->base.descriptor == &rp_submission__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rp_rollout_step__init
+                     (RpRolloutStep         *message)
+{
+  static const RpRolloutStep init_value = RP_ROLLOUT_STEP__INIT;
+  *message = init_value;
+}
+size_t rp_rollout_step__get_packed_size
+                     (const RpRolloutStep *message)
+{
+  assert(message->base.descriptor == &rp_rollout_step__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rp_rollout_step__pack
+                     (const RpRolloutStep *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rp_rollout_step__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rp_rollout_step__pack_to_buffer
+                     (const RpRolloutStep *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rp_rollout_step__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RpRolloutStep *
+       rp_rollout_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RpRolloutStep *)
+     protobuf_c_message_unpack (&rp_rollout_step__descriptor,
+                                allocator, len, data);
+}
+void   rp_rollout_step__free_unpacked
+                     (RpRolloutStep *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rp_rollout_step__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   rp_roster__init
                      (RpRoster         *message)
 {
@@ -1189,6 +1234,135 @@
   (ProtobufCMessageInit) rp_submission__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rp_rollout_step__field_descriptors[8] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RpRolloutStep, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "order",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpRolloutStep, order),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from_share",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpRolloutStep, from_share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "share",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpRolloutStep, share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpRolloutStep, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wall_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpRolloutStep, wall_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "elapsed_ms",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpRolloutStep, elapsed_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RpRolloutStep, reason),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rp_rollout_step__field_indices_by_name[] = {
+  6,   /* field[6] = elapsed_ms */
+  2,   /* field[2] = from_share */
+  1,   /* field[1] = order */
+  7,   /* field[7] = reason */
+  0,   /* field[0] = service */
+  3,   /* field[3] = share */
+  4,   /* field[4] = state */
+  5,   /* field[5] = wall_us */
+};
+static const ProtobufCIntRange rp_rollout_step__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor rp_rollout_step__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RpRolloutStep",
+  "RpRolloutStep",
+  "RpRolloutStep",
+  "",
+  sizeof(RpRolloutStep),
+  8,
+  rp_rollout_step__field_descriptors,
+  rp_rollout_step__field_indices_by_name,
+  1,  rp_rollout_step__number_ranges,
+  (ProtobufCMessageInit) rp_rollout_step__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor rp_roster__field_descriptors[1] =
 {
   {
@@ -2423,7 +2597,7 @@
   (ProtobufCMessageInit) rp_version__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_state__field_descriptors[6] =
+static const ProtobufCFieldDescriptor rp_state__field_descriptors[7] =
 {
   {
     "configuration",
@@ -2497,8 +2671,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "base_version",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(RpState, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_state__field_indices_by_name[] = {
+  6,   /* field[6] = base_version */
   0,   /* field[0] = configuration */
   3,   /* field[3] = days */
   5,   /* field[5] = in_force */
@@ -2509,7 +2696,7 @@
 static const ProtobufCIntRange rp_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor rp_state__descriptor =
 {
@@ -2519,30 +2706,32 @@
   "RpState",
   "",
   sizeof(RpState),
-  6,
+  7,
   rp_state__field_descriptors,
   rp_state__field_indices_by_name,
   1,  rp_state__number_ranges,
   (ProtobufCMessageInit) rp_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCEnumValue rp_entry_kind__enum_values_by_number[5] =
+static const ProtobufCEnumValue rp_entry_kind__enum_values_by_number[6] =
 {
   { "RP_ENTRY_NOOP", "RP_ENTRY_KIND__RP_ENTRY_NOOP", 0 },
   { "RP_ENTRY_SUBMISSION", "RP_ENTRY_KIND__RP_ENTRY_SUBMISSION", 1 },
   { "RP_ENTRY_MEMBERS", "RP_ENTRY_KIND__RP_ENTRY_MEMBERS", 2 },
   { "RP_ENTRY_FIGURES", "RP_ENTRY_KIND__RP_ENTRY_FIGURES", 3 },
   { "RP_ENTRY_IN_FORCE", "RP_ENTRY_KIND__RP_ENTRY_IN_FORCE", 4 },
+  { "RP_ENTRY_ROLLOUT", "RP_ENTRY_KIND__RP_ENTRY_ROLLOUT", 5 },
 };
 static const ProtobufCIntRange rp_entry_kind__value_ranges[] = {
-{0, 0},{0, 5}
+{0, 0},{0, 6}
 };
-static const ProtobufCEnumValueIndex rp_entry_kind__enum_values_by_name[5] =
+static const ProtobufCEnumValueIndex rp_entry_kind__enum_values_by_name[6] =
 {
   { "RP_ENTRY_FIGURES", 3 },
   { "RP_ENTRY_IN_FORCE", 4 },
   { "RP_ENTRY_MEMBERS", 2 },
   { "RP_ENTRY_NOOP", 0 },
+  { "RP_ENTRY_ROLLOUT", 5 },
   { "RP_ENTRY_SUBMISSION", 1 },
 };
 const ProtobufCEnumDescriptor rp_entry_kind__descriptor =
@@ -2552,9 +2741,9 @@
   "RpEntryKind",
   "RpEntryKind",
   "",
-  5,
+  6,
   rp_entry_kind__enum_values_by_number,
-  5,
+  6,
   rp_entry_kind__enum_values_by_name,
   1,
   rp_entry_kind__value_ranges,
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct RpMember RpMember;
 typedef struct RpMembers RpMembers;
 typedef struct RpSubmission RpSubmission;
+typedef struct RpRolloutStep RpRolloutStep;
 typedef struct RpRoster RpRoster;
 typedef struct RpVoteRequest RpVoteRequest;
 typedef struct RpHandover RpHandover;
@@ -57,7 +58,11 @@
   /*
    * body is RtInForce
    */
-  RP_ENTRY_KIND__RP_ENTRY_IN_FORCE = 4
+  RP_ENTRY_KIND__RP_ENTRY_IN_FORCE = 4,
+  /*
+   * body is RpRolloutStep
+   */
+  RP_ENTRY_KIND__RP_ENTRY_ROLLOUT = 5
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(RP_ENTRY_KIND)
 } RpEntryKind;
 
@@ -111,15 +116,15 @@
    */
   CtSubmit *submit;
   /*
-   * when the leader took it in
+   * when the leader received it
    */
   uint64_t wall_us;
   /*
-   * CfDelta from the base version, or
+   * CfDelta from the base version, or CfRollout, or
    */
   ProtobufCBinaryData delta;
   /*
-   * why the leader's validation refused it
+   * result of the leader's validation, if refused
    */
   uint32_t code;
   size_t n_problems;
@@ -131,7 +136,43 @@
 
 
 /*
- * Replicas of an open group that the sender knows, by name.
+ * A step of a roll-out that the leader has decided.
+ */
+struct  RpRolloutStep
+{
+  ProtobufCMessage base;
+  char *service;
+  /*
+   * of the roll-out; void for another one
+   */
+  uint64_t order;
+  /*
+   * void unless the roll-out runs with this share
+   */
+  uint32_t from_share;
+  uint32_t share;
+  /*
+   * CfRolloutState
+   */
+  uint32_t state;
+  uint64_t wall_us;
+  /*
+   * time since the order
+   */
+  uint32_t elapsed_ms;
+  /*
+   * of the decision
+   */
+  uint32_t reason;
+};
+#define RP_ROLLOUT_STEP__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rp_rollout_step__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Names of the replicas that the sender knows, of an open group: one whose
+ * members are not listed in the settings.
  */
 struct  RpRoster
 {
@@ -150,13 +191,16 @@
   uint64_t term;
   uint64_t last_index;
   uint64_t last_term;
+  /*
+   * a pre-vote
+   */
   protobuf_c_boolean pre;
   /*
-   * disk of the voter that the candidate knows
+   * disk_id of the voter as the candidate knows it
    */
   char *voter_disk;
   /*
-   * the leader of the term before has asked for it
+   * requested by the leader of the previous term
    */
   protobuf_c_boolean handover;
 };
@@ -166,7 +210,7 @@
 
 
 /*
- * The leader stops; the receiver is to be elected at once.
+ * Sent by a leader that stops, to have the receiver elected at once.
  */
 struct  RpHandover
 {
@@ -234,7 +278,7 @@
 
 
 /*
- * A piece of the packed RpState.
+ * A chunk of the packed RpState.
  */
 struct  RpInstall
 {
@@ -258,7 +302,7 @@
   uint64_t term;
   uint64_t last_index;
   /*
-   * the next byte that is wanted
+   * of the next byte to send
    */
   uint64_t offset;
   uint64_t round;
@@ -276,8 +320,17 @@
 {
   ProtobufCMessage base;
   char *disk_id;
+  /*
+   * in a reply: the sender has a log
+   */
   protobuf_c_boolean formed;
+  /*
+   * the message is the reply to a probe
+   */
   protobuf_c_boolean answer;
+  /*
+   * the sender lost synced entries
+   */
   protobuf_c_boolean damaged;
 };
 #define RP_PROBE__INIT \
@@ -286,8 +339,7 @@
 
 
 /*
- * An entry that a follower took in for the leader to propose.
- * A follower asks the leader for the newest version.
+ * Sent by a follower that asks the leader for the newest version.
  */
 struct  RpRead
 {
@@ -310,6 +362,9 @@
     , 0, 0 }
 
 
+/*
+ * An entry that a follower received, for the leader to propose.
+ */
 struct  RpForward
 {
   ProtobufCMessage base;
@@ -381,12 +436,12 @@
    */
   uint64_t accepted_us;
   /*
-   * 0 while it is not in force everywhere
+   * 0 until it is in force everywhere
    */
   uint64_t in_force_us;
   uint32_t daemons;
   /*
-   * its first bytes in hexadecimal
+   * first bytes of the digest in hexadecimal
    */
   char *digest;
 };
@@ -396,7 +451,7 @@
 
 
 /*
- * The state machine, as a snapshot of the log holds it.
+ * The state machine, as stored in a snapshot of the log.
  */
 struct  RpState
 {
@@ -410,7 +465,7 @@
   size_t n_versions;
   RpVersion **versions;
   /*
-   * of rt_days_encode()
+   * encoded by rt_days_encode()
    */
   ProtobufCBinaryData days;
   RpMembers *members;
@@ -418,10 +473,14 @@
    * newest version in force everywhere
    */
   uint64_t in_force;
+  /*
+   * of the last submission; 0: of configuration
+   */
+  uint64_t base_version;
 };
 #define RP_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_state__descriptor) \
-    , {0,NULL}, 0,NULL, 0,NULL, {0,NULL}, NULL, 0 }
+    , {0,NULL}, 0,NULL, 0,NULL, {0,NULL}, NULL, 0, 0 }
 
 
 /* RpEntry methods */
@@ -500,6 +559,25 @@
 void   rp_submission__free_unpacked
                      (RpSubmission *message,
                       ProtobufCAllocator *allocator);
+/* RpRolloutStep methods */
+void   rp_rollout_step__init
+                     (RpRolloutStep         *message);
+size_t rp_rollout_step__get_packed_size
+                     (const RpRolloutStep   *message);
+size_t rp_rollout_step__pack
+                     (const RpRolloutStep   *message,
+                      uint8_t             *out);
+size_t rp_rollout_step__pack_to_buffer
+                     (const RpRolloutStep   *message,
+                      ProtobufCBuffer     *buffer);
+RpRolloutStep *
+       rp_rollout_step__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rp_rollout_step__free_unpacked
+                     (RpRolloutStep *message,
+                      ProtobufCAllocator *allocator);
 /* RpRoster methods */
 void   rp_roster__init
                      (RpRoster         *message);
@@ -818,6 +896,9 @@
 typedef void (*RpSubmission_Closure)
                  (const RpSubmission *message,
                   void *closure_data);
+typedef void (*RpRolloutStep_Closure)
+                 (const RpRolloutStep *message,
+                  void *closure_data);
 typedef void (*RpRoster_Closure)
                  (const RpRoster *message,
                   void *closure_data);
@@ -877,6 +958,7 @@
 extern const ProtobufCMessageDescriptor rp_member__descriptor;
 extern const ProtobufCMessageDescriptor rp_members__descriptor;
 extern const ProtobufCMessageDescriptor rp_submission__descriptor;
+extern const ProtobufCMessageDescriptor rp_rollout_step__descriptor;
 extern const ProtobufCMessageDescriptor rp_roster__descriptor;
 extern const ProtobufCMessageDescriptor rp_vote_request__descriptor;
 extern const ProtobufCMessageDescriptor rp_handover__descriptor;
--- a/wire/rt.pb-c.c
+++ b/wire/rt.pb-c.c
@@ -772,6 +772,96 @@
   assert(message->base.descriptor == &rt_days__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   rt_tally__init
+                     (RtTally         *message)
+{
+  static const RtTally init_value = RT_TALLY__INIT;
+  *message = init_value;
+}
+size_t rt_tally__get_packed_size
+                     (const RtTally *message)
+{
+  assert(message->base.descriptor == &rt_tally__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rt_tally__pack
+                     (const RtTally *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rt_tally__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rt_tally__pack_to_buffer
+                     (const RtTally *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rt_tally__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RtTally *
+       rt_tally__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RtTally *)
+     protobuf_c_message_unpack (&rt_tally__descriptor,
+                                allocator, len, data);
+}
+void   rt_tally__free_unpacked
+                     (RtTally *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rt_tally__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   rt_tallies__init
+                     (RtTallies         *message)
+{
+  static const RtTallies init_value = RT_TALLIES__INIT;
+  *message = init_value;
+}
+size_t rt_tallies__get_packed_size
+                     (const RtTallies *message)
+{
+  assert(message->base.descriptor == &rt_tallies__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t rt_tallies__pack
+                     (const RtTallies *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &rt_tallies__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t rt_tallies__pack_to_buffer
+                     (const RtTallies *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &rt_tallies__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+RtTallies *
+       rt_tallies__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (RtTallies *)
+     protobuf_c_message_unpack (&rt_tallies__descriptor,
+                                allocator, len, data);
+}
+void   rt_tallies__free_unpacked
+                     (RtTallies *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &rt_tallies__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor rt_service_figures__field_descriptors[8] =
 {
   {
@@ -2406,3 +2496,144 @@
   (ProtobufCMessageInit) rt_days__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor rt_tally__field_descriptors[6] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RtTally, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RtTally, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(RtTally, route),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answered",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RtTally, answered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "failed",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(RtTally, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "times",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(RtTally, n_times),
+    offsetof(RtTally, times),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rt_tally__field_indices_by_name[] = {
+  3,   /* field[3] = answered */
+  4,   /* field[4] = failed */
+  2,   /* field[2] = route */
+  0,   /* field[0] = service */
+  5,   /* field[5] = times */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange rt_tally__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor rt_tally__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RtTally",
+  "RtTally",
+  "RtTally",
+  "",
+  sizeof(RtTally),
+  6,
+  rt_tally__field_descriptors,
+  rt_tally__field_indices_by_name,
+  1,  rt_tally__number_ranges,
+  (ProtobufCMessageInit) rt_tally__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor rt_tallies__field_descriptors[1] =
+{
+  {
+    "tallies",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(RtTallies, n_tallies),
+    offsetof(RtTallies, tallies),
+    &rt_tally__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned rt_tallies__field_indices_by_name[] = {
+  0,   /* field[0] = tallies */
+};
+static const ProtobufCIntRange rt_tallies__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor rt_tallies__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "RtTallies",
+  "RtTallies",
+  "RtTallies",
+  "",
+  sizeof(RtTallies),
+  1,
+  rt_tallies__field_descriptors,
+  rt_tallies__field_indices_by_name,
+  1,  rt_tallies__number_ranges,
+  (ProtobufCMessageInit) rt_tallies__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/wire/rt.pb-c.h
+++ b/wire/rt.pb-c.h
@@ -32,6 +32,8 @@
 typedef struct RtVersion RtVersion;
 typedef struct RtServiceMark RtServiceMark;
 typedef struct RtDays RtDays;
+typedef struct RtTally RtTally;
+typedef struct RtTallies RtTallies;
 
 
 /* --- enums --- */
@@ -45,7 +47,7 @@
   char *service;
   uint64_t answered;
   /*
-   * shed ones included
+   * shed calls included
    */
   uint64_t not_run;
   uint64_t may_have_run;
@@ -80,7 +82,7 @@
 
 
 /*
- * All that one instance counted since its last acknowledged figures.
+ * Everything one instance has counted since its last acknowledged figures.
  */
 struct  RtFigures
 {
@@ -99,7 +101,7 @@
    */
   char *role;
   /*
-   * the process ends after these
+   * the last figures before the process ends
    */
   protobuf_c_boolean final;
 };
@@ -140,12 +142,12 @@
   ProtobufCMessage base;
   uint64_t version;
   /*
-   * that can be reached and have it in force
+   * reachable daemons that have it in force
    */
   uint32_t daemons;
   uint64_t wall_us;
   /*
-   * daemons with a lease, 0 when not known
+   * daemons with a lease, 0 if not known
    */
   uint32_t live;
 };
@@ -155,8 +157,8 @@
 
 
 /*
- * One incarnation of an instance; @taken counts the sequences that are all
- * taken in, bit n of @above stands for sequence taken + 1 + n.
+ * One incarnation of an instance.  All sequences up to @taken have been
+ * received; bit n of @above stands for sequence taken + 1 + n.
  */
 struct  RtLife
 {
@@ -168,11 +170,11 @@
   uint64_t above;
   protobuf_c_boolean final;
   /*
-   * sequences were passed over
+   * some sequences were skipped
    */
   protobuf_c_boolean holes;
   /*
-   * longest time between two figures
+   * longest time between two RtFigures
    */
   uint64_t interval_ms;
 };
@@ -195,7 +197,7 @@
 
 
 /*
- * A time in which an instance ran or may have run and was not seen.
+ * A period in which an instance ran, or may have run, and was not observed.
  */
 struct  RtGap
 {
@@ -231,7 +233,7 @@
 {
   ProtobufCMessage base;
   /*
-   * since 1970
+   * hours since 1970
    */
   uint64_t hour;
   uint64_t calls;
@@ -265,7 +267,7 @@
 
 
 /*
- * A time in which daemons with a lease could not be reached.
+ * A period in which daemons with a lease could not be reached.
  */
 struct  RtOutage
 {
@@ -276,7 +278,7 @@
    */
   uint64_t to_us;
   /*
-   * at most
+   * highest number of them
    */
   uint32_t missing;
 };
@@ -305,7 +307,7 @@
   RtBreach **breaches;
   uint64_t breaches_left_out;
   /*
-   * that had a version in force
+   * highest number with a version in force
    */
   uint32_t most_daemons;
   size_t n_outages;
@@ -323,25 +325,25 @@
   uint64_t version;
   uint64_t accepted_us;
   /*
-   * 0 while it is not
+   * 0 until it is
    */
   uint64_t in_force_us;
   uint64_t limit_us;
   /*
-   * the service whose row gave the limit
+   * service whose policy row set the limit
    */
   char *limited_by;
   uint32_t daemons;
   /*
-   * in force on all that could be reached
+   * in force on all reachable daemons
    */
   uint64_t reached_us;
   /*
-   * time that outages took until then
+   * time lost to outages until then
    */
   uint64_t away_us;
   /*
-   * for daemons that turned out to be away
+   * for daemons that proved unreachable
    */
   protobuf_c_boolean waited;
 };
@@ -355,7 +357,7 @@
   ProtobufCMessage base;
   char *service;
   /*
-   * changes with its routes, limits and row
+   * changes with its routes, limits and policy row
    */
   uint64_t mark;
 };
@@ -378,7 +380,7 @@
   RtServiceMark **marks;
   uint64_t instances_left_out;
   /*
-   * that lasts
+   * the current outage
    */
   RtOutage *outage;
 };
@@ -387,6 +389,39 @@
     , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, NULL }
 
 
+/*
+ * What backend servers of one version did with calls of one route.
+ */
+struct  RtTally
+{
+  ProtobufCMessage base;
+  char *service;
+  char *version;
+  char *route;
+  uint32_t answered;
+  uint32_t failed;
+  /*
+   * answers by time, see report/rt_tally.h
+   */
+  size_t n_times;
+  uint32_t *times;
+};
+#define RT_TALLY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rt_tally__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
+struct  RtTallies
+{
+  ProtobufCMessage base;
+  size_t n_tallies;
+  RtTally **tallies;
+};
+#define RT_TALLIES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&rt_tallies__descriptor) \
+    , 0,NULL }
+
+
 /* RtServiceFigures methods */
 void   rt_service_figures__init
                      (RtServiceFigures         *message);
@@ -710,6 +745,44 @@
 void   rt_days__free_unpacked
                      (RtDays *message,
                       ProtobufCAllocator *allocator);
+/* RtTally methods */
+void   rt_tally__init
+                     (RtTally         *message);
+size_t rt_tally__get_packed_size
+                     (const RtTally   *message);
+size_t rt_tally__pack
+                     (const RtTally   *message,
+                      uint8_t             *out);
+size_t rt_tally__pack_to_buffer
+                     (const RtTally   *message,
+                      ProtobufCBuffer     *buffer);
+RtTally *
+       rt_tally__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rt_tally__free_unpacked
+                     (RtTally *message,
+                      ProtobufCAllocator *allocator);
+/* RtTallies methods */
+void   rt_tallies__init
+                     (RtTallies         *message);
+size_t rt_tallies__get_packed_size
+                     (const RtTallies   *message);
+size_t rt_tallies__pack
+                     (const RtTallies   *message,
+                      uint8_t             *out);
+size_t rt_tallies__pack_to_buffer
+                     (const RtTallies   *message,
+                      ProtobufCBuffer     *buffer);
+RtTallies *
+       rt_tallies__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   rt_tallies__free_unpacked
+                     (RtTallies *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*RtServiceFigures_Closure)
@@ -763,6 +836,12 @@
 typedef void (*RtDays_Closure)
                  (const RtDays *message,
                   void *closure_data);
+typedef void (*RtTally_Closure)
+                 (const RtTally *message,
+                  void *closure_data);
+typedef void (*RtTallies_Closure)
+                 (const RtTallies *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -786,6 +865,8 @@
 extern const ProtobufCMessageDescriptor rt_version__descriptor;
 extern const ProtobufCMessageDescriptor rt_service_mark__descriptor;
 extern const ProtobufCMessageDescriptor rt_days__descriptor;
+extern const ProtobufCMessageDescriptor rt_tally__descriptor;
+extern const ProtobufCMessageDescriptor rt_tallies__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/wire/wi_type.h
+++ b/wire/wi_type.h
@@ -49,6 +49,7 @@
 	RT_FIGURES = 100, /* RtFigures */
 	RT_BATCH = 101,	  /* RtBatch */
 	RT_ACK = 102,	  /* RtAck */
+	RT_TALLIES = 103, /* RtTallies */
 
 	CL_REQUEST = 120, /* ClRequest */
 	CL_HEAD = 121,	  /* ClHead */
