proxy: calls are counted by version while a roll-out runs

The proxy beside a backend server sees what its version does with each call. It reports answers, failures and times by route every 400 ms to its relay, which adds up those of its daemons and passes them upstream. It refuses calls for a version that was rolled back, whoever sends them.

--- a/distrib/ds_agent.c
+++ b/distrib/ds_agent.c
@@ -287,6 +287,14 @@
 		ds_quota_send_ask(s, m);
 }
 
+void ds_agent_send_tallies(struct ds_agent *a, const void *data, size_t len)
+{
+	struct wi_session *s = ds_link_session(a->link);
+
+	if (s)
+		wi_send_packed(s, RT_TALLIES, data, len);
+}
+
 uint64_t ds_agent_version(const struct ds_agent *a)
 {
 	return a->receiver.subscriber.held;
--- a/distrib/ds_agent.h
+++ b/distrib/ds_agent.h
@@ -118,6 +118,12 @@
 
 /** ds_agent_ask_quota() - ask the relay for tokens, if one is connected */
 void ds_agent_ask_quota(struct ds_agent *a, const struct cl_quota_message *m);
+/**
+ * ds_agent_send_tallies() - send a packed RtTallies of a roll-out
+ *
+ * It is lost if no relay is connected.
+ */
+void ds_agent_send_tallies(struct ds_agent *a, const void *data, size_t len);
 
 /** ds_agent_version() - return the version held, 0 for none */
 uint64_t ds_agent_version(const struct ds_agent *a);
--- a/fuzz/fz_frame.c
+++ b/fuzz/fz_frame.c
@@ -40,6 +40,7 @@
 	{EP_DIGEST, &ep_digest__descriptor},
 	{RT_FIGURES, &rt_figures__descriptor},
 	{RT_BATCH, &rt_batch__descriptor},
+	{RT_TALLIES, &rt_tallies__descriptor},
 	{RT_ACK, &rt_ack__descriptor},
 	{CL_REQUEST, &cl_request__descriptor},
 	{CL_HEAD, &cl_head__descriptor},
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -123,6 +123,7 @@
 static void on_relay(struct ds_agent_owner *o, bool connected);
 static void on_quota_granted(struct ds_agent_owner *o,
 			     const struct cl_quota_message *m);
+static void on_tallied(struct px_owner *o, const void *data, size_t len);
 static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s);
 static void on_lifetime(struct ds_agent_owner *o,
 			const struct ep_lifetime *known);
@@ -197,6 +198,7 @@
 	g->proxy_owner.version_heard = on_version_heard;
 	g->proxy_owner.is_current = is_current;
 	g->proxy_owner.ask_quota = ask_quota;
+	g->proxy_owner.tallied = on_tallied;
 	if (px_new(g->loop, &o, &g->proxy_owner, &failed, &g->proxy))
 		return pr_listen_failed(failed);
 	return 0;
@@ -249,6 +251,7 @@
 		.external_address = "",
 		.control_address = "",
 		.backend = (char *)l->backend,
+		.version = b ? (char *)b->version : "",
 		.backend_start_wall_ms = l->start_wall_ms,
 		.backend_sequence = l->sequence,
 		.backend_state = l->state,
@@ -305,6 +308,13 @@
 	px_quota_granted(g->proxy, m);
 }
 
+static void on_tallied(struct px_owner *o, const void *data, size_t len)
+{
+	struct program *g = ba_entry(o, struct program, proxy_owner);
+
+	ds_agent_send_tallies(g->agent, data, len);
+}
+
 static void on_snapshot(struct ds_agent_owner *o, struct cf_snapshot *s)
 {
 	struct program *g = ba_entry(o, struct program, agent_owner);
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -56,6 +56,7 @@
 	p->stated = cl_stated_new();
 	px_poison_init(p);
 	px_quota_init(p);
+	px_rollout_init(p);
 	p->peer_pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					      pool_free);
 	ret = listen_all(p, failed);
@@ -74,6 +75,7 @@
 	p->snapshot = cf_snapshot_ref(s);
 	cf_snapshot_unref(old);
 	px_quota_configure(p);
+	cl_router_set_rollouts(p->router, s);
 	px_exchange_resume(p, PX_ATTEMPT_HELD);
 }
 
@@ -151,6 +153,7 @@
 	ba_loop_disarm(p->loop, &p->backend.dispatch_timer);
 	px_poison_free(p);
 	px_quota_free(p);
+	px_rollout_free(p);
 	g_hash_table_destroy(p->peer_pools);
 	g_hash_table_destroy(p->splits);
 	cl_sched_free(p->backend.sched);
--- a/proxy/px.h
+++ b/proxy/px.h
@@ -46,6 +46,8 @@
  *	moment ago; without that, an unknown route may be a new one
  * @ask_quota: send a question for tokens to the relay; its answer comes with
  *	px_quota_granted()
+ * @tallied: calls were counted for a roll-out; @data is a packed RtTallies; may
+ *	be NULL
  */
 struct px_owner {
 	void (*backend_changed)(struct px_owner *o,
@@ -56,6 +58,7 @@
 	void (*version_heard)(struct px_owner *o, uint64_t version);
 	bool (*is_current)(struct px_owner *o);
 	void (*ask_quota)(struct px_owner *o, const struct cl_quota_message *m);
+	void (*tallied)(struct px_owner *o, const void *data, size_t len);
 };
 
 /**
--- a/proxy/px_backend.c
+++ b/proxy/px_backend.c
@@ -196,6 +196,8 @@
 	if (!be->presence.registered ||
 	    strcmp(be->heartbeat.service, service) != 0)
 		return CL_NO_ENDPOINT;
+	if (px_rollout_bars(p))
+		return CL_NO_ENDPOINT;
 	return px_backend_is_leaving(be) ? CL_DRAINING : 0;
 }
 
@@ -282,6 +284,7 @@
 	if (!be->pool)
 		be->pool = ht_pool_new(p->loop, &pool);
 	cl_admit_set_slots(be->admit, hb->slots);
+	be->warm_at = ba_loop_now(p->loop) + hb->cold_time;
 	be->heartbeat = *hb;
 }
 
--- a/proxy/px_dialect.h
+++ b/proxy/px_dialect.h
@@ -16,7 +16,7 @@
 extern "C" {
 #endif
 
-enum { PX_ID_BYTES = 128 };
+enum { PX_ID_BYTES = 128, PX_VERSION_BYTES = 64 };
 
 /**
  * struct px_caller_fields - what a caller states about its request
@@ -68,6 +68,7 @@
  * struct px_heartbeat - a heartbeat of a backend server
  * @backend: id of the backend server, new for each of its starts
  * @service: service that it belongs to
+ * @version: version of its software, "" if it states none
  * @start_wall_ms: wall time of its start in milliseconds, 0 if not stated
  * @sequence: number of this heartbeat since the start
  * @slots: requests that it works on at once
@@ -78,6 +79,7 @@
 	char backend[PX_ID_BYTES];
 	char service[PX_ID_BYTES];
 	char address[PX_ID_BYTES];
+	char version[PX_VERSION_BYTES];
 	int64_t start_wall_ms;
 	int64_t sequence;
 	uint32_t slots;
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -238,6 +238,7 @@
 	struct cl_endpoint *e = x->endpoint;
 	struct ht_conn *c = x->conn;
 	bool had_slot = x->admission.running;
+	bool at_backend = x->state == PX_ATTEMPT_AT_BACKEND;
 	bool abandoned = c && x->state == PX_ATTEMPT_AT_BACKEND &&
 			 ht_conn_has_sent(c) && !x->not_run_code &&
 			 (result == CL_ATTEMPT_CANCELLED ||
@@ -267,6 +268,8 @@
 	cl_admit_cancel(p->backend.admit, &x->admission);
 	if (!had_slot)
 		return;
+	if (at_backend)
+		px_rollout_count(x, result);
 	cl_admit_done(p->backend.admit, &x->admission,
 		      result == CL_ATTEMPT_ANSWERED ? CL_ADMIT_SERVED
 						    : CL_ADMIT_OTHER,
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -41,6 +41,7 @@
 #include "http/ht_pool.h"
 #include "http/ht_service.h"
 #include "proxy/px.h"
+#include "report/rt_tally.h"
 
 enum {
 	/* Default for requests; also the limit of answers and control calls. */
@@ -139,6 +140,7 @@
  * @echoes_ids: it has named a request in an answer
  * @names_refusals: it has named a request in a rejection
  * @limit: what it states
+ * @warm_at: when it is past its slow start
  * @n_sent: requests sent to it since the last line of the log about @limit
  * @logged_at: time of that line
  */
@@ -153,6 +155,7 @@
 	bool echoes_ids;
 	bool names_refusals;
 	struct cl_limit limit;
+	ba_time warm_at;
 	uint64_t n_sent;
 	ba_time logged_at;
 };
@@ -219,6 +222,7 @@
  * @crowd: what is done when that is too much
  * @peer_pools: struct ht_pool by address of the other proxy
  * @stated: what their backend servers state
+ * @tallies: of the own backend server, since @tally_timer was armed
  */
 struct px {
 	struct ba_loop *loop;
@@ -258,6 +262,8 @@
 	struct px_backend backend;
 	struct px_poison poison;
 	struct px_quota quota;
+	struct rt_tallies *tallies;
+	struct ba_timer tally_timer;
 	struct ba_rand rand;
 };
 
@@ -731,4 +737,20 @@
  */
 void px_compose_bodyless(int status, struct ba_buf *out);
 
+/** px_rollout_init() - no tallies yet */
+void px_rollout_init(struct px *p);
+
+/** px_rollout_free() - free the tallies */
+void px_rollout_free(struct px *p);
+
+/**
+ * px_rollout_count() - count a call that was sent to the own backend server
+ *
+ * Only while a roll-out of its service runs.
+ */
+void px_rollout_count(struct px_exchange *x, enum cl_attempt_result result);
+
+/** px_rollout_bars() - whether the own backend server's version gets no calls */
+bool px_rollout_bars(const struct px *p);
+
 #endif
--- /dev/null
+++ b/proxy/px_rollout.c
@@ -0,0 +1,84 @@
+#include "proxy/px_internal.h"
+#include "report/rt_tally.h"
+
+/*
+ * Time over which calls are counted before they are reported.  It adds to the
+ * time until a bad version is noticed.
+ */
+#define REPORT_DELAY (400 * BA_MS)
+
+static const struct cf_rollout *find_own(const struct px *p);
+static void on_timer(struct ba_timer *t, ba_time now);
+
+void px_rollout_init(struct px *p)
+{
+	p->tally_timer.fire = on_timer;
+}
+
+void px_rollout_free(struct px *p)
+{
+	ba_loop_disarm(p->loop, &p->tally_timer);
+	rt_tallies_free(p->tallies);
+}
+
+/*
+ * A call that was refused without being run, or given up by its caller, tells
+ * nothing of the version; nor does the time that a server takes in its slow
+ * start.
+ */
+void px_rollout_count(struct px_exchange *x, enum cl_attempt_result result)
+{
+	struct px *p = x->p;
+	const struct cf_rollout *ro = find_own(p);
+	ba_time now = ba_loop_now(p->loop);
+	const struct rt_tally_key key = {
+		.service = p->backend.heartbeat.service,
+		.version = p->backend.heartbeat.version,
+		.route = x->route ? x->route : "",
+	};
+	bool warm = now >= p->backend.warm_at;
+	bool failed = result == CL_ATTEMPT_ERROR_ANSWER ||
+		      result == CL_ATTEMPT_BROKEN ||
+		      (result == CL_ATTEMPT_TIMEOUT && warm);
+	struct rt_tally *t;
+
+	if (!ro || ro->state != CF_ROLLOUT_RUNNING ||
+	    (!failed && result != CL_ATTEMPT_ANSWERED))
+		return;
+	if (!p->tallies)
+		p->tallies = rt_tallies_new();
+	t = rt_tallies_get(p->tallies, &key);
+	if (!t)
+		return;
+	t->failed += failed;
+	t->answered += !failed;
+	if (!failed && warm)
+		t->times[rt_tally_bucket(now - x->admission.started)]++;
+	if (!p->tally_timer.slot)
+		ba_loop_arm(p->loop, &p->tally_timer, now + REPORT_DELAY);
+}
+
+bool px_rollout_bars(const struct px *p)
+{
+	return cf_rollout_cohort(find_own(p), p->backend.heartbeat.version) ==
+	       CF_COHORT_BARRED;
+}
+
+static const struct cf_rollout *find_own(const struct px *p)
+{
+	return p->snapshot ? cf_rollout_find(p->snapshot,
+					     p->backend.heartbeat.service)
+			   : NULL;
+}
+
+static void on_timer(struct ba_timer *t, ba_time now)
+{
+	struct px *p = ba_entry(t, struct px, tally_timer);
+	struct ba_buf packed = {0};
+
+	(void)now;
+	rt_tallies_pack(p->tallies, &packed);
+	if (p->owner->tallied)
+		p->owner->tallied(p->owner, packed.data, packed.len);
+	ba_buf_free(&packed);
+}
--- a/relay/re.h
+++ b/relay/re.h
@@ -11,6 +11,7 @@
  *   re_roster.c    tells daemons which relays there are
  *   re_upstream.c  the session to a source or another relay
  *   re_quota.c     grants tokens of the quotas of teams
+ *   re_tallies.c   adds up the tallies of roll-outs and forwards them
  *   re_figures.c   forwards figures upstream and acknowledgements downstream
  */
 #ifndef RE_H
@@ -26,6 +27,7 @@
 #include "endpoint/ep_table.h"
 #include "prog/pr.h"
 #include "report/rt_figures.h"
+#include "report/rt_tally.h"
 #include "wire/ep.pb-c.h"
 
 enum {
@@ -115,6 +117,7 @@
  * @quota_timer: armed while tokens are to be asked for at other relays, which
  *	is done from @quota_not_before on
  * @quota_scarce: id to the name of the teams that are logged as scarce
+ * @tallies: of roll-outs, queued for the upstream, or NULL
  * @origins: instance to the instance whose session its figures came from
  */
 struct re_relay {
@@ -149,6 +152,8 @@
 	struct rt_figures *own_figures;
 	ba_time own_figures_deadline;
 	GPtrArray *figures;
+	struct rt_tallies *tallies;
+	struct ba_timer tallies_timer;
 	GHashTable *origins;
 	struct ba_timer figures_timer;
 
@@ -306,6 +311,12 @@
  */
 int re_figures_handle_ack(struct re_relay *r, const struct wi_frame *f);
 
+/** re_tallies_handle() - process the RtTallies of a daemon or relay */
+int re_tallies_handle(struct re_conn *c, const struct wi_frame *f);
+
+/** re_tallies_on_timer() - send the queued tallies upstream */
+void re_tallies_on_timer(struct ba_timer *t, ba_time now);
+
 /** re_figures_free() - free a queued RtFigures */
 void re_figures_free(void *m);
 
--- a/relay/re_relay.c
+++ b/relay/re_relay.c
@@ -34,6 +34,7 @@
 	ds_feed_set_admission(r->feed, r->identity->incarnation);
 	r->batch_timer.fire = re_endpoint_on_batch_timer;
 	r->figures_timer.fire = re_figures_on_timer;
+	r->tallies_timer.fire = re_tallies_on_timer;
 	r->tick_timer.fire = on_tick;
 	re_roster_init(r);
 	re_quota_start(r);
@@ -48,6 +49,8 @@
 {
 	ba_loop_disarm(r->loop, &r->tick_timer);
 	ba_loop_disarm(r->loop, &r->figures_timer);
+	ba_loop_disarm(r->loop, &r->tallies_timer);
+	rt_tallies_free(r->tallies);
 	ba_loop_disarm(r->loop, &r->batch_timer);
 	ba_loop_disarm(r->loop, &r->roster_timer);
 	ba_loop_disarm(r->loop, &r->ack_timer);
--- a/relay/re_session.c
+++ b/relay/re_session.c
@@ -97,6 +97,8 @@
 		return re_figures_handle(c, f);
 	if (f->type == QT_ASK)
 		return re_quota_handle_ask(c, f);
+	if (f->type == RT_TALLIES)
+		return re_tallies_handle(c, f);
 	if (f->type != EP_DIGEST)
 		return WI_FRAME_UNKNOWN;
 	c->wants_endpoints = true;
@@ -114,6 +116,8 @@
 		return re_figures_handle_batch(c, f);
 	if (f->type == QT_ASK)
 		return re_quota_handle_ask(c, f);
+	if (f->type == RT_TALLIES)
+		return re_tallies_handle(c, f);
 	return WI_FRAME_UNKNOWN;
 }
 
