source: roll-outs are ordered, stepped and taken back

The leader compares what the target version and the one in force do with the calls of each route, and steps the share of the target through the log, up to completed or rolled back. Submissions keep the roll-outs; a submission may be based on any version since the last one that was accepted.

--- a/base/ba_result.c
+++ b/base/ba_result.c
@@ -155,6 +155,16 @@
 	[RP_MEMBERSHIP_BUSY] = {"membership-busy",
 				"Another membership change is in progress.",
 				"Wait for it to end.", 0, EXIT_CONFLICT},
+	[RP_ROLLOUT_IN_PROGRESS] =
+		{"rollout-in-progress",
+		 "Another roll-out of the service is in progress.",
+		 "Wait until it is completed or rolled back.", 409,
+		 EXIT_CONFLICT},
+	[RP_SERVICE_UNKNOWN] =
+		{"service-unknown",
+		 "The configuration has no service of that name.",
+		 "Check the name, or submit a configuration with the service first.",
+		 404, EXIT_USAGE},
 	[DS_OVERLOADED] = {"overloaded-relay",
 			   "The relay admits no more sessions at this moment.",
 			   "None needed; the daemon tries again later.", 0,
--- a/replica/rp_machine.c
+++ b/replica/rp_machine.c
@@ -16,6 +16,9 @@
 			  struct rp_applied *out);
 static void apply_in_force(struct rp_machine *m, const struct rp_entry *e,
 			   struct rp_applied *out);
+static void apply_rollout(struct rp_machine *m, const struct rp_entry *e,
+			  struct rp_applied *out);
+static bool is_current_base(const struct rp_machine *m, uint64_t version);
 static void mark_in_force(struct rp_machine *m, const RtInForce *f);
 static int decide_submission(struct rp_machine *m, const RpSubmission *s,
 			     struct cf_snapshot **out);
@@ -38,6 +41,7 @@
 	[RP_ENTRY_KIND__RP_ENTRY_MEMBERS] = apply_members,
 	[RP_ENTRY_KIND__RP_ENTRY_FIGURES] = apply_figures,
 	[RP_ENTRY_KIND__RP_ENTRY_IN_FORCE] = apply_in_force,
+	[RP_ENTRY_KIND__RP_ENTRY_ROLLOUT] = apply_rollout,
 };
 
 struct rp_machine *rp_machine_new(void)
@@ -45,6 +49,7 @@
 	struct rp_machine *m = g_new0(struct rp_machine, 1);
 
 	m->current = cf_snapshot_empty();
+	m->base = cf_snapshot_ref(m->current);
 	m->outcomes = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					    outcome_free);
 	g_queue_init(&m->outcome_queue);
@@ -58,6 +63,7 @@
 	if (!m)
 		return;
 	cf_snapshot_unref(m->current);
+	cf_snapshot_unref(m->base);
 	g_queue_clear(&m->outcome_queue);
 	g_hash_table_destroy(m->outcomes);
 	g_queue_clear_full(&m->versions, (GDestroyNotify)version_free);
@@ -126,10 +132,15 @@
 	struct ba_problems problems = {0};
 	struct cf_snapshot *next = NULL;
 	struct ba_buf delta = {0};
-	int code = parse_submission(m, submit, index, &next, &problems);
-
-	if (!code)
-		cf_delta_encode(m->current, next, CF_FORM_KEYS, &delta);
+	bool rollout = submit->kind == CT_KIND__CT_KIND_ROLLOUT;
+	int code = BA_OK;
+
+	if (rollout)
+		ba_buf_add(&delta, submit->text.data, submit->text.len);
+	else
+		code = parse_submission(m, submit, index, &next, &problems);
+	if (next && !code)
+		cf_delta_encode(m->base, next, CF_FORM_KEYS, &delta);
 	pack_submission(submit, wall, code, &delta, &problems, out);
 	cf_snapshot_unref(next);
 	ba_problems_free(&problems);
@@ -217,6 +228,18 @@
 	rt_in_force__free_unpacked(f, NULL);
 }
 
+static void apply_rollout(struct rp_machine *m, const struct rp_entry *e,
+			  struct rp_applied *out)
+{
+	struct cf_snapshot *next = rp_rollout_step(m, e->body, e->len);
+
+	if (!next)
+		return;
+	cf_snapshot_unref(m->current);
+	m->current = next;
+	out->published = true;
+}
+
 static void mark_in_force(struct rp_machine *m, const RtInForce *f)
 {
 	for (GList *l = m->versions.tail; l; l = l->prev) {
@@ -237,9 +260,18 @@
 {
 	if (s->code)
 		return (int)s->code;
-	if (s->submit->base_version != m->current->version)
+	if (s->submit->kind == CT_KIND__CT_KIND_ROLLOUT)
+		return rp_rollout_order(m, s->delta.data, s->delta.len,
+					(ba_time)s->wall_us, out);
+	if (!is_current_base(m, s->submit->base_version))
 		return RP_BASE_STALE;
-	return cf_delta_apply(m->current, s->delta.data, s->delta.len, out);
+	return cf_delta_apply(m->base, s->delta.data, s->delta.len, out);
+}
+
+/* The versions since the last submission differ in their roll-outs only. */
+static bool is_current_base(const struct rp_machine *m, uint64_t version)
+{
+	return version >= m->base->version && version <= m->current->version;
 }
 
 static void accept_version(struct rp_machine *m, const RpSubmission *s,
@@ -247,8 +279,13 @@
 {
 	struct rp_version *v = g_new0(struct rp_version, 1);
 
-	cf_snapshot_unref(m->current);
-	m->current = next;
+	if (s->submit->kind == CT_KIND__CT_KIND_ROLLOUT) {
+		cf_snapshot_unref(m->current);
+		m->current = next;
+	} else {
+		rp_rollout_set_configuration(m, next);
+		next = m->current;
+	}
 	v->version = next->version;
 	v->operator_name = g_strdup(s->submit->operator_);
 	v->submission_id = g_strdup(s->submit->submission_id);
@@ -286,16 +323,16 @@
 {
 	const char *text = (const char *)submit->text.data;
 
-	if (submit->base_version != m->current->version)
+	if (!is_current_base(m, submit->base_version))
 		return RP_BASE_STALE;
 	if (submit->kind == CT_KIND__CT_KIND_POLICY)
-		return cf_parse_policy(text, submit->text.len, m->current,
-				       index, out, problems);
+		return cf_parse_policy(text, submit->text.len, m->base, index,
+				       out, problems);
 	if (submit->kind == CT_KIND__CT_KIND_SNAPSHOT)
-		return cf_snapshot_decode_submission(
-			submit->text.data, submit->text.len, m->current, index,
-			out, problems);
-	return cf_parse_configuration(text, submit->text.len, m->current, index,
+		return cf_snapshot_decode_submission(submit->text.data,
+						     submit->text.len, m->base,
+						     index, out, problems);
+	return cf_parse_configuration(text, submit->text.len, m->base, index,
 				      out, problems);
 }
 
--- a/replica/rp_machine.h
+++ b/replica/rp_machine.h
@@ -12,6 +12,9 @@
  *   again is refused, as its base is not current.
  * - The version of a configuration is the index of its entry.
  * - Applying an entry reads no file, clock or setting.
+ * - Roll-outs are part of the configuration that is published, not of what
+ *   operators submit: a step changes the version, and a submission may be based
+ *   on any version since the last one that was accepted.
  */
 #ifndef RP_MACHINE_H
 #define RP_MACHINE_H
--- a/replica/rp_machine_internal.h
+++ b/replica/rp_machine_internal.h
@@ -17,6 +17,8 @@
 /**
  * struct rp_machine - the state
  * @applied: index of the last applied entry
+ * @base: as of the last accepted submission of a configuration or policy,
+ *	without roll-outs; @current if there was none
  * @outcomes: struct rp_outcome by submission id
  * @outcome_queue: the same outcomes, oldest first
  * @versions: struct rp_version, oldest first
@@ -25,6 +27,7 @@
 struct rp_machine {
 	uint64_t applied;
 	struct cf_snapshot *current;
+	struct cf_snapshot *base;
 	GHashTable *outcomes;
 	GQueue outcome_queue;
 	GQueue versions;
@@ -48,4 +51,30 @@
  */
 void rp_machine_add_version(struct rp_machine *m, struct rp_version *v);
 
+/**
+ * rp_rollout_order() - decide the order of a roll-out
+ * @body: packed CfRollout
+ * @wall: wall time at which the leader received it
+ * @out: the configuration with the roll-out; unset if the order is a repetition
+ *
+ * Return: %BA_OK, or the code that it is refused with.
+ */
+int rp_rollout_order(const struct rp_machine *m, const void *body, size_t len,
+		     ba_time wall, struct cf_snapshot **out);
+
+/**
+ * rp_rollout_step() - apply an RpRolloutStep
+ *
+ * Return: the configuration with the step, or NULL if it is void.
+ */
+struct cf_snapshot *rp_rollout_step(const struct rp_machine *m,
+				    const void *body, size_t len);
+
+/**
+ * rp_rollout_set_configuration() - replace @base and @current
+ * @next: configuration without roll-outs; taken over
+ */
+void rp_rollout_set_configuration(struct rp_machine *m,
+				  struct cf_snapshot *next);
+
 #endif
--- a/replica/rp_machine_state.c
+++ b/replica/rp_machine_state.c
@@ -28,6 +28,8 @@
 	state.days.data = days.data;
 	state.days.len = days.len;
 	state.in_force = m->in_force_version;
+	if (m->base != m->current)
+		state.base_version = m->base->version;
 	encode_outcomes(m, &state);
 	encode_versions(m, &state);
 	encode_members(m, &members, &state);
@@ -123,7 +125,11 @@
 	if (ret)
 		return ret;
 	cf_snapshot_unref(m->current);
+	cf_snapshot_unref(m->base);
 	m->current = s;
+	m->base = s->n_rollouts ? cf_snapshot_set_rollouts(s, NULL, 0,
+							   state->base_version)
+				: cf_snapshot_ref(s);
 	m->in_force_version = state->in_force;
 	for (size_t i = 0; i < state->n_versions; i++)
 		decode_version(m, state->versions[i]);
--- a/source/so.h
+++ b/source/so.h
@@ -13,6 +13,8 @@
  *   so_feed.c        updates to relays, and their acknowledgements
  *   so_figures.c     figures for the daily report: adds them to the log
  *   so_keys.c        the operators' keys
+ *   so_rollout.c     roll-outs: adds up what proxies count, proposes the steps
+ *   so_judge.c       the decisions of a roll-out
  *   so_read.c        reads of the newest version from the leader
  */
 #ifndef SO_H
@@ -152,6 +154,7 @@
  * @started_at: start time, from ba_clock_now()
  * @check_deadline: when the state of the group is checked next
  * @subscribers: instance name to &struct so_subscriber
+ * @trials: roll-outs that run, by service, as so_rollout.c follows them
  * @proposed_in_force: newest version proposed as in force, by an RtInForce
  *	entry
  * @daemons_unreachable: whether the last RtInForce entry counted fewer daemons
@@ -186,6 +189,7 @@
 	struct ba_rand rand;
 	struct ds_feed *feed;
 	GHashTable *subscribers;
+	GHashTable *trials;
 	uint64_t proposed_in_force;
 	bool daemons_unreachable;
 	struct so_read read;
@@ -353,6 +357,29 @@
 /** so_keys_free() - free the operators' keys */
 void so_keys_free(struct wi_identity *id);
 
+/** so_rollout_start() - begin to follow roll-outs */
+void so_rollout_start(struct so_source *s);
+
+/** so_rollout_stop() - free the state */
+void so_rollout_stop(struct so_source *s);
+
+/** so_rollout_published() - follow the roll-outs of a new configuration */
+void so_rollout_published(struct so_source *s,
+			  const struct cf_snapshot *current);
+
+/**
+ * so_rollout_handle_tallies() - count an RtTallies, or pass it to the leader
+ * @forwarded: another replica has passed it on
+ */
+int so_rollout_handle_tallies(struct so_source *s, const struct wi_frame *f,
+			      bool forwarded);
+
+/** so_rollout_check() - if leader, propose the steps that are due */
+void so_rollout_check(struct so_source *s, ba_time now);
+
+/** so_rollout_forget_counts() - begin to count anew, after a change of leader */
+void so_rollout_forget_counts(struct so_source *s);
+
 /** so_read_init() - initialise the state; no leader is known yet */
 void so_read_init(struct so_source *s);
 
--- a/source/so_http.c
+++ b/source/so_http.c
@@ -5,6 +5,7 @@
 #include "base/ba_result.h"
 #include "http/ht_service.h"
 #include "source/so_http.h"
+#include "source/so_judge.h"
 
 enum {
 	HEAD_LIMIT_BYTES = 64 * 1024,
@@ -38,12 +39,17 @@
 static void redirect_to_leader(struct so_source *s, struct ht_request *r);
 static void handle_read(struct so_http *h, struct ht_request *r);
 static void handle_submit(struct so_http *h, struct ht_request *r);
+static void handle_rollout_order(struct so_http *h, struct ht_request *r);
+static int check_order(const struct so_source *s, const struct cf_rollout *o,
+		       bool *repeated);
+static void handle_rollout_read(struct so_http *h, struct ht_request *r);
 static bool is_accepted(const struct so_source *s, const char *id);
 static int check_submission(const struct so_source *s,
 			    const struct ba_buf *packed, uint64_t base,
 			    struct ba_problems *problems);
 static void start_submission(struct so_source *s, struct ht_request *r,
-			     const struct ba_buf *packed, char *id);
+			     CtKind kind, const struct ba_buf *packed,
+			     char *id);
 static void answer(struct ht_request *r, int status, const char *fields);
 static void answer_code(struct ht_request *r, int status, int code,
 			const struct ba_problems *problems);
@@ -111,6 +117,10 @@
 		redirect_to_leader(s, r);
 	else if (call == SO_CALL_READ)
 		handle_read(h, r);
+	else if (call == SO_CALL_ROLLOUT_ORDER)
+		handle_rollout_order(h, r);
+	else if (call == SO_CALL_ROLLOUT_READ)
+		handle_rollout_read(h, r);
 	else
 		handle_submit(h, r);
 }
@@ -135,7 +145,12 @@
 		ba_entry(w, struct pending_submission, waiter);
 	struct ht_request *r = pending->request;
 	int code = (int)outcome->code;
+	int status = code == RP_BASE_STALE ? 412 : 503;
 
+	if (code == RP_ROLLOUT_IN_PROGRESS)
+		status = 409;
+	else if (code == RP_SERVICE_UNKNOWN)
+		status = 404;
 	ba_event(code ? RP_EV_SUBMISSION_REFUSED : RP_EV_ACCEPTED,
 		 "operator=" OPERATOR " code=%d version=%llu current=%llu",
 		 code, (unsigned long long)outcome->version,
@@ -145,7 +160,7 @@
 	if (!code)
 		answer(r, 200, "");
 	else
-		answer_code(r, code == RP_BASE_STALE ? 412 : 503, code, NULL);
+		answer_code(r, status, code, NULL);
 }
 
 static void redirect_to_leader(struct so_source *s, struct ht_request *r)
@@ -213,12 +228,97 @@
 	else if (code)
 		answer_code(r, 400, code, &problems);
 	else
-		start_submission(s, r, &packed, id);
+		start_submission(s, r, CT_KIND__CT_KIND_SNAPSHOT, &packed, id);
 out:
 	ba_problems_free(&problems);
 	ba_buf_free(&packed);
 }
 
+/*
+ * The id names the order before, so that a new attempt with a version that was
+ * rolled back is not taken for its repetition.
+ */
+static void handle_rollout_order(struct so_http *h, struct ht_request *r)
+{
+	struct so_source *s = h->o.source;
+	struct ba_problems problems = {0};
+	struct ba_buf packed = {0};
+	struct cf_rollout o = {0};
+	struct ba_digest digest;
+	const struct cf_rollout *last;
+	void *keep = NULL;
+	char hex[17];
+	char id[ID_BYTES];
+	bool repeated;
+	int code;
+
+	if (!h->o.dialect->read_order(r->body.data, r->body.len, &packed,
+				      &problems) ||
+	    !cf_rollout_decode(packed.data, packed.len, &o, &keep)) {
+		answer_code(r, 400, CF_ENCODING_WRONG, &problems);
+		goto out;
+	}
+	code = check_order(s, &o, &repeated);
+	if (code || repeated) {
+		answer_code(r, code ? ba_result_info(code)->http_status : 200,
+			    code, NULL);
+		goto out;
+	}
+	last = cf_rollout_find(rp_machine_current(rp_node_machine(s->node)),
+			       o.service);
+	o.share = SO_ROLLOUT_FIRST_SHARE;
+	packed.len = 0;
+	cf_rollout_encode(&o, &packed);
+	digest = ba_digest(packed.data, packed.len);
+	ba_digest_hex(&digest, hex);
+	g_snprintf(id, sizeof(id), "rollout-%llx-%s",
+		   (unsigned long long)(last ? last->order : 0), hex);
+	start_submission(s, r, CT_KIND__CT_KIND_ROLLOUT, &packed, id);
+out:
+	cf_rollout_release(keep);
+	ba_problems_free(&problems);
+	ba_buf_free(&packed);
+}
+
+static int check_order(const struct so_source *s, const struct cf_rollout *o,
+		       bool *repeated)
+{
+	const struct cf_snapshot *current =
+		rp_machine_current(rp_node_machine(s->node));
+	struct cf_rollout order = *o;
+	enum cf_order_verdict v;
+
+	order.ordered_at = ba_clock_wall();
+	v = cf_rollout_judge_order(cf_rollout_find(current, o->service),
+				   &order);
+	*repeated = v == CF_ORDER_REPEATS;
+	if (v == CF_ORDER_WAITS)
+		return RP_ROLLOUT_IN_PROGRESS;
+	if (!*repeated && cf_service_find(current, o->service) == CF_NO_SERVICE)
+		return RP_SERVICE_UNKNOWN;
+	return BA_OK;
+}
+
+static void handle_rollout_read(struct so_http *h, struct ht_request *r)
+{
+	struct so_source *s = h->o.source;
+	char service[CF_NAME_BYTES + 1];
+	const struct cf_rollout *last = NULL;
+	struct ba_buf body = {0};
+
+	if (h->o.dialect->read_rollout_service(ht_head_target(r->head),
+					       service))
+		last = cf_rollout_find(
+			rp_machine_current(rp_node_machine(s->node)), service);
+	if (!last) {
+		answer_code(r, 404, RP_SERVICE_UNKNOWN, NULL);
+		return;
+	}
+	h->o.dialect->write_rollout(last, &body);
+	ht_request_answer_whole(r, 200, "", "application/json", &body);
+	ba_buf_free(&body);
+}
+
 /* The first outcome of a submission id is final. */
 static bool is_accepted(const struct so_source *s, const char *id)
 {
@@ -258,7 +358,7 @@
 }
 
 static void start_submission(struct so_source *s, struct ht_request *r,
-			     const struct ba_buf *packed, char *id)
+			     CtKind kind, const struct ba_buf *packed, char *id)
 {
 	struct pending_submission *pending =
 		g_new0(struct pending_submission, 1);
@@ -270,7 +370,7 @@
 	r->context = pending;
 	m.submission_id = id;
 	m.base_version = rp_machine_current(rp_node_machine(s->node))->version;
-	m.kind = CT_KIND__CT_KIND_SNAPSHOT;
+	m.kind = kind;
 	m.operator_ = OPERATOR;
 	m.text.data = packed->data;
 	m.text.len = packed->len;
--- a/source/so_http.h
+++ b/source/so_http.h
@@ -1,12 +1,14 @@
 /*
  * The operators' API over HTTP: submits a configuration based on a revision,
- * and reads the newest configuration.
+ * reads the newest configuration, and orders and reads roll-outs.
  *
  * Rules:
  * - Only the leader serves requests, while its lease is valid.  Another replica
  *   redirects to the leader, or answers 503 if none is known.
  * - A submission that was accepted is answered as accepted when it is repeated,
  *   also after a change of leader.
+ * - The order of a roll-out that was accepted is answered as accepted when it is
+ *   repeated; another one for the same service is refused until it has ended.
  * - The names, paths and bodies of requests and answers are those of one
  *   platform, see &struct so_dialect.
  */
@@ -25,6 +27,8 @@
 	SO_CALL_UNKNOWN,
 	SO_CALL_SUBMIT,
 	SO_CALL_READ,
+	SO_CALL_ROLLOUT_ORDER,
+	SO_CALL_ROLLOUT_READ,
 };
 
 /**
@@ -35,6 +39,11 @@
  * @read_configuration: parse the body of a submission and append it as a
  *	packed CfSnapshot; false if it cannot be parsed
  * @write_configuration: append a snapshot in the platform's format
+ * @read_order: parse the body of the order of a roll-out and append it as a
+ *	packed CfRollout without state; false if it cannot be parsed
+ * @read_rollout_service: get the service that the target of a read names; false
+ *	if it names none
+ * @write_rollout: append the state of a roll-out in the platform's format
  */
 struct so_dialect {
 	enum so_call (*read_call)(const char *method, const char *target);
@@ -44,6 +53,11 @@
 				   struct ba_problems *problems);
 	void (*write_configuration)(const struct cf_snapshot *s,
 				    struct ba_buf *out);
+	bool (*read_order)(const void *body, size_t len, struct ba_buf *out,
+			   struct ba_problems *problems);
+	bool (*read_rollout_service)(const char *target,
+				     char service[CF_NAME_BYTES + 1]);
+	void (*write_rollout)(const struct cf_rollout *r, struct ba_buf *out);
 };
 
 /**
--- a/source/so_peer.c
+++ b/source/so_peer.c
@@ -117,6 +117,8 @@
 
 	if (f->type == RP_ROSTER)
 		return handle_roster(s, f);
+	if (f->type == RT_TALLIES)
+		return so_rollout_handle_tallies(s, f, true);
 	if (f->type == RP_FORWARD)
 		return handle_forward(s, f);
 	if (f->type == RP_READ && from != RP_NO_PEER)
--- a/source/so_source.c
+++ b/source/so_source.c
@@ -40,6 +40,7 @@
 	s->started_at = ba_loop_now(s->loop);
 	s->timer.fire = on_timer;
 	so_feed_start(s);
+	so_rollout_start(s);
 	so_figures_start(s);
 	ret = start_node(s);
 	if (!ret) {
@@ -67,6 +68,7 @@
 		so_figures_stop(s);
 		rp_node_free(s->node);
 		so_feed_stop(s);
+		so_rollout_stop(s);
 		g_hash_table_destroy(s->waiters);
 	}
 	so_keys_free(s->identity);
@@ -189,6 +191,7 @@
 	if (now >= s->check_deadline) {
 		s->check_deadline = now + CHECK_INTERVAL;
 		so_feed_check(s, now);
+		so_rollout_check(s, now);
 	}
 	if (rp_core_is_unrecoverable(rp_node_core(s->node))) {
 		ba_event(RP_EV_LOG_DAMAGED, "code=%d nobody_has_a_log=true",
@@ -251,6 +254,7 @@
 
 	if (snapshot->version)
 		ds_feed_publish(s->feed, snapshot);
+	so_rollout_published(s, snapshot);
 }
 
 static void on_outcome(struct rp_node_owner *o, uint64_t token,
@@ -267,6 +271,7 @@
 	unsigned long long term = rp_core_term(rp_node_core(s->node));
 
 	s->proposed_in_force = 0;
+	so_rollout_forget_counts(s);
 	s->check_deadline = 0;
 	s->daemons_unreachable =
 		rt_days_has_outage(rp_machine_days(rp_node_machine(s->node)));
--- a/source/so_status.c
+++ b/source/so_status.c
@@ -117,7 +117,9 @@
 	json_t *o = json_pack(
 		"{sI ss ss ss ss ss sI}", "version", (json_int_t)v->version,
 		"kind",
-		v->kind == CT_KIND__CT_KIND_POLICY ? "policy" : "configuration",
+		v->kind == CT_KIND__CT_KIND_POLICY    ? "policy"
+		: v->kind == CT_KIND__CT_KIND_ROLLOUT ? "roll-out"
+						      : "configuration",
 		"operator", v->operator_name, "file_name", v->file_name,
 		"submission_id", v->submission_id, "digest", v->digest,
 		"accepted_ms", (json_int_t)(v->accepted_at / BA_MS));
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -404,4 +404,74 @@
 	}
 }
 
+TEST(PfRollout, CallsOrdersAndStates)
+{
+	static const struct {
+		const char *method;
+		const char *target;
+		so_call call;
+		const char *service; /* NULL: names none */
+	} calls[] = {
+		{"POST", "/v1/rollouts/start", SO_CALL_ROLLOUT_ORDER, nullptr},
+		{"GET", "/v1/rollouts/start", SO_CALL_UNKNOWN, nullptr},
+		{"GET", "/v1/rollouts/huvo/read", SO_CALL_ROLLOUT_READ, "huvo"},
+		{"GET", "/v1/rollouts//read", SO_CALL_ROLLOUT_READ, nullptr},
+		{"GET", "/v1/rollouts/a/b/read", SO_CALL_ROLLOUT_READ, nullptr},
+		{"POST", "/v1/rollouts/huvo/read", SO_CALL_UNKNOWN, nullptr},
+	};
+	static const struct {
+		const char *body;
+		bool ok;
+	} orders[] = {
+		{R"({"service":"a","target_version":"v2","duration":"12s"})",
+		 true},
+		{R"({"service":"a","target_version":"v2","duration":"0s"})",
+		 false},
+		{R"({"service":"a","target_version":"v2"})", false},
+		{R"({"service":"a","target_version":2,"duration":"1s"})",
+		 false},
+		{R"({"service":)", false},
+	};
+	struct cf_rollout r = {};
+	struct ba_buf out = {};
+
+	for (auto &c : calls) {
+		char service[CF_NAME_BYTES + 1] = "";
+
+		EXPECT_EQ(pf_operators.read_call(c.method, c.target), c.call)
+			<< c.target;
+		if (c.call != SO_CALL_ROLLOUT_READ)
+			continue;
+		EXPECT_EQ(pf_operators.read_rollout_service(c.target, service),
+			  c.service != nullptr)
+			<< c.target;
+		EXPECT_STREQ(service, c.service ? c.service : "");
+	}
+	for (auto &c : orders) {
+		struct ba_problems problems = {};
+		void *keep = nullptr;
+
+		out.len = 0;
+		ASSERT_EQ(pf_operators.read_order(c.body, strlen(c.body), &out,
+						  &problems),
+			  c.ok)
+			<< c.body;
+		EXPECT_EQ(problems.n == 0, c.ok);
+		ba_problems_free(&problems);
+		if (!c.ok)
+			continue;
+		ASSERT_TRUE(cf_rollout_decode(out.data, out.len, &r, &keep));
+		EXPECT_STREQ(r.target, "v2");
+		EXPECT_EQ(r.duration, 12 * BA_SECOND);
+		cf_rollout_release(keep);
+	}
+	r.target = "v2";
+	r.state = CF_ROLLOUT_ROLLED_BACK;
+	out.len = 0;
+	pf_operators.write_rollout(&r, &out);
+	EXPECT_STREQ(ba_buf_text(&out),
+		     "{\"state\":\"rolled_back\",\"target_version\":\"v2\"}");
+	ba_buf_free(&out);
+}
+
 } // namespace
