soak: a roll-out of a good or a bad version

Half of the backend servers state another version, and an order moves the calls to them, while proxies and the core are stopped and killed.

--- a/bench/soak.h
+++ b/bench/soak.h
@@ -181,6 +181,57 @@
 	uint64_t peak_fds;
 };
 
+/**
+ * struct soak_call - a control call; the owner embeds it
+ * @done: called once; @status is 0 without a complete answer
+ * @cut: it was sent longer than %SOAK_LOSS_SLACK ago, and the other end closed
+ *	without a complete answer
+ * @crossed: the same, sent no longer ago
+ * @location: host and port that it is redirected to, or ""
+ */
+struct soak_call {
+	struct ht_conn_owner owner;
+	struct ht_conn *conn;
+	void (*done)(struct soak_call *c);
+	struct ba_loop *loop;
+	ba_time sent_at;
+	int status;
+	bool cut;
+	bool crossed;
+	char location[SOAK_ID_BYTES];
+};
+
+/**
+ * struct soak_rollout - a roll-out of the service that is called
+ * @duration: of the order, 0 if none is given
+ * @bad: the target version fails half of its calls from the order on
+ * @call: sends the order, until it is accepted
+ * @core: index of the core that gets the next try
+ * @send_at: when the order is sent, %BA_NEVER once it is accepted
+ * @ordered_at: when it was sent first, 0 before
+ * @judged_at: when the 50th bad answer was sent
+ * @n_runs: calls that ran within the duration
+ * @n_target: of these, at the target version
+ * @n_failed: bad answers
+ * @n_late: calls at a bad version after the time that a roll-back may take
+ * @n_last: calls of the last seconds of the run, by version
+ */
+struct soak_rollout {
+	ba_time duration;
+	gboolean bad;
+	struct soak_call call;
+	int core;
+	bool sending;
+	ba_time send_at;
+	ba_time ordered_at;
+	ba_time judged_at;
+	uint64_t n_runs;
+	uint64_t n_target;
+	uint64_t n_failed;
+	uint64_t n_late;
+	uint64_t n_last[2];
+};
+
 /**
  * struct soak - one run
  * @requests: unfinished requests by id
@@ -206,6 +257,7 @@
  * @n_twice: orders that ran twice
  * @descriptors: limit of those of a process, 0 for that of this process
  * @calling: callers send requests
+ * @rollout: the roll-out that is ordered, if its duration is set
  */
 struct soak {
 	struct ba_loop *loop;
@@ -243,27 +295,24 @@
 	struct soak_crowd crowd;
 	int descriptors;
 	bool calling;
+	struct soak_rollout rollout;
 };
 
+/** soak_rollout_version() - version that a backend server states */
+const char *soak_rollout_version(const struct soak_machine *m);
+
+/** soak_rollout_step() - send the order when it is due; @end: of all calls */
+void soak_rollout_step(struct soak *s, ba_time now, ba_time end);
+
 /**
- * struct soak_call - a control call; the owner embeds it
- * @done: called once; @status is 0 without a complete answer
- * @cut: it was sent longer than %SOAK_LOSS_SLACK ago, and the other end closed
- *	without a complete answer
- * @crossed: the same, sent no longer ago
- * @location: host and port that it is redirected to, or ""
+ * soak_rollout_on_work() - judge a call that begins to run
+ *
+ * Return: whether it is to fail.
  */
-struct soak_call {
-	struct ht_conn_owner owner;
-	struct ht_conn *conn;
-	void (*done)(struct soak_call *c);
-	struct ba_loop *loop;
-	ba_time sent_at;
-	int status;
-	bool cut;
-	bool crossed;
-	char location[SOAK_ID_BYTES];
-};
+bool soak_rollout_on_work(struct soak_machine *m);
+
+/** soak_rollout_print() - print the results as members of a JSON object */
+void soak_rollout_print(const struct soak *s);
 
 /** soak_fill() - write bytes @from to @from + @len of the answer to @id */
 void soak_fill(const char *id, size_t from, uint8_t *out, size_t len);
--- a/bench/soak_backend.c
+++ b/bench/soak_backend.c
@@ -50,6 +50,7 @@
 	char id[SOAK_ID_BYTES];
 	char refused[SOAK_ID_BYTES];
 	bool working;
+	bool fails;
 };
 
 struct heartbeat {
@@ -127,6 +128,7 @@
 	c->working = true;
 	g_strlcpy(c->id, id ? id : "", sizeof(c->id));
 	begin_work(s, m, r);
+	c->fails = soak_rollout_on_work(m);
 	ba_loop_arm(s->loop, &c->work,
 		    now + s->work_time / 2 +
 			    (ba_time)ba_rand_below(&s->rand,
@@ -206,6 +208,16 @@
 	r = g_hash_table_lookup(c->machine->soak->requests, c->id);
 	if (answer_improperly(c, r))
 		return;
+	if (c->fails) {
+		ba_buf_addf(out,
+			    "HTTP/1.1 500 Bad version\r\n" PN_ATTEMPT_ID
+			    ": %s\r\n" PN_RESPONSE_STAMP
+			    ": soak.%s\r\nContent-Length: 0\r\n\r\n",
+			    c->id, c->id);
+		ht_conn_flush(c->conn);
+		ht_conn_read_next(c->conn);
+		return;
+	}
 	ba_buf_addf(out,
 		    "HTTP/1.1 200 OK\r\n" PN_ATTEMPT_ID
 		    ": %s\r\n" PN_RESPONSE_STAMP ": soak.%s\r\n"
@@ -271,8 +283,8 @@
 	hb->call.done = on_heartbeat_done;
 	ba_buf_addf(&head, "POST " PN_HEARTBEAT_PATH " HTTP/1.1\r\n", m->name);
 	ba_buf_addf(&body, PN_HEARTBEAT, m->service, m->backend.text,
-		    m->data_centre, m->soak->slots, ++m->sequence,
-		    m->start_wall_ms);
+		    m->data_centre, soak_rollout_version(m), m->soak->slots,
+		    ++m->sequence, m->start_wall_ms);
 	soak_call_send(m->soak->loop, &hb->call, &m->registration,
 		       ba_buf_text(&head), ba_buf_text(&body));
 	ba_buf_free(&head);
--- a/bench/soak_main.c
+++ b/bench/soak_main.c
@@ -175,6 +175,7 @@
 	char *crowd_kind = NULL;
 	int crowd_bytes = 1024 * 1024;
 	int crowd_chunk = 64 * 1024;
+	char *rollout = NULL;
 	const GOptionEntry entries[] = {
 		{"seed", 0, 0, G_OPTION_ARG_INT64, &g->seed,
 		 "Seed of the schedule", "N"},
@@ -232,6 +233,10 @@
 		 "Memory that a proxy is told to use", "MB"},
 		{"descriptors", 0, 0, G_OPTION_ARG_INT, &s->descriptors,
 		 "Limit of the descriptors of each process", "N"},
+		{"rollout", 0, 0, G_OPTION_ARG_STRING, &rollout,
+		 "Duration of a roll-out that is ordered", "TIME"},
+		{"bad-version", 0, 0, G_OPTION_ARG_NONE, &s->rollout.bad,
+		 "Its version fails half of its calls", NULL},
 		{"judged-share", 0, 0, G_OPTION_ARG_DOUBLE, &s->judged_share,
 		 "Share of the stated limits that is judged by", "SHARE"},
 		G_OPTION_ENTRY_NULL,
@@ -263,6 +268,8 @@
 	s->grace = bn_parse_duration("grace", grace ? grace : "6s");
 	g->kill_after = kill_after ? bn_parse_duration("kill-after", kill_after)
 				   : s->grace;
+	if (rollout)
+		s->rollout.duration = bn_parse_duration("rollout", rollout);
 	s->rand.state = (uint64_t)g->seed;
 	s->n_callers = g->n_front;
 	s->n_called = g->n_long;
@@ -276,6 +283,7 @@
 	g_free(target);
 	g_free(work_time);
 	g_free(kill_after);
+	g_free(rollout);
 	g_free(grace);
 }
 
@@ -447,6 +455,7 @@
 		thaw(g, now);
 	if (!g->operator.sending && now >= g->operator.send_at)
 		send_order(g);
+	soak_rollout_step(s, now, g->calls_end);
 	if (!g->calls_end) {
 		poll_ready(g, now);
 		if (is_all_ready(g) && g->operator.revision> 1)
@@ -763,6 +772,7 @@
 	       s->outcomes[SOAK_WHOLE] - s->crowd.whole_before);
 	for (int i = 0; i < SOAK_OUTCOMES; i++)
 		printf(",\"%s\":%" PRIu64, names[i], s->outcomes[i]);
+	soak_rollout_print(s);
 	printf("}\n");
 }
 
--- a/test/platform_names.h
+++ b/test/platform_names.h
@@ -15,11 +15,16 @@
 #define PN_READY_PATH "/v1/ready"
 #define PN_HEARTBEAT_PATH "/v1/instances/%s/heartbeat"
 #define PN_SUBMIT_PATH "/v1/config/replace"
+#define PN_ROLLOUT_PATH "/v1/rollouts/start"
 
-/* Arguments: service, address, data centre, slots, sequence, start in ms. */
+/* Arguments: service, version, duration in ms. */
+#define PN_ROLLOUT \
+	"{\"service\":\"%s\",\"target_version\":\"%s\",\"duration\":\"%dms\"}"
+
+/* Arguments: service, address, data centre, version, slots, sequence, start in ms. */
 #define PN_HEARTBEAT                                              \
 	"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"%s\"," \
-	"\"version\":\"v1\",\"slots\":%d,\"state\":\"ready\","    \
+	"\"version\":\"%s\",\"slots\":%d,\"state\":\"ready\","    \
 	"\"cold_left\":\"0ms\",\"sequence\":%" PRIu64 ",\"born\":%" PRId64 "}"
 
 /*
