daemon: requests with improper fields or methods are rejected

carawayd's callers' side is libmicrohttpd's, which passes on fields whose name has blanks, control bytes in values and methods that are no token. They are answered with 400 now, and the connection of a malformed request is closed, as what follows may be a part of it. call-path.sh failed before at the first of the five cases (200).

What the library has parsed stays out of reach: LF alone, folded fields, blanks in the request line and extensions of chunks still pass.

--- a/daemon/da_http.c
+++ b/daemon/da_http.c
@@ -10,6 +10,7 @@
 #include <microhttpd.h>
 
 #include "daemon/da_http.h"
+#include "http/ht_message.h"
 
 /*
  * CONNECTIONS_LIMIT holds for each worker.  A number of MAX_LENGTH_DIGITS
@@ -51,6 +52,7 @@
 	unsigned int n_codings;
 	unsigned int n_hosts;
 	bool bad_length;
+	bool bad_field;
 	uint64_t length;
 };
 
@@ -222,6 +224,9 @@
 	MHD_get_connection_values(hc->conn, MHD_HEADER_KIND, on_field, &s);
 	if (s.n_lengths + s.n_codings > 1 || s.bad_length || s.n_hosts > 1)
 		return CL_REQUEST_MALFORMED;
+	if (s.bad_field ||
+	    !ht_is_token(hc->call.method, strlen(hc->call.method)))
+		return CL_REQUEST_MALFORMED;
 	if (*hc->call.target != '/')
 		return CL_REQUEST_MALFORMED;
 	if (s.length > CL_BODY_LIMIT_BYTES)
@@ -237,6 +242,7 @@
 	(void)kind;
 	if (!value)
 		value = "";
+	s->bad_field |= !ht_field_is_proper(name, value);
 	if (!strcasecmp(name, "Content-Length")) {
 		s->n_lengths++;
 		if (!parse_length(value, &s->length))
@@ -341,6 +347,9 @@
 	    c->result == CL_KEY_IN_PROGRESS)
 		MHD_add_response_header(res, "Retry-After",
 					RETRY_AFTER_SECONDS);
+	/* What follows on the connection may be a part of this request. */
+	if (c->result == CL_REQUEST_MALFORMED)
+		MHD_add_response_header(res, "Connection", "close");
 	add_homes(res, c);
 	add_result(res, c);
 	ret = MHD_queue_response(hc->conn, status ? (unsigned int)status : 500,
--- a/test/cases/call-path.sh
+++ b/test/cases/call-path.sh
@@ -178,6 +178,17 @@
 'POST /floor-plans HTTP/1.1\r\nHost: a\r\nContent-Length: +5\r\n\r\nabcde')"
 	expect "an unknown transfer coding" 400 "$(raw floor-plans-1 \
 'POST /floor-plans HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n')"
+	while IFS='|' read -r name request
+	do
+		expect "$name, and what is behind it" 400 "$(raw floor-plans-1 \
+"$request"'GET /floor-plans HTTP/1.1\r\nHost: a\r\n\r\n')"
+	done <<-'END'
+	a blank in a name|GET /floor-plans HTTP/1.1\r\nHost: a\r\nX A: b\r\n\r\n
+	a blank after a name|GET /floor-plans HTTP/1.1\r\nHost: a\r\nX-A : b\r\n\r\n
+	a blank after the name of the length|GET /floor-plans HTTP/1.1\r\nHost: a\r\nContent-Length : 4\r\n\r\n
+	a control byte in a value|GET /floor-plans HTTP/1.1\r\nHost: a\r\nX-A: b\001c\r\n\r\n
+	a method that is no token|G(T /floor-plans HTTP/1.1\r\nHost: a\r\n\r\n
+	END
 	expect "nothing was run" "$before" "$(total_runs)"
 }
 
