route: endpoints that state their work are chosen by the expected time

Endpoints of one service differ in speed by more than two, share machines with others, and demand is uneven by data centre. Two choices by number and latency of calls fill the nearest ones until they refuse, whatever room the others have.

The choice now compares the expected time to the end of the call: the queue ahead, the work at the speed of the moment and the way there. It takes effect for services whose endpoints state the speed of their work.

--- a/bench/cl_bench_main.c
+++ b/bench/cl_bench_main.c
@@ -20,6 +20,7 @@
 enum {
 	ROUNDS = 200000,
 	ENDPOINTS = 6,
+	ENDPOINTS_LIMIT = 160,
 	SLOTS = 12,
 	CALLS = 60000,
 	FAILING_CALLS = 20000,
@@ -78,7 +79,7 @@
 static double p99_latency(bool load_aware, unsigned int slow_factor);
 static double retry_amplification(void);
 static void print_costs(void);
-static double route_cost_ns(void);
+static double route_cost_ns(unsigned int n, bool states_work);
 static double admission_cost_ns(void);
 static double key_cost_ns(void);
 static int compare_times(const void *a, const void *b);
@@ -249,8 +250,8 @@
 
 static void add_endpoints(struct cl_router *r, unsigned int n)
 {
-	static char names[ENDPOINTS][4];
-	struct ep_record records[ENDPOINTS];
+	static char names[ENDPOINTS_LIMIT][4];
+	struct ep_record records[ENDPOINTS_LIMIT];
 	struct ep_service_view service = {SERVICE, records, n};
 	struct ep_view view = {
 		.services = &service,
@@ -336,26 +337,41 @@
 
 static void print_costs(void)
 {
-	printf("bench route_ns %.0f ns\n", route_cost_ns());
+	printf("bench route_ns %.0f ns\n", route_cost_ns(ENDPOINTS, false));
+	printf("bench route_33_ns %.0f ns\n", route_cost_ns(33, false));
+	printf("bench route_158_ns %.0f ns\n", route_cost_ns(158, false));
+	printf("bench route_by_time_33_ns %.0f ns\n", route_cost_ns(33, true));
+	printf("bench route_by_time_158_ns %.0f ns\n",
+	       route_cost_ns(158, true));
 	printf("bench admit_ns %.0f ns\n", admission_cost_ns());
 	printf("bench key_ns %.0f ns\n", key_cost_ns());
 }
 
-static double route_cost_ns(void)
+static double route_cost_ns(unsigned int n, bool states_work)
 {
 	struct sim s;
 	ba_time from;
 	ba_time took;
 
-	sim_init(&s, ENDPOINTS, true, true);
+	sim_init(&s, 0, true, true);
+	add_endpoints(s.router, n);
 	from = ba_clock_now();
 	for (int i = 0; i < ROUNDS; i++) {
 		struct cl_pick_request q = {.service = SERVICE,
 					    .may_probe = true};
+		const struct cl_place_report report = {
+			.calls = 1,
+			.slots = SLOTS,
+			.speed = 100,
+			.hold = SERVICE_TIME,
+		};
 		enum cl_route_reason reason;
 		struct cl_endpoint *e =
 			cl_route_pick(s.router, &q, s.now, &s.rand, &reason);
 
+		if (states_work)
+			cl_route_record_work(s.router, e, &report, SERVICE_TIME,
+					     s.now);
 		cl_route_done(s.router, e, CL_ATTEMPT_ANSWERED, SERVICE_TIME,
 			      s.now);
 	}
--- a/call/cl_route.c
+++ b/call/cl_route.c
@@ -2,70 +2,18 @@
 
 #include <glib.h>
 
-#include "call/cl_route.h"
+#include "call/cl_route_internal.h"
 
-enum { LATENCY_SAMPLES = 8, SHED_SAMPLES = 32 };
+enum { LATENCY_SAMPLES = 8, SHED_SAMPLES = 32, WORK_SAMPLES = 32 };
 
 #define DAY (24 * BA_HOUR)
 
 /* Lowest fraction of its share of calls that a new endpoint gets. */
 #define SLOW_START_MIN_FACTOR 0.1
 
-/*
- * If all slots are busy, an endpoint farther away is chosen if the wait at the
- * nearer one is longer by this factor.
- */
-#define FARTHER_WAIT_RATIO 1.25
-#define LINK_WAIT_RATIO 2.0
-
-/*
- * Fraction of its slots up to which an endpoint across the paid link counts as
- * free, so that the rest is left to calls from its own region.
- */
-#define LINK_SLOT_FRACTION 0.7
-
 /* Share of a service's calls that are rejected above which none is ejected. */
 #define SHED_SHARE_LIMIT 0.25
 
-/**
- * struct cl_service_endpoints - the endpoints of one service
- * @rollout: last roll-out of the service, in the snapshot of the router, or NULL
- * @to_target: the call that is being routed is meant for the target version
- * @shed_share: moving average of the share of calls that were rejected
- */
-struct cl_service_endpoints {
-	char *name;
-	const struct cf_rollout *rollout;
-	bool to_target;
-	double shed_share;
-	struct ba_list endpoints;
-	unsigned int n_endpoints;
-	unsigned int n_ejected;
-};
-
-/*
- * @snapshot: configuration whose roll-outs are applied, NULL before the first
- * @removed: endpoints that are no longer listed and still have calls
- * @has_budget: the paid link has a byte budget; @budget_bytes are left of it,
- *	as of @budget_at
- */
-struct cl_router {
-	char *instance;
-	char *data_centre;
-	char *region;
-	bool load_aware;
-	bool self_draining;
-	struct cf_snapshot *snapshot;
-	GHashTable *services;
-	struct ba_list removed;
-	uint64_t next_id;
-	bool has_budget;
-	double budget_bytes;
-	double max_budget_bytes;
-	double budget_per_us;
-	ba_time budget_at;
-};
-
 /* Endpoints with free slots are tried first, then busy ones, then ejected. */
 enum pass { PASS_FREE, PASS_BUSY, PASS_EJECTED, PASSES };
 
@@ -132,12 +80,17 @@
 				       ba_time now, struct ba_rand *rand,
 				       enum cl_route_reason *reason);
 static bool has_kept(const struct cl_service_endpoints *s);
-static bool is_eligible(const struct cl_service_endpoints *s,
-			const struct cl_endpoint *e);
+static struct cl_endpoint *pick_by_time_or_load(struct cl_router *r,
+						struct cl_service_endpoints *s,
+						const struct cl_pick_request *q,
+						ba_time now,
+						struct ba_rand *rand,
+						enum cl_route_reason *reason);
 static struct cl_endpoint *pick_nearest(struct cl_router *r,
 					struct cl_service_endpoints *s,
 					const struct cl_pick_request *q,
-					ba_time now, struct ba_rand *rand,
+					bool link, ba_time now,
+					struct ba_rand *rand,
 					enum cl_route_reason *reason);
 static bool has_shorter_wait(const struct cl_endpoint *far,
 			     const struct cl_endpoint *near,
@@ -155,18 +108,13 @@
 				     const struct cl_pick_request *q,
 				     enum cl_tier tier, enum pass pass,
 				     ba_time now, struct ba_rand *rand);
-static bool was_tried(const struct cl_pick_request *q,
-		      const struct cl_endpoint *e);
 static void add_candidate(struct sample *d, struct cl_endpoint *e,
 			  struct ba_rand *rand);
 static double load(const struct cl_endpoint *e, ba_time now);
-static double room_wait(const struct cl_endpoint *e,
-			const struct cl_pick_request *q, ba_time now);
 static double cost(const struct cl_service_endpoints *s,
 		   const struct cl_endpoint *e, const struct cl_pick_request *q,
 		   ba_time now);
 static double lowest_latency(const struct cl_service_endpoints *s);
-static double slow_start_factor(const struct cl_endpoint *e, ba_time now);
 static bool link_allowed(struct cl_router *r, ba_time now);
 static void record_latency(struct cl_endpoint *e, ba_time latency, ba_time now);
 static enum cl_route_change record_failure(struct cl_endpoint *e,
@@ -184,6 +132,7 @@
 	r->data_centre = g_strdup(o->data_centre);
 	r->region = g_strdup(o->region);
 	r->load_aware = o->load_aware;
+	r->network[CL_TIER_LINK] = (double)CL_ROUTE_LINK_NETWORK_INITIAL;
 	r->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					    service_free);
 	ba_list_init(&r->removed);
@@ -288,6 +237,7 @@
 	if (!e)
 		return NULL;
 	e->in_flight++;
+	cl_place_sent(&e->place, e->in_flight, now);
 	e->probing = e->ejected;
 	if (e->stated_rate > 0)
 		e->room_at = MAX(e->room_at, now) +
@@ -302,6 +252,25 @@
 	e->reported_at = now;
 }
 
+void cl_route_record_work(struct cl_router *r, struct cl_endpoint *e,
+			  const struct cl_place_report *report, ba_time took,
+			  ba_time now)
+{
+	struct cl_service_endpoints *s = e->service;
+	double *network = &r->network[e->tier];
+
+	cl_place_record(&e->place, report, e->in_flight, took, now);
+	if (e->removed)
+		return;
+	s->states_work = true;
+	if (!s->hold)
+		s->hold = e->place.hold;
+	s->hold += (e->place.hold - s->hold) / WORK_SAMPLES;
+	if (!*network)
+		*network = e->place.network;
+	*network += (e->place.network - *network) / WORK_SAMPLES;
+}
+
 void cl_route_record_limit(struct cl_endpoint *e, double per_second,
 			   ba_time room_at)
 {
@@ -329,7 +298,7 @@
 	{
 		const struct cl_endpoint *e =
 			ba_entry(pos, struct cl_endpoint, link);
-		double wait = room_wait(e, &q, now);
+		double wait = cl_route_room_wait(e, &q, now);
 
 		if (!e->draining && e->cohort != CF_COHORT_BARRED &&
 		    (least < 0 || wait < least))
@@ -432,6 +401,7 @@
 		e->latency = (double)CL_LATENCY_INITIAL;
 		e->latency_at = now;
 		e->slow_start_end = now + CL_SLOW_START;
+		cl_place_init(&e->place);
 		ba_list_append(&s->endpoints, &e->link);
 		s->n_endpoints++;
 	}
@@ -529,7 +499,7 @@
 		if (q->may_probe && (e = pick_probe(s, q, now)))
 			*reason = CL_ROUTE_PROBE;
 		else
-			e = pick_nearest(r, s, q, now, rand, reason);
+			e = pick_by_time_or_load(r, s, q, now, rand, reason);
 		if (e || !s->to_target)
 			return e;
 		s->to_target = false;
@@ -550,20 +520,34 @@
 	return false;
 }
 
-static bool is_eligible(const struct cl_service_endpoints *s,
-			const struct cl_endpoint *e)
+bool cl_route_is_eligible(const struct cl_service_endpoints *s,
+			  const struct cl_endpoint *e)
 {
 	return e->cohort == (s->to_target ? CF_COHORT_TARGET : CF_COHORT_KEPT);
 }
 
+static struct cl_endpoint *pick_by_time_or_load(struct cl_router *r,
+						struct cl_service_endpoints *s,
+						const struct cl_pick_request *q,
+						ba_time now,
+						struct ba_rand *rand,
+						enum cl_route_reason *reason)
+{
+	bool link = link_allowed(r, now);
+	struct cl_endpoint *e = NULL;
+
+	if (s->states_work && r->load_aware)
+		e = cl_route_pick_by_time(r, s, q, link, now, rand, reason);
+	return e ? e : pick_nearest(r, s, q, link, now, rand, reason);
+}
+
 static struct cl_endpoint *pick_nearest(struct cl_router *r,
 					struct cl_service_endpoints *s,
 					const struct cl_pick_request *q,
-					ba_time now, struct ba_rand *rand,
+					bool link, ba_time now,
+					struct ba_rand *rand,
 					enum cl_route_reason *reason)
 {
-	bool link = link_allowed(r, now);
-
 	for (int pass = 0; pass < PASSES; pass++) {
 		struct cl_endpoint *best = NULL;
 
@@ -601,8 +585,8 @@
 			     const struct cl_endpoint *near,
 			     const struct cl_pick_request *q, ba_time now)
 {
-	double factor = far->tier == CL_TIER_LINK ? LINK_WAIT_RATIO
-						  : FARTHER_WAIT_RATIO;
+	double factor = far->tier == CL_TIER_LINK ? CL_ROUTE_LINK_WAIT_RATIO
+						  : CL_ROUTE_FARTHER_WAIT_RATIO;
 	double near_load =
 		near->tier == CL_TIER_SELF ? q->self_load : load(near, now);
 	double near_time = busy_time(near, near_load, q, now);
@@ -619,7 +603,7 @@
 			const struct cl_pick_request *q, ba_time now)
 {
 	double slots = e->slots ? e->slots : 1;
-	double wait = room_wait(e, q, now);
+	double wait = cl_route_room_wait(e, q, now);
 
 	if (wait > 0 && load + 1 < slots)
 		load = slots - 1;
@@ -658,8 +642,8 @@
 		struct cl_endpoint *e = ba_entry(pos, struct cl_endpoint, link);
 
 		if (e->ejected && !e->probing && !e->draining &&
-		    is_eligible(s, e) && e->ejected_until <= now &&
-		    !was_tried(q, e))
+		    cl_route_is_eligible(s, e) && e->ejected_until <= now &&
+		    !cl_route_was_tried(q, e))
 			return e;
 	}
 	return NULL;
@@ -678,8 +662,8 @@
 	{
 		struct cl_endpoint *e = ba_entry(pos, struct cl_endpoint, link);
 
-		if (e->tier != tier || e->draining || !is_eligible(s, e) ||
-		    was_tried(q, e))
+		if (e->tier != tier || e->draining ||
+		    !cl_route_is_eligible(s, e) || cl_route_was_tried(q, e))
 			continue;
 		/*
 		 * The link is the last resort of a large answer, so its
@@ -689,12 +673,12 @@
 		    !(q->large_answer && pass == PASS_EJECTED &&
 		      tier == CL_TIER_LINK))
 			continue;
-		if (pass == PASS_FREE && room_wait(e, q, now) > 0)
+		if (pass == PASS_FREE && cl_route_room_wait(e, q, now) > 0)
 			continue;
 		if (pass == PASS_FREE && e->slots &&
 		    (tier == CL_TIER_SELF ? q->self_load : load(e, now)) >=
 			    e->slots * (tier == CL_TIER_LINK
-						? LINK_SLOT_FRACTION
+						? CL_ROUTE_LINK_SLOT_FRACTION
 						: 1))
 			continue;
 		add_candidate(&d, e, rand);
@@ -707,8 +691,8 @@
 		       : d.candidates[0];
 }
 
-static bool was_tried(const struct cl_pick_request *q,
-		      const struct cl_endpoint *e)
+bool cl_route_was_tried(const struct cl_pick_request *q,
+			const struct cl_endpoint *e)
 {
 	for (size_t i = 0; i < q->n_tried; i++)
 		if (q->tried[i] == e->id)
@@ -754,8 +738,8 @@
 }
 
 /* How long the stated limit delays a further call, in microseconds. */
-static double room_wait(const struct cl_endpoint *e,
-			const struct cl_pick_request *q, ba_time now)
+double cl_route_room_wait(const struct cl_endpoint *e,
+			  const struct cl_pick_request *q, ba_time now)
 {
 	ba_time room_at =
 		e->tier == CL_TIER_SELF ? q->self_room_at : e->room_at;
@@ -772,15 +756,15 @@
 	double over = e->latency > least ? e->latency - least : 0;
 	double slots = e->slots ? e->slots : 1;
 	double calls = load(e, now) + 1;
-	double wait = room_wait(e, q, now);
+	double wait = cl_route_room_wait(e, q, now);
 	double latency =
 		least + over * (double)CL_LATENCY_HALF_WEIGHT_AGE /
 				((double)CL_LATENCY_HALF_WEIGHT_AGE + age);
 
 	if (wait > 0)
 		return (MAX(calls, slots) * latency + wait * slots) /
-		       slow_start_factor(e, now);
-	return calls * latency / slow_start_factor(e, now);
+		       cl_route_slow_start_factor(e, now);
+	return calls * latency / cl_route_slow_start_factor(e, now);
 }
 
 static double lowest_latency(const struct cl_service_endpoints *s)
@@ -799,7 +783,7 @@
 	return best;
 }
 
-static double slow_start_factor(const struct cl_endpoint *e, ba_time now)
+double cl_route_slow_start_factor(const struct cl_endpoint *e, ba_time now)
 {
 	double left = (double)(e->slow_start_end - now) / (double)CL_SLOW_START;
 
--- a/call/cl_route.h
+++ b/call/cl_route.h
@@ -8,6 +8,8 @@
  * - Of two endpoints drawn at random, the one with less load and latency is
  *   chosen.  The daemon relies on its own calls and measurements; a load report
  *   only adds to them and loses weight with age.
+ * - Where endpoints state the speed of their work, the expected time to the end
+ *   of the call is compared instead (cl_place.h), also between distances.
  * - An endpoint that rejects calls is ejected only while the service as a whole
  *   rejects few.  If all endpoints reject calls, whatever their load, each
  *   ejection would only concentrate the load on the others.
@@ -30,6 +32,7 @@
 #include "base/ba_list.h"
 #include "base/ba_rand.h"
 #include "call/cl.h"
+#include "call/cl_place.h"
 #include "config/cf.h"
 #include "endpoint/ep.h"
 
@@ -130,6 +133,9 @@
  * @reported_load: last reported load, without the calls of this daemon
  * @room_at: when the limit that it states lets a further call start
  * @stated_rate: that limit, calls a second of all daemons, 0 for none
+ * @place: what is known of its speed and load
+ * @expected: time that the last call sent there was expected to take, in
+ *	microseconds, 0 if it was not estimated
  * @latency: moving average of its answer time, in microseconds
  * @slow_start_end: when it gets its full share of calls
  * @failures: weighted failures since the last answer
@@ -157,6 +163,8 @@
 	ba_time reported_at;
 	ba_time room_at;
 	double stated_rate;
+	struct cl_place place;
+	ba_time expected;
 	double latency;
 	ba_time latency_at;
 	ba_time slow_start_end;
@@ -190,6 +198,9 @@
  * @owner: instance that must run the call, or NULL for any
  * @self_load: calls running or queued at the own backend server
  * @self_room_at: when the limit that it states lets a further call start
+ * @target: when the answer should be there, 0 if unknown
+ * @self_work: state of the own backend server, NULL if it does not state the
+ *	speed of its work
  * @tried: ids of endpoints that the call has already been sent to
  * @may_probe: the call may be used to probe an ejected endpoint
  * @large_answer: the answer is large, so the paid link is the last resort
@@ -200,6 +211,8 @@
 	const char *owner;
 	uint32_t self_load;
 	ba_time self_room_at;
+	ba_time target;
+	const struct cl_place_report *self_work;
 	const uint64_t *tried;
 	size_t n_tried;
 	bool may_probe;
@@ -253,6 +266,17 @@
 void cl_route_record_load(struct cl_endpoint *e, uint32_t reported_load,
 			  ba_time now);
 
+/**
+ * cl_route_record_work() - record the load and speed that an endpoint reported
+ * @took: from the sending of the call to the answer with the report
+ *
+ * From the first such report on, endpoints of its service are chosen by the
+ * expected time to the end of a call (cl_place.h).
+ */
+void cl_route_record_work(struct cl_router *r, struct cl_endpoint *e,
+			  const struct cl_place_report *report, ba_time took,
+			  ba_time now);
+
 /**
  * cl_route_record_limit() - record the limit that an endpoint states
  * @per_second: calls a second of all daemons, 0 for no limit
