proxy: proxies tell one another the load and speed of their backend servers

The fourth figure of the load that backend servers state, how long work takes there at this moment, was not read. A proxy now measures the work of its backend server relative to that figure and tells it, with its calls and slots, in each answer to another proxy, which routes by it. Where the figure is not stated, nothing is sent and routing is as before.

--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -62,6 +62,7 @@
 	if (x->downstream->from_peer) {
 		ba_buf_addf(out, PX_FIELD_LOAD ": %u\r\n",
 			    cl_admit_load(x->p->backend.admit));
+		px_work_write(x, out);
 		add_version(x->p, out);
 		px_limit_write_stated(x, out);
 	}
@@ -94,6 +95,7 @@
 			    x->p->backend.admit
 				    ? cl_admit_load(x->p->backend.admit)
 				    : 0);
+		px_work_write(x, out);
 		add_version(x->p, out);
 		px_limit_write_stated(x, out);
 	} else if (status == 503 || status == 429)
--- a/proxy/px_dialect.h
+++ b/proxy/px_dialect.h
@@ -42,18 +42,33 @@
 	const char *team;
 };
 
+/**
+ * struct px_stated_load - load that a backend server states
+ * @running: requests that it works on
+ * @waiting: requests in its queue
+ * @speed: time that work takes there now, in percent of the usual time, 0 if it
+ *	is not stated
+ */
+struct px_stated_load {
+	uint32_t running;
+	uint32_t waiting;
+	uint32_t speed;
+};
+
 /**
  * struct px_answer_fields - what a backend server states in an answer
  * @id: id of the attempt that it answers; borrowed, NULL if not stated
  * @not_run: the backend server did not begin to work on the request
  * @names_several: it names other attempts than @id, too
  * @statement: its limit, and whether it leaves
+ * @load: all 0 if it is not stated
  */
 struct px_answer_fields {
 	const char *id;
 	bool not_run;
 	bool names_several;
 	struct cl_statement statement;
+	struct px_stated_load load;
 };
 
 /** enum px_control - calls of the platform to a daemon */
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -93,11 +93,15 @@
 	ba_time now = ba_loop_now(p->loop);
 	double bytes = px_exchange_expected_bytes(x);
 	bool large = bytes > PX_LARGE_ANSWER_BYTES;
+	struct cl_place_report self;
+	bool states_work = px_work_now(p, &self);
 	const struct cl_pick_request q = {
 		.service = x->service,
 		.self_load =
 			p->backend.admit ? cl_admit_load(p->backend.admit) : 0,
 		.self_room_at = px_backend_room_at(p),
+		.target = x->latency_target,
+		.self_work = states_work ? &self : NULL,
 		.tried = x->tried,
 		.n_tried = x->n_tried,
 		.may_probe = x->idempotent,
@@ -129,10 +133,12 @@
 	}
 	ba_event(CL_EV_ROUTED,
 		 "call=%s route=%s priority=%u service=%s endpoint=%s "
-		 "reason=%s in_flight=%u reported=%u left_us=%lld",
+		 "reason=%s in_flight=%u reported=%u expected_us=%lld "
+		 "left_us=%lld",
 		 x->id, x->route, x->priority, x->service,
 		 x->endpoint->instance, cl_route_reason_name(reason),
 		 x->endpoint->in_flight, x->endpoint->reported_load,
+		 (long long)x->endpoint->expected,
 		 (long long)(x->deadline - now));
 	x->tried[x->n_tried++] = x->endpoint->id;
 	x->last_try = x->n_tried == PX_MAX_ENDPOINTS_TRIED;
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -10,6 +10,7 @@
  *   px_poison.c      requests that crash backend servers
  *   px_team.c        teams of callers: keys and priority
  *   px_limit.c       limit and departure that the backend server states
+ *   px_work.c        load and speed that the backend server states
  *   px_control.c     readiness checks and calls of the backend server
  *   px_compose.c     messages that the proxy writes
  */
@@ -106,6 +107,8 @@
 #define PX_FIELD_LAST_TRY "caraway-last-try"
 #define PX_FIELD_NOT_RUN "caraway-not-run"
 #define PX_FIELD_LOAD "caraway-load"
+/* Calls, slots, speed and work of the backend server, and the time here. */
+#define PX_FIELD_WORK "caraway-work"
 /* What the backend server states, and when its limit has room again. */
 #define PX_FIELD_STATED "caraway-stated"
 #define PX_FIELD_ROOM "caraway-room-us"
@@ -141,6 +144,7 @@
  * @names_refusals: it has named a request in a rejection
  * @limit: what it states
  * @warm_at: when it is past its slow start
+ * @work: speed that it states, and its work as measured
  * @n_sent: requests sent to it since the last line of the log about @limit
  * @logged_at: time of that line
  */
@@ -156,6 +160,7 @@
 	bool names_refusals;
 	struct cl_limit limit;
 	ba_time warm_at;
+	struct cl_work work;
 	uint64_t n_sent;
 	ba_time logged_at;
 };
@@ -390,6 +395,7 @@
 	size_t body_written;
 	struct ba_chain_pos body_pos;
 	uint64_t backend_start;
+	uint32_t backend_speed;
 	bool paced;
 	ba_time quota_until;
 	bool quota_taken;
@@ -709,6 +715,25 @@
 /** px_limit_write_told() - write what is known of the endpoint of @x */
 void px_limit_write_told(const struct px_exchange *x, struct ba_buf *out);
 
+/** px_work_on_answer() - take in the load that an answer to @x states */
+void px_work_on_answer(struct px_exchange *x, const struct px_stated_load *l);
+
+/** px_work_record() - record that @x was served by the own backend server */
+void px_work_record(struct px_exchange *x);
+
+/**
+ * px_work_now() - state of the own backend server
+ *
+ * Return: false if it does not state the speed of its work.
+ */
+bool px_work_now(const struct px *p, struct cl_place_report *out);
+
+/** px_work_write() - write that state into an answer to another proxy */
+void px_work_write(const struct px_exchange *x, struct ba_buf *out);
+
+/** px_work_on_told() - take in what the proxy of an endpoint has written */
+void px_work_on_told(struct px_exchange *x, const struct ht_head *h);
+
 /** px_control_on_request() - answer a call of the platform or backend server */
 void px_control_on_request(struct ht_service_owner *o, struct ht_request *r);
 
--- a/proxy/px_limit.c
+++ b/proxy/px_limit.c
@@ -33,6 +33,7 @@
 	if (start == be->start)
 		return;
 	be->start = start;
+	be->work = (struct cl_work){0};
 	cl_limit_reset(&be->limit);
 	if (was.leaving)
 		log_leaving(p, "dropped", "start");
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -153,6 +153,7 @@
 	x->runs++;
 	if (state == PX_ATTEMPT_AT_BACKEND) {
 		x->backend_start = x->p->backend.start;
+		x->backend_speed = x->p->backend.work.speed;
 		x->p->backend.n_sent++;
 	}
 	x->conn = ht_pool_take(pool, &x->upstream, &x->fresh);
@@ -256,6 +257,7 @@
 	}
 	if (x->state == PX_ATTEMPT_AT_PEER) {
 		record_load(x, h);
+		px_work_on_told(x, h);
 		px_note_version(x->p, h);
 		px_limit_on_stated(x, h);
 	} else {
@@ -264,6 +266,7 @@
 		if (x->fresh)
 			px_poison_on_opened(x);
 		px_limit_on_answer(x, &ans.statement);
+		px_work_on_answer(x, &ans.load);
 	}
 	x->status = h->status;
 	x->length = h->length;
@@ -525,9 +528,11 @@
 		 x->id, x->service, x->status,
 		 (long long)(ba_loop_now(x->p->loop) - x->arrived_at));
 	release_conn(x);
-	if (x->admission.running)
+	if (x->admission.running) {
 		cl_sched_record(x->p->backend.sched, x->route,
 				ba_loop_now(x->p->loop) - x->admission.started);
+		px_work_record(x);
+	}
 	px_exchange_end_attempt(x, x->status >= 500 ? CL_ATTEMPT_ERROR_ANSWER
 						    : CL_ATTEMPT_ANSWERED);
 	px_exchange_record_answer(x);
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -345,6 +345,36 @@
 	return out;
 }
 
+TEST(PfAnswer, LoadOfEachCase)
+{
+	const struct {
+		const char *value;
+		uint32_t running, waiting, speed;
+	} cases[] = {
+		{"3,0,8", 3, 0, 0},
+		{"18,4,18,250", 18, 4, 250},
+		{"0,0,18,60", 0, 0, 60},
+		{"3,0,8,100,7", 0, 0, 0},
+		{"3,0,8,", 0, 0, 0},
+		{"3,0,8,fast", 0, 0, 0},
+		{"-3,0,8,100", 0, 0, 0},
+		{"3 ,0,8,100", 0, 0, 0},
+		{"", 0, 0, 0},
+		{"3,0,8,99999999999999999999", 0, 0, 0},
+	};
+
+	for (const auto &c : cases) {
+		struct px_stated_load got =
+			read_answer("X-Server-Load: " + std::string(c.value) +
+				    "\r\n")
+				.load;
+
+		EXPECT_EQ(got.running, c.running) << c.value;
+		EXPECT_EQ(got.waiting, c.waiting) << c.value;
+		EXPECT_EQ(got.speed, c.speed) << c.value;
+	}
+}
+
 TEST(PfAnswer, LimitAndDepartureOfEachCase)
 {
 	static const struct {
