source: a new leader tells what is committed before it applies it

After the loss of all processes a leader learns with its first entry that the whole log is committed. It applied that backlog first, 32 versions in 0.27 s with 0.15 of a processor, and the frames with the commit index left at the end of the loop iteration. So the other replicas, which serve most daemons, began to apply the same only then.

While there is a backlog the frames are written at once.

The test is of the new function wi_flush(): the receiver has the frame while the sender's loop is still busy.

--- a/source/so.h
+++ b/source/so.h
@@ -306,6 +306,9 @@
 void so_peer_send(struct so_source *s, int to, int type, const void *data,
 		  size_t len);
 
+/** so_peer_flush() - write what was sent to a replica now */
+void so_peer_flush(struct so_source *s, int to);
+
 /** so_peer_handle_frame() - process a frame from another replica */
 int so_peer_handle_frame(struct so_conn *c, const struct wi_frame *f);
 
--- a/source/so_peer.c
+++ b/source/so_peer.c
@@ -109,6 +109,12 @@
 		wi_send_packed(p->session, type, data, len);
 }
 
+void so_peer_flush(struct so_source *s, int to)
+{
+	if (s->peers[to].open)
+		wi_flush(s->peers[to].session);
+}
+
 int so_peer_handle_frame(struct so_conn *c, const struct wi_frame *f)
 {
 	struct so_source *s = c->source;
--- a/source/so_source.c
+++ b/source/so_source.c
@@ -20,6 +20,7 @@
 static void on_shutdown_timer(struct ba_timer *t, ba_time now);
 static void on_send(struct rp_node_owner *o, int to, const void *data,
 		    size_t len);
+static bool has_backlog(const struct so_source *s);
 static void on_applied(struct rp_node_owner *o, const struct rp_entry *e,
 		       const struct rp_applied *a);
 static void on_published(struct rp_node_owner *o, struct cf_snapshot *snapshot);
@@ -227,6 +228,20 @@
 	struct so_source *s = ba_entry(o, struct so_source, owner);
 
 	so_peer_send(s, to, RP_MESSAGE, data, len);
+	/*
+	 * A new leader is about to apply what was not yet known to be
+	 * committed, for long with a slow processor; the others apply the same
+	 * once they hear of it.
+	 */
+	if (has_backlog(s))
+		so_peer_flush(s, to);
+}
+
+static bool has_backlog(const struct so_source *s)
+{
+	uint64_t applied = rp_machine_applied(rp_node_machine(s->node));
+
+	return rp_core_commit(rp_node_core(s->node)) > applied + 1;
 }
 
 static void on_applied(struct rp_node_owner *o, const struct rp_entry *e,
--- a/test/wire_test.cc
+++ b/test/wire_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <atomic>
 #include <cstring>
 #include <string>
 #include <thread>
@@ -407,4 +408,63 @@
 	settle_and_free(loop);
 }
 
+/* A server that is busy in its loop until @seen, or for too long. */
+struct busy_server {
+	struct end end; /* first */
+	std::atomic<bool> seen{false};
+	bool in_time = false;
+};
+
+void send_flush_and_work(struct wi_handler *h, struct wi_session *s)
+{
+	auto *b = (struct busy_server *)h;
+
+	wi_send_packed(s, CT_QUERY, "", 0);
+	wi_flush(s);
+	for (int i = 0; i < 1000 && !b->seen; i++)
+		usleep(10 * 1000);
+	b->in_time = b->seen;
+	wi_finish(s);
+}
+
+struct watching_client {
+	struct end end; /* first */
+	std::atomic<bool> *seen;
+};
+
+int note_frame(struct wi_handler *h, struct wi_session *,
+	       const struct wi_frame *)
+{
+	*((struct watching_client *)h)->seen = true;
+	return BA_OK;
+}
+
+/* The other end need not wait until the sender's loop goes on. */
+TEST(SharedWiSession, FlushWritesBeforeTheEndOfTheIteration)
+{
+	struct ba_loop *loop = ba_loop_new();
+	struct ba_loop *client_loop = ba_loop_new();
+	struct busy_server server;
+	struct watching_client client = {
+		{{nullptr, note_frame, on_closed}, client_loop}, &server.seen};
+	struct test_acceptor t = {{accept_end}, &server.end};
+	struct wi_identity id = identity("m", WI_SOURCE, "", 1);
+	struct wi_listener *l = nullptr;
+	struct ba_address at;
+
+	server.end = {{send_flush_and_work, ignore_frame, on_closed}, loop};
+	ASSERT_EQ(ba_parse_address(test_address(1, 22166).c_str(), &at), BA_OK);
+	ASSERT_EQ(
+		wi_listen(loop, &at, &id, &wi_limits_default, &t.acceptor, &l),
+		BA_OK);
+	std::thread busy([=] { ba_loop_run(loop); });
+	wi_dial(client_loop, &at, &id, &wi_limits_default, &client.end.handler);
+	ba_loop_run(client_loop);
+	busy.join();
+	EXPECT_TRUE(server.in_time);
+	wi_listener_close(l);
+	settle_and_free(client_loop);
+	settle_and_free(loop);
+}
+
 } // namespace
--- a/wire/wi_session.c
+++ b/wire/wi_session.c
@@ -187,6 +187,12 @@
 	return WI_QUEUE_FULL;
 }
 
+void wi_flush(struct wi_session *s)
+{
+	if (s->state == WI_OPEN && !(s->watched_events & BA_WRITABLE))
+		flush(s);
+}
+
 ba_time wi_session_heard_at(const struct wi_session *s)
 {
 	return s->silence_deadline - s->limits.silence_timeout;
--- a/wire/wi_session.h
+++ b/wire/wi_session.h
@@ -176,6 +176,13 @@
 int wi_send_packed(struct wi_session *s, int type, const void *data,
 		   size_t len);
 
+/**
+ * wi_flush() - write the queued frames now, not at the end of the iteration
+ *
+ * For frames that others wait for while this process is about to be busy.
+ */
+void wi_flush(struct wi_session *s);
+
 /** wi_session_heard_at() - when something was received last */
 ba_time wi_session_heard_at(const struct wi_session *s);
 
