route: a free slot nearby at about the usual speed is enough

Calls whose work is shorter than the mean of their service, as that of inner calls, looked too late everywhere and were sent to other data centres. A free slot nearby now also suffices if it is about as fast as usual, and before farther ones are looked at, the quickest one nearby is taken in place of the two that were drawn.

--- a/call/cl_place.c
+++ b/call/cl_place.c
@@ -107,6 +107,10 @@
 {
 	uint64_t bits = ba_rand_next(rand);
 
+	if (!d->quickest || total < d->least) {
+		d->quickest = endpoint;
+		d->least = total;
+	}
 	d->weight += weight;
 	for (int i = 0; i < 2; i++, bits >>= 32) {
 		double u = (double)(uint32_t)bits / 4294967296.0;
--- a/call/cl_place.h
+++ b/call/cl_place.h
@@ -159,11 +159,14 @@
  * @chosen: drawn independently, NULL if there is none
  * @total: expected time of each
  * @weight: of all that were considered
+ * @quickest: the one of these with the least expected time, @least
  */
 struct cl_place_draw {
 	void *chosen[2];
 	double total[2];
 	double weight;
+	void *quickest;
+	double least;
 };
 
 /** cl_place_consider() - let @endpoint take part in the draw by its @weight */
--- a/call/cl_route_place.c
+++ b/call/cl_route_place.c
@@ -76,6 +76,14 @@
 	}
 	for (int t = first; t <= (int)last; t++) {
 		compare(best, &draws[t].free, (enum cl_tier)t, true);
+		if (is_enough(h, best))
+			return;
+		/* The two drawn are slow, but others nearby may not be. */
+		if (best->is_free && best->endpoint->tier == (enum cl_tier)t &&
+		    draws[t].free.least < best->total) {
+			best->endpoint = draws[t].free.quickest;
+			best->total = draws[t].free.least;
+		}
 		if (is_enough(h, best))
 			return;
 		compare(best, &draws[t].busy, (enum cl_tier)t, false);
@@ -131,14 +139,21 @@
 }
 
 /*
- * A call that is in time with half as much again gains nothing farther away,
- * and the way there takes bytes of a link that others need.
+ * A call that is in time with half as much again, or is run about as fast as
+ * usual, gains nothing farther away, and the way there takes bytes of a link
+ * that others need.  The second counts for calls whose work is shorter than the
+ * mean of their service, as that of inner calls.
  */
 static bool is_enough(const struct search *h, const struct choice *c)
 {
-	return c->is_free && h->q->target &&
-	       (double)h->now + IN_TIME_MARGIN * c->total <=
-		       (double)h->q->target;
+	double usual;
+
+	if (!c->is_free || !h->q->target)
+		return false;
+	usual = c->endpoint->service->hold;
+	return (double)h->now + IN_TIME_MARGIN * c->total <=
+		       (double)h->q->target ||
+	       c->total <= IN_TIME_MARGIN * usual;
 }
 
 /*
