proxy: requests behind others on a connection run together

Some callers send further requests before the first is answered. They were read one after the other: each waited for all in front of it, its time counted from then on, and it ran after its caller had given up. Under load most of the requests on such connections were late or never read.

A request that may run again now begins while others of its kind in front are in progress, up to seven. It is read on a connection behind the first (ht_conn_branch()), whose answer waits there; the socket is handed on when the answer in front is complete. What must not run twice waits, as a request behind an answer that closes the connection counts as not read. A request that waits counts its time from its arrival.

PxTimeout.CountsWhileARequestWaitsBehindAnother failed before: 1000 ms left where at most 600 were. PxPipeline is new; its requests got no connection to the backend server before the first was answered.

--- a/http/ht_conn.c
+++ b/http/ht_conn.c
@@ -14,6 +14,7 @@
 	READ_BYTES = 32 * 1024,
 	READ_TIGHT_BYTES = 4 * 1024,	    /* with memory short */
 	READ_AHEAD_LIMIT_BYTES = 32 * 1024, /* pipelined requests */
+	READ_AHEAD_TIMES = 16, /* remembered; more count as the last of them */
 	/* A client that takes no answers gets no more before it does. */
 	UNTAKEN_LIMIT_BYTES = 64 * 1024,
 	UNTAKEN_TIGHT_BYTES = 8 * 1024, /* with memory short */
@@ -24,9 +25,20 @@
 	LINGER_MS = 1000, /* for the other end to read what was sent */
 };
 
+/* When bytes that were read ahead had arrived, up to offset @end. */
+struct arrival {
+	size_t end;
+	ba_time at;
+};
+
 /*
  * @in: reads answers, on the client's side, or requests
  * @read_ahead: received bytes that follow the last message
+ * @arrivals: when they arrived, the first @n_arrivals
+ * @rereading: bytes that were read ahead are being parsed
+ * @begun_at: when the first byte of the message arrived
+ * @front: the connection whose answers go before those of this one, or NULL
+ * @behind: the one whose answers follow, or NULL
  * @link: shared with other connections, or NULL
  * @charge: for what it holds
  * @message_sent: bytes written since ht_conn_read_next()
@@ -50,6 +62,12 @@
 	struct ht_head head;
 	struct ba_buf out;
 	struct ba_buf read_ahead;
+	struct arrival arrivals[READ_AHEAD_TIMES];
+	size_t n_arrivals;
+	bool rereading;
+	ba_time begun_at;
+	struct ht_conn *front;
+	struct ht_conn *behind;
 	struct ht_link *link;
 	struct ht_link_user link_user;
 	struct ba_charge charge;
@@ -89,6 +107,11 @@
 static void on_head(struct ht_conn *c);
 static void complete_message(struct ht_conn *c);
 static void store_read_ahead(struct ht_conn *c, const char *data, size_t len);
+static struct ht_conn *last_behind(struct ht_conn *c);
+static void move_socket(struct ht_conn *from, struct ht_conn *to);
+static void end_behind(struct ht_conn *c);
+static void note_arrival(struct ht_conn *c);
+static void consume_arrivals(struct ht_conn *c, size_t len);
 static void end_conn(struct ht_conn *c, enum ht_end why);
 static void close_conn(struct ht_conn *c);
 static void linger_close(struct ht_conn *c);
@@ -109,6 +132,66 @@
 	return c;
 }
 
+struct ht_conn *ht_conn_branch(struct ht_conn *c, struct ht_conn_owner *o)
+{
+	struct ht_conn *b = conn_new(c->loop, -1, c->in.head_limit, o);
+
+	ht_request_begin(&b->in);
+	b->front = c;
+	c->behind = b;
+	b->read_ahead = c->read_ahead;
+	memset(&c->read_ahead, 0, sizeof(c->read_ahead));
+	memcpy(b->arrivals, c->arrivals, sizeof(c->arrivals));
+	b->n_arrivals = c->n_arrivals;
+	c->n_arrivals = 0;
+	return b;
+}
+
+bool ht_conn_has_behind(const struct ht_conn *c)
+{
+	return c->behind;
+}
+
+unsigned int ht_conn_count_front(const struct ht_conn *c)
+{
+	unsigned int n = 0;
+
+	while ((c = c->front))
+		n++;
+	return n;
+}
+
+void ht_conn_hand_over(struct ht_conn *c)
+{
+	struct ht_conn *b = c->behind;
+	struct ba_buf rest = c->out;
+
+	ba_buf_add(&rest, b->out.data, b->out.len);
+	ba_buf_free(&b->out);
+	b->out = rest;
+	memset(&c->out, 0, sizeof(c->out));
+	c->owner = NULL;
+	c->behind = NULL;
+	b->front = c->front;
+	c->front = NULL;
+	if (b->front)
+		b->front->behind = b;
+	else
+		move_socket(c, b);
+	close_conn(c);
+	if (b->front)
+		return;
+	if (b->closing) {
+		ht_conn_close_after_flush(b);
+		return;
+	}
+	ht_conn_flush(b);
+	update_watch(b);
+	notify_drained(b);
+	if (!b->closed && b->owner && b->owner->first)
+		b->owner->first(b->owner, b);
+}
+
 struct ht_conn *ht_conn_dial(struct ba_loop *loop, const struct ba_address *to,
 			     size_t head_limit, struct ht_conn_owner *o)
 {
@@ -182,6 +265,11 @@
 	c->owner = o;
 }
 
+ba_time ht_conn_begun_at(const struct ht_conn *c)
+{
+	return c->begun_at;
+}
+
 struct ht_head *ht_conn_head(struct ht_conn *c)
 {
 	return &c->head;
@@ -201,6 +289,8 @@
 {
 	if (c->closed || c->connecting)
 		return 0;
+	if (c->front)
+		return c->out.len;
 	return c->out.len + ba_socket_unacknowledged(c->watch.fd);
 }
 
@@ -208,7 +298,7 @@
 {
 	size_t len = c->out.len;
 
-	if (c->closed || c->connecting || !len)
+	if (c->closed || c->connecting || c->front || !len)
 		return;
 	if (c->link)
 		len = ht_link_request(c->link, &c->link_user, c->message_sent,
@@ -281,8 +371,11 @@
 		ht_request_begin(&c->in);
 	}
 	update_watch(c);
-	if (held.len)
+	if (held.len) {
+		c->rereading = true;
 		on_data(c, (const char *)held.data, held.len);
+		c->rereading = false;
+	}
 	ba_buf_free(&held);
 }
 
@@ -323,6 +416,9 @@
 {
 	c->owner = NULL;
 	c->closing = true;
+	end_behind(c);
+	if (c->front)
+		return;
 	if (!c->out.len) {
 		linger_close(c);
 		return;
@@ -495,6 +591,7 @@
 
 static void on_data(struct ht_conn *c, const char *data, size_t len)
 {
+	c = last_behind(c);
 	if (c->closing)
 		return;
 	if (c->message_complete)
@@ -542,10 +639,13 @@
 
 	c->callback_depth++;
 	do {
+		size_t before = in.len;
+
 		notify_begun(c, &in);
 		step = c->closed || c->closing
 			       ? HT_STEP_MORE
 			       : ht_message_read(&c->in, &in, &body);
+		consume_arrivals(c, before - in.len);
 		if (step == HT_STEP_HEAD)
 			on_head(c);
 		else if (step == HT_STEP_BODY && c->owner && c->owner->body)
@@ -575,8 +675,10 @@
 	while (!c->client && at < in->len &&
 	       (in->data[at] == '\r' || in->data[at] == '\n'))
 		at++;
-	if (at < in->len)
-		c->owner->begun(c->owner, c);
+	if (at == in->len)
+		return;
+	c->begun_at = c->n_arrivals ? c->arrivals[0].at : ba_loop_now(c->loop);
+	c->owner->begun(c->owner, c);
 }
 
 static void on_head(struct ht_conn *c)
@@ -606,7 +708,69 @@
 		return;
 	}
 	ba_buf_add(&c->read_ahead, data, len);
+	if (!c->rereading)
+		note_arrival(c);
 	update_watch(c);
+	if (c->owner && c->owner->ahead)
+		c->owner->ahead(c->owner, c);
+}
+
+static struct ht_conn *last_behind(struct ht_conn *c)
+{
+	while (c->behind)
+		c = c->behind;
+	return c;
+}
+
+static void move_socket(struct ht_conn *from, struct ht_conn *to)
+{
+	ba_loop_disarm(from->loop, &from->timer);
+	if (from->link) {
+		ht_link_dequeue(from->link, &from->link_user);
+		ht_link_set_unsent(from->link, &from->link_user, 0);
+	}
+	ba_loop_unwatch(from->loop, &from->watch);
+	to->watch.fd = from->watch.fd;
+	from->watch.fd = -1;
+}
+
+/* The last one behind is ended first. */
+static void end_behind(struct ht_conn *c)
+{
+	while (c->behind) {
+		struct ht_conn *last = last_behind(c);
+
+		last->front->behind = NULL;
+		last->front = NULL;
+		if (last->closing)
+			close_conn(last);
+		else
+			end_conn(last, HT_END_CLOSED);
+	}
+}
+
+static void note_arrival(struct ht_conn *c)
+{
+	struct arrival *last;
+
+	if (c->n_arrivals < READ_AHEAD_TIMES)
+		c->n_arrivals++;
+	last = &c->arrivals[c->n_arrivals - 1];
+	last->end = c->read_ahead.len;
+	last->at = ba_loop_now(c->loop);
+}
+
+static void consume_arrivals(struct ht_conn *c, size_t len)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < c->n_arrivals; i++) {
+		if (c->arrivals[i].end <= len)
+			continue;
+		c->arrivals[kept] = c->arrivals[i];
+		c->arrivals[kept++].end -= len;
+	}
+	c->n_arrivals = kept;
 }
 
 /*
@@ -622,6 +786,7 @@
 		return;
 	c->owner = NULL;
 	c->callback_depth++;
+	end_behind(c);
 	if (o)
 		o->ended(o, c, why);
 	c->callback_depth--;
@@ -629,8 +794,14 @@
 		close_conn(c);
 }
 
+/* Behind others it is kept until their answers are sent. */
 static void close_conn(struct ht_conn *c)
 {
+	end_behind(c);
+	if (c->front) {
+		c->closing = true;
+		return;
+	}
 	if (!c->closed) {
 		c->closed = true;
 		ba_loop_disarm(c->loop, &c->timer);
@@ -677,6 +848,8 @@
  */
 static void linger_close(struct ht_conn *c)
 {
+	if (c->front)
+		return;
 	shutdown(c->watch.fd, SHUT_WR);
 	c->paused = false;
 	ba_buf_free(&c->read_ahead);
@@ -695,10 +868,13 @@
 {
 	unsigned int bits = 0;
 
+	while (c->front)
+		c = c->front;
 	if (c->closed)
 		return;
 	if (!c->paused && !c->connecting &&
-	    c->read_ahead.len < (is_tight(c) ? 1 : READ_AHEAD_LIMIT_BYTES))
+	    last_behind(c)->read_ahead.len <
+		    (is_tight(c) ? 1 : READ_AHEAD_LIMIT_BYTES))
 		bits |= BA_READABLE;
 	if (c->connecting ||
 	    (c->out.len &&
--- a/http/ht_conn.h
+++ b/http/ht_conn.h
@@ -35,6 +35,8 @@
  * @body: a piece of its body has arrived; may be NULL
  * @complete: the message is complete; the next one is not read before
  *	ht_conn_read_next(); may be NULL
+ * @ahead: bytes of a further request have arrived; may be NULL
+ * @first: no answer goes before those of this connection any more; may be NULL
  * @drained: the kernel has taken all that was written; may be NULL
  * @ended: the connection has ended and is freed after the call; on the server's
  *	side, unless the other end has closed the connection, the callback may
@@ -46,6 +48,8 @@
 	void (*body)(struct ht_conn_owner *o, struct ht_conn *c,
 		     const void *data, size_t len);
 	void (*complete)(struct ht_conn_owner *o, struct ht_conn *c);
+	void (*ahead)(struct ht_conn_owner *o, struct ht_conn *c);
+	void (*first)(struct ht_conn_owner *o, struct ht_conn *c);
 	void (*drained)(struct ht_conn_owner *o, struct ht_conn *c);
 	void (*ended)(struct ht_conn_owner *o, struct ht_conn *c,
 		      enum ht_end why);
@@ -58,6 +62,31 @@
 struct ht_conn *ht_conn_serve(struct ba_loop *loop, int fd, size_t head_limit,
 			      struct ht_conn_owner *o);
 
+/**
+ * ht_conn_branch() - read the requests that follow the one just read
+ * @c: connection on the server's side that has read a message
+ *
+ * They are read on a connection of their own, behind @c: what is written there
+ * is sent after ht_conn_hand_over().  Reading begins with ht_conn_read_next().
+ * If @c ends or is closed, so does the one behind.  If the one behind is closed,
+ * the socket is closed once the answers in front are sent.
+ */
+struct ht_conn *ht_conn_branch(struct ht_conn *c, struct ht_conn_owner *o);
+
+/** ht_conn_has_behind() - whether there is a connection behind @c */
+bool ht_conn_has_behind(const struct ht_conn *c);
+
+/** ht_conn_count_front() - count the connections whose answers go before */
+unsigned int ht_conn_count_front(const struct ht_conn *c);
+
+/**
+ * ht_conn_hand_over() - let the connection behind take the place of @c
+ *
+ * To be called when all of the answer of @c is written.  @c is freed without
+ * callback.
+ */
+void ht_conn_hand_over(struct ht_conn *c);
+
 /** ht_conn_dial() - connect to @to; a failure is reported by @ended */
 struct ht_conn *ht_conn_dial(struct ba_loop *loop, const struct ba_address *to,
 			     size_t head_limit, struct ht_conn_owner *o);
@@ -92,6 +121,13 @@
 /** ht_conn_set_owner() - send callbacks to @o from now on */
 void ht_conn_set_owner(struct ht_conn *c, struct ht_conn_owner *o);
 
+/**
+ * ht_conn_begun_at() - get when the first byte of the request arrived
+ *
+ * A request that was sent behind another arrived before it was read.
+ */
+ba_time ht_conn_begun_at(const struct ht_conn *c);
+
 /** ht_conn_head() - get the head of the message that is being read */
 struct ht_head *ht_conn_head(struct ht_conn *c);
 
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -137,17 +137,15 @@
 
 void px_free(struct px *p)
 {
-	struct ba_list *pos;
-	struct ba_list *tmp;
-
 	if (!p)
 		return;
 	ht_listener_close(p->caller_listener);
 	ht_listener_close(p->peer_listener);
 	ht_service_free(p->ready_service);
 	ht_service_free(p->heartbeat_service);
-	ba_list_each_safe(pos, tmp, &p->downstreams)
-		px_downstream_free(ba_entry(pos, struct px_downstream, link));
+	while (!ba_list_empty(&p->downstreams))
+		px_downstream_free(ba_entry(p->downstreams.next,
+					    struct px_downstream, link));
 	px_upstream_end_notices(p);
 	px_crowd_free(p);
 	ba_loop_disarm(p->loop, &p->backend.dispatch_timer);
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -72,8 +72,7 @@
 			    (long long)x->length);
 	else if (x->chunked)
 		ba_buf_addf(out, "Transfer-Encoding: chunked\r\n");
-	if (request->connection_close ||
-	    (x->p->stopping && !x->downstream->from_peer))
+	if (px_downstream_closes(x->downstream))
 		ba_buf_addf(out, "Connection: close\r\n");
 	ba_buf_addf(out, "\r\n");
 }
@@ -103,8 +102,7 @@
 			    (double)retry_after(x, code) / (double)BA_SECOND);
 	else if (status == 401)
 		ba_buf_addf(out, "WWW-Authenticate: Bearer\r\n");
-	if (ht_conn_head(x->downstream->conn)->connection_close ||
-	    (x->p->stopping && !x->downstream->from_peer))
+	if (px_downstream_closes(x->downstream))
 		ba_buf_addf(out, "Connection: close\r\n");
 	ba_buf_addf(out,
 		    "Content-Type: application/json\r\n"
--- a/proxy/px_downstream.c
+++ b/proxy/px_downstream.c
@@ -8,11 +8,15 @@
 #include "report/rt.h"
 
 static void accept_conn(struct px *p, int fd, bool from_peer);
+static struct px_downstream *downstream_new(struct px *p, bool from_peer);
 static void on_begun(struct ht_conn_owner *o, struct ht_conn *c);
 static void on_head(struct ht_conn_owner *o, struct ht_conn *c);
 static void on_body(struct ht_conn_owner *o, struct ht_conn *c,
 		    const void *data, size_t len);
 static void on_complete(struct ht_conn_owner *o, struct ht_conn *c);
+static void on_ahead(struct ht_conn_owner *o, struct ht_conn *c);
+static void on_first(struct ht_conn_owner *o, struct ht_conn *c);
+static bool lets_others_begin(const struct px_downstream *d);
 static void on_drained(struct ht_conn_owner *o, struct ht_conn *c);
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *c,
 		     enum ht_end why);
@@ -51,14 +55,19 @@
 
 void px_downstream_finish_answer(struct px_downstream *d)
 {
-	bool close = ht_conn_head(d->conn)->connection_close;
+	struct ht_conn *c = d->conn;
 
 	d->exchange = NULL;
 	d->in_request = false;
 	free_body(d);
-	if (close || (d->p->stopping && !d->from_peer)) {
-		struct ht_conn *c = d->conn;
-
+	if (ht_conn_has_behind(c)) {
+		/* What is left of the answer is sent by the one behind. */
+		g_clear_pointer(&d->answer_id, g_free);
+		remove_downstream(d);
+		ht_conn_hand_over(c);
+		return;
+	}
+	if (px_downstream_closes(d)) {
 		/* The connection, which has no owner from now on, sends it. */
 		g_clear_pointer(&d->answer_id, g_free);
 		remove_downstream(d);
@@ -73,6 +82,14 @@
 	ht_conn_read_next(d->conn);
 }
 
+bool px_downstream_closes(const struct px_downstream *d)
+{
+	if (ht_conn_has_behind(d->conn))
+		return false;
+	return ht_conn_head(d->conn)->connection_close ||
+	       (d->p->stopping && !d->from_peer);
+}
+
 void px_downstream_on_leaving(struct px_downstream *d)
 {
 	static const char done[] = "HTTP/1.1 204 No Content\r\n\r\n";
@@ -126,23 +143,32 @@
 		close(fd);
 		return;
 	}
-	d = g_new0(struct px_downstream, 1);
+	d = downstream_new(p, from_peer);
+	d->conn = ht_conn_serve(p->loop, fd, head_limit(d), &d->owner);
+	ht_conn_set_link(d->conn, p->link);
+	ht_conn_set_account(d->conn, p->memory);
+	ht_conn_set_deadline(d->conn, ba_loop_now(p->loop) + idle_timeout(d));
+}
+
+static struct px_downstream *downstream_new(struct px *p, bool from_peer)
+{
+	struct px_downstream *d = g_new0(struct px_downstream, 1);
+
 	d->p = p;
 	d->from_peer = from_peer;
 	d->owner.begun = on_begun;
 	d->owner.head = on_head;
 	d->owner.body = on_body;
 	d->owner.complete = on_complete;
+	d->owner.ahead = on_ahead;
+	d->owner.first = on_first;
 	d->owner.drained = on_drained;
 	d->owner.ended = on_ended;
 	d->moved_at = ba_loop_now(p->loop);
 	d->body_charge.account = p->memory;
 	ba_list_append(&p->downstreams, &d->link);
 	p->crowd.n_conns[from_peer]++;
-	d->conn = ht_conn_serve(p->loop, fd, head_limit(d), &d->owner);
-	ht_conn_set_link(d->conn, p->link);
-	ht_conn_set_account(d->conn, p->memory);
-	ht_conn_set_deadline(d->conn, ba_loop_now(p->loop) + idle_timeout(d));
+	return d;
 }
 
 static void on_begun(struct ht_conn_owner *o, struct ht_conn *c)
@@ -150,11 +176,11 @@
 	struct px_downstream *d = (struct px_downstream *)o;
 
 	d->in_request = true;
-	d->begun_at = ba_loop_now(d->p->loop);
+	d->begun_at = ht_conn_begun_at(c);
 	set_moved(d);
 	px_crowd_watch(d->p);
 	ht_conn_set_head_limit(c, head_limit(d));
-	ht_conn_set_deadline(c, d->begun_at + header_timeout(d->p));
+	ht_conn_set_deadline(c, ba_loop_now(d->p->loop) + header_timeout(d->p));
 }
 
 static void on_head(struct ht_conn_owner *o, struct ht_conn *c)
@@ -210,7 +236,57 @@
 	set_moved(d);
 	px_crowd_unpause(d);
 	px_crowd_watch(d->p);
-	px_exchange_begin(d);
+	if (d->is_behind && !px_exchange_may_begin_behind(d))
+		d->waits = true;
+	else
+		px_exchange_begin(d);
+}
+
+/* Begins the request that follows while that of @c is in progress. */
+static void on_ahead(struct ht_conn_owner *o, struct ht_conn *c)
+{
+	struct px_downstream *d = (struct px_downstream *)o;
+	struct px_downstream *b;
+
+	if (!lets_others_begin(d))
+		return;
+	b = downstream_new(d->p, false);
+	b->is_behind = true;
+	b->conn = ht_conn_branch(c, &b->owner);
+	ht_conn_set_link(b->conn, d->p->link);
+	ht_conn_set_account(b->conn, d->p->memory);
+	ht_conn_read_next(b->conn);
+}
+
+static void on_first(struct ht_conn_owner *o, struct ht_conn *c)
+{
+	struct px_downstream *d = (struct px_downstream *)o;
+	ba_time now = ba_loop_now(d->p->loop);
+
+	d->is_behind = false;
+	if (d->waits) {
+		d->waits = false;
+		px_exchange_begin(d);
+	} else if (!d->exchange) {
+		ht_conn_set_deadline(c,
+				     now + (d->in_request ? header_timeout(d->p)
+							  : idle_timeout(d)));
+	}
+}
+
+/*
+ * Only what may run again lets others begin: if its answer is cut off, theirs
+ * are lost too.  An answer that is sent on in pieces could be.
+ */
+static bool lets_others_begin(const struct px_downstream *d)
+{
+	const struct ht_head *h = ht_conn_head(d->conn);
+	struct px_exchange *x = d->exchange;
+
+	return x && x->idempotent && !d->from_peer && !d->p->stopping &&
+	       h->minor >= 1 && !h->connection_close && !x->answering &&
+	       ht_conn_count_front(d->conn) < PX_REQUESTS_BEHIND_LIMIT &&
+	       px_exchange_expected_bytes(x) < PX_ANSWER_BUFFER_BYTES;
 }
 
 /* Resumes reading the answer once the caller has taken what was written. */
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -12,7 +12,8 @@
 static void begin_from_caller(struct px_exchange *x);
 static void refuse_unknown(struct px_exchange *x, int status, int code);
 static void hold_or_refuse(struct px_exchange *x, int code);
-static const struct cf_route *find_route(const struct px_exchange *x);
+static const struct cf_route *find_route(const struct cf_snapshot *s,
+					 const struct ht_head *h);
 static void apply_route(struct px_exchange *x, const struct cf_route *r);
 static void earn_retries(struct px_retry_budget *b);
 static void *find_or_add(GHashTable *table, const char *name, size_t size);
@@ -48,6 +49,22 @@
 		begin_from_caller(x);
 }
 
+/*
+ * What must not run twice waits, as the connection may be closed before it is
+ * answered; the caller then takes it for not read and sends it again.
+ */
+bool px_exchange_may_begin_behind(const struct px_downstream *d)
+{
+	const struct ht_head *h = ht_conn_head(d->conn);
+	const struct cf_route *r;
+
+	if (!d->p->snapshot ||
+	    (strcmp(h->method, "GET") != 0 && strcmp(h->method, "HEAD") != 0))
+		return false;
+	r = find_route(d->p->snapshot, h);
+	return r && (r->idempotent || r->download);
+}
+
 /* A request may be held again, so those to try are marked first. */
 void px_exchange_resume(struct px *p, enum px_attempt_state state)
 {
@@ -366,7 +383,7 @@
 	x->team_name = NULL;
 	cf_snapshot_unref(x->snapshot);
 	x->snapshot = cf_snapshot_ref(p->snapshot);
-	r = find_route(x);
+	r = find_route(x->snapshot, ht_conn_head(x->downstream->conn));
 	if (!r) {
 		refuse_unknown(x, 404, CL_NO_ROUTE);
 		return;
@@ -411,17 +428,16 @@
 	ba_loop_arm(p->loop, &x->timer, until);
 }
 
-static const struct cf_route *find_route(const struct px_exchange *x)
+static const struct cf_route *find_route(const struct cf_snapshot *s,
+					 const struct ht_head *h)
 {
-	const struct ht_head *h = ht_conn_head(x->downstream->conn);
 	const char *target = ht_head_target(h);
 	const char *host = ht_head_get(h, "Host");
 	char *name = host ? g_ascii_strdown(host, -1) : g_strdup("");
 	const struct cf_route *r;
 
 	name[strcspn(name, ":")] = '\0';
-	r = cf_route_match(x->snapshot, name, h->method, target,
-			   strcspn(target, "?#"));
+	r = cf_route_match(s, name, h->method, target, strcspn(target, "?#"));
 	g_free(name);
 	return r;
 }
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -53,7 +53,8 @@
 	PX_PEER_POOL_MAX_IDLE = 64,	      /* idle connections to a proxy */
 	PX_MAX_ENDPOINTS_TRIED = 3,	      /* for one request */
 	PX_DEFAULT_ATTEMPTS = 2,
-	PX_FOREIGN_ANSWERS_LIMIT = 4,		 /* skipped before the answer */
+	PX_REQUESTS_BEHIND_LIMIT = 7, /* in progress behind the first */
+	PX_FOREIGN_ANSWERS_LIMIT = 4, /* skipped before the answer */
 	PX_CONTROL_BODY_LIMIT_BYTES = 64 * 1024, /* of control calls */
 	PX_MAX_PAUSED = 64, /* bodies that wait for memory */
 };
@@ -274,6 +275,8 @@
 
 /**
  * struct px_downstream - a connection of a caller or of another proxy
+ * @is_behind: answers to earlier requests of the caller go before
+ * @waits: the request has arrived, and begins when it is not behind any more
  * @in_request: a request has begun and its answer is not complete
  * @begun_at: when its first byte arrived
  * @body: body of the request, as far as it has arrived
@@ -291,6 +294,8 @@
 	struct px *p;
 	struct ht_conn *conn;
 	bool from_peer;
+	bool is_behind;
+	bool waits;
 	bool in_request;
 	ba_time begun_at;
 	struct ba_chain body;
@@ -431,6 +436,9 @@
 void px_downstream_note_answer(struct px_downstream *d,
 			       const struct px_exchange *x);
 
+/** px_downstream_closes() - whether the connection closes after the answer */
+bool px_downstream_closes(const struct px_downstream *d);
+
 /** px_downstream_abort() - cut off an answer that cannot be completed */
 void px_downstream_abort(struct px_downstream *d);
 
@@ -498,6 +506,12 @@
 /** px_exchange_begin() - start processing the complete request of @d */
 void px_exchange_begin(struct px_downstream *d);
 
+/**
+ * px_exchange_may_begin_behind() - whether the request of @d, which others of
+ * its caller precede, may begin before they are answered
+ */
+bool px_exchange_may_begin_behind(const struct px_downstream *d);
+
 /** px_exchange_expected_bytes() - estimate the size of the answer */
 double px_exchange_expected_bytes(struct px_exchange *x);
 
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -414,6 +414,121 @@
 	EXPECT_EQ(status(caller.read_message()), 200);
 }
 
+std::string pipelined(const std::string &method, const std::string &path,
+		      const std::string &id)
+{
+	return method + " " + path + " HTTP/1.1\r\nHost: a.example\r\n" +
+	       "X-Attempt-Id: " + id + "\r\nX-Deadline-Ms: 2000\r\n" +
+	       (method == "POST" ? "Content-Length: 0\r\n\r\n" : "\r\n");
+}
+
+std::string named_answer(const std::string &id)
+{
+	std::string a = answer(200, "of " + id);
+
+	return a.replace(a.find("X-Attempt-Id: 1"), 15, "X-Attempt-Id: " + id);
+}
+
+/*
+ * A request that waited until those before it on its connection were answered
+ * was late, or never read, though a backend server was free.
+ */
+TEST(PxPipeline, RequestsRunTogetherAndAreAnsweredInOrder)
+{
+	world w;
+	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+	std::vector<blocking_socket> servers;
+
+	w.send_heartbeat("i-1", "ready", 1, 5, 3);
+	caller.write(pipelined("GET", "/look/1", "1") +
+		     pipelined("GET", "/look/2", "2"));
+	servers.push_back(w.backend.accept_one());
+	servers.push_back(w.backend.accept_one());
+	caller.write(pipelined("GET", "/look/3", "3").substr(0, 30));
+	caller.write(pipelined("GET", "/look/3", "3").substr(30));
+	servers.push_back(w.backend.accept_one());
+	for (int i : {2, 1, 0}) {
+		EXPECT_TRUE(has(servers[i].read_message(),
+				"/look/" + std::to_string(i + 1)));
+		servers[i].write(named_answer(std::to_string(i + 1)));
+	}
+	for (const char *id : {"1", "2", "3"})
+		EXPECT_TRUE(
+			has(caller.read_message(), std::string("of ") + id));
+	/* The connection is as before. */
+	caller.write(pipelined("GET", "/look/4", "4") +
+		     pipelined("GET", "/none/", "5"));
+	EXPECT_TRUE(has(servers[0].read_message(), "/look/4"));
+	servers[0].write(named_answer("4"));
+	EXPECT_TRUE(has(caller.read_message(), "of 4"));
+	EXPECT_EQ(status(caller.read_message()), 404);
+}
+
+/* If the connection is closed, a request behind counts as not read. */
+TEST(PxPipeline, WhatMustNotRunTwiceWaits)
+{
+	world w;
+	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+
+	w.send_heartbeat("i-1", "ready", 1, 5, 3);
+	caller.write(pipelined("GET", "/look/", "1") +
+		     pipelined("POST", "/book/", "2") +
+		     pipelined("GET", "/look/", "3"));
+	for (const char *id : {"1", "2", "3"}) {
+		blocking_socket b = w.backend.accept_one();
+		struct pollfd p = {w.backend.fd, POLLIN, 0};
+
+		EXPECT_TRUE(has(b.read_message(),
+				std::string("X-Attempt-Id: ") + id));
+		EXPECT_EQ(poll(&p, 1, 50), 0) << id;
+		b.write(named_answer(id) + "x");
+		EXPECT_TRUE(
+			has(caller.read_message(), std::string("of ") + id));
+	}
+}
+
+/* Ends of the connection, while one request waits behind another. */
+TEST(PxPipeline, EndsTogether)
+{
+	static const char *const cases[] = {"caller leaves", "bad request",
+					    "caller closes after the last"};
+
+	for (const char *name : cases) {
+		world w;
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
+		bool leaves = name == cases[0];
+		std::string last = pipelined("GET", "/look/", "2");
+
+		SCOPED_TRACE(name);
+		w.send_heartbeat("i-1", "ready", 1, 5, 3);
+		if (name == cases[1])
+			last += "GET / HTTP/1x\r\n\r\n";
+		if (name == cases[2])
+			last.insert(last.size() - 2, "Connection: close\r\n");
+		caller.write(pipelined("GET", "/look/", "1") + last);
+		blocking_socket first = w.backend.accept_one();
+		blocking_socket second = w.backend.accept_one();
+
+		first.read_message();
+		second.read_message();
+		if (leaves) {
+			caller.end();
+			EXPECT_TRUE(first.is_closed_by_peer());
+			EXPECT_TRUE(second.is_closed_by_peer());
+			continue;
+		}
+		second.write(named_answer("2"));
+		first.write(named_answer("1"));
+		EXPECT_TRUE(has(caller.read_message(), "of 1"));
+		EXPECT_TRUE(has(caller.read_message(), "of 2"));
+		if (name == cases[1]) {
+			EXPECT_EQ(status(caller.read_message()), 400);
+		}
+		EXPECT_TRUE(caller.is_closed_by_peer());
+	}
+}
+
 /*
  * The time that an upload takes to arrive counts: a backend server was given the
  * whole time of the caller from the last byte on.
@@ -452,6 +567,48 @@
 	}
 }
 
+/*
+ * A caller sent four requests at once; the first takes 400 ms.  The next was
+ * given its whole time from then on, so that it ran after its caller had given
+ * up, and the third went to the backend server although its time had passed.
+ */
+TEST(PxTimeout, CountsWhileARequestWaitsBehindAnother)
+{
+	world w;
+	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+	const std::string name = "X-Deadline-Ms: ";
+	std::string requests;
+
+	w.send_heartbeat("i-1", "ready", 1);
+	for (const char *ms : {"2000", "1000", "200", "2000"})
+		requests += "POST /book/ HTTP/1.1\r\nHost: a.example\r\n"
+			    "X-Attempt-Id: 1\r\nContent-Length: 0\r\n" +
+			    name + ms + "\r\n\r\n";
+	caller.write(requests);
+	blocking_socket first = w.backend.accept_one();
+
+	first.read_message();
+	std::this_thread::sleep_for(std::chrono::milliseconds(400));
+	first.write(answer(200, "1"));
+	/* The first connection is not idle yet when the second is sent. */
+	blocking_socket second = w.backend.accept_one();
+	const struct {
+		blocking_socket *on;
+		int most_ms;
+	} cases[] = {{&second, 600}, {&first, 1600}};
+
+	for (const auto &c : cases) {
+		std::string got = c.on->read_message();
+		size_t at = got.find(name);
+
+		ASSERT_NE(at, std::string::npos) << got;
+		EXPECT_LE(std::stoi(got.substr(at + name.size())), c.most_ms);
+		c.on->write(answer(200, "1"));
+	}
+	for (int expected : {200, 200, 503, 200})
+		EXPECT_EQ(status(caller.read_message()), expected);
+}
+
 std::string large_bodies()
 {
 	return changed("\"max_body_bytes\":100000",
