proxy: requests of a full service are refused where they enter

Under more load than a service has room for, each request was offered to three endpoints. The refused offers filled the links of the instances, so that an offer took 300 to 430 ms to be read and what was served was late.

Each proxy now keeps what endpoints of a service accept and turn away within about a second. While they turn away what could have met its target, as many requests pass as are accepted and a fifth more, in time before late, then by priority; each rank passes a quarter as often as all, and calls of runs in progress always.

--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -181,6 +181,10 @@
 		{"quota-refused", BA_NOTICE,
 		 "Requests of a team were refused since the last such line "
 		 "about it, as there were no tokens."},
+	[CL_EV_SERVICE_FULL] =
+		{"service-full", BA_WARNING,
+		 "Requests were refused where they entered, as the endpoints of "
+		 "the service turn such requests away."},
 	[RT_EV_DAY_CLOSED] = {"day-closed", BA_NOTICE,
 			      "The figures of a day are complete."},
 	[RT_EV_FIGURES] = {"figures", BA_DEBUG,
--- a/base/ba_result.c
+++ b/base/ba_result.c
@@ -297,6 +297,11 @@
 		{"quota-exceeded",
 		 "The team of the request sends more than its limit, or its tokens could not be had in time; it was not run.",
 		 "Try again after the time in Retry-After.", 429, EXIT_FAILED},
+	[CL_SERVICE_FULL] =
+		{"service-full",
+		 "The service turns requests like this one away; it was not run.",
+		 "Send it again after the time that Retry-After names.", 503,
+		 EXIT_FAILED},
 	[RT_DAY_UNKNOWN] = {"day-unknown", "No figures are kept for that day.",
 			    "Choose a day that status lists.", 0, EXIT_FAILED},
 	[RT_SOURCE_UNREACHABLE] =
--- /dev/null
+++ b/call/cl_gate.h
@@ -0,0 +1,85 @@
+/*
+ * Admission where a request enters: refuses at once what the endpoints of its
+ * service would turn away.
+ *
+ * Load that it answers: more requests for a service than its endpoints have
+ * room for, over a second or longer.  Without it each request is offered to
+ * several endpoints, and the refused offers fill the links that the served ones
+ * need.
+ *
+ * Rules:
+ * - It refuses only while endpoints of the service turn requests away that
+ *   could have met their target.
+ * - What passes is at most %CL_GATE_EXCESS times what the endpoints accept, so
+ *   that more room is found at once.
+ * - Requests that have missed their target are refused first, then those of
+ *   the lowest priority.  Each rank passes a quarter as often as all.
+ * - Instances need no messages for it: all of them see the refusals of the same
+ *   endpoints, within %CL_GATE_MEMORY.
+ */
+#ifndef CL_GATE_H
+#define CL_GATE_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/ba_clock.h"
+
+#ifdef __cplusplus
+extern "C" {
+#endif
+
+/* The time after which a request counts 1/e. */
+#define CL_GATE_MEMORY (1 * BA_SECOND)
+
+#define CL_GATE_EXCESS 1.2
+
+enum {
+	CL_GATE_RANKS = 16,
+	CL_GATE_SLACK = 2, /* requests that pass beyond that */
+};
+
+/**
+ * struct cl_gate_rank - requests of one rank
+ * @late: they have missed their target
+ * @priority: 0 is the highest
+ * @asked: how many entered lately
+ */
+struct cl_gate_rank {
+	bool late;
+	uint32_t priority;
+	double asked;
+};
+
+/**
+ * struct cl_gate - what is known of one service; zero it first
+ * @accepted: requests that an endpoint accepted lately
+ * @refused: requests that could have met their target and were turned away
+ * @ranks: those that entered, in the order in which they pass
+ */
+struct cl_gate {
+	double accepted;
+	double refused;
+	struct cl_gate_rank ranks[CL_GATE_RANKS];
+	unsigned int n_ranks;
+	ba_time at;
+};
+
+/**
+ * cl_gate_admit() - whether a request that enters is offered to endpoints
+ * @late: it has missed its target
+ * @draw: random number from 0 to 1
+ */
+bool cl_gate_admit(struct cl_gate *g, bool late, uint32_t priority, double draw,
+		   ba_time now);
+
+/** cl_gate_accepted() - an endpoint accepted a request that was offered */
+void cl_gate_accepted(struct cl_gate *g, ba_time now);
+
+/** cl_gate_refused() - endpoints turned a request away that was not late */
+void cl_gate_refused(struct cl_gate *g, ba_time now);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- a/proxy/px.c
+++ b/proxy/px.c
@@ -44,6 +44,8 @@
 	ba_list_init(&p->notices);
 	px_crowd_init(p);
 	p->router = cl_router_new(&router);
+	p->gates =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->retry_budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	p->splits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -153,6 +155,7 @@
 	px_quota_free(p);
 	px_rollout_free(p);
 	g_hash_table_destroy(p->peer_pools);
+	g_hash_table_destroy(p->gates);
 	g_hash_table_destroy(p->splits);
 	cl_sched_free(p->backend.sched);
 	cl_stated_free(p->stated);
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -399,6 +399,10 @@
 	if (!px_quota_admits(x))
 		return;
 	ba_loop_arm(p->loop, &x->timer, x->deadline);
+	if (!px_gate_admits(x)) {
+		answer_error(x, 503, CL_SERVICE_FULL);
+		return;
+	}
 	px_exchange_attempt(x);
 }
 
@@ -465,6 +469,8 @@
 	x->route_deadline = x->arrived_at + timeout;
 	x->deadline = MIN(x->route_deadline, x->caller_deadline);
 	x->latency_target = x->deadline;
+	x->may_return =
+		!r->latency_target || r->latency_target > PX_RETRY_AFTER_MIN;
 	elapsed = time_known ? cl_patience_spent(patience, time_left) : 0;
 	if (r->latency_target &&
 	    r->latency_target < x->deadline - x->arrived_at)
@@ -610,6 +616,7 @@
 			     late ? CL_DEADLINE_PASSED : CL_MAY_HAVE_RUN);
 		return;
 	}
+	px_gate_on_refused(x, code);
 	/* Another proxy may name a code that says less than its refusal. */
 	if (cl_outcome_of(code) != CL_OUT_NOT_RUN)
 		code = CL_DEADLINE_EXPIRED;
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -7,6 +7,7 @@
  *   px_exchange.c    life of one request: route, attempts, retries, answer
  *   px_upstream.c    upstream connection of an attempt, and its answer
  *   px_backend.c     local backend server: admission, queueing, heartbeats
+ *   px_gate.c        refusal where a request enters a service that is full
  *   px_poison.c      requests that crash backend servers
  *   px_team.c        teams of callers: keys and priority
  *   px_limit.c       limit and departure that the backend server states
@@ -26,6 +27,7 @@
 #include "call/cl_admit.h"
 #include "call/cl_crash.h"
 #include "call/cl_egress.h"
+#include "call/cl_gate.h"
 #include "call/cl_limit.h"
 #include "call/cl_overrun.h"
 #include "call/cl_pace.h"
@@ -218,6 +220,7 @@
 /**
  * struct px - one proxy
  * @retry_budgets: struct px_retry_budget by service
+ * @gates: struct px_gate by service
  * @splits: struct cl_split by route
  * @patience: struct cl_patience by route
  * @sizes: of answers
@@ -257,6 +260,7 @@
 	bool refuses_requests;
 	bool begins_nothing;
 	GHashTable *retry_budgets;
+	GHashTable *gates;
 	GHashTable *splits;
 	GHashTable *patience;
 	struct cl_sizes *sizes;
@@ -336,6 +340,9 @@
  * @idempotent: may run more than once
  * @runs: number of backend servers that may have begun to work on it
  * @max_runs: limit of @runs
+ * @may_return: its caller can be refused and be back before the target
+ * @gated: the gate of its service has let it pass
+ * @entered_late: it had missed its target before
  * @tried: endpoints that it was sent to
  * @last_try: no further proxy is tried if this attempt fails
  * @quota_until: until when it waits for a token of its team, 0 before it asked
@@ -385,6 +392,9 @@
 	bool idempotent;
 	unsigned int runs;
 	unsigned int max_runs;
+	bool may_return;
+	bool gated;
+	bool entered_late;
 	uint64_t tried[PX_MAX_ENDPOINTS_TRIED];
 	size_t n_tried;
 	bool last_try;
@@ -635,6 +645,19 @@
  */
 bool px_team_hides(const struct px_exchange *x, const char *field);
 
+/**
+ * px_gate_admits() - whether a request that enters is offered to endpoints
+ *
+ * Its route, service, priority and target must be set.
+ */
+bool px_gate_admits(struct px_exchange *x);
+
+/** px_gate_on_accepted() - an endpoint has run the request */
+void px_gate_on_accepted(struct px_exchange *x);
+
+/** px_gate_on_refused() - it was offered, and is refused for @code */
+void px_gate_on_refused(struct px_exchange *x, int code);
+
 /** px_poison_init() - know nothing of any request */
 void px_poison_init(struct px *p);
 
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -536,6 +536,7 @@
 	px_exchange_end_attempt(x, x->status >= 500 ? CL_ATTEMPT_ERROR_ANSWER
 						    : CL_ATTEMPT_ANSWERED);
 	px_exchange_record_answer(x);
+	px_gate_on_accepted(x);
 	px_downstream_note_answer(d, x);
 	px_exchange_free(x);
 	if (!framed)
--- a/report/rt.c
+++ b/report/rt.c
@@ -71,6 +71,7 @@
 	[RT_TEAM_KEYS_MISSING] = "team_keys_missing",
 	[RT_TEAM_KEYS_UNKNOWN] = "team_keys_unknown",
 	[RT_QUOTA_REFUSED] = "quota_refused",
+	[RT_REFUSED_AT_ENTRY] = "refused_at_entry",
 };
 
 static const char *const gauge_names[] = {
