proxy: a request refused at the gate returns in time for its target

It was told to come back after 200 to 500 ms, when most have missed their target, and then had to wait like those that had not been refused.

--- a/call/cl_gate.c
+++ b/call/cl_gate.c
@@ -9,15 +9,19 @@
 /* How often each rank passes at least, against all requests. */
 #define LEAST_SHARE 0.25
 
+/* When a refused request returns, as shares of the time to its target. */
+#define EARLIEST_RETURN 0.2
+#define LATEST_RETURN 0.5
+
 static void forget(struct cl_gate *g, ba_time now);
-static struct cl_gate_rank *find_rank(struct cl_gate *g, bool late,
+static struct cl_gate_rank *find_rank(struct cl_gate *g, enum cl_gate_turn turn,
 				      uint32_t priority);
 static bool precedes(const struct cl_gate_rank *a,
 		     const struct cl_gate_rank *b);
 static bool is_overloaded(const struct cl_gate *g);
 
-bool cl_gate_admit(struct cl_gate *g, bool late, uint32_t priority, double draw,
-		   ba_time now)
+bool cl_gate_admit(struct cl_gate *g, enum cl_gate_turn turn, uint32_t priority,
+		   double draw, ba_time now)
 {
 	double before = 0;
 	double all = 0;
@@ -26,7 +30,7 @@
 	double share;
 
 	forget(g, now);
-	own = find_rank(g, late, priority);
+	own = find_rank(g, turn, priority);
 	own->asked++;
 	if (!is_overloaded(g))
 		return true;
@@ -40,6 +44,13 @@
 	return draw < fmax(share, LEAST_SHARE * room / all);
 }
 
+ba_time cl_gate_retry_after(ba_time target_left, double draw)
+{
+	return (ba_time)((double)target_left *
+			 (EARLIEST_RETURN +
+			  draw * (LATEST_RETURN - EARLIEST_RETURN)));
+}
+
 void cl_gate_accepted(struct cl_gate *g, ba_time now)
 {
 	forget(g, now);
@@ -64,10 +75,10 @@
 }
 
 /* With more ranks than are kept, the last one stands for all that follow. */
-static struct cl_gate_rank *find_rank(struct cl_gate *g, bool late,
+static struct cl_gate_rank *find_rank(struct cl_gate *g, enum cl_gate_turn turn,
 				      uint32_t priority)
 {
-	const struct cl_gate_rank rank = {.late = late, .priority = priority};
+	const struct cl_gate_rank rank = {.turn = turn, .priority = priority};
 	unsigned int i = 0;
 
 	while (i < g->n_ranks && precedes(&g->ranks[i], &rank))
@@ -84,9 +95,11 @@
 
 static bool precedes(const struct cl_gate_rank *a, const struct cl_gate_rank *b)
 {
-	if (a->late != b->late)
-		return b->late;
-	return a->priority < b->priority;
+	if ((a->turn == CL_GATE_LATE) != (b->turn == CL_GATE_LATE))
+		return b->turn == CL_GATE_LATE;
+	if (a->priority != b->priority)
+		return a->priority < b->priority;
+	return a->turn < b->turn;
 }
 
 static bool is_overloaded(const struct cl_gate *g)
--- a/call/cl_gate.h
+++ b/call/cl_gate.h
@@ -13,7 +13,8 @@
  * - What passes is at most %CL_GATE_EXCESS times what the endpoints accept, so
  *   that more room is found at once.
  * - Requests that have missed their target are refused first, then those of
- *   the lowest priority.  Each rank passes a quarter as often as all.
+ *   the lowest priority, then those that were not refused before.  Each rank
+ *   passes a quarter as often as all.
  * - Instances need no messages for it: all of them see the refusals of the same
  *   endpoints, within %CL_GATE_MEMORY.
  */
@@ -34,6 +35,13 @@
 
 #define CL_GATE_EXCESS 1.2
 
+/** enum cl_gate_turn - what a request has behind it, in order of passing */
+enum cl_gate_turn {
+	CL_GATE_RETURNED, /* it was refused before and can meet its target */
+	CL_GATE_FRESH,
+	CL_GATE_LATE, /* it has missed its target */
+};
+
 enum {
 	CL_GATE_RANKS = 16,
 	CL_GATE_SLACK = 2, /* requests that pass beyond that */
@@ -41,12 +49,12 @@
 
 /**
  * struct cl_gate_rank - requests of one rank
- * @late: they have missed their target
+ * @turn: LATE goes after all others, whatever its priority
  * @priority: 0 is the highest
  * @asked: how many entered lately
  */
 struct cl_gate_rank {
-	bool late;
+	enum cl_gate_turn turn;
 	uint32_t priority;
 	double asked;
 };
@@ -67,11 +75,22 @@
 
 /**
  * cl_gate_admit() - whether a request that enters is offered to endpoints
- * @late: it has missed its target
  * @draw: random number from 0 to 1
  */
-bool cl_gate_admit(struct cl_gate *g, bool late, uint32_t priority, double draw,
-		   ba_time now);
+bool cl_gate_admit(struct cl_gate *g, enum cl_gate_turn turn, uint32_t priority,
+		   double draw, ba_time now);
+
+/**
+ * cl_gate_retry_after() - when a refused request that is not late is to return
+ * @target_left: time until its target
+ * @draw: random number from 0 to 1
+ *
+ * Spreads the returns over the time in which half of @target_left or more is
+ * left, so that those that return can be served in time.
+ *
+ * Return: a duration.
+ */
+ba_time cl_gate_retry_after(ba_time target_left, double draw);
 
 /** cl_gate_accepted() - an endpoint accepted a request that was offered */
 void cl_gate_accepted(struct cl_gate *g, ba_time now);
--- a/proxy/px_compose.c
+++ b/proxy/px_compose.c
@@ -227,10 +227,15 @@
  */
 static ba_time retry_after(struct px_exchange *x, int code)
 {
+	ba_time now = ba_loop_now(x->p->loop);
 	ba_time min = code == CL_NOT_CONFIGURED ? PX_RETRY_AFTER_NOT_CONFIGURED
 		      : code == CL_REQUEST_CRASHES ? PX_RETRY_AFTER_CONVICTED
 						   : PX_RETRY_AFTER_MIN;
 
+	if (code == CL_SERVICE_FULL && x->latency_target > now)
+		return cl_gate_retry_after(
+			x->latency_target - now,
+			(double)ba_rand_below(&x->p->rand, 1000) / 1000);
 	if (code == CL_QUOTA_EXCEEDED)
 		min = px_quota_retry_after(x);
 	else if (x->service)
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -472,6 +472,7 @@
 	x->may_return =
 		!r->latency_target || r->latency_target > PX_RETRY_AFTER_MIN;
 	elapsed = time_known ? cl_patience_spent(patience, time_left) : 0;
+	x->returned = elapsed > 0;
 	if (r->latency_target &&
 	    r->latency_target < x->deadline - x->arrived_at)
 		x->latency_target = x->arrived_at + r->latency_target - elapsed;
--- a/proxy/px_gate.c
+++ b/proxy/px_gate.c
@@ -42,8 +42,11 @@
 		return true;
 	g = find_gate(x);
 	x->entered_late = now >= x->latency_target;
-	x->gated = cl_gate_admit(&g->gate, x->entered_late, x->priority, draw,
-				 now);
+	x->gated = cl_gate_admit(&g->gate,
+				 x->entered_late ? CL_GATE_LATE
+				 : x->returned	 ? CL_GATE_RETURNED
+						 : CL_GATE_FRESH,
+				 x->priority, draw, now);
 	if (!x->gated)
 		log_refusal(x, g, now);
 	return x->gated;
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -341,6 +341,7 @@
  * @runs: number of backend servers that may have begun to work on it
  * @max_runs: limit of @runs
  * @may_return: its caller can be refused and be back before the target
+ * @returned: its caller has less time left than others: a later attempt
  * @gated: the gate of its service has let it pass
  * @entered_late: it had missed its target before
  * @tried: endpoints that it was sent to
@@ -393,6 +394,7 @@
 	unsigned int runs;
 	unsigned int max_runs;
 	bool may_return;
+	bool returned;
 	bool gated;
 	bool entered_late;
 	uint64_t tried[PX_MAX_ENDPOINTS_TRIED];
--- a/test/load_replay.h
+++ b/test/load_replay.h
@@ -116,10 +116,14 @@
 	{
 		struct cl_gate *g = &gates[(size_t)r->entry];
 
+		enum cl_gate_turn turn = now >= r->target ? CL_GATE_LATE
+					 : now > r->first ? CL_GATE_RETURNED
+							  : CL_GATE_FRESH;
+
 		r->late = now >= r->target;
 		r->tries = 0;
 		if (s.gated &&
-		    !cl_gate_admit(g, r->late, r->k->priority, draw(), now))
+		    !cl_gate_admit(g, turn, r->k->priority, draw(), now))
 			refuse(r);
 		else
 			offer(r);
@@ -212,10 +216,12 @@
 
 	void refuse(request *r)
 	{
-		ba_time wait = r->k->at_once
-				       ? 10 * BA_MS
-				       : between(200 * BA_MS, 500 * BA_MS);
+		ba_time wait = between(200 * BA_MS, 500 * BA_MS);
 
+		if (s.gated && !r->late && !r->tries)
+			wait = cl_gate_retry_after(r->target - now, draw());
+		if (r->k->at_once)
+			wait = 10 * BA_MS;
 		if (r->retries-- > 0 && now + wait < r->deadline) {
 			after(wait, [this, r] { enter(r); });
 			return;
