--- a/test/cases/crowds.sh
+++ b/test/cases/crowds.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Crowds of connections whose bodies or heads never end, on all ports that others reach: no process ends, each stays within the
-# memory and the descriptors that it is told to use, and callers get answers
-# afterwards.  A single body of the largest size is served.
+# Crowds of connections whose bodies or heads never end, on all ports that others
+# reach: no process ends, each stays within the memory and the descriptors that it
+# is told to use, and callers get answers afterwards.  A single body of the largest size is served.
 #
 # usage: test/cases/crowds.sh BUILD
 
