lint: what the analyzer reports of the merged parts

A choice without an endpoint is never free, and no connection is NULL; both are said now. In ht_service the report is false: a connection that was refused is unlinked before it is freed.

--- a/call/cl_route_place.c
+++ b/call/cl_route_place.c
@@ -79,7 +79,8 @@
 		if (is_enough(h, best))
 			return;
 		/* The two drawn are slow, but others nearby may not be. */
-		if (best->is_free && best->endpoint->tier == (enum cl_tier)t &&
+		if (best->endpoint && best->is_free &&
+		    best->endpoint->tier == (enum cl_tier)t &&
 		    draws[t].free.least < best->total) {
 			best->endpoint = draws[t].free.quickest;
 			best->total = draws[t].free.least;
@@ -148,7 +149,7 @@
 {
 	double usual;
 
-	if (!c->is_free || !h->q->target)
+	if (!c->endpoint || !c->is_free || !h->q->target)
 		return false;
 	usual = c->endpoint->service->hold;
 	return (double)h->now + IN_TIME_MARGIN * c->total <=
--- a/http/ht_service.c
+++ b/http/ht_service.c
@@ -235,6 +235,8 @@
 		{
 			struct service_conn *other =
 				ba_entry(pos, struct service_conn, link);
+			/* Those that were refused are no longer in the list. */
+			/* NOLINTNEXTLINE(clang-analyzer-unix.Malloc) */
 			double weight = ba_hold_weight(other->charge.bytes,
 						       ba_loop_now(s->loop) -
 							       other->moved_at);
--- a/proxy/px_crowd.c
+++ b/proxy/px_crowd.c
@@ -213,8 +213,10 @@
 	{
 		struct px_downstream *d =
 			ba_entry(pos, struct px_downstream, link);
-		double weight = d == except ? 0 : weight_of(d, now);
+		double weight = weight_of(d, now);
 
+		if (except && d == except)
+			continue;
 		if (weight > most) {
 			worst = d;
 			most = weight;
