--- a/test/rollout_test.cc
+++ b/test/rollout_test.cc
@@ -429,6 +429,22 @@
 	EXPECT_EQ(w.current()->n_services, 1U);
 }
 
+/* A step passes the other parts on, with the keys that only the log holds. */
+TEST(Rollout, StepsKeepTeams)
+{
+	const std::string text = std::string(SERVICES) +
+				 "[[teams]]\nname = \"x\"\nkeys = [\"k-1\"]\n";
+	Machine w;
+
+	ASSERT_EQ(w.configure(text, 0), BA_OK);
+	ASSERT_EQ(w.order("plans", "v2", BA_SECOND, 0), BA_OK);
+	w.step(w.rollout()->order, 50, 100, CF_ROLLOUT_RUNNING);
+	w.restart();
+	ASSERT_EQ(w.current()->n_teams, 1U);
+	ASSERT_TRUE(w.current()->teams[0].key_texts);
+	EXPECT_STREQ(w.current()->teams[0].key_texts[0], "k-1");
+}
+
 TEST(Rollout, DeltaCarriesIt)
 {
 	Machine w;
