test: the sources of the stop tests have a grace time

RpSource.StopDeliversAReadThatIsTakenSlowly failed since the time for operators is a share of the grace time, which this test left at 0 and the programs set to 6 s; it was 4 s before, as it is now.

--- a/test/source_test.cc
+++ b/test/source_test.cc
@@ -66,6 +66,7 @@
 		st->common.instance_name = (char *)r->name.c_str();
 		st->address = addresses[i];
 		st->data_folder = (char *)r->folder.c_str();
+		st->grace_time = 6 * BA_SECOND;
 		st->operators_folder = (char *)operators_folder.c_str();
 		st->names = {name_list.data(), name_list.size()};
 		st->addresses = {addresses.data(), addresses.size()};
