proxy: room for a connection is not made behind requests in progress

What waits behind a request on the same connection has no descriptor of its own: to close it freed none, and ended the connection after the answers in front. Found by reading; no run showed it.

--- a/proxy/px_crowd.c
+++ b/proxy/px_crowd.c
@@ -143,7 +143,7 @@
 			ba_entry(pos, struct px_downstream, link);
 
 		if (d->from_peer == from_peer && !d->in_request &&
-		    !ht_conn_out(d->conn)->len)
+		    !d->is_behind && !ht_conn_out(d->conn)->len)
 			return d;
 	}
 	return NULL;
@@ -160,7 +160,8 @@
 			ba_entry(pos, struct px_downstream, link);
 
 		if (d->from_peer == from_peer && !d->exchange &&
-		    d->in_request && now - d->moved_at >= BA_HOLD_QUIET_TIME)
+		    !d->is_behind && d->in_request &&
+		    now - d->moved_at >= BA_HOLD_QUIET_TIME)
 			return d;
 	}
 	return NULL;
