proxy: a request that is refused at the gate leaves its token

The gate is asked after the quota, so that what is over a limit does not count as load. A request that it refuses had used a token of its team, and one more when it came back: a team below its limit could be refused for requests that never ran. ClQuota.TokenThatIsPutBackIsTakenOnceMore is new.

--- a/call/cl_quota.c
+++ b/call/cl_quota.c
@@ -185,6 +185,26 @@
 	return CL_QUOTA_WAIT;
 }
 
+/* The token never gets more time than it had: it joins those that end first. */
+void cl_quota_put_back(struct cl_quota *q, uint64_t team, ba_time now)
+{
+	struct team *t = g_hash_table_lookup(q->teams, &team);
+	struct grant *first = NULL;
+
+	if (!t)
+		return;
+	for (size_t i = 0; i < GRANTS; i++) {
+		struct grant *g = &t->grants[i];
+
+		if (now < g->until && (!first || g->until < first->until))
+			first = g;
+	}
+	if (first)
+		first->tokens++;
+	else if (now >= q->lent_until && t->own_period == q->own_period)
+		t->own += 1;
+}
+
 /*
  * While a part of the requests is admitted, a later one has that chance.  A
  * relay that does not answer is left by the time at which the loan ends.
--- a/call/cl_quota.h
+++ b/call/cl_quota.h
@@ -135,6 +135,12 @@
 enum cl_quota_verdict cl_quota_take(struct cl_quota *q, uint64_t team,
 				    bool first, ba_time now);
 
+/**
+ * cl_quota_put_back() - give back the token that was taken at @now, as the
+ * request is not sent
+ */
+void cl_quota_put_back(struct cl_quota *q, uint64_t team, ba_time now);
+
 /**
  * cl_quota_retry_after() - time after which a request that was refused now may
  * be admitted
--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -366,6 +366,7 @@
 {
 	struct px *p = x->p;
 	const struct cf_route *r;
+	bool had_token;
 	int code;
 
 	if (p->refuses_requests || p->begins_nothing) {
@@ -396,10 +397,13 @@
 	apply_route(x, r);
 	x->digest = px_poison_digest(ht_conn_head(x->downstream->conn),
 				     x->caller, &x->downstream->body);
+	had_token = x->quota_taken;
 	if (!px_quota_admits(x))
 		return;
 	ba_loop_arm(p->loop, &x->timer, x->deadline);
 	if (!px_gate_admits(x)) {
+		if (!had_token)
+			px_quota_put_back(x);
 		answer_error(x, 503, CL_SERVICE_FULL);
 		return;
 	}
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -724,6 +724,9 @@
  */
 bool px_quota_admits(struct px_exchange *x);
 
+/** px_quota_put_back() - give back the token just taken: @x is not sent */
+void px_quota_put_back(struct px_exchange *x);
+
 /** px_quota_refuse() - refuse a request that has waited in vain */
 void px_quota_refuse(struct px_exchange *x);
 
--- a/proxy/px_quota.c
+++ b/proxy/px_quota.c
@@ -115,6 +115,15 @@
 	return false;
 }
 
+void px_quota_put_back(struct px_exchange *x)
+{
+	if (!x->quota_taken)
+		return;
+	cl_quota_put_back(x->p->quota.tokens, cl_quota_team(x->team->name),
+			  ba_clock_now());
+	x->quota_taken = false;
+}
+
 void px_quota_refuse(struct px_exchange *x)
 {
 	note_refusal(x);
--- a/test/cl_quota_test.cc
+++ b/test/cl_quota_test.cc
@@ -567,6 +567,40 @@
 		EXPECT_LE(w.worst_excess(t, lower[t]), 0) << "team " << t;
 }
 
+/* A request that is refused after it took its token leaves it to the next. */
+TEST(ClQuota, TokenThatIsPutBackIsTakenOnceMore)
+{
+	const uint64_t team = cl_quota_team("a");
+	const cl_quota_limit limit = {team, 100, 100};
+	ba_time now = 10 * BA_SECOND;
+	cl_quota *q = cl_quota_new(now);
+	cl_quota_message m = {};
+	unsigned int granted, n = 0;
+
+	cl_quota_configure(q, &limit, 1, now);
+	cl_quota_connected(q, true, now);
+	EXPECT_EQ(cl_quota_take(q, team, true, now), CL_QUOTA_WAIT);
+	cl_quota_ask(q, &m, now);
+	ASSERT_EQ(m.n, 1u);
+	m.stamp = now;
+	m.instances = 1;
+	granted = m.amounts[0].tokens;
+	ASSERT_GT(granted, 0u);
+	ASSERT_TRUE(cl_quota_granted(q, &m, now));
+	while (n <= granted &&
+	       cl_quota_take(q, team, false, now) == CL_QUOTA_ADMIT)
+		n++;
+	EXPECT_EQ(n, granted);
+	cl_quota_put_back(q, team, now);
+	EXPECT_EQ(cl_quota_take(q, team, false, now), CL_QUOTA_ADMIT);
+	EXPECT_NE(cl_quota_take(q, team, false, now), CL_QUOTA_ADMIT);
+	cl_quota_put_back(q, team, now);
+	EXPECT_NE(cl_quota_take(q, team, false, now + BA_SECOND),
+		  CL_QUOTA_ADMIT)
+		<< "a token lasts no longer for being put back";
+	cl_quota_free(q);
+}
+
 /* The checks notice shares of too few instances. */
 TEST(ClQuota, TheCheckerDetectsSharesThatAreTooLarge)
 {
