--- a/proxy/px_gate.c
+++ b/proxy/px_gate.c
@@ -35,11 +35,12 @@
 bool px_gate_admits(struct px_exchange *x)
 {
 	ba_time now = ba_loop_now(x->p->loop);
-	double draw = (double)ba_rand_below(&x->p->rand, DRAWS) / DRAWS;
 	struct px_gate *g;
+	double draw;
 
 	if (!x->may_return || !is_link_slow(x->p))
 		return true;
+	draw = (double)ba_rand_below(&x->p->rand, DRAWS) / DRAWS;
 	g = find_gate(x);
 	x->entered_late = now >= x->latency_target;
 	x->gated = cl_gate_admit(&g->gate,
