--- a/call/cl_gate.c
+++ b/call/cl_gate.c
@@ -20,6 +20,11 @@
 		     const struct cl_gate_rank *b);
 static bool is_overloaded(const struct cl_gate *g);
 
+bool cl_gate_pays(int64_t link_rate)
+{
+	return link_rate > 0 && link_rate <= CL_GATE_LINK_RATE_MAX;
+}
+
 bool cl_gate_admit(struct cl_gate *g, enum cl_gate_turn turn, uint32_t priority,
 		   double draw, ba_time now)
 {
--- a/call/cl_gate.h
+++ b/call/cl_gate.h
@@ -35,6 +35,12 @@
 
 #define CL_GATE_EXCESS 1.2
 
+/*
+ * On a faster link, in bytes per second, offers that are refused take too little
+ * of it to delay the others, and the gate would only leave room unused.
+ */
+#define CL_GATE_LINK_RATE_MAX ((int64_t)(5 * 1000 * 1000 / 8))
+
 /** enum cl_gate_turn - what a request has behind it, in order of passing */
 enum cl_gate_turn {
 	CL_GATE_RETURNED, /* it was refused before and can meet its target */
@@ -73,6 +79,12 @@
 	ba_time at;
 };
 
+/**
+ * cl_gate_pays() - whether to refuse at the entry at all
+ * @link_rate: of the links of the instances in bytes per second, 0 if not known
+ */
+bool cl_gate_pays(int64_t link_rate);
+
 /**
  * cl_gate_admit() - whether a request that enters is offered to endpoints
  * @draw: random number from 0 to 1
--- a/proxy/px_gate.c
+++ b/proxy/px_gate.c
@@ -3,12 +3,6 @@
 #include "proxy/px_internal.h"
 #include "report/rt.h"
 
-/*
- * On a faster link, offers that are refused take too little of it to delay the
- * others, and the gate would only leave room unused.  In bytes per second.
- */
-#define SLOW_LINK_RATE (5.0e6 / 8)
-
 enum { DRAWS = 1 << 20 }; /* different random numbers */
 
 /* Time between two lines of the log about one service. */
@@ -25,7 +19,6 @@
 };
 
 static struct px_gate *find_gate(struct px_exchange *x);
-static bool is_link_slow(const struct px *p);
 static void log_refusal(struct px_exchange *x, struct px_gate *g, ba_time now);
 
 /*
@@ -38,7 +31,7 @@
 	struct px_gate *g;
 	double draw;
 
-	if (!x->may_return || !is_link_slow(x->p))
+	if (!x->may_return || !cl_gate_pays(x->p->o.link_rate))
 		return true;
 	draw = (double)ba_rand_below(&x->p->rand, DRAWS) / DRAWS;
 	g = find_gate(x);
@@ -79,11 +72,6 @@
 	return g;
 }
 
-static bool is_link_slow(const struct px *p)
-{
-	return p->o.link_rate && (double)p->o.link_rate <= SLOW_LINK_RATE;
-}
-
 static void log_refusal(struct px_exchange *x, struct px_gate *g, ba_time now)
 {
 	rt_count(RT_REFUSED_AT_ENTRY, 1);
--- a/test/cl_gate_test.cc
+++ b/test/cl_gate_test.cc
@@ -106,4 +106,19 @@
 	play({calm}, false);
 }
 
+TEST(ClGate, IsInForceOnlyWhereOffersTakeMuchOfALink)
+{
+	const struct {
+		int64_t bits_per_second;
+		bool pays;
+	} cases[] = {
+		{0, false},	  {2400000, true},  {5000000, true},
+		{5100000, false}, {7300000, false}, {1000000000, false},
+	};
+
+	for (const auto &c : cases)
+		EXPECT_EQ(cl_gate_pays(c.bits_per_second / 8), c.pays)
+			<< c.bits_per_second;
+}
+
 } // namespace
