--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -108,6 +108,9 @@
     , 0,NULL }
 
 
+/*
+ * Of a roll-out, delta is a CfRollout.
+ */
 struct  RpSubmission
 {
   ProtobufCMessage base;
@@ -120,7 +123,7 @@
    */
   uint64_t wall_us;
   /*
-   * CfDelta from the base version, or CfRollout, or
+   * CfDelta from the base version, or
    */
   ProtobufCBinaryData delta;
   /*
