--- a/review/lib-2/common.sh
+++ b/review/lib-2/common.sh
@@ -136,7 +136,8 @@
 
 # start_endpoint N SERVICE ID [VERSION]: an endpoint, which sends a ping each 1.5 s
 start_endpoint() {
-	"$stand" serve "$net.$((40 + $1)):8628" "$3" 20 "$record" \
+	"$stand" serve "$net.$((40 + $1)):8628" "$3" \
+		"${work_ms:-20}" "$record" \
 		"$work/endpoint-$1" X-Attempt-Id X-Response-Stamp \
 		X-Target-Instance X-Not-Executed Server-Leaving \
 		2>>"$work/stand.log" &
--- a/review/lib-2/stand.c
+++ b/review/lib-2/stand.c
@@ -6,17 +6,20 @@
  *        stand call HOST:PORT WAIT_MS METHOD PATH BODY [FIELD...]
  *        stand load HOST:PORT PER_SECOND MS RECORD METHOD PATH ID_FIELD NAME
  *                   FIELD...
+ *        stand leave HOST:PORT MS N METHOD PATH ID_FIELD NAME FIELD...
  *        stand serve HOST:PORT ID WORK_MS RECORD SWITCH ID_FIELD STAMP_FIELD
  *                    TARGET_FIELD NOT_RUN_FIELD LEAVING_FIELD
  *
  * call prints the status, a blank and the body, and follows two redirects;
  * status 0 means that no whole answer came.  load sends requests, each on a new
- * connection, and appends a line for each answer to RECORD.  serve appends a line
+ * connection, and appends a line for each answer to RECORD.  leave sends N
+ * requests at once on one connection, and closes it MS later.  serve appends a line
  * for each request that it runs; it states that it leaves while the file
  * SWITCH.leaves exists, and fails one request in six while SWITCH.fails exists.
  */
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <poll.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdbool.h>
@@ -266,6 +269,25 @@
 		perror("record");
 }
 
+/* Works until the connection is closed, and returns -1 if it was. */
+static int work(int fd, int work_ms)
+{
+	long long end = now_ms() + work_ms;
+	char byte;
+
+	while (now_ms() < end) {
+		struct pollfd p = {.fd = fd, .events = POLLIN};
+		int n = poll(&p, 1, (int)(end - now_ms()));
+
+		if (n <= 0)
+			return 0;
+		if (recv(fd, &byte, 1, MSG_PEEK) <= 0)
+			return -1;
+		sleep_ms(1);
+	}
+	return 0;
+}
+
 /* Returns -1 if the connection is to be closed. */
 static int answer(const struct conn *c, const struct message *m)
 {
@@ -292,7 +314,12 @@
 	}
 	add_record(s->record, "%lld %s runs %s%s: %.*s\n", now_ms(), s->id, id,
 		   fails ? " badly" : "", (int)strcspn(m->data, "\r"), m->data);
-	sleep_ms(s->work_ms);
+	if (work(c->fd, s->work_ms)) {
+		add_record(s->record, "%lld %s drops %s\n", now_ms(), s->id,
+			   id);
+		return -1;
+	}
+	add_record(s->record, "%lld %s ends %s\n", now_ms(), s->id, id);
 	snprintf(body, sizeof(body), "%s ran %s", s->id, id);
 	len = snprintf(out, sizeof(out),
 		       "HTTP/1.1 %s\r\n%s: %s\r\n%s: %s\r\n"
@@ -406,6 +433,35 @@
 	return 0;
 }
 
+/* @argv: from the address on */
+static int leave(int argc, char **argv)
+{
+	static struct message m;
+	long long wait_ms = strtoll(argv[1], NULL, 10);
+	int fd = connect_to(argv[0], LOAD_WAIT_MS);
+	long n_requests = strtol(argv[2], NULL, 10);
+
+	if (fd < 0)
+		return 2;
+	for (long n = 0; n < n_requests; n++) {
+		int len = snprintf(m.data, sizeof(m.data),
+				   "%s %s HTTP/1.1\r\n%s: %s-%ld\r\n", argv[3],
+				   argv[4], argv[5], argv[6], n);
+
+		for (int i = 7; i < argc; i++)
+			len += snprintf(m.data + len,
+					sizeof(m.data) - (size_t)len, "%s\r\n",
+					argv[i]);
+		len += snprintf(m.data + len, sizeof(m.data) - (size_t)len,
+				"\r\n");
+		if (send_all(fd, m.data, (size_t)len))
+			break;
+	}
+	sleep_ms(wait_ms);
+	close(fd);
+	return 0;
+}
+
 int main(int argc, char **argv)
 {
 	if (argc == 2 && !strcmp(argv[1], "now")) {
@@ -416,6 +472,8 @@
 		return call(argc, argv);
 	if (argc >= 10 && argc < 18 && !strcmp(argv[1], "load"))
 		return load(argc, argv);
+	if (argc >= 9 && !strcmp(argv[1], "leave"))
+		return leave(argc - 2, argv + 2);
 	if (argc == 12 && !strcmp(argv[1], "serve"))
 		return serve(argv);
 	fprintf(stderr, "usage: see the head of the source\n");
