--- a/review/lib-3/lib.sh
+++ b/review/lib-3/lib.sh
@@ -1,6 +1,6 @@
 # Functions of the scripts of this review, which are run in the folder of the
 # repository.  Each starts a small deployment of its own: three cores and two
-# proxies, each with a loopback address of its own and the ports of $ports.
+# proxies, unless the script names others, each with a loopback address of its own.
 
 work=$(mktemp -d)
 net=127.$((64 + $$ % 128)).$(($$ / 128 % 256))
@@ -8,7 +8,7 @@
 record=review/$case/record.txt
 pids=
 cores="1 2 3"
-sides="11 12"
+sides=${sides:-"11 12"}
 seeds="[\"$net.1:8620\", \"$net.2:8620\", \"$net.3:8620\"]"
 born=$(date +%s%3N)
 
@@ -65,8 +65,8 @@
 	sequence=$((${sequence:-0} + 1))
 	for i in $sides
 	do
-		printf '{"service":"svc","address":"%s","zone":"zone-a","version":"v1","slots":10,"state":"ready","cold_left":"0ms","sequence":%d,"born":%d}' \
-			"$net.$i:8628" $sequence "$born" |
+		printf '{"service":"%s","address":"%s","zone":"zone-a","version":"v1","slots":10,"state":"ready","cold_left":"0ms","sequence":%d,"born":%d}' \
+			"$(service_of "$i")" "$net.$i:8628" $sequence "$born" |
 			$stand_in call "$net.$i" 8620 POST "/v1/instances/i-$i/heartbeat" \
 				"Host: control" >/dev/null
 	done
@@ -94,6 +94,16 @@
 	return 1
 }
 
+# service_of HOST: print the service of an instance
+service_of() {
+	echo svc
+}
+
+# backend_options HOST: print further arguments of a backend server
+backend_options() {
+	:
+}
+
 # begin: check what is needed, start the deployment, with its backend servers
 begin() {
 	: >"$record"
@@ -108,8 +118,8 @@
 	done
 	for i in $sides
 	do
-		start proxy "$i" svc
-		$stand_in backend "$net.$i" 8628 "$work/backend-$i" &
+		start proxy "$i" "$(service_of "$i")"
+		$stand_in backend "$net.$i" 8628 "$work/backend-$i" $(backend_options "$i") &
 		pids="$pids $!"
 	done
 }
