--- a/review/lib-3/lib.sh
+++ b/review/lib-3/lib.sh
@@ -56,6 +56,11 @@
 # start PROGRAM HOST SERVICE: start an instance
 start() {
 	render "$1" "$2" "$3"
+	launch "$1" "$2"
+}
+
+# launch PROGRAM HOST: start an instance whose settings file has been written
+launch() {
 	"target/caraway-$1" --settings "$work/$1-$2.toml" >"$work/$1-$2.log" 2>&1 &
 	pids="$pids $!"
 }
