--- a/review/lib-3/lib.sh
+++ b/review/lib-3/lib.sh
@@ -46,7 +46,7 @@
 		-e "s|{{listen.ready}}|$net.$2:8625|; s|{{app_addr}}|$net.$2:8628|" \
 		-e "s|{{internal_ports.0}}|7600|; s|{{internal_ports.1}}|7601|" \
 		-e "s|{{data_dir}}|$work/data-$2|; s|{{service}}|$3|" \
-		-e "s|{{bounds.grace}}|6s|; s|{{limits.memory_mb}}|260|" \
+		-e "s|{{bounds.grace}}|${grace:-6s}|; s|{{limits.memory_mb}}|260|" \
 		-e "s|{{limits.max_fds}}|4100|; s|{{limits.link_mbps}}|1000.0|" \
 		-e "s|{{seeds.json}}|$seeds|; s|{{bootstrap.json}}|true|" \
 		-e "s|{{fault_tolerance.machines}}|1|" \
