--- a/review/lib-3/stand_in.c
+++ b/review/lib-3/stand_in.c
@@ -353,15 +353,13 @@
 	int len = 0;
 
 	for (int i = 0; i < n; i++)
-		len += snprintf(out + len, sizeof(out) - (size_t)len,
-				"GET /list/%u%s HTTP/1.1\r\nHost: %s\r\n"
-				PN_ATTEMPT_ID ": %s-%u\r\n"
-				PN_DEADLINE ": %d\r\n\r\n",
-				first + (unsigned int)i,
-				n > 1 && !(rand_r(&seed) % LONG_EVERY) ? "/long"
-								       : "",
-				args[3], args[2], first + (unsigned int)i,
-				DEADLINE_MS);
+		len += snprintf(
+			out + len, sizeof(out) - (size_t)len,
+			"GET /list/%u%s HTTP/1.1\r\nHost: %s\r\n" PN_ATTEMPT_ID
+			": %s-%u\r\n" PN_DEADLINE ": %d\r\n\r\n",
+			first + (unsigned int)i,
+			n > 1 && !(rand_r(&seed) % LONG_EVERY) ? "/long" : "",
+			args[3], args[2], first + (unsigned int)i, DEADLINE_MS);
 	n_sent += (unsigned int)n;
 	goes_on = send_all(r->fd, out, (size_t)len);
 	for (int i = 0; i < n; i++) {
