replica: the founders form a group by votes, whatever the order of the seeds

The replica with index 0 in its own settings formed the group, and asked for no votes. The index is a position in the list of one process.

Change: the founder whose name sorts first asks all founders that it lists for their votes and forms the group with all of them. A replica without a log votes once, for the first of its own list, and saves that before it answers. Two groups with a common founder would need two votes of it. Votes are asked for when the last founder is heard, not at the next probe.

--- a/replica/rp_codec.c
+++ b/replica/rp_codec.c
@@ -122,6 +122,7 @@
 	body.last_term = m->log_term;
 	body.pre = m->pre;
 	body.handover = m->handover;
+	body.forming = m->forming;
 	body.voter_disk = (char *)m->disk_id;
 	proto.body_case = RP_MESSAGE__BODY_VOTE_REQUEST;
 	proto.vote_request = &body;
@@ -275,6 +276,7 @@
 	m->log_term = body->last_term;
 	m->pre = body->pre;
 	m->handover = body->handover;
+	m->forming = body->forming;
 	return decode_disk_id(body->voter_disk, out);
 }
 
--- a/replica/rp_core.c
+++ b/replica/rp_core.c
@@ -107,8 +107,8 @@
  * In an open group the members in the log, the replica that got the vote and
  * the leader are peers too, as the settings need not list them: vote and leader
  * are stored by name, also for a replica that the settings no longer list.  The
- * last entry may have a newer term than the saved one: form_group() stores its
- * entry before it saves the term.
+ * last entry may have a newer term than the saved one in a folder of a release
+ * that stored the first entry before it saved the term.
  */
 static void restore_peers_and_vote(struct rp_core *c,
 				   const struct rp_recovered *r)
@@ -491,6 +491,8 @@
 	if (!rp_log_last(&c->log)) {
 		c->role = RP_UNFORMED;
 		c->leader = RP_NO_PEER;
+		for (int i = 0; i < c->n_peers; i++)
+			c->peers[i].granted = false;
 		c->probe_deadline = c->no_candidacy_until;
 	} else if (!stays_leader) {
 		rp_become_follower(c, c->term, RP_NO_PEER, e->code, now, out);
--- a/replica/rp_core.h
+++ b/replica/rp_core.h
@@ -13,6 +13,8 @@
  *   by answering heartbeats.  Followers grant no other replica a vote for
  *   longer than the lease lasts.  They may elect the same leader again at once,
  *   as a replica that asks for votes does not lead.
+ * - A group is formed by the votes of all its founders; a replica without a log
+ *   votes for one candidate only.
  * - Membership changes one member at a time.  A replica with a new disk, or
  *   with one that lost its content, votes only after it has caught up.
  * - The caller executes actions in order.  When a store action fails, it
@@ -100,6 +102,7 @@
  * @is_reply: a probe reply, not a probe
  * @damaged: in a probe or its reply, whether the sender lost synced entries
  * @handover: the vote request follows from %RP_HANDOVER
+ * @forming: the vote request is for forming the group
  * @index: last index of a candidate, previous index of an append, match
  *	index of its reply, index of a snapshot
  * @log_term: term of the entry at @index
@@ -124,6 +127,7 @@
 	bool is_reply;
 	bool damaged;
 	bool handover;
+	bool forming;
 	uint64_t index;
 	uint64_t log_term;
 	uint64_t commit;
@@ -202,16 +206,16 @@
 
 /**
  * struct rp_core_options - identity of the replica and its group
- * @names: names of all replicas, this one included, in the same order in the
- *	settings of every replica; borrowed, as is @addresses, for as long as
- *	the replica runs
+ * @names: names of all replicas, this one included, in any order; borrowed, as
+ *	is @addresses, for as long as the replica runs
  * @addresses: addresses for operators, in the order of @names
  * @self: index of this replica in @names
  * @open_group: the group is open: the settings do not list its members.  @names
  *	are only the replicas that are known at the start, rp_core_add_peer()
  *	adds others, and the leader keeps @voters of them voting
  * @n_founders: in an open group, the first @n_founders names form the group
- *	when none of them has a log; with 0 this replica only joins a group
+ *	when none of them has a log, if all of them agree; with 0 this replica
+ *	only joins a group
  * @voters: in an open group, the number of voting members to keep
  * @seed: seed of the generator of election deadlines
  */
--- a/replica/rp_elect.c
+++ b/replica/rp_elect.c
@@ -2,12 +2,8 @@
 
 #include "base/ba_result.h"
 #include "replica/rp_internal.h"
-#include "wire/rp.pb-c.h"
 
 static ba_time next_attempt(struct rp_core *c, ba_time now);
-static bool lost_its_disk(struct rp_core *c, int from,
-			  const struct rp_message *m);
-static void end_lease(struct rp_core *c, ba_time now);
 static void request_votes(struct rp_core *c, bool pre, bool handover,
 			  struct rp_actions *out);
 static void count_votes(struct rp_core *c, ba_time now, struct rp_actions *out);
@@ -16,10 +12,6 @@
 static bool has_leader(const struct rp_core *c, ba_time now);
 static bool may_vote_for(const struct rp_core *c, int from,
 			 const struct rp_message *m);
-static bool may_form(const struct rp_core *c);
-static int n_founders(const struct rp_core *c);
-static bool all_unformed(const struct rp_core *c, ba_time now);
-static void form_group(struct rp_core *c, ba_time now, struct rp_actions *out);
 
 /*
  * A pre-vote comes first, so that a replica that was partitioned does not
@@ -46,6 +38,10 @@
 	bool grant = may_elect && may_vote_for(c, from, m);
 	struct rp_message *reply;
 
+	if (m->forming) {
+		rp_on_form_request(c, from, m, out);
+		return;
+	}
 	if (grant && !m->pre) {
 		if (m->term > c->term) {
 			if (c->role == RP_UNFORMED)
@@ -71,7 +67,11 @@
 	enum rp_role wanted = m->pre ? RP_PRE_CANDIDATE : RP_CANDIDATE;
 	uint64_t term = m->pre ? c->term + 1 : c->term;
 
-	if (!m->granted && m->term > c->term && c->role != RP_UNFORMED) {
+	if (c->role == RP_UNFORMED) {
+		rp_on_form_reply(c, from, m, now, out);
+		return;
+	}
+	if (!m->granted && m->term > c->term) {
 		rp_become_follower(c, m->term, RP_NO_PEER, RP_TERM_OLD, now,
 				   out);
 		return;
@@ -93,50 +93,6 @@
 	become_candidate(c, true, now, out);
 }
 
-/*
- * Probes for an existing group.  The first replica of the settings, and no
- * other, forms one when there is none.
- */
-void rp_form_tick(struct rp_core *c, ba_time now, struct rp_actions *out)
-{
-	if (now < c->probe_deadline)
-		return;
-	c->probe_deadline = now + c->o.times.probe;
-	if (!c->self && may_form(c) && all_unformed(c, now)) {
-		form_group(c, now, out);
-		return;
-	}
-	for (int i = 0; i < c->n_peers; i++) {
-		if (i == c->self)
-			continue;
-		rp_send(c, out, i, RP_PROBE)->damaged = c->damaged;
-	}
-}
-
-void rp_on_probe(struct rp_core *c, int from, const struct rp_message *m,
-		 ba_time now, struct rp_actions *out)
-{
-	struct rp_peer *p = &c->peers[from];
-	struct rp_message *reply;
-
-	if (!m->is_reply && lost_its_disk(c, from, m))
-		end_lease(c, now);
-	p->unformed_at = m->formed ? 0 : now;
-	p->damaged = m->damaged;
-	if (strcmp(p->disk_id, m->disk_id)) {
-		p->match = 0;
-		p->next = rp_log_last(&c->log) + 1;
-		p->round = 0;
-	}
-	memcpy(p->disk_id, m->disk_id, sizeof(p->disk_id));
-	if (m->is_reply)
-		return;
-	reply = rp_send(c, out, from, RP_PROBE);
-	reply->is_reply = true;
-	reply->formed = c->role != RP_UNFORMED;
-	reply->damaged = c->damaged && c->role == RP_UNFORMED;
-}
-
 /*
  * After the start of all replicas a quorum is reachable a moment after the
  * first of them, so the pre-vote is tried again soon until there is a leader.
@@ -151,20 +107,8 @@
 	       (ba_time)ba_rand_below(&c->rand, (uint64_t)t->heartbeat);
 }
 
-/*
- * Whether the last leader asks for a group with another disk than the one that
- * it led with.  It has been started anew then, and does not lead.
- */
-static bool lost_its_disk(struct rp_core *c, int from,
-			  const struct rp_message *m)
-{
-	const struct rp_member *member = rp_member(c, from);
-
-	return from == c->lease_holder && c->role == RP_FOLLOWER && member &&
-	       strcmp(member->disk_id, m->disk_id) != 0;
-}
-
-static void end_lease(struct rp_core *c, ba_time now)
+/* The last leader has been started anew, and does not lead. */
+void rp_end_lease(struct rp_core *c, ba_time now)
 {
 	ba_time next = next_attempt(c, now);
 
@@ -248,48 +192,3 @@
 		return false;
 	return rp_is_log_up_to_date(c, m->index, m->log_term);
 }
-
-static bool may_form(const struct rp_core *c)
-{
-	return !c->damaged && (!c->o.open_group || c->o.n_founders);
-}
-
-/* All replicas in the settings, or in an open group only its founders. */
-static int n_founders(const struct rp_core *c)
-{
-	return c->o.open_group ? (int)c->o.n_founders : c->n_peers;
-}
-
-/* The report of a founder that it has no log counts for three probes. */
-static bool all_unformed(const struct rp_core *c, ba_time now)
-{
-	for (int i = 0; i < n_founders(c); i++) {
-		const struct rp_peer *p = &c->peers[i];
-
-		if (i == c->self)
-			continue;
-		if (!p->unformed_at || p->damaged ||
-		    now > p->unformed_at + 3 * c->o.times.probe)
-			return false;
-	}
-	return true;
-}
-
-/* The first entry names every disk; it is stored before the term is saved. */
-static void form_group(struct rp_core *c, ba_time now, struct rp_actions *out)
-{
-	struct rp_members members = {.n = 0};
-	struct ba_buf body = {0};
-
-	for (int i = 0; i < n_founders(c); i++)
-		rp_members_add(&members, c->names[i], c->addresses[i],
-			       i == c->self ? c->disk_id : c->peers[i].disk_id,
-			       true);
-	rp_members_encode(&members, &body);
-	c->term++;
-	c->vote = c->self;
-	rp_append(c, RP_ENTRY_KIND__RP_ENTRY_MEMBERS, body.data, body.len, out);
-	rp_save_vote(c, out);
-	ba_buf_free(&body);
-	rp_become_leader(c, now, out);
-}
--- a/replica/rp_internal.h
+++ b/replica/rp_internal.h
@@ -25,7 +25,9 @@
  *	order, so once a later round is answered it is lost
  * @inflight_index: last entry that this append or snapshot covers
  * @offset: byte offset of the snapshot chunk that it needs next
- * @granted: whether it granted its vote in the current election
+ * @granted: whether it granted its vote in the current election, or for
+ *	forming the group
+ * @formed: whether it last reported that it has a log
  * @unformed_at: when it last reported that it has no log, 0 when it has one or
  *	has not been heard
  * @damaged: whether it last reported that it lost synced entries
@@ -42,6 +44,7 @@
 	uint64_t inflight_index;
 	uint64_t offset;
 	bool granted;
+	bool formed;
 	ba_time unformed_at;
 	bool damaged;
 	ba_time heard_at;
@@ -171,17 +174,24 @@
 bool rp_is_log_up_to_date(const struct rp_core *c, uint64_t index,
 			  uint64_t term);
 
-/* Elections and forming the group: rp_elect.c */
+/* Elections: rp_elect.c */
 void rp_elect_tick(struct rp_core *c, ba_time now, struct rp_actions *out);
-void rp_form_tick(struct rp_core *c, ba_time now, struct rp_actions *out);
 void rp_on_vote_request(struct rp_core *c, int from, const struct rp_message *m,
 			ba_time now, struct rp_actions *out);
 void rp_on_vote_reply(struct rp_core *c, int from, const struct rp_message *m,
 		      ba_time now, struct rp_actions *out);
-void rp_on_probe(struct rp_core *c, int from, const struct rp_message *m,
-		 ba_time now, struct rp_actions *out);
 void rp_on_handover(struct rp_core *c, int from, const struct rp_message *m,
 		    ba_time now, struct rp_actions *out);
+void rp_end_lease(struct rp_core *c, ba_time now);
+
+/* Forming the group: rp_form.c */
+void rp_form_tick(struct rp_core *c, ba_time now, struct rp_actions *out);
+void rp_on_probe(struct rp_core *c, int from, const struct rp_message *m,
+		 ba_time now, struct rp_actions *out);
+void rp_on_form_request(struct rp_core *c, int from, const struct rp_message *m,
+			struct rp_actions *out);
+void rp_on_form_reply(struct rp_core *c, int from, const struct rp_message *m,
+		      ba_time now, struct rp_actions *out);
 
 /* Followers: rp_follow.c */
 void rp_on_append(struct rp_core *c, int from, const struct rp_message *m,
--- a/test/rp_world.h
+++ b/test/rp_world.h
@@ -182,10 +182,19 @@
 
 struct world;
 
+/*
+ * @listed: replicas that its settings list, by index in the world, in the order
+ *	of its settings, founders first; empty for all that the world lists
+ * @n_founders: founders among them, if @listed is not empty
+ * @names: their names
+ */
 struct replica {
 	struct rp_node_owner owner;
 	struct world *w;
 	int index;
+	std::vector<int> listed;
+	size_t n_founders = 0;
+	std::vector<const char *> names;
 	struct mem_store store;
 	struct rp_node *node = nullptr;
 	int n_published = 0; /* since the start */
@@ -299,6 +308,7 @@
 		start(i, ba_rand_next(&rand));
 	}
 	void start(int i, uint64_t seed);
+	int peer_of(int i, int j) const;
 	void stop(int i);
 	void crash(int i);
 	void send(int from, int to, const void *data, size_t len);
@@ -405,7 +415,11 @@
 	if (r->index == r->w->traced)
 		r->w->trace << "send " << to << " " << to_hex(data, len)
 			    << "\n";
-	r->w->send(r->index, to, data, len);
+	const char *name = rp_core_peer(rp_node_core(r->node), to).name;
+
+	for (int i = 0; i < r->w->n; i++)
+		if (!strcmp(r->w->names[i], name))
+			r->w->send(r->index, i, data, len);
 }
 
 static inline void on_applied(struct rp_node_owner *o, const struct rp_entry *e,
@@ -479,12 +493,22 @@
 	r.owner = {on_send,    on_applied, on_published,
 		   on_outcome, on_role,	   nullptr};
 	r.n_published = 0;
-	o.core.names = names.data();
-	o.core.addresses = addresses.data();
-	o.core.n_names = (size_t)n_listed;
+	r.names.assign(names.begin(), names.begin() + n_listed);
 	o.core.self = i;
-	o.core.open_group = founders != 0;
 	o.core.n_founders = formed ? 0 : (size_t)founders;
+	if (!r.listed.empty()) {
+		r.names.clear();
+		for (int j : r.listed) {
+			if (j == i)
+				o.core.self = (int)r.names.size();
+			r.names.push_back(names[j]);
+		}
+		o.core.n_founders = formed ? 0 : r.n_founders;
+	}
+	o.core.names = r.names.data();
+	o.core.addresses = r.names.data();
+	o.core.n_names = r.names.size();
+	o.core.open_group = founders != 0;
 	o.core.voters = voters;
 	o.core.times = times;
 	o.core.seed = seed;
@@ -500,6 +524,15 @@
 		fail("a replica did not start");
 }
 
+/* Index of replica @j among the peers of replica @i, or -1. */
+inline int world::peer_of(int i, int j) const
+{
+	for (int k = 0; k < rp_core_n_peers(core(i)); k++)
+		if (!strcmp(rp_core_peer(core(i), k).name, names[j]))
+			return k;
+	return -1;
+}
+
 inline void world::stop(int i)
 {
 	rp_node_free(all[i]->node);
@@ -557,8 +590,8 @@
 		trace << "receive " << now << " " << p.from << " "
 		      << to_hex(p.data.data(), p.data.size()) << "\n";
 	if (up(p.to))
-		rp_node_receive(all[p.to]->node, p.from, p.data.data(),
-				p.data.size(), now);
+		rp_node_receive(all[p.to]->node, peer_of(p.to, p.from),
+				p.data.data(), p.data.size(), now);
 	check(p.to);
 }
 
--- a/wire/rp.pb-c.c
+++ b/wire/rp.pb-c.c
@@ -1459,7 +1459,7 @@
   (ProtobufCMessageInit) rp_roster__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor rp_vote_request__field_descriptors[6] =
+static const ProtobufCFieldDescriptor rp_vote_request__field_descriptors[7] =
 {
   {
     "term",
@@ -1533,8 +1533,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "forming",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(RpVoteRequest, forming),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned rp_vote_request__field_indices_by_name[] = {
+  6,   /* field[6] = forming */
   5,   /* field[5] = handover */
   1,   /* field[1] = last_index */
   2,   /* field[2] = last_term */
@@ -1545,7 +1558,7 @@
 static const ProtobufCIntRange rp_vote_request__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor rp_vote_request__descriptor =
 {
@@ -1555,7 +1568,7 @@
   "RpVoteRequest",
   "",
   sizeof(RpVoteRequest),
-  6,
+  7,
   rp_vote_request__field_descriptors,
   rp_vote_request__field_indices_by_name,
   1,  rp_vote_request__number_ranges,
--- a/wire/rp.pb-c.h
+++ b/wire/rp.pb-c.h
@@ -215,10 +215,14 @@
    * requested by the leader of the previous term
    */
   protobuf_c_boolean handover;
+  /*
+   * for forming the group
+   */
+  protobuf_c_boolean forming;
 };
 #define RP_VOTE_REQUEST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&rp_vote_request__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
