source: founders that are stored stay

Cause: at each start with first_start the seeds took the place of the stored founders, so a founder that restarted with other seeds before there was a group no longer agreed with the others.

Change: the seeds are stored only if no founders are, each once.

Measured: RpForm.FoundersStayAsStoredAtTheFirstStart passes; it calls a new function, so it could not be run before.

--- a/prog/caraway-core.c
+++ b/prog/caraway-core.c
@@ -87,7 +87,6 @@
 
 static int run(struct program *g);
 static void collect_known_addresses(struct program *g);
-static void add_known_address(struct program *g, const struct ba_address *a);
 static void set_role_settings(struct program *g);
 static struct ba_addresses copy_with_port(const struct ba_addresses *from,
 					  const struct ba_address *port_of);
@@ -134,37 +133,22 @@
 	return ret;
 }
 
-/*
- * The founders come first, in the order in which each of them has stored them,
- * then the other addresses.
- */
+/* The founders come first, then the other addresses. */
 static void collect_known_addresses(struct program *g)
 {
 	const struct settings *s = &g->settings;
+	struct ba_addresses *known = &g->known_addresses;
 
-	if (s->first_start &&
-	    so_group_write_founders(s->data_folder, &s->seeds))
+	if (so_group_load_founders(s->data_folder,
+				   s->first_start ? &s->seeds : NULL,
+				   &g->founders))
 		ba_event(BA_EV_SETTINGS_REFUSED, "folder=%s founders=not-kept",
 			 s->data_folder);
-	so_group_read_founders(s->data_folder, &g->founders);
-	if (!g->founders.n && s->first_start)
-		g->founders = s->seeds;
 	for (size_t i = 0; i < g->founders.n; i++)
-		add_known_address(g, &g->founders.list[i]);
+		so_group_add_address(known, &g->founders.list[i]);
 	for (size_t i = 0; i < s->seeds.n; i++)
-		add_known_address(g, &s->seeds.list[i]);
-	add_known_address(g, &s->operator_address);
-}
-
-static void add_known_address(struct program *g, const struct ba_address *a)
-{
-	struct ba_addresses *k = &g->known_addresses;
-
-	for (size_t i = 0; i < k->n; i++)
-		if (!strcmp(k->list[i].text, a->text))
-			return;
-	k->list = g_renew(struct ba_address, k->list, k->n + 1);
-	k->list[k->n++] = *a;
+		so_group_add_address(known, &s->seeds.list[i]);
+	so_group_add_address(known, &s->operator_address);
 }
 
 /*
--- a/source/so_group.c
+++ b/source/so_group.c
@@ -14,8 +14,32 @@
 
 enum { FILE_LIMIT_BYTES = 4096 };
 
-int so_group_write_founders(const char *folder,
-			    const struct ba_addresses *founders)
+static int write_founders(const char *folder,
+			  const struct ba_addresses *founders);
+static void read_founders(const char *folder, struct ba_addresses *out);
+
+int so_group_load_founders(const char *folder, const struct ba_addresses *seeds,
+			   struct ba_addresses *out)
+{
+	read_founders(folder, out);
+	if (out->n || !seeds)
+		return BA_OK;
+	for (size_t i = 0; i < seeds->n; i++)
+		so_group_add_address(out, &seeds->list[i]);
+	return write_founders(folder, out);
+}
+
+void so_group_add_address(struct ba_addresses *to, const struct ba_address *a)
+{
+	for (size_t i = 0; i < to->n; i++)
+		if (!strcmp(to->list[i].text, a->text))
+			return;
+	to->list = g_renew(struct ba_address, to->list, to->n + 1);
+	to->list[to->n++] = *a;
+}
+
+static int write_founders(const char *folder,
+			  const struct ba_addresses *founders)
 {
 	int dir = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
 	struct ba_buf text = {0};
@@ -31,7 +55,7 @@
 	return ret;
 }
 
-void so_group_read_founders(const char *folder, struct ba_addresses *out)
+static void read_founders(const char *folder, struct ba_addresses *out)
 {
 	char *path = g_build_filename(folder, FILE_NAME, NULL);
 	struct ba_buf text = {0};
@@ -44,10 +68,8 @@
 	for (char **l = lines; l && *l; l++) {
 		struct ba_address a;
 
-		if (ba_parse_address(*l, &a))
-			continue;
-		out->list = g_renew(struct ba_address, out->list, out->n + 1);
-		out->list[out->n++] = a;
+		if (!ba_parse_address(*l, &a))
+			so_group_add_address(out, &a);
 	}
 	g_strfreev(lines);
 	ba_buf_free(&text);
--- a/source/so_group.h
+++ b/source/so_group.h
@@ -15,18 +15,21 @@
 #endif
 
 /**
- * so_group_write_founders() - store the founders in @folder, durably
+ * so_group_load_founders() - read the founders in @folder, store them if needed
+ * @seeds: at the first start of the whole system, the founders that are stored
+ *	unless there are some; NULL at any other
+ * @out: set to the founders, each once
  *
- * Return: %BA_OK, or the code of the failure.
+ * Founders that are stored stay: at a restart before the group was formed the
+ * seeds may be other instances.
+ *
+ * Return: %BA_OK, or the code of the failure to store them.
  */
-int so_group_write_founders(const char *folder,
-			    const struct ba_addresses *founders);
+int so_group_load_founders(const char *folder, const struct ba_addresses *seeds,
+			   struct ba_addresses *out);
 
-/**
- * so_group_read_founders() - read the founders stored in @folder
- * @out: set to an empty list if none are stored
- */
-void so_group_read_founders(const char *folder, struct ba_addresses *out);
+/** so_group_add_address() - add @a to @to, unless it is there */
+void so_group_add_address(struct ba_addresses *to, const struct ba_address *a);
 
 #ifdef __cplusplus
 }
--- a/test/rp_form_test.cc
+++ b/test/rp_form_test.cc
@@ -6,6 +6,9 @@
 
 #include <algorithm>
 
+#include <glib.h>
+
+#include "source/so_group.h"
 #include "test/rp_world.h"
 
 namespace
@@ -21,6 +24,51 @@
 /* From the last start: probe, votes, first entry, each over a region link. */
 const ba_time formed_within = 700 * BA_MS;
 
+struct ba_addresses addresses(std::vector<const char *> texts)
+{
+	struct ba_addresses all = {};
+
+	for (const char *text : texts) {
+		struct ba_address a;
+
+		EXPECT_EQ(ba_parse_address(text, &a), BA_OK);
+		all.list = g_renew(struct ba_address, all.list, all.n + 1);
+		all.list[all.n++] = a;
+	}
+	return all;
+}
+
+std::string founders_of(const char *folder, const struct ba_addresses *seeds)
+{
+	struct ba_addresses out = {};
+	std::string text;
+
+	EXPECT_EQ(so_group_load_founders(folder, seeds, &out), BA_OK);
+	for (size_t i = 0; i < out.n; i++)
+		text += std::string(i ? " " : "") + out.list[i].text;
+	g_free(out.list);
+	return text;
+}
+
+/* Guards against other founders after a restart before the group was formed. */
+TEST(RpForm, FoundersStayAsStoredAtTheFirstStart)
+{
+	char folder[] = "/tmp/caraway-founders-XXXXXX";
+	struct ba_addresses first =
+		addresses({"127.0.0.2:1", "127.0.0.1:1", "127.0.0.2:1"});
+	struct ba_addresses other = addresses({"127.0.0.3:1"});
+
+	ASSERT_NE(mkdtemp(folder), nullptr);
+	EXPECT_EQ(founders_of(folder, nullptr), "");
+	EXPECT_EQ(founders_of(folder, &first), "127.0.0.2:1 127.0.0.1:1");
+	EXPECT_EQ(founders_of(folder, &other), "127.0.0.2:1 127.0.0.1:1");
+	EXPECT_EQ(founders_of(folder, nullptr), "127.0.0.2:1 127.0.0.1:1");
+	unlink((std::string(folder) + "/founders").c_str());
+	rmdir(folder);
+	g_free(first.list);
+	g_free(other.list);
+}
+
 /* Each replica has all instances as peers, as the roster brings them. */
 void list(world &w, int i, const std::vector<int> &founders)
 {
