config: a list without teams is a list

Cause: the configuration kept how many teams there are, not whether there is a list of them. 0 was read as "no list", that is, no authentication, by the readers of request bodies and files, the log, the deltas, the proxies, the reading back and the steps of roll-outs.

It is encoded only for an empty list, so other encodings and their digests are as before, and folders of earlier releases are read.

--- a/config/cf.h
+++ b/config/cf.h
@@ -226,6 +226,9 @@
  * @version: index in the replicated log, 0 for the empty snapshot
  * @revision: version number assigned by the operators, 0 if they use none
  * @digest: digest of the canonical encoding without the version
+ * @has_teams: whether there is a list of teams.  It may be empty: then no key
+ *	is known, and only open routes can be called.  Without a list no key is
+ *	asked for.
  */
 struct cf_snapshot {
 	uint64_t version;
@@ -237,6 +240,7 @@
 	struct cf_policy policy;
 	uint64_t revision;
 	struct cf_limits limits;
+	bool has_teams;
 	struct cf_team *teams;
 	size_t n_teams;
 	struct cf_rollout *rollouts;
--- a/config/cf_delta.c
+++ b/config/cf_delta.c
@@ -285,6 +285,7 @@
 	cf_limits_to_proto(&d->limits, &to->limits);
 	if (protobuf_c_message_get_packed_size(&d->limits.base))
 		d->m.limits = &d->limits;
+	d->m.teams_empty = to->has_teams && !to->n_teams;
 	d->m.to_digest.data = (uint8_t *)to->digest.bytes;
 	d->m.to_digest.len = sizeof(to->digest.bytes);
 	d->services = g_new(CfService, to->n_services + 1);
@@ -415,6 +416,7 @@
 {
 	GHashTable *names = name_set(m->drop_teams, m->n_drop_teams);
 
+	d->has_teams = m->teams_empty;
 	for (size_t i = 0; i < m->n_put_teams; i++) {
 		g_hash_table_add(names, m->put_teams[i]->name);
 		cf_draft_add_team_proto(d, m->put_teams[i]);
--- a/config/cf_draft.c
+++ b/config/cf_draft.c
@@ -34,6 +34,7 @@
 	d->revision = 0;
 	memset(&d->limits, 0, sizeof(d->limits));
 	d->rows = g_array_new(FALSE, TRUE, sizeof(struct cf_draft_row));
+	d->has_teams = false;
 	d->teams = g_array_new(FALSE, TRUE, sizeof(struct cf_draft_team));
 	d->keys = g_array_new(FALSE, TRUE, sizeof(struct cf_draft_key));
 	d->by_key = g_array_new(FALSE, TRUE, sizeof(struct cf_key_owner));
--- a/config/cf_encode.c
+++ b/config/cf_encode.c
@@ -99,6 +99,7 @@
 		cf_draft_add_route_proto(d, m->routes[i]);
 	for (size_t i = 0; i < m->n_teams; i++)
 		cf_draft_add_team_proto(d, m->teams[i]);
+	d->has_teams |= m->teams_empty;
 	d->revision = m->revision;
 	d->limits = cf_limits_from_proto(m->limits);
 }
@@ -292,6 +293,7 @@
 		cf_route_to_proto(&e->routes[i], s, &s->routes[i]);
 		e->m.routes[i] = &e->routes[i];
 	}
+	e->m.teams_empty = s->has_teams && !s->n_teams;
 	e->m.n_teams = s->n_teams;
 	e->m.teams = g_new(CfTeam *, s->n_teams + 1);
 	for (size_t i = 0; i < s->n_teams; i++) {
--- a/config/cf_internal.h
+++ b/config/cf_internal.h
@@ -139,6 +139,7 @@
 	GArray *routes;
 	GArray *parts;
 	GArray *rows;
+	bool has_teams;
 	GArray *teams;
 	GArray *keys;
 	GArray *by_key;
--- a/config/cf_parse.c
+++ b/config/cf_parse.c
@@ -169,6 +169,7 @@
 	check_root_keys(root, names, G_N_ELEMENTS(names), problems);
 	read_array(root, "services", read_service, base, &d, problems);
 	read_array(root, "routes", read_route, base, &d, problems);
+	d.has_teams = ba_toml_get(root, "teams") != NULL;
 	read_array(root, "teams", read_team, base, &d, problems);
 	cf_draft_copy_policy(&d, base);
 	return finish_draft(&d, root, before, out, problems);
@@ -394,6 +395,7 @@
 				     CF_LINE_FROM_SNAPSHOT);
 	for (size_t i = 0; i < base->n_routes; i++)
 		cf_draft_copy_route(d, base, &base->routes[i]);
+	d->has_teams = base->has_teams;
 	for (size_t i = 0; i < base->n_teams; i++)
 		cf_draft_copy_team(d, &base->teams[i]);
 	d->revision = base->revision;
--- a/config/cf_team.c
+++ b/config/cf_team.c
@@ -27,6 +27,7 @@
 	entry.value.keys = NULL;
 	entry.value.key_texts = NULL;
 	entry.value.n_keys = 0;
+	d->has_teams = true;
 	g_array_append_val(d->teams, entry);
 }
 
@@ -212,6 +213,7 @@
 		impl->keys[i] = k->digest;
 		impl->key_texts[i] = k->text;
 	}
+	s->has_teams = d->has_teams;
 	s->n_teams = d->teams->len;
 	s->teams = g_new0(struct cf_team, s->n_teams + 1);
 	for (guint i = 0; i < d->teams->len; i++) {
--- a/proxy/px_team.c
+++ b/proxy/px_team.c
@@ -2,16 +2,13 @@
  * Teams of callers: the key that a request shows, the team that has it, and the
  * priority that follows.
  */
-#include <string.h>
 #include <strings.h>
 
 #include "base/ba_result.h"
+#include "call/cl_team.h"
 #include "proxy/px_internal.h"
 #include "report/rt.h"
 
-#define KEY_FIELD "Authorization"
-#define KEY_SCHEME "Bearer "
-
 /* Number of priorities of routes; those of teams count in multiples of it. */
 #define ROUTE_PRIORITIES ((uint32_t)1001)
 
@@ -24,7 +21,7 @@
 	int code;
 
 	x->priority = r->priority;
-	if (!x->snapshot->n_teams)
+	if (!x->snapshot->has_teams)
 		return BA_OK;
 	code = find_team(x, &x->team);
 	if (code && !r->open) {
@@ -40,27 +37,21 @@
 
 bool px_team_hides(const struct px_exchange *x, const char *field)
 {
-	bool has_teams = x->team_name || (x->snapshot && x->snapshot->n_teams);
+	bool has_teams =
+		x->team_name || (x->snapshot && x->snapshot->has_teams);
 
-	return has_teams && (!strcasecmp(field, KEY_FIELD) ||
+	return has_teams && (!strcasecmp(field, CL_TEAM_KEY_FIELD) ||
 			     x->p->dialect->is_team_field(field));
 }
 
 static int find_team(const struct px_exchange *x, const struct cf_team **out)
 {
 	const struct ht_head *h = ht_conn_head(x->downstream->conn);
-	const char *key = ht_head_get(h, KEY_FIELD);
-	struct ba_digest digest;
+	bool one = ht_head_count(h, CL_TEAM_KEY_FIELD) == 1;
 
-	*out = NULL;
-	if (!key || ht_head_count(h, KEY_FIELD) != 1 ||
-	    strncasecmp(key, KEY_SCHEME, strlen(KEY_SCHEME)) != 0)
-		return CL_TEAM_KEY_MISSING;
-	key += strlen(KEY_SCHEME);
-	key += strspn(key, " ");
-	digest = ba_digest(key, strlen(key));
-	*out = cf_team_find_key(x->snapshot, &digest);
-	return *out ? BA_OK : CL_TEAM_KEY_UNKNOWN;
+	return cl_team_identify(x->snapshot,
+				one ? ht_head_get(h, CL_TEAM_KEY_FIELD) : NULL,
+				out);
 }
 
 /*
--- a/test/cf_test.cc
+++ b/test/cf_test.cc
@@ -343,6 +343,50 @@
 	cf_snapshot_unref(empty);
 }
 
+/* Guards against review/13: a list without teams was taken for no list. */
+TEST(CfTeam, EmptyListIsNotNone)
+{
+	const std::string texts[] = {"", "teams = []\n", team("a", "secret")};
+	struct cf_snapshot *empty = cf_snapshot_empty();
+
+	for (const std::string &before : texts) {
+		struct cf_snapshot *from = must_parse(before, empty, 1);
+
+		EXPECT_EQ(from->has_teams, !before.empty());
+		for (const std::string &after : texts) {
+			struct cf_snapshot *to = must_parse(after, from, 2);
+			bool same = before == after;
+
+			EXPECT_EQ(to->has_teams, !after.empty());
+			EXPECT_EQ(ba_digest_equal(&from->digest, &to->digest),
+				  same);
+			for (auto form : {CF_FORM_DIGESTS, CF_FORM_KEYS}) {
+				std::string text = encode(to, form);
+				struct cf_snapshot *back = nullptr;
+				struct cf_snapshot *next = nullptr;
+				struct ba_buf delta = {};
+
+				ASSERT_EQ(cf_snapshot_decode(text.data(),
+							     text.size(),
+							     &back),
+					  BA_OK);
+				EXPECT_EQ(back->has_teams, to->has_teams);
+				cf_delta_encode(from, to, form, &delta);
+				ASSERT_EQ(cf_delta_apply(from, delta.data,
+							 delta.len, &next),
+					  BA_OK);
+				EXPECT_EQ(next->has_teams, to->has_teams);
+				cf_snapshot_unref(back);
+				cf_snapshot_unref(next);
+				ba_buf_free(&delta);
+			}
+			cf_snapshot_unref(to);
+		}
+		cf_snapshot_unref(from);
+	}
+	cf_snapshot_unref(empty);
+}
+
 TEST(CfTeam, OnlyTheFormOfTheCoreHoldsKeys)
 {
 	struct cf_snapshot *empty = cf_snapshot_empty();
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -176,6 +176,36 @@
 	cf_snapshot_unref(s);
 }
 
+/* Guards against review/13: a table without rows was not read back. */
+TEST(PfConfiguration, EmptyTableOfTeamsIsOne)
+{
+	const std::string plain = proxy_world::configuration;
+	std::string null_table = plain;
+
+	null_table.insert(null_table.size() - 1, ",\"tenants\":null");
+	const struct {
+		std::string text;
+		bool has_teams;
+	} cases[] = {
+		{plain, false},
+		{null_table, false},
+		{configuration_with_teams("", "true"), true},
+	};
+
+	for (const auto &c : cases) {
+		struct cf_snapshot *s = proxy_world::snapshot(c.text);
+		struct ba_buf out = {};
+
+		pf_operators.write_configuration(s, &out);
+		EXPECT_EQ(s->has_teams, c.has_teams) << c.text;
+		EXPECT_EQ(proxy_world::has(ba_buf_text(&out), "\"tenants\":{"),
+			  c.has_teams)
+			<< ba_buf_text(&out);
+		ba_buf_free(&out);
+		cf_snapshot_unref(s);
+	}
+}
+
 TEST(PfConfiguration, WrongTeamsAreRefusedByName)
 {
 	static const struct {
--- a/test/px_team_test.cc
+++ b/test/px_team_test.cc
@@ -199,6 +199,35 @@
 	EXPECT_TRUE(has(caller.read_message(), "third"));
 }
 
+/*
+ * Guards against review/13: once the last team was gone, requests with any key
+ * ran, and the key was passed on.
+ */
+TEST(PxTeam, NoKeyIsKnownOnceTheLastTeamIsGone)
+{
+	world w(false);
+	std::string text = with_teams();
+	size_t rows = text.rfind("\"rows\":[") + strlen("\"rows\":[");
+
+	text.replace(rows, text.rfind("]}}") - rows, "");
+	w.run([&] { w.configure(with_teams()); });
+	w.send_heartbeat("i-1", "ready", 1);
+	w.run([&] { w.configure(text); });
+	for (const char *shown : {"kr1", "kb", "never"}) {
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
+
+		caller.write(request("GET /look/", key(shown)));
+		EXPECT_EQ(status(caller.read_message()), 401) << shown;
+	}
+	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
+
+	caller.write(request("POST /photos/", key("kr1")));
+	blocking_socket backend = w.backend.accept_one();
+
+	EXPECT_FALSE(has(backend.read_message(), "uthorization"));
+}
+
 /* Requests that wait for an endpoint look their key up again. */
 TEST(PxTeam, RevokedKeyOfAHeldRequestIsRefused)
 {
--- a/test/rollout_test.cc
+++ b/test/rollout_test.cc
@@ -526,6 +526,20 @@
 	EXPECT_STREQ(w.current()->teams[0].key_texts[0], "k-1");
 }
 
+/* Guards against review/13 where a step copies the configuration. */
+TEST(Rollout, StepsKeepAnEmptyListOfTeams)
+{
+	Machine w;
+
+	ASSERT_EQ(w.configure("teams = []\n" + std::string(SERVICES), 0),
+		  BA_OK);
+	ASSERT_EQ(w.order("plans", "v2", BA_SECOND, 0), BA_OK);
+	w.step(w.rollout()->order, 50, 100, CF_ROLLOUT_RUNNING);
+	EXPECT_TRUE(w.current()->has_teams);
+	w.restart();
+	EXPECT_TRUE(w.current()->has_teams);
+}
+
 TEST(Rollout, DeltaCarriesIt)
 {
 	Machine w;
--- a/wire/cf.pb-c.c
+++ b/wire/cf.pb-c.c
@@ -1424,7 +1424,7 @@
   (ProtobufCMessageInit) cf_rollout__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_snapshot__field_descriptors[8] =
+static const ProtobufCFieldDescriptor cf_snapshot__field_descriptors[9] =
 {
   {
     "version",
@@ -1510,6 +1510,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "teams_empty",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CfSnapshot, teams_empty),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "rollouts",
     20,
@@ -1527,17 +1539,18 @@
   5,   /* field[5] = limits */
   3,   /* field[3] = policy */
   4,   /* field[4] = revision */
-  7,   /* field[7] = rollouts */
+  8,   /* field[8] = rollouts */
   2,   /* field[2] = routes */
   1,   /* field[1] = services */
   6,   /* field[6] = teams */
+  7,   /* field[7] = teams_empty */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange cf_snapshot__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 20, 7 },
-  { 0, 8 }
+  { 20, 8 },
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor cf_snapshot__descriptor =
 {
@@ -1547,14 +1560,14 @@
   "CfSnapshot",
   "",
   sizeof(CfSnapshot),
-  8,
+  9,
   cf_snapshot__field_descriptors,
   cf_snapshot__field_indices_by_name,
   2,  cf_snapshot__number_ranges,
   (ProtobufCMessageInit) cf_snapshot__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_delta__field_descriptors[15] =
+static const ProtobufCFieldDescriptor cf_delta__field_descriptors[16] =
 {
   {
     "from_version",
@@ -1712,6 +1725,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "teams_empty",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(CfDelta, teams_empty),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "rollouts_changed",
     20,
@@ -1749,16 +1774,17 @@
   3,   /* field[3] = put_services */
   11,   /* field[11] = put_teams */
   9,   /* field[9] = revision */
-  14,   /* field[14] = rollouts */
-  13,   /* field[13] = rollouts_changed */
+  15,   /* field[15] = rollouts */
+  14,   /* field[14] = rollouts_changed */
+  13,   /* field[13] = teams_empty */
   2,   /* field[2] = to_digest */
   1,   /* field[1] = to_version */
 };
 static const ProtobufCIntRange cf_delta__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 20, 13 },
-  { 0, 15 }
+  { 20, 14 },
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor cf_delta__descriptor =
 {
@@ -1768,7 +1794,7 @@
   "CfDelta",
   "",
   sizeof(CfDelta),
-  15,
+  16,
   cf_delta__field_descriptors,
   cf_delta__field_indices_by_name,
   2,  cf_delta__number_ranges,
--- a/wire/cf.pb-c.h
+++ b/wire/cf.pb-c.h
@@ -307,6 +307,10 @@
    */
   size_t n_teams;
   CfTeam **teams;
+  /*
+   * there is a list of teams, with none in it
+   */
+  protobuf_c_boolean teams_empty;
   /*
    * sorted by service
    */
@@ -315,7 +319,7 @@
 };
 #define CF_SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_snapshot__descriptor) \
-    , 0, 0,NULL, 0,NULL, NULL, 0, NULL, 0,NULL, 0,NULL }
+    , 0, 0,NULL, 0,NULL, NULL, 0, NULL, 0,NULL, 0, 0,NULL }
 
 
 struct  CfDelta
@@ -344,6 +348,10 @@
   CfTeam **put_teams;
   size_t n_drop_teams;
   char **drop_teams;
+  /*
+   * of the result, as in CfSnapshot
+   */
+  protobuf_c_boolean teams_empty;
   /*
    * rollouts replaces all
    */
@@ -353,7 +361,7 @@
 };
 #define CF_DELTA__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_delta__descriptor) \
-    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0, 0,NULL }
+    , 0, 0, {0,NULL}, 0,NULL, 0,NULL, 0,NULL, 0,NULL, NULL, 0,NULL, 0, NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 /* CfService methods */
