daemon: ask for the key of a team

Callers saw: calls through carawayd ran without a key or with any, though the configuration has teams, and the key reached the backend server.

Cause: carawayd had no code for teams.

Change: the check of the proxies (call/cl_team.c) where a call enters; 503 in place of 401 where the daemon may have missed a version. Authorization is not sent on where there are teams.

Measured: test/cases/team-keys.sh fails on ("unknown key: not 401") and passes now.

--- a/bench/backend_main.c
+++ b/bench/backend_main.c
@@ -75,7 +75,8 @@
 	bool draining;
 	uint64_t shed;
 	uint64_t cancelled;
-	uint64_t expired; /* calls that arrived after their deadline */
+	uint64_t expired;   /* calls that arrived after their deadline */
+	uint64_t team_keys; /* calls that showed the key of a team */
 };
 
 struct call {
@@ -279,6 +280,8 @@
 
 	if (!strcmp(url, "/_counts"))
 		return send_counts(s, conn);
+	s->team_keys += MHD_lookup_connection_value(conn, MHD_HEADER_KIND,
+						    "Authorization") != NULL;
 	c->id = g_strdup(id ? id : "");
 	c->status = MHD_HTTP_OK;
 	if (!strcmp(url, "/health")) {
@@ -435,8 +438,9 @@
 	ba_buf_addf(&text,
 		    "{\"service\":\"%s\",\"shed\":%" PRIu64
 		    ",\"cancelled\":%" PRIu64 ",\"late\":%" PRIu64
-		    ",\"runs\":{",
-		    s->service, s->shed, s->cancelled, s->expired);
+		    ",\"team_keys\":%" PRIu64 ",\"runs\":{",
+		    s->service, s->shed, s->cancelled, s->expired,
+		    s->team_keys);
 	g_hash_table_iter_init(&it, s->runs);
 	while (g_hash_table_iter_next(&it, &key, &n)) {
 		ba_buf_addf(&text, "%s\"%s\":%d", comma, (char *)key,
--- a/daemon/da_attempt.c
+++ b/daemon/da_attempt.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 
 #include "base/ba_event.h"
+#include "call/cl_team.h"
 #include "daemon/da_attempt.h"
 #include "daemon/da_audit.h"
 #include "daemon/da_client.h"
@@ -190,6 +191,7 @@
 static void fill_sent_headers(struct da_call *c)
 {
 	ba_time left = c->deadline - ba_clock_now();
+	bool hides_key = c->snapshot && c->snapshot->has_teams;
 	char number[24];
 
 	da_headers_clear(&c->sent_headers);
@@ -197,7 +199,8 @@
 		const struct da_header *h = &c->headers.list[i];
 
 		if (!da_header_is_hop_by_hop(h->name) &&
-		    !da_header_is_reserved(h->name))
+		    !da_header_is_reserved(h->name) &&
+		    !(hides_key && !strcasecmp(h->name, CL_TEAM_KEY_FIELD)))
 			da_headers_add(&c->sent_headers, h->name, h->value);
 	}
 	if (c->resuming)
--- a/daemon/da_headers.c
+++ b/daemon/da_headers.c
@@ -48,6 +48,15 @@
 	return NULL;
 }
 
+size_t da_headers_count(const struct da_headers *h, const char *name)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < h->n; i++)
+		count += !strcasecmp(h->list[i].name, name);
+	return count;
+}
+
 void da_headers_clear(struct da_headers *h)
 {
 	for (size_t i = 0; i < h->n; i++) {
--- a/daemon/da_headers.h
+++ b/daemon/da_headers.h
@@ -30,6 +30,9 @@
 /** da_headers_get() - return the value of the first @name, or NULL */
 const char *da_headers_get(const struct da_headers *h, const char *name);
 
+/** da_headers_count() - number of fields named @name */
+size_t da_headers_count(const struct da_headers *h, const char *name);
+
 /** da_headers_clear() - remove all fields, keep the memory */
 void da_headers_clear(struct da_headers *h);
 
--- a/daemon/da_ingress.c
+++ b/daemon/da_ingress.c
@@ -2,9 +2,12 @@
 
 #include <glib.h>
 
+#include "call/cl_team.h"
 #include "daemon/da_ingress.h"
+#include "report/rt.h"
 
 static int find_route(struct da_call *c);
+static int check_team(const struct da_call *c, const struct cf_route *r);
 static int find_key(struct da_call *c);
 static ba_time time_limit(const struct cf_snapshot *s, int service);
 
@@ -19,7 +22,9 @@
 		return CL_NOT_CONFIGURED;
 	c->snapshot = cf_snapshot_ref(shared->snapshot);
 	code = find_route(c);
-	if (code == CL_NO_ROUTE && ba_clock_now() >= shared->current_until)
+	if ((code == CL_NO_ROUTE || code == CL_TEAM_KEY_MISSING ||
+	     code == CL_TEAM_KEY_UNKNOWN) &&
+	    ba_clock_now() >= shared->current_until)
 		return CL_NOT_CURRENT;
 	if (code)
 		return code;
@@ -57,16 +62,39 @@
 	char *path = g_strndup(c->target, strcspn(c->target, "?"));
 	const struct cf_route *route =
 		cf_route_match_any_host(s, c->method, path);
+	int code;
 
 	g_free(path);
 	if (!route)
 		return CL_NO_ROUTE;
+	code = check_team(c, route);
+	if (code)
+		return code;
 	c->service = g_strdup(s->services[route->service].name);
 	c->idempotent = route->idempotent || route->download;
 	c->weight = s->policy.rows ? s->policy.rows[route->service].weight : 1;
 	return da_ingress_set_deadline(c, time_limit(s, route->service));
 }
 
+static int check_team(const struct da_call *c, const struct cf_route *r)
+{
+	bool one = da_headers_count(&c->headers, CL_TEAM_KEY_FIELD) == 1;
+	const struct cf_team *team;
+	int code;
+
+	if (!c->snapshot->has_teams || r->open)
+		return BA_OK;
+	code = cl_team_identify(
+		c->snapshot,
+		one ? da_headers_get(&c->headers, CL_TEAM_KEY_FIELD) : NULL,
+		&team);
+	if (code)
+		rt_count(code == CL_TEAM_KEY_MISSING ? RT_TEAM_KEYS_MISSING
+						     : RT_TEAM_KEYS_UNKNOWN,
+			 1);
+	return code;
+}
+
 /* On an idempotent route a key is ignored: repeated runs are allowed there. */
 static int find_key(struct da_call *c)
 {
