base: one reader for numbers with units, with fractions

Cause: settings had a reader of times of their own, which took whole numbers only; messages had another, which left the number to strtod(). In settings sizes with a fraction, whole numbers written as 260.0, a grace below a second and more than four losses were refused too.

Exponents and hexadecimal digits, which only messages took, are refused. More losses than nine voters bear count as four.

--- a/base/ba_unit.c
+++ b/base/ba_unit.c
@@ -1,4 +1,6 @@
 #include <arpa/inet.h>
+#include <errno.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -29,8 +31,8 @@
 	{NULL, 0},
 };
 
-/* Limit of the number of a rate, before its unit is applied. */
-#define RATE_NUMBER_LIMIT 1e6
+/* 1,000,000 Gbit/s, in bytes per second. */
+#define RATE_LIMIT ((int64_t)125000000 * 1000000)
 
 static int parse_with_unit(const char *s, const struct unit *units,
 			   int64_t *out);
@@ -48,16 +50,12 @@
 
 int ba_parse_rate(const char *s, int64_t *out)
 {
-	const struct unit *u = rate_units;
-	char *end;
-	double n = g_ascii_strtod(s, &end);
+	int64_t n;
+	int ret = parse_with_unit(s, rate_units, &n);
 
-	while (u->name && strcmp(u->name, end) != 0)
-		u++;
-	if (*s < '0' || *s > '9' || !u->name || n * (double)u->factor < 1 ||
-	    n > RATE_NUMBER_LIMIT)
+	if (ret || n < 1 || n > RATE_LIMIT)
 		return BA_UNIT_WRONG;
-	*out = (int64_t)(n * (double)u->factor);
+	*out = n;
 	return BA_OK;
 }
 
@@ -95,26 +93,35 @@
 	return BA_OK;
 }
 
+/*
+ * Reads a decimal number, which may have a fraction, and its unit.  The result
+ * is rounded to the smallest unit; a whole number is exact.
+ */
 static int parse_with_unit(const char *s, const struct unit *units,
 			   int64_t *out)
 {
-	char *end;
-	long long n;
-
-	if (*s < '0' || *s > '9')
+	size_t whole = strspn(s, "0123456789");
+	size_t fraction =
+		s[whole] == '.' ? strspn(s + whole + 1, "0123456789") : 0;
+	const char *unit = s + whole + (s[whole] == '.') + fraction;
+	double real;
+	int64_t n;
+
+	if (!whole && !fraction)
 		return BA_UNIT_WRONG;
-	n = strtoll(s, &end, 10);
-	while (*end == ' ')
-		end++;
-	for (; units->name; units++) {
-		if (strcmp(end, units->name))
-			continue;
-		if (n > INT64_MAX / units->factor)
-			return BA_UNIT_WRONG;
-		*out = n * units->factor;
-		return BA_OK;
-	}
-	return BA_UNIT_WRONG;
+	errno = 0;
+	n = strtoll(s, NULL, 10);
+	real = g_ascii_strtod(s, NULL);
+	while (*unit == ' ')
+		unit++;
+	while (units->name && strcmp(unit, units->name) != 0)
+		units++;
+	if (!units->name || errno || n > INT64_MAX / units->factor ||
+	    real * (double)units->factor >= (double)INT64_MAX)
+		return BA_UNIT_WRONG;
+	*out = fraction ? llround(real * (double)units->factor)
+			: n * units->factor;
+	return BA_OK;
 }
 
 static int parse_port(const char *s, uint16_t *port)
--- a/base/ba_unit.h
+++ b/base/ba_unit.h
@@ -1,5 +1,6 @@
 /*
- * Parsers for values with units and for addresses, as written in settings.
+ * Parsers for values with units and for addresses, as written in settings and
+ * in messages.  A number may have a decimal fraction; the result is rounded.
  */
 #ifndef BA_UNIT_H
 #define BA_UNIT_H
@@ -29,14 +30,14 @@
 };
 
 /**
- * ba_parse_duration() - parse "250ms", "6s", "10us", "5min" or "2h"
+ * ba_parse_duration() - parse "250ms", "2.5s", "10us", "5min" or "2h"
  *
  * Return: %BA_OK or %BA_UNIT_WRONG.
  */
 int ba_parse_duration(const char *s, ba_time *out);
 
 /**
- * ba_parse_bytes() - parse "512B", "6KB", "128MB" or "2GB" (powers of 1000)
+ * ba_parse_bytes() - parse "512B", "6KB", "128MB" or "1.5GB" (powers of 1000)
  *
  * Return: %BA_OK or %BA_UNIT_WRONG.
  */
--- a/prog/caraway-core.c
+++ b/prog/caraway-core.c
@@ -25,7 +25,8 @@
  *	the group
  * @grace_time: time from the signal to stop until the process is killed
  * @memory_mb: memory that the process may use in MB
- * @max_losses: instances that may be lost at once while the group goes on
+ * @max_losses: instances that may be lost at once while the group goes on; of
+ *	more than %LOSSES_LIMIT that many are borne
  */
 struct settings {
 	struct pr_common common;
@@ -53,19 +54,19 @@
 	KEY("core", "relay_address", BA_KIND_ADDRESS, true, relay_address),
 	KEY("core", "data_folder", BA_KIND_STRING, true, data_folder),
 	{"core", "grace", BA_KIND_DURATION, false,
-	 offsetof(struct settings, grace_time), "6s", BA_SECOND, 0},
+	 offsetof(struct settings, grace_time), "6s", BA_MS, 0},
 	{"core", "memory_mb", BA_KIND_INTEGER, false,
 	 offsetof(struct settings, memory_mb), BA_ACCOUNT_DEFAULT_MB, 16,
 	 1 << 20},
 	KEY("group", "seeds", BA_KIND_ADDRESSES, true, seeds),
 	KEY("group", "first_start", BA_KIND_BOOLEAN, false, first_start),
 	{"group", "losses", BA_KIND_INTEGER, false,
-	 offsetof(struct settings, max_losses), "1", 0, 4},
+	 offsetof(struct settings, max_losses), "1", 0, 0},
 	{.name = NULL},
 };
 
 /* With fewer replicas, the loss of one would leave no majority. */
-enum { MIN_VOTERS = 3 };
+enum { MIN_VOTERS = 3, LOSSES_LIMIT = (RP_MEMBERS_LIMIT - 1) / 2 };
 
 enum { MAPPED_BYTES = 512 * 1024 };
 
@@ -167,7 +168,8 @@
 	so->grace_time = s->grace_time;
 	so->open_group = true;
 	so->times = &rp_times_fast_failover;
-	so->voters = (size_t)MAX(2 * s->max_losses + 1, MIN_VOTERS);
+	so->voters = (size_t)MAX(2 * MIN(s->max_losses, LOSSES_LIMIT) + 1,
+				 MIN_VOTERS);
 	so->n_founders = g->founders.n;
 	so->names.list = g_new0(char *, g->known_addresses.n + 1);
 	for (size_t i = 0; i < g->known_addresses.n; i++)
--- a/prog/caraway-proxy.c
+++ b/prog/caraway-proxy.c
@@ -83,7 +83,7 @@
 	{"relays", "port", BA_KIND_INTEGER, false,
 	 offsetof(struct settings, relay_port), NULL, 1, 65535},
 	{"proxy", "grace", BA_KIND_DURATION, false,
-	 offsetof(struct settings, grace_time), "6s", BA_SECOND, 0},
+	 offsetof(struct settings, grace_time), "6s", BA_MS, 0},
 	{.name = NULL},
 };
 
--- a/test/base_test.cc
+++ b/test/base_test.cc
@@ -20,6 +20,7 @@
 namespace
 {
 
+/* Guards against review/15: "6.5s" was refused, and programs did not start. */
 TEST(BaUnit, Durations)
 {
 	static const struct {
@@ -32,6 +33,19 @@
 		{"10us", BA_OK, 10},
 		{"5 min", BA_OK, 5 * BA_MINUTE},
 		{"2h", BA_OK, 2 * BA_HOUR},
+		{"6.5s", BA_OK, 6500 * BA_MS},
+		{"6.0s", BA_OK, 6 * BA_SECOND},
+		{"0.25 min", BA_OK, 15 * BA_SECOND},
+		{".5s", BA_OK, 500 * BA_MS},
+		{"1.0000004s", BA_OK, BA_SECOND},
+		{"0.0000006s", BA_OK, 1},
+		{"9007199254740993us", BA_OK, 9007199254740993},
+		{"1.2.3s", BA_UNIT_WRONG, 0},
+		{".s", BA_UNIT_WRONG, 0},
+		{"1,5s", BA_UNIT_WRONG, 0},
+		{"0x10s", BA_UNIT_WRONG, 0},
+		{"1e3s", BA_UNIT_WRONG, 0},
+		{"99999999999.5h", BA_UNIT_WRONG, 0},
 		{"6", BA_UNIT_WRONG, 0},
 		{"-6s", BA_UNIT_WRONG, 0},
 		{"6 days", BA_UNIT_WRONG, 0},
@@ -59,6 +73,7 @@
 		{"0Mbit", BA_UNIT_WRONG, 0},  {"10", BA_UNIT_WRONG, 0},
 		{"-1Mbit", BA_UNIT_WRONG, 0}, {"1e30Mbit", BA_UNIT_WRONG, 0},
 		{"1 MB", BA_UNIT_WRONG, 0},   {"", BA_UNIT_WRONG, 0},
+		{"2.4Mbit", BA_OK, 300000},   {".5Mbit", BA_OK, 62500},
 	};
 
 	for (const auto &c : cases) {
@@ -69,6 +84,28 @@
 	}
 }
 
+TEST(BaUnit, Sizes)
+{
+	static const struct {
+		const char *text;
+		int code;
+		int64_t value;
+	} cases[] = {
+		{"512B", BA_OK, 512},
+		{"1.5GB", BA_OK, 1500000000},
+		{"0B", BA_OK, 0},
+		{"1.5", BA_UNIT_WRONG, 0},
+		{"1.5 GiB", BA_UNIT_WRONG, 0},
+	};
+
+	for (const auto &c : cases) {
+		int64_t got = 0;
+
+		EXPECT_EQ(ba_parse_bytes(c.text, &got), c.code) << c.text;
+		EXPECT_EQ(got, c.value) << c.text;
+	}
+}
+
 TEST(BaUnit, Addresses)
 {
 	static const struct {
@@ -136,6 +173,9 @@
 		{"[mesh]\nname = \"a\"\n[cal]\n", BA_KEY_UNKNOWN, 3, "cal"},
 		{"[mesh]\nname = \"a\"\n[call]\nslots = 101\n", BA_RANGE_WRONG,
 		 4, "call.slots"},
+		{"[mesh]\nname = \"a\"\n[call]\nslots = 12.0\n", BA_OK, 0, ""},
+		{"[mesh]\nname = \"a\"\n[call]\nslots = 12.5\n", BA_TYPE_WRONG,
+		 4, "call.slots"},
 		{"[mesh]\nname = \"a\"\n[call]\nwait = \"6\"\n", BA_UNIT_WRONG,
 		 4, "call.wait"},
 		{"[mesh]\nname = \"a\"\n[relays]\naddresses = [\"x\"]\n",
