--- a/config/cf.h
+++ b/config/cf.h
@@ -29,7 +29,7 @@
 
 /* Lengths of strings are without the final NUL. */
 enum {
-	CF_NAME_BYTES = 63,
+	CF_NAME_BYTES = 127,
 	CF_SERVICES_LIMIT = 4096,
 	CF_ROUTES_LIMIT = 16384,
 	CF_TEAMS_LIMIT = 16384,
--- a/config/cf_check.c
+++ b/config/cf_check.c
@@ -21,6 +21,8 @@
 static void check_row(const struct cf_draft_row *r, struct ba_problems *p);
 static void name_entry(struct ba_problems *p, size_t from, const char *name);
 static int reported_line(int line);
+static bool is_file_name(const char *name);
+static bool is_message_name(const char *name);
 static void check_time(ba_time t, int line, const char *key,
 		       struct ba_problems *p);
 static bool is_path(const char *path);
@@ -140,10 +142,6 @@
 		ba_problem_add(p, BA_RANGE_WRONG, r->line,
 			       "routes.latency_target",
 			       "less than a minute above the timeout");
-	cf_check_number(v->priority, 0, CF_PRIORITY_LIMIT, r->line,
-			"routes.priority", p);
-	cf_check_number(v->attempts, 0, CF_ATTEMPTS_LIMIT, r->line,
-			"routes.attempts", p);
 }
 
 static void check_parts(const struct cf_draft *d,
@@ -287,18 +285,41 @@
 	return line == CF_LINE_FROM_SNAPSHOT ? 0 : line;
 }
 
+/* Names in messages are those of a platform, which has rules of its own. */
 void cf_check_name(const char *name, int line, const char *key,
 		   struct ba_problems *p)
 {
-	size_t len = strlen(name);
-
-	if (!len || len > CF_NAME_BYTES ||
-	    strspn(name, "abcdefghijklmnopqrstuvwxyz0123456789-") != len)
+	if (line && !is_file_name(name))
 		ba_problem_add(p, CF_NAME_WRONG, line, key,
 			       "a to z, 0 to 9 and '-', 1 to %d characters",
+			       CF_FILE_NAME_BYTES);
+	if (!line && !is_message_name(name))
+		ba_problem_add(p, CF_NAME_WRONG, line, key,
+			       "1 to %d printable characters of ASCII, "
+			       "without a blank at either end",
 			       CF_NAME_BYTES);
 }
 
+static bool is_file_name(const char *name)
+{
+	size_t len = strlen(name);
+
+	return len && len <= CF_FILE_NAME_BYTES &&
+	       strspn(name, "abcdefghijklmnopqrstuvwxyz0123456789-") == len;
+}
+
+/* Names are sent in fields of HTTP, whose readers strip blanks at the ends. */
+static bool is_message_name(const char *name)
+{
+	size_t len = strlen(name);
+
+	for (size_t i = 0; i < len; i++)
+		if (name[i] < ' ' || name[i] >= 0x7f)
+			return false;
+	return len && len <= CF_NAME_BYTES && name[0] != ' ' &&
+	       name[len - 1] != ' ';
+}
+
 /* The encoding has a resolution of 1 ms; finer values cannot be stored. */
 static void check_time(ba_time t, int line, const char *key,
 		       struct ba_problems *p)
--- a/config/cf_internal.h
+++ b/config/cf_internal.h
@@ -11,11 +11,11 @@
 
 /* Lengths of strings are without the final NUL. */
 enum {
-	CF_PATH_BYTES = 255,
+	CF_PATH_BYTES = 2047,
 	CF_HOST_BYTES = 253,
-	CF_PARTS_LIMIT = 64,
-	CF_PRIORITY_LIMIT = 1000,
-	CF_ATTEMPTS_LIMIT = 100,
+	CF_FILE_NAME_BYTES = 63, /* of a name in a file */
+	CF_PARTS_LIMIT = 1024,
+	CF_PRIORITY_LIMIT = 1000, /* in a file */
 	CF_CONNECTIONS_LIMIT = 1000000,
 	CF_METHOD_BYTES = 15,
 	CF_TIME_ZONE_BYTES = 63,
--- a/config/cf_team.c
+++ b/config/cf_team.c
@@ -151,8 +151,6 @@
 static void check_team(const struct cf_draft_team *t, struct ba_problems *p)
 {
 	cf_check_name(t->value.name, t->line, "teams.name", p);
-	cf_check_number(t->value.priority, 0, CF_PRIORITY_LIMIT, t->line,
-			"teams.priority", p);
 	if (t->n_keys > CF_KEYS_LIMIT)
 		ba_problem_add(p, CF_TOO_MANY, t->line, "teams.keys",
 			       "%d at most for team \"%s\"", CF_KEYS_LIMIT,
--- a/proxy/px_team.c
+++ b/proxy/px_team.c
@@ -9,8 +9,11 @@
 #include "proxy/px_internal.h"
 #include "report/rt.h"
 
-/* Number of priorities of routes; those of teams count in multiples of it. */
-#define ROUTE_PRIORITIES ((uint32_t)1001)
+/*
+ * Number of priorities that are told apart, of teams and of routes; a greater
+ * one counts as the last of them.
+ */
+#define PRIORITIES ((uint32_t)1001)
 
 static int find_team(const struct px_exchange *x, const struct cf_team **out);
 static uint32_t compose_priority(const struct cf_team *t,
@@ -63,5 +66,6 @@
 {
 	uint32_t first = t && t->has_priority ? t->priority : r->priority;
 
-	return first * ROUTE_PRIORITIES + r->priority;
+	return MIN(first, PRIORITIES - 1) * PRIORITIES +
+	       MIN(r->priority, PRIORITIES - 1);
 }
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -239,6 +239,60 @@
 	}
 }
 
+/* What is read back of a configuration that is accepted. */
+std::string accepted(const std::string &text)
+{
+	std::string key;
+	std::string expected;
+	struct ba_buf out = {};
+
+	EXPECT_EQ(submit(text, &key, &expected), BA_OK)
+		<< key << ": " << expected << "\n"
+		<< text;
+	struct cf_snapshot *s = proxy_world::snapshot(text);
+
+	pf_operators.write_configuration(s, &out);
+	std::string back = ba_buf_text(&out);
+
+	ba_buf_free(&out);
+	cf_snapshot_unref(s);
+	return back;
+}
+
+/* Guards against names and numbers that the platform allows and we refused. */
+TEST(PfConfiguration, AllThatIsNotInvalidIsAccepted)
+{
+	const std::string long_name(CF_NAME_BYTES, 'n');
+	const std::string long_path = "/" + std::string(1000, 'p') + "/";
+	const struct {
+		std::string from, to, back;
+	} cases[] = {
+		{"[\"look\"", "[\"Look_1.a b\"", "[\"Look_1.a b\""},
+		{"[\"look\"", "[\"" + long_name + "\"", long_name},
+		{"\"300ms\",2,null,2", "\"300ms\",70000,null,2", "70000"},
+		{"\"300ms\",2,null,2", "\"300ms\",2.0,null,2.0",
+		 "\"300ms\",2,null,2"},
+		{"\"300ms\",2,null,2", "\"300ms\",2,null,5000", "2,null,5000"},
+		{"/look/", long_path, long_path},
+		{"\"9000ms\"", "\"2.5s\"", "\"2500ms\""},
+		{"4096", "4096.0", "4096"},
+		{"100000", "100000.0", "100000"},
+	};
+
+	for (const auto &c : cases) {
+		std::string back = accepted(
+			configuration_with(c.from.c_str(), c.to.c_str()));
+
+		EXPECT_TRUE(proxy_world::has(back, c.back)) << back;
+	}
+	std::string back = accepted(configuration_with_teams(
+		"[\"Red Team.1_A\",[\"k\"],70000,5.0,1]", "true"));
+
+	EXPECT_TRUE(
+		proxy_world::has(back, "[\"Red Team.1_A\",[\"k\"],70000,5,1]"))
+		<< back;
+}
+
 /* One case per kind of error, with the field that must be reported. */
 TEST(PfConfiguration, ErrorNamesTheWrongField)
 {
@@ -277,6 +331,27 @@
 		{"two routes with one path", "/book/", "/look/", "routes.path",
 		 "look"},
 		{"limits", "4096", "\"4096\"", "limits", ""},
+		{"size with a fraction", "4096", "4096.5", "limits", ""},
+		{"size below 0", "100000", "-1", "limits", ""},
+		{"blank before a name", "[\"look\"", "[\" look\"",
+		 "routes.name", "look"},
+		{"line feed in a name", "[\"look\"", "[\"lo\\nok\"",
+		 "routes.name", ""},
+		{"empty name", "[\"look\"", "[\"\"", "routes.name", ""},
+		{"priority below 0", "\"300ms\",2,", "\"300ms\",-2,", "routes",
+		 "look"},
+		{"priority with a fraction", "\"300ms\",2,", "\"300ms\",2.5,",
+		 "routes", "look"},
+		{"tls of another type", "10,\"h1\",false", "10,\"h1\",\"no\"",
+		 "services", "stock"},
+		{"time with two points", "\"9000ms\"", "\"1.2.3s\"", "routes",
+		 "look"},
+		{"time with an exponent", "\"9000ms\"", "\"1e3s\"", "routes",
+		 "look"},
+		{"time in hexadecimal", "\"9000ms\"", "\"0x9s\"", "routes",
+		 "look"},
+		{"time in another unit", "\"9000ms\"", "\"9000us\"", "routes",
+		 "look"},
 	};
 
 	for (const auto &c : cases) {
