config: weights, rates and bursts may have a fraction

Callers saw: a configuration with a weight of 0.5, or a rate of 0.25 requests a second, was refused with 400.

Cause: they were whole numbers from the body to the proxy.

Change: they are doubles. Encodings hold a whole number of 32 bits as before, so these and their digests are the same; any other number is in a field of its own. The limits of teams are read by one function for proxies and relays, which bounds them so that waits do not overflow.

Measured: PfConfiguration.FractionsAreReadBackAsTheyWereSent and ClSplit.

--- a/call/cl_quota.c
+++ b/call/cl_quota.c
@@ -16,6 +16,13 @@
 /* Time over which the rate of a team's requests is averaged. */
 #define DEMAND_TIME BA_SECOND
 
+/*
+ * Bounds of limits, so that neither waits nor numbers of tokens overflow: one
+ * request in 1,000 s, and more than a mesh can serve.
+ */
+#define RATE_MIN 0.001
+#define AMOUNT_MAX 1e9
+
 /* A team with fewer requests a second is not asked for ahead. */
 #define DEMAND_MIN 0.01
 
@@ -111,6 +118,26 @@
 	return ba_hash(name, strlen(name), 0);
 }
 
+size_t cl_quota_read_limits(const struct cf_snapshot *s,
+			    struct cl_quota_limit *list)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < s->n_teams; i++) {
+		const struct cf_team *t = &s->teams[i];
+
+		if (t->calls_per_second <= 0)
+			continue;
+		list[n++] = (struct cl_quota_limit){
+			.team = cl_quota_team(t->name),
+			.rate = CLAMP(t->calls_per_second, RATE_MIN,
+				      AMOUNT_MAX),
+			.burst = MIN(t->burst, AMOUNT_MAX),
+		};
+	}
+	return n;
+}
+
 struct cl_quota *cl_quota_new(ba_time now)
 {
 	struct cl_quota *q = g_new0(struct cl_quota, 1);
--- a/call/cl_quota.h
+++ b/call/cl_quota.h
@@ -27,6 +27,7 @@
 #include <stdint.h>
 
 #include "base/ba_clock.h"
+#include "config/cf.h"
 
 #ifdef __cplusplus
 extern "C" {
@@ -107,6 +108,15 @@
 
 struct cl_quota;
 
+/**
+ * cl_quota_read_limits() - the limits of the teams of a configuration
+ * @list: room for all teams
+ *
+ * Return: the number of teams that have a limit.
+ */
+size_t cl_quota_read_limits(const struct cf_snapshot *s,
+			    struct cl_quota_limit *list);
+
 /** cl_quota_team() - id of the team @name */
 uint64_t cl_quota_team(const char *name);
 
--- a/call/cl_split.c
+++ b/call/cl_split.c
@@ -10,7 +10,7 @@
  */
 struct part {
 	char *service;
-	uint32_t weight;
+	double weight;
 	double current;
 };
 
@@ -65,7 +65,7 @@
 	for (size_t i = 0; i < s->n; i++) {
 		struct part *p = &s->parts[i];
 
-		if (!p->weight)
+		if (p->weight <= 0)
 			continue;
 		p->current += p->weight;
 		if (!best || p->current > best->current)
--- a/call/cl_split.h
+++ b/call/cl_split.h
@@ -12,7 +12,6 @@
 
 #include <stdbool.h>
 #include <stddef.h>
-#include <stdint.h>
 
 #include "base/ba_rand.h"
 
@@ -27,7 +26,7 @@
  */
 struct cl_split_part {
 	const char *service;
-	uint32_t weight;
+	double weight;
 };
 
 struct cl_split;
--- a/config/cf.h
+++ b/config/cf.h
@@ -63,7 +63,7 @@
  */
 struct cf_part {
 	int service;
-	uint32_t weight;
+	double weight;
 };
 
 /**
@@ -135,9 +135,9 @@
 	bool has_priority;
 	uint32_t priority;
 	bool has_calls_per_second;
-	uint32_t calls_per_second;
+	double calls_per_second;
 	bool has_burst;
-	uint32_t burst;
+	double burst;
 	const struct ba_digest *keys;
 	const char *const *key_texts;
 	size_t n_keys;
@@ -380,6 +380,13 @@
 /** cf_rollout_state_name() - "running", "completed" or "rolled-back" */
 const char *cf_rollout_state_name(enum cf_rollout_state state);
 
+/**
+ * cf_number_to_proto() - encode a number that may have a fraction
+ * @whole: set to the number if it is one of 32 bits, else to 0
+ * @rest: set to what @whole lacks; 0, which is not sent, for a whole number
+ */
+void cf_number_to_proto(double number, uint32_t *whole, double *rest);
+
 /** cf_service_find() - find a service by name; index or %CF_NO_SERVICE */
 int cf_service_find(const struct cf_snapshot *s, const char *name);
 
--- a/config/cf_check.c
+++ b/config/cf_check.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include "base/ba_result.h"
@@ -147,7 +148,7 @@
 static void check_parts(const struct cf_draft *d,
 			const struct cf_draft_route *r, struct ba_problems *p)
 {
-	uint64_t sum = 0;
+	double sum = 0;
 
 	if (!r->n_parts)
 		return;
@@ -165,7 +166,7 @@
 		const struct cf_draft_part *part = &g_array_index(
 			d->parts, struct cf_draft_part, r->first_part + i);
 
-		sum += part->weight;
+		sum += cf_is_amount(part->weight) ? part->weight : NAN;
 		if (cf_draft_service_find(d, part->service) == CF_NO_SERVICE)
 			ba_problem_add(p, CF_ROUTE_DANGLING,
 				       reported_line(r->line),
@@ -173,10 +174,10 @@
 				       "the name of a service, not \"%s\"",
 				       part->service);
 	}
-	if (!sum)
+	if (!isfinite(sum) || sum <= 0)
 		ba_problem_add(p, BA_RANGE_WRONG, reported_line(r->line),
 			       "routes.split.weight",
-			       "weights whose sum is above 0");
+			       "weights of 0 or more, whose sum is above 0");
 }
 
 /* With two routes of one host, path and method the match would be arbitrary. */
@@ -285,6 +286,11 @@
 	return line == CF_LINE_FROM_SNAPSHOT ? 0 : line;
 }
 
+bool cf_is_amount(double number)
+{
+	return number >= 0 && isfinite(number);
+}
+
 /* Names in messages are those of a platform, which has rules of its own. */
 void cf_check_name(const char *name, int line, const char *key,
 		   struct ba_problems *p)
--- a/config/cf_draft.c
+++ b/config/cf_draft.c
@@ -83,7 +83,7 @@
 	g_array_append_val(d->routes, entry);
 }
 
-void cf_draft_add_part(struct cf_draft *d, const char *service, uint32_t weight)
+void cf_draft_add_part(struct cf_draft *d, const char *service, double weight)
 {
 	struct cf_draft_part entry = {service, weight};
 
--- a/config/cf_encode.c
+++ b/config/cf_encode.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <string.h>
 
 #include "base/ba_result.h"
@@ -143,10 +144,19 @@
 		cf_part__init(m->parts[i]);
 		m->parts[i]->service =
 			(char *)s->services[r->parts[i].service].name;
-		m->parts[i]->weight = r->parts[i].weight;
+		cf_number_to_proto(r->parts[i].weight, &m->parts[i]->weight,
+				   &m->parts[i]->weight_rest);
 	}
 }
 
+void cf_number_to_proto(double number, uint32_t *whole, double *rest)
+{
+	bool fits = number <= UINT32_MAX && number == trunc(number);
+
+	*whole = fits ? (uint32_t)number : 0;
+	*rest = fits ? 0 : number;
+}
+
 void cf_route_proto_clear(CfRoute *m)
 {
 	for (size_t i = 0; i < m->n_parts; i++)
@@ -232,7 +242,9 @@
 
 	cf_draft_add_route(d, &r, m->service, 0);
 	for (size_t i = 0; i < m->n_parts; i++)
-		cf_draft_add_part(d, m->parts[i]->service, m->parts[i]->weight);
+		cf_draft_add_part(d, m->parts[i]->service,
+				  m->parts[i]->weight +
+					  m->parts[i]->weight_rest);
 }
 
 void cf_draft_add_row_proto(struct cf_draft *d, const CfPolicyRow *m)
--- a/config/cf_internal.h
+++ b/config/cf_internal.h
@@ -78,7 +78,7 @@
 /** struct cf_draft_part - a part of a split route, its service by name */
 struct cf_draft_part {
 	const char *service;
-	uint32_t weight;
+	double weight;
 };
 
 /**
@@ -165,8 +165,7 @@
 			const char *service, int line);
 
 /** cf_draft_add_part() - add a split target to the route added last */
-void cf_draft_add_part(struct cf_draft *d, const char *service,
-		       uint32_t weight);
+void cf_draft_add_part(struct cf_draft *d, const char *service, double weight);
 
 /** cf_draft_add_row() - add a policy row for the service @service */
 void cf_draft_add_row(struct cf_draft *d, const struct cf_policy_row *r,
@@ -219,6 +218,9 @@
 struct cf_snapshot *cf_draft_finish(struct cf_draft *d,
 				    struct ba_problems *problems);
 
+/** cf_is_amount() - whether a number is 0 or more, and finite */
+bool cf_is_amount(double number);
+
 /**
  * cf_check_name() - check the name of an entry
  * @line: line that a problem is reported with
--- a/config/cf_parse.c
+++ b/config/cf_parse.c
@@ -308,9 +308,9 @@
 			.has_priority = v.priority >= 0,
 			.priority = (uint32_t)MAX(v.priority, 0),
 			.has_calls_per_second = v.calls_per_second > 0,
-			.calls_per_second = (uint32_t)v.calls_per_second,
+			.calls_per_second = (double)v.calls_per_second,
 			.has_burst = v.burst > 0,
-			.burst = (uint32_t)v.burst,
+			.burst = (double)v.burst,
 		};
 
 		cf_draft_add_team(d, &t, table->line);
--- a/config/cf_team.c
+++ b/config/cf_team.c
@@ -55,9 +55,10 @@
 		.has_priority = m->has_priority,
 		.priority = m->priority,
 		.has_calls_per_second = m->has_calls_per_second,
-		.calls_per_second = m->calls_per_second,
+		.calls_per_second =
+			m->calls_per_second + m->calls_per_second_rest,
 		.has_burst = m->has_burst,
-		.burst = m->burst,
+		.burst = m->burst + m->burst_rest,
 	};
 
 	cf_draft_add_team(d, &t, 0);
@@ -151,6 +152,13 @@
 static void check_team(const struct cf_draft_team *t, struct ba_problems *p)
 {
 	cf_check_name(t->value.name, t->line, "teams.name", p);
+	if (!cf_is_amount(t->value.calls_per_second) ||
+	    !cf_is_amount(t->value.burst))
+		ba_problem_add(p, BA_RANGE_WRONG, t->line,
+			       "teams.calls_per_second",
+			       "a rate and a burst of 0 or more for team "
+			       "\"%s\"",
+			       t->value.name);
 	if (t->n_keys > CF_KEYS_LIMIT)
 		ba_problem_add(p, CF_TOO_MANY, t->line, "teams.keys",
 			       "%d at most for team \"%s\"", CF_KEYS_LIMIT,
@@ -238,9 +246,10 @@
 	m->has_priority = t->has_priority;
 	m->priority = t->priority;
 	m->has_calls_per_second = t->has_calls_per_second;
-	m->calls_per_second = t->calls_per_second;
+	cf_number_to_proto(t->calls_per_second, &m->calls_per_second,
+			   &m->calls_per_second_rest);
 	m->has_burst = t->has_burst;
-	m->burst = t->burst;
+	cf_number_to_proto(t->burst, &m->burst, &m->burst_rest);
 	if (form == CF_FORM_KEYS && t->key_texts) {
 		m->n_keys = t->n_keys;
 		m->keys = (char **)t->key_texts;
--- a/relay/re_quota.c
+++ b/relay/re_quota.c
@@ -40,15 +40,8 @@
 void re_quota_configure(struct re_relay *r, const struct cf_snapshot *s)
 {
 	struct cl_quota_limit *list = g_new(struct cl_quota_limit, s->n_teams);
-	size_t n = 0;
-
-	for (size_t i = 0; i < s->n_teams; i++)
-		if (s->teams[i].calls_per_second)
-			list[n++] = (struct cl_quota_limit){
-				.team = cl_quota_team(s->teams[i].name),
-				.rate = s->teams[i].calls_per_second,
-				.burst = s->teams[i].burst,
-			};
+	size_t n = cl_quota_read_limits(s, list);
+
 	cl_quota_pool_configure(r->quota, list, n, ba_clock_now());
 	g_free(list);
 }
--- a/test/cl_split_test.cc
+++ b/test/cl_split_test.cc
@@ -28,6 +28,19 @@
 		cl_split_new(p.data(), p.size(), &rand));
 }
 
+TEST(ClSplit, FractionsAreShares)
+{
+	const struct cl_split_part parts[] = {{"a", 0.5}, {"b", 1.5}};
+	struct ba_rand rand = {1};
+	struct cl_split *s = cl_split_new(parts, 2, &rand);
+	int got[2] = {};
+
+	for (int i = 0; i < 400; i++)
+		got[cl_split_choose(s)]++;
+	EXPECT_NEAR(got[0], 100, 2);
+	cl_split_free(s);
+}
+
 /* With a random first state, a part of weight 0 was chosen at times. */
 TEST(ClSplit, PartOfWeightZeroIsNeverChosen)
 {
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "base/ba_result.h"
+#include "call/cl_quota.h"
 #include "platform/pf.h"
 #include "test/proxy_world.h"
 
@@ -293,6 +294,42 @@
 		<< back;
 }
 
+/* Guards against weights and rates with a fraction, which were refused. */
+TEST(PfConfiguration, FractionsAreReadBackAsTheyWereSent)
+{
+	std::string text = configuration_with_teams(
+		"[\"a\",[\"k\"],null,0.25,2.5],[\"b\",[],null,1e12,7]", "true");
+	const std::string weights =
+		"\"weight\":3},{\"service\":\"none\",\"weight\":1}";
+
+	text.replace(text.find(weights), weights.size(),
+		     "\"weight\":99.5},{\"service\":\"none\",\"weight\":0.5}");
+	std::string back = accepted(text);
+
+	for (const char *part : {"\"weight\":99.5}", "\"weight\":0.5}",
+				 ",0.25,2.5]", ",1000000000000,7]"})
+		EXPECT_TRUE(proxy_world::has(back, part)) << part << back;
+
+	struct cf_snapshot *s = proxy_world::snapshot(text);
+	struct cf_snapshot *empty = cf_snapshot_empty();
+	struct cf_snapshot *next = nullptr;
+	struct cl_quota_limit limits[2];
+	struct ba_buf delta = {};
+
+	/* The same by a delta, as proxies get it. */
+	cf_delta_encode(empty, s, CF_FORM_DIGESTS, &delta);
+	ASSERT_EQ(cf_delta_apply(empty, delta.data, delta.len, &next), BA_OK);
+	EXPECT_EQ(next->routes[4].parts[0].weight, 99.5);
+	ASSERT_EQ(cl_quota_read_limits(next, limits), 2u);
+	EXPECT_EQ(limits[0].rate, 0.25);
+	EXPECT_EQ(limits[0].burst, 2.5);
+	EXPECT_EQ(limits[1].burst, 7);
+	ba_buf_free(&delta);
+	cf_snapshot_unref(next);
+	cf_snapshot_unref(empty);
+	cf_snapshot_unref(s);
+}
+
 /* One case per kind of error, with the field that must be reported. */
 TEST(PfConfiguration, ErrorNamesTheWrongField)
 {
@@ -320,6 +357,10 @@
 		 "\"weight\":3},{\"service\":\"none\",\"weight\":1}",
 		 "\"weight\":0},{\"service\":\"none\",\"weight\":0}",
 		 "routes.split.weight", "split"},
+		{"weight below 0", "\"weight\":3}", "\"weight\":-0.5}",
+		 "routes", "split"},
+		{"weight of another type", "\"weight\":3}", "\"weight\":\"3\"}",
+		 "routes", "split"},
 		{"timeout of 0", "\"9000ms\"", "\"0ms\"", "routes.timeout",
 		 "look"},
 		{"timeout without a unit", "\"9000ms\"", "9000", "routes",
--- a/wire/cf.pb-c.c
+++ b/wire/cf.pb-c.c
@@ -573,7 +573,7 @@
   (ProtobufCMessageInit) cf_service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_part__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cf_part__field_descriptors[3] =
 {
   {
     "service",
@@ -599,15 +599,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "weight_rest",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(CfPart, weight_rest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cf_part__field_indices_by_name[] = {
   0,   /* field[0] = service */
   1,   /* field[1] = weight */
+  2,   /* field[2] = weight_rest */
 };
 static const ProtobufCIntRange cf_part__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cf_part__descriptor =
 {
@@ -617,7 +630,7 @@
   "CfPart",
   "",
   sizeof(CfPart),
-  2,
+  3,
   cf_part__field_descriptors,
   cf_part__field_indices_by_name,
   1,  cf_part__number_ranges,
@@ -921,7 +934,7 @@
   (ProtobufCMessageInit) cf_route__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cf_team__field_descriptors[9] =
+static const ProtobufCFieldDescriptor cf_team__field_descriptors[11] =
 {
   {
     "name",
@@ -1031,10 +1044,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "calls_per_second_rest",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(CfTeam, calls_per_second_rest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "burst_rest",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(CfTeam, burst_rest),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cf_team__field_indices_by_name[] = {
   5,   /* field[5] = burst */
+  10,   /* field[10] = burst_rest */
   4,   /* field[4] = calls_per_second */
+  9,   /* field[9] = calls_per_second_rest */
   8,   /* field[8] = has_burst */
   7,   /* field[7] = has_calls_per_second */
   2,   /* field[2] = has_priority */
@@ -1046,7 +1085,7 @@
 static const ProtobufCIntRange cf_team__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cf_team__descriptor =
 {
@@ -1056,7 +1095,7 @@
   "CfTeam",
   "",
   sizeof(CfTeam),
-  9,
+  11,
   cf_team__field_descriptors,
   cf_team__field_indices_by_name,
   1,  cf_team__number_ranges,
--- a/wire/cf.pb-c.h
+++ b/wire/cf.pb-c.h
@@ -71,10 +71,14 @@
   ProtobufCMessage base;
   char *service;
   uint32_t weight;
+  /*
+   * added to weight, which may have a fraction
+   */
+  double weight_rest;
 };
 #define CF_PART__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_part__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -184,10 +188,18 @@
    */
   protobuf_c_boolean has_calls_per_second;
   protobuf_c_boolean has_burst;
+  /*
+   * added to calls_per_second
+   */
+  double calls_per_second_rest;
+  /*
+   * added to burst
+   */
+  double burst_rest;
 };
 #define CF_TEAM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cf_team__descriptor) \
-    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0,NULL, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
