source: store the founders where the data folder is not there yet

Cause: the founders were written before the folder was made, so on a new machine without it they were not kept, and a founder that was restarted with other seeds before there was a group had the new ones: none was formed.

--- a/source/so_group.c
+++ b/source/so_group.c
@@ -12,7 +12,7 @@
 
 #define FILE_NAME "founders"
 
-enum { FILE_LIMIT_BYTES = 4096 };
+enum { FILE_LIMIT_BYTES = 4096, FOLDER_MODE = 0700 };
 
 static int write_founders(const char *folder,
 			  const struct ba_addresses *founders);
@@ -41,10 +41,12 @@
 static int write_founders(const char *folder,
 			  const struct ba_addresses *founders)
 {
-	int dir = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
 	struct ba_buf text = {0};
+	int dir = -1;
 	int ret;
 
+	if (!g_mkdir_with_parents(folder, FOLDER_MODE))
+		dir = open(folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
 	if (dir < 0)
 		return rp_file_error();
 	for (size_t i = 0; i < founders->n; i++)
--- a/test/cases/platform-settings.sh
+++ b/test/cases/platform-settings.sh
@@ -5,23 +5,13 @@
 # usage: test/cases/platform-settings.sh BUILD
 
 . "$(dirname "$0")/../lib.sh"
-top=$(cd "$(dirname "$0")/../.." && pwd)
+. "$(dirname "$0")/../platform_programs.sh"
 
-# render PROGRAM GRACE MEMORY RATE: write the settings file of a program
-render() {
-	sed -e 's/{{[#\/][a-z_.]*}}//g' \
-		-e "s|{{node_name}}|node|; s|{{zone}}|za|; s|{{region}}|ra|" \
-		-e "s|{{ip}}|$net.1|g; s|{{listen.control}}|$net.1:8620|" \
-		-e "s|{{listen.outbound}}|$net.1:8629|" \
-		-e "s|{{listen.inbound}}|$net.1:8624|" \
-		-e "s|{{listen.ready}}|$net.1:8625|; s|{{app_addr}}|$net.1:8628|" \
-		-e "s|{{internal_ports.0}}|7600|; s|{{internal_ports.1}}|7601|" \
-		-e "s|{{data_dir}}|$work/data|; s|{{service}}|stock|" \
-		-e "s|{{bounds.grace}}|$2|; s|{{limits.memory_mb}}|$3|" \
-		-e "s|{{limits.max_fds}}|$3|; s|{{limits.link_mbps}}|$4|" \
-		-e "s|{{seeds.json}}|[\"$net.1:8620\"]|" \
-		-e "s|{{bootstrap.json}}|true|; s|{{fault_tolerance.machines}}|7|" \
-		"$top/deploy/$1.toml.in" >"$work/$1.toml"
+# settle PROGRAM GRACE MEMORY RATE: write the settings file of a program
+settle() {
+	render "$1" 1 "$(seed_list 1)" "s|{{bounds.grace}}|$2|
+		s|{{limits.memory_mb}}|$3|; s|{{limits.max_fds}}|$3|
+		s|{{limits.link_mbps}}|$4|; s|{{fault_tolerance.machines}}|7|"
 }
 
 listens() {
@@ -32,23 +22,22 @@
 expect_start() {
 	local port=$1 program=$2
 	shift 2
-	render "$program" "$@"
-	start_in "$top" "$program" "$build/caraway-$program" \
-		--settings "$work/$program.toml"
+	settle "$program" "$@"
+	launch "$program" 1
 	poll "$program with $*" listens "$port"
-	crash "$program"
+	crash "$program-1"
 }
 
 # expect_refusal PROGRAM KEY VALUES...: fail unless KEY is refused
 expect_refusal() {
-	local program=$1 key=$2
+	local program=$1 key=$2 log=$work/refusal.log
 	shift 2
-	render "$program" "$@"
+	settle "$program" "$@"
 	(cd "$top" && "$build/caraway-$program" \
-		--settings "$work/$program.toml") >"$work/$program.log" 2>&1
+		--settings "$work/$program-1.toml") >"$log" 2>&1
 	test $? = 2 || fail "$program started with $*"
-	grep -q "$program.toml:[0-9]*: .*$key" "$work/$program.log" ||
-		fail "$program does not name $key: $(cat "$work/$program.log")"
+	grep -q "$program-1.toml:[0-9]*: .*$key" "$log" ||
+		fail "$program does not name $key: $(cat "$log")"
 }
 
 for grace in 6s 6.5s 6.0s 2.5s 0.8s 6500ms 6500.0ms
--- a/test/rp_form_test.cc
+++ b/test/rp_form_test.cc
@@ -53,18 +53,23 @@
 /* Guards against other founders after a restart before the group was formed. */
 TEST(RpForm, FoundersStayAsStoredAtTheFirstStart)
 {
-	char folder[] = "/tmp/caraway-founders-XXXXXX";
+	char parent[] = "/tmp/caraway-founders-XXXXXX";
 	struct ba_addresses first =
 		addresses({"127.0.0.2:1", "127.0.0.1:1", "127.0.0.2:1"});
 	struct ba_addresses other = addresses({"127.0.0.3:1"});
 
-	ASSERT_NE(mkdtemp(folder), nullptr);
+	ASSERT_NE(mkdtemp(parent), nullptr);
+	/* The folder is made at the first start. */
+	std::string path = std::string(parent) + "/data";
+	const char *folder = path.c_str();
+
 	EXPECT_EQ(founders_of(folder, nullptr), "");
 	EXPECT_EQ(founders_of(folder, &first), "127.0.0.2:1 127.0.0.1:1");
 	EXPECT_EQ(founders_of(folder, &other), "127.0.0.2:1 127.0.0.1:1");
 	EXPECT_EQ(founders_of(folder, nullptr), "127.0.0.2:1 127.0.0.1:1");
-	unlink((std::string(folder) + "/founders").c_str());
+	unlink((path + "/founders").c_str());
 	rmdir(folder);
+	rmdir(parent);
 	g_free(first.list);
 	g_free(other.list);
 }
