source: say which founder a first start waits for

A first start that forms no group said nothing: which founder is missing, or has other founders, was not to be seen. Event 4013 names it every 10 s.

Measured: RpForm.WhoIsWaitedForIsNamed.

--- a/base/ba_event_table.c
+++ b/base/ba_event_table.c
@@ -74,6 +74,9 @@
 	[RP_EV_ROLLOUT] =
 		{"rollout", BA_NOTICE,
 		 "A roll-out takes a step, ends, or waits for more than time."},
+	[RP_EV_FORMING_WAITS] =
+		{"forming-waits", BA_WARNING,
+		 "No group has been formed yet, as another founder is waited for."},
 	[DS_EV_PUBLISHED] =
 		{"published", BA_NOTICE,
 		 "A configuration version is being sent to the subscribers."},
--- a/replica/rp_core.h
+++ b/replica/rp_core.h
@@ -327,6 +327,16 @@
  */
 bool rp_core_is_unrecoverable(const struct rp_core *c);
 
+/**
+ * rp_core_awaited_founder() - founder that a replica without a log waits for
+ *
+ * Of the candidate one that was not heard without a log, or did not vote; of any
+ * other founder the candidate.
+ *
+ * Return: its index, or %RP_NO_PEER if there is none or this replica has a log.
+ */
+int rp_core_awaited_founder(const struct rp_core *c, ba_time now);
+
 /** rp_core_install_data() - the received snapshot, for %RP_DO_INSTALL */
 const struct ba_buf *rp_core_install_data(const struct rp_core *c);
 
--- a/replica/rp_form.c
+++ b/replica/rp_form.c
@@ -23,6 +23,7 @@
 static int n_founders(const struct rp_core *c);
 static int first_founder(const struct rp_core *c);
 static bool all_unformed(const struct rp_core *c, ba_time now);
+static bool is_unformed(const struct rp_core *c, int i, ba_time now);
 static bool request_missing_votes(struct rp_core *c, struct rp_actions *out);
 static void form_group(struct rp_core *c, ba_time now, struct rp_actions *out);
 
@@ -98,6 +99,22 @@
 	try_to_form(c, now, out);
 }
 
+int rp_core_awaited_founder(const struct rp_core *c, ba_time now)
+{
+	int first = first_founder(c);
+
+	if (c->role != RP_UNFORMED || first != c->self)
+		return c->role == RP_UNFORMED ? first : RP_NO_PEER;
+	for (int i = 0; i < n_founders(c); i++)
+		if (i != c->self && !is_unformed(c, i, now))
+			return i;
+	/* Votes are asked for once all are there. */
+	for (int i = 0; i < n_founders(c); i++)
+		if (i != c->self && !c->peers[i].granted)
+			return i;
+	return RP_NO_PEER;
+}
+
 /*
  * Whether the last leader asks for a group with another disk than the one that
  * it led with.  It has been started anew then, and does not lead.
@@ -174,21 +191,23 @@
 	return first;
 }
 
-/* The report of a founder that it has no log counts for three probes. */
 static bool all_unformed(const struct rp_core *c, ba_time now)
 {
-	for (int i = 0; i < n_founders(c); i++) {
-		const struct rp_peer *p = &c->peers[i];
-
-		if (i == c->self)
-			continue;
-		if (!p->unformed_at || p->damaged ||
-		    now > p->unformed_at + 3 * c->o.times.probe)
+	for (int i = 0; i < n_founders(c); i++)
+		if (i != c->self && !is_unformed(c, i, now))
 			return false;
-	}
 	return true;
 }
 
+/* The report of a replica that it has no log counts for three probes. */
+static bool is_unformed(const struct rp_core *c, int i, ba_time now)
+{
+	const struct rp_peer *p = &c->peers[i];
+
+	return p->unformed_at && !p->damaged &&
+	       now <= p->unformed_at + 3 * c->o.times.probe;
+}
+
 /* Return: whether a vote is missing. */
 static bool request_missing_votes(struct rp_core *c, struct rp_actions *out)
 {
--- a/source/so.h
+++ b/source/so.h
@@ -157,6 +157,8 @@
  * @heartbeat: interval of the leader's heartbeats
  * @started_at: start time, from ba_clock_now()
  * @check_deadline: when the state of the group is checked next
+ * @forming_report_deadline: when a replica that waits for the group to be formed
+ *	says so next
  * @subscribers: instance name to &struct so_subscriber
  * @trials: roll-outs that run, by service, as so_rollout.c follows them
  * @proposed_in_force: newest version proposed as in force, by an RtInForce
@@ -190,6 +192,7 @@
 	ba_time heartbeat;
 	ba_time started_at;
 	ba_time check_deadline;
+	ba_time forming_report_deadline;
 	struct ba_rand rand;
 	struct ds_feed *feed;
 	GHashTable *subscribers;
--- a/source/so_source.c
+++ b/source/so_source.c
@@ -8,6 +8,7 @@
 #include "wire/rp.pb-c.h"
 
 #define CHECK_INTERVAL (200 * BA_MS)
+#define FORMING_REPORT_INTERVAL (10 * BA_SECOND)
 #define SHUTDOWN_DELAY (100 * BA_MS)
 /* Share of the grace time for operators, from the beginning of a stop. */
 #define SHUTDOWN_SHARE (2.0 / 3)
@@ -17,6 +18,7 @@
 static void discover_recovered(struct so_source *s);
 static void log_recovery(const struct rp_recovery_summary *found);
 static void on_timer(struct ba_timer *t, ba_time now);
+static void report_forming(struct so_source *s, ba_time now);
 static void on_shutdown_timer(struct ba_timer *t, ba_time now);
 static void on_send(struct rp_node_owner *o, int to, const void *data,
 		    size_t len);
@@ -193,6 +195,7 @@
 		rp_node_tick(s->node, now);
 	if (now >= s->check_deadline) {
 		s->check_deadline = now + CHECK_INTERVAL;
+		report_forming(s, now);
 		so_feed_check(s, now);
 		so_rollout_check(s, now);
 	}
@@ -205,6 +208,27 @@
 	so_source_rearm(s);
 }
 
+/* Says at intervals why a replica that could form the group does not. */
+static void report_forming(struct so_source *s, ba_time now)
+{
+	const struct rp_core *core = rp_node_core(s->node);
+	int founder = rp_core_awaited_founder(core, now);
+	struct rp_peer_state peer;
+
+	if (founder == RP_NO_PEER)
+		return;
+	if (!s->forming_report_deadline)
+		s->forming_report_deadline = now + FORMING_REPORT_INTERVAL;
+	if (now < s->forming_report_deadline)
+		return;
+	s->forming_report_deadline = now + FORMING_REPORT_INTERVAL;
+	peer = rp_core_peer(core, founder);
+	ba_event(RP_EV_FORMING_WAITS, "founder=%s heard=%s", peer.name,
+		 peer.heard_at && now < peer.heard_at + FORMING_REPORT_INTERVAL
+			 ? "true"
+			 : "false");
+}
+
 static void on_shutdown_timer(struct ba_timer *t, ba_time now)
 {
 	struct so_source *s = ba_entry(t, struct so_source, shutdown_timer);
--- a/test/rp_form_test.cc
+++ b/test/rp_form_test.cc
@@ -168,6 +168,25 @@
 	}
 }
 
+TEST(RpForm, WhoIsWaitedForIsNamed)
+{
+	world w(3, 3, NO_FAULT, 3, 3);
+
+	stop_all(w);
+	w.start(1);
+	w.run(w.now + BA_SECOND);
+	EXPECT_EQ(rp_core_awaited_founder(w.core(1), w.now), 0);
+	w.start(0);
+	w.run(w.now + BA_SECOND);
+	EXPECT_EQ(rp_core_awaited_founder(w.core(0), w.now), 2);
+	EXPECT_EQ(rp_core_awaited_founder(w.core(1), w.now), 0);
+	w.start(2);
+	w.run(w.now + BA_SECOND);
+	for (int i = 0; i < 3; i++)
+		EXPECT_EQ(rp_core_awaited_founder(w.core(i), w.now),
+			  RP_NO_PEER);
+}
+
 /* A random set of @n of the instances, in random order. */
 std::vector<int> random_founders(world &w, size_t n)
 {
