proxy: hold a large answer while other requests of its connection have begun

Cause: requests begin behind one whose answers have a mean size below 64 kB; a single larger answer was sent on in pieces, which can't be taken back.

--- a/proxy/px_downstream.c
+++ b/proxy/px_downstream.c
@@ -276,7 +276,8 @@
 
 /*
  * Only what may run again lets others begin: if its answer is cut off, theirs
- * are lost too.  An answer that is sent on in pieces could be.
+ * are lost too.  An answer that is usually sent on in pieces could be; a single
+ * larger one is held, see hold_limit().
  */
 static bool lets_others_begin(const struct px_downstream *d)
 {
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -34,6 +34,7 @@
 static bool has_no_body(const struct px_exchange *x, const struct ht_head *h);
 static void on_body(struct ht_conn_owner *o, struct ht_conn *c,
 		    const void *data, size_t len);
+static size_t hold_limit(const struct px_exchange *x);
 static void on_complete(struct ht_conn_owner *o, struct ht_conn *c);
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *c,
 		     enum ht_end why);
@@ -317,15 +318,15 @@
 		    const void *data, size_t len)
 {
 	struct px_exchange *x = ba_entry(o, struct px_exchange, upstream);
+	size_t limit = hold_limit(x);
 
 	if (x->not_run_code || x->foreign)
 		return;
 	x->answer_bytes += len;
 	ba_buf_add(&x->buffered, data, len);
 	ba_charge_set(&x->buffered_charge, x->buffered.alloc);
-	if (!x->answering && !x->downstream->from_peer &&
-	    x->buffered.len < PX_ANSWER_BUFFER_BYTES &&
-	    x->length <= PX_ANSWER_BUFFER_BYTES)
+	if (!x->answering && x->buffered.len < limit &&
+	    x->length <= (int64_t)limit)
 		return;
 	begin_answer(x);
 	forward_buffered(x);
@@ -333,6 +334,23 @@
 		ht_conn_pause(c, true);
 }
 
+/*
+ * Number of bytes up to which an answer is held until it is whole, as one that
+ * breaks off then is got again or replaced by an error.  Once a part was sent on,
+ * the connection has to be closed, and the requests before and behind it are lost.
+ */
+static size_t hold_limit(const struct px_exchange *x)
+{
+	const struct px_downstream *d = x->downstream;
+
+	if (d->from_peer)
+		return 0;
+	if ((d->is_behind || ht_conn_has_behind(d->conn)) &&
+	    !ba_account_is_tight(x->p->memory))
+		return PX_SHARED_ANSWER_BUFFER_BYTES;
+	return PX_ANSWER_BUFFER_BYTES;
+}
+
 /*
  * A second copy of a rejection that names no request could not be told from a
  * rejection of the next one, so the connection is closed.
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -464,6 +464,47 @@
 	EXPECT_EQ(status(caller.read_message()), 404);
 }
 
+/*
+ * Guards against review/14: when a large answer broke off, the answers to the
+ * requests before and behind it were lost with the connection.
+ */
+TEST(PxPipeline, LargeAnswerThatBreaksOffLosesNoOther)
+{
+	for (int breaks : {0, 1}) {
+		world w;
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
+		std::vector<blocking_socket> servers;
+		std::string sent;
+
+		w.send_heartbeat("i-1", "ready", 1, 5, 3);
+		for (const char *id : {"1", "2", "3"})
+			sent += pipelined("GET", std::string("/look/") + id,
+					  id);
+		caller.write(sent);
+		for (int i : {0, 1, 2}) {
+			servers.push_back(w.backend.accept_one());
+			EXPECT_TRUE(has(servers[i].read_message(),
+					"/look/" + std::to_string(i + 1)));
+		}
+		servers[breaks].write("HTTP/1.1 200 OK\r\nX-Attempt-Id: " +
+				      std::to_string(breaks + 1) +
+				      "\r\nContent-Length: 300000\r\n\r\n" +
+				      std::string(200000, 'x'));
+		servers[breaks].end();
+		for (int i : {2, 1 - breaks})
+			servers[i].write(named_answer(std::to_string(i + 1)));
+		/* There is no other backend server to get the answer from. */
+		for (int i : {0, 1, 2}) {
+			std::string got = caller.read_message();
+
+			EXPECT_EQ(status(got), i == breaks ? 502 : 200);
+			EXPECT_EQ(has(got, "of " + std::to_string(i + 1)),
+				  i != breaks);
+		}
+	}
+}
+
 /* If the connection is closed, a request behind counts as not read. */
 TEST(PxPipeline, WhatMustNotRunTwiceWaits)
 {
