--- a/replica/rp_form.c
+++ b/replica/rp_form.c
@@ -17,9 +17,9 @@
 			  const struct rp_message *m);
 static void try_to_form(struct rp_core *c, ba_time now, struct rp_actions *out);
 static bool may_form(const struct rp_core *c, ba_time now);
-static bool may_vote_for(const struct rp_core *c, int from,
-			 const struct rp_message *m);
-static bool may_vote(const struct rp_core *c, int candidate);
+static bool may_grant(const struct rp_core *c, int from,
+		      const struct rp_message *m);
+static bool vote_is_free(const struct rp_core *c, int candidate);
 static int n_founders(const struct rp_core *c);
 static int first_founder(const struct rp_core *c);
 static bool all_unformed(const struct rp_core *c, ba_time now);
@@ -73,7 +73,7 @@
 void rp_on_form_request(struct rp_core *c, int from, const struct rp_message *m,
 			struct rp_actions *out)
 {
-	bool grant = may_vote_for(c, from, m);
+	bool grant = may_grant(c, from, m);
 	struct rp_message *reply;
 
 	if (grant && (c->vote != from || c->term < m->term)) {
@@ -145,24 +145,24 @@
 static bool may_form(const struct rp_core *c, ba_time now)
 {
 	return !c->damaged && first_founder(c) == c->self &&
-	       may_vote(c, c->self) && all_unformed(c, now);
+	       vote_is_free(c, c->self) && all_unformed(c, now);
 }
 
 /* The request names the disk of the voter: a new disk must not vote. */
-static bool may_vote_for(const struct rp_core *c, int from,
-			 const struct rp_message *m)
+static bool may_grant(const struct rp_core *c, int from,
+		      const struct rp_message *m)
 {
 	int first = first_founder(c);
 
 	if (c->role != RP_UNFORMED || c->damaged || m->term < c->term ||
 	    strcmp(m->disk_id, c->disk_id) != 0)
 		return false;
-	return c->vote == from ||
-	       (may_vote(c, from) && (first == from || first == RP_NO_PEER));
+	return c->vote == from || (vote_is_free(c, from) &&
+				   (first == from || first == RP_NO_PEER));
 }
 
 /* A term without a vote was learnt from a group that exists. */
-static bool may_vote(const struct rp_core *c, int candidate)
+static bool vote_is_free(const struct rp_core *c, int candidate)
 {
 	for (int i = 0; i < c->n_peers; i++)
 		if (c->peers[i].formed)
