--- a/config/cf_check.c
+++ b/config/cf_check.c
@@ -26,7 +26,7 @@
 static bool is_message_name(const char *name);
 static void check_time(ba_time t, int line, const char *key,
 		       struct ba_problems *p);
-static bool is_path(const char *path);
+static bool is_path(const char *path, int limit);
 static bool has_trailing_slash(const char *path);
 static bool is_host(const char *host);
 static bool is_method(const char *method);
@@ -112,13 +112,15 @@
 
 static void check_route(const struct cf_draft_route *r, struct ba_problems *p)
 {
+	int path_limit = r->line ? CF_FILE_PATH_BYTES : CF_PATH_BYTES;
+
 	cf_check_name(r->value.name, r->line, "routes.name", p);
-	if (!is_path(r->value.path) ||
+	if (!is_path(r->value.path, path_limit) ||
 	    (!*r->value.host && has_trailing_slash(r->value.path)))
 		ba_problem_add(p, BA_RANGE_WRONG, r->line, "routes.path",
 			       "a path such as \"/plans\", %d bytes at most, "
 			       "without a final '/'",
-			       CF_PATH_BYTES);
+			       path_limit);
 	if (!is_method(r->value.method))
 		ba_problem_add(p, BA_RANGE_WRONG, r->line, "routes.method",
 			       "a method such as \"GET\", or none");
@@ -343,11 +345,11 @@
 			       most);
 }
 
-static bool is_path(const char *path)
+static bool is_path(const char *path, int limit)
 {
 	size_t len = strlen(path);
 
-	if (path[0] != '/' || len > CF_PATH_BYTES || strstr(path, "//"))
+	if (path[0] != '/' || len > (size_t)limit || strstr(path, "//"))
 		return false;
 	for (const char *c = path; *c; c++)
 		if (*c <= ' ' || *c >= 0x7f || strchr("?#\\\"", *c))
