proxy: a held answer may go on past the timeout as one that is sent on

Cause: what may go on past the timeout was decided by whether a part had been sent on, and held answers have none.

Change: the time at which an answer would have been sent on is noted, and cl_overrun judges it from there. When that ends, a held one is answered 504, and the requests behind it are served.

Measured: PxTimeout.WholeAnswerThatIsSlowIsDelivered, now with and without a request behind, failed before ("504, 200 was due") and passed 5 times; it passes on.

--- a/proxy/px_exchange.c
+++ b/proxy/px_exchange.c
@@ -274,6 +274,7 @@
 	x->endpoint = NULL;
 	x->state = PX_ATTEMPT_NONE;
 	x->not_run_code = 0;
+	x->answering_at = 0;
 	x->buffered.len = 0;
 	if (abandoned)
 		px_poison_on_abandoned(x);
@@ -537,7 +538,7 @@
 {
 	struct px_exchange *x = ba_entry(t, struct px_exchange, timer);
 
-	if (x->answering) {
+	if (x->answering_at) {
 		limit_answer(x, now);
 		return;
 	}
--- a/proxy/px_internal.h
+++ b/proxy/px_internal.h
@@ -376,7 +376,8 @@
  * @not_run_code: code of an answer that reports "not run", or 0
  * @unnamed: the answer that is being read names no request
  * @answering: the head of the answer has been written to the caller
- * @answering_at: when that was
+ * @answering_at: when that was, or when it would have been if the answer were
+ *	not held for other requests of the connection; 0 before
  * @checked_bytes: @answer_bytes when the answer was last found to go on
  * @chunked: the body is sent to the caller in chunks
  * @no_body: the answer to the caller has no body
--- a/proxy/px_upstream.c
+++ b/proxy/px_upstream.c
@@ -35,6 +35,7 @@
 static bool has_no_body(const struct px_exchange *x, const struct ht_head *h);
 static void on_body(struct ht_conn_owner *o, struct ht_conn *c,
 		    const void *data, size_t len);
+static bool is_within(const struct px_exchange *x, size_t limit);
 static size_t hold_limit(const struct px_exchange *x);
 static void on_complete(struct ht_conn_owner *o, struct ht_conn *c);
 static void on_ended(struct ht_conn_owner *o, struct ht_conn *c,
@@ -326,15 +327,22 @@
 	x->answer_bytes += len;
 	ba_buf_add(&x->buffered, data, len);
 	ba_charge_set(&x->buffered_charge, x->buffered.alloc);
-	if (!x->answering && x->buffered.len < limit &&
-	    x->length <= (int64_t)limit)
+	if (!x->answering && is_within(x, limit)) {
+		if (!x->answering_at && !is_within(x, CL_HOLD_BYTES))
+			x->answering_at = ba_loop_now(x->p->loop);
 		return;
+	}
 	begin_answer(x);
 	forward_buffered(x);
 	if (ht_conn_out(x->downstream->conn)->len > px_crowd_high_water(x->p))
 		ht_conn_pause(c, true);
 }
 
+static bool is_within(const struct px_exchange *x, size_t limit)
+{
+	return x->buffered.len < limit && x->length <= (int64_t)limit;
+}
+
 static size_t hold_limit(const struct px_exchange *x)
 {
 	const struct px_downstream *d = x->downstream;
@@ -484,7 +492,8 @@
 	if (x->answering)
 		return;
 	x->answering = true;
-	x->answering_at = ba_loop_now(x->p->loop);
+	if (!x->answering_at)
+		x->answering_at = ba_loop_now(x->p->loop);
 	ht_conn_set_rank(x->downstream->conn, x->reservation.rank,
 			 x->reservation.rank == CL_EGRESS_IN_TIME
 				 ? x->latency_target
--- a/test/proxy_test.cc
+++ b/test/proxy_test.cc
@@ -1121,34 +1121,51 @@
 		}
 }
 
-/* Each piece comes 100 ms after the last one; the route's timeout is 200 ms. */
+/*
+ * Each piece comes 100 ms after the last one; the route's timeout is 200 ms.
+ * Guards against an answer that was held for the sake of a request behind it, and
+ * was replaced by 504 at the timeout.
+ */
 TEST(PxTimeout, WholeAnswerThatIsSlowIsDelivered)
 {
 	const std::string piece(50000, 'b');
 	const int n = 12;
-	world w;
-	blocking_socket caller = blocking_socket::connect_to(CALLER_PORT);
 
-	w.send_heartbeat("i-1", "ready", 1);
-	caller.write(request("GET /short/"));
-	blocking_socket server = w.backend.accept_one();
+	for (bool is_followed : {false, true}) {
+		world w;
+		blocking_socket caller =
+			blocking_socket::connect_to(CALLER_PORT);
 
-	server.read_message();
-	std::thread sender([&] {
-		server.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n"
-			     "Content-Length: " +
-			     std::to_string(n * piece.size()) + "\r\n\r\n");
-		for (int i = 0; i < n; i++) {
-			std::this_thread::sleep_for(
-				std::chrono::milliseconds(i ? 100 : 0));
-			server.write(piece);
+		w.send_heartbeat("i-1", "ready", 1, 5, 3);
+		caller.write(pipelined("GET", "/short/", "1"));
+		blocking_socket server = w.backend.accept_one();
+
+		server.read_message();
+		if (is_followed) {
+			caller.write(pipelined("GET", "/look/2", "2"));
+			blocking_socket other = w.backend.accept_one();
+
+			other.read_message();
+			other.write(named_answer("2"));
 		}
-	});
-	std::string got = caller.read_message();
+		std::thread sender([&] {
+			server.write("HTTP/1.1 200 OK\r\nX-Attempt-Id: 1\r\n"
+				     "Content-Length: " +
+				     std::to_string(n * piece.size()) +
+				     "\r\n\r\n");
+			for (int i = 0; i < n; i++) {
+				std::this_thread::sleep_for(
+					std::chrono::milliseconds(i ? 100 : 0));
+				server.write(piece);
+			}
+		});
+		std::string got = caller.read_message();
 
-	sender.join();
-	EXPECT_EQ(status(got), 200);
-	EXPECT_GT(got.size(), n * piece.size());
+		sender.join();
+		EXPECT_EQ(status(got), 200) << is_followed;
+		EXPECT_GT(got.size(), n * piece.size());
+		EXPECT_TRUE(!is_followed || has(caller.read_message(), "of 2"));
+	}
 }
 
 /*
