--- a/base/ba_settings.c
+++ b/base/ba_settings.c
@@ -1,6 +1,5 @@
 #include <errno.h>
 #include <fcntl.h>
-#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
@@ -19,9 +18,6 @@
 	FULL_KEY_BYTES = 128,
 };
 
-/* Below it each whole number has a double of its own. */
-#define WHOLE_REAL_LIMIT 0x1p53
-
 /*
  * How values of one kind are checked and stored: @set stores a TOML value of
  * type @type, and @parse the text of a default.
@@ -90,7 +86,6 @@
 static void read_key(const struct ba_toml *table,
 		     const struct ba_settings_key *key, void *out,
 		     struct ba_problems *problems);
-static bool is_whole(const struct ba_toml *value);
 static void check_range(const struct ba_settings_key *key, const void *member,
 			int line, const char *full_key,
 			struct ba_problems *problems);
@@ -290,8 +285,10 @@
 			ops->parse(key->default_text, member);
 		return;
 	}
+	/* 260.0 is a whole number, too. */
 	if (value->type != ops->type &&
-	    !(ops->type == BA_TOML_INTEGER && is_whole(value))) {
+	    !(ops->type == BA_TOML_INTEGER && value->type == BA_TOML_FLOAT &&
+	      ba_is_whole(value->real))) {
 		ba_problem_add(problems, BA_TYPE_WRONG, value->line, full_key,
 			       "%s, not %s", ops->expected,
 			       ba_toml_type_name(value->type));
@@ -305,14 +302,6 @@
 		check_range(key, member, value->line, full_key, problems);
 }
 
-/* Whether @value is a float without a fraction, such as 260.0. */
-static bool is_whole(const struct ba_toml *value)
-{
-	return value->type == BA_TOML_FLOAT &&
-	       fabs(value->real) < WHOLE_REAL_LIMIT &&
-	       value->real == trunc(value->real);
-}
-
 static void check_range(const struct ba_settings_key *key, const void *member,
 			int line, const char *full_key,
 			struct ba_problems *problems)
--- a/base/ba_unit.c
+++ b/base/ba_unit.c
@@ -34,6 +34,8 @@
 /* 1,000,000 Gbit/s, in bytes per second. */
 #define RATE_LIMIT ((int64_t)125000000 * 1000000)
 
+#define WHOLE_LIMIT 0x1p53
+
 static int parse_with_unit(const char *s, const struct unit *units,
 			   int64_t *out);
 static int parse_port(const char *s, uint16_t *port);
@@ -59,6 +61,11 @@
 	return BA_OK;
 }
 
+bool ba_is_whole(double number)
+{
+	return fabs(number) < WHOLE_LIMIT && number == trunc(number);
+}
+
 int ba_parse_address(const char *s, struct ba_address *out)
 {
 	const char *colon = strrchr(s, ':');
--- a/base/ba_unit.h
+++ b/base/ba_unit.h
@@ -50,6 +50,12 @@
  */
 int ba_parse_rate(const char *s, int64_t *out);
 
+/**
+ * ba_is_whole() - whether a number has no fraction, and is small enough that each
+ * whole number has a double of its own
+ */
+bool ba_is_whole(double number);
+
 /**
  * ba_parse_address() - parse "192.0.2.1:7000" or "[2001:db8::1]:7000"
  *
--- a/config/cf_encode.c
+++ b/config/cf_encode.c
@@ -1,7 +1,7 @@
-#include <math.h>
 #include <string.h>
 
 #include "base/ba_result.h"
+#include "base/ba_unit.h"
 #include "config/cf_internal.h"
 
 /* A CfSnapshot message, and the storage of its submessages. */
@@ -151,7 +151,7 @@
 
 void cf_number_to_proto(double number, uint32_t *whole, double *rest)
 {
-	bool fits = number <= UINT32_MAX && number == trunc(number);
+	bool fits = number >= 0 && number <= UINT32_MAX && ba_is_whole(number);
 
 	*whole = fits ? (uint32_t)number : 0;
 	*rest = fits ? 0 : number;
