platform: heartbeats may state each version that a roll-out may name

Callers saw, since: a roll-out to a version of 64 to 127 characters was accepted, but the heartbeats of its endpoints were refused with 400, as they were before for a version of that length.

Cause: the limit of names was raised where a roll-out is read, not where a heartbeat is.

Change: both have the limit of names, CF_NAME_BYTES.

Measured: PfHeartbeat.MalformedBodyIsRefused, with versions of 127 and 128 characters, failed before and passes now.

--- a/proxy/px_dialect.h
+++ b/proxy/px_dialect.h
@@ -10,13 +10,14 @@
 #include "base/ba_buf.h"
 #include "base/ba_clock.h"
 #include "call/cl_limit.h"
+#include "config/cf.h"
 #include "http/ht_head.h"
 
 #ifdef __cplusplus
 extern "C" {
 #endif
 
-enum { PX_ID_BYTES = 128, PX_VERSION_BYTES = 64 };
+enum { PX_ID_BYTES = 128, PX_VERSION_BYTES = CF_NAME_BYTES + 1 };
 
 /**
  * struct px_caller_fields - what a caller states about its request
--- a/test/platform_test.cc
+++ b/test/platform_test.cc
@@ -473,6 +473,14 @@
 	}
 	struct px_heartbeat b = {};
 
+	/* A roll-out may name a version of as many characters. */
+	for (int len : {(int)CF_NAME_BYTES, CF_NAME_BYTES + 1}) {
+		std::string text = valid;
+
+		text.replace(text.find("v1"), 2, std::string((size_t)len, 'v'));
+		EXPECT_EQ(pf_proxy.read_heartbeat(text.data(), text.size(), &b),
+			  len == CF_NAME_BYTES);
+	}
 	EXPECT_FALSE(pf_proxy.read_heartbeat(nullptr, 0, &b));
 	ASSERT_TRUE(pf_proxy.read_heartbeat(valid, strlen(valid), &b));
 	EXPECT_EQ(b.cold_time, 1500 * BA_MS);
